--- /dev/null
+++ b/source/backend/engine_client.cc
@@ -0,0 +1,161 @@
+#include "backend/engine_client.h"
+
+#include <nlohmann/json.hpp>
+
+namespace comfreyfold {
+
+namespace {
+
+using nlohmann::json;
+
+constexpr int kResumeAttempts = 2;
+
+// Collects server-sent events of a chat completion.
+class CompletionReader {
+ public:
+  explicit CompletionReader(const EngineCall& call) : call_(call) {}
+
+  void Feed(std::string_view data) {
+    buf_ += data;
+    for (auto n = buf_.find("\n\n"); n != std::string::npos;
+         n = buf_.find("\n\n")) {
+      TakeEvent(buf_.substr(0, n));
+      buf_.erase(0, n + 2);
+    }
+  }
+
+  // A resumed stream starts at a whole event again.
+  void Restart() { buf_.clear(); }
+
+  bool done() const { return done_; }
+  std::int64_t events() const { return events_; }
+  EngineResult& result() { return result_; }
+
+ private:
+  void TakeEvent(const std::string& event) {
+    constexpr std::string_view kData = "data: ";
+    if (event.rfind(kData, 0) != 0) {
+      return;
+    }
+    ++events_;
+    const auto text = event.substr(kData.size());
+    if (text == "[DONE]") {
+      done_ = true;
+      return;
+    }
+    const auto chunk = json::parse(text, nullptr, false);
+    if (!chunk.is_object()) {
+      return;
+    }
+    TakeUsage(chunk);
+    for (const auto& it : chunk.value("choices", json::array())) {
+      const auto piece =
+          it.value("delta", json::object()).value("content", std::string());
+      if (!piece.empty()) {
+        result_.text += piece;
+        call_.on_text(piece);
+      }
+    }
+  }
+
+  void TakeUsage(const json& chunk) {
+    const auto it = chunk.find("usage");
+    if (it == chunk.end() || !it->is_object()) {
+      return;
+    }
+    result_.prompt_tokens = it->value("prompt_tokens", 0LL);
+    result_.completion_tokens = it->value("completion_tokens", 0LL);
+    result_.cached_tokens = it->value("prompt_tokens_details", json::object())
+                                .value("cached_tokens", 0LL);
+  }
+
+  const EngineCall& call_;
+  std::string buf_;
+  bool done_ = false;
+  std::int64_t events_ = 0;
+  EngineResult result_;
+};
+
+std::string Body(const EngineCall& call) {
+  const json out = {{"model", call.model},
+                    {"messages", json::parse(call.messages)},
+                    {"max_tokens", call.max_tokens},
+                    {"priority", call.priority},
+                    {"stream", true},
+                    {"stream_options", {{"include_usage", true}}}};
+  return out.dump();
+}
+
+}  // namespace
+
+EngineClient::EngineClient(HttpClient& http) : http_(http) {}
+
+EngineResult EngineClient::Complete(Fiber& fiber,
+                                    const std::string& address,
+                                    const EngineCall& call) {
+  CompletionReader reader(call);
+  HttpOptions options;
+  options.idle_timeout = call.idle_timeout;
+  options.on_data = [&reader](std::string_view data) { reader.Feed(data); };
+  HttpRequest request{"POST",
+                      "/v1/chat/completions",
+                      {{"Content-Type", "application/json"},
+                       {"X-Request-Id", call.request_id},
+                       {"X-Program", call.program}},
+                      Body(call)};
+  bool sent = false;
+  for (int n = 0; n <= kResumeAttempts; ++n) {
+    try {
+      const auto reply = http_.Send(fiber, address, request, options);
+      if (reply.status == 503 || reply.status == 429) {
+        throw BackendFailure(
+            "engine refused with " + std::to_string(reply.status),
+            sent ? Verdict::kMayHaveRun : Verdict::kNotRun);
+      }
+      if (reply.status != 200) {
+        throw BackendFailure("engine answered " + std::to_string(reply.status),
+                             Verdict::kMayHaveRun);
+      }
+      if (reader.done()) {
+        return std::move(reader.result());
+      }
+      sent = true;
+    } catch (const HttpFailure& e) {
+      sent = sent || e.sent();
+      if (!sent) {
+        throw BackendFailure(e.what(), Verdict::kNotRun);
+      }
+    }
+    // The engine goes on generating; ask for the events not seen yet.
+    reader.Restart();
+    request = {"GET",
+               "/v1/streams/" + call.request_id +
+                   "?from=" + std::to_string(reader.events()),
+               {},
+               {}};
+  }
+  throw BackendFailure("engine stream broke and could not be resumed",
+                       Verdict::kMayHaveRun);
+}
+
+void EngineClient::Release(Fiber& fiber,
+                           const std::string& address,
+                           const std::string& program) {
+  const json body = {{"program", program}};
+  try {
+    const auto reply = http_.Send(fiber, address,
+                                  {"POST",
+                                   "/cache/release",
+                                   {{"Content-Type", "application/json"}},
+                                   body.dump()});
+    if (reply.status != 200) {
+      throw BackendFailure("release answered " + std::to_string(reply.status),
+                           Verdict::kMayHaveRun);
+    }
+  } catch (const HttpFailure& e) {
+    throw BackendFailure(e.what(),
+                         e.sent() ? Verdict::kMayHaveRun : Verdict::kNotRun);
+  }
+}
+
+}  // namespace comfreyfold
--- /dev/null
+++ b/source/backend/engine_client.h
@@ -0,0 +1,72 @@
+#ifndef BACKEND_ENGINE_CLIENT_H_
+#define BACKEND_ENGINE_CLIENT_H_
+
+#include <chrono>
+#include <cstdint>
+#include <functional>
+#include <stdexcept>
+#include <string>
+#include <string_view>
+
+#include "core/verdict.h"
+#include "net/http_client.h"
+
+namespace comfreyfold {
+
+// A backend server did not answer whole. The verdict says whether the
+// request may have run there.
+class BackendFailure : public std::runtime_error {
+ public:
+  BackendFailure(const std::string& what, Verdict verdict)
+      : std::runtime_error(what), verdict_(verdict) {}
+  Verdict verdict() const { return verdict_; }
+
+ private:
+  Verdict verdict_;
+};
+
+// One model turn as it goes to an engine.
+struct EngineCall {
+  std::string request_id;  // Names the stream for resume and cancel.
+  std::string program;     // Owner of the engine memory: customer/program.
+  std::string model;
+  std::string messages;  // JSON array: the whole history and the turn.
+  std::int64_t max_tokens = 0;
+  int priority = 0;  // Higher goes first.
+  std::chrono::milliseconds idle_timeout{5000};
+  // Receives the answer as it is generated.
+  std::function<void(std::string_view)> on_text;
+};
+
+struct EngineResult {
+  std::string text;
+  std::int64_t prompt_tokens = 0;
+  std::int64_t completion_tokens = 0;
+  std::int64_t cached_tokens = 0;  // Prompt tokens found in the cache.
+};
+
+// Speaks to model engines: chat completions in the published form, and the
+// engines' own calls for memory and load.
+class EngineClient {
+ public:
+  explicit EngineClient(HttpClient& http);
+
+  // Throws BackendFailure. A stream cut on the way is resumed at the same
+  // engine before it counts as failed.
+  EngineResult Complete(Fiber& fiber,
+                        const std::string& address,
+                        const EngineCall& call);
+
+  // Frees all memory that the engine holds for `program`.
+  // Throws BackendFailure.
+  void Release(Fiber& fiber,
+               const std::string& address,
+               const std::string& program);
+
+ private:
+  HttpClient& http_;
+};
+
+}  // namespace comfreyfold
+
+#endif  // BACKEND_ENGINE_CLIENT_H_
--- /dev/null
+++ b/source/core/call_error.h
@@ -0,0 +1,43 @@
+#ifndef CORE_CALL_ERROR_H_
+#define CORE_CALL_ERROR_H_
+
+#include <chrono>
+#include <stdexcept>
+#include <string>
+#include <utility>
+
+#include "core/verdict.h"
+
+namespace comfreyfold {
+
+// A refusal or failure as a caller sees it.
+class CallError : public std::runtime_error {
+ public:
+  // `code` is stable; `message` says what happened and what to do next.
+  CallError(int status,
+            std::string code,
+            const std::string& message,
+            Verdict verdict,
+            std::chrono::milliseconds retry_after = {})
+      : std::runtime_error(message),
+        status_(status),
+        code_(std::move(code)),
+        verdict_(verdict),
+        retry_after_(retry_after) {}
+
+  int status() const { return status_; }
+  const std::string& code() const { return code_; }
+  Verdict verdict() const { return verdict_; }
+  // Zero when waiting does not help.
+  std::chrono::milliseconds retry_after() const { return retry_after_; }
+
+ private:
+  int status_;
+  std::string code_;
+  Verdict verdict_;
+  std::chrono::milliseconds retry_after_;
+};
+
+}  // namespace comfreyfold
+
+#endif  // CORE_CALL_ERROR_H_
--- /dev/null
+++ b/source/core/contract.cc
@@ -0,0 +1,114 @@
+#include "core/contract.h"
+
+#include <algorithm>
+#include <cctype>
+
+#include "core/ini_reader.h"
+
+namespace comfreyfold {
+
+namespace {
+
+constexpr std::int64_t kMostTokens = 1'000'000'000'000;
+constexpr int kMostWeight = 1000;
+constexpr int kMostPriority = 100;
+constexpr int kMostConcurrency = 100000;
+constexpr int kMostTurns = 100000;
+constexpr int kMostSubagents = 10000;
+constexpr int kMostAttempts = 10;
+constexpr std::size_t kSha256HexLength = 64;
+constexpr std::size_t kLongestName = 128;
+
+std::string Join(const std::vector<IniFault>& faults) {
+  std::string out;
+  for (const auto& it : faults) {
+    out += (out.empty() ? "" : "\n") + it.file + ":" + std::to_string(it.line) +
+           ": " + it.message;
+  }
+  return out;
+}
+
+bool IsName(const std::string& text) {
+  return !text.empty() && text.size() <= kLongestName &&
+         std::all_of(text.begin(), text.end(), [](unsigned char c) {
+           return std::isalnum(c) != 0 || c == '-' || c == '_' || c == '.';
+         });
+}
+
+bool IsSha256(const std::string& text) {
+  return text.size() == kSha256HexLength &&
+         text.find_first_not_of("0123456789abcdef") == std::string::npos;
+}
+
+void TakeTool(IniReader& reader, const std::string& section, ToolRule& rule) {
+  using std::chrono::milliseconds;
+  reader.Take(section, "idempotent", rule.idempotent);
+  reader.Take(section, "attempts", rule.attempts, 1, kMostAttempts);
+  reader.Take(section, "urgent", rule.urgent);
+  reader.Take(section, "timeout", rule.timeout, milliseconds(10),
+              std::chrono::hours(1));
+  if (rule.attempts > 1 && !rule.idempotent) {
+    reader.Fault(section, "attempts",
+                 "a call that is not idempotent is dispatched once; write "
+                 "idempotent = true or attempts = 1");
+  }
+  if (rule.urgent && !rule.idempotent) {
+    reader.Fault(section, "urgent",
+                 "an urgent message goes out ahead of the journal and may "
+                 "be repeated; write idempotent = true or urgent = false");
+  }
+}
+
+}  // namespace
+
+IniError::IniError(std::vector<IniFault> faults)
+    : std::runtime_error(Join(faults)), faults_(std::move(faults)) {}
+
+ToolRule Contract::RuleFor(const std::string& name) const {
+  const auto it = tools.find(name);
+  return it == tools.end() ? ToolRule{} : it->second;
+}
+
+Contract ParseContract(const std::string& text, const std::string& file) {
+  Contract out;
+  IniReader reader(text, file);
+  reader.Require("customer", "name");
+  reader.Take("customer", "name", out.customer);
+  if (reader.Has("customer", "name") && !IsName(out.customer)) {
+    reader.Fault("customer", "name",
+                 "write 1 to 128 letters, digits, '-', '_' or '.'");
+  }
+  reader.Require("customer", "api_key_sha256");
+  reader.Take("customer", "api_key_sha256", out.api_key_sha256);
+  if (reader.Has("customer", "api_key_sha256") &&
+      !IsSha256(out.api_key_sha256)) {
+    reader.Fault("customer", "api_key_sha256",
+                 "write the SHA-256 of the API key as 64 lower-case hex "
+                 "digits");
+  }
+
+  reader.Require("budget", "tokens");
+  reader.Take("budget", "tokens", out.budget_tokens, 0, kMostTokens);
+  reader.Take("budget", "period", out.budget_period, std::chrono::seconds(1),
+              std::chrono::hours(24 * 366));
+
+  reader.Take("share", "weight", out.weight, 1, kMostWeight);
+  reader.Take("share", "priority", out.priority, 0, kMostPriority);
+  reader.Take("share", "concurrency", out.concurrency, 1, kMostConcurrency);
+
+  reader.Take("program", "turns", out.max_turns, 1, kMostTurns);
+  reader.Take("program", "call_tokens", out.max_call_tokens, 1, kMostTokens);
+  reader.Take("program", "tokens", out.max_program_tokens, 1, kMostTokens);
+  reader.Take("program", "subagents", out.max_subagents, 0, kMostSubagents);
+  reader.Take("program", "time", out.max_program_time, std::chrono::seconds(1),
+              std::chrono::hours(24 * 366));
+  reader.Take("program", "models", out.models);
+
+  for (const auto& section : reader.SectionsWith("tool")) {
+    TakeTool(reader, section, out.tools[section.substr(5)]);
+  }
+  reader.Finish();
+  return out;
+}
+
+}  // namespace comfreyfold
--- /dev/null
+++ b/source/core/ini_reader.h
@@ -0,0 +1,81 @@
+#ifndef CORE_INI_READER_H_
+#define CORE_INI_READER_H_
+
+#include <chrono>
+#include <cstdint>
+#include <map>
+#include <string>
+#include <vector>
+
+#include "core/contract.h"
+
+namespace comfreyfold {
+
+// Reads typed values from INI text (Boost.PropertyTree) and remembers the
+// line of each key, so that every fault can be shown where it stands.
+class IniReader {
+ public:
+  // A syntax error becomes a fault; all keys then read as absent.
+  IniReader(const std::string& text, std::string file);
+
+  bool Has(const std::string& section, const std::string& key) const;
+
+  // Each Take marks the key as known. When it is absent `out` keeps its
+  // value; when its text is wrong or out of bounds a fault is noted.
+  void Take(const std::string& section,
+            const std::string& key,
+            std::string& out);
+  void Take(const std::string& section, const std::string& key, bool& out);
+  void Take(const std::string& section,
+            const std::string& key,
+            std::int64_t& out,
+            std::int64_t low,
+            std::int64_t high);
+  void Take(const std::string& section,
+            const std::string& key,
+            int& out,
+            int low,
+            int high);
+  void Take(const std::string& section,
+            const std::string& key,
+            std::chrono::milliseconds& out,
+            std::chrono::milliseconds low,
+            std::chrono::milliseconds high);
+  void Take(const std::string& section,
+            const std::string& key,
+            std::chrono::seconds& out,
+            std::chrono::seconds low,
+            std::chrono::seconds high);
+  // A list separated by commas.
+  void Take(const std::string& section,
+            const std::string& key,
+            std::vector<std::string>& out);
+
+  void Require(const std::string& section, const std::string& key);
+  void Fault(const std::string& section,
+             const std::string& key,
+             const std::string& message);
+
+  // Sections whose name is `prefix` and a space and more, as in [tool book].
+  std::vector<std::string> SectionsWith(const std::string& prefix) const;
+
+  // Notes every key that no Take asked for, then throws IniError if there
+  // is any fault.
+  void Finish();
+
+ private:
+  struct Value {
+    std::string text;
+    int line = 0;
+    bool known = false;
+  };
+  Value* Find(const std::string& section, const std::string& key);
+
+  std::string file_;
+  std::map<std::string, std::map<std::string, Value>> sections_;
+  std::vector<IniFault> faults_;
+};
+
+}  // namespace comfreyfold
+
+#endif  // CORE_INI_READER_H_
--- /dev/null
+++ b/source/core/lane_state.cc
@@ -0,0 +1,170 @@
+#include "core/lane_state.h"
+
+#include <algorithm>
+
+namespace comfreyfold {
+
+namespace {
+
+template <typename Calls>
+auto FindCall(Calls& calls, const std::string& key) {
+  return std::find_if(calls.begin(), calls.end(),
+                      [&key](const CallRecord& it) { return it.key == key; });
+}
+
+// A record that certainly did not run may be begun anew; one that may have
+// run only if running it twice does no harm.
+bool MayRepeat(const CallRecord& record) {
+  return record.verdict == Verdict::kNotRun ? record.done || record.idempotent
+                                            : record.idempotent;
+}
+
+}  // namespace
+
+void LaneState::Apply(const LaneBlock& block) {
+  if (block.number != last_block_ + 1) {
+    throw LaneCorrupt("block " + std::to_string(block.number) +
+                      " does not follow block " + std::to_string(last_block_));
+  }
+  if (block.epoch < epoch_) {
+    throw LaneCorrupt("block " + std::to_string(block.number) +
+                      " falls back to epoch " + std::to_string(block.epoch));
+  }
+  const bool takes_over = !block.entries.empty() &&
+                          block.entries.front().kind == EntryKind::kTakeover;
+  if (block.epoch > epoch_ && !takes_over) {
+    throw LaneCorrupt("block " + std::to_string(block.number) +
+                      " starts an epoch without a takeover");
+  }
+  last_block_ = block.number;
+  epoch_ = block.epoch;
+  owner_ = block.owner;
+  for (const auto& it : block.entries) {
+    ApplyEntry(it);
+  }
+}
+
+void LaneState::ApplyEntry(const LaneEntry& entry) {
+  const ProgramKey key{entry.customer, entry.program};
+  switch (entry.kind) {
+    case EntryKind::kTakeover:
+      break;
+    case EntryKind::kHandover:
+      owner_.clear();
+      break;
+    case EntryKind::kCallBegun:
+      Begin(entry);
+      break;
+    case EntryKind::kCallDone:
+      Finish(entry);
+      break;
+    case EntryKind::kProgramEnded: {
+      auto& program = programs_[key];
+      program.customer = entry.customer;
+      program.program = entry.program;
+      program.ended = true;
+      ForgetIfReleased(key);
+      break;
+    }
+    case EntryKind::kHoldReleased: {
+      const auto it = programs_.find(key);
+      if (it != programs_.end()) {
+        it->second.holds_on.erase(entry.backend);
+        ForgetIfReleased(key);
+      }
+      break;
+    }
+  }
+}
+
+void LaneState::Begin(const LaneEntry& entry) {
+  auto& program = programs_[{entry.customer, entry.program}];
+  program.customer = entry.customer;
+  program.program = entry.program;
+  auto it = FindCall(program.calls, entry.key);
+  if (it == program.calls.end()) {
+    it = program.calls.emplace(program.calls.end());
+  }
+  it->key = entry.key;
+  it->call = entry.call;
+  it->kind = entry.call_kind;
+  it->target = entry.target;
+  it->backend = entry.backend;
+  it->idempotent = entry.idempotent;
+  it->request = entry.request;
+  it->request_digest = entry.request_digest;
+  it->tokens = entry.tokens;
+  it->epoch = epoch_;
+  it->done = false;
+  it->verdict = Verdict::kMayHaveRun;
+  if (entry.call_kind == CallKind::kModel && !entry.backend.empty()) {
+    program.holds_on.insert(entry.backend);
+  }
+}
+
+void LaneState::Finish(const LaneEntry& entry) {
+  const auto found = programs_.find({entry.customer, entry.program});
+  if (found == programs_.end()) {
+    return;
+  }
+  auto& program = found->second;
+  const auto it = FindCall(program.calls, entry.key);
+  if (it == program.calls.end()) {
+    return;
+  }
+  it->done = true;
+  it->verdict = entry.verdict;
+  it->status = entry.status;
+  it->answer = entry.answer;
+  it->tokens = entry.tokens;
+  program.tokens += entry.tokens;
+}
+
+void LaneState::ForgetIfReleased(const ProgramKey& key) {
+  // An ended program is kept until its holds are released, so that any
+  // later owner of the lane can go on releasing them.
+  (void)key;
+}
+
+const ProgramState* LaneState::Find(const ProgramKey& key) const {
+  const auto it = programs_.find(key);
+  return it == programs_.end() ? nullptr : &it->second;
+}
+
+Admission LaneState::Admit(const CallClaim& claim) const {
+  const auto* program = Find(claim.program);
+  const std::int64_t next = program == nullptr ? 1 : program->next_call();
+  if (program != nullptr) {
+    const auto it = FindCall(program->calls, claim.key);
+    if (it != program->calls.end()) {
+      if (it->request_digest != claim.request_digest ||
+          (claim.call != 0 && claim.call != it->call)) {
+        return {AdmitResult::kKeyReused, it->call, &*it};
+      }
+      if (it->done && it->verdict == Verdict::kRan) {
+        return {AdmitResult::kAnswered, it->call, &*it};
+      }
+      if (!it->done && it->epoch == epoch_) {
+        return {AdmitResult::kInFlight, it->call, &*it};
+      }
+      if (program->ended) {
+        return {AdmitResult::kProgramEnded, it->call, &*it};
+      }
+      return {MayRepeat(*it) ? AdmitResult::kAgain : AdmitResult::kMayHaveRun,
+              it->call, &*it};
+    }
+    if (program->ended) {
+      return {AdmitResult::kProgramEnded, next, nullptr};
+    }
+    if (!program->calls.empty() && !program->calls.back().done &&
+        program->calls.back().epoch == epoch_) {
+      return {AdmitResult::kEarlierOpen, next, &program->calls.back()};
+    }
+  }
+  if (claim.call != 0 && claim.call != next) {
+    return {AdmitResult::kOutOfOrder, next, nullptr};
+  }
+  return {AdmitResult::kNew, next, nullptr};
+}
+
+}  // namespace comfreyfold
--- /dev/null
+++ b/source/core/membership.h
@@ -0,0 +1,63 @@
+#ifndef CORE_MEMBERSHIP_H_
+#define CORE_MEMBERSHIP_H_
+
+#include <chrono>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "core/heartbeat.h"
+
+namespace comfreyfold {
+
+using TimePoint = std::chrono::steady_clock::time_point;
+
+struct LaneOwnerView {
+  std::string daemon;
+  std::string address;
+  std::int64_t epoch = 0;
+};
+
+// One daemon's opinion of which daemons live and who owns which lane.
+// Being wrong costs latency only: a lane's journal decides who owns it.
+class Membership {
+ public:
+  // A daemon is suspected after `timeout` without a heartbeat.
+  Membership(Heartbeat self, std::chrono::milliseconds timeout);
+
+  Heartbeat& self() { return self_; }
+  const Heartbeat& self() const { return self_; }
+
+  // A heartbeat received from another daemon.
+  void Observe(const Heartbeat& heartbeat, TimePoint now);
+
+  // The daemon could not be reached: suspect it at once.
+  void Suspect(const std::string& daemon);
+
+  bool IsLive(const std::string& daemon, TimePoint now) const;
+
+  // Daemons that may take lanes: live, not draining, this one included.
+  std::vector<std::string> Eligible(TimePoint now) const;
+
+  // The newest claim to `lane` by a daemon that still lives.
+  std::optional<LaneOwnerView> OwnerOf(int lane, TimePoint now) const;
+
+  // True when nobody alive owns `lane` and this daemon is the first choice.
+  bool ShouldTake(int lane, TimePoint now) const;
+
+  // The daemon that should own `lane` now.
+  std::string PreferredOwner(int lane, TimePoint now) const;
+
+  const std::map<std::string, Heartbeat>& peers() const { return peers_; }
+
+ private:
+  Heartbeat self_;
+  std::chrono::milliseconds timeout_;
+  std::map<std::string, Heartbeat> peers_;
+  std::map<std::string, TimePoint> last_heard_;
+};
+
+}  // namespace comfreyfold
+
+#endif  // CORE_MEMBERSHIP_H_
--- /dev/null
+++ b/source/net/http_client.cc
@@ -0,0 +1,185 @@
+#include "net/http_client.h"
+
+#include <array>
+#include <map>
+
+#include <boost/asio/connect.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/beast/core.hpp>
+#include <boost/beast/http.hpp>
+
+#include "net/loop_impl.h"
+
+namespace comfreyfold {
+
+namespace beast = boost::beast;
+namespace http = beast::http;
+using boost::asio::ip::tcp;
+
+namespace {
+
+constexpr std::size_t kIdleConnectionsPerAddress = 64;
+constexpr std::uint64_t kBodyLimitBytes = 256ULL * 1024 * 1024;
+constexpr std::size_t kPieceBytes = 16 * 1024;
+
+tcp::endpoint ParseEndpoint(const std::string& address) {
+  const auto n = address.rfind(':');
+  boost::system::error_code ec;
+  const auto ip = boost::asio::ip::make_address(address.substr(0, n), ec);
+  if (ec || n == std::string::npos) {
+    throw HttpFailure("address '" + address + "' is not ip:port", false);
+  }
+  const auto port = std::strtoul(address.c_str() + n + 1, nullptr, 10);
+  return {ip, static_cast<std::uint16_t>(port)};
+}
+
+struct Connection {
+  explicit Connection(boost::asio::io_context& io) : stream(io) {}
+  beast::tcp_stream stream;
+  beast::flat_buffer buf;
+};
+
+http::request<http::string_body> ToBeast(const std::string& address,
+                                         const HttpRequest& request) {
+  http::request<http::string_body> out;
+  out.version(11);
+  out.method_string(request.method);
+  out.target(request.target);
+  out.set(http::field::host, address);
+  for (const auto& it : request.headers) {
+    out.set(it.name, it.value);
+  }
+  out.body() = request.body;
+  out.prepare_payload();
+  return out;
+}
+
+template <typename Fields>
+void CopyHeaders(const Fields& fields, std::vector<HttpHeader>& out) {
+  for (const auto& it : fields) {
+    out.push_back({std::string(it.name_string()), std::string(it.value())});
+  }
+}
+
+}  // namespace
+
+struct HttpClient::Impl {
+  explicit Impl(Loop& owner) : loop(owner) {}
+
+  Loop& loop;
+  std::map<std::string, std::vector<std::unique_ptr<Connection>>> idle;
+
+  std::unique_ptr<Connection> TakeIdle(const std::string& address) {
+    auto& pool = idle[address];
+    while (!pool.empty()) {
+      auto connection = std::move(pool.back());
+      pool.pop_back();
+      if (StillOpen(*connection)) {
+        return connection;
+      }
+    }
+    return nullptr;
+  }
+
+  // A connection the other side has closed reads as ready with no bytes.
+  static bool StillOpen(Connection& connection) {
+    auto& socket = connection.stream.socket();
+    boost::system::error_code ec;
+    socket.non_blocking(true, ec);
+    char byte = 0;
+    socket.receive(boost::asio::buffer(&byte, 1),
+                   boost::asio::socket_base::message_peek, ec);
+    return ec == boost::asio::error::would_block;
+  }
+
+  std::unique_ptr<Connection> Connect(Fiber& fiber,
+                                      const std::string& address,
+                                      std::chrono::milliseconds timeout) {
+    auto connection = std::make_unique<Connection>(loop.impl().io);
+    connection->stream.expires_after(timeout);
+    boost::system::error_code ec;
+    connection->stream.async_connect(ParseEndpoint(address),
+                                     fiber.impl().yield[ec]);
+    if (ec) {
+      throw HttpFailure("connect to " + address + ": " + ec.message(), false);
+    }
+    connection->stream.socket().set_option(tcp::no_delay(true), ec);
+    return connection;
+  }
+
+  void Keep(const std::string& address,
+            std::unique_ptr<Connection> connection) {
+    auto& pool = idle[address];
+    if (pool.size() < kIdleConnectionsPerAddress) {
+      connection->stream.expires_never();
+      pool.push_back(std::move(connection));
+    }
+  }
+};
+
+HttpClient::HttpClient(Loop& loop) : impl_(std::make_shared<Impl>(loop)) {}
+HttpClient::~HttpClient() = default;
+
+HttpReply HttpClient::Send(Fiber& fiber,
+                           const std::string& address,
+                           const HttpRequest& request,
+                           const HttpOptions& options) {
+  auto connection =
+      options.fresh_connection ? nullptr : impl_->TakeIdle(address);
+  if (!connection) {
+    connection = impl_->Connect(fiber, address, options.connect_timeout);
+  }
+  auto& stream = connection->stream;
+  boost::system::error_code ec;
+  auto yield = fiber.impl().yield[ec];
+
+  const auto check = [&ec, &address](const char* doing) {
+    if (ec) {
+      throw HttpFailure(
+          std::string(doing) + " " + address + ": " + ec.message(), true);
+    }
+  };
+
+  auto message = ToBeast(address, request);
+  stream.expires_after(options.idle_timeout);
+  http::async_write(stream, message, yield);
+  check("write to");
+
+  http::response_parser<http::buffer_body> parser;
+  parser.body_limit(kBodyLimitBytes);
+  http::async_read_header(stream, connection->buf, parser, yield);
+  check("read from");
+
+  HttpReply reply;
+  reply.status = parser.get().result_int();
+  CopyHeaders(parser.get(), reply.headers);
+  const bool piecewise = options.on_data && reply.status / 100 == 2;
+
+  std::array<char, kPieceBytes> piece;
+  while (!parser.is_done()) {
+    if (options.cancelled && options.cancelled()) {
+      throw HttpFailure("cancelled", true);
+    }
+    parser.get().body().data = piece.data();
+    parser.get().body().size = piece.size();
+    stream.expires_after(options.idle_timeout);
+    http::async_read_some(stream, connection->buf, parser, yield);
+    if (ec == http::error::need_buffer) {
+      ec = {};
+    }
+    check("read from");
+    const std::string_view data(piece.data(),
+                                piece.size() - parser.get().body().size);
+    if (piecewise && !data.empty()) {
+      options.on_data(data);
+    } else {
+      reply.body += data;
+    }
+  }
+  if (parser.get().keep_alive()) {
+    impl_->Keep(address, std::move(connection));
+  }
+  return reply;
+}
+
+}  // namespace comfreyfold
--- /dev/null
+++ b/source/net/http_client.h
@@ -0,0 +1,61 @@
+#ifndef NET_HTTP_CLIENT_H_
+#define NET_HTTP_CLIENT_H_
+
+#include <chrono>
+#include <functional>
+#include <memory>
+#include <stdexcept>
+#include <string>
+#include <string_view>
+
+#include "net/http.h"
+#include "net/loop.h"
+
+namespace comfreyfold {
+
+// A request that got no whole reply. `sent` is false only when not one byte
+// of the request can have reached the other side.
+class HttpFailure : public std::runtime_error {
+ public:
+  HttpFailure(const std::string& what, bool sent)
+      : std::runtime_error(what), sent_(sent) {}
+  bool sent() const { return sent_; }
+
+ private:
+  bool sent_;
+};
+
+struct HttpOptions {
+  std::chrono::milliseconds connect_timeout{1000};
+  // Longest time without progress, not of the whole exchange.
+  std::chrono::milliseconds idle_timeout{5000};
+  // A pooled connection may have been closed unseen, which leaves open
+  // whether the request ran; calls that must not run twice use a fresh one.
+  bool fresh_connection = false;
+  // Takes the body of a 2xx reply piece by piece instead of `body`.
+  std::function<void(std::string_view)> on_data;
+  // Asked between pieces; true abandons the exchange.
+  std::function<bool()> cancelled;
+};
+
+// HTTP/1.1 client (Boost.Beast) with idle connections kept per address.
+class HttpClient {
+ public:
+  explicit HttpClient(Loop& loop);
+  ~HttpClient();
+
+  // Sends `request` to `address` ("ip:port") and waits for the reply.
+  // Throws HttpFailure.
+  HttpReply Send(Fiber& fiber,
+                 const std::string& address,
+                 const HttpRequest& request,
+                 const HttpOptions& options = {});
+
+ private:
+  struct Impl;
+  std::shared_ptr<Impl> impl_;
+};
+
+}  // namespace comfreyfold
+
+#endif  // NET_HTTP_CLIENT_H_
--- /dev/null
+++ b/source/net/loop.cc
@@ -0,0 +1,111 @@
+#include "net/loop.h"
+
+#include <csignal>
+#include <exception>
+
+#include "net/loop_impl.h"
+
+namespace comfreyfold {
+
+namespace {
+// Handlers parse JSON of nested documents and run Thrift on this stack.
+constexpr std::size_t kStackBytes = 256 * 1024;
+}  // namespace
+
+Loop::Loop() : impl_(std::make_unique<Impl>()) {}
+Loop::~Loop() = default;
+
+void Loop::Run() {
+  impl_->io.run();
+}
+
+void Loop::Stop() {
+  impl_->io.stop();
+}
+
+void Loop::Spawn(std::function<void(Fiber&)> body) {
+  boost::asio::spawn(
+      impl_->io,
+      [this, body = std::move(body)](boost::asio::yield_context yield) {
+        Fiber::Impl impl(yield);
+        Fiber fiber(*this, impl);
+        // Only std::exception is caught: the library unwinds a coroutine
+        // with a type of its own, which has to pass.
+        try {
+          body(fiber);
+        } catch (const std::exception& e) {
+          if (impl_->on_error) {
+            impl_->on_error(e.what());
+          }
+        }
+      },
+      boost::coroutines::attributes(kStackBytes));
+}
+
+void Loop::OnTermination(std::function<void()> hook) {
+  impl_->signals.add(SIGTERM);
+  impl_->signals.add(SIGINT);
+  impl_->signals.async_wait(
+      [hook = std::move(hook)](boost::system::error_code ec, int) {
+        if (!ec) {
+          hook();
+        }
+      });
+}
+
+void Loop::OnError(std::function<void(const char*)> hook) {
+  impl_->on_error = std::move(hook);
+}
+
+void Fiber::Sleep(std::chrono::milliseconds delay) {
+  boost::asio::steady_timer timer(loop_.impl().io, delay);
+  boost::system::error_code ec;
+  timer.async_wait(impl_.yield[ec]);
+}
+
+struct Condition::Impl {
+  explicit Impl(boost::asio::io_context& context) : io(context) {}
+  boost::asio::io_context& io;
+  std::vector<boost::asio::steady_timer*> waiters;
+};
+
+Condition::Condition(Loop& loop)
+    : impl_(std::make_shared<Impl>(loop.impl().io)) {}
+Condition::~Condition() {
+  NotifyAll();
+}
+
+bool Condition::Wait(Fiber& fiber, std::chrono::milliseconds timeout) {
+  // The shared state is held for the wait: a notifier may destroy the
+  // condition before the waiter runs again.
+  auto impl = impl_;
+  boost::asio::steady_timer timer(impl->io, timeout);
+  impl->waiters.push_back(&timer);
+  boost::system::error_code ec;
+  timer.async_wait(fiber.impl().yield[ec]);
+  std::erase(impl->waiters, &timer);
+  return ec == boost::asio::error::operation_aborted;
+}
+
+void Condition::NotifyAll() {
+  for (auto* it : impl_->waiters) {
+    it->cancel();
+  }
+}
+
+bool Condition::WaitUntil(Fiber& fiber,
+                          std::chrono::milliseconds timeout,
+                          const std::function<bool()>& ready) {
+  const auto until = std::chrono::steady_clock::now() + timeout;
+  while (!ready()) {
+    const auto left = std::chrono::duration_cast<std::chrono::milliseconds>(
+        until - std::chrono::steady_clock::now());
+    if (left <= std::chrono::milliseconds::zero()) {
+      return false;
+    }
+    Wait(fiber, left);
+  }
+  return true;
+}
+
+}  // namespace comfreyfold
--- /dev/null
+++ b/source/platform/kv_client.cc
@@ -0,0 +1,223 @@
+#include "platform/kv_client.h"
+
+#include <utility>
+
+#include <nlohmann/json.hpp>
+
+#include "platform/base64.h"
+
+namespace comfreyfold {
+
+namespace {
+
+using nlohmann::json;
+
+// The JSON form writes 64-bit numbers as strings and leaves zeros out.
+std::int64_t Number(const json& object, const char* name) {
+  const auto it = object.find(name);
+  if (it == object.end()) {
+    return 0;
+  }
+  return it->is_string() ? std::stoll(it->get<std::string>())
+                         : it->get<std::int64_t>();
+}
+
+KvItem ToItem(const json& kv) {
+  KvItem out;
+  out.key = DecodeBase64(kv.at("key").get<std::string>());
+  out.value = DecodeBase64(kv.value("value", ""));
+  out.create_revision = Number(kv, "create_revision");
+  out.mod_revision = Number(kv, "mod_revision");
+  out.lease = Number(kv, "lease");
+  return out;
+}
+
+json ToJson(const KvCompare& compare) {
+  const bool create = compare.field == KvCompare::Field::kCreateRevision;
+  return {
+      {"key", EncodeBase64(compare.key)},
+      {"target", create ? "CREATE" : "MOD"},
+      {"result",
+       compare.relation == KvCompare::Relation::kEqual ? "EQUAL" : "GREATER"},
+      {create ? "create_revision" : "mod_revision",
+       std::to_string(compare.value)}};
+}
+
+json ToJson(const KvTxn& txn) {
+  json compares = json::array();
+  for (const auto& it : txn.compares) {
+    compares.push_back(ToJson(it));
+  }
+  json operations = json::array();
+  for (const auto& it : txn.puts) {
+    json put = {{"key", EncodeBase64(it.key)},
+                {"value", EncodeBase64(it.value)}};
+    if (it.lease != 0) {
+      put["lease"] = std::to_string(it.lease);
+    }
+    operations.push_back({{"request_put", put}});
+  }
+  for (const auto& [first, end] : txn.deletes) {
+    json range = {{"key", EncodeBase64(first)}};
+    if (!end.empty()) {
+      range["range_end"] = EncodeBase64(end);
+    }
+    operations.push_back({{"request_delete_range", range}});
+  }
+  return {{"compare", compares}, {"success", operations}};
+}
+
+// An answer that cannot be read says nothing of what took effect.
+json Parse(const std::string& body) {
+  auto out = json::parse(body, nullptr, false);
+  if (!out.is_object()) {
+    throw KvUnavailable("key-value service: unreadable answer", true);
+  }
+  return out;
+}
+
+}  // namespace
+
+std::string PrefixEnd(std::string prefix) {
+  while (!prefix.empty() && prefix.back() == '\xff') {
+    prefix.pop_back();
+  }
+  if (!prefix.empty()) {
+    ++prefix.back();
+  }
+  return prefix;
+}
+
+KvCompare KvCompare::Absent(std::string key) {
+  return {std::move(key), Field::kCreateRevision, Relation::kEqual, 0};
+}
+
+KvCompare KvCompare::Exists(std::string key) {
+  return {std::move(key), Field::kCreateRevision, Relation::kGreater, 0};
+}
+
+KvCompare KvCompare::Unchanged(std::string key, std::int64_t mod_revision) {
+  return {std::move(key), Field::kModRevision, Relation::kEqual, mod_revision};
+}
+
+KvClient::KvClient(HttpClient& http,
+                   std::string address,
+                   std::chrono::milliseconds timeout)
+    : http_(http), address_(std::move(address)), timeout_(timeout) {}
+
+std::string KvClient::Post(Fiber& fiber,
+                           const std::string& path,
+                           const std::string& body) {
+  ++calls_;
+  HttpOptions options;
+  options.connect_timeout = timeout_;
+  options.idle_timeout = timeout_;
+  HttpReply reply;
+  try {
+    reply = http_.Send(
+        fiber, address_,
+        {"POST", path, {{"Content-Type", "application/json"}}, body}, options);
+  } catch (const HttpFailure& e) {
+    throw KvUnavailable(e.what(), e.sent());
+  }
+  if (reply.status != 200) {
+    throw KvUnavailable(
+        "key-value service answered " + std::to_string(reply.status),
+        reply.status >= 500);
+  }
+  return reply.body;
+}
+
+KvRange KvClient::Range(Fiber& fiber,
+                        const std::string& first,
+                        const std::string& end,
+                        int limit) {
+  json body = {{"key", EncodeBase64(first)}};
+  if (!end.empty()) {
+    body["range_end"] = EncodeBase64(end);
+  }
+  if (limit > 0) {
+    body["limit"] = std::to_string(limit);
+  }
+  const auto reply = Parse(Post(fiber, "/v3/kv/range", body.dump()));
+  KvRange out;
+  out.revision = Number(reply.value("header", json::object()), "revision");
+  for (const auto& it : reply.value("kvs", json::array())) {
+    out.items.push_back(ToItem(it));
+  }
+  return out;
+}
+
+KvRange KvClient::Prefix(Fiber& fiber, const std::string& prefix) {
+  return Range(fiber, prefix, PrefixEnd(prefix));
+}
+
+std::optional<KvItem> KvClient::Get(Fiber& fiber, const std::string& key) {
+  auto range = Range(fiber, key, {}, 1);
+  if (range.items.empty()) {
+    return std::nullopt;
+  }
+  return std::move(range.items.front());
+}
+
+KvTxnResult KvClient::Commit(Fiber& fiber, const KvTxn& txn) {
+  const auto reply = Parse(Post(fiber, "/v3/kv/txn", ToJson(txn).dump()));
+  return {reply.value("succeeded", false),
+          Number(reply.value("header", json::object()), "revision")};
+}
+
+std::int64_t KvClient::GrantLease(Fiber& fiber, std::chrono::seconds ttl) {
+  const json body = {{"TTL", std::to_string(ttl.count())}};
+  return Number(Parse(Post(fiber, "/v3/lease/grant", body.dump())), "ID");
+}
+
+bool KvClient::KeepAlive(Fiber& fiber, std::int64_t lease) {
+  const json body = {{"ID", std::to_string(lease)}};
+  const auto reply = Parse(Post(fiber, "/v3/lease/keepalive", body.dump()));
+  return Number(reply.value("result", json::object()), "TTL") > 0;
+}
+
+void KvClient::RevokeLease(Fiber& fiber, std::int64_t lease) {
+  const json body = {{"ID", std::to_string(lease)}};
+  Post(fiber, "/v3/lease/revoke", body.dump());
+}
+
+void KvClient::Watch(Fiber& fiber,
+                     const std::string& prefix,
+                     std::int64_t from_revision,
+                     std::chrono::milliseconds idle,
+                     const std::function<void(std::int64_t)>& on_change) {
+  ++calls_;
+  const json body = {{"create_request",
+                      {{"key", EncodeBase64(prefix)},
+                       {"range_end", EncodeBase64(PrefixEnd(prefix))},
+                       {"start_revision", std::to_string(from_revision)}}}};
+  std::string buf;
+  HttpOptions options;
+  options.connect_timeout = timeout_;
+  options.idle_timeout = idle;
+  options.on_data = [&buf, &on_change](std::string_view data) {
+    buf += data;
+    for (auto n = buf.find('\n'); n != std::string::npos; n = buf.find('\n')) {
+      const auto line = json::parse(buf.substr(0, n), nullptr, false);
+      buf.erase(0, n + 1);
+      if (line.is_object() && line.contains("result") &&
+          line["result"].contains("events")) {
+        on_change(
+            Number(line["result"].value("header", json::object()), "revision"));
+      }
+    }
+  };
+  try {
+    http_.Send(fiber, address_,
+               {"POST",
+                "/v3/watch",
+                {{"Content-Type", "application/json"}},
+                body.dump()},
+               options);
+  } catch (const HttpFailure& e) {
+    throw KvUnavailable(e.what(), false);
+  }
+}
+
+}  // namespace comfreyfold
--- /dev/null
+++ b/source/server/backend_directory.h
@@ -0,0 +1,61 @@
+#ifndef SERVER_BACKEND_DIRECTORY_H_
+#define SERVER_BACKEND_DIRECTORY_H_
+
+#include <chrono>
+#include <map>
+#include <string>
+#include <vector>
+
+#include "log/event_log.h"
+#include "net/http_client.h"
+#include "platform/vm_list_client.h"
+
+namespace comfreyfold {
+
+// One backend server as this daemon sees it.
+struct Backend {
+  Vm vm;
+  bool draining = false;  // By its own report, ahead of the VM list.
+  int in_flight = 0;      // Calls of this daemon.
+  int reported_running = 0;
+  int reported_waiting = 0;
+};
+
+// The backend servers: who they are from the VM list, how they fare from
+// their own reports and from this daemon's calls.
+class BackendDirectory {
+ public:
+  BackendDirectory(Loop& loop,
+                   HttpClient& http,
+                   VmListClient& vms,
+                   EventLog& log,
+                   std::chrono::milliseconds list_interval,
+                   std::chrono::milliseconds load_interval);
+
+  void Start();
+
+  // Servers that serve `name` in `role` and take new work.
+  std::vector<Backend*> Serving(VmRole role, const std::string& name);
+  // Null when the VM list no longer has `id`.
+  Backend* Find(const std::string& id);
+  bool loaded() const { return loaded_; }
+  const std::map<std::string, Backend>& all() const { return backends_; }
+
+ private:
+  void FollowList(Fiber& fiber);
+  void FollowLoad(Fiber& fiber);
+  void ReadLoad(Fiber& fiber, const std::string& id);
+
+  Loop& loop_;
+  HttpClient& http_;
+  VmListClient& vms_;
+  EventLog& log_;
+  std::chrono::milliseconds list_interval_;
+  std::chrono::milliseconds load_interval_;
+  std::map<std::string, Backend> backends_;
+  bool loaded_ = false;
+};
+
+}  // namespace comfreyfold
+
+#endif  // SERVER_BACKEND_DIRECTORY_H_
--- /dev/null
+++ b/source/server/daemon.h
@@ -0,0 +1,62 @@
+#ifndef SERVER_DAEMON_H_
+#define SERVER_DAEMON_H_
+
+#include "core/membership.h"
+#include "log/event_log.h"
+#include "net/http_client.h"
+#include "net/http_server.h"
+#include "platform/kv_client.h"
+#include "platform/vm_list_client.h"
+#include "server/backend_directory.h"
+#include "server/call_router.h"
+#include "server/call_runner.h"
+#include "server/caller_api.h"
+#include "server/contract_store.h"
+#include "server/lane_manager.h"
+#include "server/peer_api.h"
+#include "server/peer_links.h"
+#include "server/settings.h"
+
+namespace comfreyfold {
+
+// One daemon: every role in one process, none set aside.
+class Daemon {
+ public:
+  Daemon(Loop& loop, Settings settings);
+
+  // Listens and starts every role; returns the address bound.
+  std::string Start();
+
+  // A planned stop: no new work, lanes handed over, requests in flight
+  // answered. Calls `on_drained` at the end.
+  void Drain(std::function<void()> on_drained);
+
+ private:
+  void Handle(Fiber& fiber, const HttpRequest& request, HttpExchange& exchange);
+  bool HandleOperator(const HttpRequest& request, HttpExchange& exchange);
+  std::string Status() const;
+  std::string Metrics() const;
+  bool ready() const;
+  void ReleaseLoop(Fiber& fiber);
+
+  Loop& loop_;
+  Settings settings_;
+  EventLog log_;
+  HttpClient http_;
+  HttpServer server_;
+  KvClient kv_;
+  VmListClient vms_;
+  Membership membership_;
+  ContractStore contracts_;
+  BackendDirectory backends_;
+  LaneManager lanes_;
+  CallRunner runner_;
+  CallRouter router_;
+  CallerApi caller_api_;
+  PeerApi peer_api_;
+  PeerLinks peers_;
+};
+
+}  // namespace comfreyfold
+
+#endif  // SERVER_DAEMON_H_
--- /dev/null
+++ b/source/server/lane_manager.h
@@ -0,0 +1,56 @@
+#ifndef SERVER_LANE_MANAGER_H_
+#define SERVER_LANE_MANAGER_H_
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <set>
+
+#include "core/membership.h"
+#include "server/lane_owner.h"
+
+namespace comfreyfold {
+
+// The lanes this daemon owns: takes those that fall to it, drops those it
+// lost, and hands all over when it drains.
+class LaneManager {
+ public:
+  LaneManager(Loop& loop,
+              KvClient& kv,
+              EventLog& log,
+              Membership& membership,
+              int lanes);
+
+  // Looks once at every lane; called after each round of heartbeats.
+  void Tick();
+
+  // The lane's owner object if this daemon holds it, else null.
+  std::shared_ptr<LaneOwner> Find(int lane) const;
+  const std::map<int, std::shared_ptr<LaneOwner>>& owned() const {
+    return owned_;
+  }
+  int lanes() const { return lanes_; }
+
+  // Gives every lane up; returns when all are handed over.
+  void HandOverAll(Fiber& fiber, std::chrono::milliseconds timeout);
+
+  // Runs after the set of owned lanes has changed.
+  void OnChange(std::function<void()> hook) { on_change_ = std::move(hook); }
+
+ private:
+  void Take(Fiber& fiber, int lane);
+  void Publish();
+
+  Loop& loop_;
+  KvClient& kv_;
+  EventLog& log_;
+  Membership& membership_;
+  int lanes_;
+  std::map<int, std::shared_ptr<LaneOwner>> owned_;
+  std::set<int> opening_;
+  std::function<void()> on_change_;
+};
+
+}  // namespace comfreyfold
+
+#endif  // SERVER_LANE_MANAGER_H_
--- /dev/null
+++ b/source/server/lane_owner.cc
@@ -0,0 +1,164 @@
+#include "server/lane_owner.h"
+
+#include <algorithm>
+#include <cstdio>
+#include <utility>
+
+#include "platform/base64.h"
+#include "wire/codec.h"
+
+namespace comfreyfold {
+
+namespace {
+constexpr std::chrono::milliseconds kFirstBackoff{50};
+constexpr std::chrono::milliseconds kMostBackoff{2000};
+}  // namespace
+
+struct LaneOwner::Pending {
+  std::vector<LaneEntry> entries;
+  bool committed = false;
+  bool abandoned = false;
+};
+
+LaneOwner::LaneOwner(Loop& loop, KvClient& kv, EventLog& log, int lane)
+    : loop_(loop), kv_(kv), log_(log), lane_(lane), changed_(loop) {}
+
+LaneOwner::~LaneOwner() = default;
+
+std::string LaneOwner::BlockKey(std::int64_t number) const {
+  // Zeros keep the order of the keys the order of the blocks.
+  char buf[64];
+  std::snprintf(buf, sizeof(buf), "lane/%04d/block/%012lld", lane_,
+                static_cast<long long>(number));
+  return buf;
+}
+
+LaneBlock LaneOwner::MakeBlock(std::vector<LaneEntry> entries,
+                               std::int64_t epoch) const {
+  return {state_.last_block() + 1, RandomId(), epoch, log_.daemon(),
+          std::move(entries)};
+}
+
+void LaneOwner::Open(Fiber& fiber) {
+  char prefix[32];
+  std::snprintf(prefix, sizeof(prefix), "lane/%04d/block/", lane_);
+  for (const auto& it : kv_.Prefix(fiber, prefix).items) {
+    state_.Apply(DecodeLaneBlock(it.value));
+  }
+  LaneEntry takeover;
+  takeover.kind = EntryKind::kTakeover;
+  const auto block = MakeBlock({takeover}, state_.epoch() + 1);
+  // One try: a lost answer is settled by the read in TryCommit, and when
+  // the service is silent the next round starts from a fresh replay.
+  if (!TryCommit(fiber, block)) {
+    throw LaneLost("another daemon took lane " + std::to_string(lane_));
+  }
+  state_.Apply(block);
+  log_.Write({.name = "lane_taken", .lane = lane_, .epoch = epoch()});
+}
+
+bool LaneOwner::TryCommit(Fiber& fiber, const LaneBlock& block) {
+  const auto key = BlockKey(block.number);
+  KvTxn txn;
+  txn.compares.push_back(KvCompare::Absent(key));
+  if (block.number > 1) {
+    // Trimming deletes old blocks but never the last: without this an owner
+    // that slept through a trim could create its next block a second time.
+    txn.compares.push_back(KvCompare::Exists(BlockKey(block.number - 1)));
+  }
+  txn.puts.push_back({key, Encode(block)});
+  if (kv_.Commit(fiber, txn).succeeded) {
+    return true;
+  }
+  // Either another daemon won, or an earlier try took effect and its
+  // answer was lost: the block's uid tells which.
+  const auto there = kv_.Get(fiber, key);
+  return there && DecodeLaneBlock(there->value).uid == block.uid;
+}
+
+void LaneOwner::Append(Fiber& fiber,
+                       std::vector<LaneEntry> entries,
+                       std::chrono::milliseconds timeout) {
+  if (lost_) {
+    throw LaneLost("lane " + std::to_string(lane_) + " is no longer owned");
+  }
+  const auto pending = std::make_shared<Pending>();
+  pending->entries = std::move(entries);
+  pending_.push_back(pending);
+  if (!committing_) {
+    committing_ = true;
+    loop_.Spawn([this](Fiber& child) { CommitLoop(child); });
+  }
+  changed_.WaitUntil(fiber, timeout,
+                     [this, &pending] { return pending->committed || lost_; });
+  if (pending->committed) {
+    return;
+  }
+  pending->abandoned = true;
+  if (lost_) {
+    throw LaneLost("lane " + std::to_string(lane_) + " was taken over");
+  }
+  throw AppendTimeout("lane " + std::to_string(lane_) + ": no commit in time");
+}
+
+void LaneOwner::CommitLoop(Fiber& fiber) {
+  auto backoff = kFirstBackoff;
+  while (!lost_) {
+    // What nobody waits for any more and is in no block yet is dropped.
+    std::erase_if(pending_, [](const auto& it) { return it->abandoned; });
+    if (pending_.empty()) {
+      break;
+    }
+    std::vector<std::shared_ptr<Pending>> group(pending_.begin(),
+                                                pending_.end());
+    pending_.clear();
+    std::vector<LaneEntry> entries;
+    for (const auto& it : group) {
+      entries.insert(entries.end(), it->entries.begin(), it->entries.end());
+    }
+    const auto block = MakeBlock(std::move(entries), epoch());
+    // Once a block may have reached the service it is this block or none:
+    // another with the same number could otherwise commit beside it.
+    while (!lost_) {
+      try {
+        if (!TryCommit(fiber, block)) {
+          Lose("another daemon's block " + std::to_string(block.number));
+          break;
+        }
+        state_.Apply(block);
+        for (const auto& it : group) {
+          it->committed = true;
+        }
+        backoff = kFirstBackoff;
+        changed_.NotifyAll();
+        break;
+      } catch (const KvUnavailable&) {
+        fiber.Sleep(backoff);
+        backoff = std::min(backoff * 2, kMostBackoff);
+      }
+    }
+  }
+  committing_ = false;
+  changed_.NotifyAll();
+}
+
+void LaneOwner::Lose(const std::string& why) {
+  lost_ = true;
+  log_.Write(
+      {.name = "lane_lost", .lane = lane_, .epoch = epoch(), .detail = why});
+  changed_.NotifyAll();
+}
+
+void LaneOwner::Handover(Fiber& fiber, std::chrono::milliseconds timeout) {
+  LaneEntry entry;
+  entry.kind = EntryKind::kHandover;
+  try {
+    Append(fiber, {entry}, timeout);
+  } catch (const std::runtime_error&) {
+    // The heartbeats tell the others just as well, only later.
+  }
+  lost_ = true;
+  changed_.NotifyAll();
+}
+
+}  // namespace comfreyfold
--- /dev/null
+++ b/source/server/lane_owner.h
@@ -0,0 +1,77 @@
+#ifndef SERVER_LANE_OWNER_H_
+#define SERVER_LANE_OWNER_H_
+
+#include <chrono>
+#include <deque>
+#include <memory>
+#include <stdexcept>
+#include <string>
+#include <vector>
+
+#include "core/lane_state.h"
+#include "log/event_log.h"
+#include "net/loop.h"
+#include "platform/kv_client.h"
+
+namespace comfreyfold {
+
+// Another daemon owns the lane now. What was being appended may or may not
+// be in the journal; nothing may be dispatched on the strength of it.
+class LaneLost : public std::runtime_error {
+ public:
+  using std::runtime_error::runtime_error;
+};
+
+// An append was not known committed within its time.
+class AppendTimeout : public std::runtime_error {
+ public:
+  using std::runtime_error::runtime_error;
+};
+
+// One lane held by this daemon: replays the journal, takes the lane over,
+// and appends blocks of whatever entries wait (group commit).
+class LaneOwner {
+ public:
+  LaneOwner(Loop& loop, KvClient& kv, EventLog& log, int lane);
+  ~LaneOwner();
+
+  // Replays and appends the takeover. Throws LaneLost when another daemon
+  // was quicker and KvUnavailable when the service does not answer.
+  void Open(Fiber& fiber);
+
+  // Returns once `entries` are known committed and applied to the state.
+  // Throws LaneLost or AppendTimeout.
+  void Append(Fiber& fiber,
+              std::vector<LaneEntry> entries,
+              std::chrono::milliseconds timeout);
+
+  // Waits for pending appends, then gives the lane up.
+  void Handover(Fiber& fiber, std::chrono::milliseconds timeout);
+
+  const LaneState& state() const { return state_; }
+  int lane() const { return lane_; }
+  bool lost() const { return lost_; }
+  std::int64_t epoch() const { return state_.epoch(); }
+
+ private:
+  struct Pending;
+  std::string BlockKey(std::int64_t number) const;
+  LaneBlock MakeBlock(std::vector<LaneEntry> entries, std::int64_t epoch) const;
+  bool TryCommit(Fiber& fiber, const LaneBlock& block);
+  void CommitLoop(Fiber& fiber);
+  void Lose(const std::string& why);
+
+  Loop& loop_;
+  KvClient& kv_;
+  EventLog& log_;
+  int lane_;
+  LaneState state_;
+  bool lost_ = false;
+  bool committing_ = false;
+  std::deque<std::shared_ptr<Pending>> pending_;
+  Condition changed_;
+};
+
+}  // namespace comfreyfold
+
+#endif  // SERVER_LANE_OWNER_H_
--- /dev/null
+++ b/source/server/peer_api.cc
@@ -0,0 +1,78 @@
+#include "server/peer_api.h"
+
+namespace comfreyfold {
+
+namespace {
+
+constexpr char kThriftType[] = "application/vnd.apache.thrift.compact";
+constexpr int kMisdirected = 421;
+
+AnswerFrame ErrorFrame(const CallError& e) {
+  AnswerFrame out;
+  out.kind = FrameKind::kError;
+  out.status = e.status();
+  out.code = e.code();
+  out.message = e.what();
+  out.verdict = e.verdict();
+  out.retry_after = e.retry_after();
+  return out;
+}
+
+}  // namespace
+
+PeerApi::PeerApi(Membership& membership, CallRunner& runner, EventLog& log)
+    : membership_(membership), runner_(runner), log_(log) {}
+
+bool PeerApi::Handle(Fiber& fiber,
+                     const HttpRequest& request,
+                     HttpExchange& exchange) {
+  const auto path = request.Path();
+  if (path == "/peer/call") {
+    HandleCall(fiber, request, exchange);
+    return true;
+  }
+  if (path == "/peer/heartbeat") {
+    HandleHeartbeat(request, exchange);
+    return true;
+  }
+  return false;
+}
+
+void PeerApi::HandleCall(Fiber& fiber,
+                         const HttpRequest& request,
+                         HttpExchange& exchange) {
+  const auto call = DecodeForwardedCall(request.body);
+  log_.Receive(call.clock);
+  const auto send = [this, &exchange](AnswerFrame frame) {
+    if (!exchange.begun()) {
+      exchange.Begin(200, kThriftType);
+    }
+    frame.clock = log_.Stamp();
+    exchange.Write(EncodeFramed(frame));
+  };
+  try {
+    runner_.Run(fiber, call, send);
+  } catch (const NotOwner& e) {
+    if (!exchange.begun()) {
+      exchange.Reply(kMisdirected, "text/plain", e.what());
+    } else {
+      exchange.Abort();
+    }
+    return;
+  } catch (const CallError& e) {
+    send(ErrorFrame(e));
+  }
+  exchange.End();
+}
+
+void PeerApi::HandleHeartbeat(const HttpRequest& request,
+                              HttpExchange& exchange) {
+  const auto heartbeat = DecodeHeartbeat(request.body);
+  log_.Receive(heartbeat.clock);
+  membership_.Observe(heartbeat, std::chrono::steady_clock::now());
+  auto self = membership_.self();
+  self.clock = log_.Stamp();
+  exchange.Reply(200, kThriftType, Encode(self));
+}
+
+}  // namespace comfreyfold
--- /dev/null
+++ b/source/server/peer_api.h
@@ -0,0 +1,34 @@
+#ifndef SERVER_PEER_API_H_
+#define SERVER_PEER_API_H_
+
+#include <functional>
+
+#include "core/membership.h"
+#include "net/http_server.h"
+#include "server/call_runner.h"
+
+namespace comfreyfold {
+
+// The interface between daemons: POST /peer/call and POST /peer/heartbeat,
+// Thrift bodies over HTTP.
+class PeerApi {
+ public:
+  PeerApi(Membership& membership, CallRunner& runner, EventLog& log);
+
+  // False when the path is not one of its own.
+  bool Handle(Fiber& fiber, const HttpRequest& request, HttpExchange& exchange);
+
+ private:
+  void HandleCall(Fiber& fiber,
+                  const HttpRequest& request,
+                  HttpExchange& exchange);
+  void HandleHeartbeat(const HttpRequest& request, HttpExchange& exchange);
+
+  Membership& membership_;
+  CallRunner& runner_;
+  EventLog& log_;
+};
+
+}  // namespace comfreyfold
+
+#endif  // SERVER_PEER_API_H_
--- /dev/null
+++ b/source/server/settings.cc
@@ -0,0 +1,99 @@
+#include "server/settings.h"
+
+#include <algorithm>
+
+#include "core/ini_reader.h"
+
+namespace comfreyfold {
+
+namespace {
+
+using std::chrono::hours;
+using std::chrono::milliseconds;
+using std::chrono::minutes;
+using std::chrono::seconds;
+
+constexpr int kMostLanes = 4096;
+constexpr int kMostConnections = 100000;
+constexpr std::int64_t kLeastBodyBytes = 1024;
+constexpr std::int64_t kMostBodyBytes = 256LL * 1024 * 1024;
+constexpr int kLeastHeaderBytes = 1024;
+constexpr int kMostHeaderBytes = 1024 * 1024;
+
+bool IsAddress(const std::string& text) {
+  const auto n = text.rfind(':');
+  return n != std::string::npos && n > 0 && n + 1 < text.size() &&
+         std::all_of(text.begin() + static_cast<std::ptrdiff_t>(n) + 1,
+                     text.end(), [](char c) { return c >= '0' && c <= '9'; });
+}
+
+void TakeAddress(IniReader& reader,
+                 const std::string& section,
+                 const std::string& key,
+                 std::string& out) {
+  reader.Take(section, key, out);
+  if (reader.Has(section, key) && !IsAddress(out)) {
+    reader.Fault(section, key, "write ip:port, as in 10.0.0.5:2379");
+  }
+}
+
+void TakeHttp(IniReader& reader, HttpLimits& out) {
+  auto body = static_cast<std::int64_t>(out.body_bytes);
+  int header = static_cast<int>(out.header_bytes);
+  reader.Take("http", "body_bytes", body, kLeastBodyBytes, kMostBodyBytes);
+  reader.Take("http", "header_bytes", header, kLeastHeaderBytes,
+              kMostHeaderBytes);
+  out.body_bytes = static_cast<std::uint64_t>(body);
+  out.header_bytes = static_cast<std::uint32_t>(header);
+  reader.Take("http", "request_time", out.request_time, milliseconds(10),
+              minutes(10));
+  reader.Take("http", "idle_time", out.idle_time, milliseconds(10), hours(1));
+  reader.Take("http", "connections", out.connections, 1, kMostConnections);
+}
+
+}  // namespace
+
+Settings ParseSettings(const std::string& text, const std::string& file) {
+  Settings out;
+  IniReader reader(text, file);
+  reader.Require("daemon", "id");
+  reader.Take("daemon", "id", out.daemon);
+  reader.Require("daemon", "data_centre");
+  reader.Take("daemon", "data_centre", out.data_centre);
+  TakeAddress(reader, "daemon", "listen", out.listen);
+  reader.Take("daemon", "data_folder", out.data_folder);
+  reader.Take("daemon", "log_file", out.log_file);
+  reader.Take("daemon", "drain_time", out.drain_time, seconds(1), hours(1));
+
+  reader.Require("platform", "key_value");
+  TakeAddress(reader, "platform", "key_value", out.kv_address);
+  reader.Require("platform", "vm_list");
+  TakeAddress(reader, "platform", "vm_list", out.vm_list_address);
+  reader.Take("platform", "timeout", out.platform_timeout, milliseconds(10),
+              minutes(1));
+  reader.Take("platform", "vm_list_interval", out.vm_list_interval,
+              milliseconds(50), minutes(1));
+  reader.Take("platform", "contract_poll_interval", out.contract_poll_interval,
+              milliseconds(50), seconds(15));
+
+  reader.Take("lanes", "count", out.lanes, 1, kMostLanes);
+  reader.Take("members", "heartbeat_interval", out.heartbeat_interval,
+              milliseconds(10), seconds(10));
+  reader.Take("members", "heartbeat_timeout", out.heartbeat_timeout,
+              milliseconds(50), minutes(1));
+  reader.Take("members", "lease", out.member_lease, seconds(2), minutes(10));
+  if (out.heartbeat_timeout < 2 * out.heartbeat_interval) {
+    reader.Fault("members", "heartbeat_timeout",
+                 "write at least twice heartbeat_interval");
+  }
+
+  reader.Take("calls", "deadline", out.call_deadline, milliseconds(100),
+              hours(1));
+  reader.Take("calls", "load_interval", out.load_interval, milliseconds(10),
+              minutes(1));
+  TakeHttp(reader, out.http);
+  reader.Finish();
+  return out;
+}
+
+}  // namespace comfreyfold
--- /dev/null
+++ b/source/server/settings.h
@@ -0,0 +1,41 @@
+#ifndef SERVER_SETTINGS_H_
+#define SERVER_SETTINGS_H_
+
+#include <chrono>
+#include <string>
+
+#include "net/http_server.h"
+
+namespace comfreyfold {
+
+// What one daemon is told at its start. docs/OPERATIONS.md explains each.
+struct Settings {
+  std::string daemon;       // [daemon] id
+  std::string data_centre;  // [daemon] data_centre
+  std::string listen = "127.0.0.1:0";
+  std::string data_folder;  // Empty: this VM keeps nothing.
+  std::string log_file;     // Empty: standard output.
+
+  std::string kv_address;
+  std::string vm_list_address;
+  std::chrono::milliseconds platform_timeout{1000};
+  std::chrono::milliseconds vm_list_interval{1000};
+  std::chrono::milliseconds contract_poll_interval{2000};
+
+  int lanes = 24;
+  std::chrono::milliseconds heartbeat_interval{300};
+  std::chrono::milliseconds heartbeat_timeout{1500};
+  std::chrono::seconds member_lease{30};
+
+  std::chrono::milliseconds call_deadline{60000};
+  std::chrono::milliseconds load_interval{500};
+  std::chrono::milliseconds drain_time{60000};
+  HttpLimits http;
+};
+
+// Parses and checks the text of a settings file. Throws IniError.
+Settings ParseSettings(const std::string& text, const std::string& file);
+
+}  // namespace comfreyfold
+
+#endif  // SERVER_SETTINGS_H_
--- /dev/null
+++ b/source/tool/command.h
@@ -0,0 +1,42 @@
+#ifndef TOOL_COMMAND_H_
+#define TOOL_COMMAND_H_
+
+#include <functional>
+#include <string>
+#include <vector>
+
+#include "net/loop.h"
+
+namespace comfreyfold {
+
+// What every command is given.
+struct CommandContext {
+  Fiber& fiber;
+  std::string key_value;               // ip:port of the key-value service.
+  std::vector<std::string> daemons;    // ip:port of each daemon to ask.
+  std::vector<std::string> arguments;  // After the command's name.
+  bool json = false;
+};
+
+// Exit codes of the tool.
+inline constexpr int kExitOk = 0;
+inline constexpr int kExitFailed = 1;    // The system said no.
+inline constexpr int kExitUsage = 2;     // The command line is wrong.
+inline constexpr int kExitConflict = 3;  // Another operator was quicker.
+inline constexpr int kExitUnknown = 4;   // Not known whether it took effect.
+
+// One command of the tool and its help page.
+struct Command {
+  std::string name;
+  std::string synopsis;
+  std::string brief;
+  std::string example;
+  std::function<int(CommandContext&)> run;
+};
+
+// Every command, in the order of the help page.
+std::vector<Command> AllCommands();
+
+}  // namespace comfreyfold
+
+#endif  // TOOL_COMMAND_H_
--- /dev/null
+++ b/source/wire/codec.cc
@@ -0,0 +1,240 @@
+#include "wire/codec.h"
+
+#include <memory>
+
+#include <thrift/protocol/TCompactProtocol.h>
+#include <thrift/transport/TBufferTransports.h>
+
+#include "wire/gen/comfreyfold_types.h"
+
+namespace comfreyfold {
+
+namespace {
+
+using apache::thrift::protocol::TCompactProtocol;
+using apache::thrift::transport::TMemoryBuffer;
+
+constexpr std::size_t kLengthBytes = 4;
+constexpr std::size_t kLongestFrame = 64 * 1024 * 1024;
+
+template <typename T>
+std::string Write(const T& value) {
+  const auto memory = std::make_shared<TMemoryBuffer>();
+  TCompactProtocol protocol(memory);
+  value.write(&protocol);
+  return memory->getBufferAsString();
+}
+
+template <typename T>
+T Read(const std::string& buf) {
+  // The library's buffer takes a mutable pointer but only observes it.
+  auto* data = reinterpret_cast<std::uint8_t*>(const_cast<char*>(buf.data()));
+  const auto memory = std::make_shared<TMemoryBuffer>(
+      data, static_cast<std::uint32_t>(buf.size()));
+  TCompactProtocol protocol(memory);
+  T out;
+  try {
+    out.read(&protocol);
+  } catch (const apache::thrift::TException& e) {
+    throw WireError(std::string("not a valid message: ") + e.what());
+  }
+  return out;
+}
+
+wire::LaneEntry ToWire(const LaneEntry& entry) {
+  wire::LaneEntry out;
+  out.kind = static_cast<int>(entry.kind);
+  out.customer = entry.customer;
+  out.program = entry.program;
+  out.key = entry.key;
+  out.call = entry.call;
+  out.call_kind = static_cast<int>(entry.call_kind);
+  out.target = entry.target;
+  out.backend = entry.backend;
+  out.idempotent = entry.idempotent;
+  out.request = entry.request;
+  out.request_digest = static_cast<std::int64_t>(entry.request_digest);
+  out.verdict = static_cast<int>(entry.verdict);
+  out.status = entry.status;
+  out.answer = entry.answer;
+  out.tokens = entry.tokens;
+  return out;
+}
+
+LaneEntry FromWire(const wire::LaneEntry& entry) {
+  LaneEntry out;
+  out.kind = static_cast<EntryKind>(entry.kind);
+  out.customer = entry.customer;
+  out.program = entry.program;
+  out.key = entry.key;
+  out.call = entry.call;
+  out.call_kind = static_cast<CallKind>(entry.call_kind);
+  out.target = entry.target;
+  out.backend = entry.backend;
+  out.idempotent = entry.idempotent;
+  out.request = entry.request;
+  out.request_digest = static_cast<std::uint64_t>(entry.request_digest);
+  out.verdict = static_cast<Verdict>(entry.verdict);
+  out.status = entry.status;
+  out.answer = entry.answer;
+  out.tokens = entry.tokens;
+  return out;
+}
+
+}  // namespace
+
+std::string Encode(const LaneBlock& block) {
+  wire::LaneBlock out;
+  out.number = block.number;
+  out.uid = block.uid;
+  out.epoch = block.epoch;
+  out.owner = block.owner;
+  for (const auto& it : block.entries) {
+    out.entries.push_back(ToWire(it));
+  }
+  return Write(out);
+}
+
+LaneBlock DecodeLaneBlock(const std::string& buf) {
+  const auto in = Read<wire::LaneBlock>(buf);
+  LaneBlock out;
+  out.number = in.number;
+  out.uid = in.uid;
+  out.epoch = in.epoch;
+  out.owner = in.owner;
+  for (const auto& it : in.entries) {
+    out.entries.push_back(FromWire(it));
+  }
+  return out;
+}
+
+std::string Encode(const ForwardedCall& call) {
+  wire::ForwardedCall out;
+  out.customer = call.customer;
+  out.program = call.program;
+  out.key = call.key;
+  out.call = call.call;
+  out.operation = static_cast<int>(call.operation);
+  out.target = call.target;
+  out.body = call.body;
+  out.deadline_ms = call.deadline.count();
+  out.clock = call.clock;
+  out.parent = call.parent;
+  return Write(out);
+}
+
+ForwardedCall DecodeForwardedCall(const std::string& buf) {
+  const auto in = Read<wire::ForwardedCall>(buf);
+  ForwardedCall out;
+  out.customer = in.customer;
+  out.program = in.program;
+  out.key = in.key;
+  out.call = in.call;
+  out.operation = static_cast<Operation>(in.operation);
+  out.target = in.target;
+  out.body = in.body;
+  out.deadline = std::chrono::milliseconds(in.deadline_ms);
+  out.clock = in.clock;
+  out.parent = in.parent;
+  return out;
+}
+
+std::string Encode(const AnswerFrame& frame) {
+  wire::AnswerFrame out;
+  out.kind = static_cast<int>(frame.kind);
+  out.content = frame.content;
+  out.status = frame.status;
+  out.verdict = static_cast<int>(frame.verdict);
+  out.code = frame.code;
+  out.message = frame.message;
+  out.retry_after_ms = frame.retry_after.count();
+  out.prompt_tokens = frame.prompt_tokens;
+  out.completion_tokens = frame.completion_tokens;
+  out.cached_tokens = frame.cached_tokens;
+  out.clock = frame.clock;
+  return Write(out);
+}
+
+AnswerFrame DecodeAnswerFrame(const std::string& buf) {
+  const auto in = Read<wire::AnswerFrame>(buf);
+  AnswerFrame out;
+  out.kind = static_cast<FrameKind>(in.kind);
+  out.content = in.content;
+  out.status = in.status;
+  out.verdict = static_cast<Verdict>(in.verdict);
+  out.code = in.code;
+  out.message = in.message;
+  out.retry_after = std::chrono::milliseconds(in.retry_after_ms);
+  out.prompt_tokens = in.prompt_tokens;
+  out.completion_tokens = in.completion_tokens;
+  out.cached_tokens = in.cached_tokens;
+  out.clock = in.clock;
+  return out;
+}
+
+std::string Encode(const Heartbeat& heartbeat) {
+  wire::Heartbeat out;
+  out.daemon = heartbeat.daemon;
+  out.address = heartbeat.address;
+  out.data_centre = heartbeat.data_centre;
+  out.draining = heartbeat.draining;
+  for (const auto& it : heartbeat.lanes) {
+    wire::OwnedLane lane;
+    lane.lane = it.lane;
+    lane.epoch = it.epoch;
+    out.lanes.push_back(lane);
+  }
+  out.contracts_revision = heartbeat.contracts_revision;
+  out.clock = heartbeat.clock;
+  out.has_data_folder = heartbeat.has_data_folder;
+  return Write(out);
+}
+
+Heartbeat DecodeHeartbeat(const std::string& buf) {
+  const auto in = Read<wire::Heartbeat>(buf);
+  Heartbeat out;
+  out.daemon = in.daemon;
+  out.address = in.address;
+  out.data_centre = in.data_centre;
+  out.draining = in.draining;
+  for (const auto& it : in.lanes) {
+    out.lanes.push_back({it.lane, it.epoch});
+  }
+  out.contracts_revision = in.contracts_revision;
+  out.clock = in.clock;
+  out.has_data_folder = in.has_data_folder;
+  return out;
+}
+
+std::string EncodeFramed(const AnswerFrame& frame) {
+  const auto body = Encode(frame);
+  const auto n = static_cast<std::uint32_t>(body.size());
+  std::string out(kLengthBytes, '\0');
+  for (std::size_t i = 0; i < kLengthBytes; ++i) {
+    out[i] = static_cast<char>(n >> (8 * i));
+  }
+  return out + body;
+}
+
+void FrameReader::Feed(std::string_view data,
+                       const std::function<void(AnswerFrame)>& on_frame) {
+  buf_ += data;
+  while (buf_.size() >= kLengthBytes) {
+    std::size_t n = 0;
+    for (std::size_t i = 0; i < kLengthBytes; ++i) {
+      n |= static_cast<std::size_t>(static_cast<unsigned char>(buf_[i]))
+           << (8 * i);
+    }
+    if (n > kLongestFrame) {
+      throw WireError("frame of " + std::to_string(n) + " bytes");
+    }
+    if (buf_.size() < kLengthBytes + n) {
+      return;
+    }
+    auto frame = DecodeAnswerFrame(buf_.substr(kLengthBytes, n));
+    buf_.erase(0, kLengthBytes + n);
+    on_frame(std::move(frame));
+  }
+}
+
+}  // namespace comfreyfold
--- /dev/null
+++ b/tests/harness/cluster.cc
@@ -0,0 +1,264 @@
+#include "harness/cluster.h"
+
+#include <filesystem>
+#include <fstream>
+#include <stdexcept>
+
+#include "core/hash.h"
+#include "platform/base64.h"
+
+namespace comfreyfold::harness {
+
+namespace {
+
+using nlohmann::json;
+
+constexpr int kLanes = 12;
+constexpr std::chrono::milliseconds kStep{20};
+const char* const kDataCentres[] = {"dc-a", "dc-b", "dc-c"};
+
+std::string Binary(const std::string& name) {
+  return std::filesystem::read_symlink("/proc/self/exe")
+             .parent_path()
+             .string() +
+         "/" + name;
+}
+
+std::string MakeFolder() {
+  std::string name =
+      (std::filesystem::temp_directory_path() / "comfreyfold-XXXXXX").string();
+  if (mkdtemp(name.data()) == nullptr) {
+    throw std::runtime_error("no temporary folder");
+  }
+  return name;
+}
+
+std::unique_ptr<Process> StandIn(const std::string& kind,
+                                 const std::vector<std::string>& more = {}) {
+  std::vector<std::string> arguments{Binary("comfreyfold_standin"), "--kind",
+                                     kind};
+  arguments.insert(arguments.end(), more.begin(), more.end());
+  return std::make_unique<Process>(arguments, true);
+}
+
+}  // namespace
+
+Cluster::Cluster(Fiber& fiber, ClusterOptions options)
+    : fiber_(fiber),
+      options_(std::move(options)),
+      http_(fiber.loop()),
+      folder_(MakeFolder()) {
+  kv_ = StandIn("kv");
+  vms_ = StandIn("vms");
+  for (int i = 0; i < options_.engines; ++i) {
+    engines_.push_back(StandIn("engine", options_.engine_arguments));
+  }
+  for (int i = 0; i < options_.tool_servers; ++i) {
+    tool_servers_.push_back(StandIn("tools", options_.tool_arguments));
+  }
+  PublishVms();
+  daemons_.resize(static_cast<std::size_t>(options_.daemons));
+  for (int i = 0; i < options_.daemons; ++i) {
+    StartDaemon(i);
+  }
+}
+
+Cluster::~Cluster() {
+  daemons_.clear();
+  std::error_code ec;
+  std::filesystem::remove_all(folder_, ec);
+}
+
+std::string Cluster::WriteFile(const std::string& name,
+                               const std::string& text) {
+  const auto path = folder_ + "/" + name;
+  std::ofstream(path) << text;
+  return path;
+}
+
+void Cluster::StartDaemon(int index) {
+  const auto id = "d" + std::to_string(index);
+  std::map<std::string, std::string> sections{
+      {"daemon", "id = " + id + "\ndata_centre = " + kDataCentres[index % 3] +
+                     "\nlisten = 127.0.0.1:0\nlog_file = " + folder_ + "/" +
+                     id + ".log\n"},
+      {"platform", "key_value = " + kv_->address() +
+                       "\nvm_list = " + vms_->address() + "\n"},
+      {"lanes", "count = " + std::to_string(kLanes) + "\n"}};
+  for (const auto& [section, lines] : options_.settings) {
+    sections[section] += lines;
+  }
+  std::string text;
+  for (const auto& [section, lines] : sections) {
+    text += "[" + section + "]\n" + lines;
+  }
+  const auto file = WriteFile(id + ".ini", text);
+  daemons_[static_cast<std::size_t>(index)] = std::make_unique<Process>(
+      std::vector<std::string>{Binary("comfreyfoldd"), "--config", file}, true,
+      folder_ + "/" + id + ".err");
+}
+
+void Cluster::PublishVms(const std::vector<std::string>& leaving) {
+  json list = json::array();
+  const auto add = [&](const char* role, std::size_t index,
+                       const std::string& address,
+                       const std::vector<std::string>& serves) {
+    const auto id = std::string(role) + "-" + std::to_string(index);
+    const bool leaves =
+        std::find(leaving.begin(), leaving.end(), id) != leaving.end();
+    list.push_back({{"id", id},
+                    {"role", role},
+                    {"address", address},
+                    {"data_centre", kDataCentres[index % 3]},
+                    {"state", leaves ? "leaving" : "live"},
+                    {"serves", serves}});
+  };
+  for (std::size_t i = 0; i < engines_.size(); ++i) {
+    add("engine", i, engines_[i]->address(), options_.models);
+  }
+  for (std::size_t i = 0; i < tool_servers_.size(); ++i) {
+    add("service", i, tool_servers_[i]->address(), options_.tools);
+  }
+  http_.Send(fiber_, vms_->address(), {"PUT", "/vms", {}, list.dump()});
+}
+
+json Cluster::Status(int index) {
+  try {
+    const auto reply = http_.Send(fiber_, daemon(index).address(),
+                                  {"GET", "/operator/status"});
+    return json::parse(reply.body);
+  } catch (const HttpFailure&) {
+    return nullptr;
+  }
+}
+
+void Cluster::WaitFor(const char* what,
+                      const std::function<bool()>& ready,
+                      std::chrono::milliseconds timeout) {
+  const auto until = std::chrono::steady_clock::now() + timeout;
+  while (!ready()) {
+    if (std::chrono::steady_clock::now() > until) {
+      throw std::runtime_error(std::string("waited in vain for ") + what);
+    }
+    fiber_.Sleep(kStep);
+  }
+}
+
+void Cluster::WaitReady(std::chrono::milliseconds timeout) {
+  WaitFor(
+      "every lane to have an owner and every daemon to see the others",
+      [this] {
+        std::size_t lanes = 0;
+        for (int i = 0; i < daemons(); ++i) {
+          const auto status = Status(i);
+          if (!status.is_object()) {
+            continue;
+          }
+          // A daemon is ready only with contracts; before the first apply
+          // its lanes and peers are what counts.
+          lanes += status["lanes"].size();
+          if (status["backends"].empty() ||
+              status["peers"].size() + 1 < daemons_.size()) {
+            return false;
+          }
+        }
+        return lanes >= kLanes;
+      },
+      timeout);
+}
+
+std::unique_ptr<Process> Cluster::RunTool(
+    const std::vector<std::string>& arguments) {
+  std::string daemons;
+  for (const auto& it : daemons_) {
+    daemons += (daemons.empty() ? "" : ",") + it->address();
+  }
+  std::vector<std::string> all{Binary("comfreyfold"), "--kv", kv_->address(),
+                               "--daemons", daemons};
+  all.insert(all.end(), arguments.begin(), arguments.end());
+  return std::make_unique<Process>(all, false);
+}
+
+void Cluster::Apply(const std::vector<std::string>& texts) {
+  std::vector<std::string> arguments{"apply"};
+  for (const auto& it : texts) {
+    arguments.push_back(
+        WriteFile("contract-" + std::to_string(arguments.size()) + ".ini", it));
+  }
+  const auto tool = RunTool(arguments);
+  if (tool->Wait(std::chrono::seconds(30)) != 0) {
+    throw std::runtime_error("apply failed: " + tool->output());
+  }
+}
+
+void Cluster::Fault(Process& standin,
+                    const std::string& name,
+                    int count,
+                    std::chrono::milliseconds delay) {
+  http_.Send(
+      fiber_, standin.address(),
+      {"POST",
+       "/fault",
+       {},
+       json{{"name", name}, {"count", count}, {"delay_ms", delay.count()}}
+           .dump()});
+}
+
+json Cluster::Audit(Process& standin) {
+  return json::parse(
+      http_.Send(fiber_, standin.address(), {"GET", "/audit"}).body);
+}
+
+std::vector<json> Cluster::ToolRuns(const std::string& tool) {
+  std::vector<json> out;
+  for (const auto& it : tool_servers_) {
+    const auto audit = Audit(*it);
+    for (const auto& run : audit["runs"]) {
+      if (run["tool"] == tool) {
+        out.push_back(run);
+      }
+    }
+  }
+  return out;
+}
+
+int Cluster::OwnerOf(const std::string& customer, const std::string& program) {
+  const int lane = LaneOf(customer, program, kLanes);
+  int owner = -1;
+  std::int64_t epoch = 0;
+  for (int i = 0; i < daemons(); ++i) {
+    const auto status = Status(i);
+    if (!status.is_object()) {
+      continue;
+    }
+    for (const auto& it : status["lanes"]) {
+      if (it["lane"] == lane && it["epoch"].get<std::int64_t>() > epoch) {
+        owner = i;
+        epoch = it["epoch"].get<std::int64_t>();
+      }
+    }
+  }
+  return owner;
+}
+
+std::string QuoteContract() {
+  return "[customer]\nname = bandwerk\napi_key_sha256 = " +
+         Sha256Hex(kQuoteKey) +
+         "\n[budget]\ntokens = 1000000\nperiod = 24h\n"
+         "[share]\nweight = 2\n"
+         "[tool stock_lookup]\nidempotent = true\nattempts = 3\n"
+         "[tool book_order]\nidempotent = false\n";
+}
+
+std::string KioskContract() {
+  return "[customer]\nname = lakeshore\napi_key_sha256 = " +
+         Sha256Hex(kKioskKey) +
+         "\n[budget]\ntokens = 1000000\nperiod = 24h\n"
+         "[share]\nweight = 1\npriority = 5\n"
+         "[tool print_voucher]\nidempotent = false\n"
+         "[tool credit_donation]\nidempotent = false\n"
+         "[tool kiosk_lock]\nidempotent = true\nattempts = 3\n"
+         "urgent = true\n";
+}
+
+}  // namespace comfreyfold::harness
--- /dev/null
+++ b/tests/harness/cluster.h
@@ -0,0 +1,104 @@
+#ifndef HARNESS_CLUSTER_H_
+#define HARNESS_CLUSTER_H_
+
+#include <chrono>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include <nlohmann/json.hpp>
+
+#include "harness/process.h"
+#include "net/http_client.h"
+
+namespace comfreyfold::harness {
+
+struct ClusterOptions {
+  int daemons = 3;
+  int engines = 2;
+  int tool_servers = 2;
+  std::vector<std::string> models{"quote-large"};
+  std::vector<std::string> tools{"stock_lookup", "book_order", "print_voucher",
+                                 "credit_donation", "kiosk_lock"};
+  std::vector<std::string> engine_arguments;
+  std::vector<std::string> tool_arguments;
+  // More lines for each daemon's settings, by section.
+  std::map<std::string, std::string> settings;
+};
+
+// Stand-ins and daemons as real processes on loopback, for tests, the demo
+// and the bench.
+class Cluster {
+ public:
+  Cluster(Fiber& fiber, ClusterOptions options);
+  ~Cluster();
+
+  // Starts daemon `index` (again, after Kill).
+  void StartDaemon(int index);
+  // Waits until every daemon that runs is ready and every lane has an owner.
+  void WaitReady(std::chrono::milliseconds timeout = std::chrono::seconds(30));
+
+  // Writes `text` to a file and applies it with the tool.
+  void Apply(const std::vector<std::string>& texts);
+
+  Process& daemon(int index) {
+    return *daemons_[static_cast<std::size_t>(index)];
+  }
+  int daemons() const { return static_cast<int>(daemons_.size()); }
+  Process& kv() { return *kv_; }
+  Process& vms() { return *vms_; }
+  Process& engine(int index) {
+    return *engines_[static_cast<std::size_t>(index)];
+  }
+  Process& tool_server(int index) {
+    return *tool_servers_[static_cast<std::size_t>(index)];
+  }
+  HttpClient& http() { return http_; }
+  const std::string& folder() const { return folder_; }
+
+  // The daemon's JSON status; null when it does not answer.
+  nlohmann::json Status(int index);
+  // Sets a fault of a stand-in.
+  void Fault(Process& standin,
+             const std::string& name,
+             int count,
+             std::chrono::milliseconds delay = {});
+  nlohmann::json Audit(Process& standin);
+  // Runs of a tool over all tool servers.
+  std::vector<nlohmann::json> ToolRuns(const std::string& tool);
+  // Index of the daemon that owns the program's lane; -1: none.
+  int OwnerOf(const std::string& customer, const std::string& program);
+  // Runs the operators' tool.
+  std::unique_ptr<Process> RunTool(const std::vector<std::string>& arguments);
+  // Publishes the VM list; `leaving` names ids in that state.
+  void PublishVms(const std::vector<std::string>& leaving = {});
+
+  // Waits on `ready`, asking again after each pause.
+  void WaitFor(const char* what,
+               const std::function<bool()>& ready,
+               std::chrono::milliseconds timeout = std::chrono::seconds(30));
+
+ private:
+  std::string WriteFile(const std::string& name, const std::string& text);
+
+  Fiber& fiber_;
+  ClusterOptions options_;
+  HttpClient http_;
+  std::string folder_;
+  std::unique_ptr<Process> kv_;
+  std::unique_ptr<Process> vms_;
+  std::vector<std::unique_ptr<Process>> engines_;
+  std::vector<std::unique_ptr<Process>> tool_servers_;
+  std::vector<std::unique_ptr<Process>> daemons_;
+};
+
+// The contracts in the manner of the two early users.
+std::string QuoteContract();
+std::string KioskContract();
+inline constexpr char kQuoteKey[] = "quote-api-key";
+inline constexpr char kKioskKey[] = "kiosk-api-key";
+
+}  // namespace comfreyfold::harness
+
+#endif  // HARNESS_CLUSTER_H_
--- /dev/null
+++ b/tests/harness/demo.cc
@@ -0,0 +1,239 @@
+// The main job, shown: an agent program of each early user's kind goes from
+// caller to end through three daemons, entering elsewhere at every call.
+// Exits 0 only if the back ends saw exactly what they should.
+
+#include <csignal>
+#include <iostream>
+
+#include <cxxopts.hpp>
+
+#include "harness/caller.h"
+#include "harness/cluster.h"
+
+namespace comfreyfold::harness {
+namespace {
+
+using Clock = std::chrono::steady_clock;
+
+// Notes what was expected and not seen.
+class Checks {
+ public:
+  void Expect(bool held, const std::string& what) {
+    std::cout << (held ? "  ok    " : "  FAILED ") << what << std::endl;
+    failed_ = failed_ || !held;
+  }
+  bool failed() const { return failed_; }
+
+ private:
+  bool failed_ = false;
+};
+
+void Say(const std::string& text) {
+  std::cout << text << std::endl;
+}
+
+// A program that enters through the next daemon at every call.
+class Walker {
+ public:
+  Walker(Fiber& fiber,
+         Cluster& cluster,
+         const std::string& api_key,
+         const std::string& program)
+      : cluster_(cluster), caller_(fiber, cluster.http(), api_key, program) {}
+
+  CallAnswer Ask(const std::string& key, const std::string& text) {
+    std::cout << "  " << key << " via d" << next_ << ": " << std::flush;
+    auto answer = caller_.Ask(Next(), key, text, 8, [](std::string_view it) {
+      std::cout << it << std::flush;
+    });
+    std::cout << std::endl;
+    return answer;
+  }
+
+  CallAnswer Use(const std::string& key,
+                 const std::string& tool,
+                 const nlohmann::json& arguments,
+                 const std::string& path = "tools") {
+    std::cout << "  " << key << " via d" << next_ << ": " << std::flush;
+    auto answer = caller_.Use(Next(), key, tool, arguments, path);
+    std::cout << answer.body << std::endl;
+    return answer;
+  }
+
+  CallAnswer End() { return caller_.End(Next()); }
+  CallAnswer History() { return caller_.History(Next()); }
+
+ private:
+  std::string Next() {
+    const auto address = cluster_.daemon(next_).address();
+    next_ = (next_ + 1) % cluster_.daemons();
+    return address;
+  }
+
+  Cluster& cluster_;
+  Caller caller_;
+  int next_ = 0;
+};
+
+void RunQuote(Fiber& fiber, Cluster& cluster, Checks& checks) {
+  Say("\nquote conversation (program quote-1)");
+  Walker walker(fiber, cluster, kQuoteKey, "quote-1");
+  checks.Expect(
+      walker.Ask("ask-1", "A quote for steel strapping, 19 mm").status == 200,
+      "first turn answered");
+  checks.Expect(
+      walker.Use("stock-1", "stock_lookup", {{"item", "steel-19"}}).status ==
+          200,
+      "stock looked up");
+  checks.Expect(walker.Ask("ask-2", "In stock: 40 coils. Go on.").status == 200,
+                "second turn answered");
+  const nlohmann::json order = {{"item", "steel-19"}, {"pallets", 1}};
+  checks.Expect(walker.Use("order-1", "book_order", order).status == 200,
+                "order booked");
+  checks.Expect(walker.Use("order-1", "book_order", order).status == 200,
+                "the same order sent again is answered");
+  checks.Expect(cluster.ToolRuns("book_order").size() == 1,
+                "and was booked once");
+  const auto history = walker.History().json();
+  checks.Expect(history["calls"].size() == 4 && history["messages"].size() == 4,
+                "history is whole");
+  checks.Expect(walker.End().status == 200, "program ended");
+}
+
+void RunKiosk(Fiber& fiber, Cluster& cluster, Checks& checks) {
+  Say("\nkiosk session (program kiosk-1)");
+  Walker walker(fiber, cluster, kKioskKey, "kiosk-1");
+  checks.Expect(
+      walker.Ask("offer-1", "42.17 counted; offer a voucher").status == 200,
+      "voucher offered");
+  checks.Expect(
+      walker.Use("voucher-1", "print_voucher", {{"cents", 4000}}).status == 200,
+      "voucher printed");
+  checks.Expect(
+      walker.Use("lock-1", "kiosk_lock", {{"kiosk", 7}}, "urgent").status ==
+          200,
+      "urgent lock went out in the middle");
+  checks.Expect(
+      walker.Use("donation-1", "credit_donation", {{"cents", 217}}).status ==
+          200,
+      "donation credited");
+  checks.Expect(cluster.ToolRuns("print_voucher").size() == 1,
+                "one voucher at the printer");
+  checks.Expect(cluster.ToolRuns("credit_donation").size() == 1,
+                "one donation credited");
+  checks.Expect(cluster.ToolRuns("kiosk_lock").size() == 1,
+                "one lock at the kiosk");
+  checks.Expect(walker.End().status == 200, "program ended");
+}
+
+std::size_t HeldPrograms(Cluster& cluster, int engines) {
+  std::size_t out = 0;
+  for (int i = 0; i < engines; ++i) {
+    out += cluster.Audit(cluster.engine(i))["held"].size();
+  }
+  return out;
+}
+
+void PrintFigures(Cluster& cluster,
+                  int engines,
+                  Clock::duration quote,
+                  Clock::duration kiosk) {
+  std::int64_t prompt = 0;
+  std::int64_t cached = 0;
+  for (int i = 0; i < engines; ++i) {
+    const auto audit = cluster.Audit(cluster.engine(i));
+    for (const auto& it : audit["runs"]) {
+      prompt += it["prompt_tokens"].get<std::int64_t>();
+      cached += it["cached_tokens"].get<std::int64_t>();
+    }
+  }
+  const auto ms = [](Clock::duration time) {
+    return std::chrono::duration_cast<std::chrono::milliseconds>(time).count();
+  };
+  std::cout << "\nprogram latency: quote " << ms(quote) << " ms, kiosk "
+            << ms(kiosk) << " ms\nprompt tokens: " << prompt
+            << ", found in a cache: " << cached << std::endl;
+}
+
+void PrintAddresses(Cluster& cluster) {
+  for (int i = 0; i < cluster.daemons(); ++i) {
+    Say("d" + std::to_string(i) + ": http://" + cluster.daemon(i).address());
+  }
+  const auto curl =
+      "  curl -H 'Authorization: Bearer " + std::string(kQuoteKey) +
+      "' -H 'Comfreyfold-Program: mine' http://" + cluster.daemon(0).address();
+  Say("a model turn:\n" + curl +
+      "/v1/chat/completions -d '{\"model\":\"quote-large\",\"messages\":"
+      "[{\"role\":\"user\",\"content\":\"hello\"}]}'");
+  Say("a tool call:\n" + curl + "/v1/tools/stock_lookup -d '{}'");
+  Say("the history:\n" + curl + "/v1/programs/mine/history");
+  Say("the end:\n" + curl + "/v1/programs/mine/end -d '{}'");
+}
+
+int RunDemo(Fiber& fiber, bool keep) {
+  ClusterOptions options;
+  Cluster cluster(fiber, options);
+  cluster.WaitReady();
+  cluster.Apply({QuoteContract(), KioskContract()});
+  Say("three daemons in three data centres, two contracts in force");
+  if (keep) {
+    PrintAddresses(cluster);
+    Say("running; end with Ctrl-C");
+    while (true) {
+      fiber.Sleep(std::chrono::hours(1));
+    }
+  }
+  Checks checks;
+  const auto start = Clock::now();
+  RunQuote(fiber, cluster, checks);
+  const auto middle = Clock::now();
+  RunKiosk(fiber, cluster, checks);
+  const auto end = Clock::now();
+  cluster.WaitFor("engine memory to be released",
+                  [&] { return HeldPrograms(cluster, options.engines) == 0; });
+  checks.Expect(true, "no engine memory stays held");
+
+  Say("\ntime line of quote-1 over all daemons");
+  const auto tool = cluster.RunTool({"timeline", "quote-1"});
+  checks.Expect(tool->Wait(std::chrono::seconds(10)) == 0, "time line merged");
+  Say(tool->output());
+  PrintFigures(cluster, options.engines, middle - start, end - middle);
+
+  for (int i = 0; i < cluster.daemons(); ++i) {
+    cluster.daemon(i).Signal(SIGTERM);
+  }
+  bool graceful = true;
+  for (int i = 0; i < cluster.daemons(); ++i) {
+    graceful =
+        cluster.daemon(i).Wait(std::chrono::seconds(20)) == 0 && graceful;
+  }
+  checks.Expect(graceful, "every daemon stopped gracefully");
+  Say(checks.failed() ? "\ndemo FAILED" : "\ndemo passed");
+  return checks.failed() ? 1 : 0;
+}
+
+int Main(int argc, char** argv) {
+  cxxopts::Options options("comfreyfold_demo", "Shows the main job");
+  options.add_options()("keep", "leave everything running");
+  const auto args = options.parse(argc, argv);
+  int code = 1;
+  Loop loop;
+  loop.OnError([&](const char* what) {
+    std::cerr << "demo failed: " << what << std::endl;
+    loop.Stop();
+  });
+  loop.Spawn([&](Fiber& fiber) {
+    code = RunDemo(fiber, args.count("keep") > 0);
+    loop.Stop();
+  });
+  loop.OnTermination([&loop] { loop.Stop(); });
+  loop.Run();
+  return code;
+}
+
+}  // namespace
+}  // namespace comfreyfold::harness
+
+int main(int argc, char** argv) {
+  return comfreyfold::harness::Main(argc, argv);
+}
--- /dev/null
+++ b/tests/harness/process.cc
@@ -0,0 +1,130 @@
+#include "harness/process.h"
+
+#include <fcntl.h>
+#include <poll.h>
+#include <spawn.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+#include <array>
+#include <cerrno>
+#include <csignal>
+#include <cstring>
+#include <stdexcept>
+
+extern char** environ;
+
+namespace comfreyfold::harness {
+
+namespace {
+constexpr std::chrono::seconds kStartTimeout{30};
+constexpr std::chrono::milliseconds kStep{100};
+constexpr char kListening[] = "{\"listening\":\"";
+}  // namespace
+
+Process::Process(const std::vector<std::string>& arguments,
+                 bool wait_for_address,
+                 const std::string& error_file) {
+  std::array<int, 2> ends{};
+  if (pipe2(ends.data(), O_CLOEXEC) != 0) {
+    throw std::runtime_error(std::strerror(errno));
+  }
+  posix_spawn_file_actions_t actions;
+  posix_spawn_file_actions_init(&actions);
+  posix_spawn_file_actions_adddup2(&actions, ends[1], STDOUT_FILENO);
+  if (!error_file.empty()) {
+    posix_spawn_file_actions_addopen(&actions, STDERR_FILENO,
+                                     error_file.c_str(),
+                                     O_WRONLY | O_CREAT | O_APPEND, 0644);
+  }
+  std::vector<char*> argv;
+  for (const auto& it : arguments) {
+    argv.push_back(const_cast<char*>(it.c_str()));
+  }
+  argv.push_back(nullptr);
+  const int error =
+      posix_spawn(&pid_, argv[0], &actions, nullptr, argv.data(), environ);
+  posix_spawn_file_actions_destroy(&actions);
+  close(ends[1]);
+  out_ = ends[0];
+  if (error != 0) {
+    throw std::runtime_error(arguments[0] + ": " + std::strerror(error));
+  }
+  const auto until = std::chrono::steady_clock::now() + kStartTimeout;
+  while (wait_for_address && address_.empty()) {
+    const bool open = ReadMore(kStep);
+    const auto start = output_.find(kListening);
+    if (start != std::string::npos) {
+      const auto from = start + sizeof(kListening) - 1;
+      const auto end = output_.find('"', from);
+      if (end != std::string::npos) {
+        address_ = output_.substr(from, end - from);
+      }
+    }
+    if (address_.empty() &&
+        (!open || std::chrono::steady_clock::now() > until)) {
+      Kill();
+      throw std::runtime_error(arguments[0] + " did not start: " + output_);
+    }
+  }
+}
+
+Process::~Process() {
+  Kill();
+  close(out_);
+}
+
+bool Process::ReadMore(std::chrono::milliseconds timeout) {
+  pollfd fd{out_, POLLIN, 0};
+  if (poll(&fd, 1, static_cast<int>(timeout.count())) <= 0) {
+    return true;
+  }
+  std::array<char, 4096> buf;
+  const auto n = read(out_, buf.data(), buf.size());
+  if (n <= 0) {
+    return false;
+  }
+  output_.append(buf.data(), static_cast<std::size_t>(n));
+  return true;
+}
+
+void Process::Signal(int number) {
+  if (!ended_) {
+    kill(pid_, number);
+  }
+}
+
+void Process::Kill() {
+  if (!ended_) {
+    kill(pid_, SIGKILL);
+    int status = 0;
+    waitpid(pid_, &status, 0);
+    ended_ = true;
+  }
+}
+
+int Process::Wait(std::chrono::milliseconds timeout) {
+  const auto until = std::chrono::steady_clock::now() + timeout;
+  while (!ended_) {
+    const bool open = ReadMore(kStep);
+    int status = 0;
+    if (waitpid(pid_, &status, open ? WNOHANG : 0) == pid_) {
+      ended_ = true;
+      code_ = WIFEXITED(status) ? WEXITSTATUS(status) : -1;
+      while (ReadMore(std::chrono::milliseconds(0)) &&
+             poll(nullptr, 0, 0) == 0) {
+        pollfd fd{out_, POLLIN, 0};
+        if (poll(&fd, 1, 0) <= 0) {
+          break;
+        }
+      }
+      return code_;
+    }
+    if (std::chrono::steady_clock::now() > until) {
+      return -1;
+    }
+  }
+  return code_;
+}
+
+}  // namespace comfreyfold::harness
--- /dev/null
+++ b/tests/standins/faults.h
@@ -0,0 +1,41 @@
+#ifndef STANDINS_FAULTS_H_
+#define STANDINS_FAULTS_H_
+
+#include <chrono>
+#include <map>
+#include <string>
+
+#include "net/http_server.h"
+
+namespace comfreyfold::standins {
+
+// Faults that a stand-in shows on request. Each is set by
+//   POST /fault {"name": "...", "count": N, "delay_ms": M}
+// and holds for the next N requests that ask for it (-1: until set to 0).
+//   out          the request is dropped, connection closed, nothing done
+//   slow         the request waits M ms first
+//   lost_answer  the request takes effect, then the connection is closed
+//   hang         the request takes effect, then no answer comes for M ms
+//   cut          a stream is cut after its first piece
+//   refuse       answered 503 and not run
+class Faults {
+ public:
+  struct Fault {
+    int count = 0;
+    std::chrono::milliseconds delay{};
+  };
+
+  // Takes POST /fault; false when the request is another.
+  bool Handle(const HttpRequest& request, HttpExchange& exchange);
+
+  // True if `name` is due now; uses up one of its count.
+  bool Due(const std::string& name);
+  std::chrono::milliseconds Delay(const std::string& name) const;
+
+ private:
+  std::map<std::string, Fault> faults_;
+};
+
+}  // namespace comfreyfold::standins
+
+#endif  // STANDINS_FAULTS_H_
--- /dev/null
+++ b/tests/standins/tool_service.cc
@@ -0,0 +1,69 @@
+#include "standins/tool_service.h"
+
+#include <nlohmann/json.hpp>
+
+namespace comfreyfold::standins {
+
+using nlohmann::json;
+
+void ToolService::Handle(Fiber& fiber,
+                         const HttpRequest& request,
+                         HttpExchange& exchange) {
+  if (faults_.Handle(request, exchange)) {
+    return;
+  }
+  const auto path = request.Path();
+  if (path == "/audit") {
+    json out = json::array();
+    for (const auto& it : runs_) {
+      out.push_back({{"tool", it.tool},
+                     {"key", it.key},
+                     {"program", it.program},
+                     {"body", it.body},
+                     {"time_us", it.time_us}});
+    }
+    exchange.Reply(200, "application/json", json{{"runs", out}}.dump());
+    return;
+  }
+  if (path == "/load") {
+    exchange.Reply(200, "application/json",
+                   json{{"running", running_}, {"draining", draining_}}.dump());
+    return;
+  }
+  if (path == "/drain") {
+    draining_ = true;
+    exchange.Reply(200, "application/json", "{}");
+    return;
+  }
+  if (faults_.Due("out")) {
+    exchange.Abort();
+    return;
+  }
+  if (faults_.Due("refuse")) {
+    exchange.Reply(503, "application/json", R"({"error":"not run"})");
+    return;
+  }
+  if (faults_.Due("slow")) {
+    fiber.Sleep(faults_.Delay("slow"));
+  }
+  const auto tool = path.substr(path.rfind('/') + 1);
+  const auto now = std::chrono::duration_cast<std::chrono::microseconds>(
+      std::chrono::system_clock::now().time_since_epoch());
+  runs_.push_back({tool, request.Header("Idempotency-Key"),
+                   request.Header("X-Program"), request.body, now.count()});
+  const auto n = runs_.size();
+  ++running_;
+  fiber.Sleep(work_);
+  if (faults_.Due("hang")) {
+    fiber.Sleep(faults_.Delay("hang"));
+  }
+  --running_;
+  if (faults_.Due("lost_answer")) {
+    exchange.Abort();
+    return;
+  }
+  exchange.Reply(200, "application/json",
+                 json{{"tool", tool}, {"result", "done"}, {"run", n}}.dump());
+}
+
+}  // namespace comfreyfold::standins
--- /dev/null
+++ b/tests/standins/vm_list_service.cc
@@ -0,0 +1,24 @@
+#include "standins/vm_list_service.h"
+
+namespace comfreyfold::standins {
+
+void VmListService::Handle(Fiber& fiber,
+                           const HttpRequest& request,
+                           HttpExchange& exchange) {
+  if (faults_.Handle(request, exchange)) {
+    return;
+  }
+  if (faults_.Due("out")) {
+    exchange.Abort();
+    return;
+  }
+  if (faults_.Due("slow")) {
+    fiber.Sleep(faults_.Delay("slow"));
+  }
+  if (request.method == "PUT") {
+    list_ = request.body;
+  }
+  exchange.Reply(200, "application/json", list_);
+}
+
+}  // namespace comfreyfold::standins
