Split the call path at the owner into one class a step

Model streams are now named by a hash over customer, program and key: the key alone, which callers choose, could name two programs' streams at one engine and mix their answers.

--- /dev/null
+++ b/source/server/call_journal.cc
@@ -0,0 +1,61 @@
+#include "server/call_journal.h"
+
+#include "core/call_error.h"
+
+namespace comfreyfold {
+
+namespace {
+constexpr std::chrono::milliseconds kRetrySoon{500};
+}  // namespace
+
+void CallJournal::CommitIntent(Fiber& fiber,
+                               const CallContext& context,
+                               const LaneEntry& begun) {
+  try {
+    context.lane->Append(fiber, {begun}, context.left());
+  } catch (const LaneLost& e) {
+    // Whoever owns the lane now decides; here nothing was dispatched.
+    throw NotOwner(e.what());
+  } catch (const AppendTimeout&) {
+    throw CallError(503, "journal_unavailable",
+                    "the program's journal cannot be written now; retry "
+                    "with the same Idempotency-Key",
+                    Verdict::kNotRun, kRetrySoon);
+  }
+  log_.Write({.name = "call_begun",
+              .customer = begun.customer,
+              .program = begun.program,
+              .key = begun.key,
+              .backend = begun.backend,
+              .lane = context.lane->lane(),
+              .epoch = context.lane->epoch(),
+              .call = begun.call,
+              .detail = begun.target});
+}
+
+void CallJournal::CommitOutcome(Fiber& fiber,
+                                const CallContext& context,
+                                const LaneEntry& done) {
+  try {
+    context.lane->Append(fiber, {done}, context.left());
+  } catch (const std::runtime_error& e) {
+    throw CallError(503, "outcome_not_recorded",
+                    "the call was dispatched but its outcome is not in the "
+                    "journal; fetch it with the same Idempotency-Key",
+                    Verdict::kMayHaveRun, kRetrySoon);
+  }
+  log_.Write({.name = done.kind == EntryKind::kProgramEnded ? "program_ended"
+                                                            : "call_done",
+              .customer = done.customer,
+              .program = done.program,
+              .key = done.key,
+              .backend = done.backend,
+              .lane = context.lane->lane(),
+              .epoch = context.lane->epoch(),
+              .call = done.call,
+              .detail = done.kind == EntryKind::kProgramEnded
+                            ? std::string()
+                            : std::string(ToString(done.verdict))});
+}
+
+}  // namespace comfreyfold
--- /dev/null
+++ b/source/server/call_limits.h
@@ -0,0 +1,17 @@
+#ifndef SERVER_CALL_LIMITS_H_
+#define SERVER_CALL_LIMITS_H_
+
+#include "server/call_context.h"
+
+namespace comfreyfold {
+
+// The limits that a customer's contract sets to its programs.
+class CallLimits {
+ public:
+  // Throws CallError (not run) when the call would pass one.
+  void Check(const CallContext& context);
+};
+
+}  // namespace comfreyfold
+
+#endif  // SERVER_CALL_LIMITS_H_
--- a/source/server/call_router.cc
+++ b/source/server/call_router.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 
+#include "core/call_error.h"
 #include "core/hash.h"
 
 namespace comfreyfold {
--- a/source/server/caller_api.cc
+++ b/source/server/caller_api.cc
@@ -6,6 +6,7 @@
 
 #include <nlohmann/json.hpp>
 
+#include "core/call_error.h"
 #include "platform/base64.h"
 
 namespace comfreyfold {
@@ -86,12 +87,12 @@
 
 CallerApi::CallerApi(ContractStore& contracts,
                      CallRouter& router,
-                     CallRunner& runner,
+                     UrgentSender& urgent,
                      EventLog& log,
                      std::chrono::milliseconds deadline)
     : contracts_(contracts),
       router_(router),
-      runner_(runner),
+      urgent_(urgent),
       log_(log),
       deadline_(deadline) {}
 
@@ -315,7 +316,7 @@
 void CallerApi::AnswerUrgent(Fiber& fiber,
                              const ForwardedCall& call,
                              HttpExchange& exchange) {
-  const auto result = runner_.RunUrgent(fiber, call);
+  const auto result = urgent_.Send(fiber, call);
   exchange.Reply(result.status, kJsonType, result.body,
                  {{"Comfreyfold-Verdict", "ran"}});
 }
--- a/source/server/caller_api.h
+++ b/source/server/caller_api.h
@@ -7,6 +7,7 @@
 
 #include "net/http_server.h"
 #include "server/call_router.h"
+#include "server/urgent_sender.h"
 
 namespace comfreyfold {
 
@@ -16,7 +17,7 @@
  public:
   CallerApi(ContractStore& contracts,
             CallRouter& router,
-            CallRunner& runner,
+            UrgentSender& urgent,
             EventLog& log,
             std::chrono::milliseconds deadline);
 
@@ -42,7 +43,7 @@
 
   ContractStore& contracts_;
   CallRouter& router_;
-  CallRunner& runner_;
+  UrgentSender& urgent_;
   EventLog& log_;
   std::chrono::milliseconds deadline_;
 };
--- a/source/server/daemon.cc
+++ b/source/server/daemon.cc
@@ -49,9 +49,24 @@
                 settings_.vm_list_interval,
                 settings_.load_interval),
       lanes_(loop, kv_, log_, membership_, settings_.lanes),
-      runner_(loop, http_, lanes_, contracts_, backends_, log_),
+      engines_(http_),
+      tools_(http_),
+      chooser_(backends_),
+      journal_(log_),
+      model_runner_(engines_, backends_, chooser_, journal_),
+      tool_runner_(tools_, backends_, chooser_, journal_),
+      requests_(journal_),
+      runner_(loop,
+              lanes_,
+              contracts_,
+              limits_,
+              model_runner_,
+              tool_runner_,
+              requests_),
+      urgent_(tools_, contracts_, backends_, log_),
+      releaser_(engines_, lanes_, backends_, log_),
       router_(loop, http_, membership_, runner_, log_, settings_.lanes),
-      caller_api_(contracts_, router_, runner_, log_, settings_.call_deadline),
+      caller_api_(contracts_, router_, urgent_, log_, settings_.call_deadline),
       peer_api_(membership_, runner_, log_),
       peers_(loop,
              http_,
@@ -81,7 +96,7 @@
 
 void Daemon::ReleaseLoop(Fiber& fiber) {
   while (true) {
-    runner_.ReleaseHolds(fiber);
+    releaser_.ReleaseOnce(fiber);
     fiber.Sleep(kReleaseInterval);
   }
 }
--- a/source/server/daemon.h
+++ b/source/server/daemon.h
@@ -12,10 +12,12 @@
 #include "server/call_runner.h"
 #include "server/caller_api.h"
 #include "server/contract_store.h"
+#include "server/hold_releaser.h"
 #include "server/lane_manager.h"
 #include "server/peer_api.h"
 #include "server/peer_links.h"
 #include "server/settings.h"
+#include "server/urgent_sender.h"
 
 namespace comfreyfold {
 
@@ -50,7 +52,17 @@
   ContractStore contracts_;
   BackendDirectory backends_;
   LaneManager lanes_;
+  EngineClient engines_;
+  ToolClient tools_;
+  BackendChooser chooser_;
+  CallJournal journal_;
+  CallLimits limits_;
+  ModelRunner model_runner_;
+  ToolRunner tool_runner_;
+  ProgramRequests requests_;
   CallRunner runner_;
+  UrgentSender urgent_;
+  HoldReleaser releaser_;
   CallRouter router_;
   CallerApi caller_api_;
   PeerApi peer_api_;
--- /dev/null
+++ b/source/server/model_runner.cc
@@ -0,0 +1,83 @@
+#include "server/model_runner.h"
+
+#include <algorithm>
+
+#include <nlohmann/json.hpp>
+
+#include "core/call_error.h"
+#include "platform/base64.h"
+#include "server/history.h"
+
+namespace comfreyfold {
+
+namespace {
+
+using nlohmann::json;
+
+constexpr std::chrono::milliseconds kRetrySoon{500};
+constexpr std::int64_t kDefaultAnswerTokens = 16;
+
+}  // namespace
+
+void ModelRunner::Run(Fiber& fiber, CallContext& context) {
+  const auto body = json::parse(context.call.body);
+  const auto known = MessagesOf(context.state());
+  const auto added = NewMessages(known, body.at("messages"));
+  auto messages = known;
+  messages.insert(messages.end(), added.begin(), added.end());
+
+  auto& backend = chooser_.ChooseEngine(context);
+  const InFlight in_flight(directory_, backend);
+  const auto address = backend.vm.address;
+  auto begun = context.Entry(EntryKind::kCallBegun);
+  begun.backend = backend.vm.id;
+  begun.idempotent = true;
+  begun.request = added.dump();
+  journal_.CommitIntent(fiber, context, begun);
+
+  EngineCall engine_call;
+  engine_call.program = begun.customer + "/" + begun.program;
+  // Names hold no '/', so no two calls share an id; hashed to fit a URL.
+  engine_call.request_id = Sha256Hex(engine_call.program + "/" + begun.key);
+  engine_call.model = context.call.target;
+  engine_call.messages = messages.dump();
+  engine_call.max_tokens =
+      std::min<std::int64_t>(body.value("max_tokens", kDefaultAnswerTokens),
+                             context.contract->max_call_tokens);
+  engine_call.priority = context.contract->priority;
+  engine_call.idle_timeout = context.left();
+  engine_call.on_text = [&context](std::string_view text) {
+    AnswerFrame frame;
+    frame.content = std::string(text);
+    context.sink(frame);
+  };
+  auto done = context.Entry(EntryKind::kCallDone);
+  done.backend = begun.backend;
+  EngineResult result;
+  try {
+    result = engines_.Complete(fiber, address, engine_call);
+  } catch (const BackendFailure& e) {
+    done.verdict = e.verdict();
+    done.status = 502;
+    journal_.CommitOutcome(fiber, context, done);
+    throw CallError(
+        502, "engine_failed",
+        std::string(e.what()) + "; retry with the same Idempotency-Key",
+        e.verdict(), kRetrySoon);
+  }
+  done.verdict = Verdict::kRan;
+  done.status = 200;
+  done.answer = result.text;
+  done.tokens = result.prompt_tokens + result.completion_tokens;
+  journal_.CommitOutcome(fiber, context, done);
+
+  AnswerFrame frame;
+  frame.kind = FrameKind::kDone;
+  frame.content = result.text;
+  frame.prompt_tokens = result.prompt_tokens;
+  frame.completion_tokens = result.completion_tokens;
+  frame.cached_tokens = result.cached_tokens;
+  context.sink(frame);
+}
+
+}  // namespace comfreyfold
--- a/source/server/peer_api.cc
+++ b/source/server/peer_api.cc
@@ -1,5 +1,7 @@
 #include "server/peer_api.h"
 
+#include "core/call_error.h"
+
 namespace comfreyfold {
 
 namespace {
