--- a/source/backend/engine_client.cc
+++ b/source/backend/engine_client.cc
@@ -2,6 +2,8 @@
 
 #include <nlohmann/json.hpp>
 
+#include "platform/base64.h"
+
 namespace comfreyfold {
 
 namespace {
@@ -9,6 +11,7 @@
 using nlohmann::json;
 
 constexpr int kResumeAttempts = 2;
+constexpr std::chrono::milliseconds kControlTimeout{1000};
 
 // Collects server-sent events of a chat completion.
 class CompletionReader {
@@ -86,8 +89,22 @@
   return out.dump();
 }
 
+HttpRequest ResumeRequest(const EngineCall& call, std::int64_t from) {
+  return {"GET",
+          "/v1/streams/" + call.request_id + "?from=" + std::to_string(from),
+          {},
+          {}};
+}
+
 }  // namespace
 
+std::string StreamId(const std::string& customer,
+                     const std::string& program,
+                     const std::string& key) {
+  // Names hold no '/', so no two calls share an id; hashed to fit a URL.
+  return Sha256Hex(customer + "/" + program + "/" + key);
+}
+
 EngineClient::EngineClient(HttpClient& http) : http_(http) {}
 
 EngineResult EngineClient::Complete(Fiber& fiber,
@@ -97,16 +114,23 @@
   HttpOptions options;
   options.idle_timeout = call.idle_timeout;
   options.on_data = [&reader](std::string_view data) { reader.Feed(data); };
-  HttpRequest request{"POST",
-                      "/v1/chat/completions",
-                      {{"Content-Type", "application/json"},
-                       {"X-Request-Id", call.request_id},
-                       {"X-Program", call.program}},
-                      Body(call)};
-  bool sent = false;
+  const HttpRequest start{"POST",
+                          "/v1/chat/completions",
+                          {{"Content-Type", "application/json"},
+                           {"X-Request-Id", call.request_id},
+                           {"X-Program", call.program}},
+                          Body(call)};
+  auto request = call.resume ? ResumeRequest(call, 0) : start;
+  bool sent = call.resume;
   for (int n = 0; n <= kResumeAttempts; ++n) {
     try {
       const auto reply = http_.Send(fiber, address, request, options);
+      if (reply.status == 404 && request.method == "GET" &&
+          reader.events() == 0) {
+        // Nothing of the stream is known here nor was passed on.
+        request = start;
+        continue;
+      }
       if (reply.status == 503 || reply.status == 429) {
         throw BackendFailure(
             "engine refused with " + std::to_string(reply.status),
@@ -128,34 +152,50 @@
     }
     // The engine goes on generating; ask for the events not seen yet.
     reader.Restart();
-    request = {"GET",
-               "/v1/streams/" + call.request_id +
-                   "?from=" + std::to_string(reader.events()),
-               {},
-               {}};
+    request = ResumeRequest(call, reader.events());
   }
   throw BackendFailure("engine stream broke and could not be resumed",
                        Verdict::kMayHaveRun);
 }
 
-void EngineClient::Release(Fiber& fiber,
-                           const std::string& address,
-                           const std::string& program) {
-  const json body = {{"program", program}};
+HttpReply EngineClient::Control(Fiber& fiber,
+                                const std::string& address,
+                                const HttpRequest& request) {
+  HttpOptions options;
+  options.connect_timeout = kControlTimeout;
+  options.idle_timeout = kControlTimeout;
   try {
-    const auto reply = http_.Send(fiber, address,
-                                  {"POST",
-                                   "/cache/release",
-                                   {{"Content-Type", "application/json"}},
-                                   body.dump()});
-    if (reply.status != 200) {
-      throw BackendFailure("release answered " + std::to_string(reply.status),
-                           Verdict::kMayHaveRun);
-    }
+    return http_.Send(fiber, address, request, options);
   } catch (const HttpFailure& e) {
     throw BackendFailure(e.what(),
                          e.sent() ? Verdict::kMayHaveRun : Verdict::kNotRun);
   }
 }
 
+void EngineClient::Cancel(Fiber& fiber,
+                          const std::string& address,
+                          const std::string& request_id) {
+  const auto reply =
+      Control(fiber, address, {"DELETE", "/v1/streams/" + request_id, {}, {}});
+  if (reply.status != 200 && reply.status != 404) {
+    throw BackendFailure("cancel answered " + std::to_string(reply.status),
+                         Verdict::kMayHaveRun);
+  }
+}
+
+void EngineClient::Release(Fiber& fiber,
+                           const std::string& address,
+                           const std::string& program) {
+  const json body = {{"program", program}};
+  const auto reply = Control(fiber, address,
+                             {"POST",
+                              "/cache/release",
+                              {{"Content-Type", "application/json"}},
+                              body.dump()});
+  if (reply.status != 200) {
+    throw BackendFailure("release answered " + std::to_string(reply.status),
+                         Verdict::kMayHaveRun);
+  }
+}
+
 }  // namespace comfreyfold
--- a/source/backend/engine_client.h
+++ b/source/backend/engine_client.h
@@ -33,6 +33,8 @@
   std::string messages;  // JSON array: the whole history and the turn.
   std::int64_t max_tokens = 0;
   int priority = 0;  // Higher goes first.
+  // The engine may know the request already: go on with its stream.
+  bool resume = false;
   std::chrono::milliseconds idle_timeout{5000};
   // Receives the answer as it is generated.
   std::function<void(std::string_view)> on_text;
@@ -57,6 +59,12 @@
                         const std::string& address,
                         const EngineCall& call);
 
+  // Ends the generation of a stream that nobody needs any more; a stream
+  // that the engine does not know is none. Throws BackendFailure.
+  void Cancel(Fiber& fiber,
+              const std::string& address,
+              const std::string& request_id);
+
   // Frees all memory that the engine holds for `program`.
   // Throws BackendFailure.
   void Release(Fiber& fiber,
@@ -64,9 +72,18 @@
                const std::string& program);
 
  private:
+  HttpReply Control(Fiber& fiber,
+                    const std::string& address,
+                    const HttpRequest& request);
+
   HttpClient& http_;
 };
 
+// The name of a call's stream at its engine.
+std::string StreamId(const std::string& customer,
+                     const std::string& program,
+                     const std::string& key);
+
 }  // namespace comfreyfold
 
 #endif  // BACKEND_ENGINE_CLIENT_H_
--- a/source/net/http_client.cc
+++ b/source/net/http_client.cc
@@ -21,6 +21,7 @@
 constexpr std::size_t kIdleConnectionsPerAddress = 64;
 constexpr std::uint64_t kBodyLimitBytes = 256ULL * 1024 * 1024;
 constexpr std::size_t kPieceBytes = 16 * 1024;
+constexpr std::chrono::milliseconds kCancelStep{50};
 
 tcp::endpoint ParseEndpoint(const std::string& address) {
   const auto n = address.rfind(':');
@@ -61,6 +62,56 @@
   }
 }
 
+// Asks the `cancelled` hook while an exchange waits for the other side, and
+// breaks the wait off when told to.
+class CancelWatch {
+ public:
+  CancelWatch(boost::asio::io_context& io,
+              beast::tcp_stream& stream,
+              const std::function<bool()>& cancelled)
+      : state_(std::make_shared<State>(io, stream, cancelled)) {
+    if (cancelled) {
+      state_->Arm();
+    }
+  }
+  ~CancelWatch() {
+    // The timer's handler may run after the exchange is gone.
+    state_->over = true;
+    state_->timer.cancel();
+  }
+  CancelWatch(const CancelWatch&) = delete;
+  CancelWatch& operator=(const CancelWatch&) = delete;
+
+ private:
+  struct State : std::enable_shared_from_this<State> {
+    State(boost::asio::io_context& io,
+          beast::tcp_stream& watched,
+          const std::function<bool()>& asked)
+        : timer(io), stream(watched), cancelled(asked) {}
+
+    void Arm() {
+      timer.expires_after(kCancelStep);
+      timer.async_wait([self = shared_from_this()](boost::system::error_code) {
+        if (self->over) {
+          return;
+        }
+        if (self->cancelled()) {
+          self->stream.cancel();
+        } else {
+          self->Arm();
+        }
+      });
+    }
+
+    boost::asio::steady_timer timer;
+    beast::tcp_stream& stream;
+    const std::function<bool()>& cancelled;
+    bool over = false;
+  };
+
+  std::shared_ptr<State> state_;
+};
+
 }  // namespace
 
 struct HttpClient::Impl {
@@ -140,6 +191,7 @@
     }
   };
 
+  const CancelWatch watch(impl_->loop.impl().io, stream, options.cancelled);
   auto message = ToBeast(address, request);
   stream.expires_after(options.idle_timeout);
   http::async_write(stream, message, yield);
--- a/source/net/http_client.h
+++ b/source/net/http_client.h
@@ -34,7 +34,7 @@
   bool fresh_connection = false;
   // Takes the body of a 2xx reply piece by piece instead of `body`.
   std::function<void(std::string_view)> on_data;
-  // Asked between pieces; true abandons the exchange.
+  // Asked again and again while the exchange waits; true abandons it.
   std::function<bool()> cancelled;
 };
 
--- a/source/server/call_router.cc
+++ b/source/server/call_router.cc
@@ -130,6 +130,14 @@
   bool done = false;
   HttpOptions options;
   options.idle_timeout = call.deadline;
+  // An owner that froze keeps its connections open: once another daemon
+  // owns the lane no answer from the old owner is worth waiting for.
+  const int lane = LaneOf(call.customer, call.program, lanes_);
+  options.cancelled = [this, lane, &owner] {
+    const auto newest =
+        membership_.OwnerOf(lane, std::chrono::steady_clock::now());
+    return newest && newest->epoch > owner.epoch;
+  };
   options.on_data = [&](std::string_view data) {
     reader.Feed(data, [&](const AnswerFrame& frame) {
       if (frame.clock != 0) {
--- a/source/server/daemon.cc
+++ b/source/server/daemon.cc
@@ -53,7 +53,7 @@
       tools_(http_),
       chooser_(backends_),
       journal_(log_),
-      model_runner_(engines_, backends_, chooser_, journal_),
+      model_runner_(loop, engines_, backends_, chooser_, journal_),
       tool_runner_(tools_, backends_, chooser_, journal_),
       requests_(journal_),
       runner_(loop,
--- a/source/server/model_runner.cc
+++ b/source/server/model_runner.cc
@@ -5,7 +5,6 @@
 #include <nlohmann/json.hpp>
 
 #include "core/call_error.h"
-#include "platform/base64.h"
 #include "server/history.h"
 
 namespace comfreyfold {
@@ -19,6 +18,31 @@
 
 }  // namespace
 
+const Backend* ModelRunner::BackendToResume(const CallContext& context) {
+  const auto* program = context.state();
+  if (program == nullptr) {
+    return nullptr;
+  }
+  for (const auto& it : program->calls) {
+    if (it.key == context.call.key && !it.done) {
+      return directory_.Find(it.backend);
+    }
+  }
+  return nullptr;
+}
+
+void ModelRunner::Cancel(const std::string& address,
+                         const std::string& request_id) {
+  // Beside the call: its caller need not wait for the engine's word, and a
+  // stream that cannot be cancelled ends by itself.
+  loop_.Spawn([this, address, request_id](Fiber& fiber) {
+    try {
+      engines_.Cancel(fiber, address, request_id);
+    } catch (const BackendFailure&) {
+    }
+  });
+}
+
 void ModelRunner::Run(Fiber& fiber, CallContext& context) {
   const auto body = json::parse(context.call.body);
   const auto known = MessagesOf(context.state());
@@ -26,7 +50,9 @@
   auto messages = known;
   messages.insert(messages.end(), added.begin(), added.end());
 
-  auto& backend = chooser_.ChooseEngine(context);
+  const auto* resumed = BackendToResume(context);
+  auto& backend = resumed != nullptr ? *directory_.Find(resumed->vm.id)
+                                     : chooser_.ChooseEngine(context);
   const InFlight in_flight(directory_, backend);
   const auto address = backend.vm.address;
   auto begun = context.Entry(EntryKind::kCallBegun);
@@ -37,8 +63,8 @@
 
   EngineCall engine_call;
   engine_call.program = begun.customer + "/" + begun.program;
-  // Names hold no '/', so no two calls share an id; hashed to fit a URL.
-  engine_call.request_id = Sha256Hex(engine_call.program + "/" + begun.key);
+  engine_call.request_id = StreamId(begun.customer, begun.program, begun.key);
+  engine_call.resume = resumed != nullptr;
   engine_call.model = context.call.target;
   engine_call.messages = messages.dump();
   engine_call.max_tokens =
@@ -57,6 +83,9 @@
   try {
     result = engines_.Complete(fiber, address, engine_call);
   } catch (const BackendFailure& e) {
+    if (e.verdict() != Verdict::kNotRun) {
+      Cancel(address, engine_call.request_id);
+    }
     done.verdict = e.verdict();
     done.status = 502;
     journal_.CommitOutcome(fiber, context, done);
--- a/source/server/model_runner.h
+++ b/source/server/model_runner.h
@@ -10,11 +10,13 @@
 // Runs the model turns of programs.
 class ModelRunner {
  public:
-  ModelRunner(EngineClient& engines,
+  ModelRunner(Loop& loop,
+              EngineClient& engines,
               BackendDirectory& directory,
               BackendChooser& chooser,
               CallJournal& journal)
-      : engines_(engines),
+      : loop_(loop),
+        engines_(engines),
         directory_(directory),
         chooser_(chooser),
         journal_(journal) {}
@@ -23,6 +25,12 @@
   void Run(Fiber& fiber, CallContext& context);
 
  private:
+  // Where an earlier owner's dispatch of the same call may still stream;
+  // null when there is none.
+  const Backend* BackendToResume(const CallContext& context);
+  void Cancel(const std::string& address, const std::string& request_id);
+
+  Loop& loop_;
   EngineClient& engines_;
   BackendDirectory& directory_;
   BackendChooser& chooser_;
--- a/tests/harness/cluster.cc
+++ b/tests/harness/cluster.cc
@@ -1,5 +1,6 @@
 #include "harness/cluster.h"
 
+#include <cstdio>
 #include <filesystem>
 #include <fstream>
 #include <stdexcept>
@@ -13,7 +14,6 @@
 
 using nlohmann::json;
 
-constexpr int kLanes = 12;
 constexpr std::chrono::milliseconds kStep{20};
 const char* const kDataCentres[] = {"dc-a", "dc-b", "dc-c"};
 
@@ -50,6 +50,12 @@
       folder_(MakeFolder()) {
   kv_ = StandIn("kv");
   vms_ = StandIn("vms");
+  if (options_.weight_store) {
+    weights_ = StandIn("weights");
+  }
+  if (!options_.engines_check_fencing) {
+    options_.engine_arguments.emplace_back("--ignore-fencing");
+  }
   for (int i = 0; i < options_.engines; ++i) {
     engines_.push_back(StandIn("engine", options_.engine_arguments));
   }
@@ -63,6 +69,13 @@
   }
 }
 
+std::string Cluster::BlockKey(int lane, std::int64_t number) {
+  char buf[64];
+  std::snprintf(buf, sizeof(buf), "lane/%04d/block/%012lld", lane,
+                static_cast<long long>(number));
+  return buf;
+}
+
 Cluster::~Cluster() {
   daemons_.clear();
   std::error_code ec;
@@ -82,8 +95,10 @@
       {"daemon", "id = " + id + "\ndata_centre = " + kDataCentres[index % 3] +
                      "\nlisten = 127.0.0.1:0\nlog_file = " + folder_ + "/" +
                      id + ".log\n"},
-      {"platform", "key_value = " + kv_->address() +
-                       "\nvm_list = " + vms_->address() + "\n"},
+      {"platform",
+       "key_value = " + kv_->address() + "\nvm_list = " + vms_->address() +
+           "\n" +
+           (weights_ ? "weight_store = " + weights_->address() + "\n" : "")},
       {"lanes", "count = " + std::to_string(kLanes) + "\n"}};
   for (const auto& [section, lines] : options_.settings) {
     sections[section] += lines;
@@ -111,6 +126,7 @@
                     {"address", address},
                     {"data_centre", kDataCentres[index % 3]},
                     {"state", leaves ? "leaving" : "live"},
+                    {"checks_fencing", options_.engines_check_fencing},
                     {"serves", serves}});
   };
   for (std::size_t i = 0; i < engines_.size(); ++i) {
@@ -205,14 +221,49 @@
 }
 
 json Cluster::Audit(Process& standin) {
-  return json::parse(
-      http_.Send(fiber_, standin.address(), {"GET", "/audit"}).body);
+  try {
+    return json::parse(
+        http_.Send(fiber_, standin.address(), {"GET", "/audit"}).body);
+  } catch (const HttpFailure&) {
+    return nullptr;
+  }
+}
+
+void Cluster::RestartEngine(int index) {
+  auto& engine = engines_[static_cast<std::size_t>(index)];
+  Restart(engine, "engine", options_.engine_arguments);
+}
+
+void Cluster::RestartToolServer(int index) {
+  auto& server = tool_servers_[static_cast<std::size_t>(index)];
+  Restart(server, "tools", options_.tool_arguments);
+}
+
+void Cluster::Restart(std::unique_ptr<Process>& standin,
+                      const std::string& kind,
+                      std::vector<std::string> arguments) {
+  const auto address = standin->address();
+  standin->Kill();
+  arguments.insert(arguments.end(), {"--listen", address});
+  standin = StandIn(kind, arguments);
+}
+
+std::size_t Cluster::HeldPrograms() {
+  std::size_t out = 0;
+  for (const auto& it : engines_) {
+    const auto audit = Audit(*it);
+    out += audit.is_object() ? audit["held"].size() : 0;
+  }
+  return out;
 }
 
 std::vector<json> Cluster::ToolRuns(const std::string& tool) {
   std::vector<json> out;
   for (const auto& it : tool_servers_) {
     const auto audit = Audit(*it);
+    if (!audit.is_object()) {
+      continue;
+    }
     for (const auto& run : audit["runs"]) {
       if (run["tool"] == tool) {
         out.push_back(run);
--- a/tests/harness/cluster.h
+++ b/tests/harness/cluster.h
@@ -23,6 +23,8 @@
                                  "credit_donation", "kiosk_lock"};
   std::vector<std::string> engine_arguments;
   std::vector<std::string> tool_arguments;
+  bool engines_check_fencing = true;
+  bool weight_store = false;
   // More lines for each daemon's settings, by section.
   std::map<std::string, std::string> settings;
 };
@@ -31,11 +33,18 @@
 // and the bench.
 class Cluster {
  public:
+  static constexpr int kLanes = 12;
+  // The key of a lane's block in the key-value service.
+  static std::string BlockKey(int lane, std::int64_t number);
+
   Cluster(Fiber& fiber, ClusterOptions options);
   ~Cluster();
 
   // Starts daemon `index` (again, after Kill).
   void StartDaemon(int index);
+  // Starts a back end again at its address, after Kill, with no memory.
+  void RestartEngine(int index);
+  void RestartToolServer(int index);
   // Waits until every daemon that runs is ready and every lane has an owner.
   void WaitReady(std::chrono::milliseconds timeout = std::chrono::seconds(30));
 
@@ -54,7 +63,11 @@
   Process& tool_server(int index) {
     return *tool_servers_[static_cast<std::size_t>(index)];
   }
+  Process& weights() { return *weights_; }
+  int engines() const { return static_cast<int>(engines_.size()); }
+  int tool_servers() const { return static_cast<int>(tool_servers_.size()); }
   HttpClient& http() { return http_; }
+  Fiber& fiber() { return fiber_; }
   const std::string& folder() const { return folder_; }
 
   // The daemon's JSON status; null when it does not answer.
@@ -64,9 +77,12 @@
              const std::string& name,
              int count,
              std::chrono::milliseconds delay = {});
+  // What a stand-in saw; null when it does not answer.
   nlohmann::json Audit(Process& standin);
-  // Runs of a tool over all tool servers.
+  // Runs of a tool over all tool servers that answer.
   std::vector<nlohmann::json> ToolRuns(const std::string& tool);
+  // Programs that hold memory, over all engines that answer.
+  std::size_t HeldPrograms();
   // Index of the daemon that owns the program's lane; -1: none.
   int OwnerOf(const std::string& customer, const std::string& program);
   // Runs the operators' tool.
@@ -81,6 +97,9 @@
 
  private:
   std::string WriteFile(const std::string& name, const std::string& text);
+  static void Restart(std::unique_ptr<Process>& standin,
+                      const std::string& kind,
+                      std::vector<std::string> arguments);
 
   Fiber& fiber_;
   ClusterOptions options_;
@@ -88,6 +107,7 @@
   std::string folder_;
   std::unique_ptr<Process> kv_;
   std::unique_ptr<Process> vms_;
+  std::unique_ptr<Process> weights_;
   std::vector<std::unique_ptr<Process>> engines_;
   std::vector<std::unique_ptr<Process>> tool_servers_;
   std::vector<std::unique_ptr<Process>> daemons_;
--- /dev/null
+++ b/tests/process/at_most_once_test.cc
@@ -0,0 +1,220 @@
+#include <csignal>
+
+#include <boost/test/unit_test.hpp>
+
+#include "core/hash.h"
+#include "process/booking.h"
+#include "process/in_cluster.h"
+
+namespace comfreyfold::process {
+namespace {
+
+using harness::Cluster;
+using harness::ClusterOptions;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr char kCustomer[] = "bandwerk";
+
+int OwnerOf(Cluster& cluster, const std::string& program) {
+  const int owner = cluster.OwnerOf(kCustomer, program);
+  BOOST_REQUIRE(owner >= 0);
+  return owner;
+}
+
+int Other(const Cluster& cluster, int daemon, int step = 1) {
+  return (daemon + step) % cluster.daemons();
+}
+
+// The key of the next block of the program's lane.
+std::string NextBlock(Cluster& cluster, const std::string& program) {
+  const int owner = OwnerOf(cluster, program);
+  const auto status = cluster.Status(owner);
+  const auto lane = LaneOf(kCustomer, program, Cluster::kLanes);
+  for (const auto& it : status["lanes"]) {
+    if (it["lane"] == lane) {
+      return Cluster::BlockKey(lane, it["blocks"].get<std::int64_t>() + 1);
+    }
+  }
+  return {};
+}
+
+void HangTools(Cluster& cluster, int count, milliseconds delay) {
+  for (int i = 0; i < cluster.tool_servers(); ++i) {
+    cluster.Fault(cluster.tool_server(i), "hang", count, delay);
+  }
+}
+
+// Lets the answer to the call's intent be late, so that its owner can be
+// caught with the intent committed and nothing dispatched.
+void HoldIntent(Cluster& cluster,
+                const std::string& program,
+                milliseconds delay) {
+  cluster.Fault(cluster.kv(), "late " + NextBlock(cluster, program), 1, delay);
+}
+
+void WaitForHeldIntent(Cluster& cluster, const std::string& block) {
+  cluster.WaitFor("the intent to be committed", [&] {
+    const auto audit = cluster.Audit(cluster.kv());
+    return audit.is_object() && audit["faults_shown"].contains(block);
+  });
+}
+
+void WaitForRun(Cluster& cluster, const Booking& booking) {
+  cluster.WaitFor("the call to run", [&] { return booking.Runs() == 1; });
+}
+
+BOOST_AUTO_TEST_SUITE(at_most_once)
+
+BOOST_AUTO_TEST_CASE(entry_killed_while_the_call_runs) {
+  InCluster({}, [](Fiber&, Cluster& cluster) {
+    Booking booking(cluster, "entry-killed", "order");
+    const int owner = OwnerOf(cluster, booking.program());
+    const int entry = Other(cluster, owner);
+    HangTools(cluster, 1, milliseconds(800));
+    booking.Start(entry);
+    WaitForRun(cluster, booking);
+    cluster.daemon(entry).Kill();
+    BOOST_TEST(booking.Wait().status == 0);
+    BOOST_TEST(booking.Settle(Other(cluster, entry)).status == 200);
+    BOOST_TEST(booking.Runs() == 1);
+  });
+}
+
+BOOST_AUTO_TEST_CASE(owner_killed_after_dispatch_before_the_outcome) {
+  InCluster({}, [](Fiber&, Cluster& cluster) {
+    Booking booking(cluster, "owner-killed", "order");
+    const int owner = OwnerOf(cluster, booking.program());
+    HangTools(cluster, -1, milliseconds(400));
+    booking.Start(Other(cluster, owner));
+    WaitForRun(cluster, booking);
+    cluster.daemon(owner).Kill();
+    BOOST_TEST(booking.Wait().verdict == "may_have_run");
+    BOOST_TEST(booking.Settle(Other(cluster, owner, 2)).verdict ==
+               "may_have_run");
+    BOOST_TEST(booking.Runs() == 1);
+  });
+}
+
+BOOST_AUTO_TEST_CASE(owner_killed_between_the_intent_and_dispatch) {
+  InCluster({}, [](Fiber&, Cluster& cluster) {
+    Booking booking(cluster, "owner-killed-early", "order");
+    const int owner = OwnerOf(cluster, booking.program());
+    const auto fault = "late " + NextBlock(cluster, booking.program());
+    HoldIntent(cluster, booking.program(), seconds(20));
+    booking.Start(Other(cluster, owner));
+    WaitForHeldIntent(cluster, fault);
+    cluster.daemon(owner).Kill();
+    BOOST_TEST(booking.Wait().verdict == "may_have_run");
+    BOOST_TEST(booking.Settle(Other(cluster, owner)).verdict == "may_have_run");
+    BOOST_TEST(booking.Runs() == 0);
+  });
+}
+
+BOOST_AUTO_TEST_CASE(owner_frozen_while_the_call_runs_wakes_after_takeover) {
+  InCluster({}, [](Fiber&, Cluster& cluster) {
+    Booking booking(cluster, "owner-frozen", "order");
+    const int owner = OwnerOf(cluster, booking.program());
+    HangTools(cluster, 1, milliseconds(400));
+    booking.Start(Other(cluster, owner));
+    WaitForRun(cluster, booking);
+    cluster.daemon(owner).Signal(SIGSTOP);
+    const auto& answer = booking.Wait();
+    BOOST_TEST(answer.verdict == "may_have_run");
+    BOOST_TEST(booking.Settle(Other(cluster, owner, 2)).verdict ==
+               "may_have_run");
+    cluster.daemon(owner).Signal(SIGCONT);
+    cluster.WaitFor("the old owner to give the lane up", [&] {
+      return cluster.OwnerOf(kCustomer, booking.program()) != owner;
+    });
+    BOOST_TEST(booking.Settle(owner).verdict == "may_have_run");
+    BOOST_TEST(booking.Runs() == 1);
+  });
+}
+
+BOOST_AUTO_TEST_CASE(owner_frozen_before_dispatch_wakes_after_takeover) {
+  InCluster({}, [](Fiber&, Cluster& cluster) {
+    Booking booking(cluster, "owner-frozen-early", "order");
+    const int owner = OwnerOf(cluster, booking.program());
+    const auto fault = "late " + NextBlock(cluster, booking.program());
+    HoldIntent(cluster, booking.program(), milliseconds(300));
+    booking.Start(Other(cluster, owner));
+    WaitForHeldIntent(cluster, fault);
+    cluster.daemon(owner).Signal(SIGSTOP);
+    // Nothing ran yet, but it may: that is what the caller must hear.
+    BOOST_TEST(booking.Wait().verdict == "may_have_run");
+    cluster.daemon(owner).Signal(SIGCONT);
+    BOOST_TEST(booking.Settle(owner).verdict == "may_have_run");
+    BOOST_TEST(booking.Runs() <= 1);
+  });
+}
+
+BOOST_AUTO_TEST_CASE(server_killed_while_the_call_runs) {
+  InCluster({}, [](Fiber&, Cluster& cluster) {
+    Booking booking(cluster, "server-killed", "order");
+    HangTools(cluster, -1, seconds(20));
+    booking.Start(0);
+    WaitForRun(cluster, booking);
+    int server = 0;
+    while (cluster.Audit(cluster.tool_server(server))["runs"].empty()) {
+      ++server;
+    }
+    cluster.tool_server(server).Kill();
+    BOOST_TEST(booking.Wait().verdict == "may_have_run");
+    cluster.RestartToolServer(server);
+    HangTools(cluster, 0, {});
+    BOOST_TEST(booking.Settle(1).verdict == "may_have_run");
+    BOOST_TEST(booking.Runs() == 0);  // None beside the one that was killed.
+  });
+}
+
+BOOST_AUTO_TEST_CASE(connection_cut_before_and_after_the_run) {
+  InCluster({}, [](Fiber&, Cluster& cluster) {
+    for (const std::string fault : {"out", "lost_answer"}) {
+      Booking booking(cluster, "cut-" + fault, "order-" + fault);
+      for (int i = 0; i < cluster.tool_servers(); ++i) {
+        cluster.Fault(cluster.tool_server(i), fault, 1);
+      }
+      BOOST_TEST(booking.Try(0).verdict == "may_have_run");
+      BOOST_TEST(booking.Settle(1).verdict == "may_have_run");
+      BOOST_TEST(booking.Runs() == (fault == "out" ? 0 : 1));
+      for (int i = 0; i < cluster.tool_servers(); ++i) {
+        cluster.Fault(cluster.tool_server(i), fault, 0);
+      }
+    }
+  });
+}
+
+BOOST_AUTO_TEST_CASE(refused_call_did_not_run_and_runs_once_when_retried) {
+  InCluster({}, [](Fiber&, Cluster& cluster) {
+    for (int i = 0; i < cluster.tool_servers(); ++i) {
+      cluster.Fault(cluster.tool_server(i), "refuse", -1);
+    }
+    Booking booking(cluster, "refused", "order");
+    BOOST_TEST(booking.Try(0).verdict == "not_run");
+    BOOST_TEST(booking.Runs() == 0);
+    for (int i = 0; i < cluster.tool_servers(); ++i) {
+      cluster.Fault(cluster.tool_server(i), "refuse", 0);
+    }
+    BOOST_TEST(booking.Settle(1).status == 200);
+    BOOST_TEST(booking.Settle(2).status == 200);
+    BOOST_TEST(booking.Runs() == 1);
+  });
+}
+
+BOOST_AUTO_TEST_CASE(answers_of_the_journal_lost_after_the_write) {
+  InCluster({}, [](Fiber&, Cluster& cluster) {
+    for (int i = 0; i < 4; ++i) {
+      cluster.Fault(cluster.kv(), "lost_answer", 2);
+      Booking booking(cluster, "lost-" + std::to_string(i),
+                      "order-" + std::to_string(i));
+      BOOST_TEST(booking.Settle(i % cluster.daemons()).status == 200);
+      BOOST_TEST(booking.Runs() == 1);
+    }
+  });
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace
+}  // namespace comfreyfold::process
--- /dev/null
+++ b/tests/process/in_cluster.cc
@@ -0,0 +1,33 @@
+#include "process/in_cluster.h"
+
+#include <exception>
+
+namespace comfreyfold::process {
+
+void InCluster(const harness::ClusterOptions& options,
+               const std::function<void(Fiber&, harness::Cluster&)>& body) {
+  std::exception_ptr error;
+  std::string stray;
+  Loop loop;
+  loop.OnError([&stray](const char* what) { stray = what; });
+  loop.Spawn([&](Fiber& fiber) {
+    try {
+      harness::Cluster cluster(fiber, options);
+      cluster.WaitReady();
+      cluster.Apply({harness::QuoteContract(), harness::KioskContract()});
+      body(fiber, cluster);
+    } catch (...) {
+      error = std::current_exception();
+    }
+    loop.Stop();
+  });
+  loop.Run();
+  if (error) {
+    std::rethrow_exception(error);
+  }
+  if (!stray.empty()) {
+    throw std::runtime_error("a coroutine failed: " + stray);
+  }
+}
+
+}  // namespace comfreyfold::process
--- a/tests/standins/engine_service.cc
+++ b/tests/standins/engine_service.cc
@@ -1,7 +1,5 @@
 #include "standins/engine_service.h"
 
-#include <algorithm>
-
 #include <nlohmann/json.hpp>
 
 #include "core/hash.h"
@@ -12,21 +10,18 @@
 
 using nlohmann::json;
 
-constexpr std::size_t kBytesPerToken = 4;
 constexpr std::int64_t kDefaultTokens = 16;
+constexpr std::size_t kStreamsPathLength = 12;  // Of "/v1/streams/".
 constexpr std::chrono::seconds kLongWait{3600};
 
 std::int64_t Tokens(std::size_t bytes) {
-  return static_cast<std::int64_t>(bytes / kBytesPerToken);
+  return EngineCache::Tokens(bytes);
 }
 
-std::size_t CommonPrefix(const std::string& a, const std::string& b) {
-  const auto n = std::min(a.size(), b.size());
-  return static_cast<std::size_t>(
-      std::mismatch(a.begin(), a.begin() + static_cast<std::ptrdiff_t>(n),
-                    b.begin())
-          .first -
-      a.begin());
+std::int64_t NowUs() {
+  return std::chrono::duration_cast<std::chrono::microseconds>(
+             std::chrono::system_clock::now().time_since_epoch())
+      .count();
 }
 
 std::string Flatten(const json& messages) {
@@ -43,46 +38,71 @@
 
 }  // namespace
 
-EngineService::EngineService(Loop& loop, EngineCosts costs)
-    : loop_(loop), costs_(costs), changed_(loop) {}
+EngineService::EngineService(Loop& loop, EngineOptions options)
+    : loop_(loop),
+      options_(options),
+      slots_(loop, options.slots),
+      cache_(options.cache),
+      orders_(options.checks_fencing),
+      load_(options.load_lag),
+      changed_(loop) {}
 
 void EngineService::Generate(Fiber& fiber,
                              const HttpRequest& request,
                              const std::shared_ptr<Stream>& stream) {
   const auto body = json::parse(request.body);
-  const auto id = request.Header("X-Request-Id");
   const auto program = request.Header("X-Program");
   const auto prompt = Flatten(body.at("messages"));
+  const auto run = runs_.size();
+  runs_.push_back(
+      {request.Header("X-Request-Id"), program, Tokens(prompt.size())});
+  runs_[run].time_us = NowUs();
 
-  ++waiting_;
-  changed_.WaitUntil(fiber, kLongWait,
-                     [this] { return running_ < costs_.slots; });
-  --waiting_;
-  ++running_;
+  slots_.Acquire(fiber, body.value("priority", 0));
+  if (!stream->cancelled) {
+    const auto cached = cache_.Store(program, prompt);
+    runs_[run].cached_tokens = Tokens(cached);
+    Prefill(fiber, prompt, cached);
+    Decode(fiber, request, prompt, cached, *stream);
+  }
+  runs_[run].cancelled = stream->cancelled;
+  stream->done = true;
+  slots_.Release();
+  changed_.NotifyAll();
+}
 
-  const auto cached = CommonPrefix(cache_[program], prompt);
-  cache_[program] = prompt;
-  runs_.push_back({id, program, Tokens(prompt.size()), Tokens(cached)});
+void EngineService::Prefill(Fiber& fiber,
+                            const std::string& prompt,
+                            std::size_t cached) {
   fiber.Sleep(std::chrono::ceil<std::chrono::milliseconds>(
-      costs_.prefill_per_token * Tokens(prompt.size() - cached)));
+      options_.prefill_per_token * Tokens(prompt.size() - cached)));
+}
 
+void EngineService::Decode(Fiber& fiber,
+                           const HttpRequest& request,
+                           const std::string& prompt,
+                           std::size_t cached,
+                           Stream& stream) {
+  const auto id = request.Header("X-Request-Id");
+  const auto program = request.Header("X-Program");
+  const auto body = json::parse(request.body);
   // The text depends on the prompt alone, so that an audit can tell whose
   // answer it is.
   const auto n = body.value("max_tokens", kDefaultTokens);
   const auto digest = Hash64(prompt);
-  for (std::int64_t i = 0; i < n; ++i) {
+  for (std::int64_t i = 0; i < n && !stream.cancelled; ++i) {
     const auto word =
         i == 0 ? "answer-" + std::to_string(digest) : " w" + std::to_string(i);
-    stream->events.push_back(
+    stream.events.push_back(
         Event({{"id", id},
                {"object", "chat.completion.chunk"},
                {"choices", {{{"index", 0}, {"delta", {{"content", word}}}}}}}));
-    cache_[program] += word;
+    cache_.Extend(program, word);
     changed_.NotifyAll();
-    fiber.Sleep(
-        std::chrono::ceil<std::chrono::milliseconds>(costs_.decode_per_token));
+    fiber.Sleep(std::chrono::ceil<std::chrono::milliseconds>(
+        options_.decode_per_token));
   }
-  stream->events.push_back(Event(
+  stream.events.push_back(Event(
       {{"id", id},
        {"object", "chat.completion.chunk"},
        {"choices", json::array()},
@@ -90,19 +110,23 @@
         {{"prompt_tokens", Tokens(prompt.size())},
          {"completion_tokens", n},
          {"prompt_tokens_details", {{"cached_tokens", Tokens(cached)}}}}}}));
-  stream->events.emplace_back("data: [DONE]\n\n");
-  stream->done = true;
-  --running_;
-  changed_.NotifyAll();
+  stream.events.emplace_back("data: [DONE]\n\n");
 }
 
 void EngineService::Follow(Fiber& fiber,
                            const std::shared_ptr<Stream>& stream,
                            std::size_t from,
                            HttpExchange& exchange) {
+  if (faults_.Due("late")) {
+    fiber.Sleep(faults_.Delay("late"));
+  }
   exchange.Begin(200, "text/event-stream");
   std::size_t next = from;
   while (!exchange.broken()) {
+    if (stream->cancelled) {
+      exchange.Abort();
+      return;
+    }
     while (next < stream->events.size()) {
       exchange.Write(stream->events[next++]);
       if (faults_.Due("cut")) {
@@ -122,6 +146,7 @@
                              const HttpRequest& request,
                              HttpExchange& exchange) {
   if (faults_.Due("refuse") || draining_) {
+    refused_us_.push_back(NowUs());
     exchange.Reply(503, "application/json", R"({"error":"not run"})");
     return;
   }
@@ -136,32 +161,77 @@
 }
 
 std::string EngineService::Audit() const {
-  json out = {{"runs", json::array()}, {"held", json::object()}};
+  json out = {{"runs", json::array()},
+              {"held", cache_.Held()},
+              {"refused_us", refused_us_},
+              {"orders", orders_.audit()},
+              {"state", orders_.State()}};
   for (const auto& it : runs_) {
     out["runs"].push_back({{"request_id", it.request_id},
                            {"program", it.program},
                            {"prompt_tokens", it.prompt_tokens},
-                           {"cached_tokens", it.cached_tokens}});
-  }
-  for (const auto& [program, prompt] : cache_) {
-    out["held"][program] = Tokens(prompt.size());
+                           {"cached_tokens", it.cached_tokens},
+                           {"time_us", it.time_us},
+                           {"cancelled", it.cancelled}});
   }
   return out.dump();
 }
 
 std::string EngineService::Load() const {
-  std::int64_t held = 0;
-  for (const auto& [program, prompt] : cache_) {
-    held += Tokens(prompt.size());
-  }
-  return json{{"running", running_},
-              {"waiting", waiting_},
-              {"slots", costs_.slots},
-              {"held_tokens", held},
-              {"draining", draining_}}
+  return json{
+      {"running", slots_.running()}, {"waiting", slots_.waiting()},
+      {"slots", slots_.slots()},     {"held_tokens", cache_.held_tokens()},
+      {"models", orders_.models()},  {"draining", draining_}}
       .dump();
 }
 
+void EngineService::HandleStream(Fiber& fiber,
+                                 const HttpRequest& request,
+                                 HttpExchange& exchange) {
+  const auto it = streams_.find(request.Path().substr(kStreamsPathLength));
+  if (it == streams_.end()) {
+    exchange.Reply(404, "application/json", "{}");
+    return;
+  }
+  const auto stream = it->second;
+  if (request.method == "DELETE") {
+    stream->cancelled = !stream->done;
+    streams_.erase(it);
+    changed_.NotifyAll();
+    exchange.Reply(200, "application/json", "{}");
+    return;
+  }
+  Follow(fiber, stream, std::stoul("0" + request.Query("from")), exchange);
+}
+
+bool EngineService::HandleCache(const HttpRequest& request,
+                                HttpExchange& exchange) {
+  const auto path = request.Path();
+  if (path == "/cache/events") {
+    const auto since = std::stoll("0" + request.Query("since"));
+    exchange.Reply(200, "application/json",
+                   json{{"events", cache_.Events(since)}}.dump());
+    return true;
+  }
+  if (path.rfind("/cache/", 0) != 0) {
+    return false;
+  }
+  const auto body = json::parse(request.body);
+  const auto program = body.at("program").get<std::string>();
+  json answer = json::object();
+  if (path == "/cache/release") {
+    cache_.Release(program);
+  } else if (path == "/cache/export") {
+    answer["cache"] = cache_.Export(program);
+  } else if (path == "/cache/import") {
+    cache_.Import(program, body.at("cache").get<std::string>());
+  } else {
+    return false;
+  }
+  exchange.Reply(200, "application/json", answer.dump());
+  return true;
+}
+
 void EngineService::Handle(Fiber& fiber,
                            const HttpRequest& request,
                            HttpExchange& exchange) {
@@ -182,23 +252,18 @@
   }
   if (path == "/v1/chat/completions") {
     Complete(fiber, request, exchange);
+  } else if (path.rfind("/v1/streams/", 0) == 0) {
+    HandleStream(fiber, request, exchange);
   } else if (path == "/load") {
-    exchange.Reply(200, "application/json", Load());
+    exchange.Reply(200, "application/json", load_.Pass(Load()));
   } else if (path == "/drain") {
     draining_ = true;
     exchange.Reply(200, "application/json", "{}");
-  } else if (path == "/cache/release") {
-    cache_.erase(json::parse(request.body).at("program").get<std::string>());
-    exchange.Reply(200, "application/json", "{}");
-  } else if (path.rfind("/v1/streams/", 0) == 0) {
-    const auto it = streams_.find(path.substr(12));
-    if (it == streams_.end()) {
-      exchange.Reply(404, "application/json", "{}");
-      return;
-    }
-    const auto stream = it->second;
-    Follow(fiber, stream, std::stoul("0" + request.Query("from")), exchange);
-  } else {
+  } else if (path == "/orders" && request.method == "POST") {
+    orders_.Handle(request, exchange);
+  } else if (path == "/orders") {
+    exchange.Reply(200, "application/json", orders_.State().dump());
+  } else if (!HandleCache(request, exchange)) {
     exchange.Reply(404, "application/json", "{}");
   }
 }
--- a/tests/standins/faults.cc
+++ b/tests/standins/faults.cc
@@ -24,6 +24,7 @@
   if (it->second.count > 0) {
     --it->second.count;
   }
+  ++shown_[name];
   return true;
 }
 
--- a/tests/standins/faults.h
+++ b/tests/standins/faults.h
@@ -16,8 +16,11 @@
 //   slow         the request waits M ms first
 //   lost_answer  the request takes effect, then the connection is closed
 //   hang         the request takes effect, then no answer comes for M ms
+//   late         the answer begins only after M ms; later ones overtake it
 //   cut          a stream is cut after its first piece
 //   refuse       answered 503 and not run
+//   late KEY     (key-value service) a transaction that writes KEY first
+//                takes effect and is answered after M ms
 class Faults {
  public:
   struct Fault {
@@ -31,9 +34,12 @@
   // True if `name` is due now; uses up one of its count.
   bool Due(const std::string& name);
   std::chrono::milliseconds Delay(const std::string& name) const;
+  // Times each fault was shown.
+  const std::map<std::string, int>& shown() const { return shown_; }
 
  private:
   std::map<std::string, Fault> faults_;
+  std::map<std::string, int> shown_;
 };
 
 }  // namespace comfreyfold::standins
--- a/tests/standins/kv_service.cc
+++ b/tests/standins/kv_service.cc
@@ -26,6 +26,16 @@
   return DecodeBase64(body.value(name, ""));
 }
 
+// The first key that a transaction writes.
+std::string FirstPut(const json& body) {
+  for (const auto& it : body.value("success", json::array())) {
+    if (it.contains("request_put")) {
+      return Key(it["request_put"], "key");
+    }
+  }
+  return {};
+}
+
 }  // namespace
 
 KvService::KvService(Loop& loop) : changed_(loop) {}
@@ -186,7 +196,9 @@
   }
   const auto path = request.Path();
   if (path == "/audit") {
-    exchange.Reply(200, "application/json", json(calls_).dump());
+    auto audit = json(calls_);
+    audit["faults_shown"] = faults_.shown();
+    exchange.Reply(200, "application/json", audit.dump());
     return;
   }
   ++calls_[path];
@@ -207,6 +219,10 @@
     return;
   }
   const auto answer = Dispatch(path, body);
+  const auto late = "late " + FirstPut(body);
+  if (path == "/v3/kv/txn" && faults_.Due(late)) {
+    fiber.Sleep(faults_.Delay(late));
+  }
   if (path == "/v3/kv/txn" && faults_.Due("lost_answer")) {
     exchange.Abort();
     return;
--- /dev/null
+++ b/tests/standins/slot_queue.cc
@@ -0,0 +1,25 @@
+#include "standins/slot_queue.h"
+
+namespace comfreyfold::standins {
+
+namespace {
+constexpr std::chrono::hours kLongWait{1};
+}  // namespace
+
+void SlotQueue::Acquire(Fiber& fiber, int priority) {
+  const std::pair ticket(-priority, next_ticket_++);
+  queue_.insert(ticket);
+  changed_.WaitUntil(fiber, kLongWait, [this, &ticket] {
+    return running_ < slots_ && *queue_.begin() == ticket;
+  });
+  queue_.erase(ticket);
+  ++running_;
+  changed_.NotifyAll();
+}
+
+void SlotQueue::Release() {
+  --running_;
+  changed_.NotifyAll();
+}
+
+}  // namespace comfreyfold::standins
--- a/tests/standins/tool_service.cc
+++ b/tests/standins/tool_service.cc
@@ -22,7 +22,8 @@
                      {"body", it.body},
                      {"time_us", it.time_us}});
     }
-    exchange.Reply(200, "application/json", json{{"runs", out}}.dump());
+    exchange.Reply(200, "application/json",
+                   json{{"runs", out}, {"refused", refused_}}.dump());
     return;
   }
   if (path == "/load") {
@@ -40,6 +41,7 @@
     return;
   }
   if (faults_.Due("refuse")) {
+    ++refused_;
     exchange.Reply(503, "application/json", R"({"error":"not run"})");
     return;
   }
@@ -54,8 +56,10 @@
   const auto n = runs_.size();
   ++running_;
   fiber.Sleep(work_);
-  if (faults_.Due("hang")) {
-    fiber.Sleep(faults_.Delay("hang"));
+  for (const auto* it : {"hang", "late"}) {
+    if (faults_.Due(it)) {
+      fiber.Sleep(faults_.Delay(it));
+    }
   }
   --running_;
   if (faults_.Due("lost_answer")) {
--- a/tests/standins/tool_service.h
+++ b/tests/standins/tool_service.h
@@ -32,6 +32,7 @@
   Faults faults_;
   std::vector<Run> runs_;
   int running_ = 0;
+  int refused_ = 0;
   bool draining_ = false;
 };
 
