Budgets by escrow: grants by compare-and-swap, reserve before the intent, settle after

Cause: nothing kept a customer within its budget. A budget record a customer in the key-value service holds what was spent and a grant for each run of a daemon; the counters only grow, so a lost answer is settled by writing again, and the second write shuts out a late first one. The worst case of a model turn is reserved before its intent is committed and settled with what the engine counted.

--- /dev/null
+++ b/source/core/budget_record.cc
@@ -0,0 +1,44 @@
+#include "core/budget_record.h"
+
+#include <algorithm>
+
+namespace comfreyfold {
+
+std::int64_t BudgetRecord::Committed() const {
+  std::int64_t out = spent;
+  for (const auto& it : grants) {
+    out += it.exposure();
+  }
+  return out;
+}
+
+BudgetGrant* BudgetRecord::Find(const std::string& id) {
+  const auto it =
+      std::find_if(grants.begin(), grants.end(),
+                   [&id](const BudgetGrant& grant) { return grant.id == id; });
+  return it == grants.end() ? nullptr : &*it;
+}
+
+void BudgetRecord::RollOver(std::chrono::seconds start) {
+  // A daemon whose clock is behind, or a contract whose period has become
+  // longer, must not bring a finished period back.
+  if (start <= period_start) {
+    return;
+  }
+  period_start = start;
+  spent = 0;
+  // What a daemon still holds it may use in the new period, so it counts
+  // there; only what it has told to have used belongs to the old one.
+  for (auto& it : grants) {
+    it.counted_from = it.used;
+  }
+  std::erase_if(grants,
+                [](const BudgetGrant& it) { return it.exposure() == 0; });
+}
+
+std::chrono::seconds PeriodStart(std::chrono::seconds now,
+                                 std::chrono::seconds period) {
+  return now - now % period;
+}
+
+}  // namespace comfreyfold
--- /dev/null
+++ b/source/core/token_bound.cc
@@ -0,0 +1,46 @@
+#include "core/token_bound.h"
+
+#include <algorithm>
+
+namespace comfreyfold {
+
+namespace {
+
+// Role, separators and what a chat template puts round a message.
+constexpr std::int64_t kMessageTokens = 16;
+// An answer read back as a prompt may split into other tokens.
+constexpr std::int64_t kResplitPart = 8;
+
+std::int64_t Bytes(const std::string& text) {
+  return static_cast<std::int64_t>(text.size());
+}
+
+}  // namespace
+
+std::int64_t PromptBound(const ProgramState* program,
+                         const std::string& model,
+                         const AddedText& added) {
+  // A token is at least one byte of text.
+  auto out = static_cast<std::int64_t>(added.bytes) +
+             kMessageTokens * static_cast<std::int64_t>(added.messages);
+  if (program == nullptr) {
+    return out;
+  }
+  const auto& calls = program->calls;
+  for (auto it = calls.rbegin(); it != calls.rend(); ++it) {
+    if (it->kind != CallKind::kModel || !it->done ||
+        it->verdict != Verdict::kRan) {
+      continue;
+    }
+    // The engine has counted everything up to here.
+    const auto text = Bytes(it->request) + Bytes(it->answer);
+    if (it->target == model && it->tokens > 0) {
+      return out + it->tokens + it->tokens / kResplitPart +
+             std::min(text, 2 * kMessageTokens);
+    }
+    out += text + 2 * kMessageTokens;
+  }
+  return out;
+}
+
+}  // namespace comfreyfold
--- a/source/server/call_context.h
+++ b/source/server/call_context.h
@@ -8,6 +8,7 @@
 
 #include "core/contract.h"
 #include "core/lane_state.h"
+#include "server/budget_reservation.h"
 #include "server/lane_owner.h"
 #include "wire/codec.h"
 
@@ -31,6 +32,7 @@
   ProgramKey program;
   std::chrono::steady_clock::time_point deadline;
   std::int64_t place = 0;  // In the program, from 1.
+  BudgetReservation budget{};
 
   // Time left, at least one millisecond.
   std::chrono::milliseconds left() const;
--- a/source/server/call_limits.cc
+++ b/source/server/call_limits.cc
@@ -1,5 +1,7 @@
 #include "server/call_limits.h"
 
+#include <algorithm>
+
 #include "core/call_error.h"
 
 namespace comfreyfold {
@@ -14,4 +16,9 @@
   }
 }
 
+std::int64_t CallLimits::AnswerTokens(const CallContext& context,
+                                      std::int64_t asked) const {
+  return std::min(asked, context.contract->max_call_tokens);
+}
+
 }  // namespace comfreyfold
--- a/source/server/call_limits.h
+++ b/source/server/call_limits.h
@@ -10,6 +10,10 @@
  public:
   // Throws CallError (not run) when the call would pass one.
   void Check(const CallContext& context);
+
+  // The most tokens a model turn that asks for `asked` may generate.
+  std::int64_t AnswerTokens(const CallContext& context,
+                            std::int64_t asked) const;
 };
 
 }  // namespace comfreyfold
--- a/source/server/daemon.cc
+++ b/source/server/daemon.cc
@@ -53,7 +53,8 @@
       tools_(http_),
       chooser_(backends_),
       journal_(log_),
-      model_runner_(engines_, backends_, chooser_, journal_),
+      budgets_(loop, kv_, contracts_, log_),
+      model_runner_(engines_, backends_, chooser_, journal_, limits_, budgets_),
       tool_runner_(tools_, backends_, chooser_, journal_),
       requests_(journal_),
       runner_(loop,
@@ -84,6 +85,7 @@
   membership_.self().address = address;
   log_.Write({.name = "daemon_started", .detail = address});
   contracts_.Start();
+  budgets_.Start();
   backends_.Start();
   lanes_.OnChange([this] { peers_.Announce(); });
   peers_.Start([this] {
@@ -200,6 +202,8 @@
         server_.in_flight());
   gauge("comfreyfold_key_value_calls", "Calls to the key-value service",
         static_cast<double>(kv_.calls()));
+  gauge("comfreyfold_budget_writes", "Writes to the budget records",
+        static_cast<double>(budgets_.writes()));
   gauge("comfreyfold_contracts_revision", "Revision of the contracts",
         static_cast<double>(contracts_.revision()));
   return prometheus::TextSerializer().Serialize(registry.Collect());
@@ -216,6 +220,7 @@
            std::chrono::steady_clock::now() < until) {
       fiber.Sleep(kDrainStep);
     }
+    budgets_.GiveBackAll(fiber);
     lanes_.HandOverAll(fiber, settings_.platform_timeout);
     log_.Write({.name = "drain_ended"});
     on_drained();
--- a/source/server/daemon.h
+++ b/source/server/daemon.h
@@ -8,6 +8,7 @@
 #include "platform/kv_client.h"
 #include "platform/vm_list_client.h"
 #include "server/backend_directory.h"
+#include "server/budget_ledger.h"
 #include "server/call_router.h"
 #include "server/call_runner.h"
 #include "server/caller_api.h"
@@ -57,6 +58,7 @@
   BackendChooser chooser_;
   CallJournal journal_;
   CallLimits limits_;
+  BudgetLedger budgets_;
   ModelRunner model_runner_;
   ToolRunner tool_runner_;
   ProgramRequests requests_;
--- a/source/server/model_runner.cc
+++ b/source/server/model_runner.cc
@@ -1,10 +1,9 @@
 #include "server/model_runner.h"
 
-#include <algorithm>
-
 #include <nlohmann/json.hpp>
 
 #include "core/call_error.h"
+#include "core/token_bound.h"
 #include "platform/base64.h"
 #include "server/history.h"
 
@@ -26,14 +25,25 @@
   auto messages = known;
   messages.insert(messages.end(), added.begin(), added.end());
 
+  const auto request = added.dump();
+  const auto answer_tokens = limits_.AnswerTokens(
+      context, body.value("max_tokens", kDefaultAnswerTokens));
+  const auto prompt_bound = PromptBound(context.state(), context.call.target,
+                                        {request.size(), added.size()});
+  context.budget =
+      budgets_.Reserve(fiber, context.program.customer,
+                       prompt_bound + answer_tokens, context.deadline);
+
   auto& backend = chooser_.ChooseEngine(context);
   const InFlight in_flight(directory_, backend);
   const auto address = backend.vm.address;
   auto begun = context.Entry(EntryKind::kCallBegun);
   begun.backend = backend.vm.id;
   begun.idempotent = true;
-  begun.request = added.dump();
+  begun.request = request;
+  begun.tokens = context.budget.tokens();
   journal_.CommitIntent(fiber, context, begun);
+  context.budget.MarkDispatched();
 
   EngineCall engine_call;
   engine_call.program = begun.customer + "/" + begun.program;
@@ -41,9 +51,7 @@
   engine_call.request_id = Sha256Hex(engine_call.program + "/" + begun.key);
   engine_call.model = context.call.target;
   engine_call.messages = messages.dump();
-  engine_call.max_tokens =
-      std::min<std::int64_t>(body.value("max_tokens", kDefaultAnswerTokens),
-                             context.contract->max_call_tokens);
+  engine_call.max_tokens = answer_tokens;
   engine_call.priority = context.contract->priority;
   engine_call.idle_timeout = context.left();
   engine_call.on_text = [&context](std::string_view text) {
@@ -59,6 +67,8 @@
   } catch (const BackendFailure& e) {
     done.verdict = e.verdict();
     done.status = 502;
+    done.tokens = e.verdict() == Verdict::kNotRun ? 0 : begun.tokens;
+    context.budget.Settle(done.tokens);
     journal_.CommitOutcome(fiber, context, done);
     throw CallError(
         502, "engine_failed",
@@ -69,6 +79,7 @@
   done.status = 200;
   done.answer = result.text;
   done.tokens = result.prompt_tokens + result.completion_tokens;
+  context.budget.Settle(done.tokens);
   journal_.CommitOutcome(fiber, context, done);
 
   AnswerFrame frame;
--- a/source/server/model_runner.h
+++ b/source/server/model_runner.h
@@ -3,7 +3,9 @@
 
 #include "backend/engine_client.h"
 #include "server/backend_chooser.h"
+#include "server/budget_ledger.h"
 #include "server/call_journal.h"
+#include "server/call_limits.h"
 
 namespace comfreyfold {
 
@@ -13,11 +15,15 @@
   ModelRunner(EngineClient& engines,
               BackendDirectory& directory,
               BackendChooser& chooser,
-              CallJournal& journal)
+              CallJournal& journal,
+              CallLimits& limits,
+              BudgetLedger& budgets)
       : engines_(engines),
         directory_(directory),
         chooser_(chooser),
-        journal_(journal) {}
+        journal_(journal),
+        limits_(limits),
+        budgets_(budgets) {}
 
   // Ends with a kDone frame, or throws CallError or NotOwner.
   void Run(Fiber& fiber, CallContext& context);
@@ -27,6 +33,8 @@
   BackendDirectory& directory_;
   BackendChooser& chooser_;
   CallJournal& journal_;
+  CallLimits& limits_;
+  BudgetLedger& budgets_;
 };
 
 }  // namespace comfreyfold
