Program limits: turns, tokens, time, sub-agents, models, concurrency

Cause: of the contract's limits only turns and call tokens were looked at, and a program past them stayed alive with its holds. Sub-agents are counted in the parent's lane before the child's call is routed.

Ruled out: a share by live daemons (views differ), slots by escrow (a write for each burst, and slots lost with a dead daemon).

--- a/source/core/lane_entry.h
+++ b/source/core/lane_entry.h
@@ -1,6 +1,7 @@
 #ifndef CORE_LANE_ENTRY_H_
 #define CORE_LANE_ENTRY_H_
 
+#include <chrono>
 #include <cstdint>
 #include <string>
 #include <vector>
@@ -12,12 +13,15 @@
 enum class CallKind { kModel = 0, kTool = 1, kService = 2 };
 
 enum class EntryKind {
-  kTakeover = 0,      // The block's owner holds the lane from here on.
-  kCallBegun = 1,     // Intent: the call may be dispatched once committed.
-  kCallDone = 2,      // Outcome of a call.
-  kProgramEnded = 3,  // No further call; holds are to be released.
-  kHoldReleased = 4,  // `backend` confirmed that it holds nothing more.
-  kHandover = 5,      // The owner gives the lane up of its own accord.
+  kTakeover = 0,   // The block's owner holds the lane from here on.
+  kCallBegun = 1,  // Intent: the call may be dispatched once committed.
+  kCallDone = 2,   // Outcome of a call.
+  // No further call; holds are to be released. `target` is the limit that
+  // was passed, empty when the caller ended it.
+  kProgramEnded = 3,
+  kHoldReleased = 4,      // `backend` confirmed that it holds nothing more.
+  kHandover = 5,          // The owner gives the lane up of its own accord.
+  kSubagentStarted = 40,  // `key` names the program that was started.
 };
 
 // One durable fact about a program. Which fields count depends on `kind`.
@@ -36,7 +40,8 @@
   Verdict verdict = Verdict::kNotRun;
   int status = 0;
   std::string answer;
-  std::int64_t tokens = 0;  // Reserved when begun, used when done.
+  std::int64_t tokens = 0;               // Reserved when begun, used when done.
+  std::chrono::milliseconds begun_at{};  // Since 1970, of kCallBegun.
 
   bool operator==(const LaneEntry&) const = default;
 };
--- a/source/core/lane_state.cc
+++ b/source/core/lane_state.cc
@@ -63,9 +63,17 @@
       program.customer = entry.customer;
       program.program = entry.program;
       program.ended = true;
+      program.passed_limit = entry.target;
       ForgetIfReleased(key);
       break;
     }
+    case EntryKind::kSubagentStarted: {
+      auto& program = programs_[key];
+      program.customer = entry.customer;
+      program.program = entry.program;
+      program.subagents.insert(entry.key);
+      break;
+    }
     case EntryKind::kHoldReleased: {
       const auto it = programs_.find(key);
       if (it != programs_.end()) {
@@ -81,6 +89,9 @@
   auto& program = programs_[{entry.customer, entry.program}];
   program.customer = entry.customer;
   program.program = entry.program;
+  if (program.started_at.count() == 0) {
+    program.started_at = entry.begun_at;
+  }
   auto it = FindCall(program.calls, entry.key);
   if (it == program.calls.end()) {
     it = program.calls.emplace(program.calls.end());
--- a/source/core/lane_state.h
+++ b/source/core/lane_state.h
@@ -36,7 +36,10 @@
   std::vector<CallRecord> calls;   // In the order of the program.
   std::set<std::string> holds_on;  // VM ids that may hold engine memory.
   bool ended = false;
-  std::int64_t tokens = 0;  // Used so far.
+  std::string passed_limit;  // Why it was ended; empty: by its caller.
+  std::int64_t tokens = 0;   // Used so far.
+  std::chrono::milliseconds started_at{};  // Since 1970; 0: no call yet.
+  std::set<std::string> subagents;         // Programs it has started.
 
   // The place the next new call takes.
   std::int64_t next_call() const {
--- /dev/null
+++ b/source/core/program_limits.cc
@@ -0,0 +1,23 @@
+#include "core/program_limits.h"
+
+#include "core/hash.h"
+
+namespace comfreyfold {
+
+bool PassedTime(const ProgramState& program,
+                const Contract& contract,
+                std::chrono::milliseconds now) {
+  return program.started_at.count() > 0 &&
+         now - program.started_at > contract.max_program_time;
+}
+
+int LaneSlots(std::string_view customer, int concurrency, int lane, int lanes) {
+  // Each customer's remainder starts at another lane, so that small limits
+  // do not all fall to the same owner.
+  const auto n = static_cast<std::uint64_t>(lanes);
+  const auto rank = (static_cast<std::uint64_t>(lane) + Hash64(customer)) % n;
+  return concurrency / lanes +
+         (rank < static_cast<std::uint64_t>(concurrency % lanes) ? 1 : 0);
+}
+
+}  // namespace comfreyfold
--- a/source/server/budget_ledger.cc
+++ b/source/server/budget_ledger.cc
@@ -24,7 +24,7 @@
 constexpr milliseconds kMostConflictPause{100};
 constexpr int kMostLostAnswers = 2;
 
-seconds WallClock() {
+seconds UnixTime() {
   return std::chrono::duration_cast<seconds>(
       std::chrono::system_clock::now().time_since_epoch());
 }
@@ -41,7 +41,7 @@
                     "the customer's contract was removed; apply one",
                     Verdict::kNotRun);
   }
-  const auto now = WallClock();
+  const auto now = UnixTime();
   const auto end =
       PeriodStart(now, contract->budget_period) + contract->budget_period;
   throw CallError(429, "budget_spent",
@@ -114,7 +114,7 @@
   BudgetTerms terms;
   if (contract) {
     terms.tokens = contract->budget_tokens;
-    terms.period_start = PeriodStart(WallClock(), contract->budget_period);
+    terms.period_start = PeriodStart(UnixTime(), contract->budget_period);
   }
   if (terms != holding.account.terms()) {
     holding.refused_until = {};
--- a/source/server/call_context.cc
+++ b/source/server/call_context.cc
@@ -23,6 +23,11 @@
 
 }  // namespace
 
+milliseconds WallClock() {
+  return std::chrono::duration_cast<milliseconds>(
+      std::chrono::system_clock::now().time_since_epoch());
+}
+
 milliseconds CallContext::left() const {
   return std::max(milliseconds(1),
                   std::chrono::duration_cast<milliseconds>(
@@ -48,6 +53,9 @@
   out.call_kind = KindOf(call.operation);
   out.target = call.target;
   out.request_digest = Digest();
+  if (kind == EntryKind::kCallBegun) {
+    out.begun_at = WallClock();
+  }
   return out;
 }
 
--- a/source/server/call_context.h
+++ b/source/server/call_context.h
@@ -23,6 +23,9 @@
   using std::runtime_error::runtime_error;
 };
 
+// Time since 1970.
+std::chrono::milliseconds WallClock();
+
 // What one call carries through its steps at the owner.
 struct CallContext {
   const ForwardedCall& call;
--- a/source/server/call_limits.cc
+++ b/source/server/call_limits.cc
@@ -3,22 +3,73 @@
 #include <algorithm>
 
 #include "core/call_error.h"
+#include "core/program_limits.h"
 
 namespace comfreyfold {
 
-void CallLimits::Check(const CallContext& context) {
-  if (context.place > context.contract->max_turns) {
-    throw CallError(429, "turn_limit",
-                    "the contract allows " +
-                        std::to_string(context.contract->max_turns) +
-                        " calls a program; end it and start a new one",
+namespace {
+
+void CheckModel(const CallContext& context) {
+  const auto& models = context.contract->models;
+  const bool allowed =
+      models.empty() || std::find(models.begin(), models.end(),
+                                  context.call.target) != models.end();
+  if (context.call.operation == Operation::kModel && !allowed) {
+    throw CallError(403, "model_not_allowed",
+                    "the contract does not allow model '" +
+                        context.call.target + "'; ask for one that it names",
                     Verdict::kNotRun);
   }
 }
 
+}  // namespace
+
+void CallLimits::Check(Fiber& fiber, CallContext& context) {
+  CheckModel(context);
+  const auto& contract = *context.contract;
+  if (context.place > contract.max_turns) {
+    EndRunaway(fiber, context, "turn_limit",
+               std::to_string(contract.max_turns) + " calls");
+  }
+  const auto* program = context.state();
+  if (program == nullptr) {
+    return;
+  }
+  if (program->tokens >= contract.max_program_tokens) {
+    EndRunaway(fiber, context, "token_limit",
+               std::to_string(contract.max_program_tokens) + " tokens");
+  }
+  if (PassedTime(*program, contract, WallClock())) {
+    EndRunaway(fiber, context, "time_limit",
+               std::to_string(contract.max_program_time.count()) + " s");
+  }
+}
+
+void CallLimits::EndRunaway(Fiber& fiber,
+                            CallContext& context,
+                            const char* limit,
+                            const std::string& allowed) {
+  auto ended = context.Entry(EntryKind::kProgramEnded);
+  ended.target = limit;
+  try {
+    journal_.CommitOutcome(fiber, context, ended);
+  } catch (const CallError&) {
+    // The call is refused all the same, and the next one ends the program.
+  }
+  throw CallError(429, limit,
+                  "the contract allows a program " + allowed +
+                      "; the program was ended: start a new one",
+                  Verdict::kNotRun);
+}
+
 std::int64_t CallLimits::AnswerTokens(const CallContext& context,
                                       std::int64_t asked) const {
-  return std::min(asked, context.contract->max_call_tokens);
+  const auto& contract = *context.contract;
+  const auto* program = context.state();
+  const auto used = program == nullptr ? 0 : program->tokens;
+  return std::min(
+      {asked, contract.max_call_tokens,
+       std::max<std::int64_t>(1, contract.max_program_tokens - used)});
 }
 
 }  // namespace comfreyfold
--- a/source/server/call_runner.cc
+++ b/source/server/call_runner.cc
@@ -11,6 +11,15 @@
 
 constexpr milliseconds kRetrySoon{500};
 
+std::string ProgramEndedText(const CallContext& context) {
+  const auto* program = context.state();
+  if (program == nullptr || program->passed_limit.empty()) {
+    return "the program has ended; start a new one";
+  }
+  return "the program was ended because it passed its contract's " +
+         program->passed_limit + "; start a new one";
+}
+
 }  // namespace
 
 void CallRunner::Run(Fiber& fiber,
@@ -56,6 +65,9 @@
     case Operation::kAnswer:
       requests_.ReadAnswer(context);
       break;
+    case Operation::kSubagent:
+      requests_.StartSubagent(fiber, context);
+      break;
   }
 }
 
@@ -95,12 +107,12 @@
                       "retry",
                       Verdict::kNotRun, kRetrySoon);
     case AdmitResult::kProgramEnded:
-      throw CallError(410, "program_ended",
-                      "the program has ended; start a new one",
+      throw CallError(410, "program_ended", ProgramEndedText(context),
                       Verdict::kNotRun);
   }
-  limits_.Check(context);
+  limits_.Check(fiber, context);
   if (call.operation == Operation::kModel) {
+    const auto slot = slots_.Enter(fiber, *context.contract, context.deadline);
     models_.Run(fiber, context);
   } else {
     tools_.Run(fiber, context);
--- a/source/server/call_runner.h
+++ b/source/server/call_runner.h
@@ -3,6 +3,7 @@
 
 #include "server/call_limits.h"
 #include "server/contract_store.h"
+#include "server/customer_slots.h"
 #include "server/lane_manager.h"
 #include "server/model_runner.h"
 #include "server/program_gate.h"
@@ -19,12 +20,14 @@
              LaneManager& lanes,
              ContractStore& contracts,
              CallLimits& limits,
+             CustomerSlots& slots,
              ModelRunner& models,
              ToolRunner& tools,
              ProgramRequests& requests)
       : lanes_(lanes),
         contracts_(contracts),
         limits_(limits),
+        slots_(slots),
         models_(models),
         tools_(tools),
         requests_(requests),
@@ -40,6 +43,7 @@
   LaneManager& lanes_;
   ContractStore& contracts_;
   CallLimits& limits_;
+  CustomerSlots& slots_;
   ModelRunner& models_;
   ToolRunner& tools_;
   ProgramRequests& requests_;
--- a/source/server/caller_api.cc
+++ b/source/server/caller_api.cc
@@ -184,6 +184,21 @@
   call.target = body["model"].get<std::string>();
 }
 
+void CallerApi::RegisterSubagent(Fiber& fiber, const ForwardedCall& call) {
+  if (call.parent.empty()) {
+    return;
+  }
+  CheckName("Comfreyfold-Parent", call.parent);
+  // The parent's owner counts; one that it knows costs no write.
+  auto claim = call;
+  claim.operation = Operation::kSubagent;
+  claim.program = call.parent;
+  claim.key = call.program;
+  claim.call = 0;
+  claim.body.clear();
+  router_.Route(fiber, claim, [](const AnswerFrame&) {});
+}
+
 void CallerApi::HandleCall(Fiber& fiber,
                            const HttpRequest& request,
                            HttpExchange& exchange) {
@@ -194,6 +209,7 @@
     CheckName("Comfreyfold-Program", call.program);
     CheckName("Idempotency-Key", call.key);
     ReadModelCall(request, call);
+    RegisterSubagent(fiber, call);
     AnswerModel(fiber, call, json::parse(call.body).value("stream", false),
                 exchange);
     return;
@@ -212,6 +228,7 @@
     if (parts[1] == "urgent") {
       AnswerUrgent(fiber, call, exchange);
     } else {
+      RegisterSubagent(fiber, call);
       AnswerPlain(fiber, call, exchange);
     }
     return;
--- a/source/server/caller_api.h
+++ b/source/server/caller_api.h
@@ -28,6 +28,7 @@
   void HandleCall(Fiber& fiber,
                   const HttpRequest& request,
                   HttpExchange& exchange);
+  void RegisterSubagent(Fiber& fiber, const ForwardedCall& call);
   ForwardedCall ReadCall(const HttpRequest& request) const;
   void ReadModelCall(const HttpRequest& request, ForwardedCall& call) const;
   void AnswerModel(Fiber& fiber,
--- a/source/server/daemon.cc
+++ b/source/server/daemon.cc
@@ -53,6 +53,9 @@
       tools_(http_),
       chooser_(backends_),
       journal_(log_),
+      limits_(journal_),
+      slots_(loop, lanes_),
+      reaper_(loop, lanes_, contracts_, log_),
       budgets_(loop, kv_, contracts_, log_),
       model_runner_(engines_, backends_, chooser_, journal_, limits_, budgets_),
       tool_runner_(tools_, backends_, chooser_, journal_),
@@ -61,6 +64,7 @@
               lanes_,
               contracts_,
               limits_,
+              slots_,
               model_runner_,
               tool_runner_,
               requests_),
@@ -86,6 +90,7 @@
   log_.Write({.name = "daemon_started", .detail = address});
   contracts_.Start();
   budgets_.Start();
+  reaper_.Start();
   backends_.Start();
   lanes_.OnChange([this] { peers_.Announce(); });
   peers_.Start([this] {
--- a/source/server/daemon.h
+++ b/source/server/daemon.h
@@ -17,6 +17,7 @@
 #include "server/lane_manager.h"
 #include "server/peer_api.h"
 #include "server/peer_links.h"
+#include "server/program_reaper.h"
 #include "server/settings.h"
 #include "server/urgent_sender.h"
 
@@ -58,6 +59,8 @@
   BackendChooser chooser_;
   CallJournal journal_;
   CallLimits limits_;
+  CustomerSlots slots_;
+  ProgramReaper reaper_;
   BudgetLedger budgets_;
   ModelRunner model_runner_;
   ToolRunner tool_runner_;
--- /dev/null
+++ b/source/server/program_reaper.h
@@ -0,0 +1,33 @@
+#ifndef SERVER_PROGRAM_REAPER_H_
+#define SERVER_PROGRAM_REAPER_H_
+
+#include "log/event_log.h"
+#include "server/contract_store.h"
+#include "server/lane_manager.h"
+
+namespace comfreyfold {
+
+// Ends programs that outlast their contract's time, also those that make
+// no further call, so that their engine memory is freed.
+class ProgramReaper {
+ public:
+  ProgramReaper(Loop& loop,
+                LaneManager& lanes,
+                ContractStore& contracts,
+                EventLog& log)
+      : loop_(loop), lanes_(lanes), contracts_(contracts), log_(log) {}
+
+  void Start();
+
+ private:
+  void ReapLane(Fiber& fiber, LaneOwner& owner);
+
+  Loop& loop_;
+  LaneManager& lanes_;
+  ContractStore& contracts_;
+  EventLog& log_;
+};
+
+}  // namespace comfreyfold
+
+#endif  // SERVER_PROGRAM_REAPER_H_
--- a/source/server/program_requests.cc
+++ b/source/server/program_requests.cc
@@ -29,6 +29,33 @@
   context.sink(frame);
 }
 
+void ProgramRequests::StartSubagent(Fiber& fiber, CallContext& context) {
+  const auto* program = context.state();
+  const auto limit = context.contract->max_subagents;
+  const bool known =
+      program != nullptr && program->subagents.contains(context.call.key);
+  if (!known) {
+    if (program != nullptr && program->ended) {
+      throw CallError(410, "parent_ended",
+                      "the program named by Comfreyfold-Parent has ended; "
+                      "start this one without a parent",
+                      Verdict::kNotRun);
+    }
+    const auto started = program == nullptr ? 0 : program->subagents.size();
+    if (static_cast<int>(started) >= limit) {
+      throw CallError(429, "subagent_limit",
+                      "the contract allows " + std::to_string(limit) +
+                          " sub-agents a program; go on without another",
+                      Verdict::kNotRun);
+    }
+    journal_.CommitIntent(fiber, context,
+                          context.Entry(EntryKind::kSubagentStarted));
+  }
+  AnswerFrame frame;
+  frame.kind = FrameKind::kDone;
+  context.sink(frame);
+}
+
 void ProgramRequests::ReadHistory(const CallContext& context) {
   const auto* program = context.state();
   if (program == nullptr) {
--- a/source/server/program_requests.h
+++ b/source/server/program_requests.h
@@ -13,6 +13,7 @@
 
   // Each ends with a kDone frame or throws CallError.
   void End(Fiber& fiber, CallContext& context);
+  void StartSubagent(Fiber& fiber, CallContext& context);
   void ReadHistory(const CallContext& context);
   void ReadAnswer(const CallContext& context);
   void AnswerFromRecord(const CallContext& context, const CallRecord& record);
--- a/source/wire/codec.cc
+++ b/source/wire/codec.cc
@@ -58,6 +58,7 @@
   out.status = entry.status;
   out.answer = entry.answer;
   out.tokens = entry.tokens;
+  out.begun_at_ms = entry.begun_at.count();
   return out;
 }
 
@@ -78,6 +79,7 @@
   out.status = entry.status;
   out.answer = entry.answer;
   out.tokens = entry.tokens;
+  out.begun_at = std::chrono::milliseconds(entry.begun_at_ms);
   return out;
 }
 
@@ -108,6 +110,18 @@
   return out;
 }
 
+std::string Encode(const ContractSet& contracts) {
+  wire::ContractSet out;
+  out.revision = contracts.revision;
+  out.texts = contracts.texts;
+  return Write(out);
+}
+
+ContractSet DecodeContractSet(const std::string& buf) {
+  const auto in = Read<wire::ContractSet>(buf);
+  return {in.revision, in.texts};
+}
+
 std::string Encode(const ForwardedCall& call) {
   wire::ForwardedCall out;
   out.customer = call.customer;
--- a/source/wire/codec.h
+++ b/source/wire/codec.h
@@ -25,9 +25,10 @@
   kModel = 0,
   kTool = 1,
   kService = 2,
-  kEnd = 3,      // End the program.
-  kHistory = 4,  // Its history as JSON.
-  kAnswer = 5,   // The answer recorded under the key.
+  kEnd = 3,       // End the program.
+  kHistory = 4,   // Its history as JSON.
+  kAnswer = 5,    // The answer recorded under the key.
+  kSubagent = 6,  // Count the program named by the key as its sub-agent.
 };
 
 // A call on its way from the daemon that took it to the lane's owner.
@@ -44,6 +45,12 @@
   std::string parent;                    // Program that started this one.
 };
 
+// The contracts of one revision, as daemons hand them on.
+struct ContractSet {
+  std::int64_t revision = 0;
+  std::vector<std::string> texts;
+};
+
 enum class FrameKind { kDelta = 0, kDone = 1, kError = 2 };
 
 // A piece of an answer on its way back.
@@ -66,10 +73,12 @@
 std::string Encode(const ForwardedCall& call);
 std::string Encode(const AnswerFrame& frame);
 std::string Encode(const Heartbeat& heartbeat);
+std::string Encode(const ContractSet& contracts);
 LaneBlock DecodeLaneBlock(const std::string& buf);
 ForwardedCall DecodeForwardedCall(const std::string& buf);
 AnswerFrame DecodeAnswerFrame(const std::string& buf);
 Heartbeat DecodeHeartbeat(const std::string& buf);
+ContractSet DecodeContractSet(const std::string& buf);
 
 // Splits a stream of frames, each after its length in four bytes.
 class FrameReader {
--- a/source/wire/comfreyfold.thrift
+++ b/source/wire/comfreyfold.thrift
@@ -18,6 +18,7 @@
   13: i32 status,
   14: binary answer,
   15: i64 tokens,
+  40: i64 begun_at_ms,
 }
 
 struct LaneBlock {
@@ -55,6 +56,11 @@
   11: i64 clock,
 }
 
+struct ContractSet {
+  1: i64 revision,
+  2: list<string> texts,
+}
+
 struct OwnedLane {
   1: i32 lane,
   2: i64 epoch,
--- a/source/wire/gen/comfreyfold_types.cpp
+++ b/source/wire/gen/comfreyfold_types.cpp
@@ -77,6 +77,10 @@
 void LaneEntry::__set_tokens(const int64_t val) {
   this->tokens = val;
 }
+
+void LaneEntry::__set_begun_at_ms(const int64_t val) {
+  this->begun_at_ms = val;
+}
 std::ostream& operator<<(std::ostream& out, const LaneEntry& obj)
 {
   obj.printTo(out);
@@ -225,6 +229,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 40:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->begun_at_ms);
+          this->__isset.begun_at_ms = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -302,6 +314,10 @@
   xfer += oprot->writeI64(this->tokens);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("begun_at_ms", ::apache::thrift::protocol::T_I64, 40);
+  xfer += oprot->writeI64(this->begun_at_ms);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -324,6 +340,7 @@
   swap(a.status, b.status);
   swap(a.answer, b.answer);
   swap(a.tokens, b.tokens);
+  swap(a.begun_at_ms, b.begun_at_ms);
   swap(a.__isset, b.__isset);
 }
 
@@ -343,6 +360,7 @@
   status = other0.status;
   answer = other0.answer;
   tokens = other0.tokens;
+  begun_at_ms = other0.begun_at_ms;
   __isset = other0.__isset;
 }
 LaneEntry& LaneEntry::operator=(const LaneEntry& other1) {
@@ -361,6 +379,7 @@
   status = other1.status;
   answer = other1.answer;
   tokens = other1.tokens;
+  begun_at_ms = other1.begun_at_ms;
   __isset = other1.__isset;
   return *this;
 }
@@ -382,6 +401,7 @@
   out << ", " << "status=" << to_string(status);
   out << ", " << "answer=" << to_string(answer);
   out << ", " << "tokens=" << to_string(tokens);
+  out << ", " << "begun_at_ms=" << to_string(begun_at_ms);
   out << ")";
 }
 
@@ -1142,6 +1162,138 @@
 }
 
 
+ContractSet::~ContractSet() noexcept {
+}
+
+
+void ContractSet::__set_revision(const int64_t val) {
+  this->revision = val;
+}
+
+void ContractSet::__set_texts(const std::vector<std::string> & val) {
+  this->texts = val;
+}
+std::ostream& operator<<(std::ostream& out, const ContractSet& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t ContractSet::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->revision);
+          this->__isset.revision = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->texts.clear();
+            uint32_t _size14;
+            ::apache::thrift::protocol::TType _etype17;
+            xfer += iprot->readListBegin(_etype17, _size14);
+            this->texts.resize(_size14);
+            uint32_t _i18;
+            for (_i18 = 0; _i18 < _size14; ++_i18)
+            {
+              xfer += iprot->readString(this->texts[_i18]);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.texts = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t ContractSet::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("ContractSet");
+
+  xfer += oprot->writeFieldBegin("revision", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->revision);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("texts", ::apache::thrift::protocol::T_LIST, 2);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->texts.size()));
+    std::vector<std::string> ::const_iterator _iter19;
+    for (_iter19 = this->texts.begin(); _iter19 != this->texts.end(); ++_iter19)
+    {
+      xfer += oprot->writeString((*_iter19));
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(ContractSet &a, ContractSet &b) {
+  using ::std::swap;
+  swap(a.revision, b.revision);
+  swap(a.texts, b.texts);
+  swap(a.__isset, b.__isset);
+}
+
+ContractSet::ContractSet(const ContractSet& other20) {
+  revision = other20.revision;
+  texts = other20.texts;
+  __isset = other20.__isset;
+}
+ContractSet& ContractSet::operator=(const ContractSet& other21) {
+  revision = other21.revision;
+  texts = other21.texts;
+  __isset = other21.__isset;
+  return *this;
+}
+void ContractSet::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "ContractSet(";
+  out << "revision=" << to_string(revision);
+  out << ", " << "texts=" << to_string(texts);
+  out << ")";
+}
+
+
 OwnedLane::~OwnedLane() noexcept {
 }
 
@@ -1234,15 +1386,15 @@
   swap(a.__isset, b.__isset);
 }
 
-OwnedLane::OwnedLane(const OwnedLane& other14) noexcept {
-  lane = other14.lane;
-  epoch = other14.epoch;
-  __isset = other14.__isset;
+OwnedLane::OwnedLane(const OwnedLane& other22) noexcept {
+  lane = other22.lane;
+  epoch = other22.epoch;
+  __isset = other22.__isset;
 }
-OwnedLane& OwnedLane::operator=(const OwnedLane& other15) noexcept {
-  lane = other15.lane;
-  epoch = other15.epoch;
-  __isset = other15.__isset;
+OwnedLane& OwnedLane::operator=(const OwnedLane& other23) noexcept {
+  lane = other23.lane;
+  epoch = other23.epoch;
+  __isset = other23.__isset;
   return *this;
 }
 void OwnedLane::printTo(std::ostream& out) const {
@@ -1353,14 +1505,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->lanes.clear();
-            uint32_t _size16;
-            ::apache::thrift::protocol::TType _etype19;
-            xfer += iprot->readListBegin(_etype19, _size16);
-            this->lanes.resize(_size16);
-            uint32_t _i20;
-            for (_i20 = 0; _i20 < _size16; ++_i20)
+            uint32_t _size24;
+            ::apache::thrift::protocol::TType _etype27;
+            xfer += iprot->readListBegin(_etype27, _size24);
+            this->lanes.resize(_size24);
+            uint32_t _i28;
+            for (_i28 = 0; _i28 < _size24; ++_i28)
             {
-              xfer += this->lanes[_i20].read(iprot);
+              xfer += this->lanes[_i28].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1429,10 +1581,10 @@
   xfer += oprot->writeFieldBegin("lanes", ::apache::thrift::protocol::T_LIST, 5);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->lanes.size()));
-    std::vector<OwnedLane> ::const_iterator _iter21;
-    for (_iter21 = this->lanes.begin(); _iter21 != this->lanes.end(); ++_iter21)
+    std::vector<OwnedLane> ::const_iterator _iter29;
+    for (_iter29 = this->lanes.begin(); _iter29 != this->lanes.end(); ++_iter29)
     {
-      xfer += (*_iter21).write(oprot);
+      xfer += (*_iter29).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -1468,27 +1620,27 @@
   swap(a.__isset, b.__isset);
 }
 
-Heartbeat::Heartbeat(const Heartbeat& other22) {
-  daemon = other22.daemon;
-  address = other22.address;
-  data_centre = other22.data_centre;
-  draining = other22.draining;
-  lanes = other22.lanes;
-  contracts_revision = other22.contracts_revision;
-  clock = other22.clock;
-  has_data_folder = other22.has_data_folder;
-  __isset = other22.__isset;
-}
-Heartbeat& Heartbeat::operator=(const Heartbeat& other23) {
-  daemon = other23.daemon;
-  address = other23.address;
-  data_centre = other23.data_centre;
-  draining = other23.draining;
-  lanes = other23.lanes;
-  contracts_revision = other23.contracts_revision;
-  clock = other23.clock;
-  has_data_folder = other23.has_data_folder;
-  __isset = other23.__isset;
+Heartbeat::Heartbeat(const Heartbeat& other30) {
+  daemon = other30.daemon;
+  address = other30.address;
+  data_centre = other30.data_centre;
+  draining = other30.draining;
+  lanes = other30.lanes;
+  contracts_revision = other30.contracts_revision;
+  clock = other30.clock;
+  has_data_folder = other30.has_data_folder;
+  __isset = other30.__isset;
+}
+Heartbeat& Heartbeat::operator=(const Heartbeat& other31) {
+  daemon = other31.daemon;
+  address = other31.address;
+  data_centre = other31.data_centre;
+  draining = other31.draining;
+  lanes = other31.lanes;
+  contracts_revision = other31.contracts_revision;
+  clock = other31.clock;
+  has_data_folder = other31.has_data_folder;
+  __isset = other31.__isset;
   return *this;
 }
 void Heartbeat::printTo(std::ostream& out) const {
--- a/source/wire/gen/comfreyfold_types.h
+++ b/source/wire/gen/comfreyfold_types.h
@@ -29,12 +29,14 @@
 
 class AnswerFrame;
 
+class ContractSet;
+
 class OwnedLane;
 
 class Heartbeat;
 
 typedef struct _LaneEntry__isset {
-  _LaneEntry__isset() : kind(false), customer(false), program(false), key(false), call(false), call_kind(false), target(false), backend(false), idempotent(false), request(false), request_digest(false), verdict(false), status(false), answer(false), tokens(false) {}
+  _LaneEntry__isset() : kind(false), customer(false), program(false), key(false), call(false), call_kind(false), target(false), backend(false), idempotent(false), request(false), request_digest(false), verdict(false), status(false), answer(false), tokens(false), begun_at_ms(false) {}
   bool kind :1;
   bool customer :1;
   bool program :1;
@@ -50,6 +52,7 @@
   bool status :1;
   bool answer :1;
   bool tokens :1;
+  bool begun_at_ms :1;
 } _LaneEntry__isset;
 
 class LaneEntry : public virtual ::apache::thrift::TBase {
@@ -72,7 +75,8 @@
               verdict(0),
               status(0),
               answer(),
-              tokens(0) {
+              tokens(0),
+              begun_at_ms(0) {
   }
 
   virtual ~LaneEntry() noexcept;
@@ -91,6 +95,7 @@
   int32_t status;
   std::string answer;
   int64_t tokens;
+  int64_t begun_at_ms;
 
   _LaneEntry__isset __isset;
 
@@ -124,6 +129,8 @@
 
   void __set_tokens(const int64_t val);
 
+  void __set_begun_at_ms(const int64_t val);
+
   bool operator == (const LaneEntry & rhs) const
   {
     if (!(kind == rhs.kind))
@@ -156,6 +163,8 @@
       return false;
     if (!(tokens == rhs.tokens))
       return false;
+    if (!(begun_at_ms == rhs.begun_at_ms))
+      return false;
     return true;
   }
   bool operator != (const LaneEntry &rhs) const {
@@ -463,6 +472,55 @@
 
 std::ostream& operator<<(std::ostream& out, const AnswerFrame& obj);
 
+typedef struct _ContractSet__isset {
+  _ContractSet__isset() : revision(false), texts(false) {}
+  bool revision :1;
+  bool texts :1;
+} _ContractSet__isset;
+
+class ContractSet : public virtual ::apache::thrift::TBase {
+ public:
+
+  ContractSet(const ContractSet&);
+  ContractSet& operator=(const ContractSet&);
+  ContractSet() noexcept
+              : revision(0) {
+  }
+
+  virtual ~ContractSet() noexcept;
+  int64_t revision;
+  std::vector<std::string>  texts;
+
+  _ContractSet__isset __isset;
+
+  void __set_revision(const int64_t val);
+
+  void __set_texts(const std::vector<std::string> & val);
+
+  bool operator == (const ContractSet & rhs) const
+  {
+    if (!(revision == rhs.revision))
+      return false;
+    if (!(texts == rhs.texts))
+      return false;
+    return true;
+  }
+  bool operator != (const ContractSet &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const ContractSet & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(ContractSet &a, ContractSet &b);
+
+std::ostream& operator<<(std::ostream& out, const ContractSet& obj);
+
 typedef struct _OwnedLane__isset {
   _OwnedLane__isset() : lane(false), epoch(false) {}
   bool lane :1;
