Keep the exceptions of waiting coroutines apart

Cause: the C++ runtime keeps caught exceptions by thread, and coroutines share one. Handlers that wait (an error reply being written, an outcome being committed) overlap without nesting, so one handler's end destroyed the exception another was still reading: a request could be answered with another request's error.

fiber_exception_test failed before: 'check first == "of the first" has failed [of the second != of the first]'. Ruled out: forbidding waits in handlers, which no compiler or linter here checks and six places did. Each wait now saves and restores the runtime's state; the test passes.

--- a/source/net/http_client.cc
+++ b/source/net/http_client.cc
@@ -9,6 +9,7 @@
 #include <boost/beast/http.hpp>
 
 #include "net/loop_impl.h"
+#include "net/parked.h"
 
 namespace comfreyfold {
 
@@ -149,8 +150,7 @@
     auto connection = std::make_unique<Connection>(loop.impl().io);
     connection->stream.expires_after(timeout);
     boost::system::error_code ec;
-    connection->stream.async_connect(ParseEndpoint(address),
-                                     fiber.impl().yield[ec]);
+    connection->stream.async_connect(ParseEndpoint(address), Parked(fiber)[ec]);
     if (ec) {
       throw HttpFailure("connect to " + address + ": " + ec.message(), false);
     }
@@ -182,7 +182,6 @@
   }
   auto& stream = connection->stream;
   boost::system::error_code ec;
-  auto yield = fiber.impl().yield[ec];
 
   const auto check = [&ec, &address](const char* doing) {
     if (ec) {
@@ -194,12 +193,12 @@
   const CancelWatch watch(impl_->loop.impl().io, stream, options.cancelled);
   auto message = ToBeast(address, request);
   stream.expires_after(options.idle_timeout);
-  http::async_write(stream, message, yield);
+  http::async_write(stream, message, Parked(fiber)[ec]);
   check("write to");
 
   http::response_parser<http::buffer_body> parser;
   parser.body_limit(kBodyLimitBytes);
-  http::async_read_header(stream, connection->buf, parser, yield);
+  http::async_read_header(stream, connection->buf, parser, Parked(fiber)[ec]);
   check("read from");
 
   HttpReply reply;
@@ -215,7 +214,7 @@
     parser.get().body().data = piece.data();
     parser.get().body().size = piece.size();
     stream.expires_after(options.idle_timeout);
-    http::async_read_some(stream, connection->buf, parser, yield);
+    http::async_read_some(stream, connection->buf, parser, Parked(fiber)[ec]);
     if (ec == http::error::need_buffer) {
       ec = {};
     }
--- a/source/net/http_server.cc
+++ b/source/net/http_server.cc
@@ -9,6 +9,7 @@
 #include <boost/beast/http.hpp>
 
 #include "net/loop_impl.h"
+#include "net/parked.h"
 
 namespace comfreyfold {
 
@@ -44,7 +45,7 @@
     begun_ = true;
     boost::system::error_code ec;
     session_.stream.expires_after(kWriteTimeout);
-    http::async_write(session_.stream, message, fiber_.impl().yield[ec]);
+    http::async_write(session_.stream, message, Parked(fiber_)[ec]);
     Note(ec);
   }
 
@@ -58,8 +59,7 @@
     http::response_serializer<http::empty_body> serializer(message);
     boost::system::error_code ec;
     session_.stream.expires_after(kWriteTimeout);
-    http::async_write_header(session_.stream, serializer,
-                             fiber_.impl().yield[ec]);
+    http::async_write_header(session_.stream, serializer, Parked(fiber_)[ec]);
     Note(ec);
   }
 
@@ -72,7 +72,7 @@
     boost::asio::async_write(
         session_.stream,
         http::make_chunk(boost::asio::buffer(piece.data(), piece.size())),
-        fiber_.impl().yield[ec]);
+        Parked(fiber_)[ec]);
     Note(ec);
   }
 
@@ -83,7 +83,7 @@
     boost::system::error_code ec;
     session_.stream.expires_after(kWriteTimeout);
     boost::asio::async_write(session_.stream, http::make_chunk_last(),
-                             fiber_.impl().yield[ec]);
+                             Parked(fiber_)[ec]);
     Note(ec);
   }
 
@@ -157,7 +157,7 @@
     while (!draining) {
       tcp::socket socket(loop.impl().io);
       boost::system::error_code ec;
-      acceptor.async_accept(socket, fiber.impl().yield[ec]);
+      acceptor.async_accept(socket, Parked(fiber)[ec]);
       if (ec) {
         if (draining) {
           return;
@@ -189,13 +189,12 @@
     session.stream.expires_after(limits.idle_time);
     if (session.buf.size() == 0) {
       const auto n = session.stream.async_read_some(session.buf.prepare(1024),
-                                                    fiber.impl().yield[ec]);
+                                                    Parked(fiber)[ec]);
       session.buf.commit(n);
     }
     if (!ec) {
       session.stream.expires_after(limits.request_time);
-      http::async_read(session.stream, session.buf, parser,
-                       fiber.impl().yield[ec]);
+      http::async_read(session.stream, session.buf, parser, Parked(fiber)[ec]);
     }
     if (!ec) {
       return true;
--- a/source/net/loop.cc
+++ b/source/net/loop.cc
@@ -6,6 +6,7 @@
 #include <vector>
 
 #include "net/loop_impl.h"
+#include "net/parked.h"
 
 namespace comfreyfold {
 
@@ -62,7 +63,7 @@
 void Fiber::Sleep(std::chrono::milliseconds delay) {
   boost::asio::steady_timer timer(loop_.impl().io, delay);
   boost::system::error_code ec;
-  timer.async_wait(impl_.yield[ec]);
+  timer.async_wait(Parked(*this)[ec]);
 }
 
 struct Condition::Impl {
@@ -84,7 +85,7 @@
   boost::asio::steady_timer timer(impl->io, timeout);
   impl->waiters.push_back(&timer);
   boost::system::error_code ec;
-  timer.async_wait(fiber.impl().yield[ec]);
+  timer.async_wait(Parked(fiber)[ec]);
   std::erase(impl->waiters, &timer);
   return ec == boost::asio::error::operation_aborted;
 }
--- /dev/null
+++ b/tests/unit/fiber_exception_test.cc
@@ -0,0 +1,57 @@
+#include <stdexcept>
+#include <string>
+
+#include <boost/test/unit_test.hpp>
+
+#include "net/loop.h"
+
+namespace comfreyfold {
+namespace {
+
+using std::chrono::milliseconds;
+
+// Throws, and waits in the handler while other coroutines do the same.
+std::string WaitInHandler(Fiber& fiber,
+                          const std::string& text,
+                          milliseconds wait) {
+  std::string out;
+  try {
+    try {
+      throw std::runtime_error(text);
+    } catch (const std::runtime_error&) {
+      fiber.Sleep(wait);
+      throw;
+    }
+  } catch (const std::runtime_error& e) {
+    fiber.Sleep(wait);
+    out = e.what();
+  }
+  return out;
+}
+
+BOOST_AUTO_TEST_SUITE(fiber_exceptions)
+
+// Failed before each wait kept its coroutine's exceptions apart: handlers
+// that overlap but do not nest ended each other's exceptions.
+BOOST_AUTO_TEST_CASE(handlers_that_wait_keep_their_own_exception) {
+  Loop loop;
+  std::string first;
+  std::string second;
+  int uncaught = 0;
+  loop.OnError([&uncaught](const char*) { ++uncaught; });
+  loop.Spawn([&first](Fiber& fiber) {
+    first = WaitInHandler(fiber, "of the first", milliseconds(20));
+  });
+  loop.Spawn([&second](Fiber& fiber) {
+    second = WaitInHandler(fiber, "of the second", milliseconds(30));
+  });
+  loop.Run();
+  BOOST_TEST(first == "of the first");
+  BOOST_TEST(second == "of the second");
+  BOOST_TEST(uncaught == 0);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace
+}  // namespace comfreyfold
