--- a/source/core/membership.cc
+++ b/source/core/membership.cc
@@ -1,5 +1,6 @@
 #include "core/membership.h"
 
+#include <algorithm>
 #include <utility>
 
 #include "core/hash.h"
@@ -15,6 +16,10 @@
   }
   peers_[heartbeat.daemon] = heartbeat;
   last_heard_[heartbeat.daemon] = now;
+  for (const auto& it : heartbeat.lanes) {
+    auto& newest = newest_epochs_[it.lane];
+    newest = std::max(newest, it.epoch);
+  }
 }
 
 void Membership::Suspect(const std::string& daemon) {
@@ -45,9 +50,14 @@
 std::optional<LaneOwnerView> Membership::OwnerOf(int lane,
                                                  TimePoint now) const {
   std::optional<LaneOwnerView> out;
-  const auto consider = [&out, lane](const Heartbeat& heartbeat) {
+  // An idle owner does not notice that it was superseded. Were its claim to
+  // count when the newest owner dies, nobody would take the lane.
+  const auto known = newest_epochs_.find(lane);
+  const auto newest = known == newest_epochs_.end() ? 0 : known->second;
+  const auto consider = [&out, lane, newest](const Heartbeat& heartbeat) {
     for (const auto& it : heartbeat.lanes) {
-      if (it.lane == lane && (!out || it.epoch > out->epoch)) {
+      if (it.lane == lane && it.epoch >= newest &&
+          (!out || it.epoch > out->epoch)) {
         out = LaneOwnerView{heartbeat.daemon, heartbeat.address, it.epoch};
       }
     }
--- a/source/core/membership.h
+++ b/source/core/membership.h
@@ -40,7 +40,8 @@
   // Daemons that may take lanes: live, not draining, this one included.
   std::vector<std::string> Eligible(TimePoint now) const;
 
-  // The newest claim to `lane` by a daemon that still lives.
+  // The newest claim to `lane` by a daemon that still lives. A claim older
+  // than one heard before is void, whether or not its daemon knows.
   std::optional<LaneOwnerView> OwnerOf(int lane, TimePoint now) const;
 
   // True when nobody alive owns `lane` and this daemon is the first choice.
@@ -56,6 +57,7 @@
   std::chrono::milliseconds timeout_;
   std::map<std::string, Heartbeat> peers_;
   std::map<std::string, TimePoint> last_heard_;
+  std::map<int, std::int64_t> newest_epochs_;  // Ever heard, by lane.
 };
 
 }  // namespace comfreyfold
--- a/source/server/call_runner.cc
+++ b/source/server/call_runner.cc
@@ -11,6 +11,16 @@
 
 constexpr milliseconds kRetrySoon{500};
 
+// A daemon that lost its lane without knowing would say "not run" of a call
+// that its successor ran. While the service is out nobody can succeed it.
+bool Superseded(Fiber& fiber, LaneOwner& lane) {
+  try {
+    return !lane.Confirm(fiber);
+  } catch (const KvUnavailable&) {
+    return lane.lost();
+  }
+}
+
 }  // namespace
 
 void CallRunner::Run(Fiber& fiber,
@@ -41,7 +51,18 @@
   if (!context.lane) {
     throw NotOwner("lane " + std::to_string(lane) + " is not owned here");
   }
-  switch (call.operation) {
+  try {
+    Dispatch(fiber, context);
+  } catch (const CallError& e) {
+    if (e.verdict() == Verdict::kNotRun && Superseded(fiber, *context.lane)) {
+      throw NotOwner(e.what());
+    }
+    throw;
+  }
+}
+
+void CallRunner::Dispatch(Fiber& fiber, CallContext& context) {
+  switch (context.call.operation) {
     case Operation::kModel:
     case Operation::kTool:
     case Operation::kService:
--- a/source/server/call_runner.h
+++ b/source/server/call_runner.h
@@ -35,6 +35,7 @@
   void Run(Fiber& fiber, const ForwardedCall& call, const FrameSink& sink);
 
  private:
+  void Dispatch(Fiber& fiber, CallContext& context);
   void RunCall(Fiber& fiber, CallContext& context);
 
   LaneManager& lanes_;
--- a/source/server/lane_owner.cc
+++ b/source/server/lane_owner.cc
@@ -142,6 +142,17 @@
   changed_.NotifyAll();
 }
 
+bool LaneOwner::Confirm(Fiber& fiber) {
+  const auto next = kv_.Get(fiber, BlockKey(state_.last_block() + 1));
+  if (next && !lost_) {
+    const auto block = DecodeLaneBlock(next->value);
+    if (block.owner != log_.daemon() || block.epoch != epoch()) {
+      Lose("another daemon's block " + std::to_string(block.number));
+    }
+  }
+  return !lost_;
+}
+
 void LaneOwner::Lose(const std::string& why) {
   lost_ = true;
   log_.Write(
--- a/source/server/lane_owner.h
+++ b/source/server/lane_owner.h
@@ -45,6 +45,11 @@
               std::vector<LaneEntry> entries,
               std::chrono::milliseconds timeout);
 
+  // Asks the service whether this is still the lane's owner; what it read
+  // from its state before is then known to have been the newest. Throws
+  // KvUnavailable.
+  bool Confirm(Fiber& fiber);
+
   // Waits for pending appends, then gives the lane up.
   void Handover(Fiber& fiber, std::chrono::milliseconds timeout);
 
