--- a/source/server/call_runner.cc
+++ b/source/server/call_runner.cc
@@ -20,6 +20,16 @@
          program->passed_limit + "; start a new one";
 }
 
+// A daemon that lost its lane without knowing would say "not run" of a call
+// that its successor ran. While the service is out nobody can succeed it.
+bool Superseded(Fiber& fiber, LaneOwner& lane) {
+  try {
+    return !lane.Confirm(fiber);
+  } catch (const KvUnavailable&) {
+    return lane.lost();
+  }
+}
+
 }  // namespace
 
 void CallRunner::Run(Fiber& fiber,
@@ -50,7 +60,18 @@
   if (!context.lane) {
     throw NotOwner("lane " + std::to_string(lane) + " is not owned here");
   }
-  switch (call.operation) {
+  try {
+    Dispatch(fiber, context);
+  } catch (const CallError& e) {
+    if (e.verdict() == Verdict::kNotRun && Superseded(fiber, *context.lane)) {
+      throw NotOwner(e.what());
+    }
+    throw;
+  }
+}
+
+void CallRunner::Dispatch(Fiber& fiber, CallContext& context) {
+  switch (context.call.operation) {
     case Operation::kModel:
     case Operation::kTool:
     case Operation::kService:
