Contracts: never back, and never on with an old one that a newer has replaced

Cause: a daemon that woke from a freeze, or was cut off from the service alone, went on with its old contracts until its next poll succeeded; one that restarted during an outage refused its callers as unknown. A table takes only newer revisions; a guard says whether they may be used: a gap in the loop's own ticks asks for a reload before the next call, a peer's newer revision asks for one at once and refuses after a grace. While the service is out the contracts come from a live peer that is itself current. The poll reads one small key instead of every contract. Setting [platform] contract_poll_interval is now [contracts] poll_interval.

--- a/source/server/call_runner.cc
+++ b/source/server/call_runner.cc
@@ -25,6 +25,7 @@
 void CallRunner::Run(Fiber& fiber,
                      const ForwardedCall& call,
                      const FrameSink& sink) {
+  contracts_.EnsureCurrent(fiber);
   CallContext context{call,
                       sink,
                       nullptr,
--- a/source/server/caller_api.cc
+++ b/source/server/caller_api.cc
@@ -202,6 +202,7 @@
 void CallerApi::HandleCall(Fiber& fiber,
                            const HttpRequest& request,
                            HttpExchange& exchange) {
+  contracts_.EnsureCurrent(fiber);
   auto call = ReadCall(request);
   const auto parts = Split(request.Path());
   const bool post = request.method == "POST";
--- /dev/null
+++ b/source/server/contract_peers.cc
@@ -0,0 +1,61 @@
+#include "server/contract_peers.h"
+
+#include <algorithm>
+#include <vector>
+
+#include "wire/codec.h"
+
+namespace comfreyfold {
+
+namespace {
+
+constexpr char kPath[] = "/peer/contracts";
+constexpr char kThriftType[] = "application/vnd.apache.thrift.compact";
+constexpr std::chrono::milliseconds kPeerTimeout{500};
+
+}  // namespace
+
+std::optional<ContractSet> ContractPeers::Fetch(Fiber& fiber) const {
+  std::vector<Heartbeat> peers;
+  const auto now = std::chrono::steady_clock::now();
+  for (const auto& [daemon, heartbeat] : membership_.peers()) {
+    if (membership_.IsLive(daemon, now)) {
+      peers.push_back(heartbeat);
+    }
+  }
+  std::sort(peers.begin(), peers.end(),
+            [](const Heartbeat& a, const Heartbeat& b) {
+              return a.contracts_revision > b.contracts_revision;
+            });
+  HttpOptions options;
+  options.connect_timeout = kPeerTimeout;
+  options.idle_timeout = kPeerTimeout;
+  for (const auto& it : peers) {
+    try {
+      const auto reply =
+          http_.Send(fiber, it.address, {"GET", kPath, {}, {}}, options);
+      if (reply.status == 200) {
+        return DecodeContractSet(reply.body);
+      }
+    } catch (const std::runtime_error&) {
+      // The next one may know.
+    }
+  }
+  return std::nullopt;
+}
+
+bool ContractPeers::Handle(const HttpRequest& request,
+                           HttpExchange& exchange) const {
+  if (request.Path() != kPath) {
+    return false;
+  }
+  // A daemon that is catching up itself confirms nothing.
+  if (contracts_.current()) {
+    exchange.Reply(200, kThriftType, Encode(contracts_.set()));
+  } else {
+    exchange.Reply(503, "text/plain", "contracts not current; ask another\n");
+  }
+  return true;
+}
+
+}  // namespace comfreyfold
--- a/source/server/contract_store.cc
+++ b/source/server/contract_store.cc
@@ -1,46 +1,87 @@
 #include "server/contract_store.h"
 
+#include <utility>
+
+#include "core/call_error.h"
 #include "platform/base64.h"
 #include "platform/contract_keys.h"
 
 namespace comfreyfold {
 
 namespace {
-constexpr std::chrono::milliseconds kWatchIdle{3000};
-constexpr std::chrono::milliseconds kWatchRetry{1000};
+
+using std::chrono::milliseconds;
+using std::chrono::steady_clock;
+
+constexpr milliseconds kWatchIdle{3000};
+constexpr milliseconds kWatchRetry{1000};
+constexpr milliseconds kTickInterval{100};
+constexpr milliseconds kReloadRetry{100};
+constexpr milliseconds kCatchUpWait{2000};
+constexpr milliseconds kRetrySoon{1000};
+
+// The contracts and the revision of their newest change, from one read.
+ContractSet ToSet(const KvRange& range) {
+  constexpr std::size_t kPrefixLength = sizeof(kContractCustomerPrefix) - 1;
+  ContractSet out;
+  for (const auto& it : range.items) {
+    if (it.key == kContractChangeKey) {
+      out.revision = it.mod_revision;
+    } else if (it.key.rfind(kContractCustomerPrefix, 0) == 0) {
+      out.contracts.push_back({it.key.substr(kPrefixLength), it.value});
+    }
+  }
+  return out;
+}
+
 }  // namespace
 
 ContractStore::ContractStore(Loop& loop,
                              KvClient& kv,
                              EventLog& log,
-                             std::chrono::milliseconds poll_interval)
+                             const ContractSettings& settings)
     : loop_(loop),
       kv_(kv),
       log_(log),
-      poll_interval_(poll_interval),
-      stirred_(loop) {}
+      settings_(settings),
+      guard_(settings.freeze_gap, settings.grace),
+      stirred_(loop),
+      confirmed_(loop) {}
 
-void ContractStore::Start() {
+void ContractStore::Start(PeerHook from_peer) {
+  from_peer_ = std::move(from_peer);
+  loop_.Spawn([this](Fiber& fiber) { Tick(fiber); });
   loop_.Spawn([this](Fiber& fiber) { Poll(fiber); });
-  loop_.Spawn([this](Fiber& fiber) { Follow(fiber); });
+  if (settings_.watch) {
+    loop_.Spawn([this](Fiber& fiber) { Follow(fiber); });
+  }
+}
+
+void ContractStore::Tick(Fiber& fiber) {
+  while (true) {
+    if (!current()) {
+      stirred_.NotifyAll();
+    }
+    fiber.Sleep(kTickInterval);
+  }
 }
 
 void ContractStore::Poll(Fiber& fiber) {
   while (true) {
-    try {
-      Load(fiber);
-    } catch (const std::runtime_error&) {
-      // An outage of the service alone does not stop serving: the
-      // contracts in force stay in force.
+    Refresh(fiber);
+    const bool due = guard_.reload_due() || !table_.loaded();
+    if (due) {
+      fiber.Sleep(kReloadRetry);
+    } else {
+      stirred_.Wait(fiber, settings_.poll_interval);
     }
-    stirred_.Wait(fiber, poll_interval_);
   }
 }
 
 void ContractStore::Follow(Fiber& fiber) {
   while (true) {
     try {
-      kv_.Watch(fiber, kContractPrefix, revision_ + 1, kWatchIdle,
+      kv_.Watch(fiber, kContractPrefix, revision() + 1, kWatchIdle,
                 [this](std::int64_t) { stirred_.NotifyAll(); });
     } catch (const std::runtime_error&) {
       // The poll goes on meanwhile.
@@ -49,59 +90,86 @@
   }
 }
 
-void ContractStore::Load(Fiber& fiber) {
-  const auto range = kv_.Prefix(fiber, kContractPrefix);
-  std::int64_t revision = 0;
-  for (const auto& it : range.items) {
-    if (it.key == kContractChangeKey) {
-      revision = it.mod_revision;
-    }
-  }
-  // A slow answer may arrive after a newer one: never go back.
-  if (loaded_ && revision <= revision_) {
+void ContractStore::Refresh(Fiber& fiber) {
+  try {
+    LoadFromService(fiber);
     return;
+  } catch (const std::runtime_error&) {
+    // An outage of the service alone does not stop serving: the contracts
+    // in force stay in force.
   }
-  std::map<std::string, std::shared_ptr<const Contract>> by_name;
-  std::map<std::string, std::shared_ptr<const Contract>> by_key;
-  for (const auto& it : range.items) {
-    if (it.key.rfind(kContractCustomerPrefix, 0) != 0) {
-      continue;
+  if (guard_.reload_due() || !table_.loaded()) {
+    LoadFromPeer(fiber);
+  }
+}
+
+void ContractStore::LoadFromService(Fiber& fiber) {
+  const auto asked_at = steady_clock::now();
+  if (table_.loaded()) {
+    // One small read tells that nothing has changed.
+    const auto change = kv_.Get(fiber, kContractChangeKey);
+    const auto newest = change ? change->mod_revision : 0;
+    if (newest <= revision()) {
+      guard_.Confirm(revision(), asked_at);
+      confirmed_.NotifyAll();
+      return;
     }
-    try {
-      auto contract =
-          std::make_shared<const Contract>(ParseContract(it.value, it.key));
-      by_key[contract->api_key_sha256] = contract;
-      by_name[contract->customer] = std::move(contract);
-    } catch (const IniError& e) {
-      // The tool checks before it writes, so this is a newer version's
-      // contract: its customer keeps what was in force.
-      log_.Write({.name = "contract_unreadable", .detail = e.what()});
-      const auto old =
-          by_name_.find(it.key.substr(sizeof(kContractCustomerPrefix) - 1));
-      if (old != by_name_.end()) {
-        by_name.insert(*old);
-        by_key[old->second->api_key_sha256] = old->second;
-      }
+  }
+  PutInForce(ToSet(kv_.Prefix(fiber, kContractPrefix)), asked_at, "service");
+}
+
+void ContractStore::LoadFromPeer(Fiber& fiber) {
+  const auto asked_at = steady_clock::now();
+  auto set = from_peer_(fiber);
+  if (set) {
+    PutInForce(std::move(*set), asked_at, "peer");
+  }
+}
+
+void ContractStore::PutInForce(ContractSet set,
+                               steady_clock::time_point asked_at,
+                               const char* source) {
+  if (table_.Take(std::move(set))) {
+    log_.Write({.name = "contracts_in_force",
+                .detail = "revision " + std::to_string(revision()) + " from " +
+                          source});
+    for (const auto& it : table_.faults()) {
+      log_.Write({.name = "contract_unreadable", .detail = it});
     }
   }
-  by_name_ = std::move(by_name);
-  by_key_digest_ = std::move(by_key);
-  revision_ = revision;
-  loaded_ = true;
-  log_.Write({.name = "contracts_in_force",
-              .detail = "revision " + std::to_string(revision)});
+  guard_.Confirm(revision(), asked_at);
+  confirmed_.NotifyAll();
+}
+
+void ContractStore::HeardOf(std::int64_t newest) {
+  guard_.HeardOf(newest, steady_clock::now());
+  if (newest > revision()) {
+    stirred_.NotifyAll();
+  }
 }
 
-std::shared_ptr<const Contract> ContractStore::FindByName(
-    const std::string& name) const {
-  const auto it = by_name_.find(name);
-  return it == by_name_.end() ? nullptr : it->second;
+bool ContractStore::current() {
+  return guard_.Look(steady_clock::now()) == ContractGuard::Standing::kServe &&
+         table_.loaded();
+}
+
+void ContractStore::EnsureCurrent(Fiber& fiber) {
+  if (current()) {
+    return;
+  }
+  stirred_.NotifyAll();
+  if (!confirmed_.WaitUntil(fiber, kCatchUpWait,
+                            [this] { return current(); })) {
+    throw CallError(503, "contracts_not_current",
+                    "this daemon cannot tell whether its contracts are the "
+                    "newest; retry, or go through another daemon",
+                    Verdict::kNotRun, kRetrySoon);
+  }
 }
 
 std::shared_ptr<const Contract> ContractStore::FindByApiKey(
     const std::string& key) const {
-  const auto it = by_key_digest_.find(Sha256Hex(key));
-  return it == by_key_digest_.end() ? nullptr : it->second;
+  return table_.FindByDigest(Sha256Hex(key));
 }
 
 }  // namespace comfreyfold
--- a/source/server/daemon.cc
+++ b/source/server/daemon.cc
@@ -41,7 +41,8 @@
       kv_(http_, settings_.kv_address, settings_.platform_timeout),
       vms_(http_, settings_.vm_list_address, settings_.platform_timeout),
       membership_(SelfOf(settings_), settings_.heartbeat_timeout),
-      contracts_(loop, kv_, log_, settings_.contract_poll_interval),
+      contracts_(loop, kv_, log_, settings_.contracts),
+      contract_peers_(http_, membership_, contracts_),
       backends_(loop,
                 http_,
                 vms_,
@@ -88,13 +89,17 @@
   const auto address = server_.Listen(settings_.listen);
   membership_.self().address = address;
   log_.Write({.name = "daemon_started", .detail = address});
-  contracts_.Start();
+  contracts_.Start(
+      [this](Fiber& fiber) { return contract_peers_.Fetch(fiber); });
   budgets_.Start();
   reaper_.Start();
   backends_.Start();
   lanes_.OnChange([this] { peers_.Announce(); });
   peers_.Start([this] {
     membership_.self().contracts_revision = contracts_.revision();
+    for (const auto& [daemon, heartbeat] : membership_.peers()) {
+      contracts_.HeardOf(heartbeat.contracts_revision);
+    }
     lanes_.Tick();
   });
   loop_.Spawn([this](Fiber& fiber) { ReleaseLoop(fiber); });
@@ -113,6 +118,7 @@
                     HttpExchange& exchange) {
   if (caller_api_.Handle(fiber, request, exchange) ||
       peer_api_.Handle(fiber, request, exchange) ||
+      contract_peers_.Handle(request, exchange) ||
       HandleOperator(request, exchange)) {
     return;
   }
--- a/source/server/daemon.h
+++ b/source/server/daemon.h
@@ -12,6 +12,7 @@
 #include "server/call_router.h"
 #include "server/call_runner.h"
 #include "server/caller_api.h"
+#include "server/contract_peers.h"
 #include "server/contract_store.h"
 #include "server/hold_releaser.h"
 #include "server/lane_manager.h"
@@ -52,6 +53,7 @@
   VmListClient vms_;
   Membership membership_;
   ContractStore contracts_;
+  ContractPeers contract_peers_;
   BackendDirectory backends_;
   LaneManager lanes_;
   EngineClient engines_;
--- a/source/server/settings.cc
+++ b/source/server/settings.cc
@@ -51,6 +51,15 @@
   reader.Take("http", "connections", out.connections, 1, kMostConnections);
 }
 
+void TakeContracts(IniReader& reader, ContractSettings& out) {
+  reader.Take("contracts", "poll_interval", out.poll_interval, milliseconds(50),
+              seconds(15));
+  reader.Take("contracts", "watch", out.watch);
+  reader.Take("contracts", "freeze_gap", out.freeze_gap, milliseconds(300),
+              seconds(10));
+  reader.Take("contracts", "grace", out.grace, milliseconds(100), seconds(15));
+}
+
 }  // namespace
 
 Settings ParseSettings(const std::string& text, const std::string& file) {
@@ -73,8 +82,7 @@
               minutes(1));
   reader.Take("platform", "vm_list_interval", out.vm_list_interval,
               milliseconds(50), minutes(1));
-  reader.Take("platform", "contract_poll_interval", out.contract_poll_interval,
-              milliseconds(50), seconds(15));
+  TakeContracts(reader, out.contracts);
 
   reader.Take("lanes", "count", out.lanes, 1, kMostLanes);
   reader.Take("members", "heartbeat_interval", out.heartbeat_interval,
--- a/source/server/settings.h
+++ b/source/server/settings.h
@@ -5,6 +5,7 @@
 #include <string>
 
 #include "net/http_server.h"
+#include "server/contract_store.h"
 
 namespace comfreyfold {
 
@@ -20,7 +21,7 @@
   std::string vm_list_address;
   std::chrono::milliseconds platform_timeout{1000};
   std::chrono::milliseconds vm_list_interval{1000};
-  std::chrono::milliseconds contract_poll_interval{2000};
+  ContractSettings contracts;
 
   int lanes = 24;
   std::chrono::milliseconds heartbeat_interval{300};
--- a/source/wire/codec.cc
+++ b/source/wire/codec.cc
@@ -113,13 +113,22 @@
 std::string Encode(const ContractSet& contracts) {
   wire::ContractSet out;
   out.revision = contracts.revision;
-  out.texts = contracts.texts;
+  for (const auto& it : contracts.contracts) {
+    auto& text = out.contracts.emplace_back();
+    text.customer = it.customer;
+    text.text = it.text;
+  }
   return Write(out);
 }
 
 ContractSet DecodeContractSet(const std::string& buf) {
   const auto in = Read<wire::ContractSet>(buf);
-  return {in.revision, in.texts};
+  ContractSet out;
+  out.revision = in.revision;
+  for (const auto& it : in.contracts) {
+    out.contracts.push_back({it.customer, it.text});
+  }
+  return out;
 }
 
 std::string Encode(const ForwardedCall& call) {
--- a/source/wire/codec.h
+++ b/source/wire/codec.h
@@ -9,6 +9,7 @@
 #include <string_view>
 #include <vector>
 
+#include "core/contract_set.h"
 #include "core/heartbeat.h"
 #include "core/lane_entry.h"
 
@@ -45,12 +46,6 @@
   std::string parent;                    // Program that started this one.
 };
 
-// The contracts of one revision, as daemons hand them on.
-struct ContractSet {
-  std::int64_t revision = 0;
-  std::vector<std::string> texts;
-};
-
 enum class FrameKind { kDelta = 0, kDone = 1, kError = 2 };
 
 // A piece of an answer on its way back.
--- a/source/wire/comfreyfold.thrift
+++ b/source/wire/comfreyfold.thrift
@@ -56,9 +56,14 @@
   11: i64 clock,
 }
 
+struct ContractText {
+  1: string customer,
+  2: string text,
+}
+
 struct ContractSet {
   1: i64 revision,
-  2: list<string> texts,
+  2: list<ContractText> contracts,
 }
 
 struct OwnedLane {
--- a/source/wire/gen/comfreyfold_types.cpp
+++ b/source/wire/gen/comfreyfold_types.cpp
@@ -1162,6 +1162,118 @@
 }
 
 
+ContractText::~ContractText() noexcept {
+}
+
+
+void ContractText::__set_customer(const std::string& val) {
+  this->customer = val;
+}
+
+void ContractText::__set_text(const std::string& val) {
+  this->text = val;
+}
+std::ostream& operator<<(std::ostream& out, const ContractText& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t ContractText::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->customer);
+          this->__isset.customer = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->text);
+          this->__isset.text = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t ContractText::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("ContractText");
+
+  xfer += oprot->writeFieldBegin("customer", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->customer);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("text", ::apache::thrift::protocol::T_STRING, 2);
+  xfer += oprot->writeString(this->text);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(ContractText &a, ContractText &b) {
+  using ::std::swap;
+  swap(a.customer, b.customer);
+  swap(a.text, b.text);
+  swap(a.__isset, b.__isset);
+}
+
+ContractText::ContractText(const ContractText& other14) {
+  customer = other14.customer;
+  text = other14.text;
+  __isset = other14.__isset;
+}
+ContractText& ContractText::operator=(const ContractText& other15) {
+  customer = other15.customer;
+  text = other15.text;
+  __isset = other15.__isset;
+  return *this;
+}
+void ContractText::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "ContractText(";
+  out << "customer=" << to_string(customer);
+  out << ", " << "text=" << to_string(text);
+  out << ")";
+}
+
+
 ContractSet::~ContractSet() noexcept {
 }
 
@@ -1170,8 +1282,8 @@
   this->revision = val;
 }
 
-void ContractSet::__set_texts(const std::vector<std::string> & val) {
-  this->texts = val;
+void ContractSet::__set_contracts(const std::vector<ContractText> & val) {
+  this->contracts = val;
 }
 std::ostream& operator<<(std::ostream& out, const ContractSet& obj)
 {
@@ -1212,19 +1324,19 @@
       case 2:
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
-            this->texts.clear();
-            uint32_t _size14;
-            ::apache::thrift::protocol::TType _etype17;
-            xfer += iprot->readListBegin(_etype17, _size14);
-            this->texts.resize(_size14);
-            uint32_t _i18;
-            for (_i18 = 0; _i18 < _size14; ++_i18)
+            this->contracts.clear();
+            uint32_t _size16;
+            ::apache::thrift::protocol::TType _etype19;
+            xfer += iprot->readListBegin(_etype19, _size16);
+            this->contracts.resize(_size16);
+            uint32_t _i20;
+            for (_i20 = 0; _i20 < _size16; ++_i20)
             {
-              xfer += iprot->readString(this->texts[_i18]);
+              xfer += this->contracts[_i20].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
-          this->__isset.texts = true;
+          this->__isset.contracts = true;
         } else {
           xfer += iprot->skip(ftype);
         }
@@ -1250,13 +1362,13 @@
   xfer += oprot->writeI64(this->revision);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("texts", ::apache::thrift::protocol::T_LIST, 2);
+  xfer += oprot->writeFieldBegin("contracts", ::apache::thrift::protocol::T_LIST, 2);
   {
-    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->texts.size()));
-    std::vector<std::string> ::const_iterator _iter19;
-    for (_iter19 = this->texts.begin(); _iter19 != this->texts.end(); ++_iter19)
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->contracts.size()));
+    std::vector<ContractText> ::const_iterator _iter21;
+    for (_iter21 = this->contracts.begin(); _iter21 != this->contracts.end(); ++_iter21)
     {
-      xfer += oprot->writeString((*_iter19));
+      xfer += (*_iter21).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -1270,26 +1382,26 @@
 void swap(ContractSet &a, ContractSet &b) {
   using ::std::swap;
   swap(a.revision, b.revision);
-  swap(a.texts, b.texts);
+  swap(a.contracts, b.contracts);
   swap(a.__isset, b.__isset);
 }
 
-ContractSet::ContractSet(const ContractSet& other20) {
-  revision = other20.revision;
-  texts = other20.texts;
-  __isset = other20.__isset;
+ContractSet::ContractSet(const ContractSet& other22) {
+  revision = other22.revision;
+  contracts = other22.contracts;
+  __isset = other22.__isset;
 }
-ContractSet& ContractSet::operator=(const ContractSet& other21) {
-  revision = other21.revision;
-  texts = other21.texts;
-  __isset = other21.__isset;
+ContractSet& ContractSet::operator=(const ContractSet& other23) {
+  revision = other23.revision;
+  contracts = other23.contracts;
+  __isset = other23.__isset;
   return *this;
 }
 void ContractSet::printTo(std::ostream& out) const {
   using ::apache::thrift::to_string;
   out << "ContractSet(";
   out << "revision=" << to_string(revision);
-  out << ", " << "texts=" << to_string(texts);
+  out << ", " << "contracts=" << to_string(contracts);
   out << ")";
 }
 
@@ -1386,15 +1498,15 @@
   swap(a.__isset, b.__isset);
 }
 
-OwnedLane::OwnedLane(const OwnedLane& other22) noexcept {
-  lane = other22.lane;
-  epoch = other22.epoch;
-  __isset = other22.__isset;
+OwnedLane::OwnedLane(const OwnedLane& other24) noexcept {
+  lane = other24.lane;
+  epoch = other24.epoch;
+  __isset = other24.__isset;
 }
-OwnedLane& OwnedLane::operator=(const OwnedLane& other23) noexcept {
-  lane = other23.lane;
-  epoch = other23.epoch;
-  __isset = other23.__isset;
+OwnedLane& OwnedLane::operator=(const OwnedLane& other25) noexcept {
+  lane = other25.lane;
+  epoch = other25.epoch;
+  __isset = other25.__isset;
   return *this;
 }
 void OwnedLane::printTo(std::ostream& out) const {
@@ -1505,14 +1617,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->lanes.clear();
-            uint32_t _size24;
-            ::apache::thrift::protocol::TType _etype27;
-            xfer += iprot->readListBegin(_etype27, _size24);
-            this->lanes.resize(_size24);
-            uint32_t _i28;
-            for (_i28 = 0; _i28 < _size24; ++_i28)
+            uint32_t _size26;
+            ::apache::thrift::protocol::TType _etype29;
+            xfer += iprot->readListBegin(_etype29, _size26);
+            this->lanes.resize(_size26);
+            uint32_t _i30;
+            for (_i30 = 0; _i30 < _size26; ++_i30)
             {
-              xfer += this->lanes[_i28].read(iprot);
+              xfer += this->lanes[_i30].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1581,10 +1693,10 @@
   xfer += oprot->writeFieldBegin("lanes", ::apache::thrift::protocol::T_LIST, 5);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->lanes.size()));
-    std::vector<OwnedLane> ::const_iterator _iter29;
-    for (_iter29 = this->lanes.begin(); _iter29 != this->lanes.end(); ++_iter29)
+    std::vector<OwnedLane> ::const_iterator _iter31;
+    for (_iter31 = this->lanes.begin(); _iter31 != this->lanes.end(); ++_iter31)
     {
-      xfer += (*_iter29).write(oprot);
+      xfer += (*_iter31).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -1620,27 +1732,27 @@
   swap(a.__isset, b.__isset);
 }
 
-Heartbeat::Heartbeat(const Heartbeat& other30) {
-  daemon = other30.daemon;
-  address = other30.address;
-  data_centre = other30.data_centre;
-  draining = other30.draining;
-  lanes = other30.lanes;
-  contracts_revision = other30.contracts_revision;
-  clock = other30.clock;
-  has_data_folder = other30.has_data_folder;
-  __isset = other30.__isset;
-}
-Heartbeat& Heartbeat::operator=(const Heartbeat& other31) {
-  daemon = other31.daemon;
-  address = other31.address;
-  data_centre = other31.data_centre;
-  draining = other31.draining;
-  lanes = other31.lanes;
-  contracts_revision = other31.contracts_revision;
-  clock = other31.clock;
-  has_data_folder = other31.has_data_folder;
-  __isset = other31.__isset;
+Heartbeat::Heartbeat(const Heartbeat& other32) {
+  daemon = other32.daemon;
+  address = other32.address;
+  data_centre = other32.data_centre;
+  draining = other32.draining;
+  lanes = other32.lanes;
+  contracts_revision = other32.contracts_revision;
+  clock = other32.clock;
+  has_data_folder = other32.has_data_folder;
+  __isset = other32.__isset;
+}
+Heartbeat& Heartbeat::operator=(const Heartbeat& other33) {
+  daemon = other33.daemon;
+  address = other33.address;
+  data_centre = other33.data_centre;
+  draining = other33.draining;
+  lanes = other33.lanes;
+  contracts_revision = other33.contracts_revision;
+  clock = other33.clock;
+  has_data_folder = other33.has_data_folder;
+  __isset = other33.__isset;
   return *this;
 }
 void Heartbeat::printTo(std::ostream& out) const {
--- a/source/wire/gen/comfreyfold_types.h
+++ b/source/wire/gen/comfreyfold_types.h
@@ -29,6 +29,8 @@
 
 class AnswerFrame;
 
+class ContractText;
+
 class ContractSet;
 
 class OwnedLane;
@@ -472,10 +474,60 @@
 
 std::ostream& operator<<(std::ostream& out, const AnswerFrame& obj);
 
+typedef struct _ContractText__isset {
+  _ContractText__isset() : customer(false), text(false) {}
+  bool customer :1;
+  bool text :1;
+} _ContractText__isset;
+
+class ContractText : public virtual ::apache::thrift::TBase {
+ public:
+
+  ContractText(const ContractText&);
+  ContractText& operator=(const ContractText&);
+  ContractText() noexcept
+               : customer(),
+                 text() {
+  }
+
+  virtual ~ContractText() noexcept;
+  std::string customer;
+  std::string text;
+
+  _ContractText__isset __isset;
+
+  void __set_customer(const std::string& val);
+
+  void __set_text(const std::string& val);
+
+  bool operator == (const ContractText & rhs) const
+  {
+    if (!(customer == rhs.customer))
+      return false;
+    if (!(text == rhs.text))
+      return false;
+    return true;
+  }
+  bool operator != (const ContractText &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const ContractText & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(ContractText &a, ContractText &b);
+
+std::ostream& operator<<(std::ostream& out, const ContractText& obj);
+
 typedef struct _ContractSet__isset {
-  _ContractSet__isset() : revision(false), texts(false) {}
+  _ContractSet__isset() : revision(false), contracts(false) {}
   bool revision :1;
-  bool texts :1;
+  bool contracts :1;
 } _ContractSet__isset;
 
 class ContractSet : public virtual ::apache::thrift::TBase {
@@ -489,19 +541,19 @@
 
   virtual ~ContractSet() noexcept;
   int64_t revision;
-  std::vector<std::string>  texts;
+  std::vector<ContractText>  contracts;
 
   _ContractSet__isset __isset;
 
   void __set_revision(const int64_t val);
 
-  void __set_texts(const std::vector<std::string> & val);
+  void __set_contracts(const std::vector<ContractText> & val);
 
   bool operator == (const ContractSet & rhs) const
   {
     if (!(revision == rhs.revision))
       return false;
-    if (!(texts == rhs.texts))
+    if (!(contracts == rhs.contracts))
       return false;
     return true;
   }
