The operators' tool: validate, diff, apply, get, remove, status, programs

Cause: apply alone existed, and had a hole: when its answer was lost and another operator's change followed before the read, it told a conflict though it had been applied. Each change now writes a leased record of its own in the same transaction; sending the transaction again applies it once or never, and the record tells which. Two customers with one API key, a customer in two files and a section without keys are faults. Daemons are found from the members.

--- a/source/core/ini_reader.cc
+++ b/source/core/ini_reader.cc
@@ -41,6 +41,10 @@
   return true;
 }
 
+bool IsSection(const std::string& line) {
+  return line.size() > 1 && line.front() == '[' && line.back() == ']';
+}
+
 // The property tree drops line numbers; this finds them again.
 std::map<std::string, int> LinesOf(const std::string& text) {
   std::map<std::string, int> out;
@@ -49,7 +53,7 @@
   std::string section;
   for (int n = 1; std::getline(in, line); ++n) {
     line = Trim(line);
-    if (line.size() > 1 && line.front() == '[' && line.back() == ']') {
+    if (IsSection(line)) {
       section = Trim(line.substr(1, line.size() - 2));
       out[section + '\n'] = n;
     } else if (const auto at = line.find('=');
@@ -80,6 +84,7 @@
     const auto it = lines.find(section + '\n' + key);
     return it == lines.end() ? 0 : it->second;
   };
+  NoteEmptySections(text);
   for (const auto& [section, keys] : tree) {
     if (keys.empty() && !keys.data().empty()) {
       faults_.push_back({file_, line_of("", section),
@@ -95,6 +100,38 @@
   }
 }
 
+void IniReader::NoteEmptySections(const std::string& text) {
+  // The property tree drops sections without keys, which hides a section
+  // whose name is wrong.
+  std::istringstream in(text);
+  std::string line;
+  std::string section;
+  int section_line = 0;
+  int keys = 0;
+  int n = 0;
+  const auto close = [&] {
+    if (section_line > 0 && keys == 0) {
+      faults_.push_back({file_, section_line,
+                         "[" + section +
+                             "]: a section without keys; write its keys or "
+                             "remove it"});
+    }
+  };
+  while (std::getline(in, line)) {
+    ++n;
+    line = Trim(line);
+    if (IsSection(line)) {
+      close();
+      section = Trim(line.substr(1, line.size() - 2));
+      section_line = n;
+      keys = 0;
+    } else if (line.find('=') != std::string::npos && line.front() != ';') {
+      ++keys;
+    }
+  }
+  close();
+}
+
 IniReader::Value* IniReader::Find(const std::string& section,
                                   const std::string& key) {
   const auto it = sections_.find(section);
@@ -233,6 +270,16 @@
   }
 }
 
+std::vector<IniValue> IniReader::Values() const {
+  std::vector<IniValue> out;
+  for (const auto& [section, values] : sections_) {
+    for (const auto& [key, value] : values) {
+      out.push_back({section, key, value.text});
+    }
+  }
+  return out;
+}
+
 std::vector<std::string> IniReader::SectionsWith(
     const std::string& prefix) const {
   std::vector<std::string> out;
--- a/source/core/ini_reader.h
+++ b/source/core/ini_reader.h
@@ -11,6 +11,13 @@
 
 namespace comfreyfold {
 
+// One key of an INI text.
+struct IniValue {
+  std::string section;
+  std::string key;
+  std::string text;
+};
+
 // Reads typed values from INI text (Boost.PropertyTree) and remembers the
 // line of each key, so that every fault can be shown where it stands.
 class IniReader {
@@ -56,6 +63,9 @@
              const std::string& key,
              const std::string& message);
 
+  // Every key that could be read, by section and name.
+  std::vector<IniValue> Values() const;
+
   // Sections whose name is `prefix` and a space and more, as in [tool book].
   std::vector<std::string> SectionsWith(const std::string& prefix) const;
 
@@ -69,6 +79,7 @@
     int line = 0;
     bool known = false;
   };
+  void NoteEmptySections(const std::string& text);
   Value* Find(const std::string& section, const std::string& key);
 
   std::string file_;
--- a/source/platform/contract_keys.h
+++ b/source/platform/contract_keys.h
@@ -1,8 +1,6 @@
 #ifndef PLATFORM_CONTRACT_KEYS_H_
 #define PLATFORM_CONTRACT_KEYS_H_
 
-#include <string>
-
 namespace comfreyfold {
 
 // Where contracts live in the key-value service. Every change writes
@@ -12,6 +10,11 @@
 inline constexpr char kContractChangeKey[] = "contracts/change";
 inline constexpr char kContractCustomerPrefix[] = "contracts/customer/";
 
+// A leased key a change, written with it: tells its operator that it was
+// applied though the answer was lost and other changes followed. Outside
+// kContractPrefix, so that its end wakes no watch.
+inline constexpr char kContractChangePrefix[] = "contract-changes/";
+
 }  // namespace comfreyfold
 
 #endif  // PLATFORM_CONTRACT_KEYS_H_
--- a/source/server/daemon.cc
+++ b/source/server/daemon.cc
@@ -56,6 +56,7 @@
       journal_(log_),
       limits_(journal_),
       slots_(loop, lanes_),
+      listing_(lanes_, settings_.daemon),
       reaper_(loop, lanes_, contracts_, log_),
       budgets_(loop, kv_, contracts_, log_),
       model_runner_(engines_, backends_, chooser_, journal_, limits_, budgets_),
@@ -119,7 +120,7 @@
   if (caller_api_.Handle(fiber, request, exchange) ||
       peer_api_.Handle(fiber, request, exchange) ||
       contract_peers_.Handle(request, exchange) ||
-      HandleOperator(request, exchange)) {
+      listing_.Handle(request, exchange) || HandleOperator(request, exchange)) {
     return;
   }
   exchange.Reply(404, "application/json",
--- a/source/server/daemon.h
+++ b/source/server/daemon.h
@@ -18,6 +18,7 @@
 #include "server/lane_manager.h"
 #include "server/peer_api.h"
 #include "server/peer_links.h"
+#include "server/program_listing.h"
 #include "server/program_reaper.h"
 #include "server/settings.h"
 #include "server/urgent_sender.h"
@@ -62,6 +63,7 @@
   CallJournal journal_;
   CallLimits limits_;
   CustomerSlots slots_;
+  ProgramListing listing_;
   ProgramReaper reaper_;
   BudgetLedger budgets_;
   ModelRunner model_runner_;
--- a/source/tool/command.h
+++ b/source/tool/command.h
@@ -1,6 +1,7 @@
 #ifndef TOOL_COMMAND_H_
 #define TOOL_COMMAND_H_
 
+#include <chrono>
 #include <functional>
 #include <string>
 #include <vector>
@@ -16,6 +17,8 @@
   std::vector<std::string> daemons;    // ip:port of each daemon to ask.
   std::vector<std::string> arguments;  // After the command's name.
   bool json = false;
+  bool dry_run = false;
+  std::chrono::seconds wait{18};  // For every daemon to confirm a change.
 };
 
 // Exit codes of the tool.
@@ -24,6 +27,14 @@
 inline constexpr int kExitUsage = 2;     // The command line is wrong.
 inline constexpr int kExitConflict = 3;  // Another operator was quicker.
 inline constexpr int kExitUnknown = 4;   // Not known whether it took effect.
+inline constexpr int kExitNotConfirmed =
+    5;  // Written, not in force everywhere.
+
+// One line of a help page: an option, or an exit code, and what it means.
+struct HelpLine {
+  std::string term;
+  std::string text;
+};
 
 // One command of the tool and its help page.
 struct Command {
@@ -32,11 +43,16 @@
   std::string brief;
   std::string example;
   std::function<int(CommandContext&)> run;
+  std::vector<HelpLine> options;
+  std::vector<HelpLine> exit_codes;
 };
 
 // Every command, in the order of the help page.
 std::vector<Command> AllCommands();
 
+// Prints the page of `command`.
+void PrintPage(const Command& command);
+
 }  // namespace comfreyfold
 
 #endif  // TOOL_COMMAND_H_
--- /dev/null
+++ b/source/tool/contract_commands.cc
@@ -0,0 +1,181 @@
+#include "tool/contract_commands.h"
+
+#include <iostream>
+
+#include <nlohmann/json.hpp>
+
+#include "net/http_client.h"
+#include "tool/change_report.h"
+#include "tool/tool_settings.h"
+
+namespace comfreyfold {
+
+namespace {
+
+using nlohmann::json;
+
+constexpr std::chrono::seconds kKvTimeout{2};
+
+// The faults of one file; empty when it is a valid contract.
+std::vector<IniFault> FaultsOf(const std::string& file) {
+  try {
+    ParseContract(ReadTextFile(file), file);
+  } catch (const IniError& e) {
+    return e.faults();
+  }
+  return {};
+}
+
+int Validate(CommandContext& context) {
+  if (context.arguments.empty()) {
+    std::cerr << "validate: name one or more contract files\n";
+    return kExitUsage;
+  }
+  json faults = json::array();
+  for (const auto& file : context.arguments) {
+    for (const auto& it : FaultsOf(file)) {
+      faults.push_back(
+          {{"file", it.file}, {"line", it.line}, {"message", it.message}});
+      if (!context.json) {
+        std::cerr << it.file << ":" << it.line << ": " << it.message << "\n";
+      }
+    }
+  }
+  if (context.json) {
+    std::cout << json{{"valid", faults.empty()}, {"faults", faults}}.dump()
+              << "\n";
+  } else if (faults.empty()) {
+    std::cout << context.arguments.size() << " contracts are valid\n";
+  }
+  if (faults.empty()) {
+    // Also what only shows between files.
+    ReadContractFiles(context.arguments, {});
+  }
+  return faults.empty() ? kExitOk : kExitFailed;
+}
+
+int Diff(CommandContext& context) {
+  if (context.arguments.empty()) {
+    std::cerr << "diff: name one or more contract files\n";
+    return kExitUsage;
+  }
+  HttpClient http(context.fiber.loop());
+  KvClient kv(http, context.key_value, kKvTimeout);
+  const auto stored = ReadContracts(context.fiber, kv);
+  const auto lines =
+      DiffEdit(stored, ReadContractFiles(context.arguments, stored));
+  if (context.json) {
+    std::cout << json{{"revision", stored.revision},
+                      {"differences", ToJson(lines)}}
+                     .dump()
+              << "\n";
+    return kExitOk;
+  }
+  for (const auto& it : lines) {
+    std::cout << ToLine(it) << "\n";
+  }
+  if (lines.empty()) {
+    std::cout << "no difference from revision " << stored.revision << "\n";
+  }
+  return kExitOk;
+}
+
+int Get(CommandContext& context) {
+  HttpClient http(context.fiber.loop());
+  KvClient kv(http, context.key_value, kKvTimeout);
+  const auto stored = ReadContracts(context.fiber, kv);
+  json contracts = json::object();
+  for (const auto& it : context.arguments) {
+    const auto text = stored.texts.find(it);
+    if (text == stored.texts.end()) {
+      std::cerr << "get: customer '" << it
+                << "' has no contract; 'comfreyfold get' lists them\n";
+      return kExitFailed;
+    }
+    contracts[it] = text->second;
+  }
+  if (context.arguments.empty()) {
+    for (const auto& [customer, text] : stored.texts) {
+      contracts[customer] = text;
+    }
+  }
+  if (context.json) {
+    std::cout
+        << json{{"revision", stored.revision}, {"contracts", contracts}}.dump()
+        << "\n";
+    return kExitOk;
+  }
+  for (const auto& [customer, text] : contracts.items()) {
+    std::cout << (context.arguments.empty() ? customer + "\n"
+                                            : text.get<std::string>());
+  }
+  return kExitOk;
+}
+
+int Remove(CommandContext& context) {
+  if (context.arguments.empty()) {
+    std::cerr << "remove: name one or more customers\n";
+    return kExitUsage;
+  }
+  HttpClient http(context.fiber.loop());
+  KvClient kv(http, context.key_value, kKvTimeout);
+  const auto stored = ReadContracts(context.fiber, kv);
+  ContractEdit edit;
+  for (const auto& it : context.arguments) {
+    if (!stored.texts.contains(it)) {
+      std::cerr << "remove: customer '" << it
+                << "' has no contract; 'comfreyfold get' lists them\n";
+      return kExitFailed;
+    }
+    edit.removals.push_back(it);
+  }
+  return RunChange(context, http, kv, stored, std::move(edit));
+}
+
+}  // namespace
+
+Command ValidateCommand() {
+  return {"validate",
+          "validate FILE...",
+          "Checks contracts and shows each fault with file, line, value, "
+          "what is allowed and what to do. Needs no connection.",
+          "comfreyfold validate contracts/*.ini",
+          Validate,
+          {},
+          {}};
+}
+
+Command DiffCommand() {
+  return {"diff",
+          "diff FILE...",
+          "Shows key by key what applying the files would change.",
+          "comfreyfold --config tool.ini diff contracts/*.ini",
+          Diff,
+          {},
+          {}};
+}
+
+Command GetCommand() {
+  return {"get",
+          "get [CUSTOMER...]",
+          "Prints the contracts of the customers as their operators wrote "
+          "them; without a customer, lists who has one.",
+          "comfreyfold --config tool.ini get bandwerk",
+          Get,
+          {},
+          {}};
+}
+
+Command RemoveCommand() {
+  return {"remove",
+          "remove [--dry-run] CUSTOMER...",
+          "Takes the contracts of the customers out of force on every "
+          "daemon: their callers are refused from then on.",
+          "comfreyfold --config tool.ini remove bandwerk",
+          Remove,
+          {{"--dry-run", "show what would change and write nothing"},
+           {"--wait SECONDS", "how long daemons may take to confirm"}},
+          ChangeExitCodes()};
+}
+
+}  // namespace comfreyfold
--- /dev/null
+++ b/source/tool/daemon_finder.cc
@@ -0,0 +1,60 @@
+#include "tool/daemon_finder.h"
+
+#include <stdexcept>
+
+#include "platform/kv_client.h"
+
+namespace comfreyfold {
+
+namespace {
+
+constexpr std::string_view kMemberPrefix = "members/";
+constexpr std::chrono::seconds kKvTimeout{2};
+constexpr std::chrono::milliseconds kDaemonTimeout{1000};
+
+}  // namespace
+
+std::vector<DaemonAddress> FindDaemons(CommandContext& context,
+                                       HttpClient& http) {
+  std::vector<DaemonAddress> out;
+  for (const auto& it : context.daemons) {
+    if (!it.empty()) {
+      out.push_back({{}, it});
+    }
+  }
+  if (out.empty() && !context.key_value.empty()) {
+    KvClient kv(http, context.key_value, kKvTimeout);
+    const auto range = kv.Prefix(context.fiber, std::string(kMemberPrefix));
+    for (const auto& it : range.items) {
+      out.push_back({it.key.substr(kMemberPrefix.size()), it.value});
+    }
+  }
+  if (out.empty()) {
+    throw std::runtime_error(
+        "no daemon is known: the key-value service lists no member; name "
+        "them with --daemons");
+  }
+  return out;
+}
+
+std::optional<nlohmann::json> AskDaemon(Fiber& fiber,
+                                        HttpClient& http,
+                                        const std::string& address,
+                                        const std::string& target) {
+  HttpOptions options;
+  options.connect_timeout = kDaemonTimeout;
+  options.idle_timeout = kDaemonTimeout;
+  try {
+    const auto reply =
+        http.Send(fiber, address, {"GET", target, {}, {}}, options);
+    auto body = nlohmann::json::parse(reply.body, nullptr, false);
+    if (reply.status == 200 && !body.is_discarded()) {
+      return body;
+    }
+  } catch (const HttpFailure&) {
+    // Told by the empty answer.
+  }
+  return std::nullopt;
+}
+
+}  // namespace comfreyfold
--- a/source/tool/main.cc
+++ b/source/tool/main.cc
@@ -8,6 +8,7 @@
 #include "log/event_log.h"
 #include "net/loop.h"
 #include "tool/command.h"
+#include "tool/tool_settings.h"
 
 namespace comfreyfold {
 namespace {
@@ -20,29 +21,52 @@
   std::cout << "\n'comfreyfold help COMMAND' shows a command's page.\n";
 }
 
-int PrintPage(const std::string& name) {
-  for (const auto& it : AllCommands()) {
-    if (it.name == name) {
-      std::cout << "Synopsis\n--------\n  comfreyfold " << it.synopsis
-                << "\n\nDescription\n-----------\n  " << it.brief
-                << "\n\nExample\n-------\n  " << it.example << "\n";
-      return kExitOk;
-    }
-  }
+const Command* FindCommand(const std::vector<Command>& commands,
+                           const std::string& name) {
+  const auto it =
+      std::find_if(commands.begin(), commands.end(),
+                   [&name](const Command& it) { return it.name == name; });
+  return it == commands.end() ? nullptr : &*it;
+}
+
+int RefuseName(const std::string& name) {
   std::cerr << "comfreyfold: no command '" << name
             << "'; 'comfreyfold help' lists them\n";
   return kExitUsage;
 }
 
+// Options given on the command line go before those of the settings file.
+ToolSettings ReadSettings(const cxxopts::ParseResult& args) {
+  ToolSettings out;
+  if (args.count("config") > 0) {
+    out = ReadToolSettings(args["config"].as<std::string>());
+  }
+  if (args.count("kv") > 0) {
+    out.key_value = args["kv"].as<std::string>();
+  }
+  if (args.count("daemons") > 0) {
+    out.daemons = args["daemons"].as<std::vector<std::string>>();
+  }
+  if (args.count("wait") > 0) {
+    out.wait = std::chrono::seconds(args["wait"].as<int>());
+  }
+  return out;
+}
+
 int RunCommand(const Command& command, const cxxopts::ParseResult& args) {
+  const auto settings = ReadSettings(args);
   int code = kExitFailed;
   Loop loop;
   loop.Spawn([&](Fiber& fiber) {
     CommandContext context{fiber};
-    context.key_value = args["kv"].as<std::string>();
-    context.daemons = args["daemons"].as<std::vector<std::string>>();
-    context.arguments = args["arguments"].as<std::vector<std::string>>();
+    context.key_value = settings.key_value;
+    context.daemons = settings.daemons;
+    context.wait = settings.wait;
+    if (args.count("arguments") > 0) {
+      context.arguments = args["arguments"].as<std::vector<std::string>>();
+    }
     context.json = args.count("json") > 0;
+    context.dry_run = args.count("dry-run") > 0;
     try {
       code = command.run(context);
     } catch (const std::exception& e) {
@@ -56,37 +80,47 @@
   return code;
 }
 
-int Main(int argc, char** argv) {
-  cxxopts::Options options("comfreyfold",
-                           "Drives comfreyfold by its contracts");
-  options.positional_help("COMMAND [ARGUMENT...]");
-  options.add_options()("kv", "ip:port of the key-value service",
-                        cxxopts::value<std::string>()->default_value(""))(
+cxxopts::Options MakeOptions() {
+  cxxopts::Options out("comfreyfold", "Drives comfreyfold by its contracts");
+  out.positional_help("COMMAND [ARGUMENT...]");
+  out.add_options()("config", "settings file (INI)",
+                    cxxopts::value<std::string>())(
+      "kv", "ip:port of the key-value service", cxxopts::value<std::string>())(
       "daemons", "ip:port of each daemon, separated by commas",
-      cxxopts::value<std::vector<std::string>>()->default_value(""))(
-      "json", "print JSON")("help", "show this page")(
+      cxxopts::value<std::vector<std::string>>())(
+      "wait", "seconds that daemons may take to confirm",
+      cxxopts::value<int>())("dry-run", "write nothing")("json", "print JSON")(
+      "help", "show this page")(
       "command", "the command",
       cxxopts::value<std::string>()->default_value("help"))(
-      "arguments", "its arguments",
-      cxxopts::value<std::vector<std::string>>()->default_value(""));
-  options.parse_positional({"command", "arguments"});
+      "arguments", "its arguments", cxxopts::value<std::vector<std::string>>());
+  out.parse_positional({"command", "arguments"});
+  return out;
+}
+
+int Main(int argc, char** argv) {
+  auto options = MakeOptions();
   const auto args = options.parse(argc, argv);
-  const auto name = args["command"].as<std::string>();
-  if (name == "help" || args.count("help") > 0) {
-    const auto pages = args["arguments"].as<std::vector<std::string>>();
-    if (args.count("arguments") > 0) {
-      return PrintPage(pages.front());
-    }
+  const auto commands = AllCommands();
+  auto name = args["command"].as<std::string>();
+  const bool help = name == "help" || args.count("help") > 0;
+  if (name == "help" && args.count("arguments") > 0) {
+    name = args["arguments"].as<std::vector<std::string>>().front();
+  }
+  if (name == "help") {
     std::cout << options.help({""}) << "\n";
     PrintCommands();
     return kExitOk;
   }
-  for (const auto& it : AllCommands()) {
-    if (it.name == name) {
-      return RunCommand(it, args);
-    }
+  const auto* command = FindCommand(commands, name);
+  if (command == nullptr) {
+    return RefuseName(name);
+  }
+  if (help) {
+    PrintPage(*command);
+    return kExitOk;
   }
-  return PrintPage(name);
+  return RunCommand(*command, args);
 }
 
 }  // namespace
