--- a/source/server/call_runner.cc
+++ b/source/server/call_runner.cc
@@ -35,6 +35,7 @@
 void CallRunner::Run(Fiber& fiber,
                      const ForwardedCall& call,
                      const FrameSink& sink) {
+  contracts_.EnsureCurrent(fiber);
   CallContext context{call,
                       sink,
                       nullptr,
