--- a/tests/process/at_most_once_test.cc
+++ b/tests/process/at_most_once_test.cc
@@ -3,7 +3,7 @@
 #include <boost/test/unit_test.hpp>
 
 #include "core/hash.h"
-#include "process/booking.h"
+#include "process/failure.h"
 #include "process/in_cluster.h"
 
 namespace comfreyfold::process {
@@ -39,12 +39,6 @@
   return {};
 }
 
-void HangTools(Cluster& cluster, int count, milliseconds delay) {
-  for (int i = 0; i < cluster.tool_servers(); ++i) {
-    cluster.Fault(cluster.tool_server(i), "hang", count, delay);
-  }
-}
-
 // Lets the answer to the call's intent be late, so that its owner can be
 // caught with the intent committed and nothing dispatched.
 void HoldIntent(Cluster& cluster,
