--- a/source/server/call_runner.cc
+++ b/source/server/call_runner.cc
@@ -21,6 +21,15 @@
   }
 }
 
+std::string ProgramEndedText(const CallContext& context) {
+  const auto* program = context.state();
+  if (program == nullptr || program->passed_limit.empty()) {
+    return "the program has ended; start a new one";
+  }
+  return "the program was ended because it passed its contract's " +
+         program->passed_limit + "; start a new one";
+}
+
 }  // namespace
 
 void CallRunner::Run(Fiber& fiber,
@@ -77,6 +86,9 @@
     case Operation::kAnswer:
       requests_.ReadAnswer(context);
       break;
+    case Operation::kSubagent:
+      requests_.StartSubagent(fiber, context);
+      break;
   }
 }
 
@@ -116,12 +128,12 @@
                       "retry",
                       Verdict::kNotRun, kRetrySoon);
     case AdmitResult::kProgramEnded:
-      throw CallError(410, "program_ended",
-                      "the program has ended; start a new one",
+      throw CallError(410, "program_ended", ProgramEndedText(context),
                       Verdict::kNotRun);
   }
-  limits_.Check(context);
+  limits_.Check(fiber, context);
   if (call.operation == Operation::kModel) {
+    const auto slot = slots_.Enter(fiber, *context.contract, context.deadline);
     models_.Run(fiber, context);
   } else {
     tools_.Run(fiber, context);
--- a/source/server/daemon.h
+++ b/source/server/daemon.h
@@ -8,6 +8,7 @@
 #include "platform/kv_client.h"
 #include "platform/vm_list_client.h"
 #include "server/backend_directory.h"
+#include "server/budget_ledger.h"
 #include "server/call_router.h"
 #include "server/call_runner.h"
 #include "server/caller_api.h"
@@ -16,6 +17,7 @@
 #include "server/lane_manager.h"
 #include "server/peer_api.h"
 #include "server/peer_links.h"
+#include "server/program_reaper.h"
 #include "server/settings.h"
 #include "server/urgent_sender.h"
 
@@ -57,6 +59,9 @@
   BackendChooser chooser_;
   CallJournal journal_;
   CallLimits limits_;
+  CustomerSlots slots_;
+  ProgramReaper reaper_;
+  BudgetLedger budgets_;
   ModelRunner model_runner_;
   ToolRunner tool_runner_;
   ProgramRequests requests_;
