Planned stops and joins hand lanes over without cutting off what runs

Cause: Daemon::Drain closed its server first, so the other daemons suspected it and took its lanes while its calls ran: their outcomes found the lane lost. A daemon that started took every lane before it had heard of any other.

Now a lane's owner writes a handover as the last entry of its epoch; the next owner takes over at once, the calls in flight end where they run, and their outcomes are sent to the new owner, which waits for them while the former owner lives. A joining daemon takes no lane until it knows its peers; lanes then move to it one at a time.

Ruled out: waiting for the lane's calls before the handover.

--- a/source/core/lane_state.cc
+++ b/source/core/lane_state.cc
@@ -19,6 +19,11 @@
                                             : record.idempotent;
 }
 
+// Asked only of calls that this owner did not begin.
+bool AtFormerOwner(const CallRecord& record, const CallClaim& claim) {
+  return !record.done && !record.held_by.empty() && !claim.former_owner_gone;
+}
+
 }  // namespace
 
 void LaneState::Apply(const LaneBlock& block) {
@@ -36,6 +41,11 @@
     throw LaneCorrupt("block " + std::to_string(block.number) +
                       " starts an epoch without a takeover");
   }
+  // An owner that gave the lane up goes on with its calls; of one that lost
+  // it nobody knows.
+  if (block.epoch > epoch_ && !owner_.empty()) {
+    ForgetFormerOwners();
+  }
   last_block_ = block.number;
   epoch_ = block.epoch;
   owner_ = block.owner;
@@ -85,6 +95,14 @@
   }
 }
 
+void LaneState::ForgetFormerOwners() {
+  for (auto& [key, program] : programs_) {
+    for (auto& it : program.calls) {
+      it.held_by.clear();
+    }
+  }
+}
+
 void LaneState::Begin(const LaneEntry& entry) {
   auto& program = programs_[{entry.customer, entry.program}];
   program.customer = entry.customer;
@@ -106,6 +124,7 @@
   it->request_digest = entry.request_digest;
   it->tokens = entry.tokens;
   it->epoch = epoch_;
+  it->held_by = owner_;
   it->done = false;
   it->verdict = Verdict::kMayHaveRun;
   if (entry.call_kind == CallKind::kModel && !entry.backend.empty()) {
@@ -158,6 +177,9 @@
       if (!it->done && it->epoch == epoch_) {
         return {AdmitResult::kInFlight, it->call, &*it};
       }
+      if (AtFormerOwner(*it, claim)) {
+        return {AdmitResult::kAtFormerOwner, it->call, &*it};
+      }
       if (program->ended) {
         return {AdmitResult::kProgramEnded, it->call, &*it};
       }
@@ -167,9 +189,14 @@
     if (program->ended) {
       return {AdmitResult::kProgramEnded, next, nullptr};
     }
-    if (!program->calls.empty() && !program->calls.back().done &&
-        program->calls.back().epoch == epoch_) {
-      return {AdmitResult::kEarlierOpen, next, &program->calls.back()};
+    if (!program->calls.empty() && !program->calls.back().done) {
+      const auto& last = program->calls.back();
+      if (last.epoch == epoch_) {
+        return {AdmitResult::kEarlierOpen, next, &last};
+      }
+      if (AtFormerOwner(last, claim)) {
+        return {AdmitResult::kAtFormerOwner, next, &last};
+      }
     }
   }
   if (claim.call != 0 && claim.call != next) {
--- a/source/core/lane_state.h
+++ b/source/core/lane_state.h
@@ -24,6 +24,9 @@
   std::uint64_t request_digest = 0;
   bool done = false;
   std::int64_t epoch = 0;  // Of the owner that began it.
+  // The daemon that still runs it after a handover; empty once the lane was
+  // taken from a daemon that did not hand it over.
+  std::string held_by;
   Verdict verdict = Verdict::kNotRun;
   int status = 0;
   std::string answer;
@@ -60,13 +63,17 @@
   std::string key;
   std::int64_t call = 0;  // 0: the next.
   std::uint64_t request_digest = 0;
+  bool former_owner_gone = false;  // What it ran counts as of no outcome.
 };
 
 enum class AdmitResult {
-  kNew,          // Begin it at the place given.
-  kAgain,        // Known and may be dispatched (again).
-  kAnswered,     // Answer from the record.
-  kMayHaveRun,   // An intent without outcome that must not be repeated.
+  kNew,         // Begin it at the place given.
+  kAgain,       // Known and may be dispatched (again).
+  kAnswered,    // Answer from the record.
+  kMayHaveRun,  // An intent without outcome that must not be repeated.
+  // A daemon that handed the lane over still runs it, or an earlier call of
+  // the program.
+  kAtFormerOwner,
   kInFlight,     // This owner is running it now.
   kKeyReused,    // The key belongs to another request.
   kOutOfOrder,   // Not the program's next call.
@@ -107,6 +114,7 @@
 
  private:
   void ApplyEntry(const LaneEntry& entry);
+  void ForgetFormerOwners();
   void Begin(const LaneEntry& entry);
   void Finish(const LaneEntry& entry);
   void ForgetIfReleased(const ProgramKey& key);
--- a/source/net/http_server.cc
+++ b/source/net/http_server.cc
@@ -151,6 +151,7 @@
   tcp::acceptor acceptor;
   std::set<Session*> sessions;
   int in_flight = 0;
+  bool closing = false;
   bool draining = false;
 
   void Accept(Fiber& fiber) {
@@ -236,7 +237,8 @@
       }
       // A planned stop lets the request at hand be answered, but no
       // further one on this connection.
-      const bool keep_alive = parser.get().keep_alive() && !draining;
+      const bool keep_alive =
+          parser.get().keep_alive() && !draining && !closing;
       Exchange exchange(fiber, session, keep_alive);
       session.stream.expires_never();
       session.busy = true;
@@ -300,6 +302,10 @@
   return bound.address().to_string() + ":" + std::to_string(bound.port());
 }
 
+void HttpServer::CloseAfterReplies() {
+  impl_->closing = true;
+}
+
 void HttpServer::Drain() {
   impl_->draining = true;
   boost::system::error_code ec;
--- a/source/net/http_server.h
+++ b/source/net/http_server.h
@@ -64,6 +64,10 @@
   // bound. Throws std::runtime_error.
   std::string Listen(const std::string& address);
 
+  // Closes each connection after its next reply, so that callers turn to
+  // another daemon; new connections are still taken.
+  void CloseAfterReplies();
+
   // Takes no new connection and closes idle ones; requests in flight go on.
   void Drain();
 
--- a/source/server/call_journal.cc
+++ b/source/server/call_journal.cc
@@ -33,17 +33,33 @@
               .detail = begun.target});
 }
 
-void CallJournal::CommitOutcome(Fiber& fiber,
+void CallJournal::AppendOutcome(Fiber& fiber,
                                 const CallContext& context,
                                 const LaneEntry& done) {
   try {
     context.lane->Append(fiber, {done}, context.left());
-  } catch (const std::runtime_error& e) {
-    throw CallError(503, "outcome_not_recorded",
-                    "the call was dispatched but its outcome is not in the "
-                    "journal; fetch it with the same Idempotency-Key",
-                    Verdict::kMayHaveRun, kRetrySoon);
+    return;
+  } catch (const LaneLost& e) {
+    if (done.kind != EntryKind::kCallDone) {
+      throw NotOwner(e.what());
+    }
+    if (context.lane->handed_over() &&
+        relay_.Send(fiber, done, context.lane->epoch(), context.left())) {
+      return;
+    }
+  } catch (const AppendTimeout&) {
+    // Reported below: the outcome stays pending and may yet be recorded.
   }
+  throw CallError(503, "outcome_not_recorded",
+                  "the call was dispatched but its outcome is not in the "
+                  "journal; fetch it with the same Idempotency-Key",
+                  Verdict::kMayHaveRun, kRetrySoon);
+}
+
+void CallJournal::CommitOutcome(Fiber& fiber,
+                                const CallContext& context,
+                                const LaneEntry& done) {
+  AppendOutcome(fiber, context, done);
   log_.Write({.name = done.kind == EntryKind::kProgramEnded ? "program_ended"
                                                             : "call_done",
               .customer = done.customer,
--- a/source/server/call_journal.h
+++ b/source/server/call_journal.h
@@ -3,13 +3,14 @@
 
 #include "log/event_log.h"
 #include "server/call_context.h"
+#include "server/outcome_relay.h"
 
 namespace comfreyfold {
 
 // Writes a call's intent and outcome to its lane, and to the event log.
 class CallJournal {
  public:
-  explicit CallJournal(EventLog& log) : log_(log) {}
+  CallJournal(EventLog& log, OutcomeRelay& relay) : log_(log), relay_(relay) {}
 
   // Returns once `begun` is known committed by this owner: only then may
   // the call be dispatched. Throws NotOwner or CallError (not run).
@@ -17,14 +18,20 @@
                     const CallContext& context,
                     const LaneEntry& begun);
 
-  // Returns once `done` is known committed: only then is the call over.
-  // Throws CallError (may have run).
+  // Returns once `done` is known committed, here or by the daemon that the
+  // lane was handed over to: only then is the call over. Throws CallError
+  // (may have run), or NotOwner for an entry that is no outcome.
   void CommitOutcome(Fiber& fiber,
                      const CallContext& context,
                      const LaneEntry& done);
 
  private:
+  void AppendOutcome(Fiber& fiber,
+                     const CallContext& context,
+                     const LaneEntry& done);
+
   EventLog& log_;
+  OutcomeRelay& relay_;
 };
 
 }  // namespace comfreyfold
--- a/source/server/call_runner.cc
+++ b/source/server/call_runner.cc
@@ -10,6 +10,7 @@
 using std::chrono::milliseconds;
 
 constexpr milliseconds kRetrySoon{500};
+constexpr milliseconds kFormerOwnerStep{100};
 
 std::string ProgramEndedText(const CallContext& context) {
   const auto* program = context.state();
@@ -93,10 +94,31 @@
   }
 }
 
+Admission CallRunner::Admit(Fiber& fiber, const CallContext& context) {
+  CallClaim claim{context.program, context.call.key, context.call.call,
+                  context.Digest()};
+  auto admission = context.lane->state().Admit(claim);
+  // The daemon that handed the lane over sends the outcome of what it still
+  // runs; should it die, its calls are like those of any dead owner.
+  while (admission.result == AdmitResult::kAtFormerOwner) {
+    if (context.lane->lost()) {
+      throw NotOwner("lane lost while waiting for its former owner");
+    }
+    if (std::chrono::steady_clock::now() >= context.deadline) {
+      break;
+    }
+    claim.former_owner_gone = !lanes_.IsLive(admission.record->held_by);
+    if (!claim.former_owner_gone) {
+      context.lane->WaitForChange(fiber, kFormerOwnerStep);
+    }
+    admission = context.lane->state().Admit(claim);
+  }
+  return admission;
+}
+
 void CallRunner::RunCall(Fiber& fiber, CallContext& context) {
   const auto& call = context.call;
-  const auto admission = context.lane->state().Admit(
-      {context.program, call.key, call.call, context.Digest()});
+  const auto admission = Admit(fiber, context);
   context.place = admission.call;
   switch (admission.result) {
     case AdmitResult::kNew:
@@ -105,6 +127,13 @@
     case AdmitResult::kAnswered:
       requests_.AnswerFromRecord(context, *admission.record);
       return;
+    case AdmitResult::kAtFormerOwner:
+      throw CallError(503, "call_still_running",
+                      "a call of the program still runs at the daemon that "
+                      "began it; retry with the same Idempotency-Key",
+                      admission.record->key == call.key ? Verdict::kMayHaveRun
+                                                        : Verdict::kNotRun,
+                      kRetrySoon);
     case AdmitResult::kMayHaveRun:
     case AdmitResult::kInFlight:
       throw CallError(409, "outcome_unknown",
--- a/source/server/call_runner.h
+++ b/source/server/call_runner.h
@@ -40,6 +40,7 @@
  private:
   void Dispatch(Fiber& fiber, CallContext& context);
   void RunCall(Fiber& fiber, CallContext& context);
+  Admission Admit(Fiber& fiber, const CallContext& context);
 
   LaneManager& lanes_;
   ContractStore& contracts_;
--- a/source/server/daemon.cc
+++ b/source/server/daemon.cc
@@ -6,7 +6,9 @@
 #include <prometheus/gauge.h>
 #include <prometheus/registry.h>
 #include <prometheus/text_serializer.h>
+
 #include <nlohmann/json.hpp>
+#include "server/lane_count.h"
 
 namespace comfreyfold {
 
@@ -16,6 +18,8 @@
 
 constexpr std::chrono::milliseconds kReleaseInterval{500};
 constexpr std::chrono::milliseconds kDrainStep{20};
+constexpr std::chrono::milliseconds kAgreeRetry{500};
+constexpr std::chrono::milliseconds kPeersStep{20};
 
 Heartbeat SelfOf(const Settings& settings) {
   Heartbeat out;
@@ -53,7 +57,8 @@
       engines_(http_),
       tools_(http_),
       chooser_(backends_),
-      journal_(log_),
+      relay_(http_, membership_, lanes_, log_),
+      journal_(log_, relay_),
       limits_(journal_),
       slots_(loop, lanes_),
       listing_(lanes_, settings_.daemon),
@@ -80,7 +85,7 @@
       releaser_(engines_, lanes_, backends_, log_),
       router_(loop, http_, membership_, runner_, log_, settings_.lanes),
       caller_api_(contracts_, router_, urgent_, log_, settings_.call_deadline),
-      peer_api_(membership_, runner_, log_),
+      peer_api_(membership_, runner_, relay_, log_, [this] { lanes_.Tick(); }),
       peers_(loop,
              http_,
              kv_,
@@ -89,7 +94,8 @@
              settings_.heartbeat_interval,
              settings_.member_lease) {}
 
-std::string Daemon::Start() {
+std::string Daemon::Start(std::function<void(const std::string&)> on_refused) {
+  on_refused_ = std::move(on_refused);
   loop_.OnError([this](const char* what) {
     log_.Write({.name = "internal_error", .detail = what});
   });
@@ -110,9 +116,29 @@
     lanes_.Tick();
   });
   loop_.Spawn([this](Fiber& fiber) { ReleaseLoop(fiber); });
+  loop_.Spawn([this](Fiber& fiber) { AgreeOnLanes(fiber); });
   return address;
 }
 
+void Daemon::AgreeOnLanes(Fiber& fiber) {
+  while (true) {
+    try {
+      AgreeOnLaneCount(fiber, kv_, settings_.lanes);
+      while (!peers_.KnowsPeers(settings_.heartbeat_timeout)) {
+        fiber.Sleep(kPeersStep);
+      }
+      lanes_.Open();
+      return;
+    } catch (const KvUnavailable&) {
+      // Serving as an entry needs no lanes.
+      fiber.Sleep(kAgreeRetry);
+    } catch (const LaneCountMismatch& e) {
+      on_refused_(e.what());
+      return;
+    }
+  }
+}
+
 void Daemon::ReleaseLoop(Fiber& fiber) {
   while (true) {
     releaser_.ReleaseOnce(fiber);
@@ -232,17 +258,29 @@
   membership_.self().draining = true;
   peers_.Announce();
   loop_.Spawn([this, on_drained = std::move(on_drained)](Fiber& fiber) {
-    const auto until = std::chrono::steady_clock::now() + settings_.drain_time;
-    server_.Drain();
-    while (server_.in_flight() > 0 &&
-           std::chrono::steady_clock::now() < until) {
-      fiber.Sleep(kDrainStep);
-    }
-    budgets_.GiveBackAll(fiber);
-    lanes_.HandOverAll(fiber, settings_.platform_timeout);
+    DrainAll(fiber);
     log_.Write({.name = "drain_ended"});
     on_drained();
   });
 }
 
+void Daemon::DrainAll(Fiber& fiber) {
+  const auto until = std::chrono::steady_clock::now() + settings_.drain_time;
+  // New calls go to the lanes' next owners at once; the calls in flight end
+  // here, and their outcomes are sent on.
+  server_.CloseAfterReplies();
+  while (!lanes_.HandOverAll(fiber, settings_.platform_timeout) &&
+         std::chrono::steady_clock::now() < until) {
+    log_.Write({.name = "drain_waits", .detail = "lanes not handed over"});
+  }
+  // The balancer's view lags: what it still sends is served for a while.
+  fiber.Sleep(settings_.drain_linger);
+  server_.Drain();
+  while (server_.in_flight() > 0 && std::chrono::steady_clock::now() < until) {
+    fiber.Sleep(kDrainStep);
+  }
+  budgets_.GiveBackAll(fiber);
+  peers_.Leave(fiber);
+}
+
 }  // namespace comfreyfold
--- a/source/server/daemon.h
+++ b/source/server/daemon.h
@@ -30,8 +30,9 @@
  public:
   Daemon(Loop& loop, Settings settings);
 
-  // Listens and starts every role; returns the address bound.
-  std::string Start();
+  // Listens and starts every role; returns the address bound. `on_refused`
+  // gets the reason when this daemon cannot be one of the fleet.
+  std::string Start(std::function<void(const std::string&)> on_refused);
 
   // A planned stop: no new work, lanes handed over, requests in flight
   // answered. Calls `on_drained` at the end.
@@ -44,9 +45,12 @@
   std::string Metrics() const;
   bool ready() const;
   void ReleaseLoop(Fiber& fiber);
+  void DrainAll(Fiber& fiber);
+  void AgreeOnLanes(Fiber& fiber);
 
   Loop& loop_;
   Settings settings_;
+  std::function<void(const std::string&)> on_refused_;
   EventLog log_;
   HttpClient http_;
   HttpServer server_;
@@ -60,6 +64,7 @@
   EngineClient engines_;
   ToolClient tools_;
   BackendChooser chooser_;
+  OutcomeRelay relay_;
   CallJournal journal_;
   CallLimits limits_;
   CustomerSlots slots_;
--- /dev/null
+++ b/source/server/lane_count.cc
@@ -0,0 +1,26 @@
+#include "server/lane_count.h"
+
+namespace comfreyfold {
+
+namespace {
+constexpr char kLaneCountKey[] = "system/lanes";
+}  // namespace
+
+void AgreeOnLaneCount(Fiber& fiber, KvClient& kv, int lanes) {
+  // With another count a program would hash to another lane, and two daemons
+  // could both believe that they own it.
+  KvTxn txn;
+  txn.compares.push_back(KvCompare::Absent(kLaneCountKey));
+  txn.puts.push_back({kLaneCountKey, std::to_string(lanes)});
+  if (kv.Commit(fiber, txn).succeeded) {
+    return;
+  }
+  const auto agreed = kv.Get(fiber, kLaneCountKey);
+  if (agreed && agreed->value != std::to_string(lanes)) {
+    throw LaneCountMismatch("[lanes] count = " + std::to_string(lanes) +
+                            ": the fleet has " + agreed->value +
+                            " lanes; write that number");
+  }
+}
+
+}  // namespace comfreyfold
--- /dev/null
+++ b/source/server/lane_count.h
@@ -0,0 +1,23 @@
+#ifndef SERVER_LANE_COUNT_H_
+#define SERVER_LANE_COUNT_H_
+
+#include <stdexcept>
+
+#include "platform/kv_client.h"
+
+namespace comfreyfold {
+
+// The fleet was set up with another number of lanes.
+class LaneCountMismatch : public std::runtime_error {
+ public:
+  using std::runtime_error::runtime_error;
+};
+
+// Agrees with the fleet on the number of lanes: the first daemon ever writes
+// it to the key-value service, every other compares. Throws
+// LaneCountMismatch or KvUnavailable.
+void AgreeOnLaneCount(Fiber& fiber, KvClient& kv, int lanes);
+
+}  // namespace comfreyfold
+
+#endif  // SERVER_LANE_COUNT_H_
--- a/source/server/lane_manager.cc
+++ b/source/server/lane_manager.cc
@@ -4,6 +4,12 @@
 
 namespace comfreyfold {
 
+namespace {
+constexpr std::chrono::milliseconds kSettleTime{2000};
+constexpr std::chrono::milliseconds kHandoverTime{2000};
+constexpr std::chrono::milliseconds kHandoverStep{5};
+}  // namespace
+
 LaneManager::LaneManager(Loop& loop,
                          KvClient& kv,
                          EventLog& log,
@@ -12,11 +18,23 @@
     : loop_(loop), kv_(kv), log_(log), membership_(membership), lanes_(lanes) {}
 
 void LaneManager::Tick() {
+  DropLost();
+  TakeDue();
+  GiveUpOne();
+}
+
+void LaneManager::DropLost() {
   const auto lost =
       std::erase_if(owned_, [](const auto& it) { return it.second->lost(); });
   if (lost > 0) {
     Publish();
   }
+}
+
+void LaneManager::TakeDue() {
+  if (!open_) {
+    return;
+  }
   const auto now = std::chrono::steady_clock::now();
   for (int lane = 0; lane < lanes_; ++lane) {
     if (!opening_.contains(lane) && membership_.ShouldTake(lane, now)) {
@@ -26,6 +44,40 @@
   }
 }
 
+void LaneManager::GiveUpOne() {
+  const auto now = std::chrono::steady_clock::now();
+  auto eligible = membership_.Eligible(now);
+  if (eligible != eligible_) {
+    eligible_ = std::move(eligible);
+    eligible_since_ = now;
+  }
+  // Daemons come and go in bursts; only a settled fleet is worth the moves,
+  // and one lane at a time keeps the journal's writes for the calls.
+  if (giving_up_ || now - eligible_since_ < kSettleTime) {
+    return;
+  }
+  for (const auto& [lane, owner] : owned_) {
+    const auto preferred = membership_.PreferredOwner(lane, now);
+    if (!owner->lost() && !preferred.empty() &&
+        preferred != membership_.self().daemon) {
+      giving_up_ = true;
+      loop_.Spawn([this, held = owner](Fiber& fiber) { GiveUp(fiber, held); });
+      return;
+    }
+  }
+}
+
+void LaneManager::GiveUp(Fiber& fiber,
+                         const std::shared_ptr<LaneOwner>& owner) {
+  owner->Handover(fiber, kHandoverTime);
+  giving_up_ = false;
+  DropLost();
+}
+
+bool LaneManager::IsLive(const std::string& daemon) const {
+  return membership_.IsLive(daemon, std::chrono::steady_clock::now());
+}
+
 void LaneManager::Take(Fiber& fiber, int lane) {
   auto owner = std::make_shared<LaneOwner>(loop_, kv_, log_, lane);
   try {
@@ -43,14 +95,19 @@
   return it == owned_.end() || it->second->lost() ? nullptr : it->second;
 }
 
-void LaneManager::HandOverAll(Fiber& fiber, std::chrono::milliseconds timeout) {
-  // Copied: Tick drops lost lanes while this waits.
-  const auto owned = owned_;
-  for (const auto& [lane, owner] : owned) {
-    owner->Handover(fiber, timeout);
+bool LaneManager::HandOverAll(Fiber& fiber, std::chrono::milliseconds timeout) {
+  const auto until = std::chrono::steady_clock::now() + timeout;
+  // Side by side: with a slow service one after the other takes too long.
+  for (const auto& [lane, owner] : owned_) {
+    loop_.Spawn([held = owner, timeout](Fiber& child) {
+      held->Handover(child, timeout);
+    });
   }
-  owned_.clear();
-  Publish();
+  while (!owned_.empty() && std::chrono::steady_clock::now() < until) {
+    fiber.Sleep(kHandoverStep);
+    DropLost();
+  }
+  return owned_.empty();
 }
 
 void LaneManager::Publish() {
--- a/source/server/lane_manager.h
+++ b/source/server/lane_manager.h
@@ -1,10 +1,13 @@
 #ifndef SERVER_LANE_MANAGER_H_
 #define SERVER_LANE_MANAGER_H_
 
+#include <chrono>
 #include <functional>
 #include <map>
 #include <memory>
 #include <set>
+#include <string>
+#include <vector>
 
 #include "core/membership.h"
 #include "server/lane_owner.h"
@@ -21,6 +24,9 @@
               Membership& membership,
               int lanes);
 
+  // Allows taking lanes, once their number is agreed with the fleet.
+  void Open() { open_ = true; }
+
   // Looks once at every lane; called after each round of heartbeats.
   void Tick();
 
@@ -31,14 +37,21 @@
   }
   int lanes() const { return lanes_; }
 
-  // Gives every lane up; returns when all are handed over.
-  void HandOverAll(Fiber& fiber, std::chrono::milliseconds timeout);
+  // Gives every lane up; false when some could not be within `timeout`.
+  bool HandOverAll(Fiber& fiber, std::chrono::milliseconds timeout);
+
+  // True while `daemon` may still finish what it runs.
+  bool IsLive(const std::string& daemon) const;
 
   // Runs after the set of owned lanes has changed.
   void OnChange(std::function<void()> hook) { on_change_ = std::move(hook); }
 
  private:
   void Take(Fiber& fiber, int lane);
+  void DropLost();
+  void TakeDue();
+  void GiveUpOne();
+  void GiveUp(Fiber& fiber, const std::shared_ptr<LaneOwner>& owner);
   void Publish();
 
   Loop& loop_;
@@ -48,6 +61,10 @@
   int lanes_;
   std::map<int, std::shared_ptr<LaneOwner>> owned_;
   std::set<int> opening_;
+  std::vector<std::string> eligible_;
+  std::chrono::steady_clock::time_point eligible_since_;
+  bool giving_up_ = false;
+  bool open_ = false;
   std::function<void()> on_change_;
 };
 
--- a/source/server/lane_owner.cc
+++ b/source/server/lane_owner.cc
@@ -20,6 +20,11 @@
   bool abandoned = false;
 };
 
+bool LaneOwner::IsIntent(const Pending& pending) {
+  return pending.entries.size() == 1 &&
+         pending.entries.front().kind == EntryKind::kCallBegun;
+}
+
 LaneOwner::LaneOwner(Loop& loop, KvClient& kv, EventLog& log, int lane)
     : loop_(loop), kv_(kv), log_(log), lane_(lane), changed_(loop) {}
 
@@ -79,69 +84,120 @@
 void LaneOwner::Append(Fiber& fiber,
                        std::vector<LaneEntry> entries,
                        std::chrono::milliseconds timeout) {
+  changed_.WaitUntil(fiber, timeout, [this] { return !closing_; });
   if (lost_) {
     throw LaneLost("lane " + std::to_string(lane_) + " is no longer owned");
   }
-  const auto pending = std::make_shared<Pending>();
+  Wait(fiber, *Enqueue(std::move(entries)), timeout);
+}
+
+std::shared_ptr<LaneOwner::Pending> LaneOwner::Enqueue(
+    std::vector<LaneEntry> entries) {
+  auto pending = std::make_shared<Pending>();
   pending->entries = std::move(entries);
   pending_.push_back(pending);
   if (!committing_) {
     committing_ = true;
-    loop_.Spawn([this](Fiber& child) { CommitLoop(child); });
+    // Held by the coroutine: a lane that is lost is dropped by its manager
+    // while a commit may still wait for the service.
+    loop_.Spawn(
+        [self = shared_from_this()](Fiber& child) { self->CommitLoop(child); });
   }
+  return pending;
+}
+
+void LaneOwner::Wait(Fiber& fiber,
+                     Pending& pending,
+                     std::chrono::milliseconds timeout) {
   changed_.WaitUntil(fiber, timeout,
-                     [this, &pending] { return pending->committed || lost_; });
-  if (pending->committed) {
+                     [this, &pending] { return pending.committed || lost_; });
+  if (pending.committed) {
     return;
   }
-  pending->abandoned = true;
+  pending.abandoned = true;
   if (lost_) {
     throw LaneLost("lane " + std::to_string(lane_) + " was taken over");
   }
   throw AppendTimeout("lane " + std::to_string(lane_) + ": no commit in time");
 }
 
+LaneOwner::Group LaneOwner::TakeGroup() {
+  // An intent that nobody waits for any more and that is in no block yet is
+  // dropped: its caller was told "not run". Anything else is a fact.
+  std::erase_if(pending_,
+                [](const auto& it) { return it->abandoned && IsIntent(*it); });
+  Group out(pending_.begin(), pending_.end());
+  pending_.clear();
+  return out;
+}
+
 void LaneOwner::CommitLoop(Fiber& fiber) {
-  auto backoff = kFirstBackoff;
   while (!lost_) {
-    // What nobody waits for any more and is in no block yet is dropped.
-    std::erase_if(pending_, [](const auto& it) { return it->abandoned; });
-    if (pending_.empty()) {
+    const auto group = TakeGroup();
+    if (group.empty()) {
       break;
     }
-    std::vector<std::shared_ptr<Pending>> group(pending_.begin(),
-                                                pending_.end());
-    pending_.clear();
-    std::vector<LaneEntry> entries;
-    for (const auto& it : group) {
-      entries.insert(entries.end(), it->entries.begin(), it->entries.end());
-    }
-    const auto block = MakeBlock(std::move(entries), epoch());
-    // Once a block may have reached the service it is this block or none:
-    // another with the same number could otherwise commit beside it.
-    while (!lost_) {
-      try {
-        if (!TryCommit(fiber, block)) {
-          Lose("another daemon's block " + std::to_string(block.number));
-          break;
-        }
-        state_.Apply(block);
-        for (const auto& it : group) {
-          it->committed = true;
-        }
-        backoff = kFirstBackoff;
-        changed_.NotifyAll();
-        break;
-      } catch (const KvUnavailable&) {
-        fiber.Sleep(backoff);
-        backoff = std::min(backoff * 2, kMostBackoff);
+    CommitGroup(fiber, group);
+  }
+  committing_ = false;
+  changed_.NotifyAll();
+}
+
+void LaneOwner::CommitGroup(Fiber& fiber, const Group& group) {
+  std::vector<LaneEntry> entries;
+  for (const auto& it : group) {
+    entries.insert(entries.end(), it->entries.begin(), it->entries.end());
+  }
+  const auto block = MakeBlock(std::move(entries), epoch());
+  auto backoff = kFirstBackoff;
+  // Once a block may have reached the service it is this block or none:
+  // another with the same number could otherwise commit beside it.
+  while (!lost_) {
+    try {
+      if (!TryCommit(fiber, block)) {
+        Lose("another daemon's block " + std::to_string(block.number));
+        return;
       }
+      Committed(block, group);
+      return;
+    } catch (const KvUnavailable&) {
+      fiber.Sleep(backoff);
+      backoff = std::min(backoff * 2, kMostBackoff);
     }
   }
-  committing_ = false;
+}
+
+void LaneOwner::Committed(const LaneBlock& block, const Group& group) {
+  state_.Apply(block);
+  for (const auto& it : group) {
+    it->committed = true;
+  }
+  CloseAbandonedIntents(group);
+  if (state_.owner().empty()) {
+    handed_over_ = true;
+    lost_ = true;
+    log_.Write({.name = "lane_handed_over", .lane = lane_, .epoch = epoch()});
+  }
   changed_.NotifyAll();
 }
 
+void LaneOwner::CloseAbandonedIntents(const Group& group) {
+  // Its caller was told "not run" and it will not be dispatched: without an
+  // outcome it would keep its program from going on.
+  for (const auto& it : group) {
+    if (!it->abandoned || !IsIntent(*it)) {
+      continue;
+    }
+    auto outcome = it->entries.front();
+    outcome.kind = EntryKind::kCallDone;
+    outcome.verdict = Verdict::kNotRun;
+    outcome.tokens = 0;
+    auto pending = std::make_shared<Pending>();
+    pending->entries.push_back(std::move(outcome));
+    pending_.push_back(std::move(pending));
+  }
+}
+
 bool LaneOwner::Confirm(Fiber& fiber) {
   const auto next = kv_.Get(fiber, BlockKey(state_.last_block() + 1));
   if (next && !lost_) {
@@ -160,16 +216,25 @@
   changed_.NotifyAll();
 }
 
-void LaneOwner::Handover(Fiber& fiber, std::chrono::milliseconds timeout) {
+bool LaneOwner::Handover(Fiber& fiber, std::chrono::milliseconds timeout) {
+  if (lost_ || closing_) {
+    return handed_over_;
+  }
   LaneEntry entry;
   entry.kind = EntryKind::kHandover;
+  closing_ = true;
   try {
-    Append(fiber, {entry}, timeout);
+    Wait(fiber, *Enqueue({entry}), timeout);
   } catch (const std::runtime_error&) {
-    // The heartbeats tell the others just as well, only later.
+    // The entry may still commit, and then it counts.
   }
-  lost_ = true;
+  closing_ = false;
   changed_.NotifyAll();
+  return handed_over_;
+}
+
+void LaneOwner::WaitForChange(Fiber& fiber, std::chrono::milliseconds timeout) {
+  changed_.Wait(fiber, timeout);
 }
 
 }  // namespace comfreyfold
--- a/source/server/lane_owner.h
+++ b/source/server/lane_owner.h
@@ -30,7 +30,7 @@
 
 // One lane held by this daemon: replays the journal, takes the lane over,
 // and appends blocks of whatever entries wait (group commit).
-class LaneOwner {
+class LaneOwner : public std::enable_shared_from_this<LaneOwner> {
  public:
   LaneOwner(Loop& loop, KvClient& kv, EventLog& log, int lane);
   ~LaneOwner();
@@ -50,16 +50,30 @@
   // KvUnavailable.
   bool Confirm(Fiber& fiber);
 
-  // Waits for pending appends, then gives the lane up.
-  void Handover(Fiber& fiber, std::chrono::milliseconds timeout);
+  // Gives the lane up once what is pending is committed. False, and the
+  // lane stays, when that took longer than `timeout`.
+  bool Handover(Fiber& fiber, std::chrono::milliseconds timeout);
+
+  // Waits until something is committed or the lane is lost.
+  void WaitForChange(Fiber& fiber, std::chrono::milliseconds timeout);
 
   const LaneState& state() const { return state_; }
   int lane() const { return lane_; }
   bool lost() const { return lost_; }
+  // Lost by this daemon's own will: what it runs it may still finish.
+  bool handed_over() const { return handed_over_; }
   std::int64_t epoch() const { return state_.epoch(); }
 
  private:
   struct Pending;
+  using Group = std::vector<std::shared_ptr<Pending>>;
+  static bool IsIntent(const Pending& pending);
+  std::shared_ptr<Pending> Enqueue(std::vector<LaneEntry> entries);
+  void Wait(Fiber& fiber, Pending& pending, std::chrono::milliseconds timeout);
+  Group TakeGroup();
+  void CommitGroup(Fiber& fiber, const Group& group);
+  void Committed(const LaneBlock& block, const Group& group);
+  void CloseAbandonedIntents(const Group& group);
   std::string BlockKey(std::int64_t number) const;
   LaneBlock MakeBlock(std::vector<LaneEntry> entries, std::int64_t epoch) const;
   bool TryCommit(Fiber& fiber, const LaneBlock& block);
@@ -72,6 +86,8 @@
   int lane_;
   LaneState state_;
   bool lost_ = false;
+  bool closing_ = false;  // A handover is being written.
+  bool handed_over_ = false;
   bool committing_ = false;
   std::deque<std::shared_ptr<Pending>> pending_;
   Condition changed_;
--- a/source/server/main.cc
+++ b/source/server/main.cc
@@ -45,7 +45,11 @@
   }
   Loop loop;
   Daemon daemon(loop, settings);
-  const auto address = daemon.Start();
+  const auto file = args["config"].as<std::string>();
+  const auto address = daemon.Start([&file](const std::string& why) {
+    std::cerr << file << ": " << why << std::endl;
+    std::quick_exit(kUsageError);
+  });
   std::cout << "{\"listening\":\"" << address << "\"}" << std::endl;
   // Skips destructors: coroutines may still stand on what they would free.
   loop.OnTermination([&daemon] { daemon.Drain([] { std::quick_exit(0); }); });
--- a/source/server/peer_api.cc
+++ b/source/server/peer_api.cc
@@ -1,5 +1,7 @@
 #include "server/peer_api.h"
 
+#include <utility>
+
 #include "core/call_error.h"
 
 namespace comfreyfold {
@@ -22,8 +24,16 @@
 
 }  // namespace
 
-PeerApi::PeerApi(Membership& membership, CallRunner& runner, EventLog& log)
-    : membership_(membership), runner_(runner), log_(log) {}
+PeerApi::PeerApi(Membership& membership,
+                 CallRunner& runner,
+                 OutcomeRelay& relay,
+                 EventLog& log,
+                 std::function<void()> on_lanes_given_up)
+    : membership_(membership),
+      runner_(runner),
+      relay_(relay),
+      log_(log),
+      on_lanes_given_up_(std::move(on_lanes_given_up)) {}
 
 bool PeerApi::Handle(Fiber& fiber,
                      const HttpRequest& request,
@@ -33,6 +43,10 @@
     HandleCall(fiber, request, exchange);
     return true;
   }
+  if (path == "/peer/outcome") {
+    HandleOutcome(fiber, request, exchange);
+    return true;
+  }
   if (path == "/peer/heartbeat") {
     HandleHeartbeat(request, exchange);
     return true;
@@ -67,11 +81,34 @@
   exchange.End();
 }
 
+void PeerApi::HandleOutcome(Fiber& fiber,
+                            const HttpRequest& request,
+                            HttpExchange& exchange) {
+  const auto outcome = DecodeLaneBlock(request.body);
+  switch (relay_.Receive(fiber, outcome)) {
+    case OutcomeRelay::Reception::kRecorded:
+      exchange.Reply(200, "text/plain", "recorded");
+      break;
+    case OutcomeRelay::Reception::kRefused:
+      exchange.Reply(409, "text/plain", "not recorded");
+      break;
+    case OutcomeRelay::Reception::kNotOwner:
+      exchange.Reply(kMisdirected, "text/plain", "not the owner");
+      break;
+  }
+}
+
 void PeerApi::HandleHeartbeat(const HttpRequest& request,
                               HttpExchange& exchange) {
   const auto heartbeat = DecodeHeartbeat(request.body);
   log_.Receive(heartbeat.clock);
+  const auto before = membership_.peers().find(heartbeat.daemon);
+  const bool gave_up = before != membership_.peers().end() &&
+                       heartbeat.lanes.size() < before->second.lanes.size();
   membership_.Observe(heartbeat, std::chrono::steady_clock::now());
+  if (gave_up) {
+    on_lanes_given_up_();
+  }
   auto self = membership_.self();
   self.clock = log_.Stamp();
   exchange.Reply(200, kThriftType, Encode(self));
--- a/source/server/peer_api.h
+++ b/source/server/peer_api.h
@@ -6,6 +6,7 @@
 #include "core/membership.h"
 #include "net/http_server.h"
 #include "server/call_runner.h"
+#include "server/outcome_relay.h"
 
 namespace comfreyfold {
 
@@ -13,7 +14,12 @@
 // Thrift bodies over HTTP.
 class PeerApi {
  public:
-  PeerApi(Membership& membership, CallRunner& runner, EventLog& log);
+  // `on_lanes_given_up` runs when a peer owns fewer lanes than before.
+  PeerApi(Membership& membership,
+          CallRunner& runner,
+          OutcomeRelay& relay,
+          EventLog& log,
+          std::function<void()> on_lanes_given_up);
 
   // False when the path is not one of its own.
   bool Handle(Fiber& fiber, const HttpRequest& request, HttpExchange& exchange);
@@ -22,11 +28,16 @@
   void HandleCall(Fiber& fiber,
                   const HttpRequest& request,
                   HttpExchange& exchange);
+  void HandleOutcome(Fiber& fiber,
+                     const HttpRequest& request,
+                     HttpExchange& exchange);
   void HandleHeartbeat(const HttpRequest& request, HttpExchange& exchange);
 
   Membership& membership_;
   CallRunner& runner_;
+  OutcomeRelay& relay_;
   EventLog& log_;
+  std::function<void()> on_lanes_given_up_;
 };
 
 }  // namespace comfreyfold
--- a/source/server/peer_links.cc
+++ b/source/server/peer_links.cc
@@ -1,5 +1,6 @@
 #include "server/peer_links.h"
 
+#include <algorithm>
 #include <utility>
 
 #include "wire/codec.h"
@@ -35,8 +36,8 @@
 }
 
 void PeerLinks::Register(Fiber& fiber) {
-  std::int64_t lease = 0;
-  while (true) {
+  auto& lease = member_lease_;
+  while (!left_) {
     auto pause = std::chrono::milliseconds(lease_) / 3;
     try {
       if (lease == 0 || !kv_.KeepAlive(fiber, lease)) {
@@ -53,6 +54,34 @@
   }
 }
 
+bool PeerLinks::KnowsPeers(std::chrono::milliseconds patience) const {
+  if (!listed_) {
+    return false;
+  }
+  if (std::chrono::steady_clock::now() - listed_at_ > patience) {
+    return true;
+  }
+  const auto& peers = membership_.peers();
+  return std::all_of(
+      addresses_.begin(), addresses_.end(), [&peers](const auto& address) {
+        return std::any_of(peers.begin(), peers.end(), [&](const auto& it) {
+          return it.second.address == address;
+        });
+      });
+}
+
+void PeerLinks::Leave(Fiber& fiber) {
+  left_ = true;
+  if (member_lease_ == 0) {
+    return;
+  }
+  try {
+    kv_.RevokeLease(fiber, member_lease_);
+  } catch (const KvUnavailable&) {
+    // It lapses by itself.
+  }
+}
+
 void PeerLinks::FollowMembers(Fiber& fiber) {
   while (true) {
     try {
@@ -63,6 +92,10 @@
         }
       }
       addresses_ = std::move(addresses);
+      if (!listed_) {
+        listed_ = true;
+        listed_at_ = std::chrono::steady_clock::now();
+      }
     } catch (const KvUnavailable&) {
       // The last list stands; peers that live keep answering heartbeats.
     }
--- a/source/server/peer_links.h
+++ b/source/server/peer_links.h
@@ -28,6 +28,13 @@
   // `on_round` runs after each round of heartbeats.
   void Start(std::function<void()> on_round);
 
+  // True once every daemon on the list of members was heard of, or had time
+  // to be. Before that, lanes look as if nobody owned them.
+  bool KnowsPeers(std::chrono::milliseconds patience) const;
+
+  // Takes this daemon off the list of members.
+  void Leave(Fiber& fiber);
+
   // Tells every peer the newest state at once.
   void Announce();
 
@@ -47,6 +54,10 @@
   std::function<void()> on_round_;
   std::set<std::string> addresses_;
   std::set<std::string> busy_;
+  std::int64_t member_lease_ = 0;  // In the key-value service; 0: none.
+  bool left_ = false;
+  bool listed_ = false;
+  std::chrono::steady_clock::time_point listed_at_;
 };
 
 }  // namespace comfreyfold
--- a/source/server/settings.cc
+++ b/source/server/settings.cc
@@ -72,6 +72,8 @@
   TakeAddress(reader, "daemon", "listen", out.listen);
   reader.Take("daemon", "data_folder", out.data_folder);
   reader.Take("daemon", "log_file", out.log_file);
+  reader.Take("daemon", "drain_linger", out.drain_linger, milliseconds(0),
+              minutes(5));
   reader.Take("daemon", "drain_time", out.drain_time, seconds(1), hours(1));
 
   reader.Require("platform", "key_value");
--- a/source/server/settings.h
+++ b/source/server/settings.h
@@ -31,6 +31,7 @@
   std::chrono::milliseconds call_deadline{60000};
   std::chrono::milliseconds load_interval{500};
   std::chrono::milliseconds drain_time{60000};
+  std::chrono::milliseconds drain_linger{1000};
   HttpLimits http;
 };
 
--- a/tests/harness/cluster.cc
+++ b/tests/harness/cluster.cc
@@ -89,6 +89,11 @@
   return path;
 }
 
+void Cluster::SetSettings(const std::string& section,
+                          const std::string& lines) {
+  replaced_[section] = lines;
+}
+
 void Cluster::StartDaemon(int index) {
   const auto id = "d" + std::to_string(index);
   std::map<std::string, std::string> sections{
@@ -103,6 +108,9 @@
   for (const auto& [section, lines] : options_.settings) {
     sections[section] += lines;
   }
+  for (const auto& [section, lines] : replaced_) {
+    sections[section] = lines;
+  }
   std::string text;
   for (const auto& [section, lines] : sections) {
     text += "[" + section + "]\n" + lines;
--- a/tests/harness/cluster.h
+++ b/tests/harness/cluster.h
@@ -40,6 +40,8 @@
   Cluster(Fiber& fiber, ClusterOptions options);
   ~Cluster();
 
+  // Replaces a section of the settings of daemons started from now on.
+  void SetSettings(const std::string& section, const std::string& lines);
   // Starts daemon `index` (again, after Kill).
   void StartDaemon(int index);
   // Starts a back end again at its address, after Kill, with no memory.
@@ -101,6 +103,7 @@
                       const std::string& kind,
                       std::vector<std::string> arguments);
 
+  std::map<std::string, std::string> replaced_;
   Fiber& fiber_;
   ClusterOptions options_;
   HttpClient http_;
