Settle intents that time out; let superseded owners know

Cause 1: an intent refused as 'not run' in an outage could still be in a block that the service took when it came back. The program then waited for a call that nobody had dispatched: earlier_call_open for ever. Cause 2: an idle owner that was superseded kept its lane and could be sent calls for as long as it lived. Tick now compares its epoch with heartbeats.

--- a/source/core/lane_state.cc
+++ b/source/core/lane_state.cc
@@ -92,12 +92,16 @@
   if (program.started_at.count() == 0) {
     program.started_at = entry.begun_at;
   }
+  program.last_begun_at = std::max(program.last_begun_at, entry.begun_at);
   auto it = FindCall(program.calls, entry.key);
   if (it == program.calls.end()) {
+    // Counted here: an intent whose writer no longer waited for it may come
+    // before one that was given the same number.
+    const auto next = program.next_call();
     it = program.calls.emplace(program.calls.end());
+    it->call = next;
   }
   it->key = entry.key;
-  it->call = entry.call;
   it->kind = entry.call_kind;
   it->target = entry.target;
   it->backend = entry.backend;
--- a/source/server/call_journal.cc
+++ b/source/server/call_journal.cc
@@ -17,6 +17,13 @@
     // Whoever owns the lane now decides; here nothing was dispatched.
     throw NotOwner(e.what());
   } catch (const AppendTimeout&) {
+    // The intent may be in a block that the service takes later. Without
+    // this outcome behind it the program would wait for a call that was
+    // never dispatched.
+    auto refused = context.Entry(EntryKind::kCallDone);
+    refused.verdict = Verdict::kNotRun;
+    refused.status = 503;
+    context.lane->AppendLater({refused});
     throw CallError(503, "journal_unavailable",
                     "the program's journal cannot be written now; retry "
                     "with the same Idempotency-Key",
--- a/source/server/lane_manager.cc
+++ b/source/server/lane_manager.cc
@@ -12,12 +12,18 @@
     : loop_(loop), kv_(kv), log_(log), membership_(membership), lanes_(lanes) {}
 
 void LaneManager::Tick() {
+  const auto now = std::chrono::steady_clock::now();
+  for (const auto& [lane, owner] : owned_) {
+    const auto newest = membership_.OwnerOf(lane, now);
+    if (newest && newest->epoch > owner->epoch()) {
+      owner->Supersede(*newest);
+    }
+  }
   const auto lost =
       std::erase_if(owned_, [](const auto& it) { return it.second->lost(); });
   if (lost > 0) {
     Publish();
   }
-  const auto now = std::chrono::steady_clock::now();
   for (int lane = 0; lane < lanes_; ++lane) {
     if (!opening_.contains(lane) && membership_.ShouldTake(lane, now)) {
       opening_.insert(lane);
@@ -28,6 +34,7 @@
 
 void LaneManager::Take(Fiber& fiber, int lane) {
   auto owner = std::make_shared<LaneOwner>(loop_, kv_, log_, lane);
+  owner->OnApplied(on_applied_);
   try {
     owner->Open(fiber);
     owned_[lane] = std::move(owner);
--- a/source/server/lane_manager.h
+++ b/source/server/lane_manager.h
@@ -37,6 +37,9 @@
   // Runs after the set of owned lanes has changed.
   void OnChange(std::function<void()> hook) { on_change_ = std::move(hook); }
 
+  // Runs after each block that a lane owned here has applied.
+  void OnApplied(LaneOwner::AppliedHook hook) { on_applied_ = std::move(hook); }
+
  private:
   void Take(Fiber& fiber, int lane);
   void Publish();
@@ -49,6 +52,7 @@
   std::map<int, std::shared_ptr<LaneOwner>> owned_;
   std::set<int> opening_;
   std::function<void()> on_change_;
+  LaneOwner::AppliedHook on_applied_;
 };
 
 }  // namespace comfreyfold
--- a/source/server/lane_owner.cc
+++ b/source/server/lane_owner.cc
@@ -82,13 +82,7 @@
   if (lost_) {
     throw LaneLost("lane " + std::to_string(lane_) + " is no longer owned");
   }
-  const auto pending = std::make_shared<Pending>();
-  pending->entries = std::move(entries);
-  pending_.push_back(pending);
-  if (!committing_) {
-    committing_ = true;
-    loop_.Spawn([this](Fiber& child) { CommitLoop(child); });
-  }
+  const auto pending = Queue(std::move(entries));
   changed_.WaitUntil(fiber, timeout,
                      [this, &pending] { return pending->committed || lost_; });
   if (pending->committed) {
@@ -101,6 +95,24 @@
   throw AppendTimeout("lane " + std::to_string(lane_) + ": no commit in time");
 }
 
+std::shared_ptr<LaneOwner::Pending> LaneOwner::Queue(
+    std::vector<LaneEntry> entries) {
+  auto pending = std::make_shared<Pending>();
+  pending->entries = std::move(entries);
+  pending_.push_back(pending);
+  if (!committing_) {
+    committing_ = true;
+    loop_.Spawn([this](Fiber& child) { CommitLoop(child); });
+  }
+  return pending;
+}
+
+void LaneOwner::AppendLater(std::vector<LaneEntry> entries) {
+  if (!lost_) {
+    Queue(std::move(entries));
+  }
+}
+
 void LaneOwner::CommitLoop(Fiber& fiber) {
   auto backoff = kFirstBackoff;
   while (!lost_) {
@@ -126,6 +138,9 @@
           break;
         }
         state_.Apply(block);
+        if (on_applied_) {
+          on_applied_(*this, block);
+        }
         for (const auto& it : group) {
           it->committed = true;
         }
@@ -153,6 +168,12 @@
   return !lost_;
 }
 
+void LaneOwner::Supersede(const LaneOwnerView& newest) {
+  if (!lost_) {
+    Lose(newest.daemon + " holds epoch " + std::to_string(newest.epoch));
+  }
+}
+
 void LaneOwner::Lose(const std::string& why) {
   lost_ = true;
   log_.Write(
--- a/source/server/lane_owner.h
+++ b/source/server/lane_owner.h
@@ -3,12 +3,15 @@
 
 #include <chrono>
 #include <deque>
+#include <functional>
 #include <memory>
 #include <stdexcept>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "core/lane_state.h"
+#include "core/membership.h"
 #include "log/event_log.h"
 #include "net/loop.h"
 #include "platform/kv_client.h"
@@ -45,14 +48,26 @@
               std::vector<LaneEntry> entries,
               std::chrono::milliseconds timeout);
 
+  // Queues `entries` behind what waits already, to be committed whenever the
+  // service takes them, if the lane is still owned then.
+  void AppendLater(std::vector<LaneEntry> entries);
+
   // Asks the service whether this is still the lane's owner; what it read
   // from its state before is then known to have been the newest. Throws
   // KvUnavailable.
   bool Confirm(Fiber& fiber);
 
+  // A heartbeat showed a newer owner: without an append of its own this
+  // one would not learn of it.
+  void Supersede(const LaneOwnerView& newest);
+
   // Waits for pending appends, then gives the lane up.
   void Handover(Fiber& fiber, std::chrono::milliseconds timeout);
 
+  // Runs after each block that this owner has committed and applied.
+  using AppliedHook = std::function<void(const LaneOwner&, const LaneBlock&)>;
+  void OnApplied(AppliedHook hook) { on_applied_ = std::move(hook); }
+
   const LaneState& state() const { return state_; }
   int lane() const { return lane_; }
   bool lost() const { return lost_; }
@@ -60,6 +75,7 @@
 
  private:
   struct Pending;
+  std::shared_ptr<Pending> Queue(std::vector<LaneEntry> entries);
   std::string BlockKey(std::int64_t number) const;
   LaneBlock MakeBlock(std::vector<LaneEntry> entries, std::int64_t epoch) const;
   bool TryCommit(Fiber& fiber, const LaneBlock& block);
@@ -75,6 +91,7 @@
   bool committing_ = false;
   std::deque<std::shared_ptr<Pending>> pending_;
   Condition changed_;
+  AppliedHook on_applied_;
 };
 
 }  // namespace comfreyfold
--- a/tests/process/failure.cc
+++ b/tests/process/failure.cc
@@ -25,7 +25,10 @@
 
 void FaultTools(Cluster& cluster, const std::string& fault, int count) {
   for (int i = 0; i < cluster.tool_servers(); ++i) {
-    cluster.Fault(cluster.tool_server(i), fault, count);
+    // Another failure may have killed this one.
+    if (cluster.Audit(cluster.tool_server(i)).is_object()) {
+      cluster.Fault(cluster.tool_server(i), fault, count);
+    }
   }
 }
 
