Release engine memory by engine, and of frozen owners' late dispatches

Cause: holds were released one after the other over all lanes, every ended program was looked through each round, and one silent engine held up all. An owner that finds its lane lost after a dispatch asks the program's owner and releases the hold itself if the program has ended. Contracts get [program] idle, after which a program without calls is ended.

--- a/source/core/contract.cc
+++ b/source/core/contract.cc
@@ -102,6 +102,8 @@
   reader.Take("program", "subagents", out.max_subagents, 0, kMostSubagents);
   reader.Take("program", "time", out.max_program_time, std::chrono::seconds(1),
               std::chrono::hours(24 * 366));
+  reader.Take("program", "idle", out.max_program_idle, std::chrono::seconds(1),
+              std::chrono::hours(24 * 366));
   reader.Take("program", "models", out.models);
 
   for (const auto& section : reader.SectionsWith("tool")) {
--- a/source/core/contract.h
+++ b/source/core/contract.h
@@ -35,6 +35,7 @@
   std::int64_t max_program_tokens = 1000000;
   int max_subagents = 8;
   std::chrono::seconds max_program_time{86400};
+  std::chrono::seconds max_program_idle{3600};  // Between its calls.
 
   std::map<std::string, ToolRule> tools;  // Tools and services by name.
   std::vector<std::string> models;        // Empty: every model.
--- a/source/core/lane_state.h
+++ b/source/core/lane_state.h
@@ -38,8 +38,9 @@
   bool ended = false;
   std::string passed_limit;  // Why it was ended; empty: by its caller.
   std::int64_t tokens = 0;   // Used so far.
-  std::chrono::milliseconds started_at{};  // Since 1970; 0: no call yet.
-  std::set<std::string> subagents;         // Programs it has started.
+  std::chrono::milliseconds started_at{};     // Since 1970; 0: no call yet.
+  std::chrono::milliseconds last_begun_at{};  // Of its newest call.
+  std::set<std::string> subagents;            // Programs it has started.
 
   // The place the next new call takes.
   std::int64_t next_call() const {
--- a/source/server/daemon.cc
+++ b/source/server/daemon.cc
@@ -8,13 +8,15 @@
 #include <prometheus/text_serializer.h>
 #include <nlohmann/json.hpp>
 
+#include "core/call_error.h"
+
 namespace comfreyfold {
 
 namespace {
 
 using nlohmann::json;
 
-constexpr std::chrono::milliseconds kReleaseInterval{500};
+constexpr std::chrono::milliseconds kAskTimeout{5000};
 constexpr std::chrono::milliseconds kDrainStep{20};
 
 Heartbeat SelfOf(const Settings& settings) {
@@ -57,7 +59,9 @@
       slots_(loop, lanes_),
       reaper_(loop, lanes_, contracts_, log_),
       budgets_(loop, kv_, contracts_, log_),
+      strays_(loop, engines_, backends_, log_),
       model_runner_(loop,
+                    strays_,
                     engines_,
                     backends_,
                     chooser_,
@@ -75,7 +79,7 @@
               tool_runner_,
               requests_),
       urgent_(tools_, contracts_, backends_, log_),
-      releaser_(engines_, lanes_, backends_, log_),
+      releaser_(loop, engines_, lanes_, backends_, log_),
       router_(loop, http_, membership_, runner_, log_, settings_.lanes),
       caller_api_(contracts_, router_, urgent_, log_, settings_.call_deadline),
       peer_api_(membership_, runner_, log_),
@@ -98,20 +102,41 @@
   budgets_.Start();
   reaper_.Start();
   backends_.Start();
+  lanes_.OnApplied([this](const LaneOwner& owner, const LaneBlock& block) {
+    releaser_.Note(owner, block);
+  });
+  strays_.OnAskEnded([this](Fiber& fiber, const ProgramKey& program) {
+    return HasEnded(fiber, program);
+  });
   lanes_.OnChange([this] { peers_.Announce(); });
   peers_.Start([this] {
     membership_.self().contracts_revision = contracts_.revision();
     lanes_.Tick();
   });
-  loop_.Spawn([this](Fiber& fiber) { ReleaseLoop(fiber); });
+  releaser_.Start();
   return address;
 }
 
-void Daemon::ReleaseLoop(Fiber& fiber) {
-  while (true) {
-    releaser_.ReleaseOnce(fiber);
-    fiber.Sleep(kReleaseInterval);
+bool Daemon::HasEnded(Fiber& fiber, const ProgramKey& program) {
+  ForwardedCall call;
+  call.customer = program.customer;
+  call.program = program.program;
+  call.operation = Operation::kHistory;
+  call.deadline = kAskTimeout;
+  bool ended = false;
+  try {
+    router_.Route(fiber, call, [&ended](const AnswerFrame& frame) {
+      const auto history = json::parse(frame.content, nullptr, false);
+      ended = history.is_object() && history.value("ended", false);
+    });
+  } catch (const CallError& e) {
+    // An ended program leaves the journal once it is released.
+    if (e.code() != "no_program") {
+      throw;
+    }
+    ended = true;
   }
+  return ended;
 }
 
 void Daemon::Handle(Fiber& fiber,
--- a/source/server/daemon.h
+++ b/source/server/daemon.h
@@ -19,6 +19,7 @@
 #include "server/peer_links.h"
 #include "server/program_reaper.h"
 #include "server/settings.h"
+#include "server/stray_holds.h"
 #include "server/urgent_sender.h"
 
 namespace comfreyfold {
@@ -41,7 +42,8 @@
   std::string Status() const;
   std::string Metrics() const;
   bool ready() const;
-  void ReleaseLoop(Fiber& fiber);
+  // Whether the program has ended, as its owner says.
+  bool HasEnded(Fiber& fiber, const ProgramKey& program);
 
   Loop& loop_;
   Settings settings_;
@@ -62,6 +64,7 @@
   CustomerSlots slots_;
   ProgramReaper reaper_;
   BudgetLedger budgets_;
+  StrayHolds strays_;
   ModelRunner model_runner_;
   ToolRunner tool_runner_;
   ProgramRequests requests_;
--- a/source/server/model_runner.cc
+++ b/source/server/model_runner.cc
@@ -15,6 +15,27 @@
 constexpr std::chrono::milliseconds kRetrySoon{500};
 constexpr std::int64_t kDefaultAnswerTokens = 16;
 
+// Looks at the end of a dispatch whether the lane was lost meanwhile.
+class StrayGuard {
+ public:
+  StrayGuard(StrayHolds& strays,
+             const CallContext& context,
+             std::string backend)
+      : strays_(strays), context_(context), backend_(std::move(backend)) {}
+  ~StrayGuard() {
+    if (context_.lane->lost()) {
+      strays_.Add(context_.program, backend_);
+    }
+  }
+  StrayGuard(const StrayGuard&) = delete;
+  StrayGuard& operator=(const StrayGuard&) = delete;
+
+ private:
+  StrayHolds& strays_;
+  const CallContext& context_;
+  std::string backend_;
+};
+
 }  // namespace
 
 const Backend* ModelRunner::BackendToResume(const CallContext& context) {
@@ -71,6 +92,7 @@
   begun.tokens = context.budget.tokens();
   journal_.CommitIntent(fiber, context, begun);
   context.budget.MarkDispatched();
+  const StrayGuard stray(strays_, context, begun.backend);
 
   EngineCall engine_call;
   engine_call.program = begun.customer + "/" + begun.program;
--- a/source/server/model_runner.h
+++ b/source/server/model_runner.h
@@ -6,6 +6,7 @@
 #include "server/budget_ledger.h"
 #include "server/call_journal.h"
 #include "server/call_limits.h"
+#include "server/stray_holds.h"
 
 namespace comfreyfold {
 
@@ -13,6 +14,7 @@
 class ModelRunner {
  public:
   ModelRunner(Loop& loop,
+              StrayHolds& strays,
               EngineClient& engines,
               BackendDirectory& directory,
               BackendChooser& chooser,
@@ -20,6 +22,7 @@
               CallLimits& limits,
               BudgetLedger& budgets)
       : loop_(loop),
+        strays_(strays),
         engines_(engines),
         directory_(directory),
         chooser_(chooser),
@@ -37,6 +40,7 @@
   void Cancel(const std::string& address, const std::string& request_id);
 
   Loop& loop_;
+  StrayHolds& strays_;
   EngineClient& engines_;
   BackendDirectory& directory_;
   BackendChooser& chooser_;
--- a/source/server/program_reaper.h
+++ b/source/server/program_reaper.h
@@ -7,8 +7,8 @@
 
 namespace comfreyfold {
 
-// Ends programs that outlast their contract's time, also those that make
-// no further call, so that their engine memory is freed.
+// Ends programs that outlast their contract's time, or that begin no call
+// for longer than it allows, so that their engine memory is freed.
 class ProgramReaper {
  public:
   ProgramReaper(Loop& loop,
--- a/tests/harness/cluster.cc
+++ b/tests/harness/cluster.cc
@@ -3,6 +3,7 @@
 #include <cstdio>
 #include <filesystem>
 #include <fstream>
+#include <sstream>
 #include <stdexcept>
 
 #include "core/hash.h"
@@ -275,6 +276,13 @@
   return out;
 }
 
+bool Cluster::EventSeen(int index, const std::string& event) {
+  std::ifstream in(folder_ + "/d" + std::to_string(index) + ".log");
+  std::ostringstream text;
+  text << in.rdbuf();
+  return text.str().find("\"event\":\"" + event + "\"") != std::string::npos;
+}
+
 int Cluster::OwnerOf(const std::string& customer, const std::string& program) {
   const int lane = LaneOf(customer, program, kLanes);
   int owner = -1;
--- a/tests/harness/cluster.h
+++ b/tests/harness/cluster.h
@@ -83,6 +83,8 @@
   std::vector<nlohmann::json> ToolRuns(const std::string& tool);
   // Programs that hold memory, over all engines that answer.
   std::size_t HeldPrograms();
+  // Whether a daemon's log has an event of that name.
+  bool EventSeen(int index, const std::string& event);
   // Index of the daemon that owns the program's lane; -1: none.
   int OwnerOf(const std::string& customer, const std::string& program);
   // Runs the operators' tool.
--- /dev/null
+++ b/tests/process/engine_memory_test.cc
@@ -0,0 +1,221 @@
+#include <csignal>
+
+#include <boost/test/unit_test.hpp>
+
+#include "core/hash.h"
+#include "process/in_cluster.h"
+
+namespace comfreyfold::process {
+namespace {
+
+using harness::Caller;
+using harness::Cluster;
+using harness::ClusterOptions;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr char kCustomer[] = "bandwerk";
+constexpr int kLongAnswer = 400;  // Tokens, some 0.8 s of generation.
+
+Caller Quote(Fiber& fiber, Cluster& cluster, const std::string& program) {
+  return {fiber, cluster.http(), harness::kQuoteKey, program};
+}
+
+void WaitForNoMemory(Cluster& cluster) {
+  cluster.WaitFor("engine memory to be released",
+                  [&] { return cluster.HeldPrograms() == 0; });
+}
+
+// The engine that has run a turn of the program; -1: none.
+int EngineOf(Cluster& cluster, const std::string& program) {
+  for (int i = 0; i < cluster.engines(); ++i) {
+    const auto audit = cluster.Audit(cluster.engine(i));
+    if (!audit.is_object()) {
+      continue;
+    }
+    for (const auto& it : audit["runs"]) {
+      if (it["program"] == std::string(kCustomer) + "/" + program) {
+        return i;
+      }
+    }
+  }
+  return -1;
+}
+
+// Asks in a coroutine of its own, through `daemon`.
+std::shared_ptr<bool> AskBeside(Cluster& cluster,
+                                const std::string& program,
+                                int daemon) {
+  auto ended = std::make_shared<bool>(false);
+  const auto address = cluster.daemon(daemon).address();
+  cluster.fiber().loop().Spawn(
+      [&cluster, program, address, ended](Fiber& fiber) {
+        try {
+          Quote(fiber, cluster, program)
+              .Ask(address, "turn", "a long tender", kLongAnswer);
+        } catch (const HttpFailure&) {
+          // Its daemon was killed.
+        }
+        *ended = true;
+      });
+  return ended;
+}
+
+std::string IdleContract(const std::string& limits) {
+  auto text = harness::QuoteContract();
+  return text + "[program]\n" + limits;
+}
+
+BOOST_AUTO_TEST_SUITE(engine_memory)
+
+BOOST_AUTO_TEST_CASE(ended_programs_hold_nothing) {
+  InCluster({}, [](Fiber& fiber, Cluster& cluster) {
+    for (int i = 0; i < 12; ++i) {
+      auto caller = Quote(fiber, cluster, "ends-" + std::to_string(i));
+      const auto& address = cluster.daemon(i % cluster.daemons()).address();
+      BOOST_TEST(caller.Ask(address, "t1", "a quote").status == 200);
+    }
+    BOOST_TEST(cluster.HeldPrograms() == 12);
+    for (int i = 0; i < 12; ++i) {
+      auto caller = Quote(fiber, cluster, "ends-" + std::to_string(i));
+      BOOST_TEST(caller.End(cluster.daemon(0).address()).status == 200);
+    }
+    WaitForNoMemory(cluster);
+    BOOST_TEST(cluster.HeldPrograms() == 0);
+  });
+}
+
+BOOST_AUTO_TEST_CASE(programs_that_die_between_turns_are_ended) {
+  InCluster({}, [](Fiber& fiber, Cluster& cluster) {
+    cluster.Apply({IdleContract("idle = 1s\n")});
+    auto caller = Quote(fiber, cluster, "dies");
+    BOOST_TEST(
+        caller.Ask(cluster.daemon(0).address(), "t1", "a quote").status == 200);
+    BOOST_TEST(cluster.HeldPrograms() == 1);
+    WaitForNoMemory(cluster);
+    const auto late = caller.Ask(cluster.daemon(1).address(), "t2", "more");
+    BOOST_TEST(late.status == 410);
+    BOOST_TEST(late.verdict == "not_run");
+    BOOST_TEST(cluster.HeldPrograms() == 0);
+  });
+}
+
+BOOST_AUTO_TEST_CASE(programs_that_loop_are_ended) {
+  InCluster({}, [](Fiber& fiber, Cluster& cluster) {
+    cluster.Apply({IdleContract("turns = 5\n")});
+    auto caller = Quote(fiber, cluster, "loops");
+    harness::CallAnswer last;
+    for (int i = 0; i < 8; ++i) {
+      last = caller.Ask(cluster.daemon(0).address(), "t" + std::to_string(i),
+                        "again");
+    }
+    BOOST_TEST(last.status != 200);
+    BOOST_TEST(last.verdict == "not_run");
+    WaitForNoMemory(cluster);
+  });
+}
+
+BOOST_AUTO_TEST_CASE(owner_killed_while_the_hold_is_made) {
+  InCluster({}, [](Fiber& fiber, Cluster& cluster) {
+    const std::string program = "owner-dies";
+    const int owner = cluster.OwnerOf(kCustomer, program);
+    const int other = (owner + 1) % cluster.daemons();
+    const auto ended = AskBeside(cluster, program, owner);
+    cluster.WaitFor("the turn to run",
+                    [&] { return EngineOf(cluster, program) >= 0; });
+    cluster.daemon(owner).Kill();
+    cluster.WaitFor("the caller to be cut off", [&] { return *ended; });
+    BOOST_TEST(Quote(fiber, cluster, program)
+                   .End(cluster.daemon(other).address())
+                   .status == 200);
+    WaitForNoMemory(cluster);
+    const auto audit =
+        cluster.Audit(cluster.engine(EngineOf(cluster, program)));
+    BOOST_TEST(audit["runs"].size() == 1);
+  });
+}
+
+BOOST_AUTO_TEST_CASE(owner_frozen_before_dispatch_holds_nothing_when_it_wakes) {
+  InCluster({}, [](Fiber& fiber, Cluster& cluster) {
+    const std::string program = "owner-freezes";
+    const int owner = cluster.OwnerOf(kCustomer, program);
+    const int other = (owner + 1) % cluster.daemons();
+    const int lane = LaneOf(kCustomer, program, Cluster::kLanes);
+    std::int64_t next = 0;
+    const auto status = cluster.Status(owner);
+    for (const auto& it : status["lanes"]) {
+      if (it["lane"] == lane) {
+        next = it["blocks"].get<std::int64_t>() + 1;
+      }
+    }
+    const auto fault = "late " + Cluster::BlockKey(lane, next);
+    cluster.Fault(cluster.kv(), fault, 1, milliseconds(300));
+    AskBeside(cluster, program, owner);
+    cluster.WaitFor("the intent to be committed", [&] {
+      return cluster.Audit(cluster.kv())["faults_shown"].contains(fault);
+    });
+    cluster.daemon(owner).Signal(SIGSTOP);
+    auto caller = Quote(fiber, cluster, program);
+    cluster.WaitFor("the program to be ended", [&] {
+      return caller.End(cluster.daemon(other).address()).status == 200;
+    });
+    // Released everywhere before the frozen owner wakes and dispatches.
+    cluster.WaitFor("the hold to be released", [&] {
+      return cluster.EventSeen(other, "hold_released") ||
+             cluster.EventSeen((owner + 2) % cluster.daemons(),
+                               "hold_released");
+    });
+    cluster.daemon(owner).Signal(SIGCONT);
+    cluster.WaitFor("the late dispatch",
+                    [&] { return EngineOf(cluster, program) >= 0; });
+    WaitForNoMemory(cluster);
+    BOOST_TEST(cluster.EventSeen(owner, "hold_after_lane_lost"));
+  });
+}
+
+BOOST_AUTO_TEST_CASE(
+    engine_unreachable_at_the_end_is_released_when_it_is_back) {
+  InCluster({}, [](Fiber& fiber, Cluster& cluster) {
+    auto caller = Quote(fiber, cluster, "unreachable");
+    const auto address = cluster.daemon(0).address();
+    BOOST_TEST(caller.Ask(address, "t1", "a quote").status == 200);
+    const int engine = EngineOf(cluster, "unreachable");
+    cluster.Fault(cluster.engine(engine), "out", -1);
+    BOOST_TEST(caller.End(address).status == 200);
+    // Others are released meanwhile: a silent engine holds nobody up.
+    for (int i = 0; i < 4; ++i) {
+      auto it = Quote(fiber, cluster, "beside-" + std::to_string(i));
+      it.Ask(address, "t1", "a quote");
+      it.End(address);
+    }
+    const auto held = [&](int index) {
+      return cluster.Audit(cluster.engine(index))["held"].size();
+    };
+    cluster.WaitFor("the other engine to be free",
+                    [&] { return held(1 - engine) == 0; });
+    BOOST_TEST(held(engine) >= 1);
+    cluster.Fault(cluster.engine(engine), "out", 0);
+    WaitForNoMemory(cluster);
+  });
+}
+
+BOOST_AUTO_TEST_CASE(engine_started_again_under_its_id_holds_nothing) {
+  InCluster({}, [](Fiber& fiber, Cluster& cluster) {
+    auto caller = Quote(fiber, cluster, "restarted");
+    const auto address = cluster.daemon(0).address();
+    BOOST_TEST(caller.Ask(address, "t1", "a quote").status == 200);
+    const int engine = EngineOf(cluster, "restarted");
+    cluster.RestartEngine(engine);
+    cluster.WaitFor("the next turn", [&] {
+      return caller.Ask(address, "t2", "more").status == 200;
+    });
+    BOOST_TEST(cluster.HeldPrograms() >= 1);
+    BOOST_TEST(caller.End(address).status == 200);
+    WaitForNoMemory(cluster);
+  });
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace
+}  // namespace comfreyfold::process
--- a/tests/process/failure.cc
+++ b/tests/process/failure.cc
@@ -73,8 +73,8 @@
 }  // namespace
 
 const std::vector<Failure>& AllFailures() {
-  static const auto* const kFailures = new std::vector<Failure>(MakeFailures());
-  return *kFailures;
+  static const auto* const failures = new std::vector<Failure>(MakeFailures());
+  return *failures;
 }
 
 const Failure& FailureNamed(const std::string& name) {
