--- a/source/server/call_runner.cc
+++ b/source/server/call_runner.cc
@@ -11,6 +11,15 @@
 
 constexpr milliseconds kRetrySoon{500};
 
+std::string ProgramEndedText(const CallContext& context) {
+  const auto* program = context.state();
+  if (program == nullptr || program->passed_limit.empty()) {
+    return "the program has ended; start a new one";
+  }
+  return "the program was ended because it passed its contract's " +
+         program->passed_limit + "; start a new one";
+}
+
 // A daemon that lost its lane without knowing would say "not run" of a call
 // that its successor ran. While the service is out nobody can succeed it.
 bool Superseded(Fiber& fiber, LaneOwner& lane) {
@@ -21,20 +30,12 @@
   }
 }
 
-std::string ProgramEndedText(const CallContext& context) {
-  const auto* program = context.state();
-  if (program == nullptr || program->passed_limit.empty()) {
-    return "the program has ended; start a new one";
-  }
-  return "the program was ended because it passed its contract's " +
-         program->passed_limit + "; start a new one";
-}
-
 }  // namespace
 
 void CallRunner::Run(Fiber& fiber,
                      const ForwardedCall& call,
                      const FrameSink& sink) {
+  contracts_.EnsureCurrent(fiber);
   CallContext context{call,
                       sink,
                       nullptr,
