--- a/source/server/backend_chooser.cc
+++ b/source/server/backend_chooser.cc
@@ -15,6 +15,9 @@
   ++backend.in_flight;
 }
 
+InFlight::InFlight(BackendDirectory& directory, const std::string& id)
+    : InFlight(directory, *directory.Find(id)) {}
+
 InFlight::~InFlight() {
   if (auto* backend = directory_.Find(id_)) {
     --backend->in_flight;
--- a/source/server/backend_chooser.h
+++ b/source/server/backend_chooser.h
@@ -25,6 +25,7 @@
 class InFlight {
  public:
   InFlight(BackendDirectory& directory, Backend& backend);
+  InFlight(BackendDirectory& directory, const std::string& id);
   ~InFlight();
   InFlight(const InFlight&) = delete;
   InFlight& operator=(const InFlight&) = delete;
--- a/source/server/backend_directory.cc
+++ b/source/server/backend_directory.cc
@@ -7,6 +7,17 @@
 
 namespace comfreyfold {
 
+namespace {
+
+bool Serves(const Backend& backend, const std::string& name) {
+  const auto has = [&name](const std::vector<std::string>& names) {
+    return std::find(names.begin(), names.end(), name) != names.end();
+  };
+  return has(backend.vm.serves) || has(backend.reports_models);
+}
+
+}  // namespace
+
 BackendDirectory::BackendDirectory(Loop& loop,
                                    HttpClient& http,
                                    VmListClient& vms,
@@ -63,19 +74,31 @@
     return;
   }
   HttpOptions options;
+  options.connect_timeout = load_interval_ * 2;
   options.idle_timeout = load_interval_ * 2;
+  // A server that leaves may close its door and still answer on the
+  // connections it has: only a new one tells.
+  options.fresh_connection = true;
   nlohmann::json load;
   try {
     const auto reply =
         http_.Send(fiber, before->vm.address, {"GET", "/load"}, options);
     load = nlohmann::json::parse(reply.body, nullptr, false);
-  } catch (const HttpFailure&) {
+  } catch (const HttpFailure& e) {
+    SetReachable(id, e.sent());
     return;
   }
+  SetReachable(id, true);
   auto* backend = Find(id);
   if (backend == nullptr || !load.is_object()) {
     return;
   }
+  backend->reports_models.clear();
+  for (const auto& it : load.value("models", nlohmann::json::array())) {
+    if (it.is_string()) {
+      backend->reports_models.push_back(it.get<std::string>());
+    }
+  }
   backend->reported_running = load.value("running", 0);
   backend->reported_waiting = load.value("waiting", 0);
   const bool draining = load.value("draining", false);
@@ -85,18 +108,38 @@
   backend->draining = draining;
 }
 
+void BackendDirectory::SetReachable(const std::string& id, bool reachable) {
+  auto* backend = Find(id);
+  if (backend == nullptr || backend->reachable == reachable) {
+    return;
+  }
+  backend->reachable = reachable;
+  log_.Write({.name = reachable ? "backend_reachable" : "backend_unreachable",
+              .backend = id});
+}
+
+bool BackendDirectory::TakesWork(const std::string& id) {
+  const auto* backend = Find(id);
+  return backend != nullptr && backend->vm.state == VmState::kLive &&
+         !backend->draining && backend->reachable;
+}
+
+void BackendDirectory::Doubt(const std::string& id) {
+  loop_.Spawn([this, id](Fiber& fiber) { ReadLoad(fiber, id); });
+}
+
 std::vector<Backend*> BackendDirectory::Serving(VmRole role,
                                                 const std::string& name) {
   std::vector<Backend*> out;
+  std::vector<Backend*> unreachable;
   for (auto& [id, backend] : backends_) {
-    const auto& serves = backend.vm.serves;
-    if (backend.vm.role == role && backend.vm.state == VmState::kLive &&
-        !backend.draining &&
-        std::find(serves.begin(), serves.end(), name) != serves.end()) {
-      out.push_back(&backend);
+    if (backend.vm.role != role || backend.vm.state != VmState::kLive ||
+        backend.draining || !Serves(backend, name)) {
+      continue;
     }
+    (backend.reachable ? out : unreachable).push_back(&backend);
   }
-  return out;
+  return out.empty() ? unreachable : out;
 }
 
 Backend* BackendDirectory::Find(const std::string& id) {
--- a/source/server/backend_directory.h
+++ b/source/server/backend_directory.h
@@ -16,9 +16,12 @@
 struct Backend {
   Vm vm;
   bool draining = false;  // By its own report, ahead of the VM list.
-  int in_flight = 0;      // Calls of this daemon.
+  // False once it takes no connection; its next report makes it true again.
+  bool reachable = true;
+  int in_flight = 0;  // Calls of this daemon.
   int reported_running = 0;
   int reported_waiting = 0;
+  std::vector<std::string> reports_models;  // Loaded by order.
 };
 
 // The backend servers: who they are from the VM list, how they fare from
@@ -34,8 +37,14 @@
 
   void Start();
 
-  // Servers that serve `name` in `role` and take new work.
+  // Servers that serve `name` in `role` and take new work. Those that
+  // cannot be reached are left out as long as another one can.
   std::vector<Backend*> Serving(VmRole role, const std::string& name);
+  // Whether new work may still go to `id`: neither its own report, nor the
+  // VM list, nor the last connection says that it leaves.
+  bool TakesWork(const std::string& id);
+  // A call to `id` was refused: asks at once whether it is leaving.
+  void Doubt(const std::string& id);
   // Null when the VM list no longer has `id`.
   Backend* Find(const std::string& id);
   bool loaded() const { return loaded_; }
@@ -45,6 +54,7 @@
   void FollowList(Fiber& fiber);
   void FollowLoad(Fiber& fiber);
   void ReadLoad(Fiber& fiber, const std::string& id);
+  void SetReachable(const std::string& id, bool reachable);
 
   Loop& loop_;
   HttpClient& http_;
--- a/source/server/model_runner.cc
+++ b/source/server/model_runner.cc
@@ -14,6 +14,7 @@
 
 constexpr std::chrono::milliseconds kRetrySoon{500};
 constexpr std::int64_t kDefaultAnswerTokens = 16;
+constexpr int kBeginRounds = 3;
 
 // Looks at the end of a dispatch whether the lane was lost meanwhile.
 class StrayGuard {
@@ -44,13 +45,53 @@
     return nullptr;
   }
   for (const auto& it : program->calls) {
-    if (it.key == context.call.key && !it.done) {
+    if (it.key == context.call.key && !it.done &&
+        directory_.TakesWork(it.backend)) {
       return directory_.Find(it.backend);
     }
   }
   return nullptr;
 }
 
+ModelRunner::Placed ModelRunner::Begin(Fiber& fiber,
+                                       CallContext& context,
+                                       LaneEntry& begun) {
+  Placed out;
+  const auto* resumed = BackendToResume(context);
+  out.resume = resumed != nullptr;
+  for (int round = 0; round < kBeginRounds; ++round) {
+    // Looked up after the last wait: the directory may drop a server.
+    Backend* backend = nullptr;
+    try {
+      backend = out.resume ? directory_.Find(resumed->vm.id)
+                           : &chooser_.ChooseEngine(context);
+    } catch (const CallError&) {
+      if (round > 0) {
+        RecordNotRun(fiber, context);
+      }
+      throw;
+    }
+    out.in_flight = std::make_unique<InFlight>(directory_, *backend);
+    out.address = backend->vm.address;
+    begun.backend = backend->vm.id;
+    journal_.CommitIntent(fiber, context, begun);
+    // The commit may have waited through an outage, and the engine have
+    // begun to leave meanwhile.
+    if (directory_.TakesWork(begun.backend)) {
+      break;
+    }
+    out.resume = false;
+  }
+  return out;
+}
+
+void ModelRunner::RecordNotRun(Fiber& fiber, CallContext& context) {
+  auto done = context.Entry(EntryKind::kCallDone);
+  done.verdict = Verdict::kNotRun;
+  done.status = 503;
+  journal_.CommitOutcome(fiber, context, done);
+}
+
 void ModelRunner::Cancel(const std::string& address,
                          const std::string& request_id) {
   // Beside the call: its caller need not wait for the engine's word, and a
@@ -79,25 +120,18 @@
       budgets_.Reserve(fiber, context.program.customer,
                        prompt_bound + answer_tokens, context.deadline);
 
-  // Looked up after the last wait: the directory may drop a server.
-  const auto* resumed = BackendToResume(context);
-  auto& backend = resumed != nullptr ? *directory_.Find(resumed->vm.id)
-                                     : chooser_.ChooseEngine(context);
-  const InFlight in_flight(directory_, backend);
-  const auto address = backend.vm.address;
   auto begun = context.Entry(EntryKind::kCallBegun);
-  begun.backend = backend.vm.id;
   begun.idempotent = true;
   begun.request = request;
   begun.tokens = context.budget.tokens();
-  journal_.CommitIntent(fiber, context, begun);
+  const auto placed = Begin(fiber, context, begun);
   context.budget.MarkDispatched();
   const StrayGuard stray(strays_, context, begun.backend);
 
   EngineCall engine_call;
   engine_call.program = begun.customer + "/" + begun.program;
   engine_call.request_id = StreamId(begun.customer, begun.program, begun.key);
-  engine_call.resume = resumed != nullptr;
+  engine_call.resume = placed.resume;
   engine_call.model = context.call.target;
   engine_call.messages = messages.dump();
   engine_call.max_tokens = answer_tokens;
@@ -112,10 +146,11 @@
   done.backend = begun.backend;
   EngineResult result;
   try {
-    result = engines_.Complete(fiber, address, engine_call);
+    result = engines_.Complete(fiber, placed.address, engine_call);
   } catch (const BackendFailure& e) {
+    directory_.Doubt(begun.backend);
     if (e.verdict() != Verdict::kNotRun) {
-      Cancel(address, engine_call.request_id);
+      Cancel(placed.address, engine_call.request_id);
     }
     done.verdict = e.verdict();
     done.status = 502;
--- a/source/server/model_runner.h
+++ b/source/server/model_runner.h
@@ -1,6 +1,9 @@
 #ifndef SERVER_MODEL_RUNNER_H_
 #define SERVER_MODEL_RUNNER_H_
 
+#include <memory>
+#include <string>
+
 #include "backend/engine_client.h"
 #include "server/backend_chooser.h"
 #include "server/budget_ledger.h"
@@ -34,6 +37,16 @@
   void Run(Fiber& fiber, CallContext& context);
 
  private:
+  // Where a call goes, counted against the engine until it ends.
+  struct Placed {
+    std::unique_ptr<InFlight> in_flight;
+    std::string address;
+    bool resume = false;
+  };
+
+  // Chooses an engine that takes work and commits the intent to use it.
+  Placed Begin(Fiber& fiber, CallContext& context, LaneEntry& begun);
+  void RecordNotRun(Fiber& fiber, CallContext& context);
   // Where an earlier owner's dispatch of the same call may still stream;
   // null when there is none.
   const Backend* BackendToResume(const CallContext& context);
--- a/source/server/tool_runner.cc
+++ b/source/server/tool_runner.cc
@@ -1,6 +1,7 @@
 #include "server/tool_runner.h"
 
 #include <algorithm>
+#include <memory>
 
 #include "core/call_error.h"
 
@@ -10,16 +11,34 @@
 constexpr std::chrono::milliseconds kRetrySoon{500};
 }  // namespace
 
+std::string ToolRunner::ChooseAgain(Fiber& fiber, CallContext& context) {
+  try {
+    return chooser_.ChooseService(context).vm.id;
+  } catch (const CallError&) {
+    auto done = context.Entry(EntryKind::kCallDone);
+    done.verdict = Verdict::kNotRun;
+    done.status = 503;
+    journal_.CommitOutcome(fiber, context, done);
+    throw;
+  }
+}
+
 void ToolRunner::Run(Fiber& fiber, CallContext& context) {
   const auto rule = context.contract->RuleFor(context.call.target);
   auto begun = context.Entry(EntryKind::kCallBegun);
   begun.idempotent = rule.idempotent;
   begun.request = context.call.body;
-  auto& backend = chooser_.ChooseService(context);
-  const InFlight in_flight(directory_, backend);
-  const auto address = backend.vm.address;
-  begun.backend = backend.vm.id;
+  const auto* chosen = &chooser_.ChooseService(context);
+  begun.backend = chosen->vm.id;
+  auto in_flight = std::make_unique<InFlight>(directory_, begun.backend);
   journal_.CommitIntent(fiber, context, begun);
+  // The commit may have waited through an outage, and the server have begun
+  // to leave meanwhile. Nothing was sent yet: another one will do.
+  if (!directory_.TakesWork(begun.backend)) {
+    begun.backend = ChooseAgain(fiber, context);
+    in_flight = std::make_unique<InFlight>(directory_, begun.backend);
+  }
+  const auto address = directory_.Find(begun.backend)->vm.address;
 
   ToolCall tool_call;
   tool_call.name = context.call.target;
@@ -33,6 +52,7 @@
   try {
     result = tools_.Call(fiber, address, tool_call);
   } catch (const BackendFailure& e) {
+    directory_.Doubt(begun.backend);
     done.verdict = e.verdict();
     done.status = 502;
     journal_.CommitOutcome(fiber, context, done);
--- a/source/server/tool_runner.h
+++ b/source/server/tool_runner.h
@@ -1,6 +1,8 @@
 #ifndef SERVER_TOOL_RUNNER_H_
 #define SERVER_TOOL_RUNNER_H_
 
+#include <string>
+
 #include "backend/tool_client.h"
 #include "server/backend_chooser.h"
 #include "server/call_journal.h"
@@ -23,6 +25,10 @@
   void Run(Fiber& fiber, CallContext& context);
 
  private:
+  // Another server for a call whose intent is committed and that was not
+  // sent; without one its outcome "not run" is committed.
+  std::string ChooseAgain(Fiber& fiber, CallContext& context);
+
   ToolClient& tools_;
   BackendDirectory& directory_;
   BackendChooser& chooser_;
--- a/tests/standins/tool_service.cc
+++ b/tests/standins/tool_service.cc
@@ -22,8 +22,10 @@
                      {"body", it.body},
                      {"time_us", it.time_us}});
     }
-    exchange.Reply(200, "application/json",
-                   json{{"runs", out}, {"refused", refused_}}.dump());
+    exchange.Reply(
+        200, "application/json",
+        json{{"runs", out}, {"refused", refused_}, {"draining", draining_}}
+            .dump());
     return;
   }
   if (path == "/load") {
