Place models, adapters and roles on engines by fenced orders

Operators apply a [placement] file like a contract; its key lies beside the contracts. For each engine one steward, the first of the live daemons by rendezvous hashing, reads the engine's state, asks the rate-limited weight store for the weights, takes a number from the service by compare-and-swap, and sends the order with it. The number is granted only while the contracts stand at the revision that the plan was read at: a steward that slept through a change cannot give an old plan the newest number. For engines that ignore the number a leased claim is taken in the same transaction, used for half its time only, and the state is read back each round.

Ruled out: a number from the daemon's own counter or clock (a restart or a skewed clock goes back), and a steward elected by lease alone (a frozen holder still believes in it).

--- /dev/null
+++ b/source/backend/engine_orders.cc
@@ -0,0 +1,89 @@
+#include "backend/engine_orders.h"
+
+#include <nlohmann/json.hpp>
+
+namespace comfreyfold {
+
+namespace {
+
+using nlohmann::json;
+
+constexpr std::chrono::milliseconds kReadTimeout{1000};
+constexpr int kConflict = 409;
+
+const char* OrderKind(PlacementKind kind) {
+  switch (kind) {
+    case PlacementKind::kModel:
+      return "load_model";
+    case PlacementKind::kAdapter:
+      return "load_adapter";
+    case PlacementKind::kRole:
+      return "set_role";
+  }
+  return "";
+}
+
+EngineState ToState(const HttpReply& reply) {
+  const auto body = json::parse(reply.body, nullptr, false);
+  if (reply.status != 200 || !body.is_object()) {
+    throw BackendFailure(
+        "engine's state answered " + std::to_string(reply.status),
+        Verdict::kMayHaveRun);
+  }
+  using Versions = std::map<std::string, std::int64_t>;
+  EngineState out;
+  out.models = body.value("models", Versions());
+  out.adapters = body.value("adapters", Versions());
+  out.role = body.value("role", std::string());
+  out.fencing = body.value("fencing", std::int64_t{0});
+  return out;
+}
+
+HttpReply Exchange(Fiber& fiber,
+                   HttpClient& http,
+                   const std::string& address,
+                   const HttpRequest& request,
+                   std::chrono::milliseconds timeout) {
+  HttpOptions options;
+  options.connect_timeout = timeout;
+  options.idle_timeout = timeout;
+  // On a kept connection that has broken the order would be sent again.
+  options.fresh_connection = true;
+  try {
+    return http.Send(fiber, address, request, options);
+  } catch (const HttpFailure& e) {
+    throw BackendFailure(e.what(),
+                         e.sent() ? Verdict::kMayHaveRun : Verdict::kNotRun);
+  }
+}
+
+}  // namespace
+
+EngineState EngineOrders::Read(Fiber& fiber, const std::string& address) {
+  return ToState(Exchange(fiber, http_, address, {"GET", "/orders", {}, {}},
+                          kReadTimeout));
+}
+
+EngineState EngineOrders::Send(Fiber& fiber,
+                               const std::string& address,
+                               const EngineOrder& order) {
+  const json body = {{"kind", OrderKind(order.placement.kind)},
+                     {"name", order.placement.name},
+                     {"version", order.placement.version},
+                     {"location", order.location},
+                     {"fencing", order.fencing}};
+  const auto reply = Exchange(
+      fiber, http_, address,
+      {"POST",
+       "/orders",
+       {{"Content-Type", "application/json"}, {"X-Daemon", order.sender}},
+       body.dump()},
+      order.timeout);
+  if (reply.status == kConflict) {
+    throw OrderRefused("the engine has carried out a newer order than " +
+                       std::to_string(order.fencing));
+  }
+  return ToState(reply);
+}
+
+}  // namespace comfreyfold
--- a/source/platform/contract_keys.h
+++ b/source/platform/contract_keys.h
@@ -10,6 +10,9 @@
 inline constexpr char kContractChangeKey[] = "contracts/change";
 inline constexpr char kContractCustomerPrefix[] = "contracts/customer/";
 
+// What is to be placed on the engines, applied like contracts.
+inline constexpr char kPlacementPrefix[] = "contracts/placement/";
+
 // A leased key a change, written with it: tells its operator that it was
 // applied though the answer was lost and other changes followed. Outside
 // kContractPrefix, so that its end wakes no watch.
--- /dev/null
+++ b/source/platform/weight_store_client.cc
@@ -0,0 +1,55 @@
+#include "platform/weight_store_client.h"
+
+#include <algorithm>
+#include <cstdlib>
+#include <utility>
+
+#include <nlohmann/json.hpp>
+
+namespace comfreyfold {
+
+namespace {
+constexpr std::chrono::seconds kRetryAfter{1};
+constexpr int kTooManyRequests = 429;
+}  // namespace
+
+WeightStoreClient::WeightStoreClient(HttpClient& http,
+                                     std::string address,
+                                     std::chrono::milliseconds timeout)
+    : http_(http), address_(std::move(address)), timeout_(timeout) {}
+
+std::string WeightStoreClient::Locate(Fiber& fiber,
+                                      const std::string& name,
+                                      std::int64_t version) {
+  if (std::chrono::steady_clock::now() < not_before_) {
+    throw WeightStoreFailure("weight store: asked too often", kRetryAfter);
+  }
+  HttpOptions options;
+  options.connect_timeout = timeout_;
+  options.idle_timeout = timeout_;
+  HttpReply reply;
+  try {
+    reply = http_.Send(
+        fiber, address_,
+        {"GET", "/weights/" + name + "/" + std::to_string(version), {}, {}},
+        options);
+  } catch (const HttpFailure& e) {
+    throw WeightStoreFailure(e.what(), kRetryAfter);
+  }
+  if (reply.status == kTooManyRequests) {
+    const auto text = reply.Header("Retry-After");
+    const std::chrono::seconds wait(std::strtol(text.c_str(), nullptr, 10));
+    const auto retry_after = std::max(wait, kRetryAfter);
+    not_before_ = std::chrono::steady_clock::now() + retry_after;
+    throw WeightStoreFailure("weight store: asked too often", retry_after);
+  }
+  const auto body = nlohmann::json::parse(reply.body, nullptr, false);
+  if (reply.status != 200 || !body.is_object()) {
+    throw WeightStoreFailure("weight store answered " +
+                                 std::to_string(reply.status) + " for " + name,
+                             kRetryAfter);
+  }
+  return body.value("location", std::string());
+}
+
+}  // namespace comfreyfold
--- a/source/server/backend_directory.cc
+++ b/source/server/backend_directory.cc
@@ -118,10 +118,10 @@
               .backend = id});
 }
 
-bool BackendDirectory::TakesWork(const std::string& id) {
-  const auto* backend = Find(id);
-  return backend != nullptr && backend->vm.state == VmState::kLive &&
-         !backend->draining && backend->reachable;
+bool BackendDirectory::TakesWork(const std::string& id) const {
+  const auto it = backends_.find(id);
+  return it != backends_.end() && it->second.vm.state == VmState::kLive &&
+         !it->second.draining && it->second.reachable;
 }
 
 void BackendDirectory::Doubt(const std::string& id) {
--- a/source/server/backend_directory.h
+++ b/source/server/backend_directory.h
@@ -42,7 +42,7 @@
   std::vector<Backend*> Serving(VmRole role, const std::string& name);
   // Whether new work may still go to `id`: neither its own report, nor the
   // VM list, nor the last connection says that it leaves.
-  bool TakesWork(const std::string& id);
+  bool TakesWork(const std::string& id) const;
   // A call to `id` was refused: asks at once whether it is leaving.
   void Doubt(const std::string& id);
   // Null when the VM list no longer has `id`.
--- a/source/server/daemon.cc
+++ b/source/server/daemon.cc
@@ -91,7 +91,22 @@
              log_,
              membership_,
              settings_.heartbeat_interval,
-             settings_.member_lease) {}
+             settings_.member_lease),
+      orders_(http_),
+      weights_(http_,
+               settings_.weight_store_address,
+               settings_.platform_timeout),
+      fence_(kv_, settings_.daemon, settings_.placement_claim),
+      steward_(loop,
+               kv_,
+               orders_,
+               weights_,
+               fence_,
+               membership_,
+               backends_,
+               contracts_,
+               log_,
+               settings_.placement_interval) {}
 
 std::string Daemon::Start() {
   loop_.OnError([this](const char* what) {
@@ -120,6 +135,7 @@
     lanes_.Tick();
   });
   releaser_.Start();
+  steward_.Start();
   return address;
 }
 
--- a/source/server/daemon.h
+++ b/source/server/daemon.h
@@ -14,6 +14,7 @@
 #include "server/caller_api.h"
 #include "server/contract_peers.h"
 #include "server/contract_store.h"
+#include "server/engine_steward.h"
 #include "server/hold_releaser.h"
 #include "server/lane_manager.h"
 #include "server/peer_api.h"
@@ -79,6 +80,10 @@
   CallerApi caller_api_;
   PeerApi peer_api_;
   PeerLinks peers_;
+  EngineOrders orders_;
+  WeightStoreClient weights_;
+  OrderFence fence_;
+  EngineSteward steward_;
 };
 
 }  // namespace comfreyfold
--- a/source/server/settings.cc
+++ b/source/server/settings.cc
@@ -78,6 +78,11 @@
   TakeAddress(reader, "platform", "key_value", out.kv_address);
   reader.Require("platform", "vm_list");
   TakeAddress(reader, "platform", "vm_list", out.vm_list_address);
+  TakeAddress(reader, "platform", "weight_store", out.weight_store_address);
+  reader.Take("placement", "interval", out.placement_interval, milliseconds(50),
+              minutes(10));
+  reader.Take("placement", "claim", out.placement_claim, seconds(2),
+              minutes(10));
   reader.Take("platform", "timeout", out.platform_timeout, milliseconds(10),
               minutes(1));
   reader.Take("platform", "vm_list_interval", out.vm_list_interval,
--- a/source/server/settings.h
+++ b/source/server/settings.h
@@ -19,6 +19,9 @@
 
   std::string kv_address;
   std::string vm_list_address;
+  std::string weight_store_address;  // Empty: nothing is placed.
+  std::chrono::milliseconds placement_interval{1000};
+  std::chrono::seconds placement_claim{10};
   std::chrono::milliseconds platform_timeout{1000};
   std::chrono::milliseconds vm_list_interval{1000};
   ContractSettings contracts;
--- a/source/tool/contract_change.cc
+++ b/source/tool/contract_change.cc
@@ -3,6 +3,7 @@
 #include <stdexcept>
 #include <utility>
 
+#include "core/placement.h"
 #include "platform/base64.h"
 #include "platform/contract_keys.h"
 #include "tool/tool_settings.h"
@@ -45,6 +46,9 @@
   for (const auto& [customer, text] : edit.puts) {
     out.puts.push_back({kContractCustomerPrefix + customer, text});
   }
+  for (const auto& [name, text] : edit.placements) {
+    out.puts.push_back({kPlacementPrefix + name, text});
+  }
   for (const auto& it : edit.removals) {
     out.deletes.emplace_back(kContractCustomerPrefix + it, "");
   }
@@ -111,6 +115,11 @@
   std::map<std::string, std::string> file_of;
   for (const auto& file : files) {
     auto text = ReadTextFile(file);
+    if (text.find("[placement]") != std::string::npos) {
+      out.placements[PlacementName(ParsePlacement(text, file))] =
+          std::move(text);
+      continue;
+    }
     const auto contract = ParseContract(text, file);
     const auto [it, added] = file_of.emplace(contract.customer, file);
     if (!added) {
--- a/source/tool/contract_change.h
+++ b/source/tool/contract_change.h
@@ -22,8 +22,11 @@
 struct ContractEdit {
   std::map<std::string, std::string> puts;  // By customer.
   std::vector<std::string> removals;
+  std::map<std::string, std::string> placements;  // By PlacementName.
 
-  bool empty() const { return puts.empty() && removals.empty(); }
+  bool empty() const {
+    return puts.empty() && removals.empty() && placements.empty();
+  }
 };
 
 // How a change ended. Each has exactly one outcome.
--- a/tests/harness/cluster.cc
+++ b/tests/harness/cluster.cc
@@ -210,6 +210,12 @@
   }
 }
 
+std::unique_ptr<Process> Cluster::ApplyBeside(const std::string& text) {
+  const auto file =
+      WriteFile("beside-" + std::to_string(++files_beside_) + ".ini", text);
+  return RunTool({"apply", "--wait", "3", file});
+}
+
 void Cluster::Fault(Process& standin,
                     const std::string& name,
                     int count,
--- /dev/null
+++ b/tests/unit/placement_test.cc
@@ -0,0 +1,53 @@
+#include "core/placement.h"
+
+#include <set>
+
+#include <boost/test/unit_test.hpp>
+
+#include "core/contract.h"
+
+namespace comfreyfold {
+namespace {
+
+const std::vector<std::string> kEngines{"e0", "e1", "e2", "e3"};
+
+BOOST_AUTO_TEST_SUITE(placement)
+
+BOOST_AUTO_TEST_CASE(as_many_engines_as_copies_miss_it) {
+  const Placement wanted{PlacementKind::kModel, "quote", 2, 3};
+  std::size_t missing = 0;
+  for (const auto& it : kEngines) {
+    missing += MissingAt(it, kEngines, {wanted}, {}).size();
+  }
+  BOOST_TEST(missing == 3);
+}
+
+BOOST_AUTO_TEST_CASE(another_version_is_missing_and_the_same_is_not) {
+  const Placement wanted{PlacementKind::kAdapter, "tender", 2, 4};
+  EngineState state;
+  state.adapters["tender"] = 1;
+  BOOST_TEST(MissingAt("e0", kEngines, {wanted}, state).size() == 1);
+  state.adapters["tender"] = 2;
+  BOOST_TEST(MissingAt("e0", kEngines, {wanted}, state).empty());
+}
+
+BOOST_AUTO_TEST_CASE(faults_are_told_with_their_line) {
+  const std::string text = "[placement]\nkind = disk\nname = a b\ncopys = 2\n";
+  try {
+    ParsePlacement(text, "p.ini");
+    BOOST_FAIL("accepted");
+  } catch (const IniError& e) {
+    // The kind, the name, the missing version and the unknown key.
+    std::multiset<int> lines;
+    for (const auto& it : e.faults()) {
+      lines.insert(it.line);
+    }
+    const std::multiset<int> expected{0, 2, 3, 4};
+    BOOST_TEST((lines == expected));
+  }
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace
+}  // namespace comfreyfold
