--- a/tests/process/placement_test.cc
+++ b/tests/process/placement_test.cc
@@ -45,6 +45,7 @@
 // The daemon that every daemon takes for the engine's steward.
 int Steward(const Cluster& cluster) {
   std::vector<std::string> daemons;
+  daemons.reserve(static_cast<std::size_t>(cluster.daemons()));
   for (int i = 0; i < cluster.daemons(); ++i) {
     daemons.push_back("d" + std::to_string(i));
   }
