--- a/source/server/daemon.cc
+++ b/source/server/daemon.cc
@@ -10,13 +10,15 @@
 #include <nlohmann/json.hpp>
 #include "server/lane_count.h"
 
+#include "core/call_error.h"
+
 namespace comfreyfold {
 
 namespace {
 
 using nlohmann::json;
 
-constexpr std::chrono::milliseconds kReleaseInterval{500};
+constexpr std::chrono::milliseconds kAskTimeout{5000};
 constexpr std::chrono::milliseconds kDrainStep{20};
 constexpr std::chrono::milliseconds kAgreeRetry{500};
 constexpr std::chrono::milliseconds kPeersStep{20};
@@ -64,7 +66,9 @@
       listing_(lanes_, settings_.daemon),
       reaper_(loop, lanes_, contracts_, log_),
       budgets_(loop, kv_, contracts_, log_),
+      strays_(loop, engines_, backends_, log_),
       model_runner_(loop,
+                    strays_,
                     engines_,
                     backends_,
                     chooser_,
@@ -82,7 +86,7 @@
               tool_runner_,
               requests_),
       urgent_(tools_, contracts_, backends_, log_),
-      releaser_(engines_, lanes_, backends_, log_),
+      releaser_(loop, engines_, lanes_, backends_, log_),
       router_(loop, http_, membership_, runner_, log_, settings_.lanes),
       caller_api_(contracts_, router_, urgent_, log_, settings_.call_deadline),
       peer_api_(membership_, runner_, relay_, log_, [this] { lanes_.Tick(); }),
@@ -92,7 +96,22 @@
              log_,
              membership_,
              settings_.heartbeat_interval,
-             settings_.member_lease) {}
+             settings_.member_lease),
+      orders_(http_),
+      weights_(http_,
+               settings_.weight_store_address,
+               settings_.platform_timeout),
+      fence_(kv_, settings_.daemon, settings_.placement_claim),
+      steward_(loop,
+               kv_,
+               orders_,
+               weights_,
+               fence_,
+               membership_,
+               backends_,
+               contracts_,
+               log_,
+               settings_.placement_interval) {}
 
 std::string Daemon::Start(std::function<void(const std::string&)> on_refused) {
   on_refused_ = std::move(on_refused);
@@ -107,6 +126,12 @@
   budgets_.Start();
   reaper_.Start();
   backends_.Start();
+  lanes_.OnApplied([this](const LaneOwner& owner, const LaneBlock& block) {
+    releaser_.Note(owner, block);
+  });
+  strays_.OnAskEnded([this](Fiber& fiber, const ProgramKey& program) {
+    return HasEnded(fiber, program);
+  });
   lanes_.OnChange([this] { peers_.Announce(); });
   peers_.Start([this] {
     membership_.self().contracts_revision = contracts_.revision();
@@ -115,7 +140,8 @@
     }
     lanes_.Tick();
   });
-  loop_.Spawn([this](Fiber& fiber) { ReleaseLoop(fiber); });
+  releaser_.Start();
+  steward_.Start();
   loop_.Spawn([this](Fiber& fiber) { AgreeOnLanes(fiber); });
   return address;
 }
@@ -139,11 +165,26 @@
   }
 }
 
-void Daemon::ReleaseLoop(Fiber& fiber) {
-  while (true) {
-    releaser_.ReleaseOnce(fiber);
-    fiber.Sleep(kReleaseInterval);
+bool Daemon::HasEnded(Fiber& fiber, const ProgramKey& program) {
+  ForwardedCall call;
+  call.customer = program.customer;
+  call.program = program.program;
+  call.operation = Operation::kHistory;
+  call.deadline = kAskTimeout;
+  bool ended = false;
+  try {
+    router_.Route(fiber, call, [&ended](const AnswerFrame& frame) {
+      const auto history = json::parse(frame.content, nullptr, false);
+      ended = history.is_object() && history.value("ended", false);
+    });
+  } catch (const CallError& e) {
+    // An ended program leaves the journal once it is released.
+    if (e.code() != "no_program") {
+      throw;
+    }
+    ended = true;
   }
+  return ended;
 }
 
 void Daemon::Handle(Fiber& fiber,
--- a/source/server/lane_manager.cc
+++ b/source/server/lane_manager.cc
@@ -24,6 +24,13 @@
 }
 
 void LaneManager::DropLost() {
+  const auto now = std::chrono::steady_clock::now();
+  for (const auto& [lane, owner] : owned_) {
+    const auto newest = membership_.OwnerOf(lane, now);
+    if (newest && newest->epoch > owner->epoch()) {
+      owner->Supersede(*newest);
+    }
+  }
   const auto lost =
       std::erase_if(owned_, [](const auto& it) { return it.second->lost(); });
   if (lost > 0) {
@@ -80,6 +87,7 @@
 
 void LaneManager::Take(Fiber& fiber, int lane) {
   auto owner = std::make_shared<LaneOwner>(loop_, kv_, log_, lane);
+  owner->OnApplied(on_applied_);
   try {
     owner->Open(fiber);
     owned_[lane] = std::move(owner);
--- a/source/server/lane_owner.h
+++ b/source/server/lane_owner.h
@@ -3,12 +3,15 @@
 
 #include <chrono>
 #include <deque>
+#include <functional>
 #include <memory>
 #include <stdexcept>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "core/lane_state.h"
+#include "core/membership.h"
 #include "log/event_log.h"
 #include "net/loop.h"
 #include "platform/kv_client.h"
@@ -45,11 +48,19 @@
               std::vector<LaneEntry> entries,
               std::chrono::milliseconds timeout);
 
+  // Queues `entries` behind what waits already, to be committed whenever the
+  // service takes them, if the lane is still owned then.
+  void AppendLater(std::vector<LaneEntry> entries);
+
   // Asks the service whether this is still the lane's owner; what it read
   // from its state before is then known to have been the newest. Throws
   // KvUnavailable.
   bool Confirm(Fiber& fiber);
 
+  // A heartbeat showed a newer owner: without an append of its own this
+  // one would not learn of it.
+  void Supersede(const LaneOwnerView& newest);
+
   // Gives the lane up once what is pending is committed. False, and the
   // lane stays, when that took longer than `timeout`.
   bool Handover(Fiber& fiber, std::chrono::milliseconds timeout);
@@ -57,6 +68,10 @@
   // Waits until something is committed or the lane is lost.
   void WaitForChange(Fiber& fiber, std::chrono::milliseconds timeout);
 
+  // Runs after each block that this owner has committed and applied.
+  using AppliedHook = std::function<void(const LaneOwner&, const LaneBlock&)>;
+  void OnApplied(AppliedHook hook) { on_applied_ = std::move(hook); }
+
   const LaneState& state() const { return state_; }
   int lane() const { return lane_; }
   bool lost() const { return lost_; }
@@ -73,7 +88,6 @@
   Group TakeGroup();
   void CommitGroup(Fiber& fiber, const Group& group);
   void Committed(const LaneBlock& block, const Group& group);
-  void CloseAbandonedIntents(const Group& group);
   std::string BlockKey(std::int64_t number) const;
   LaneBlock MakeBlock(std::vector<LaneEntry> entries, std::int64_t epoch) const;
   bool TryCommit(Fiber& fiber, const LaneBlock& block);
@@ -91,6 +105,7 @@
   bool committing_ = false;
   std::deque<std::shared_ptr<Pending>> pending_;
   Condition changed_;
+  AppliedHook on_applied_;
 };
 
 }  // namespace comfreyfold
--- a/source/server/model_runner.h
+++ b/source/server/model_runner.h
@@ -1,11 +1,15 @@
 #ifndef SERVER_MODEL_RUNNER_H_
 #define SERVER_MODEL_RUNNER_H_
 
+#include <memory>
+#include <string>
+
 #include "backend/engine_client.h"
 #include "server/backend_chooser.h"
 #include "server/budget_ledger.h"
 #include "server/call_journal.h"
 #include "server/call_limits.h"
+#include "server/stray_holds.h"
 
 namespace comfreyfold {
 
@@ -13,6 +17,7 @@
 class ModelRunner {
  public:
   ModelRunner(Loop& loop,
+              StrayHolds& strays,
               EngineClient& engines,
               BackendDirectory& directory,
               BackendChooser& chooser,
@@ -20,6 +25,7 @@
               CallLimits& limits,
               BudgetLedger& budgets)
       : loop_(loop),
+        strays_(strays),
         engines_(engines),
         directory_(directory),
         chooser_(chooser),
@@ -31,12 +37,23 @@
   void Run(Fiber& fiber, CallContext& context);
 
  private:
+  // Where a call goes, counted against the engine until it ends.
+  struct Placed {
+    std::unique_ptr<InFlight> in_flight;
+    std::string address;
+    bool resume = false;
+  };
+
+  // Chooses an engine that takes work and commits the intent to use it.
+  Placed Begin(Fiber& fiber, CallContext& context, LaneEntry& begun);
+  void RecordNotRun(Fiber& fiber, CallContext& context);
   // Where an earlier owner's dispatch of the same call may still stream;
   // null when there is none.
   const Backend* BackendToResume(const CallContext& context);
   void Cancel(const std::string& address, const std::string& request_id);
 
   Loop& loop_;
+  StrayHolds& strays_;
   EngineClient& engines_;
   BackendDirectory& directory_;
   BackendChooser& chooser_;
