--- a/source/log/event_log.cc
+++ b/source/log/event_log.cc
@@ -1,6 +1,5 @@
 #include "log/event_log.h"
 
-#include <fstream>
 #include <utility>
 
 #include <easylogging++.h>
@@ -35,10 +34,12 @@
 
 EventLog::EventLog(std::string daemon,
                    std::string data_centre,
-                   const std::string& file)
+                   const std::string& file,
+                   std::size_t recent_bytes)
     : daemon_(std::move(daemon)),
       data_centre_(std::move(data_centre)),
-      file_(file) {
+      recent_bytes_(recent_bytes),
+      boot_(clock_.Tick(WallNow()).packed()) {
   el::Configurations conf;
   conf.setToDefault();
   conf.setGlobally(el::ConfigurationType::Format, "%msg");
@@ -60,6 +61,9 @@
   line["event"] = event.name;
   line["daemon"] = daemon_;
   line["data_centre"] = data_centre_;
+  // A restart begins a new sequence; the two together show every gap.
+  line["boot"] = boot_;
+  line["sequence"] = ++sequence_;
   Put(line, "customer", event.customer);
   Put(line, "program", event.program);
   Put(line, "call", event.call);
@@ -67,9 +71,40 @@
   Put(line, "lane", event.lane);
   Put(line, "epoch", event.epoch);
   Put(line, "backend", event.backend);
+  Put(line, "peer", event.peer);
   Put(line, "detail", event.detail);
-  LOG(INFO) << line.dump(-1, ' ', false,
-                         nlohmann::json::error_handler_t::replace);
+  auto text =
+      line.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
+  LOG(INFO) << text;
+  Keep({sequence_, now.packed(), now.wall(), event.program, event.customer,
+        event.lane, std::move(text)});
+  if (on_write_) {
+    on_write_(event);
+  }
+}
+
+void EventLog::OnWrite(std::function<void(const Event&)> hook) {
+  on_write_ = std::move(hook);
+}
+
+void EventLog::Keep(Stored event) {
+  stored_bytes_ += event.bytes();
+  recent_.push_back(std::move(event));
+  while (stored_bytes_ > recent_bytes_ && recent_.size() > 1) {
+    stored_bytes_ -= recent_.front().bytes();
+    recent_.pop_front();
+  }
+}
+
+std::size_t EventLog::Stored::bytes() const {
+  return sizeof(Stored) + program.size() + customer.size() + line.size();
+}
+
+bool EventLog::Stored::Passes(const EventFilter& filter) const {
+  return time >= filter.since &&
+         (filter.program.empty() || filter.program == program) &&
+         (filter.customer.empty() || filter.customer == customer) &&
+         (!filter.lane || *filter.lane == lane);
 }
 
 std::int64_t EventLog::Stamp() {
@@ -80,17 +115,21 @@
   clock_.Receive(HybridTime::FromPacked(stamp), WallNow());
 }
 
-std::string EventLog::Recent(std::chrono::microseconds since) const {
-  if (file_.empty()) {
-    return {};
-  }
-  el::Loggers::flushAll();
-  std::ifstream in(file_);
-  std::string out;
-  for (std::string line; std::getline(in, line);) {
-    const auto json = nlohmann::json::parse(line, nullptr, false);
-    if (json.is_object() && json.value("time_us", 0LL) >= since.count()) {
-      out += line + "\n";
+std::string EventLog::Window() const {
+  nlohmann::ordered_json out;
+  out["window"] = daemon_;
+  out["boot"] = boot_;
+  out["first_sequence"] = recent_.empty() ? 1 : recent_.front().sequence;
+  out["last_sequence"] = sequence_;
+  out["first_clock"] = recent_.empty() ? boot_ : recent_.front().clock;
+  return out.dump();
+}
+
+std::string EventLog::Recent(const EventFilter& filter) const {
+  auto out = Window() + "\n";
+  for (const auto& it : recent_) {
+    if (it.Passes(filter)) {
+      out += it.line + "\n";
     }
   }
   return out;
--- a/source/net/http_client.cc
+++ b/source/net/http_client.cc
@@ -67,6 +67,19 @@
   explicit Impl(Loop& owner) : loop(owner) {}
 
   Loop& loop;
+  std::vector<std::pair<std::string, HttpHeader>> added_headers;
+  std::function<void(const HttpRequest&, std::size_t)> on_sent;
+
+  http::request<http::string_body> Message(const std::string& address,
+                                           const HttpRequest& request) const {
+    auto out = ToBeast(address, request);
+    for (const auto& [prefix, header] : added_headers) {
+      if (request.target.rfind(prefix, 0) == 0) {
+        out.set(header.name, header.value);
+      }
+    }
+    return out;
+  }
   std::map<std::string, std::vector<std::unique_ptr<Connection>>> idle;
 
   std::unique_ptr<Connection> TakeIdle(const std::string& address) {
@@ -120,6 +133,15 @@
 HttpClient::HttpClient(Loop& loop) : impl_(std::make_shared<Impl>(loop)) {}
 HttpClient::~HttpClient() = default;
 
+void HttpClient::AddHeader(std::string prefix, HttpHeader header) {
+  impl_->added_headers.emplace_back(std::move(prefix), std::move(header));
+}
+
+void HttpClient::OnSent(
+    std::function<void(const HttpRequest&, std::size_t)> hook) {
+  impl_->on_sent = std::move(hook);
+}
+
 HttpReply HttpClient::Send(Fiber& fiber,
                            const std::string& address,
                            const HttpRequest& request,
@@ -140,10 +162,13 @@
     }
   };
 
-  auto message = ToBeast(address, request);
+  auto message = impl_->Message(address, request);
   stream.expires_after(options.idle_timeout);
-  http::async_write(stream, message, yield);
+  const auto sent = http::async_write(stream, message, yield);
   check("write to");
+  if (impl_->on_sent) {
+    impl_->on_sent(request, sent);
+  }
 
   http::response_parser<http::buffer_body> parser;
   parser.body_limit(kBodyLimitBytes);
--- a/source/net/http_client.h
+++ b/source/net/http_client.h
@@ -51,6 +51,12 @@
                  const HttpRequest& request,
                  const HttpOptions& options = {});
 
+  // Adds `header` to each request whose target starts with `prefix`.
+  void AddHeader(std::string prefix, HttpHeader header);
+
+  // Told the bytes written for each request.
+  void OnSent(std::function<void(const HttpRequest&, std::size_t)> hook);
+
  private:
   struct Impl;
   std::shared_ptr<Impl> impl_;
--- a/source/net/http_server.cc
+++ b/source/net/http_server.cc
@@ -8,6 +8,7 @@
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
 
+#include "net/error_reply.h"
 #include "net/loop_impl.h"
 
 namespace comfreyfold {
@@ -20,6 +21,11 @@
 
 constexpr std::chrono::seconds kWriteTimeout{30};
 constexpr std::chrono::milliseconds kAcceptPause{50};
+constexpr std::chrono::seconds kRefusalTimeout{1};
+constexpr std::chrono::milliseconds kRetryWhenCrowded{1000};
+constexpr std::size_t kFirstReadBytes = 1024;
+// What a refused sender may still have under way before the close.
+constexpr std::size_t kDiscardBytes = 256 * 1024;
 
 struct Session {
   explicit Session(tcp::socket socket) : stream(std::move(socket)) {}
@@ -44,8 +50,9 @@
     begun_ = true;
     boost::system::error_code ec;
     session_.stream.expires_after(kWriteTimeout);
-    http::async_write(session_.stream, message, fiber_.impl().yield[ec]);
-    Note(ec);
+    const auto n =
+        http::async_write(session_.stream, message, fiber_.impl().yield[ec]);
+    Note(ec, n);
   }
 
   void Begin(int status,
@@ -58,9 +65,9 @@
     http::response_serializer<http::empty_body> serializer(message);
     boost::system::error_code ec;
     session_.stream.expires_after(kWriteTimeout);
-    http::async_write_header(session_.stream, serializer,
-                             fiber_.impl().yield[ec]);
-    Note(ec);
+    const auto n = http::async_write_header(session_.stream, serializer,
+                                            fiber_.impl().yield[ec]);
+    Note(ec, n);
   }
 
   void Write(std::string_view piece) override {
@@ -69,11 +76,11 @@
     }
     boost::system::error_code ec;
     session_.stream.expires_after(kWriteTimeout);
-    boost::asio::async_write(
+    const auto n = boost::asio::async_write(
         session_.stream,
         http::make_chunk(boost::asio::buffer(piece.data(), piece.size())),
         fiber_.impl().yield[ec]);
-    Note(ec);
+    Note(ec, n);
   }
 
   void End() override {
@@ -82,9 +89,9 @@
     }
     boost::system::error_code ec;
     session_.stream.expires_after(kWriteTimeout);
-    boost::asio::async_write(session_.stream, http::make_chunk_last(),
-                             fiber_.impl().yield[ec]);
-    Note(ec);
+    const auto n = boost::asio::async_write(
+        session_.stream, http::make_chunk_last(), fiber_.impl().yield[ec]);
+    Note(ec, n);
   }
 
   void Abort() override {
@@ -95,6 +102,7 @@
 
   bool begun() const override { return begun_; }
   bool broken() const override { return broken_; }
+  std::size_t sent_bytes() const { return sent_bytes_; }
 
  private:
   template <typename Message>
@@ -111,7 +119,8 @@
     }
   }
 
-  void Note(boost::system::error_code ec) {
+  void Note(boost::system::error_code ec, std::size_t bytes) {
+    sent_bytes_ += bytes;
     if (ec) {
       broken_ = true;
     }
@@ -122,8 +131,41 @@
   bool keep_alive_;
   bool begun_ = false;
   bool broken_ = false;
+  std::size_t sent_bytes_ = 0;
 };
 
+// Stops the reading of a request that comes too slowly. The stream's own
+// timeout closes the socket, which would leave nothing to answer on.
+class ReadDeadline {
+ public:
+  ReadDeadline(const std::shared_ptr<Session>& session,
+               std::chrono::milliseconds time)
+      : timer_(session->stream.get_executor(), time),
+        passed_(std::make_shared<bool>(false)) {
+    timer_.async_wait(
+        [session, passed = passed_](boost::system::error_code ec) {
+          if (!ec) {
+            *passed = true;
+            session->stream.cancel();
+          }
+        });
+  }
+  bool passed() const { return *passed_; }
+
+ private:
+  boost::asio::steady_timer timer_;
+  std::shared_ptr<bool> passed_;
+};
+
+using Parser = http::request_parser<http::string_body>;
+
+CallError Refused(int status,
+                  const char* code,
+                  const std::string& message,
+                  std::chrono::milliseconds retry_after = {}) {
+  return {status, code, message, Verdict::kNotRun, retry_after};
+}
+
 HttpRequest FromBeast(const http::request<http::string_body>& message) {
   HttpRequest out;
   out.method = std::string(message.method_string());
@@ -151,7 +193,9 @@
   tcp::acceptor acceptor;
   std::set<Session*> sessions;
   int in_flight = 0;
+  int turning_away = 0;
   bool draining = false;
+  std::function<void(const HttpRequest&, std::size_t)> on_answered;
 
   void Accept(Fiber& fiber) {
     while (!draining) {
@@ -166,73 +210,144 @@
         fiber.Sleep(kAcceptPause);
         continue;
       }
+      socket.set_option(tcp::no_delay(true), ec);
+      auto session = std::make_shared<Session>(std::move(socket));
       if (static_cast<int>(sessions.size()) >= limits.connections) {
+        loop.Spawn([self = shared_from_this(), session](Fiber& child) {
+          self->TurnAway(child, *session);
+        });
         continue;
       }
-      socket.set_option(tcp::no_delay(true), ec);
-      auto session = std::make_shared<Session>(std::move(socket));
+      // Counted here: the coroutine may start after further accepts.
+      sessions.insert(session.get());
       loop.Spawn([self = shared_from_this(), session](Fiber& child) {
-        self->sessions.insert(session.get());
-        self->Serve(child, *session);
+        self->Serve(child, session);
         self->sessions.erase(session.get());
       });
     }
   }
 
+  void TurnAway(Fiber& fiber, Session& session) {
+    if (turning_away >= limits.connections) {
+      return;
+    }
+    ++turning_away;
+    Refuse(fiber, session,
+           Refused(503, "too_many_connections",
+                   "this daemon has as many connections as it may; retry, or "
+                   "use another daemon",
+                   kRetryWhenCrowded));
+    --turning_away;
+  }
+
   // True when a whole request was read; answers a bad one itself.
   bool Read(Fiber& fiber,
-            Session& session,
-            http::request_parser<http::string_body>& parser) {
+            const std::shared_ptr<Session>& shared,
+            Parser& parser) {
+    auto& session = *shared;
     parser.body_limit(limits.body_bytes);
     parser.header_limit(limits.header_bytes);
     boost::system::error_code ec;
-    session.stream.expires_after(limits.idle_time);
     if (session.buf.size() == 0) {
-      const auto n = session.stream.async_read_some(session.buf.prepare(1024),
-                                                    fiber.impl().yield[ec]);
+      session.stream.expires_after(limits.idle_time);
+      const auto n = session.stream.async_read_some(
+          session.buf.prepare(kFirstReadBytes), fiber.impl().yield[ec]);
       session.buf.commit(n);
+      if (ec) {
+        return false;
+      }
+    }
+    session.stream.expires_never();
+    const ReadDeadline deadline(shared, limits.request_time);
+    http::async_read_header(session.stream, session.buf, parser,
+                            fiber.impl().yield[ec]);
+    if (!ec && !Expected(fiber, session, parser)) {
+      return false;
     }
     if (!ec) {
-      session.stream.expires_after(limits.request_time);
       http::async_read(session.stream, session.buf, parser,
                        fiber.impl().yield[ec]);
     }
     if (!ec) {
       return true;
     }
-    const int status = StatusOf(ec);
-    if (status != 0) {
-      Exchange exchange(fiber, session, false);
-      exchange.Reply(status, "application/json",
-                     R"({"error":{"code":"bad_http","message":")" +
-                         ec.message() +
-                         R"(; send a smaller or well-formed request",)"
-                         R"("verdict":"not_run"}})",
-                     {{"Comfreyfold-Verdict", "not_run"}});
+    if (deadline.passed()) {
+      Refuse(fiber, session,
+             Refused(408, "request_timeout",
+                     "the request did not arrive whole in time; send it "
+                     "faster, or in one piece"));
+    } else if (IsHttpError(ec) && ec != http::error::end_of_stream) {
+      Refuse(fiber, session, RefusalOf(ec));
     }
     return false;
   }
 
-  static int StatusOf(boost::system::error_code ec) {
+  // Answers "Expect: 100-continue", on which some clients hold the body
+  // back; false when something else is expected.
+  static bool Expected(Fiber& fiber, Session& session, const Parser& parser) {
+    const auto expected = parser.get()[http::field::expect];
+    if (expected.empty()) {
+      return true;
+    }
+    if (!beast::iequals(expected, "100-continue")) {
+      Refuse(fiber, session,
+             Refused(417, "expectation_unknown",
+                     "only 'Expect: 100-continue' is known; leave it out"));
+      return false;
+    }
+    http::response<http::empty_body> go_on(http::status::continue_, 11);
+    boost::system::error_code ec;
+    session.stream.expires_after(kWriteTimeout);
+    http::async_write(session.stream, go_on, fiber.impl().yield[ec]);
+    session.stream.expires_never();
+    return !ec;
+  }
+
+  static bool IsHttpError(boost::system::error_code ec) {
+    return ec.category() == make_error_code(http::error::bad_method).category();
+  }
+
+  static CallError RefusalOf(boost::system::error_code ec) {
     if (ec == http::error::body_limit) {
-      return 413;
+      return Refused(413, "body_too_large",
+                     "the body is larger than this daemon takes; send less");
     }
     if (ec == http::error::header_limit) {
-      return 431;
+      return Refused(431, "headers_too_large",
+                     "the headers are larger than this daemon takes; send "
+                     "fewer or shorter ones");
     }
-    if (ec == http::error::end_of_stream || ec == beast::error::timeout ||
-        ec == http::error::partial_message) {
-      return 0;
+    if (ec == http::error::partial_message) {
+      return Refused(400, "request_cut",
+                     "the connection ended before the request did; send it "
+                     "again whole");
+    }
+    return Refused(400, "bad_http",
+                   ec.message() + "; send a well-formed HTTP/1.1 request");
+  }
+
+  // Answers what was not read whole. The rest of it is read and dropped:
+  // closing with bytes unread would reset the connection and could take the
+  // answer with it.
+  static void Refuse(Fiber& fiber, Session& session, const CallError& error) {
+    Exchange exchange(fiber, session, false);
+    ReplyError(exchange, error);
+    boost::system::error_code ec;
+    session.stream.socket().shutdown(tcp::socket::shutdown_send, ec);
+    session.stream.expires_after(kRefusalTimeout);
+    std::size_t dropped = 0;
+    while (!ec && dropped < kDiscardBytes) {
+      session.buf.clear();
+      dropped += session.stream.async_read_some(
+          session.buf.prepare(kFirstReadBytes), fiber.impl().yield[ec]);
     }
-    return ec.category() == make_error_code(http::error::bad_method).category()
-               ? 400
-               : 0;
   }
 
-  void Serve(Fiber& fiber, Session& session) {
+  void Serve(Fiber& fiber, const std::shared_ptr<Session>& shared) {
+    auto& session = *shared;
     while (!draining) {
-      http::request_parser<http::string_body> parser;
-      if (!Read(fiber, session, parser)) {
+      Parser parser;
+      if (!Read(fiber, shared, parser)) {
         break;
       }
       // A planned stop lets the request at hand be answered, but no
@@ -242,11 +357,7 @@
       session.stream.expires_never();
       session.busy = true;
       ++in_flight;
-      try {
-        handler(fiber, FromBeast(parser.get()), exchange);
-      } catch (const std::exception& e) {
-        Fail(exchange, e.what());
-      }
+      Answer(fiber, FromBeast(parser.get()), exchange);
       --in_flight;
       session.busy = false;
       if (!keep_alive || exchange.broken()) {
@@ -257,6 +368,17 @@
     session.stream.socket().shutdown(tcp::socket::shutdown_send, ec);
   }
 
+  void Answer(Fiber& fiber, const HttpRequest& request, Exchange& exchange) {
+    try {
+      handler(fiber, request, exchange);
+    } catch (const std::exception& e) {
+      Fail(exchange, e.what());
+    }
+    if (on_answered) {
+      on_answered(request, exchange.sent_bytes());
+    }
+  }
+
   void Fail(HttpExchange& exchange, const char* what) {
     if (loop.impl().on_error) {
       loop.impl().on_error(what);
@@ -264,11 +386,10 @@
     if (exchange.begun()) {
       exchange.Abort();
     } else {
-      exchange.Reply(500, "application/json",
-                     R"({"error":{"code":"internal","message":"internal )"
-                     R"(error; retry with the same Idempotency-Key",)"
-                     R"("verdict":"may_have_run"}})",
-                     {{"Comfreyfold-Verdict", "may_have_run"}});
+      ReplyError(exchange, CallError(500, "internal",
+                                     "internal error; retry with the same "
+                                     "Idempotency-Key",
+                                     Verdict::kMayHaveRun));
     }
   }
 };
@@ -312,6 +433,11 @@
   }
 }
 
+void HttpServer::OnAnswered(
+    std::function<void(const HttpRequest&, std::size_t)> hook) {
+  impl_->on_answered = std::move(hook);
+}
+
 int HttpServer::in_flight() const {
   return impl_->in_flight;
 }
--- a/source/net/http_server.h
+++ b/source/net/http_server.h
@@ -18,7 +18,8 @@
 struct HttpLimits {
   std::uint64_t body_bytes = 8ULL * 1024 * 1024;
   std::uint32_t header_bytes = 16 * 1024;
-  // From the first byte of a request to the last of its body.
+  // From the first byte of a request to the last of its body; one that takes
+  // longer is answered 408.
   std::chrono::milliseconds request_time{10000};
   // A connection that sends nothing is closed after this.
   std::chrono::milliseconds idle_time{60000};
@@ -70,6 +71,9 @@
   // Requests being handled now.
   int in_flight() const;
 
+  // Told the bytes written for each request that was handled.
+  void OnAnswered(std::function<void(const HttpRequest&, std::size_t)> hook);
+
  private:
   struct Impl;
   std::shared_ptr<Impl> impl_;
--- a/source/platform/kv_client.cc
+++ b/source/platform/kv_client.cc
@@ -105,10 +105,19 @@
                    std::chrono::milliseconds timeout)
     : http_(http), address_(std::move(address)), timeout_(timeout) {}
 
+void KvClient::Tell(const std::string& path,
+                    bool answered,
+                    std::chrono::steady_clock::time_point start) const {
+  if (on_call_) {
+    on_call_(path, answered, std::chrono::steady_clock::now() - start);
+  }
+}
+
 std::string KvClient::Post(Fiber& fiber,
                            const std::string& path,
                            const std::string& body) {
   ++calls_;
+  const auto start = std::chrono::steady_clock::now();
   HttpOptions options;
   options.connect_timeout = timeout_;
   options.idle_timeout = timeout_;
@@ -118,8 +127,10 @@
         fiber, address_,
         {"POST", path, {{"Content-Type", "application/json"}}, body}, options);
   } catch (const HttpFailure& e) {
+    Tell(path, false, start);
     throw KvUnavailable(e.what(), e.sent());
   }
+  Tell(path, reply.status == 200, start);
   if (reply.status != 200) {
     throw KvUnavailable(
         "key-value service answered " + std::to_string(reply.status),
@@ -188,6 +199,7 @@
                      std::chrono::milliseconds idle,
                      const std::function<void(std::int64_t)>& on_change) {
   ++calls_;
+  Tell("/v3/watch", true, std::chrono::steady_clock::now());
   const json body = {{"create_request",
                       {{"key", EncodeBase64(prefix)},
                        {"range_end", EncodeBase64(PrefixEnd(prefix))},
--- a/source/platform/kv_client.h
+++ b/source/platform/kv_client.h
@@ -102,6 +102,13 @@
              std::chrono::milliseconds idle,
              const std::function<void(std::int64_t)>& on_change);
 
+  // Told of each call that ended: its path, whether it was answered, and
+  // the time it took. A watch is told when it begins.
+  using CallHook = std::function<void(const std::string& path,
+                                      bool answered,
+                                      std::chrono::steady_clock::duration)>;
+  void OnCall(CallHook hook) { on_call_ = std::move(hook); }
+
   // Calls sent so far, a watch as one.
   std::int64_t calls() const { return calls_; }
 
@@ -109,11 +116,15 @@
   std::string Post(Fiber& fiber,
                    const std::string& path,
                    const std::string& body);
+  void Tell(const std::string& path,
+            bool answered,
+            std::chrono::steady_clock::time_point start) const;
 
   HttpClient& http_;
   std::string address_;
   std::chrono::milliseconds timeout_;
   std::int64_t calls_ = 0;
+  CallHook on_call_;
 };
 
 // The key just after every key that starts with `prefix`.
--- a/source/server/call_router.cc
+++ b/source/server/call_router.cc
@@ -100,6 +100,13 @@
         return;
       }
       if (owner) {
+        log_.Write({.name = "call_forwarded",
+                    .customer = call.customer,
+                    .program = call.program,
+                    .key = call.key,
+                    .peer = owner->daemon,
+                    .lane = lane,
+                    .epoch = owner->epoch});
         Forward(fiber, *owner, attempt, pass);
         return;
       }
@@ -112,9 +119,10 @@
                   .customer = call.customer,
                   .program = call.program,
                   .key = call.key,
+                  .peer = owner->daemon,
                   .lane = lane,
                   .epoch = owner->epoch,
-                  .detail = owner->daemon + ": " + e.what()});
+                  .detail = e.what()});
     }
     fiber.Sleep(kOwnerRetry);
   }
--- a/source/server/call_runner.cc
+++ b/source/server/call_runner.cc
@@ -16,8 +16,18 @@
 void CallRunner::Run(Fiber& fiber,
                      const ForwardedCall& call,
                      const FrameSink& sink) {
+  const int lane = LaneOf(call.customer, call.program, lanes_.lanes());
+  Note("call_queued", call, lane);
+  bool first = true;
+  const FrameSink noting_sink = [&](const AnswerFrame& frame) {
+    if (first && frame.kind == FrameKind::kDelta) {
+      Note("first_piece", call, lane);
+      first = false;
+    }
+    sink(frame);
+  };
   CallContext context{call,
-                      sink,
+                      noting_sink,
                       nullptr,
                       contracts_.FindByName(call.customer),
                       {call.customer, call.program},
@@ -36,7 +46,6 @@
                     Verdict::kNotRun, kRetrySoon);
   }
   // Looked up after the wait: the lane may have moved meanwhile.
-  const int lane = LaneOf(call.customer, call.program, lanes_.lanes());
   context.lane = lanes_.Find(lane);
   if (!context.lane) {
     throw NotOwner("lane " + std::to_string(lane) + " is not owned here");
@@ -59,6 +68,14 @@
   }
 }
 
+void CallRunner::Note(const char* name, const ForwardedCall& call, int lane) {
+  log_.Write({.name = name,
+              .customer = call.customer,
+              .program = call.program,
+              .key = call.key,
+              .lane = lane});
+}
+
 void CallRunner::RunCall(Fiber& fiber, CallContext& context) {
   const auto& call = context.call;
   const auto admission = context.lane->state().Admit(
--- a/source/server/call_runner.h
+++ b/source/server/call_runner.h
@@ -21,13 +21,15 @@
              CallLimits& limits,
              ModelRunner& models,
              ToolRunner& tools,
-             ProgramRequests& requests)
+             ProgramRequests& requests,
+             EventLog& log)
       : lanes_(lanes),
         contracts_(contracts),
         limits_(limits),
         models_(models),
         tools_(tools),
         requests_(requests),
+        log_(log),
         gate_(loop) {}
 
   // Runs one call. Ends with a kDone frame, or throws CallError or
@@ -36,6 +38,7 @@
 
  private:
   void RunCall(Fiber& fiber, CallContext& context);
+  void Note(const char* name, const ForwardedCall& call, int lane);
 
   LaneManager& lanes_;
   ContractStore& contracts_;
@@ -43,6 +46,7 @@
   ModelRunner& models_;
   ToolRunner& tools_;
   ProgramRequests& requests_;
+  EventLog& log_;
   ProgramGate gate_;
 };
 
--- a/source/server/caller_api.cc
+++ b/source/server/caller_api.cc
@@ -7,6 +7,7 @@
 #include <nlohmann/json.hpp>
 
 #include "core/call_error.h"
+#include "net/error_reply.h"
 #include "platform/base64.h"
 
 namespace comfreyfold {
@@ -17,6 +18,7 @@
 
 constexpr char kJsonType[] = "application/json";
 constexpr std::size_t kLongestName = 200;
+constexpr int kDeepestNesting = 64;
 
 [[noreturn]] void Refuse(int status,
                          const char* code,
@@ -38,29 +40,97 @@
   }
 }
 
-json ErrorBody(const CallError& e) {
-  return {{"error",
-           {{"code", e.code()},
-            {"message", e.what()},
-            {"type", "comfreyfold_error"},
-            {"verdict", ToString(e.verdict())}}}};
+// Answers come from servers as they are: text that is not UTF-8 is shown
+// with replacement characters.
+std::string Dump(const json& data) {
+  return data.dump(-1, ' ', false, json::error_handler_t::replace);
 }
 
-std::vector<HttpHeader> ErrorHeaders(const CallError& e) {
-  std::vector<HttpHeader> out{
-      {"Comfreyfold-Verdict", std::string(ToString(e.verdict()))}};
-  if (e.retry_after().count() > 0) {
-    const auto seconds =
-        std::chrono::ceil<std::chrono::seconds>(e.retry_after());
-    out.push_back({"Retry-After", std::to_string(seconds.count())});
+std::string StreamEvent(const std::string& data) {
+  return "data: " + data + "\n\n";
+}
+
+// Nesting deeper than any request needs would cost stack in every parser
+// that the body meets later.
+json ParseBody(const std::string& body) {
+  const json::parser_callback_t bounded = [](int depth, json::parse_event_t,
+                                             json&) {
+    if (depth > kDeepestNesting) {
+      Refuse(400, "nested_too_deep",
+             "the body is nested deeper than " +
+                 std::to_string(kDeepestNesting) + " levels; flatten it");
+    }
+    return true;
+  };
+  auto out = json::parse(body, bounded, false);
+  if (out.is_discarded()) {
+    Refuse(400, "bad_json", "the body must be JSON in UTF-8");
   }
   return out;
 }
 
-std::string StreamEvent(const json& data) {
-  return "data: " + data.dump() + "\n\n";
+const char* NameOf(Operation operation) {
+  switch (operation) {
+    case Operation::kModel:
+      return "model";
+    case Operation::kTool:
+      return "tool";
+    case Operation::kService:
+      return "service";
+    case Operation::kEnd:
+      return "end";
+    case Operation::kHistory:
+      return "history";
+    case Operation::kAnswer:
+      return "answer";
+  }
+  return "unknown";
+}
+
+// A name from a header, or one made here.
+std::string TakeName(const HttpRequest& request,
+                     const char* header,
+                     const char* prefix) {
+  const auto text = request.Header(header);
+  if (text.empty()) {
+    return prefix + RandomId();
+  }
+  CheckName(header, text);
+  return text;
 }
 
+void SendError(HttpExchange& exchange, const CallError& e) {
+  if (!exchange.begun()) {
+    ReplyError(exchange, e);
+    return;
+  }
+  exchange.Write(StreamEvent(ErrorBody(e)));
+  exchange.End();
+}
+
+// Measures when the pieces of a stream come.
+class PieceTimes {
+ public:
+  explicit PieceTimes(Metrics& metrics) : metrics_(metrics) {}
+
+  void Piece() {
+    const auto now = std::chrono::steady_clock::now();
+    if (first_) {
+      metrics_.ObserveFirstToken(now - last_);
+    } else {
+      metrics_.ObserveTokenGap(now - last_);
+    }
+    first_ = false;
+    last_ = now;
+  }
+
+ private:
+  Metrics& metrics_;
+  bool first_ = true;
+  std::chrono::steady_clock::time_point last_ =
+      std::chrono::steady_clock::now();
+};
+
 std::vector<std::string> Split(const std::string& path) {
   std::vector<std::string> out;
   std::size_t start = 1;
@@ -85,15 +155,29 @@
 
 }  // namespace
 
+const char* CallerApi::NameOf(const CallerRequest& read) {
+  return read.urgent ? "urgent" : comfreyfold::NameOf(read.call.operation);
+}
+
+Event CallerApi::EventOf(const char* name, const CallerRequest& read) {
+  return {.name = name,
+          .customer = read.call.customer,
+          .program = read.call.program,
+          .key = read.call.key,
+          .detail = NameOf(read)};
+}
+
 CallerApi::CallerApi(ContractStore& contracts,
                      CallRouter& router,
                      UrgentSender& urgent,
                      EventLog& log,
+                     Metrics& metrics,
                      std::chrono::milliseconds deadline)
     : contracts_(contracts),
       router_(router),
       urgent_(urgent),
       log_(log),
+      metrics_(metrics),
       deadline_(deadline) {}
 
 bool CallerApi::Handle(Fiber& fiber,
@@ -102,26 +186,31 @@
   if (request.Path().rfind("/v1/", 0) != 0) {
     return false;
   }
+  const auto start = std::chrono::steady_clock::now();
+  CallerRequest read;
+  std::string code = "ok";
   try {
-    HandleCall(fiber, request, exchange);
+    ReadCaller(request, read.call);
+    ReadTarget(request, read);
+    log_.Write(EventOf("call_received", read));
+    Answer(fiber, read, exchange);
+    log_.Write(EventOf("call_answered", read));
   } catch (const CallError& e) {
-    log_.Write({.name = "call_refused",
-                .program = request.Header("Comfreyfold-Program"),
-                .key = request.Header("Idempotency-Key"),
-                .detail = e.code() + " " + std::string(ToString(e.verdict()))});
-    if (!exchange.begun()) {
-      exchange.Reply(e.status(), kJsonType, ErrorBody(e).dump(),
-                     ErrorHeaders(e));
-    } else {
-      exchange.Write(StreamEvent(ErrorBody(e)));
-      exchange.End();
-    }
+    code = e.code();
+    const auto verdict = std::string(ToString(e.verdict()));
+    metrics_.CountRefusal(code, verdict);
+    auto event = EventOf("call_refused", read);
+    event.detail += " " + code + " " + verdict;
+    log_.Write(event);
+    SendError(exchange, e);
   }
+  metrics_.CountCall(NameOf(read), code,
+                     std::chrono::steady_clock::now() - start);
   return true;
 }
 
-ForwardedCall CallerApi::ReadCall(const HttpRequest& request) const {
-  ForwardedCall out;
+void CallerApi::ReadCaller(const HttpRequest& request,
+                           ForwardedCall& out) const {
   constexpr std::string_view kBearer = "Bearer ";
   const auto authorization = request.Header("Authorization");
   const auto contract =
@@ -133,28 +222,65 @@
            "no contract has this API key; send it as Authorization: Bearer");
   }
   out.customer = contract->customer;
-  out.program = request.Header("Comfreyfold-Program");
   // A call outside any program is a program of one call.
-  if (out.program.empty()) {
-    out.program = "single-" + RandomId();
-  }
-  out.key = request.Header("Idempotency-Key");
-  if (out.key.empty()) {
-    out.key = RandomId();
+  out.program = TakeName(request, "Comfreyfold-Program", "single-");
+  out.key = TakeName(request, "Idempotency-Key", "");
+  const auto parent = request.Header("Comfreyfold-Parent");
+  if (!parent.empty()) {
+    CheckName("Comfreyfold-Parent", parent);
+    out.parent = parent;
   }
-  out.parent = request.Header("Comfreyfold-Parent");
   const auto place = request.Header("Comfreyfold-Call");
   if (!place.empty()) {
     out.call = ReadPlace(place);
   }
   out.body = request.body;
   out.deadline = deadline_;
-  return out;
 }
 
-void CallerApi::ReadModelCall(const HttpRequest& request,
-                              ForwardedCall& call) const {
-  const auto body = json::parse(request.body, nullptr, false);
+void CallerApi::ReadTarget(const HttpRequest& request,
+                           CallerRequest& out) const {
+  const auto parts = Split(request.Path());
+  const bool post = request.method == "POST";
+  const bool get = request.method == "GET";
+  if (post && request.Path() == "/v1/chat/completions") {
+    ReadModelCall(out);
+  } else if (post && parts.size() == 3 &&
+             (parts[1] == "tools" || parts[1] == "services" ||
+              parts[1] == "urgent")) {
+    ReadToolCall(parts[1], parts[2], out);
+  } else if (parts.size() >= 4 && parts[1] == "programs" && (post || get)) {
+    CheckName("the program in the path", parts[2]);
+    out.call.program = parts[2];
+    if (post && parts.size() == 4 && parts[3] == "end") {
+      out.call.operation = Operation::kEnd;
+    } else if (get && parts.size() == 4 && parts[3] == "history") {
+      out.call.operation = Operation::kHistory;
+    } else if (get && parts.size() == 5 && parts[3] == "calls") {
+      CheckName("the key in the path", parts[4]);
+      out.call.operation = Operation::kAnswer;
+      out.call.key = parts[4];
+    } else {
+      Refuse(404, "no_such_path", "see the README for the paths");
+    }
+  } else {
+    Refuse(404, "no_such_path", "see the README for the paths");
+  }
+}
+
+void CallerApi::ReadToolCall(const std::string& kind,
+                             const std::string& name,
+                             CallerRequest& out) {
+  CheckName("the name in the path", name);
+  ParseBody(out.call.body);
+  out.call.target = name;
+  out.call.operation =
+      kind == "services" ? Operation::kService : Operation::kTool;
+  out.urgent = kind == "urgent";
+}
+
+void CallerApi::ReadModelCall(CallerRequest& out) {
+  const auto body = ParseBody(out.call.body);
   if (!body.is_object()) {
     Refuse(400, "bad_json", "the body must be a JSON object");
   }
@@ -180,59 +306,22 @@
   if (body.contains("stream") && !body["stream"].is_boolean()) {
     Refuse(400, "bad_request", "'stream' must be true or false");
   }
-  call.operation = Operation::kModel;
-  call.target = body["model"].get<std::string>();
+  out.call.operation = Operation::kModel;
+  out.call.target = body["model"].get<std::string>();
+  CheckName("'model'", out.call.target);
+  out.stream = body.value("stream", false);
 }
 
-void CallerApi::HandleCall(Fiber& fiber,
-                           const HttpRequest& request,
-                           HttpExchange& exchange) {
-  auto call = ReadCall(request);
-  const auto parts = Split(request.Path());
-  const bool post = request.method == "POST";
-  if (post && request.Path() == "/v1/chat/completions") {
-    CheckName("Comfreyfold-Program", call.program);
-    CheckName("Idempotency-Key", call.key);
-    ReadModelCall(request, call);
-    AnswerModel(fiber, call, json::parse(call.body).value("stream", false),
-                exchange);
-    return;
-  }
-  if (post && parts.size() == 3 &&
-      (parts[1] == "tools" || parts[1] == "services" || parts[1] == "urgent")) {
-    CheckName("Comfreyfold-Program", call.program);
-    CheckName("Idempotency-Key", call.key);
-    CheckName("the name in the path", parts[2]);
-    if (json::parse(call.body, nullptr, false).is_discarded()) {
-      Refuse(400, "bad_json", "the body must be JSON");
-    }
-    call.target = parts[2];
-    call.operation =
-        parts[1] == "services" ? Operation::kService : Operation::kTool;
-    if (parts[1] == "urgent") {
-      AnswerUrgent(fiber, call, exchange);
-    } else {
-      AnswerPlain(fiber, call, exchange);
-    }
-    return;
-  }
-  if (parts.size() >= 4 && parts[1] == "programs") {
-    call.program = parts[2];
-    CheckName("the program in the path", call.program);
-    if (post && parts.size() == 4 && parts[3] == "end") {
-      call.operation = Operation::kEnd;
-    } else if (!post && parts.size() == 4 && parts[3] == "history") {
-      call.operation = Operation::kHistory;
-    } else if (!post && parts.size() == 5 && parts[3] == "calls") {
-      call.operation = Operation::kAnswer;
-      call.key = parts[4];
-    } else {
-      Refuse(404, "no_such_path", "see the README for the paths");
-    }
-    AnswerPlain(fiber, call, exchange);
-    return;
+void CallerApi::Answer(Fiber& fiber,
+                       const CallerRequest& read,
+                       HttpExchange& exchange) {
+  if (read.urgent) {
+    AnswerUrgent(fiber, read.call, exchange);
+  } else if (read.call.operation == Operation::kModel) {
+    AnswerModel(fiber, read.call, read.stream, exchange);
+  } else {
+    AnswerPlain(fiber, read.call, exchange);
   }
-  Refuse(404, "no_such_path", "see the README for the paths");
 }
 
 void CallerApi::AnswerModel(Fiber& fiber,
@@ -249,19 +338,23 @@
                 {"model", call.target},
                 {"choices", {{{"index", 0}, {"delta", json::object()}}}}};
   std::size_t streamed = 0;
+  PieceTimes times(metrics_);
   const auto write = [&](const std::string& text) {
     if (!exchange.begun()) {
       exchange.Begin(200, "text/event-stream", early);
     }
     chunk["choices"][0]["delta"] = {{"content", text}};
-    exchange.Write(StreamEvent(chunk));
+    exchange.Write(StreamEvent(Dump(chunk)));
     streamed += text.size();
   };
   AnswerFrame done;
   router_.Route(fiber, call, [&](const AnswerFrame& frame) {
     if (frame.kind == FrameKind::kDone) {
       done = frame;
-    } else if (stream) {
+      return;
+    }
+    times.Piece();
+    if (stream) {
       write(frame.content);
     }
   });
@@ -280,7 +373,7 @@
            {"message", {{"role", "assistant"}, {"content", done.content}}},
            {"finish_reason", "stop"}}}},
         {"usage", usage}};
-    exchange.Reply(200, kJsonType, body.dump(), headers);
+    exchange.Reply(200, kJsonType, Dump(body), headers);
     return;
   }
   // An answer from the record was not streamed yet, or only its start.
@@ -293,7 +386,7 @@
   chunk["choices"][0]["delta"] = json::object();
   chunk["choices"][0]["finish_reason"] = "stop";
   chunk["usage"] = usage;
-  exchange.Write(StreamEvent(chunk));
+  exchange.Write(StreamEvent(Dump(chunk)));
   exchange.Write("data: [DONE]\n\n");
   exchange.End();
 }
--- a/source/server/caller_api.h
+++ b/source/server/caller_api.h
@@ -7,6 +7,7 @@
 
 #include "net/http_server.h"
 #include "server/call_router.h"
+#include "server/metrics.h"
 #include "server/urgent_sender.h"
 
 namespace comfreyfold {
@@ -19,17 +20,29 @@
             CallRouter& router,
             UrgentSender& urgent,
             EventLog& log,
+            Metrics& metrics,
             std::chrono::milliseconds deadline);
 
   // False when the path is not one of its own.
   bool Handle(Fiber& fiber, const HttpRequest& request, HttpExchange& exchange);
 
  private:
-  void HandleCall(Fiber& fiber,
-                  const HttpRequest& request,
-                  HttpExchange& exchange);
-  ForwardedCall ReadCall(const HttpRequest& request) const;
-  void ReadModelCall(const HttpRequest& request, ForwardedCall& call) const;
+  // What a caller's request says, as far as it was read.
+  struct CallerRequest {
+    ForwardedCall call;
+    bool urgent = false;
+    bool stream = false;
+  };
+
+  static const char* NameOf(const CallerRequest& read);
+  static Event EventOf(const char* name, const CallerRequest& read);
+  void ReadCaller(const HttpRequest& request, ForwardedCall& out) const;
+  void ReadTarget(const HttpRequest& request, CallerRequest& out) const;
+  static void ReadModelCall(CallerRequest& out);
+  static void ReadToolCall(const std::string& kind,
+                           const std::string& name,
+                           CallerRequest& out);
+  void Answer(Fiber& fiber, const CallerRequest& read, HttpExchange& exchange);
   void AnswerModel(Fiber& fiber,
                    const ForwardedCall& call,
                    bool stream,
@@ -45,6 +58,7 @@
   CallRouter& router_;
   UrgentSender& urgent_;
   EventLog& log_;
+  Metrics& metrics_;
   std::chrono::milliseconds deadline_;
 };
 
--- a/source/server/daemon.cc
+++ b/source/server/daemon.cc
@@ -2,18 +2,13 @@
 
 #include <utility>
 
-#include <prometheus/counter.h>
-#include <prometheus/gauge.h>
-#include <prometheus/registry.h>
-#include <prometheus/text_serializer.h>
-#include <nlohmann/json.hpp>
+#include "core/call_error.h"
+#include "net/error_reply.h"
 
 namespace comfreyfold {
 
 namespace {
 
-using nlohmann::json;
-
 constexpr std::chrono::milliseconds kReleaseInterval{500};
 constexpr std::chrono::milliseconds kDrainStep{20};
 
@@ -25,12 +20,34 @@
   return out;
 }
 
+bool StartsWith(const std::string& text, const char* prefix) {
+  return text.rfind(prefix, 0) == 0;
+}
+
+// What a request or its answer is for, as the metrics name it.
+std::string TrafficOf(const std::string& path) {
+  if (StartsWith(path, "/v1/")) {
+    return "entry";
+  }
+  if (StartsWith(path, "/v3/")) {
+    return "key_value";
+  }
+  if (path == "/peer/call") {
+    return "owner";
+  }
+  return StartsWith(path, "/peer/") ? "control" : "other";
+}
+
 }  // namespace
 
 Daemon::Daemon(Loop& loop, Settings settings)
     : loop_(loop),
       settings_(std::move(settings)),
-      log_(settings_.daemon, settings_.data_centre, settings_.log_file),
+      peer_secret_(settings_.peer_secret_file),
+      log_(settings_.daemon,
+           settings_.data_centre,
+           settings_.log_file,
+           static_cast<std::size_t>(settings_.recent_events_bytes)),
       http_(loop),
       server_(
           loop,
@@ -62,11 +79,17 @@
               limits_,
               model_runner_,
               tool_runner_,
-              requests_),
+              requests_,
+              log_),
       urgent_(tools_, contracts_, backends_, log_),
       releaser_(engines_, lanes_, backends_, log_),
       router_(loop, http_, membership_, runner_, log_, settings_.lanes),
-      caller_api_(contracts_, router_, urgent_, log_, settings_.call_deadline),
+      caller_api_(contracts_,
+                  router_,
+                  urgent_,
+                  log_,
+                  metrics_,
+                  settings_.call_deadline),
       peer_api_(membership_, runner_, log_),
       peers_(loop,
              http_,
@@ -74,7 +97,30 @@
              log_,
              membership_,
              settings_.heartbeat_interval,
-             settings_.member_lease) {}
+             settings_.member_lease),
+      operator_api_(membership_,
+                    contracts_,
+                    backends_,
+                    lanes_,
+                    kv_,
+                    log_,
+                    metrics_) {
+  peer_secret_.ShowOn(http_);
+  ConnectMetrics();
+}
+
+void Daemon::ConnectMetrics() {
+  log_.OnWrite([this](const Event& event) { metrics_.CountEvent(event.name); });
+  kv_.OnCall(
+      [this](const std::string& path, bool answered, Metrics::Duration time) {
+        metrics_.CountKeyValueCall(path, answered, time);
+      });
+  const auto count = [this](const HttpRequest& request, std::size_t bytes) {
+    metrics_.CountSentBytes(TrafficOf(request.Path()), bytes);
+  };
+  http_.OnSent(count);
+  server_.OnAnswered(count);
+}
 
 std::string Daemon::Start() {
   loop_.OnError([this](const char* what) {
@@ -104,105 +150,26 @@
 void Daemon::Handle(Fiber& fiber,
                     const HttpRequest& request,
                     HttpExchange& exchange) {
-  if (caller_api_.Handle(fiber, request, exchange) ||
-      peer_api_.Handle(fiber, request, exchange) ||
-      HandleOperator(request, exchange)) {
-    return;
-  }
-  exchange.Reply(404, "application/json",
-                 R"({"error":{"code":"no_such_path","message":)"
-                 R"("see the README for the paths","verdict":"not_run"}})");
-}
-
-bool Daemon::ready() const {
-  return !membership_.self().draining && contracts_.loaded() &&
-         backends_.loaded();
-}
-
-bool Daemon::HandleOperator(const HttpRequest& request,
-                            HttpExchange& exchange) {
   const auto path = request.Path();
-  if (path == "/healthz") {
-    exchange.Reply(200, "text/plain", "ok\n");
-  } else if (path == "/readyz") {
-    exchange.Reply(ready() ? 200 : 503, "text/plain",
-                   ready() ? "ready\n" : "not ready\n");
-  } else if (path == "/metrics") {
-    exchange.Reply(200, "text/plain; version=0.0.4", Metrics());
-  } else if (path == "/operator/status") {
-    exchange.Reply(200, "application/json", Status());
-  } else if (path == "/operator/events") {
-    const auto since =
-        std::strtoll(("0" + request.Query("since_us")).c_str(), nullptr, 10);
-    exchange.Reply(200, "application/x-ndjson",
-                   log_.Recent(std::chrono::microseconds(since)));
-  } else {
-    return false;
-  }
-  return true;
-}
-
-std::string Daemon::Status() const {
-  const auto now = std::chrono::steady_clock::now();
-  const auto& self = membership_.self();
-  json lanes = json::array();
-  for (const auto& [lane, owner] : lanes_.owned()) {
-    lanes.push_back({{"lane", lane},
-                     {"epoch", owner->epoch()},
-                     {"blocks", owner->state().last_block()},
-                     {"programs", owner->state().programs().size()}});
-  }
-  json peers = json::array();
-  for (const auto& [daemon, heartbeat] : membership_.peers()) {
-    peers.push_back({{"daemon", daemon},
-                     {"address", heartbeat.address},
-                     {"data_centre", heartbeat.data_centre},
-                     {"live", membership_.IsLive(daemon, now)},
-                     {"draining", heartbeat.draining},
-                     {"contracts_revision", heartbeat.contracts_revision}});
+  const RoleInFlight in_flight(metrics_, TrafficOf(path));
+  if (StartsWith(path, "/peer/") && !peer_secret_.Admits(request)) {
+    ReplyError(exchange,
+               CallError(403, "not_a_daemon",
+                         "this interface is for the daemons of the fleet; "
+                         "callers use the paths under /v1/",
+                         Verdict::kNotRun));
+    return;
   }
-  json backends = json::array();
-  for (const auto& [id, backend] : backends_.all()) {
-    backends.push_back(
-        {{"id", id},
-         {"address", backend.vm.address},
-         {"in_flight", backend.in_flight},
-         {"leaving",
-          backend.draining || backend.vm.state == VmState::kLeaving}});
+  try {
+    if (!caller_api_.Handle(fiber, request, exchange) &&
+        !peer_api_.Handle(fiber, request, exchange) &&
+        !operator_api_.Handle(request, exchange)) {
+      throw CallError(404, "no_such_path", "see the README for the paths",
+                      Verdict::kNotRun);
+    }
+  } catch (const CallError& e) {
+    ReplyError(exchange, e);
   }
-  return json{{"daemon", self.daemon},
-              {"address", self.address},
-              {"data_centre", self.data_centre},
-              {"ready", ready()},
-              {"draining", self.draining},
-              {"contracts_revision", contracts_.revision()},
-              {"key_value_calls", kv_.calls()},
-              {"lanes", lanes},
-              {"peers", peers},
-              {"backends", backends}}
-      .dump();
-}
-
-std::string Daemon::Metrics() const {
-  prometheus::Registry registry;
-  const auto gauge = [&registry](const char* name, const char* help,
-                                 double value) {
-    prometheus::BuildGauge()
-        .Name(name)
-        .Help(help)
-        .Register(registry)
-        .Add({})
-        .Set(value);
-  };
-  gauge("comfreyfold_lanes_owned", "Lanes that this daemon owns",
-        static_cast<double>(lanes_.owned().size()));
-  gauge("comfreyfold_requests_in_flight", "HTTP requests being handled",
-        server_.in_flight());
-  gauge("comfreyfold_key_value_calls", "Calls to the key-value service",
-        static_cast<double>(kv_.calls()));
-  gauge("comfreyfold_contracts_revision", "Revision of the contracts",
-        static_cast<double>(contracts_.revision()));
-  return prometheus::TextSerializer().Serialize(registry.Collect());
 }
 
 void Daemon::Drain(std::function<void()> on_drained) {
--- a/source/server/daemon.h
+++ b/source/server/daemon.h
@@ -14,8 +14,11 @@
 #include "server/contract_store.h"
 #include "server/hold_releaser.h"
 #include "server/lane_manager.h"
+#include "server/metrics.h"
+#include "server/operator_api.h"
 #include "server/peer_api.h"
 #include "server/peer_links.h"
+#include "server/peer_secret.h"
 #include "server/settings.h"
 #include "server/urgent_sender.h"
 
@@ -35,15 +38,14 @@
 
  private:
   void Handle(Fiber& fiber, const HttpRequest& request, HttpExchange& exchange);
-  bool HandleOperator(const HttpRequest& request, HttpExchange& exchange);
-  std::string Status() const;
-  std::string Metrics() const;
-  bool ready() const;
+  void ConnectMetrics();
   void ReleaseLoop(Fiber& fiber);
 
   Loop& loop_;
   Settings settings_;
+  PeerSecret peer_secret_;
   EventLog log_;
+  Metrics metrics_;
   HttpClient http_;
   HttpServer server_;
   KvClient kv_;
@@ -67,6 +69,7 @@
   CallerApi caller_api_;
   PeerApi peer_api_;
   PeerLinks peers_;
+  OperatorApi operator_api_;
 };
 
 }  // namespace comfreyfold
--- a/source/server/lane_owner.cc
+++ b/source/server/lane_owner.cc
@@ -158,6 +158,7 @@
     // The heartbeats tell the others just as well, only later.
   }
   lost_ = true;
+  log_.Write({.name = "lane_handed_over", .lane = lane_, .epoch = epoch()});
   changed_.NotifyAll();
 }
 
--- a/source/server/main.cc
+++ b/source/server/main.cc
@@ -40,6 +40,7 @@
   }
   const auto settings = ReadSettings(args["config"].as<std::string>());
   if (args.count("check-config") > 0) {
+    const PeerSecret checked(settings.peer_secret_file);
     std::cout << "settings are valid\n";
     return 0;
   }
--- /dev/null
+++ b/source/server/metrics.cc
@@ -0,0 +1,152 @@
+#include "server/metrics.h"
+
+#include <utility>
+#include <vector>
+
+#include <prometheus/counter.h>
+#include <prometheus/gauge.h>
+#include <prometheus/histogram.h>
+#include <prometheus/registry.h>
+#include <prometheus/text_serializer.h>
+
+namespace comfreyfold {
+
+namespace {
+
+using Buckets = prometheus::Histogram::BucketBoundaries;
+
+// Seconds, from a fast service to a long model turn.
+Buckets CallBuckets() {
+  return {0.001, 0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.2,
+          0.5,   0.87,  1,     2,    5,    10,   30,  60};
+}
+
+Buckets TokenBuckets() {
+  return {0.001, 0.005, 0.01, 0.02, 0.041, 0.08, 0.16, 0.32, 1, 5};
+}
+
+double Seconds(Metrics::Duration time) {
+  return std::chrono::duration<double>(time).count();
+}
+
+}  // namespace
+
+struct Metrics::Impl {
+  struct PulledGauge {
+    prometheus::Gauge& gauge;
+    std::function<double()> read;
+  };
+
+  prometheus::Registry registry;
+  std::vector<PulledGauge> pulled;
+
+  prometheus::Family<prometheus::Counter>& Counter(const char* name,
+                                                   const char* help) {
+    return prometheus::BuildCounter().Name(name).Help(help).Register(registry);
+  }
+  prometheus::Family<prometheus::Histogram>& Histogram(const char* name,
+                                                       const char* help) {
+    return prometheus::BuildHistogram().Name(name).Help(help).Register(
+        registry);
+  }
+
+  prometheus::Family<prometheus::Counter>& calls =
+      Counter("comfreyfold_calls_total",
+              "Calls of callers that ended, by operation and outcome code");
+  prometheus::Family<prometheus::Counter>& refusals =
+      Counter("comfreyfold_refusals_total",
+              "Calls refused or failed, by code and verdict");
+  prometheus::Family<prometheus::Counter>& key_value_calls =
+      Counter("comfreyfold_key_value_calls_total",
+              "Calls to the key-value service, by kind and result");
+  prometheus::Family<prometheus::Counter>& events =
+      Counter("comfreyfold_events_total", "Events of the log, by name");
+  prometheus::Family<prometheus::Counter>& sent_bytes =
+      Counter("comfreyfold_sent_bytes_total",
+              "Bytes written to connections, by kind of traffic");
+  prometheus::Family<prometheus::Histogram>& call_time =
+      Histogram("comfreyfold_call_seconds", "Time of a call at its entry");
+  prometheus::Family<prometheus::Histogram>& key_value_time =
+      Histogram("comfreyfold_key_value_seconds",
+                "Time of a call to the service");
+  prometheus::Histogram& first_token =
+      Histogram("comfreyfold_first_token_seconds",
+                "Time from a model call's arrival to its first piece")
+          .Add({}, CallBuckets());
+  prometheus::Histogram& token_gap =
+      Histogram("comfreyfold_token_gap_seconds",
+                "Time between two pieces of one stream")
+          .Add({}, TokenBuckets());
+  prometheus::Family<prometheus::Gauge>& in_flight =
+      prometheus::BuildGauge()
+          .Name("comfreyfold_in_flight")
+          .Help("Requests being handled, by role")
+          .Register(registry);
+};
+
+Metrics::Metrics() : impl_(std::make_unique<Impl>()) {}
+Metrics::~Metrics() = default;
+
+void Metrics::CountCall(const std::string& operation,
+                        const std::string& code,
+                        Duration time) {
+  impl_->calls.Add({{"operation", operation}, {"code", code}}).Increment();
+  impl_->call_time.Add({{"operation", operation}}, CallBuckets())
+      .Observe(Seconds(time));
+}
+
+void Metrics::CountRefusal(const std::string& code,
+                           const std::string& verdict) {
+  impl_->refusals.Add({{"code", code}, {"verdict", verdict}}).Increment();
+}
+
+void Metrics::ObserveFirstToken(Duration time) {
+  impl_->first_token.Observe(Seconds(time));
+}
+
+void Metrics::ObserveTokenGap(Duration time) {
+  impl_->token_gap.Observe(Seconds(time));
+}
+
+void Metrics::CountKeyValueCall(const std::string& kind,
+                                bool answered,
+                                Duration time) {
+  impl_->key_value_calls
+      .Add({{"kind", kind}, {"result", answered ? "answered" : "failed"}})
+      .Increment();
+  impl_->key_value_time.Add({{"kind", kind}}, CallBuckets())
+      .Observe(Seconds(time));
+}
+
+void Metrics::CountEvent(const std::string& name) {
+  impl_->events.Add({{"event", name}}).Increment();
+}
+
+void Metrics::CountSentBytes(const std::string& traffic, std::size_t bytes) {
+  impl_->sent_bytes.Add({{"traffic", traffic}})
+      .Increment(static_cast<double>(bytes));
+}
+
+void Metrics::AddInFlight(const std::string& role, int change) {
+  impl_->in_flight.Add({{"role", role}}).Increment(change);
+}
+
+void Metrics::AddGauge(const std::string& name,
+                       const std::string& help,
+                       std::function<double()> read) {
+  auto& gauge = prometheus::BuildGauge()
+                    .Name(name)
+                    .Help(help)
+                    .Register(impl_->registry)
+                    .Add({});
+  impl_->pulled.push_back({gauge, std::move(read)});
+}
+
+std::string Metrics::Scrape() {
+  for (const auto& it : impl_->pulled) {
+    it.gauge.Set(it.read());
+  }
+  return prometheus::TextSerializer().Serialize(impl_->registry.Collect());
+}
+
+}  // namespace comfreyfold
--- /dev/null
+++ b/source/server/operator_api.cc
@@ -0,0 +1,158 @@
+#include "server/operator_api.h"
+
+#include <charconv>
+#include <optional>
+
+#include <nlohmann/json.hpp>
+
+#include "core/call_error.h"
+
+namespace comfreyfold {
+
+namespace {
+
+using nlohmann::json;
+
+std::optional<std::int64_t> ReadNumber(const HttpRequest& request,
+                                       const char* name) {
+  const auto text = request.Query(name);
+  if (text.empty()) {
+    return std::nullopt;
+  }
+  std::int64_t out = 0;
+  const auto* end = text.data() + text.size();
+  const auto [last, ec] = std::from_chars(text.data(), end, out);
+  if (ec != std::errc() || last != end || out < 0) {
+    throw CallError(400, "bad_query",
+                    std::string(name) + " must be a whole number from 0",
+                    Verdict::kNotRun);
+  }
+  return out;
+}
+
+json ToJson(const Backend& backend) {
+  return {
+      {"id", backend.vm.id},
+      {"address", backend.vm.address},
+      {"in_flight", backend.in_flight},
+      {"leaving", backend.draining || backend.vm.state == VmState::kLeaving}};
+}
+
+}  // namespace
+
+OperatorApi::OperatorApi(const Membership& membership,
+                         const ContractStore& contracts,
+                         const BackendDirectory& backends,
+                         const LaneManager& lanes,
+                         const KvClient& kv,
+                         const EventLog& log,
+                         Metrics& metrics)
+    : membership_(membership),
+      contracts_(contracts),
+      backends_(backends),
+      lanes_(lanes),
+      kv_(kv),
+      log_(log),
+      metrics_(metrics) {
+  AddGauges();
+}
+
+void OperatorApi::AddGauges() {
+  const auto count = [](std::size_t n) { return static_cast<double>(n); };
+  metrics_.AddGauge("comfreyfold_ready", "1 when callers may be sent here",
+                    [this] { return ready() ? 1.0 : 0.0; });
+  metrics_.AddGauge("comfreyfold_lanes_owned", "Lanes that this daemon owns",
+                    [=, this] { return count(lanes_.owned().size()); });
+  metrics_.AddGauge("comfreyfold_programs", "Programs in the lanes owned here",
+                    [=, this] {
+                      std::size_t programs = 0;
+                      for (const auto& [lane, owner] : lanes_.owned()) {
+                        programs += owner->state().programs().size();
+                      }
+                      return count(programs);
+                    });
+  metrics_.AddGauge("comfreyfold_peers_live", "Other daemons heard of lately",
+                    [=, this] {
+                      const auto now = std::chrono::steady_clock::now();
+                      return count(membership_.Eligible(now).size()) - 1;
+                    });
+  metrics_.AddGauge("comfreyfold_backends", "Backend servers known",
+                    [=, this] { return count(backends_.all().size()); });
+  metrics_.AddGauge(
+      "comfreyfold_contracts_revision", "Revision of the contracts in force",
+      [this] { return static_cast<double>(contracts_.revision()); });
+}
+
+bool OperatorApi::ready() const {
+  return !membership_.self().draining && contracts_.loaded() &&
+         backends_.loaded();
+}
+
+bool OperatorApi::Handle(const HttpRequest& request, HttpExchange& exchange) {
+  const auto path = request.Path();
+  if (path == "/healthz") {
+    exchange.Reply(200, "text/plain", "ok\n");
+  } else if (path == "/readyz") {
+    exchange.Reply(ready() ? 200 : 503, "text/plain",
+                   ready() ? "ready\n" : "not ready\n");
+  } else if (path == "/metrics") {
+    exchange.Reply(200, "text/plain; version=0.0.4", metrics_.Scrape());
+  } else if (path == "/operator/status") {
+    exchange.Reply(200, "application/json", Status());
+  } else if (path == "/operator/events") {
+    exchange.Reply(200, "application/x-ndjson", Events(request));
+  } else {
+    return false;
+  }
+  return true;
+}
+
+std::string OperatorApi::Events(const HttpRequest& request) const {
+  EventFilter filter;
+  filter.program = request.Query("program");
+  filter.customer = request.Query("customer");
+  if (const auto lane = ReadNumber(request, "lane")) {
+    filter.lane = static_cast<int>(*lane);
+  }
+  filter.since =
+      std::chrono::microseconds(ReadNumber(request, "since_us").value_or(0));
+  return log_.Recent(filter);
+}
+
+std::string OperatorApi::Status() const {
+  const auto now = std::chrono::steady_clock::now();
+  const auto& self = membership_.self();
+  json lanes = json::array();
+  for (const auto& [lane, owner] : lanes_.owned()) {
+    lanes.push_back({{"lane", lane},
+                     {"epoch", owner->epoch()},
+                     {"blocks", owner->state().last_block()},
+                     {"programs", owner->state().programs().size()}});
+  }
+  json peers = json::array();
+  for (const auto& [daemon, heartbeat] : membership_.peers()) {
+    peers.push_back({{"daemon", daemon},
+                     {"address", heartbeat.address},
+                     {"data_centre", heartbeat.data_centre},
+                     {"live", membership_.IsLive(daemon, now)},
+                     {"draining", heartbeat.draining},
+                     {"contracts_revision", heartbeat.contracts_revision}});
+  }
+  json backends = json::array();
+  for (const auto& [id, backend] : backends_.all()) {
+    backends.push_back(ToJson(backend));
+  }
+  return json{{"daemon", self.daemon},
+              {"address", self.address},
+              {"data_centre", self.data_centre},
+              {"ready", ready()},
+              {"draining", self.draining},
+              {"contracts_revision", contracts_.revision()},
+              {"key_value_calls", kv_.calls()},
+              {"lanes", lanes},
+              {"peers", peers},
+              {"backends", backends}}
+      .dump();
+}
+
+}  // namespace comfreyfold
--- a/source/server/peer_api.cc
+++ b/source/server/peer_api.cc
@@ -1,6 +1,7 @@
 #include "server/peer_api.h"
 
 #include "core/call_error.h"
+#include "net/error_reply.h"
 
 namespace comfreyfold {
 
@@ -29,12 +30,20 @@
                      const HttpRequest& request,
                      HttpExchange& exchange) {
   const auto path = request.Path();
-  if (path == "/peer/call") {
-    HandleCall(fiber, request, exchange);
-    return true;
-  }
-  if (path == "/peer/heartbeat") {
-    HandleHeartbeat(request, exchange);
+  try {
+    if (path == "/peer/call") {
+      HandleCall(fiber, request, exchange);
+      return true;
+    }
+    if (path == "/peer/heartbeat") {
+      HandleHeartbeat(request, exchange);
+      return true;
+    }
+  } catch (const WireError& e) {
+    ReplyError(exchange, CallError(400, "bad_body",
+                                   std::string(e.what()) +
+                                       "; run the same version on each daemon",
+                                   Verdict::kNotRun));
     return true;
   }
   return false;
--- a/source/server/settings.cc
+++ b/source/server/settings.cc
@@ -14,6 +14,8 @@
 using std::chrono::seconds;
 
 constexpr int kMostLanes = 4096;
+constexpr std::int64_t kLeastRecentBytes = 64LL * 1024;
+constexpr std::int64_t kMostRecentBytes = 64LL * 1024 * 1024;
 constexpr int kMostConnections = 100000;
 constexpr std::int64_t kLeastBodyBytes = 1024;
 constexpr std::int64_t kMostBodyBytes = 256LL * 1024 * 1024;
@@ -63,6 +65,9 @@
   TakeAddress(reader, "daemon", "listen", out.listen);
   reader.Take("daemon", "data_folder", out.data_folder);
   reader.Take("daemon", "log_file", out.log_file);
+  reader.Take("daemon", "peer_secret_file", out.peer_secret_file);
+  reader.Take("daemon", "recent_events_bytes", out.recent_events_bytes,
+              kLeastRecentBytes, kMostRecentBytes);
   reader.Take("daemon", "drain_time", out.drain_time, seconds(1), hours(1));
 
   reader.Require("platform", "key_value");
--- a/source/server/settings.h
+++ b/source/server/settings.h
@@ -4,6 +4,7 @@
 #include <chrono>
 #include <string>
 
+#include "log/event_log.h"
 #include "net/http_server.h"
 
 namespace comfreyfold {
@@ -13,8 +14,10 @@
   std::string daemon;       // [daemon] id
   std::string data_centre;  // [daemon] data_centre
   std::string listen = "127.0.0.1:0";
-  std::string data_folder;  // Empty: this VM keeps nothing.
-  std::string log_file;     // Empty: standard output.
+  std::string data_folder;       // Empty: this VM keeps nothing.
+  std::string log_file;          // Empty: standard output.
+  std::string peer_secret_file;  // Empty: /peer/ takes every caller's word.
+  std::int64_t recent_events_bytes = EventLog::kRecentBytes;
 
   std::string kv_address;
   std::string vm_list_address;
--- a/source/tool/command.h
+++ b/source/tool/command.h
@@ -16,6 +16,8 @@
   std::vector<std::string> daemons;    // ip:port of each daemon to ask.
   std::vector<std::string> arguments;  // After the command's name.
   bool json = false;
+  int lane = -1;         // --lane; -1: every lane.
+  std::string customer;  // --customer; empty: every customer.
 };
 
 // Exit codes of the tool.
--- a/source/tool/main.cc
+++ b/source/tool/main.cc
@@ -43,6 +43,8 @@
     context.daemons = args["daemons"].as<std::vector<std::string>>();
     context.arguments = args["arguments"].as<std::vector<std::string>>();
     context.json = args.count("json") > 0;
+    context.lane = args["lane"].as<int>();
+    context.customer = args["customer"].as<std::string>();
     try {
       code = command.run(context);
     } catch (const std::exception& e) {
@@ -64,7 +66,11 @@
                         cxxopts::value<std::string>()->default_value(""))(
       "daemons", "ip:port of each daemon, separated by commas",
       cxxopts::value<std::vector<std::string>>()->default_value(""))(
-      "json", "print JSON")("help", "show this page")(
+      "json", "print JSON")("lane", "only this lane",
+                            cxxopts::value<int>()->default_value("-1"))(
+      "customer", "only this customer",
+      cxxopts::value<std::string>()->default_value(""))("help",
+                                                        "show this page")(
       "command", "the command",
       cxxopts::value<std::string>()->default_value("help"))(
       "arguments", "its arguments",
--- a/source/tool/timeline_command.cc
+++ b/source/tool/timeline_command.cc
@@ -1,6 +1,6 @@
 #include "tool/timeline_command.h"
 
-#include <algorithm>
+#include <fstream>
 #include <iomanip>
 #include <iostream>
 #include <sstream>
@@ -8,6 +8,8 @@
 #include <nlohmann/json.hpp>
 
 #include "net/http_client.h"
+#include "tool/daemon_list.h"
+#include "tool/timeline.h"
 
 namespace comfreyfold {
 
@@ -15,13 +17,16 @@
 
 using nlohmann::json;
 
+constexpr std::chrono::seconds kAnswerTime{5};
+
 void PrintLine(const json& event, std::int64_t start) {
   std::cout << std::setw(9) << std::fixed << std::setprecision(3)
             << static_cast<double>(event.value("time_us", 0LL) - start) / 1000
             << " ms  " << std::left << std::setw(8) << event.value("daemon", "")
             << std::setw(6) << event.value("data_centre", "") << std::setw(18)
             << event.value("event", "") << std::right;
-  for (const auto* it : {"call", "lane", "epoch", "backend", "detail"}) {
+  for (const auto* it :
+       {"program", "call", "lane", "epoch", "backend", "peer", "detail"}) {
     if (event.contains(it)) {
       std::cout << " " << it << "="
                 << (event[it].is_string() ? event[it].get<std::string>()
@@ -31,56 +36,103 @@
   std::cout << "\n";
 }
 
-int Timeline(CommandContext& context) {
-  if (context.arguments.size() != 1) {
-    std::cerr << "timeline: name one program\n";
-    return kExitUsage;
+std::string QueryOf(const EventFilter& filter) {
+  std::string out = "/operator/events?program=" + filter.program +
+                    "&customer=" + filter.customer;
+  if (filter.lane) {
+    out += "&lane=" + std::to_string(*filter.lane);
   }
+  return out;
+}
+
+void Fetch(CommandContext& context,
+           const EventFilter& filter,
+           Timeline& timeline) {
   HttpClient http(context.fiber.loop());
-  std::vector<json> events;
-  std::vector<std::string> missing;
-  for (const auto& it : context.daemons) {
+  HttpOptions options;
+  options.idle_timeout = kAnswerTime;
+  for (const auto& it : DaemonAddresses(context, http)) {
     try {
       const auto reply =
-          http.Send(context.fiber, it, {"GET", "/operator/events"});
-      std::istringstream in(reply.body);
-      for (std::string line; std::getline(in, line);) {
-        auto event = json::parse(line, nullptr, false);
-        if (event.is_object() &&
-            event.value("program", "") == context.arguments.front()) {
-          events.push_back(std::move(event));
-        }
-      }
-    } catch (const HttpFailure& e) {
-      missing.push_back(it);
+          http.Send(context.fiber, it, {"GET", QueryOf(filter)}, options);
+      timeline.AddAnswer(reply.body);
+    } catch (const HttpFailure&) {
+      timeline.AddSilent(it);
     }
   }
-  std::sort(events.begin(), events.end(), [](const json& a, const json& b) {
-    return a.value("clock", 0LL) < b.value("clock", 0LL);
-  });
+}
+
+void ReadFiles(const std::vector<std::string>& files, Timeline& timeline) {
+  for (const auto& it : files) {
+    std::ifstream in(it);
+    if (!in) {
+      throw std::runtime_error(it + ": cannot be read; check its name");
+    }
+    std::ostringstream text;
+    text << in.rdbuf();
+    timeline.AddFile(text.str());
+  }
+}
+
+void Print(const Timeline& timeline, bool as_json) {
+  const auto events = timeline.Events();
   const auto start = events.empty() ? 0 : events.front().value("time_us", 0LL);
   for (const auto& it : events) {
-    if (context.json) {
+    if (as_json) {
       std::cout << it.dump() << "\n";
     } else {
       PrintLine(it, start);
     }
   }
-  for (const auto& it : missing) {
-    std::cout << "missing: the events of the daemon at " << it << "\n";
+  for (const auto& it : timeline.Missing()) {
+    if (as_json) {
+      std::cout << json{{"missing", it}}.dump() << "\n";
+    } else {
+      std::cout << "missing: " << it << "\n";
+    }
+  }
+}
+
+int RunTimeline(CommandContext& context) {
+  EventFilter filter;
+  filter.customer = context.customer;
+  if (context.lane >= 0) {
+    filter.lane = context.lane;
+  }
+  auto files = context.arguments;
+  std::erase(files, "");
+  const bool narrowed = filter.lane || !filter.customer.empty();
+  if (!narrowed) {
+    if (files.empty()) {
+      std::cerr << "timeline: name a program, or give --lane or --customer\n";
+      return kExitUsage;
+    }
+    filter.program = files.front();
+    files.erase(files.begin());
+  }
+  Timeline timeline(filter);
+  ReadFiles(files, timeline);
+  // With files alone no daemon need be alive.
+  const bool can_ask =
+      !context.key_value.empty() ||
+      (!context.daemons.empty() && !context.daemons[0].empty());
+  if (files.empty() || can_ask) {
+    Fetch(context, filter, timeline);
   }
-  return missing.empty() ? kExitOk : kExitFailed;
+  Print(timeline, context.json);
+  return timeline.Missing().empty() ? kExitOk : kExitFailed;
 }
 
 }  // namespace
 
 Command TimelineCommand() {
-  return {"timeline", "timeline PROGRAM",
-          "Merges the events of one program over all daemons, in the order "
-          "of their hybrid logical clocks.",
-          "comfreyfold --daemons 10.0.0.7:8080,10.0.1.7:8080 timeline "
-          "quote-17",
-          Timeline};
+  return {"timeline",
+          "timeline [PROGRAM | --lane N | --customer NAME] [LOG-FILE...]",
+          "Merges the events of one program, lane or customer over all "
+          "daemons and the log files named, in the order of their hybrid "
+          "logical clocks. Says which daemon's part is missing, and then "
+          "exits with 1.",
+          "comfreyfold --kv 10.0.0.5:2379 timeline quote-17", RunTimeline};
 }
 
 }  // namespace comfreyfold
