--- a/tests/harness/raw_connection.cc
+++ b/tests/harness/raw_connection.cc
@@ -94,10 +94,9 @@
 
 int StatusOf(const std::string& reply) {
   const auto n = reply.find(' ');
-  return n == std::string::npos
-             ? 0
-             : static_cast<int>(
-                   std::strtol(reply.c_str() + n + 1, nullptr, 10));
+  return n == std::string::npos ? 0
+                                : static_cast<int>(std::strtol(
+                                      reply.c_str() + n + 1, nullptr, 10));
 }
 
 }  // namespace comfreyfold::harness
--- a/tests/operations/fuzz_test.cc
+++ b/tests/operations/fuzz_test.cc
@@ -1,9 +1,9 @@
 // Damaged bodies between daemons: each is decoded or refused as WireError,
 // and nothing else happens. Seeds are fixed by RC_PARAMS in CMakeLists.txt.
 
-#include <boost/test/unit_test.hpp>
 #include <rapidcheck.h>
 #include <rapidcheck/boost_test.h>
+#include <boost/test/unit_test.hpp>
 
 #include "wire/codec.h"
 
@@ -25,9 +25,8 @@
 }
 
 std::vector<Damage> AnyDamages() {
-  return *rc::gen::container<std::vector<Damage>>(
-      rc::gen::construct<Damage>(rc::gen::arbitrary<std::size_t>(),
-                                 rc::gen::arbitrary<char>()));
+  return *rc::gen::container<std::vector<Damage>>(rc::gen::construct<Damage>(
+      rc::gen::arbitrary<std::size_t>(), rc::gen::arbitrary<char>()));
 }
 
 // True when `decode` gives a value or says WireError.
--- a/tests/operations/settings_test.cc
+++ b/tests/operations/settings_test.cc
@@ -21,8 +21,7 @@
 std::string TextWith(const BadValue& bad) {
   std::map<std::string, std::map<std::string, std::string>> sections{
       {"daemon", {{"id", "d0"}, {"data_centre", "dc-a"}}},
-      {"platform",
-       {{"key_value", "127.0.0.1:1"}, {"vm_list", "127.0.0.1:2"}}}};
+      {"platform", {{"key_value", "127.0.0.1:1"}, {"vm_list", "127.0.0.1:2"}}}};
   sections[bad.section][bad.key] = bad.value;
   std::string out;
   for (const auto& [section, keys] : sections) {
@@ -36,10 +35,9 @@
 
 int LineOf(const std::string& text, const BadValue& bad) {
   const auto n = text.find(std::string(bad.key) + " = " + bad.value);
-  return 1 + static_cast<int>(
-                 std::count(text.begin(),
-                            text.begin() + static_cast<std::ptrdiff_t>(n),
-                            '\n'));
+  return 1 + static_cast<int>(std::count(
+                 text.begin(), text.begin() + static_cast<std::ptrdiff_t>(n),
+                 '\n'));
 }
 
 const BadValue kBadValues[] = {
