--- a/source/net/http_server.cc
+++ b/source/net/http_server.cc
@@ -10,6 +10,7 @@
 
 #include "net/error_reply.h"
 #include "net/loop_impl.h"
+#include "net/parked.h"
 
 namespace comfreyfold {
 
@@ -51,7 +52,7 @@
     boost::system::error_code ec;
     session_.stream.expires_after(kWriteTimeout);
     const auto n =
-        http::async_write(session_.stream, message, fiber_.impl().yield[ec]);
+        http::async_write(session_.stream, message, Parked(fiber_)[ec]);
     Note(ec, n);
   }
 
@@ -66,7 +67,7 @@
     boost::system::error_code ec;
     session_.stream.expires_after(kWriteTimeout);
     const auto n = http::async_write_header(session_.stream, serializer,
-                                            fiber_.impl().yield[ec]);
+                                            Parked(fiber_)[ec]);
     Note(ec, n);
   }
 
@@ -79,7 +80,7 @@
     const auto n = boost::asio::async_write(
         session_.stream,
         http::make_chunk(boost::asio::buffer(piece.data(), piece.size())),
-        fiber_.impl().yield[ec]);
+        Parked(fiber_)[ec]);
     Note(ec, n);
   }
 
@@ -90,7 +91,7 @@
     boost::system::error_code ec;
     session_.stream.expires_after(kWriteTimeout);
     const auto n = boost::asio::async_write(
-        session_.stream, http::make_chunk_last(), fiber_.impl().yield[ec]);
+        session_.stream, http::make_chunk_last(), Parked(fiber_)[ec]);
     Note(ec, n);
   }
 
@@ -201,7 +202,7 @@
     while (!draining) {
       tcp::socket socket(loop.impl().io);
       boost::system::error_code ec;
-      acceptor.async_accept(socket, fiber.impl().yield[ec]);
+      acceptor.async_accept(socket, Parked(fiber)[ec]);
       if (ec) {
         if (draining) {
           return;
@@ -251,7 +252,7 @@
     if (session.buf.size() == 0) {
       session.stream.expires_after(limits.idle_time);
       const auto n = session.stream.async_read_some(
-          session.buf.prepare(kFirstReadBytes), fiber.impl().yield[ec]);
+          session.buf.prepare(kFirstReadBytes), Parked(fiber)[ec]);
       session.buf.commit(n);
       if (ec) {
         return false;
@@ -260,13 +261,12 @@
     session.stream.expires_never();
     const ReadDeadline deadline(shared, limits.request_time);
     http::async_read_header(session.stream, session.buf, parser,
-                            fiber.impl().yield[ec]);
+                            Parked(fiber)[ec]);
     if (!ec && !Expected(fiber, session, parser)) {
       return false;
     }
     if (!ec) {
-      http::async_read(session.stream, session.buf, parser,
-                       fiber.impl().yield[ec]);
+      http::async_read(session.stream, session.buf, parser, Parked(fiber)[ec]);
     }
     if (!ec) {
       return true;
@@ -298,7 +298,7 @@
     http::response<http::empty_body> go_on(http::status::continue_, 11);
     boost::system::error_code ec;
     session.stream.expires_after(kWriteTimeout);
-    http::async_write(session.stream, go_on, fiber.impl().yield[ec]);
+    http::async_write(session.stream, go_on, Parked(fiber)[ec]);
     session.stream.expires_never();
     return !ec;
   }
@@ -339,7 +339,7 @@
     while (!ec && dropped < kDiscardBytes) {
       session.buf.clear();
       dropped += session.stream.async_read_some(
-          session.buf.prepare(kFirstReadBytes), fiber.impl().yield[ec]);
+          session.buf.prepare(kFirstReadBytes), Parked(fiber)[ec]);
     }
   }
 
--- a/source/server/call_checks.cc
+++ b/source/server/call_checks.cc
@@ -107,6 +107,7 @@
     case Operation::kEnd:
     case Operation::kHistory:
     case Operation::kAnswer:
+    case Operation::kSubagent:
       break;
   }
 }
--- a/source/server/caller_api.cc
+++ b/source/server/caller_api.cc
@@ -35,6 +35,12 @@
   return "data: " + data + "\n\n";
 }
 
+// One of the program's own calls, as against a question about it.
+bool IsCall(Operation operation) {
+  return operation == Operation::kModel || operation == Operation::kTool ||
+         operation == Operation::kService;
+}
+
 const char* NameOf(Operation operation) {
   switch (operation) {
     case Operation::kModel:
@@ -49,6 +55,8 @@
       return "history";
     case Operation::kAnswer:
       return "answer";
+    case Operation::kSubagent:
+      return "subagent";
   }
   return "unknown";
 }
@@ -250,12 +258,31 @@
   }
 }
 
+void CallerApi::RegisterSubagent(Fiber& fiber, const ForwardedCall& call) {
+  if (call.parent.empty()) {
+    return;
+  }
+  // The parent's owner counts; one that it knows costs no write.
+  auto claim = call;
+  claim.operation = Operation::kSubagent;
+  claim.program = call.parent;
+  claim.key = call.program;
+  claim.call = 0;
+  claim.body.clear();
+  router_.Route(fiber, claim, [](const AnswerFrame&) {});
+}
+
 void CallerApi::Answer(Fiber& fiber,
                        const CallerRequest& read,
                        HttpExchange& exchange) {
   if (read.urgent) {
     AnswerUrgent(fiber, read.call, exchange);
-  } else if (read.call.operation == Operation::kModel) {
+    return;
+  }
+  if (IsCall(read.call.operation)) {
+    RegisterSubagent(fiber, read.call);
+  }
+  if (read.call.operation == Operation::kModel) {
     AnswerModel(fiber, read.call, read.stream, exchange);
   } else {
     AnswerPlain(fiber, read.call, exchange);
--- a/source/server/caller_api.h
+++ b/source/server/caller_api.h
@@ -39,6 +39,7 @@
   void ReadCaller(const HttpRequest& request, ForwardedCall& out) const;
   void ReadTarget(const HttpRequest& request, CallerRequest& out) const;
   static void ReadModelCall(CallerRequest& out);
+  void RegisterSubagent(Fiber& fiber, const ForwardedCall& call);
   void Answer(Fiber& fiber, const CallerRequest& read, HttpExchange& exchange);
   void AnswerModel(Fiber& fiber,
                    const ForwardedCall& call,
--- a/source/server/daemon.cc
+++ b/source/server/daemon.cc
@@ -70,13 +70,24 @@
       tools_(http_),
       chooser_(backends_),
       journal_(log_),
-      model_runner_(loop, engines_, backends_, chooser_, journal_),
+      limits_(journal_),
+      slots_(loop, lanes_),
+      reaper_(loop, lanes_, contracts_, log_),
+      budgets_(loop, kv_, contracts_, log_),
+      model_runner_(loop,
+                    engines_,
+                    backends_,
+                    chooser_,
+                    journal_,
+                    limits_,
+                    budgets_),
       tool_runner_(tools_, backends_, chooser_, journal_),
       requests_(journal_),
       runner_(loop,
               lanes_,
               contracts_,
               limits_,
+              slots_,
               model_runner_,
               tool_runner_,
               requests_,
@@ -102,6 +113,7 @@
                     contracts_,
                     backends_,
                     lanes_,
+                    budgets_,
                     kv_,
                     log_,
                     metrics_) {
@@ -130,6 +142,8 @@
   membership_.self().address = address;
   log_.Write({.name = "daemon_started", .detail = address});
   contracts_.Start();
+  budgets_.Start();
+  reaper_.Start();
   backends_.Start();
   lanes_.OnChange([this] { peers_.Announce(); });
   peers_.Start([this] {
@@ -183,6 +197,7 @@
            std::chrono::steady_clock::now() < until) {
       fiber.Sleep(kDrainStep);
     }
+    budgets_.GiveBackAll(fiber);
     lanes_.HandOverAll(fiber, settings_.platform_timeout);
     log_.Write({.name = "drain_ended"});
     on_drained();
--- a/source/server/operator_api.cc
+++ b/source/server/operator_api.cc
@@ -44,6 +44,7 @@
                          const ContractStore& contracts,
                          const BackendDirectory& backends,
                          const LaneManager& lanes,
+                         const BudgetLedger& budgets,
                          const KvClient& kv,
                          const EventLog& log,
                          Metrics& metrics)
@@ -51,6 +52,7 @@
       contracts_(contracts),
       backends_(backends),
       lanes_(lanes),
+      budgets_(budgets),
       kv_(kv),
       log_(log),
       metrics_(metrics) {
@@ -78,6 +80,8 @@
                     });
   metrics_.AddGauge("comfreyfold_backends", "Backend servers known",
                     [=, this] { return count(backends_.all().size()); });
+  metrics_.AddGauge("comfreyfold_budget_writes", "Writes to the budget records",
+                    [this] { return static_cast<double>(budgets_.writes()); });
   metrics_.AddGauge(
       "comfreyfold_contracts_revision", "Revision of the contracts in force",
       [this] { return static_cast<double>(contracts_.revision()); });
--- a/source/server/operator_api.h
+++ b/source/server/operator_api.h
@@ -9,6 +9,7 @@
 #include "net/http_server.h"
 #include "platform/kv_client.h"
 #include "server/backend_directory.h"
+#include "server/budget_ledger.h"
 #include "server/contract_store.h"
 #include "server/lane_manager.h"
 #include "server/metrics.h"
@@ -23,6 +24,7 @@
               const ContractStore& contracts,
               const BackendDirectory& backends,
               const LaneManager& lanes,
+              const BudgetLedger& budgets,
               const KvClient& kv,
               const EventLog& log,
               Metrics& metrics);
@@ -42,6 +44,7 @@
   const ContractStore& contracts_;
   const BackendDirectory& backends_;
   const LaneManager& lanes_;
+  const BudgetLedger& budgets_;
   const KvClient& kv_;
   const EventLog& log_;
   Metrics& metrics_;
--- a/source/wire/codec.cc
+++ b/source/wire/codec.cc
@@ -67,17 +67,18 @@
   out.status = entry.status;
   out.answer = entry.answer;
   out.tokens = entry.tokens;
+  out.begun_at_ms = entry.begun_at.count();
   return out;
 }
 
 LaneEntry FromWire(const wire::LaneEntry& entry) {
   LaneEntry out;
-  out.kind = ToEnum(entry.kind, EntryKind::kHandover);
+  out.kind = ToEnum(entry.kind, kLastEntryKind);
   out.customer = entry.customer;
   out.program = entry.program;
   out.key = entry.key;
   out.call = entry.call;
-  out.call_kind = ToEnum(entry.call_kind, CallKind::kService);
+  out.call_kind = ToEnum(entry.call_kind, kLastCallKind);
   out.target = entry.target;
   out.backend = entry.backend;
   out.idempotent = entry.idempotent;
@@ -87,6 +88,7 @@
   out.status = entry.status;
   out.answer = entry.answer;
   out.tokens = entry.tokens;
+  out.begun_at = std::chrono::milliseconds(entry.begun_at_ms);
   return out;
 }
 
@@ -117,6 +119,18 @@
   return out;
 }
 
+std::string Encode(const ContractSet& contracts) {
+  wire::ContractSet out;
+  out.revision = contracts.revision;
+  out.texts = contracts.texts;
+  return Write(out);
+}
+
+ContractSet DecodeContractSet(const std::string& buf) {
+  const auto in = Read<wire::ContractSet>(buf);
+  return {in.revision, in.texts};
+}
+
 std::string Encode(const ForwardedCall& call) {
   wire::ForwardedCall out;
   out.customer = call.customer;
@@ -139,7 +153,7 @@
   out.program = in.program;
   out.key = in.key;
   out.call = in.call;
-  out.operation = ToEnum(in.operation, Operation::kAnswer);
+  out.operation = ToEnum(in.operation, kLastOperation);
   out.target = in.target;
   out.body = in.body;
   out.deadline = std::chrono::milliseconds(in.deadline_ms);
@@ -167,7 +181,7 @@
 AnswerFrame DecodeAnswerFrame(const std::string& buf) {
   const auto in = Read<wire::AnswerFrame>(buf);
   AnswerFrame out;
-  out.kind = ToEnum(in.kind, FrameKind::kError);
+  out.kind = ToEnum(in.kind, kLastFrameKind);
   out.content = in.content;
   out.status = in.status;
   out.verdict = ToEnum(in.verdict, Verdict::kRan);
