--- a/source/server/call_runner.cc
+++ b/source/server/call_runner.cc
@@ -35,6 +35,7 @@
 void CallRunner::Run(Fiber& fiber,
                      const ForwardedCall& call,
                      const FrameSink& sink) {
+  contracts_.EnsureCurrent(fiber);
   const int lane = LaneOf(call.customer, call.program, lanes_.lanes());
   Note("call_queued", call, lane);
   bool first = true;
--- a/source/server/caller_api.cc
+++ b/source/server/caller_api.cc
@@ -164,6 +164,7 @@
   CallerRequest read;
   std::string code = "ok";
   try {
+    contracts_.EnsureCurrent(fiber);
     ReadCaller(request, read.call);
     ReadTarget(request, read);
     log_.Write(EventOf("call_received", read));
--- a/source/server/daemon.h
+++ b/source/server/daemon.h
@@ -12,6 +12,7 @@
 #include "server/call_router.h"
 #include "server/call_runner.h"
 #include "server/caller_api.h"
+#include "server/contract_peers.h"
 #include "server/contract_store.h"
 #include "server/hold_releaser.h"
 #include "server/lane_manager.h"
@@ -20,6 +21,7 @@
 #include "server/peer_api.h"
 #include "server/peer_links.h"
 #include "server/peer_secret.h"
+#include "server/program_listing.h"
 #include "server/program_reaper.h"
 #include "server/settings.h"
 #include "server/urgent_sender.h"
@@ -54,6 +56,7 @@
   VmListClient vms_;
   Membership membership_;
   ContractStore contracts_;
+  ContractPeers contract_peers_;
   BackendDirectory backends_;
   LaneManager lanes_;
   EngineClient engines_;
@@ -62,6 +65,7 @@
   CallJournal journal_;
   CallLimits limits_;
   CustomerSlots slots_;
+  ProgramListing listing_;
   ProgramReaper reaper_;
   BudgetLedger budgets_;
   ModelRunner model_runner_;
--- a/source/tool/command.h
+++ b/source/tool/command.h
@@ -1,6 +1,7 @@
 #ifndef TOOL_COMMAND_H_
 #define TOOL_COMMAND_H_
 
+#include <chrono>
 #include <functional>
 #include <string>
 #include <vector>
@@ -18,6 +19,8 @@
   bool json = false;
   int lane = -1;         // --lane; -1: every lane.
   std::string customer;  // --customer; empty: every customer.
+  bool dry_run = false;
+  std::chrono::seconds wait{18};  // For every daemon to confirm a change.
 };
 
 // Exit codes of the tool.
@@ -26,6 +29,14 @@
 inline constexpr int kExitUsage = 2;     // The command line is wrong.
 inline constexpr int kExitConflict = 3;  // Another operator was quicker.
 inline constexpr int kExitUnknown = 4;   // Not known whether it took effect.
+inline constexpr int kExitNotConfirmed =
+    5;  // Written, not in force everywhere.
+
+// One line of a help page: an option, or an exit code, and what it means.
+struct HelpLine {
+  std::string term;
+  std::string text;
+};
 
 // One command of the tool and its help page.
 struct Command {
@@ -34,11 +45,16 @@
   std::string brief;
   std::string example;
   std::function<int(CommandContext&)> run;
+  std::vector<HelpLine> options;
+  std::vector<HelpLine> exit_codes;
 };
 
 // Every command, in the order of the help page.
 std::vector<Command> AllCommands();
 
+// Prints the page of `command`.
+void PrintPage(const Command& command);
+
 }  // namespace comfreyfold
 
 #endif  // TOOL_COMMAND_H_
--- a/source/tool/timeline_command.cc
+++ b/source/tool/timeline_command.cc
@@ -8,7 +8,7 @@
 #include <nlohmann/json.hpp>
 
 #include "net/http_client.h"
-#include "tool/daemon_list.h"
+#include "tool/daemon_finder.h"
 #include "tool/timeline.h"
 
 namespace comfreyfold {
@@ -51,13 +51,13 @@
   HttpClient http(context.fiber.loop());
   HttpOptions options;
   options.idle_timeout = kAnswerTime;
-  for (const auto& it : DaemonAddresses(context, http)) {
+  for (const auto& it : FindDaemons(context, http)) {
     try {
-      const auto reply =
-          http.Send(context.fiber, it, {"GET", QueryOf(filter)}, options);
+      const auto reply = http.Send(context.fiber, it.address,
+                                   {"GET", QueryOf(filter)}, options);
       timeline.AddAnswer(reply.body);
     } catch (const HttpFailure&) {
-      timeline.AddSilent(it);
+      timeline.AddSilent(it.label());
     }
   }
 }
