--- a/source/server/call_runner.cc
+++ b/source/server/call_runner.cc
@@ -37,8 +37,18 @@
                      const ForwardedCall& call,
                      const FrameSink& sink) {
   contracts_.EnsureCurrent(fiber);
+  const int lane = LaneOf(call.customer, call.program, lanes_.lanes());
+  Note("call_queued", call, lane);
+  bool first = true;
+  const FrameSink noting_sink = [&](const AnswerFrame& frame) {
+    if (first && frame.kind == FrameKind::kDelta) {
+      Note("first_piece", call, lane);
+      first = false;
+    }
+    sink(frame);
+  };
   CallContext context{call,
-                      sink,
+                      noting_sink,
                       nullptr,
                       contracts_.FindByName(call.customer),
                       {call.customer, call.program},
@@ -57,7 +67,6 @@
                     Verdict::kNotRun, kRetrySoon);
   }
   // Looked up after the wait: the lane may have moved meanwhile.
-  const int lane = LaneOf(call.customer, call.program, lanes_.lanes());
   context.lane = lanes_.Find(lane);
   if (!context.lane) {
     throw NotOwner("lane " + std::to_string(lane) + " is not owned here");
@@ -116,6 +125,14 @@
   return admission;
 }
 
+void CallRunner::Note(const char* name, const ForwardedCall& call, int lane) {
+  log_.Write({.name = name,
+              .customer = call.customer,
+              .program = call.program,
+              .key = call.key,
+              .lane = lane});
+}
+
 void CallRunner::RunCall(Fiber& fiber, CallContext& context) {
   const auto& call = context.call;
   const auto admission = Admit(fiber, context);
--- a/source/server/daemon.h
+++ b/source/server/daemon.h
@@ -17,8 +17,11 @@
 #include "server/engine_steward.h"
 #include "server/hold_releaser.h"
 #include "server/lane_manager.h"
+#include "server/metrics.h"
+#include "server/operator_api.h"
 #include "server/peer_api.h"
 #include "server/peer_links.h"
+#include "server/peer_secret.h"
 #include "server/program_listing.h"
 #include "server/program_reaper.h"
 #include "server/settings.h"
@@ -42,19 +45,19 @@
 
  private:
   void Handle(Fiber& fiber, const HttpRequest& request, HttpExchange& exchange);
-  bool HandleOperator(const HttpRequest& request, HttpExchange& exchange);
-  std::string Status() const;
-  std::string Metrics() const;
-  bool ready() const;
   void DrainAll(Fiber& fiber);
   void AgreeOnLanes(Fiber& fiber);
   // Whether the program has ended, as its owner says.
   bool HasEnded(Fiber& fiber, const ProgramKey& program);
 
+  void ConnectMetrics();
+
   Loop& loop_;
   Settings settings_;
+  PeerSecret peer_secret_;
   std::function<void(const std::string&)> on_refused_;
   EventLog log_;
+  Metrics metrics_;
   HttpClient http_;
   HttpServer server_;
   KvClient kv_;
@@ -89,6 +92,7 @@
   WeightStoreClient weights_;
   OrderFence fence_;
   EngineSteward steward_;
+  OperatorApi operator_api_;
 };
 
 }  // namespace comfreyfold
