Contract and tool tests; faults of a contract text that hid

Cause of the text faults: the property tree drops sections without keys, so a wrong section name could pass; a missing key was told at line 0.

--- a/source/core/ini_reader.cc
+++ b/source/core/ini_reader.cc
@@ -124,6 +124,7 @@
       close();
       section = Trim(line.substr(1, line.size() - 2));
       section_line = n;
+      section_lines_.emplace(section, n);
       keys = 0;
     } else if (line.find('=') != std::string::npos && line.front() != ';') {
       ++keys;
@@ -155,8 +156,16 @@
   if (value != nullptr) {
     where += " = '" + value->text + "'";
   }
-  faults_.push_back(
-      {file_, value == nullptr ? 0 : value->line, where + ": " + message});
+  faults_.push_back({file_, LineOf(section, value), where + ": " + message});
+}
+
+int IniReader::LineOf(const std::string& section, const Value* value) const {
+  if (value != nullptr) {
+    return value->line;
+  }
+  // A key that is missing belongs into its section.
+  const auto it = section_lines_.find(section);
+  return it == section_lines_.end() ? 1 : it->second;
 }
 
 void IniReader::Require(const std::string& section, const std::string& key) {
--- a/source/core/ini_reader.h
+++ b/source/core/ini_reader.h
@@ -80,10 +80,12 @@
     bool known = false;
   };
   void NoteEmptySections(const std::string& text);
+  int LineOf(const std::string& section, const Value* value) const;
   Value* Find(const std::string& section, const std::string& key);
 
   std::string file_;
   std::map<std::string, std::map<std::string, Value>> sections_;
+  std::map<std::string, int> section_lines_;
   std::vector<IniFault> faults_;
 };
 
--- a/tests/harness/cluster.cc
+++ b/tests/harness/cluster.cc
@@ -193,8 +193,14 @@
   for (const auto& it : daemons_) {
     daemons += (daemons.empty() ? "" : ",") + it->address();
   }
-  std::vector<std::string> all{Binary("comfreyfold"), "--kv", kv_->address(),
-                               "--daemons", daemons};
+  std::vector<std::string> all{"--kv", kv_->address(), "--daemons", daemons};
+  all.insert(all.end(), arguments.begin(), arguments.end());
+  return RunToolAlone(all);
+}
+
+std::unique_ptr<Process> Cluster::RunToolAlone(
+    const std::vector<std::string>& arguments) {
+  std::vector<std::string> all{Binary("comfreyfold")};
   all.insert(all.end(), arguments.begin(), arguments.end());
   return std::make_unique<Process>(all, false);
 }
--- a/tests/harness/cluster.h
+++ b/tests/harness/cluster.h
@@ -87,6 +87,9 @@
   int OwnerOf(const std::string& customer, const std::string& program);
   // Runs the operators' tool.
   std::unique_ptr<Process> RunTool(const std::vector<std::string>& arguments);
+  // The same without any address: those come from its settings.
+  static std::unique_ptr<Process> RunToolAlone(
+      const std::vector<std::string>& arguments);
   // Publishes the VM list; `leaving` names ids in that state.
   void PublishVms(const std::vector<std::string>& leaving = {});
 
