--- a/tests/contract_property/contract_property_test.cc
+++ b/tests/contract_property/contract_property_test.cc
@@ -2,8 +2,8 @@
 #include <optional>
 #include <vector>
 
-#include <boost/test/unit_test.hpp>
 #include <rapidcheck.h>
+#include <boost/test/unit_test.hpp>
 
 #include "core/contract_guard.h"
 #include "core/contract_table.h"
@@ -39,9 +39,9 @@
   }
 
   static std::string Text(const std::string& name, std::int64_t budget) {
-    return "[customer]\nname = " + name + "\napi_key_sha256 = " +
-           std::string(63, 'a') + name.back() + "\n[budget]\ntokens = " +
-           std::to_string(budget) + "\n";
+    return "[customer]\nname = " + name +
+           "\napi_key_sha256 = " + std::string(63, 'a') + name.back() +
+           "\n[budget]\ntokens = " + std::to_string(budget) + "\n";
   }
 
  private:
--- a/tests/unit/ini_reader_test.cc
+++ b/tests/unit/ini_reader_test.cc
@@ -56,8 +56,7 @@
 }
 
 BOOST_AUTO_TEST_CASE(a_section_without_keys_is_a_fault) {
-  const auto faults =
-      FaultsOf(Customer() + "[budget]\ntokens = 5\n[budgte]\n");
+  const auto faults = FaultsOf(Customer() + "[budget]\ntokens = 5\n[budgte]\n");
   BOOST_TEST(Tells(faults, 6, "a section without keys"));
 }
 
