--- a/tests/contract_property/budget_property_test.cc
+++ b/tests/contract_property/budget_property_test.cc
@@ -20,11 +20,13 @@
              << ", " << step.fate << "}";
 }
 
-rc::Gen<std::vector<Step>> GenSteps(std::size_t daemons) {
+rc::Gen<std::vector<Step>> GenSteps(std::size_t daemons,
+                                    std::int64_t most_tokens) {
   return rc::gen::container<std::vector<Step>>(rc::gen::map(
-      rc::gen::tuple(
-          rc::gen::inRange(0, 48), rc::gen::inRange<std::size_t>(0, daemons),
-          rc::gen::inRange<std::int64_t>(1, 400), rc::gen::inRange(0, 10)),
+      rc::gen::tuple(rc::gen::inRange(0, 48),
+                     rc::gen::inRange<std::size_t>(0, daemons),
+                     rc::gen::inRange<std::int64_t>(1, most_tokens),
+                     rc::gen::inRange(0, 10)),
       [](const std::tuple<int, std::size_t, std::int64_t, int>& it) {
         return Step{std::get<0>(it), std::get<1>(it), std::get<2>(it),
                     std::get<3>(it)};
@@ -79,8 +81,8 @@
   constexpr std::size_t kDaemons = 4;
   const bool held =
       rc::check("never exceeded: crashes, lost, late and failed writes", [] {
-        const auto budget = *rc::gen::inRange<std::int64_t>(0, 20000);
-        const auto steps = *GenSteps(kDaemons);
+        const auto budget = *rc::gen::inRange<std::int64_t>(0, 2500);
+        const auto steps = *GenSteps(kDaemons, 100);
         BudgetWorld world(kDaemons, budget);
         for (const auto& it : steps) {
           Run(world, it);
@@ -100,7 +102,7 @@
   constexpr std::size_t kDaemons = 3;
   const bool held =
       rc::check("never exceeded: lowered, raised, rolled over", [] {
-        const auto steps = *GenSteps(kDaemons);
+        const auto steps = *GenSteps(kDaemons, 400);
         BudgetWorld world(kDaemons, 10000);
         for (const auto& it : steps) {
           RunChanging(world, it);
@@ -115,7 +117,7 @@
   const bool held = rc::check("one death, then the rest spend on", [] {
     // Calls of at most a 100th of the budget.
     const std::int64_t budget = 40000;
-    const auto steps = *GenSteps(kDaemons);
+    const auto steps = *GenSteps(kDaemons, 400);
     const auto victim = *rc::gen::inRange<std::size_t>(0, kDaemons);
     BudgetWorld world(kDaemons, budget);
     for (const auto& it : steps) {
