--- a/source/core/budget_account.cc
+++ b/source/core/budget_account.cc
@@ -31,7 +31,8 @@
 }
 
 bool BudgetAccount::TryReserve(std::int64_t tokens, TimePoint now) {
-  if (lowered_ || tokens > available()) {
+  const bool doubtful = holds_grant_ && distrusted_ != confirmed_at_;
+  if (lowered_ || doubtful || tokens > available()) {
     return false;
   }
   last_use_ = now;
@@ -39,6 +40,10 @@
   return true;
 }
 
+void BudgetAccount::Distrust() {
+  ++distrusted_;
+}
+
 bool BudgetAccount::MustWait(std::int64_t tokens) const {
   return reserved_ > 0 && reserved_ + tokens > terms_.tokens / kReservedPart;
 }
@@ -82,6 +87,7 @@
   const auto more = std::max(need, NextChunk(room, record.grants.size(), now));
   grant->used = used_;
   grant->granted = used_ + reserved_ + more;
+  grant->closing = false;
   return true;
 }
 
@@ -93,6 +99,7 @@
   }
   grant->used = used_;
   grant->granted = used_ + reserved_;
+  grant->closing = false;
   if (reserved_ > 0) {
     return;
   }
@@ -107,12 +114,14 @@
   granted_ = std::min(granted_, granted);
   holds_grant_ = true;
   written_under_ = terms_.tokens;
+  writing_at_ = distrusted_;
 }
 
 void BudgetAccount::WriteDone(BudgetRecord& record) {
   const auto* grant = record.Find(run_);
   granted_ = grant == nullptr ? used_ : grant->granted;
   holds_grant_ = grant != nullptr;
+  confirmed_at_ = writing_at_;
   // The contract may have been lowered while the answer was on its way.
   lowered_ = holds_grant_ && terms_.tokens < written_under_;
 }
--- a/source/core/budget_account.h
+++ b/source/core/budget_account.h
@@ -44,6 +44,11 @@
   // `record` of no use, when the budget does not allow it.
   bool Refill(BudgetRecord& record, std::int64_t need, TimePoint now);
 
+  // A lane was taken: the grant may have been given back by others while
+  // this daemon was held for dead, so nothing is reserved before the record
+  // has been rewritten.
+  void Distrust();
+
   // Rewrites `record` without what is not reserved.
   void GiveBack(BudgetRecord& record);
 
@@ -74,6 +79,9 @@
   std::int64_t reserved_ = 0;       // By calls in flight.
   bool holds_grant_ = false;        // The record may have one of this run.
   bool lowered_ = false;            // The record may grant more than it should.
+  std::int64_t distrusted_ = 0;     // Times that Distrust was called.
+  std::int64_t confirmed_at_ = 0;   // Of these, before the last write done.
+  std::int64_t writing_at_ = 0;     // Of these, before the write under way.
   std::int64_t written_under_ = 0;  // The budget when the record was written.
   std::int64_t chunk_;
   TimePoint last_refill_;
--- a/source/core/budget_record.cc
+++ b/source/core/budget_record.cc
@@ -19,6 +19,16 @@
   return it == grants.end() ? nullptr : &*it;
 }
 
+bool BudgetRecord::CloseGrant(const std::string& id, std::int64_t tokens) {
+  const auto* grant = Find(id);
+  if (grant == nullptr || !grant->closing) {
+    return false;
+  }
+  spent += std::max(tokens, grant->used) - grant->counted_from;
+  std::erase_if(grants, [&id](const BudgetGrant& it) { return it.id == id; });
+  return true;
+}
+
 void BudgetRecord::RollOver(std::chrono::seconds start) {
   // A daemon whose clock is behind, or a contract whose period has become
   // longer, must not bring a finished period back.
--- a/source/core/budget_record.h
+++ b/source/core/budget_record.h
@@ -18,6 +18,8 @@
   std::int64_t used = 0;          // Tokens it has told to have used.
   std::int64_t counted_from = 0;  // Use up to here counts elsewhere.
 
+  bool closing = false;  // Its holder is held for dead.
+
   // The most that this grant can add to the period's use.
   std::int64_t exposure() const { return granted - counted_from; }
 
@@ -37,6 +39,11 @@
   // Null when the run holds nothing.
   BudgetGrant* Find(const std::string& id);
 
+  // Replaces a grant that is still marked as closing by the `tokens` that
+  // its run is proved to have used since it began. False when its holder
+  // has taken the mark off, or it is gone.
+  bool CloseGrant(const std::string& id, std::int64_t tokens);
+
   // Begins the period at `start`; a start that is not later changes nothing.
   void RollOver(std::chrono::seconds start);
 
--- a/source/core/lane_entry.h
+++ b/source/core/lane_entry.h
@@ -19,8 +19,9 @@
   // No further call; holds are to be released. `target` is the limit that
   // was passed, empty when the caller ended it.
   kProgramEnded = 3,
-  kHoldReleased = 4,      // `backend` confirmed that it holds nothing more.
-  kHandover = 5,          // The owner gives the lane up of its own accord.
+  kHoldReleased = 4,  // `backend` confirmed that it holds nothing more.
+  kHandover = 5,      // The owner gives the lane up of its own accord.
+  kSealed = 41,       // Changes nothing: proves that the owner has the lane.
   kSubagentStarted = 40,  // `key` names the program that was started.
 };
 
@@ -40,7 +41,8 @@
   Verdict verdict = Verdict::kNotRun;
   int status = 0;
   std::string answer;
-  std::int64_t tokens = 0;               // Reserved when begun, used when done.
+  std::int64_t tokens = 0;  // Reserved when begun, used when done.
+  std::string grant;        // Of the budget, that the tokens are taken from.
   std::chrono::milliseconds begun_at{};  // Since 1970, of kCallBegun.
 
   bool operator==(const LaneEntry&) const = default;
--- a/source/core/lane_state.cc
+++ b/source/core/lane_state.cc
@@ -36,6 +36,7 @@
     throw LaneCorrupt("block " + std::to_string(block.number) +
                       " starts an epoch without a takeover");
   }
+  whole_ = whole_ || block.number == 1;
   last_block_ = block.number;
   epoch_ = block.epoch;
   owner_ = block.owner;
@@ -48,6 +49,7 @@
   const ProgramKey key{entry.customer, entry.program};
   switch (entry.kind) {
     case EntryKind::kTakeover:
+    case EntryKind::kSealed:
       break;
     case EntryKind::kHandover:
       owner_.clear();
@@ -104,6 +106,9 @@
   it->idempotent = entry.idempotent;
   it->request = entry.request;
   it->request_digest = entry.request_digest;
+  if (!entry.grant.empty()) {
+    grant_uses_[{entry.customer, entry.grant}] += entry.tokens;
+  }
   it->tokens = entry.tokens;
   it->epoch = epoch_;
   it->done = false;
@@ -123,6 +128,11 @@
   if (it == program.calls.end()) {
     return;
   }
+  // What was reserved and not used goes back; a call begun again by another
+  // owner leaves the first one's reserve counted.
+  if (!entry.grant.empty() && !it->done) {
+    grant_uses_[{entry.customer, entry.grant}] += entry.tokens - it->tokens;
+  }
   it->done = true;
   it->verdict = entry.verdict;
   it->status = entry.status;
@@ -137,6 +147,14 @@
   (void)key;
 }
 
+std::optional<std::int64_t> LaneState::UseOf(const GrantName& name) const {
+  if (!whole_) {
+    return std::nullopt;
+  }
+  const auto it = grant_uses_.find(name);
+  return it == grant_uses_.end() ? 0 : it->second;
+}
+
 const ProgramState* LaneState::Find(const ProgramKey& key) const {
   const auto it = programs_.find(key);
   return it == programs_.end() ? nullptr : &it->second;
--- a/source/core/lane_state.h
+++ b/source/core/lane_state.h
@@ -3,11 +3,13 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <set>
 #include <stdexcept>
 #include <string>
 #include <vector>
 
+#include "core/grant_use.h"
 #include "core/lane_entry.h"
 
 namespace comfreyfold {
@@ -101,6 +103,9 @@
   const std::map<ProgramKey, ProgramState>& programs() const {
     return programs_;
   }
+  // Tokens that the calls begun under a grant used, or may yet use at most;
+  // empty when the lane's start is not known here.
+  std::optional<std::int64_t> UseOf(const GrantName& name) const;
   std::int64_t last_block() const { return last_block_; }
   std::int64_t epoch() const { return epoch_; }
   const std::string& owner() const { return owner_; }
@@ -115,6 +120,8 @@
   std::int64_t last_block_ = 0;
   std::int64_t epoch_ = 0;
   std::string owner_;
+  bool whole_ = false;  // Every block from the first was applied here.
+  std::map<GrantName, std::int64_t> grant_uses_;
 };
 
 }  // namespace comfreyfold
--- a/source/platform/budget_codec.cc
+++ b/source/platform/budget_codec.cc
@@ -15,7 +15,8 @@
                       {"id", it.id},
                       {"granted", it.granted},
                       {"used", it.used},
-                      {"counted_from", it.counted_from}});
+                      {"counted_from", it.counted_from},
+                      {"closing", it.closing}});
   }
   return json{{"period_start_s", record.period_start.count()},
               {"spent", record.spent},
@@ -35,7 +36,8 @@
                             it.at("id").get<std::string>(),
                             it.at("granted").get<std::int64_t>(),
                             it.at("used").get<std::int64_t>(),
-                            it.at("counted_from").get<std::int64_t>()});
+                            it.at("counted_from").get<std::int64_t>(),
+                            it.value("closing", false)});
     }
     return out;
   } catch (const json::exception& e) {
--- a/source/server/budget_ledger.cc
+++ b/source/server/budget_ledger.cc
@@ -243,6 +243,12 @@
   }
 }
 
+void BudgetLedger::Distrust() {
+  for (const auto& [customer, holding] : holdings_) {
+    holding->account.Distrust();
+  }
+}
+
 void BudgetLedger::ReturnLoop(Fiber& fiber) {
   while (true) {
     fiber.Sleep(kReturnStep);
--- a/source/server/budget_ledger.h
+++ b/source/server/budget_ledger.h
@@ -39,6 +39,11 @@
   // Gives back everything that no call holds.
   void GiveBackAll(Fiber& fiber);
 
+  // A lane was taken: grants are confirmed before they are used again.
+  void Distrust();
+
+  // Names this run of the daemon in grants and journals.
+  const std::string& run() const { return run_; }
   // Writes to the records so far.
   std::int64_t writes() const { return writes_; }
 
--- a/source/server/daemon.cc
+++ b/source/server/daemon.cc
@@ -59,6 +59,15 @@
       listing_(lanes_, settings_.daemon),
       reaper_(loop, lanes_, contracts_, log_),
       budgets_(loop, kv_, contracts_, log_),
+      sealer_(lanes_),
+      reclaimer_(loop,
+                 http_,
+                 kv_,
+                 membership_,
+                 sealer_,
+                 log_,
+                 budgets_.run(),
+                 settings_.lanes),
       model_runner_(loop,
                     engines_,
                     backends_,
@@ -99,9 +108,13 @@
   contracts_.Start(
       [this](Fiber& fiber) { return contract_peers_.Fetch(fiber); });
   budgets_.Start();
+  reclaimer_.Start();
   reaper_.Start();
   backends_.Start();
-  lanes_.OnChange([this] { peers_.Announce(); });
+  lanes_.OnChange([this] {
+    budgets_.Distrust();
+    peers_.Announce();
+  });
   peers_.Start([this] {
     membership_.self().contracts_revision = contracts_.revision();
     for (const auto& [daemon, heartbeat] : membership_.peers()) {
@@ -126,7 +139,9 @@
   if (caller_api_.Handle(fiber, request, exchange) ||
       peer_api_.Handle(fiber, request, exchange) ||
       contract_peers_.Handle(request, exchange) ||
-      listing_.Handle(request, exchange) || HandleOperator(request, exchange)) {
+      listing_.Handle(request, exchange) ||
+      sealer_.Handle(fiber, request, exchange) ||
+      HandleOperator(request, exchange)) {
     return;
   }
   exchange.Reply(404, "application/json",
--- a/source/server/daemon.h
+++ b/source/server/daemon.h
@@ -9,6 +9,7 @@
 #include "platform/vm_list_client.h"
 #include "server/backend_directory.h"
 #include "server/budget_ledger.h"
+#include "server/budget_reclaimer.h"
 #include "server/call_router.h"
 #include "server/call_runner.h"
 #include "server/caller_api.h"
@@ -66,6 +67,8 @@
   ProgramListing listing_;
   ProgramReaper reaper_;
   BudgetLedger budgets_;
+  GrantSealer sealer_;
+  BudgetReclaimer reclaimer_;
   ModelRunner model_runner_;
   ToolRunner tool_runner_;
   ProgramRequests requests_;
--- /dev/null
+++ b/source/server/grant_sealer.h
@@ -0,0 +1,29 @@
+#ifndef SERVER_GRANT_SEALER_H_
+#define SERVER_GRANT_SEALER_H_
+
+#include "core/grant_use.h"
+#include "net/http_server.h"
+#include "server/lane_manager.h"
+
+namespace comfreyfold {
+
+// Tells what the journals of the lanes owned here prove of grants (POST
+// /peer/grant-use, Thrift bodies).
+class GrantSealer {
+ public:
+  explicit GrantSealer(LaneManager& lanes) : lanes_(lanes) {}
+
+  // Answers for every lane that is proved, by an append, to be owned here
+  // after the question was put.
+  GrantAnswer Answer(Fiber& fiber, const GrantQuestion& question);
+
+  // False when the path is not its own.
+  bool Handle(Fiber& fiber, const HttpRequest& request, HttpExchange& exchange);
+
+ private:
+  LaneManager& lanes_;
+};
+
+}  // namespace comfreyfold
+
+#endif  // SERVER_GRANT_SEALER_H_
--- a/source/server/model_runner.cc
+++ b/source/server/model_runner.cc
@@ -69,6 +69,7 @@
   begun.idempotent = true;
   begun.request = request;
   begun.tokens = context.budget.tokens();
+  begun.grant = budgets_.run();
   journal_.CommitIntent(fiber, context, begun);
   context.budget.MarkDispatched();
 
@@ -88,6 +89,7 @@
   };
   auto done = context.Entry(EntryKind::kCallDone);
   done.backend = begun.backend;
+  done.grant = begun.grant;
   EngineResult result;
   try {
     result = engines_.Complete(fiber, address, engine_call);
--- a/source/wire/codec.cc
+++ b/source/wire/codec.cc
@@ -59,6 +59,7 @@
   out.answer = entry.answer;
   out.tokens = entry.tokens;
   out.begun_at_ms = entry.begun_at.count();
+  out.grant = entry.grant;
   return out;
 }
 
@@ -80,6 +81,14 @@
   out.answer = entry.answer;
   out.tokens = entry.tokens;
   out.begun_at = std::chrono::milliseconds(entry.begun_at_ms);
+  out.grant = entry.grant;
+  return out;
+}
+
+wire::GrantName ToWire(const GrantName& name) {
+  wire::GrantName out;
+  out.customer = name.customer;
+  out.grant = name.grant;
   return out;
 }
 
@@ -131,6 +140,45 @@
   return out;
 }
 
+std::string Encode(const GrantQuestion& question) {
+  wire::GrantQuestion out;
+  for (const auto& it : question.grants) {
+    out.grants.push_back(ToWire(it));
+  }
+  return Write(out);
+}
+
+GrantQuestion DecodeGrantQuestion(const std::string& buf) {
+  const auto in = Read<wire::GrantQuestion>(buf);
+  GrantQuestion out;
+  for (const auto& it : in.grants) {
+    out.grants.push_back({it.customer, it.grant});
+  }
+  return out;
+}
+
+std::string Encode(const GrantAnswer& answer) {
+  wire::GrantAnswer out;
+  out.lanes.assign(answer.lanes.begin(), answer.lanes.end());
+  for (const auto& it : answer.uses) {
+    auto& use = out.uses.emplace_back();
+    use.lane = it.lane;
+    use.name = ToWire(it.name);
+    use.tokens = it.tokens;
+  }
+  return Write(out);
+}
+
+GrantAnswer DecodeGrantAnswer(const std::string& buf) {
+  const auto in = Read<wire::GrantAnswer>(buf);
+  GrantAnswer out;
+  out.lanes.assign(in.lanes.begin(), in.lanes.end());
+  for (const auto& it : in.uses) {
+    out.uses.push_back({it.lane, {it.name.customer, it.name.grant}, it.tokens});
+  }
+  return out;
+}
+
 std::string Encode(const ForwardedCall& call) {
   wire::ForwardedCall out;
   out.customer = call.customer;
--- a/source/wire/codec.h
+++ b/source/wire/codec.h
@@ -10,6 +10,7 @@
 #include <vector>
 
 #include "core/contract_set.h"
+#include "core/grant_use.h"
 #include "core/heartbeat.h"
 #include "core/lane_entry.h"
 
@@ -69,11 +70,15 @@
 std::string Encode(const AnswerFrame& frame);
 std::string Encode(const Heartbeat& heartbeat);
 std::string Encode(const ContractSet& contracts);
+std::string Encode(const GrantQuestion& question);
+std::string Encode(const GrantAnswer& answer);
 LaneBlock DecodeLaneBlock(const std::string& buf);
 ForwardedCall DecodeForwardedCall(const std::string& buf);
 AnswerFrame DecodeAnswerFrame(const std::string& buf);
 Heartbeat DecodeHeartbeat(const std::string& buf);
 ContractSet DecodeContractSet(const std::string& buf);
+GrantQuestion DecodeGrantQuestion(const std::string& buf);
+GrantAnswer DecodeGrantAnswer(const std::string& buf);
 
 // Splits a stream of frames, each after its length in four bytes.
 class FrameReader {
--- a/source/wire/comfreyfold.thrift
+++ b/source/wire/comfreyfold.thrift
@@ -19,6 +19,27 @@
   14: binary answer,
   15: i64 tokens,
   40: i64 begun_at_ms,
+  41: string grant,
+}
+
+struct GrantName {
+  1: string customer,
+  2: string grant,
+}
+
+struct GrantQuestion {
+  1: list<GrantName> grants,
+}
+
+struct GrantUse {
+  1: i32 lane,
+  2: GrantName name,
+  3: i64 tokens,
+}
+
+struct GrantAnswer {
+  1: list<i32> lanes,
+  2: list<GrantUse> uses,
 }
 
 struct LaneBlock {
--- a/source/wire/gen/comfreyfold_types.cpp
+++ b/source/wire/gen/comfreyfold_types.cpp
@@ -81,6 +81,10 @@
 void LaneEntry::__set_begun_at_ms(const int64_t val) {
   this->begun_at_ms = val;
 }
+
+void LaneEntry::__set_grant(const std::string& val) {
+  this->grant = val;
+}
 std::ostream& operator<<(std::ostream& out, const LaneEntry& obj)
 {
   obj.printTo(out);
@@ -237,6 +241,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 41:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->grant);
+          this->__isset.grant = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -318,6 +330,10 @@
   xfer += oprot->writeI64(this->begun_at_ms);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("grant", ::apache::thrift::protocol::T_STRING, 41);
+  xfer += oprot->writeString(this->grant);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -341,6 +357,7 @@
   swap(a.answer, b.answer);
   swap(a.tokens, b.tokens);
   swap(a.begun_at_ms, b.begun_at_ms);
+  swap(a.grant, b.grant);
   swap(a.__isset, b.__isset);
 }
 
@@ -361,6 +378,7 @@
   answer = other0.answer;
   tokens = other0.tokens;
   begun_at_ms = other0.begun_at_ms;
+  grant = other0.grant;
   __isset = other0.__isset;
 }
 LaneEntry& LaneEntry::operator=(const LaneEntry& other1) {
@@ -380,6 +398,7 @@
   answer = other1.answer;
   tokens = other1.tokens;
   begun_at_ms = other1.begun_at_ms;
+  grant = other1.grant;
   __isset = other1.__isset;
   return *this;
 }
@@ -402,6 +421,515 @@
   out << ", " << "answer=" << to_string(answer);
   out << ", " << "tokens=" << to_string(tokens);
   out << ", " << "begun_at_ms=" << to_string(begun_at_ms);
+  out << ", " << "grant=" << to_string(grant);
+  out << ")";
+}
+
+
+GrantName::~GrantName() noexcept {
+}
+
+
+void GrantName::__set_customer(const std::string& val) {
+  this->customer = val;
+}
+
+void GrantName::__set_grant(const std::string& val) {
+  this->grant = val;
+}
+std::ostream& operator<<(std::ostream& out, const GrantName& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t GrantName::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->customer);
+          this->__isset.customer = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->grant);
+          this->__isset.grant = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t GrantName::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("GrantName");
+
+  xfer += oprot->writeFieldBegin("customer", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->customer);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("grant", ::apache::thrift::protocol::T_STRING, 2);
+  xfer += oprot->writeString(this->grant);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(GrantName &a, GrantName &b) {
+  using ::std::swap;
+  swap(a.customer, b.customer);
+  swap(a.grant, b.grant);
+  swap(a.__isset, b.__isset);
+}
+
+GrantName::GrantName(const GrantName& other2) {
+  customer = other2.customer;
+  grant = other2.grant;
+  __isset = other2.__isset;
+}
+GrantName& GrantName::operator=(const GrantName& other3) {
+  customer = other3.customer;
+  grant = other3.grant;
+  __isset = other3.__isset;
+  return *this;
+}
+void GrantName::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "GrantName(";
+  out << "customer=" << to_string(customer);
+  out << ", " << "grant=" << to_string(grant);
+  out << ")";
+}
+
+
+GrantQuestion::~GrantQuestion() noexcept {
+}
+
+
+void GrantQuestion::__set_grants(const std::vector<GrantName> & val) {
+  this->grants = val;
+}
+std::ostream& operator<<(std::ostream& out, const GrantQuestion& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t GrantQuestion::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->grants.clear();
+            uint32_t _size4;
+            ::apache::thrift::protocol::TType _etype7;
+            xfer += iprot->readListBegin(_etype7, _size4);
+            this->grants.resize(_size4);
+            uint32_t _i8;
+            for (_i8 = 0; _i8 < _size4; ++_i8)
+            {
+              xfer += this->grants[_i8].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.grants = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t GrantQuestion::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("GrantQuestion");
+
+  xfer += oprot->writeFieldBegin("grants", ::apache::thrift::protocol::T_LIST, 1);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->grants.size()));
+    std::vector<GrantName> ::const_iterator _iter9;
+    for (_iter9 = this->grants.begin(); _iter9 != this->grants.end(); ++_iter9)
+    {
+      xfer += (*_iter9).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(GrantQuestion &a, GrantQuestion &b) {
+  using ::std::swap;
+  swap(a.grants, b.grants);
+  swap(a.__isset, b.__isset);
+}
+
+GrantQuestion::GrantQuestion(const GrantQuestion& other10) {
+  grants = other10.grants;
+  __isset = other10.__isset;
+}
+GrantQuestion& GrantQuestion::operator=(const GrantQuestion& other11) {
+  grants = other11.grants;
+  __isset = other11.__isset;
+  return *this;
+}
+void GrantQuestion::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "GrantQuestion(";
+  out << "grants=" << to_string(grants);
+  out << ")";
+}
+
+
+GrantUse::~GrantUse() noexcept {
+}
+
+
+void GrantUse::__set_lane(const int32_t val) {
+  this->lane = val;
+}
+
+void GrantUse::__set_name(const GrantName& val) {
+  this->name = val;
+}
+
+void GrantUse::__set_tokens(const int64_t val) {
+  this->tokens = val;
+}
+std::ostream& operator<<(std::ostream& out, const GrantUse& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t GrantUse::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->lane);
+          this->__isset.lane = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->name.read(iprot);
+          this->__isset.name = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->tokens);
+          this->__isset.tokens = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t GrantUse::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("GrantUse");
+
+  xfer += oprot->writeFieldBegin("lane", ::apache::thrift::protocol::T_I32, 1);
+  xfer += oprot->writeI32(this->lane);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("name", ::apache::thrift::protocol::T_STRUCT, 2);
+  xfer += this->name.write(oprot);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("tokens", ::apache::thrift::protocol::T_I64, 3);
+  xfer += oprot->writeI64(this->tokens);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(GrantUse &a, GrantUse &b) {
+  using ::std::swap;
+  swap(a.lane, b.lane);
+  swap(a.name, b.name);
+  swap(a.tokens, b.tokens);
+  swap(a.__isset, b.__isset);
+}
+
+GrantUse::GrantUse(const GrantUse& other12) {
+  lane = other12.lane;
+  name = other12.name;
+  tokens = other12.tokens;
+  __isset = other12.__isset;
+}
+GrantUse& GrantUse::operator=(const GrantUse& other13) {
+  lane = other13.lane;
+  name = other13.name;
+  tokens = other13.tokens;
+  __isset = other13.__isset;
+  return *this;
+}
+void GrantUse::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "GrantUse(";
+  out << "lane=" << to_string(lane);
+  out << ", " << "name=" << to_string(name);
+  out << ", " << "tokens=" << to_string(tokens);
+  out << ")";
+}
+
+
+GrantAnswer::~GrantAnswer() noexcept {
+}
+
+
+void GrantAnswer::__set_lanes(const std::vector<int32_t> & val) {
+  this->lanes = val;
+}
+
+void GrantAnswer::__set_uses(const std::vector<GrantUse> & val) {
+  this->uses = val;
+}
+std::ostream& operator<<(std::ostream& out, const GrantAnswer& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t GrantAnswer::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->lanes.clear();
+            uint32_t _size14;
+            ::apache::thrift::protocol::TType _etype17;
+            xfer += iprot->readListBegin(_etype17, _size14);
+            this->lanes.resize(_size14);
+            uint32_t _i18;
+            for (_i18 = 0; _i18 < _size14; ++_i18)
+            {
+              xfer += iprot->readI32(this->lanes[_i18]);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.lanes = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->uses.clear();
+            uint32_t _size19;
+            ::apache::thrift::protocol::TType _etype22;
+            xfer += iprot->readListBegin(_etype22, _size19);
+            this->uses.resize(_size19);
+            uint32_t _i23;
+            for (_i23 = 0; _i23 < _size19; ++_i23)
+            {
+              xfer += this->uses[_i23].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.uses = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t GrantAnswer::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("GrantAnswer");
+
+  xfer += oprot->writeFieldBegin("lanes", ::apache::thrift::protocol::T_LIST, 1);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I32, static_cast<uint32_t>(this->lanes.size()));
+    std::vector<int32_t> ::const_iterator _iter24;
+    for (_iter24 = this->lanes.begin(); _iter24 != this->lanes.end(); ++_iter24)
+    {
+      xfer += oprot->writeI32((*_iter24));
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("uses", ::apache::thrift::protocol::T_LIST, 2);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->uses.size()));
+    std::vector<GrantUse> ::const_iterator _iter25;
+    for (_iter25 = this->uses.begin(); _iter25 != this->uses.end(); ++_iter25)
+    {
+      xfer += (*_iter25).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(GrantAnswer &a, GrantAnswer &b) {
+  using ::std::swap;
+  swap(a.lanes, b.lanes);
+  swap(a.uses, b.uses);
+  swap(a.__isset, b.__isset);
+}
+
+GrantAnswer::GrantAnswer(const GrantAnswer& other26) {
+  lanes = other26.lanes;
+  uses = other26.uses;
+  __isset = other26.__isset;
+}
+GrantAnswer& GrantAnswer::operator=(const GrantAnswer& other27) {
+  lanes = other27.lanes;
+  uses = other27.uses;
+  __isset = other27.__isset;
+  return *this;
+}
+void GrantAnswer::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "GrantAnswer(";
+  out << "lanes=" << to_string(lanes);
+  out << ", " << "uses=" << to_string(uses);
   out << ")";
 }
 
@@ -493,14 +1021,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->entries.clear();
-            uint32_t _size2;
-            ::apache::thrift::protocol::TType _etype5;
-            xfer += iprot->readListBegin(_etype5, _size2);
-            this->entries.resize(_size2);
-            uint32_t _i6;
-            for (_i6 = 0; _i6 < _size2; ++_i6)
+            uint32_t _size28;
+            ::apache::thrift::protocol::TType _etype31;
+            xfer += iprot->readListBegin(_etype31, _size28);
+            this->entries.resize(_size28);
+            uint32_t _i32;
+            for (_i32 = 0; _i32 < _size28; ++_i32)
             {
-              xfer += this->entries[_i6].read(iprot);
+              xfer += this->entries[_i32].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -545,10 +1073,10 @@
   xfer += oprot->writeFieldBegin("entries", ::apache::thrift::protocol::T_LIST, 5);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->entries.size()));
-    std::vector<LaneEntry> ::const_iterator _iter7;
-    for (_iter7 = this->entries.begin(); _iter7 != this->entries.end(); ++_iter7)
+    std::vector<LaneEntry> ::const_iterator _iter33;
+    for (_iter33 = this->entries.begin(); _iter33 != this->entries.end(); ++_iter33)
     {
-      xfer += (*_iter7).write(oprot);
+      xfer += (*_iter33).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -569,21 +1097,21 @@
   swap(a.__isset, b.__isset);
 }
 
-LaneBlock::LaneBlock(const LaneBlock& other8) {
-  number = other8.number;
-  uid = other8.uid;
-  epoch = other8.epoch;
-  owner = other8.owner;
-  entries = other8.entries;
-  __isset = other8.__isset;
-}
-LaneBlock& LaneBlock::operator=(const LaneBlock& other9) {
-  number = other9.number;
-  uid = other9.uid;
-  epoch = other9.epoch;
-  owner = other9.owner;
-  entries = other9.entries;
-  __isset = other9.__isset;
+LaneBlock::LaneBlock(const LaneBlock& other34) {
+  number = other34.number;
+  uid = other34.uid;
+  epoch = other34.epoch;
+  owner = other34.owner;
+  entries = other34.entries;
+  __isset = other34.__isset;
+}
+LaneBlock& LaneBlock::operator=(const LaneBlock& other35) {
+  number = other35.number;
+  uid = other35.uid;
+  epoch = other35.epoch;
+  owner = other35.owner;
+  entries = other35.entries;
+  __isset = other35.__isset;
   return *this;
 }
 void LaneBlock::printTo(std::ostream& out) const {
@@ -826,31 +1354,31 @@
   swap(a.__isset, b.__isset);
 }
 
-ForwardedCall::ForwardedCall(const ForwardedCall& other10) {
-  customer = other10.customer;
-  program = other10.program;
-  key = other10.key;
-  call = other10.call;
-  operation = other10.operation;
-  target = other10.target;
-  body = other10.body;
-  deadline_ms = other10.deadline_ms;
-  clock = other10.clock;
-  parent = other10.parent;
-  __isset = other10.__isset;
-}
-ForwardedCall& ForwardedCall::operator=(const ForwardedCall& other11) {
-  customer = other11.customer;
-  program = other11.program;
-  key = other11.key;
-  call = other11.call;
-  operation = other11.operation;
-  target = other11.target;
-  body = other11.body;
-  deadline_ms = other11.deadline_ms;
-  clock = other11.clock;
-  parent = other11.parent;
-  __isset = other11.__isset;
+ForwardedCall::ForwardedCall(const ForwardedCall& other36) {
+  customer = other36.customer;
+  program = other36.program;
+  key = other36.key;
+  call = other36.call;
+  operation = other36.operation;
+  target = other36.target;
+  body = other36.body;
+  deadline_ms = other36.deadline_ms;
+  clock = other36.clock;
+  parent = other36.parent;
+  __isset = other36.__isset;
+}
+ForwardedCall& ForwardedCall::operator=(const ForwardedCall& other37) {
+  customer = other37.customer;
+  program = other37.program;
+  key = other37.key;
+  call = other37.call;
+  operation = other37.operation;
+  target = other37.target;
+  body = other37.body;
+  deadline_ms = other37.deadline_ms;
+  clock = other37.clock;
+  parent = other37.parent;
+  __isset = other37.__isset;
   return *this;
 }
 void ForwardedCall::printTo(std::ostream& out) const {
@@ -1115,33 +1643,33 @@
   swap(a.__isset, b.__isset);
 }
 
-AnswerFrame::AnswerFrame(const AnswerFrame& other12) {
-  kind = other12.kind;
-  content = other12.content;
-  status = other12.status;
-  verdict = other12.verdict;
-  code = other12.code;
-  message = other12.message;
-  retry_after_ms = other12.retry_after_ms;
-  prompt_tokens = other12.prompt_tokens;
-  completion_tokens = other12.completion_tokens;
-  cached_tokens = other12.cached_tokens;
-  clock = other12.clock;
-  __isset = other12.__isset;
-}
-AnswerFrame& AnswerFrame::operator=(const AnswerFrame& other13) {
-  kind = other13.kind;
-  content = other13.content;
-  status = other13.status;
-  verdict = other13.verdict;
-  code = other13.code;
-  message = other13.message;
-  retry_after_ms = other13.retry_after_ms;
-  prompt_tokens = other13.prompt_tokens;
-  completion_tokens = other13.completion_tokens;
-  cached_tokens = other13.cached_tokens;
-  clock = other13.clock;
-  __isset = other13.__isset;
+AnswerFrame::AnswerFrame(const AnswerFrame& other38) {
+  kind = other38.kind;
+  content = other38.content;
+  status = other38.status;
+  verdict = other38.verdict;
+  code = other38.code;
+  message = other38.message;
+  retry_after_ms = other38.retry_after_ms;
+  prompt_tokens = other38.prompt_tokens;
+  completion_tokens = other38.completion_tokens;
+  cached_tokens = other38.cached_tokens;
+  clock = other38.clock;
+  __isset = other38.__isset;
+}
+AnswerFrame& AnswerFrame::operator=(const AnswerFrame& other39) {
+  kind = other39.kind;
+  content = other39.content;
+  status = other39.status;
+  verdict = other39.verdict;
+  code = other39.code;
+  message = other39.message;
+  retry_after_ms = other39.retry_after_ms;
+  prompt_tokens = other39.prompt_tokens;
+  completion_tokens = other39.completion_tokens;
+  cached_tokens = other39.cached_tokens;
+  clock = other39.clock;
+  __isset = other39.__isset;
   return *this;
 }
 void AnswerFrame::printTo(std::ostream& out) const {
@@ -1254,15 +1782,15 @@
   swap(a.__isset, b.__isset);
 }
 
-ContractText::ContractText(const ContractText& other14) {
-  customer = other14.customer;
-  text = other14.text;
-  __isset = other14.__isset;
+ContractText::ContractText(const ContractText& other40) {
+  customer = other40.customer;
+  text = other40.text;
+  __isset = other40.__isset;
 }
-ContractText& ContractText::operator=(const ContractText& other15) {
-  customer = other15.customer;
-  text = other15.text;
-  __isset = other15.__isset;
+ContractText& ContractText::operator=(const ContractText& other41) {
+  customer = other41.customer;
+  text = other41.text;
+  __isset = other41.__isset;
   return *this;
 }
 void ContractText::printTo(std::ostream& out) const {
@@ -1325,14 +1853,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->contracts.clear();
-            uint32_t _size16;
-            ::apache::thrift::protocol::TType _etype19;
-            xfer += iprot->readListBegin(_etype19, _size16);
-            this->contracts.resize(_size16);
-            uint32_t _i20;
-            for (_i20 = 0; _i20 < _size16; ++_i20)
+            uint32_t _size42;
+            ::apache::thrift::protocol::TType _etype45;
+            xfer += iprot->readListBegin(_etype45, _size42);
+            this->contracts.resize(_size42);
+            uint32_t _i46;
+            for (_i46 = 0; _i46 < _size42; ++_i46)
             {
-              xfer += this->contracts[_i20].read(iprot);
+              xfer += this->contracts[_i46].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1365,10 +1893,10 @@
   xfer += oprot->writeFieldBegin("contracts", ::apache::thrift::protocol::T_LIST, 2);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->contracts.size()));
-    std::vector<ContractText> ::const_iterator _iter21;
-    for (_iter21 = this->contracts.begin(); _iter21 != this->contracts.end(); ++_iter21)
+    std::vector<ContractText> ::const_iterator _iter47;
+    for (_iter47 = this->contracts.begin(); _iter47 != this->contracts.end(); ++_iter47)
     {
-      xfer += (*_iter21).write(oprot);
+      xfer += (*_iter47).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -1386,15 +1914,15 @@
   swap(a.__isset, b.__isset);
 }
 
-ContractSet::ContractSet(const ContractSet& other22) {
-  revision = other22.revision;
-  contracts = other22.contracts;
-  __isset = other22.__isset;
+ContractSet::ContractSet(const ContractSet& other48) {
+  revision = other48.revision;
+  contracts = other48.contracts;
+  __isset = other48.__isset;
 }
-ContractSet& ContractSet::operator=(const ContractSet& other23) {
-  revision = other23.revision;
-  contracts = other23.contracts;
-  __isset = other23.__isset;
+ContractSet& ContractSet::operator=(const ContractSet& other49) {
+  revision = other49.revision;
+  contracts = other49.contracts;
+  __isset = other49.__isset;
   return *this;
 }
 void ContractSet::printTo(std::ostream& out) const {
@@ -1498,15 +2026,15 @@
   swap(a.__isset, b.__isset);
 }
 
-OwnedLane::OwnedLane(const OwnedLane& other24) noexcept {
-  lane = other24.lane;
-  epoch = other24.epoch;
-  __isset = other24.__isset;
+OwnedLane::OwnedLane(const OwnedLane& other50) noexcept {
+  lane = other50.lane;
+  epoch = other50.epoch;
+  __isset = other50.__isset;
 }
-OwnedLane& OwnedLane::operator=(const OwnedLane& other25) noexcept {
-  lane = other25.lane;
-  epoch = other25.epoch;
-  __isset = other25.__isset;
+OwnedLane& OwnedLane::operator=(const OwnedLane& other51) noexcept {
+  lane = other51.lane;
+  epoch = other51.epoch;
+  __isset = other51.__isset;
   return *this;
 }
 void OwnedLane::printTo(std::ostream& out) const {
@@ -1617,14 +2145,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->lanes.clear();
-            uint32_t _size26;
-            ::apache::thrift::protocol::TType _etype29;
-            xfer += iprot->readListBegin(_etype29, _size26);
-            this->lanes.resize(_size26);
-            uint32_t _i30;
-            for (_i30 = 0; _i30 < _size26; ++_i30)
+            uint32_t _size52;
+            ::apache::thrift::protocol::TType _etype55;
+            xfer += iprot->readListBegin(_etype55, _size52);
+            this->lanes.resize(_size52);
+            uint32_t _i56;
+            for (_i56 = 0; _i56 < _size52; ++_i56)
             {
-              xfer += this->lanes[_i30].read(iprot);
+              xfer += this->lanes[_i56].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1693,10 +2221,10 @@
   xfer += oprot->writeFieldBegin("lanes", ::apache::thrift::protocol::T_LIST, 5);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->lanes.size()));
-    std::vector<OwnedLane> ::const_iterator _iter31;
-    for (_iter31 = this->lanes.begin(); _iter31 != this->lanes.end(); ++_iter31)
+    std::vector<OwnedLane> ::const_iterator _iter57;
+    for (_iter57 = this->lanes.begin(); _iter57 != this->lanes.end(); ++_iter57)
     {
-      xfer += (*_iter31).write(oprot);
+      xfer += (*_iter57).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -1732,27 +2260,27 @@
   swap(a.__isset, b.__isset);
 }
 
-Heartbeat::Heartbeat(const Heartbeat& other32) {
-  daemon = other32.daemon;
-  address = other32.address;
-  data_centre = other32.data_centre;
-  draining = other32.draining;
-  lanes = other32.lanes;
-  contracts_revision = other32.contracts_revision;
-  clock = other32.clock;
-  has_data_folder = other32.has_data_folder;
-  __isset = other32.__isset;
-}
-Heartbeat& Heartbeat::operator=(const Heartbeat& other33) {
-  daemon = other33.daemon;
-  address = other33.address;
-  data_centre = other33.data_centre;
-  draining = other33.draining;
-  lanes = other33.lanes;
-  contracts_revision = other33.contracts_revision;
-  clock = other33.clock;
-  has_data_folder = other33.has_data_folder;
-  __isset = other33.__isset;
+Heartbeat::Heartbeat(const Heartbeat& other58) {
+  daemon = other58.daemon;
+  address = other58.address;
+  data_centre = other58.data_centre;
+  draining = other58.draining;
+  lanes = other58.lanes;
+  contracts_revision = other58.contracts_revision;
+  clock = other58.clock;
+  has_data_folder = other58.has_data_folder;
+  __isset = other58.__isset;
+}
+Heartbeat& Heartbeat::operator=(const Heartbeat& other59) {
+  daemon = other59.daemon;
+  address = other59.address;
+  data_centre = other59.data_centre;
+  draining = other59.draining;
+  lanes = other59.lanes;
+  contracts_revision = other59.contracts_revision;
+  clock = other59.clock;
+  has_data_folder = other59.has_data_folder;
+  __isset = other59.__isset;
   return *this;
 }
 void Heartbeat::printTo(std::ostream& out) const {
--- a/source/wire/gen/comfreyfold_types.h
+++ b/source/wire/gen/comfreyfold_types.h
@@ -23,6 +23,14 @@
 
 class LaneEntry;
 
+class GrantName;
+
+class GrantQuestion;
+
+class GrantUse;
+
+class GrantAnswer;
+
 class LaneBlock;
 
 class ForwardedCall;
@@ -38,7 +46,7 @@
 class Heartbeat;
 
 typedef struct _LaneEntry__isset {
-  _LaneEntry__isset() : kind(false), customer(false), program(false), key(false), call(false), call_kind(false), target(false), backend(false), idempotent(false), request(false), request_digest(false), verdict(false), status(false), answer(false), tokens(false), begun_at_ms(false) {}
+  _LaneEntry__isset() : kind(false), customer(false), program(false), key(false), call(false), call_kind(false), target(false), backend(false), idempotent(false), request(false), request_digest(false), verdict(false), status(false), answer(false), tokens(false), begun_at_ms(false), grant(false) {}
   bool kind :1;
   bool customer :1;
   bool program :1;
@@ -55,6 +63,7 @@
   bool answer :1;
   bool tokens :1;
   bool begun_at_ms :1;
+  bool grant :1;
 } _LaneEntry__isset;
 
 class LaneEntry : public virtual ::apache::thrift::TBase {
@@ -78,7 +87,8 @@
               status(0),
               answer(),
               tokens(0),
-              begun_at_ms(0) {
+              begun_at_ms(0),
+              grant() {
   }
 
   virtual ~LaneEntry() noexcept;
@@ -98,6 +108,7 @@
   std::string answer;
   int64_t tokens;
   int64_t begun_at_ms;
+  std::string grant;
 
   _LaneEntry__isset __isset;
 
@@ -133,6 +144,8 @@
 
   void __set_begun_at_ms(const int64_t val);
 
+  void __set_grant(const std::string& val);
+
   bool operator == (const LaneEntry & rhs) const
   {
     if (!(kind == rhs.kind))
@@ -167,6 +180,8 @@
       return false;
     if (!(begun_at_ms == rhs.begun_at_ms))
       return false;
+    if (!(grant == rhs.grant))
+      return false;
     return true;
   }
   bool operator != (const LaneEntry &rhs) const {
@@ -185,6 +200,202 @@
 
 std::ostream& operator<<(std::ostream& out, const LaneEntry& obj);
 
+typedef struct _GrantName__isset {
+  _GrantName__isset() : customer(false), grant(false) {}
+  bool customer :1;
+  bool grant :1;
+} _GrantName__isset;
+
+class GrantName : public virtual ::apache::thrift::TBase {
+ public:
+
+  GrantName(const GrantName&);
+  GrantName& operator=(const GrantName&);
+  GrantName() noexcept
+            : customer(),
+              grant() {
+  }
+
+  virtual ~GrantName() noexcept;
+  std::string customer;
+  std::string grant;
+
+  _GrantName__isset __isset;
+
+  void __set_customer(const std::string& val);
+
+  void __set_grant(const std::string& val);
+
+  bool operator == (const GrantName & rhs) const
+  {
+    if (!(customer == rhs.customer))
+      return false;
+    if (!(grant == rhs.grant))
+      return false;
+    return true;
+  }
+  bool operator != (const GrantName &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const GrantName & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(GrantName &a, GrantName &b);
+
+std::ostream& operator<<(std::ostream& out, const GrantName& obj);
+
+typedef struct _GrantQuestion__isset {
+  _GrantQuestion__isset() : grants(false) {}
+  bool grants :1;
+} _GrantQuestion__isset;
+
+class GrantQuestion : public virtual ::apache::thrift::TBase {
+ public:
+
+  GrantQuestion(const GrantQuestion&);
+  GrantQuestion& operator=(const GrantQuestion&);
+  GrantQuestion() noexcept {
+  }
+
+  virtual ~GrantQuestion() noexcept;
+  std::vector<GrantName>  grants;
+
+  _GrantQuestion__isset __isset;
+
+  void __set_grants(const std::vector<GrantName> & val);
+
+  bool operator == (const GrantQuestion & rhs) const
+  {
+    if (!(grants == rhs.grants))
+      return false;
+    return true;
+  }
+  bool operator != (const GrantQuestion &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const GrantQuestion & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(GrantQuestion &a, GrantQuestion &b);
+
+std::ostream& operator<<(std::ostream& out, const GrantQuestion& obj);
+
+typedef struct _GrantUse__isset {
+  _GrantUse__isset() : lane(false), name(false), tokens(false) {}
+  bool lane :1;
+  bool name :1;
+  bool tokens :1;
+} _GrantUse__isset;
+
+class GrantUse : public virtual ::apache::thrift::TBase {
+ public:
+
+  GrantUse(const GrantUse&);
+  GrantUse& operator=(const GrantUse&);
+  GrantUse() noexcept
+           : lane(0),
+             tokens(0) {
+  }
+
+  virtual ~GrantUse() noexcept;
+  int32_t lane;
+  GrantName name;
+  int64_t tokens;
+
+  _GrantUse__isset __isset;
+
+  void __set_lane(const int32_t val);
+
+  void __set_name(const GrantName& val);
+
+  void __set_tokens(const int64_t val);
+
+  bool operator == (const GrantUse & rhs) const
+  {
+    if (!(lane == rhs.lane))
+      return false;
+    if (!(name == rhs.name))
+      return false;
+    if (!(tokens == rhs.tokens))
+      return false;
+    return true;
+  }
+  bool operator != (const GrantUse &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const GrantUse & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(GrantUse &a, GrantUse &b);
+
+std::ostream& operator<<(std::ostream& out, const GrantUse& obj);
+
+typedef struct _GrantAnswer__isset {
+  _GrantAnswer__isset() : lanes(false), uses(false) {}
+  bool lanes :1;
+  bool uses :1;
+} _GrantAnswer__isset;
+
+class GrantAnswer : public virtual ::apache::thrift::TBase {
+ public:
+
+  GrantAnswer(const GrantAnswer&);
+  GrantAnswer& operator=(const GrantAnswer&);
+  GrantAnswer() noexcept {
+  }
+
+  virtual ~GrantAnswer() noexcept;
+  std::vector<int32_t>  lanes;
+  std::vector<GrantUse>  uses;
+
+  _GrantAnswer__isset __isset;
+
+  void __set_lanes(const std::vector<int32_t> & val);
+
+  void __set_uses(const std::vector<GrantUse> & val);
+
+  bool operator == (const GrantAnswer & rhs) const
+  {
+    if (!(lanes == rhs.lanes))
+      return false;
+    if (!(uses == rhs.uses))
+      return false;
+    return true;
+  }
+  bool operator != (const GrantAnswer &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const GrantAnswer & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(GrantAnswer &a, GrantAnswer &b);
+
+std::ostream& operator<<(std::ostream& out, const GrantAnswer& obj);
+
 typedef struct _LaneBlock__isset {
   _LaneBlock__isset() : number(false), uid(false), epoch(false), owner(false), entries(false) {}
   bool number :1;
--- a/tests/process/budget_test.cc
+++ b/tests/process/budget_test.cc
@@ -1,7 +1,10 @@
+#include <algorithm>
 #include <csignal>
 
 #include <boost/test/unit_test.hpp>
 
+#include "platform/budget_codec.h"
+#include "platform/kv_client.h"
 #include "process/chat.h"
 #include "process/in_cluster.h"
 
@@ -113,6 +116,67 @@
   });
 }
 
+// Grants in the record now.
+std::size_t GrantsHeld(Cluster& cluster) {
+  KvClient kv(cluster.http(), cluster.kv().address(), seconds(2));
+  const auto item = kv.Get(cluster.fiber(), "budgets/bandwerk");
+  return item ? DecodeBudget(item->value).grants.size() : 0;
+}
+
+BOOST_AUTO_TEST_CASE(many_deaths_leave_the_budget_usable) {
+  InCluster({}, [](Fiber& fiber, Cluster& cluster) {
+    constexpr std::int64_t kTokens = 20000;
+    constexpr int kDeaths = 4;
+    cluster.Apply({Budget(kTokens)});
+    for (int death = 0; death < kDeaths; ++death) {
+      for (int i = 0; i < 12; ++i) {
+        const auto name = std::to_string(death) + "-" + std::to_string(i);
+        Chat(fiber, cluster, i % 3, {name, name});
+      }
+      const int victim = death % 3;
+      cluster.daemon(victim).Kill();
+      cluster.StartDaemon(victim);
+      cluster.WaitReady();
+    }
+    // Idle grants go back by their holders, dead ones by the journals.
+    cluster.WaitFor("every grant to be given back",
+                    [&] { return GrantsHeld(cluster) == 0; });
+    KvClient kv(cluster.http(), cluster.kv().address(), seconds(2));
+    const auto record = DecodeBudget(kv.Get(fiber, "budgets/bandwerk")->value);
+    const auto used = TokensAtEngines(cluster, kCustomer);
+    BOOST_TEST(used > 0);
+    BOOST_TEST(record.spent >= used);
+    BOOST_TEST(record.spent - used < kTokens / 20);
+    BOOST_TEST_MESSAGE(kDeaths << " deaths: used " << used << ", counted "
+                               << record.spent << " of " << kTokens);
+  });
+}
+
+BOOST_AUTO_TEST_CASE(a_paused_holder_uses_no_grant_that_was_given_back) {
+  InCluster({}, [](Fiber& fiber, Cluster& cluster) {
+    constexpr std::int64_t kTokens = 3000;
+    cluster.Apply({Budget(kTokens)});
+    for (int i = 0; i < 12; ++i) {
+      const auto name = "early-" + std::to_string(i);
+      BOOST_TEST(Chat(fiber, cluster, i % 3, {name, name}).status == 200);
+    }
+    cluster.daemon(1).Signal(SIGSTOP);
+    cluster.WaitFor("the others to give its grant back", [&] {
+      KvClient kv(cluster.http(), cluster.kv().address(), seconds(2));
+      const auto item = kv.Get(fiber, "budgets/bandwerk");
+      const auto record = DecodeBudget(item->value);
+      return std::none_of(
+          record.grants.begin(), record.grants.end(),
+          [](const BudgetGrant& it) { return it.daemon == "d1"; });
+    });
+    cluster.daemon(1).Signal(SIGCONT);
+    Spenders spenders(cluster, 6);
+    cluster.WaitFor("the spenders to be refused",
+                    [&] { return spenders.done(); });
+    BOOST_TEST(TokensAtEngines(cluster, kCustomer) <= kTokens);
+  });
+}
+
 BOOST_AUTO_TEST_CASE(a_lowered_contract_binds_with_grants_outstanding) {
   InCluster({}, [](Fiber& fiber, Cluster& cluster) {
     cluster.Apply({Budget(1000000)});
--- a/tests/process/chat.cc
+++ b/tests/process/chat.cc
@@ -26,10 +26,11 @@
   }
   HttpOptions options;
   options.idle_timeout = std::chrono::seconds(90);
+  // Copied: the daemon may be started anew meanwhile.
+  const std::string address = cluster.daemon(index).address();
   ChatReply out;
   try {
-    const auto reply = cluster.http().Send(
-        fiber, cluster.daemon(index).address(), request, options);
+    const auto reply = cluster.http().Send(fiber, address, request, options);
     out.status = reply.status;
     out.verdict = reply.Header("Comfreyfold-Verdict");
     const auto retry = reply.Header("Retry-After");
