--- a/source/core/lane_entry.h
+++ b/source/core/lane_entry.h
@@ -21,6 +21,7 @@
   kProgramEnded = 3,
   kHoldReleased = 4,      // `backend` confirmed that it holds nothing more.
   kHandover = 5,          // The owner gives the lane up of its own accord.
+  kProgramForgotten = 6,  // Ended long ago, nothing held: it leaves the lane.
   kSubagentStarted = 40,  // `key` names the program that was started.
 };
 
--- /dev/null
+++ b/source/core/lane_snapshot.h
@@ -0,0 +1,24 @@
+#ifndef CORE_LANE_SNAPSHOT_H_
+#define CORE_LANE_SNAPSHOT_H_
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+#include "core/program_state.h"
+
+namespace comfreyfold {
+
+// A lane as its blocks up to `last_block` leave it.
+struct LaneSnapshot {
+  std::int64_t last_block = 0;
+  std::int64_t epoch = 0;
+  std::string owner;
+  std::vector<ProgramState> programs;
+
+  bool operator==(const LaneSnapshot&) const = default;
+};
+
+}  // namespace comfreyfold
+
+#endif  // CORE_LANE_SNAPSHOT_H_
--- a/source/core/lane_state.cc
+++ b/source/core/lane_state.cc
@@ -1,6 +1,7 @@
 #include "core/lane_state.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace comfreyfold {
 
@@ -64,7 +65,6 @@
       program.program = entry.program;
       program.ended = true;
       program.passed_limit = entry.target;
-      ForgetIfReleased(key);
       break;
     }
     case EntryKind::kSubagentStarted: {
@@ -74,11 +74,13 @@
       program.subagents.insert(entry.key);
       break;
     }
+    case EntryKind::kProgramForgotten:
+      Forget(key);
+      break;
     case EntryKind::kHoldReleased: {
       const auto it = programs_.find(key);
       if (it != programs_.end()) {
         it->second.holds_on.erase(entry.backend);
-        ForgetIfReleased(key);
       }
       break;
     }
@@ -131,10 +133,34 @@
   program.tokens += entry.tokens;
 }
 
-void LaneState::ForgetIfReleased(const ProgramKey& key) {
-  // An ended program is kept until its holds are released, so that any
-  // later owner of the lane can go on releasing them.
-  (void)key;
+void LaneState::Forget(const ProgramKey& key) {
+  // A program is kept until its holds are released, so that any later
+  // owner of the lane can go on releasing them.
+  const auto it = programs_.find(key);
+  if (it != programs_.end() && it->second.ended &&
+      it->second.holds_on.empty()) {
+    programs_.erase(it);
+  }
+}
+
+LaneSnapshot LaneState::Snapshot() const {
+  LaneSnapshot out{last_block_, epoch_, owner_, {}};
+  for (const auto& [key, program] : programs_) {
+    out.programs.push_back(program);
+  }
+  return out;
+}
+
+LaneState LaneState::FromSnapshot(LaneSnapshot snapshot) {
+  LaneState out;
+  out.last_block_ = snapshot.last_block;
+  out.epoch_ = snapshot.epoch;
+  out.owner_ = std::move(snapshot.owner);
+  for (auto& it : snapshot.programs) {
+    const ProgramKey key{it.customer, it.program};
+    out.programs_[key] = std::move(it);
+  }
+  return out;
 }
 
 const ProgramState* LaneState::Find(const ProgramKey& key) const {
--- a/source/core/lane_state.h
+++ b/source/core/lane_state.h
@@ -9,44 +9,11 @@
 #include <vector>
 
 #include "core/lane_entry.h"
+#include "core/lane_snapshot.h"
+#include "core/program_state.h"
 
 namespace comfreyfold {
 
-// A call as the journal knows it.
-struct CallRecord {
-  std::string key;
-  std::int64_t call = 0;
-  CallKind kind = CallKind::kModel;
-  std::string target;
-  std::string backend;
-  bool idempotent = false;
-  std::string request;
-  std::uint64_t request_digest = 0;
-  bool done = false;
-  std::int64_t epoch = 0;  // Of the owner that began it.
-  Verdict verdict = Verdict::kNotRun;
-  int status = 0;
-  std::string answer;
-  std::int64_t tokens = 0;
-};
-
-struct ProgramState {
-  std::string customer;
-  std::string program;
-  std::vector<CallRecord> calls;   // In the order of the program.
-  std::set<std::string> holds_on;  // VM ids that may hold engine memory.
-  bool ended = false;
-  std::string passed_limit;  // Why it was ended; empty: by its caller.
-  std::int64_t tokens = 0;   // Used so far.
-  std::chrono::milliseconds started_at{};  // Since 1970; 0: no call yet.
-  std::set<std::string> subagents;         // Programs it has started.
-
-  // The place the next new call takes.
-  std::int64_t next_call() const {
-    return static_cast<std::int64_t>(calls.size()) + 1;
-  }
-};
-
 // Identifies a program: names of different customers never meet.
 struct ProgramKey {
   std::string customer;
@@ -94,6 +61,10 @@
   // falls, or on a new epoch that does not start with a takeover.
   void Apply(const LaneBlock& block);
 
+  // The state in a form to keep, and from that form again.
+  LaneSnapshot Snapshot() const;
+  static LaneState FromSnapshot(LaneSnapshot snapshot);
+
   // Decides what `claim` may do now. Changes nothing.
   Admission Admit(const CallClaim& claim) const;
 
@@ -109,7 +80,7 @@
   void ApplyEntry(const LaneEntry& entry);
   void Begin(const LaneEntry& entry);
   void Finish(const LaneEntry& entry);
-  void ForgetIfReleased(const ProgramKey& key);
+  void Forget(const ProgramKey& key);
 
   std::map<ProgramKey, ProgramState> programs_;
   std::int64_t last_block_ = 0;
--- a/source/server/call_journal.cc
+++ b/source/server/call_journal.cc
@@ -1,18 +1,24 @@
 #include "server/call_journal.h"
 
+#include <algorithm>
+
 #include "core/call_error.h"
 
 namespace comfreyfold {
 
 namespace {
 constexpr std::chrono::milliseconds kRetrySoon{500};
+constexpr std::chrono::milliseconds kRetryLater{2000};
 }  // namespace
 
 void CallJournal::CommitIntent(Fiber& fiber,
                                const CallContext& context,
                                const LaneEntry& begun) {
+  const auto sent = std::chrono::steady_clock::now();
+  const auto& settings = context.lane->settings();
   try {
-    context.lane->Append(fiber, {begun}, context.left());
+    context.lane->Append(fiber, {begun},
+                         std::min(context.left(), settings.commit_timeout));
   } catch (const LaneLost& e) {
     // Whoever owns the lane now decides; here nothing was dispatched.
     throw NotOwner(e.what());
@@ -20,7 +26,16 @@
     throw CallError(503, "journal_unavailable",
                     "the program's journal cannot be written now; retry "
                     "with the same Idempotency-Key",
-                    Verdict::kNotRun, kRetrySoon);
+                    Verdict::kNotRun, kRetryLater);
+  } catch (const EntryTooLarge&) {
+    throw CallError(413, "too_large",
+                    "the request does not fit the program's journal; send "
+                    "less than 900 kB at once",
+                    Verdict::kNotRun);
+  }
+  if (!begun.idempotent &&
+      std::chrono::steady_clock::now() - sent > settings.dispatch_window) {
+    Withdraw(fiber, context, begun);
   }
   log_.Write({.name = "call_begun",
               .customer = begun.customer,
@@ -33,11 +48,54 @@
               .detail = begun.target});
 }
 
+// The daemon was paused after the commit. The lane may have a new owner who
+// has told the caller to check at the service whether the call ran: it must
+// not run after that check.
+void CallJournal::Withdraw(Fiber& fiber,
+                           const CallContext& context,
+                           const LaneEntry& begun) {
+  auto done = context.Entry(EntryKind::kCallDone);
+  done.backend = begun.backend;
+  try {
+    context.lane->Append(fiber, {done}, context.left());
+  } catch (const LaneLost& e) {
+    throw NotOwner(e.what());
+  } catch (const AppendTimeout&) {
+    throw CallError(503, "outcome_not_recorded",
+                    "the call was not dispatched, but that is not in the "
+                    "journal; fetch it with the same Idempotency-Key",
+                    Verdict::kMayHaveRun, kRetrySoon);
+  }
+  throw CallError(503, "dispatch_too_late",
+                  "the daemon was held up before it could dispatch the call; "
+                  "retry with the same Idempotency-Key",
+                  Verdict::kNotRun, kRetrySoon);
+}
+
+// An answer that fits no block still reaches its caller; the journal keeps
+// that the call ran, so that it is not repeated.
+void CallJournal::AppendOutcome(Fiber& fiber,
+                                const CallContext& context,
+                                LaneEntry done) {
+  try {
+    context.lane->Append(fiber, {done}, context.left());
+  } catch (const EntryTooLarge& e) {
+    log_.Write({.name = "answer_not_kept",
+                .customer = done.customer,
+                .program = done.program,
+                .key = done.key,
+                .lane = context.lane->lane(),
+                .detail = e.what()});
+    done.answer.clear();
+    context.lane->Append(fiber, {done}, context.left());
+  }
+}
+
 void CallJournal::CommitOutcome(Fiber& fiber,
                                 const CallContext& context,
                                 const LaneEntry& done) {
   try {
-    context.lane->Append(fiber, {done}, context.left());
+    AppendOutcome(fiber, context, done);
   } catch (const std::runtime_error& e) {
     throw CallError(503, "outcome_not_recorded",
                     "the call was dispatched but its outcome is not in the "
--- a/source/server/call_journal.h
+++ b/source/server/call_journal.h
@@ -24,6 +24,12 @@
                      const LaneEntry& done);
 
  private:
+  // Records that the call was not dispatched, and throws.
+  void Withdraw(Fiber& fiber,
+                const CallContext& context,
+                const LaneEntry& begun);
+  void AppendOutcome(Fiber& fiber, const CallContext& context, LaneEntry done);
+
   EventLog& log_;
 };
 
--- a/source/server/daemon.cc
+++ b/source/server/daemon.cc
@@ -49,7 +49,8 @@
                 log_,
                 settings_.vm_list_interval,
                 settings_.load_interval),
-      lanes_(loop, kv_, log_, membership_, settings_.lanes),
+      lanes_(loop, kv_, log_, membership_, settings_.lane, settings_.lanes),
+      tidier_(loop, lanes_, log_),
       engines_(http_),
       tools_(http_),
       chooser_(backends_),
@@ -100,6 +101,7 @@
       [this](Fiber& fiber) { return contract_peers_.Fetch(fiber); });
   budgets_.Start();
   reaper_.Start();
+  tidier_.Start();
   backends_.Start();
   lanes_.OnChange([this] { peers_.Announce(); });
   peers_.Start([this] {
@@ -170,6 +172,7 @@
     lanes.push_back({{"lane", lane},
                      {"epoch", owner->epoch()},
                      {"blocks", owner->state().last_block()},
+                     {"snapshot", owner->snapshot_block()},
                      {"programs", owner->state().programs().size()}});
   }
   json peers = json::array();
--- a/source/server/daemon.h
+++ b/source/server/daemon.h
@@ -16,6 +16,7 @@
 #include "server/contract_store.h"
 #include "server/hold_releaser.h"
 #include "server/lane_manager.h"
+#include "server/lane_tidier.h"
 #include "server/peer_api.h"
 #include "server/peer_links.h"
 #include "server/program_listing.h"
@@ -57,6 +58,7 @@
   ContractPeers contract_peers_;
   BackendDirectory backends_;
   LaneManager lanes_;
+  LaneTidier tidier_;
   EngineClient engines_;
   ToolClient tools_;
   BackendChooser chooser_;
--- a/source/server/lane_manager.cc
+++ b/source/server/lane_manager.cc
@@ -8,8 +8,14 @@
                          KvClient& kv,
                          EventLog& log,
                          Membership& membership,
+                         const LaneSettings& settings,
                          int lanes)
-    : loop_(loop), kv_(kv), log_(log), membership_(membership), lanes_(lanes) {}
+    : loop_(loop),
+      kv_(kv),
+      log_(log),
+      membership_(membership),
+      settings_(settings),
+      lanes_(lanes) {}
 
 void LaneManager::Tick() {
   const auto lost =
@@ -27,7 +33,7 @@
 }
 
 void LaneManager::Take(Fiber& fiber, int lane) {
-  auto owner = std::make_shared<LaneOwner>(loop_, kv_, log_, lane);
+  auto owner = std::make_shared<LaneOwner>(loop_, kv_, log_, settings_, lane);
   try {
     owner->Open(fiber);
     owned_[lane] = std::move(owner);
--- a/source/server/lane_manager.h
+++ b/source/server/lane_manager.h
@@ -19,6 +19,7 @@
               KvClient& kv,
               EventLog& log,
               Membership& membership,
+              const LaneSettings& settings,
               int lanes);
 
   // Looks once at every lane; called after each round of heartbeats.
@@ -45,6 +46,7 @@
   KvClient& kv_;
   EventLog& log_;
   Membership& membership_;
+  const LaneSettings& settings_;
   int lanes_;
   std::map<int, std::shared_ptr<LaneOwner>> owned_;
   std::set<int> opening_;
--- a/source/server/lane_owner.cc
+++ b/source/server/lane_owner.cc
@@ -1,38 +1,77 @@
 #include "server/lane_owner.h"
 
 #include <algorithm>
-#include <cstdio>
 #include <utility>
 
+#include "core/hash.h"
 #include "platform/base64.h"
 #include "wire/codec.h"
 
 namespace comfreyfold {
 
 namespace {
+
 constexpr std::chrono::milliseconds kFirstBackoff{50};
 constexpr std::chrono::milliseconds kMostBackoff{2000};
+constexpr int kJitterPercent = 50;
+// The fields of an entry beside its texts, and a block's own.
+constexpr std::size_t kEntryOverheadBytes = 128;
+
+std::size_t BytesOf(const std::vector<LaneEntry>& entries) {
+  std::size_t out = 0;
+  for (const auto& it : entries) {
+    out += kEntryOverheadBytes + it.customer.size() + it.program.size() +
+           it.key.size() + it.target.size() + it.backend.size() +
+           it.request.size() + it.answer.size();
+  }
+  return out;
+}
+
+// All owners that wait for the service must not come back at one moment.
+std::chrono::milliseconds Jittered(std::chrono::milliseconds backoff,
+                                   const std::string& seed) {
+  const auto percent =
+      static_cast<int>(Hash64(seed) % static_cast<unsigned>(kJitterPercent));
+  return backoff - backoff * percent / 100;
+}
+
+LaneEntry NotRunOutcome(const LaneEntry& intent) {
+  auto out = intent;
+  out.kind = EntryKind::kCallDone;
+  out.request.clear();
+  out.tokens = 0;
+  out.verdict = Verdict::kNotRun;
+  return out;
+}
+
 }  // namespace
 
 struct LaneOwner::Pending {
   std::vector<LaneEntry> entries;
   bool committed = false;
   bool abandoned = false;
+
+  bool IsIntent() const {
+    return std::any_of(entries.begin(), entries.end(), [](const auto& it) {
+      return it.kind == EntryKind::kCallBegun;
+    });
+  }
 };
 
-LaneOwner::LaneOwner(Loop& loop, KvClient& kv, EventLog& log, int lane)
-    : loop_(loop), kv_(kv), log_(log), lane_(lane), changed_(loop) {}
+LaneOwner::LaneOwner(Loop& loop,
+                     KvClient& kv,
+                     EventLog& log,
+                     const LaneSettings& settings,
+                     int lane)
+    : loop_(loop),
+      log_(log),
+      settings_(settings),
+      lane_(lane),
+      journal_(kv, lane),
+      changed_(loop) {}
 
 LaneOwner::~LaneOwner() = default;
 
-std::string LaneOwner::BlockKey(std::int64_t number) const {
-  // Zeros keep the order of the keys the order of the blocks.
-  char buf[64];
-  std::snprintf(buf, sizeof(buf), "lane/%04d/block/%012lld", lane_,
-                static_cast<long long>(number));
-  return buf;
-}
-
 LaneBlock LaneOwner::MakeBlock(std::vector<LaneEntry> entries,
                                std::int64_t epoch) const {
   return {state_.last_block() + 1, RandomId(), epoch, log_.daemon(),
@@ -40,40 +79,38 @@
 }
 
 void LaneOwner::Open(Fiber& fiber) {
-  char prefix[32];
-  std::snprintf(prefix, sizeof(prefix), "lane/%04d/block/", lane_);
-  for (const auto& it : kv_.Prefix(fiber, prefix).items) {
-    state_.Apply(DecodeLaneBlock(it.value));
-  }
+  auto replay = journal_.Replay(fiber);
+  state_ = std::move(replay.state);
+  snapshot_block_ = replay.snapshot_block;
+  snapshot_bytes_ = replay.snapshot_bytes;
+  block_bytes_ = replay.block_bytes;
   LaneEntry takeover;
   takeover.kind = EntryKind::kTakeover;
   const auto block = MakeBlock({takeover}, state_.epoch() + 1);
   // One try: a lost answer is settled by the read in TryCommit, and when
   // the service is silent the next round starts from a fresh replay.
-  if (!TryCommit(fiber, block)) {
+  if (!journal_.TryCommit(fiber, block)) {
     throw LaneLost("another daemon took lane " + std::to_string(lane_));
   }
   state_.Apply(block);
   log_.Write({.name = "lane_taken", .lane = lane_, .epoch = epoch()});
 }
 
-bool LaneOwner::TryCommit(Fiber& fiber, const LaneBlock& block) {
-  const auto key = BlockKey(block.number);
-  KvTxn txn;
-  txn.compares.push_back(KvCompare::Absent(key));
-  if (block.number > 1) {
-    // Trimming deletes old blocks but never the last: without this an owner
-    // that slept through a trim could create its next block a second time.
-    txn.compares.push_back(KvCompare::Exists(BlockKey(block.number - 1)));
+bool LaneOwner::Confirm(Fiber& fiber) {
+  const auto next = journal_.Read(fiber, state_.last_block() + 1);
+  if (next && !lost_ &&
+      (next->owner != log_.daemon() || next->epoch != epoch())) {
+    Lose("another daemon's block " + std::to_string(next->number));
   }
-  txn.puts.push_back({key, Encode(block)});
-  if (kv_.Commit(fiber, txn).succeeded) {
-    return true;
+  return !lost_;
+}
+
+void LaneOwner::CheckSize(const std::vector<LaneEntry>& entries) const {
+  const auto bytes = BytesOf(entries);
+  if (bytes > LaneJournal::kMostValueBytes) {
+    throw EntryTooLarge("lane " + std::to_string(lane_) + ": " +
+                        std::to_string(bytes) + " bytes do not fit a block");
   }
-  // Either another daemon won, or an earlier try took effect and its
-  // answer was lost: the block's uid tells which.
-  const auto there = kv_.Get(fiber, key);
-  return there && DecodeLaneBlock(there->value).uid == block.uid;
 }
 
 void LaneOwner::Append(Fiber& fiber,
@@ -82,75 +119,145 @@
   if (lost_) {
     throw LaneLost("lane " + std::to_string(lane_) + " is no longer owned");
   }
+  CheckSize(entries);
   const auto pending = std::make_shared<Pending>();
   pending->entries = std::move(entries);
+  // The service is known to be silent: whoever waits too would only be
+  // refused later, and a second intent of a program could pass the first.
+  if (in_doubt_ && pending->IsIntent()) {
+    throw AppendTimeout("lane " + std::to_string(lane_) +
+                        ": an earlier block is in doubt");
+  }
   pending_.push_back(pending);
   if (!committing_) {
     committing_ = true;
-    loop_.Spawn([this](Fiber& child) { CommitLoop(child); });
+    loop_.Spawn(
+        [self = shared_from_this()](Fiber& child) { self->CommitLoop(child); });
   }
   changed_.WaitUntil(fiber, timeout,
                      [this, &pending] { return pending->committed || lost_; });
   if (pending->committed) {
     return;
   }
-  pending->abandoned = true;
   if (lost_) {
     throw LaneLost("lane " + std::to_string(lane_) + " was taken over");
   }
+  pending->abandoned = true;
+  const bool queued =
+      std::find(pending_.begin(), pending_.end(), pending) != pending_.end();
+  in_doubt_ = in_doubt_ || (pending->IsIntent() && !queued);
   throw AppendTimeout("lane " + std::to_string(lane_) + ": no commit in time");
 }
 
+LaneOwner::Group LaneOwner::TakeGroup() {
+  // An intent that nobody waits for any more and that is in no block yet is
+  // dropped. An outcome stays: the call was dispatched.
+  std::erase_if(pending_,
+                [](const auto& it) { return it->abandoned && it->IsIntent(); });
+  Group out;
+  std::size_t bytes = 0;
+  while (!pending_.empty()) {
+    bytes += BytesOf(pending_.front()->entries);
+    if (!out.empty() && bytes > LaneJournal::kMostValueBytes) {
+      break;
+    }
+    out.push_back(std::move(pending_.front()));
+    pending_.pop_front();
+  }
+  return out;
+}
+
 void LaneOwner::CommitLoop(Fiber& fiber) {
-  auto backoff = kFirstBackoff;
   while (!lost_) {
-    // What nobody waits for any more and is in no block yet is dropped.
-    std::erase_if(pending_, [](const auto& it) { return it->abandoned; });
-    if (pending_.empty()) {
+    const auto group = TakeGroup();
+    if (group.empty()) {
       break;
     }
-    std::vector<std::shared_ptr<Pending>> group(pending_.begin(),
-                                                pending_.end());
-    pending_.clear();
-    std::vector<LaneEntry> entries;
-    for (const auto& it : group) {
-      entries.insert(entries.end(), it->entries.begin(), it->entries.end());
-    }
-    const auto block = MakeBlock(std::move(entries), epoch());
-    // Once a block may have reached the service it is this block or none:
-    // another with the same number could otherwise commit beside it.
-    while (!lost_) {
-      try {
-        if (!TryCommit(fiber, block)) {
-          Lose("another daemon's block " + std::to_string(block.number));
-          break;
-        }
-        state_.Apply(block);
-        for (const auto& it : group) {
-          it->committed = true;
-        }
-        backoff = kFirstBackoff;
-        changed_.NotifyAll();
-        break;
-      } catch (const KvUnavailable&) {
-        fiber.Sleep(backoff);
-        backoff = std::min(backoff * 2, kMostBackoff);
+    CommitGroup(fiber, group);
+  }
+  committing_ = false;
+  changed_.NotifyAll();
+}
+
+void LaneOwner::CommitGroup(Fiber& fiber, const Group& group) {
+  std::vector<LaneEntry> entries;
+  for (const auto& it : group) {
+    entries.insert(entries.end(), it->entries.begin(), it->entries.end());
+  }
+  const auto block = MakeBlock(std::move(entries), epoch());
+  auto backoff = kFirstBackoff;
+  // Once a block may have reached the service it is this block or none:
+  // another with the same number could otherwise commit beside it.
+  while (!lost_) {
+    try {
+      if (journal_.TryCommit(fiber, block)) {
+        Settle(block, group);
+      } else if (!lost_) {
+        Lose("another daemon's block " + std::to_string(block.number));
       }
+      return;
+    } catch (const KvUnavailable&) {
+      fiber.Sleep(Jittered(backoff, block.uid));
+      backoff = std::min(backoff * 2, kMostBackoff);
     }
   }
-  committing_ = false;
+}
+
+void LaneOwner::Settle(const LaneBlock& block, const Group& group) {
+  state_.Apply(block);
+  block_bytes_ += static_cast<std::int64_t>(Encode(block).size());
+  in_doubt_ = false;
+  for (const auto& it : group) {
+    it->committed = true;
+  }
+  Withdraw(group);
   changed_.NotifyAll();
 }
 
-bool LaneOwner::Confirm(Fiber& fiber) {
-  const auto next = kv_.Get(fiber, BlockKey(state_.last_block() + 1));
-  if (next && !lost_) {
-    const auto block = DecodeLaneBlock(next->value);
-    if (block.owner != log_.daemon() || block.epoch != epoch()) {
-      Lose("another daemon's block " + std::to_string(block.number));
+// The caller of an intent that was given up has been told "not run", and
+// nothing was dispatched: the journal says so before anything else happens
+// in the lane, or the call would look as if it might have run.
+void LaneOwner::Withdraw(const Group& group) {
+  auto withdrawn = std::make_shared<Pending>();
+  for (const auto& pending : group) {
+    if (!pending->abandoned) {
+      continue;
+    }
+    for (const auto& it : pending->entries) {
+      if (it.kind == EntryKind::kCallBegun) {
+        withdrawn->entries.push_back(NotRunOutcome(it));
+      }
     }
   }
-  return !lost_;
+  if (!withdrawn->entries.empty()) {
+    pending_.push_front(std::move(withdrawn));
+  }
+}
+
+bool LaneOwner::snapshot_due() const {
+  // A snapshot that is larger than the blocks it replaces would write more
+  // than it saves: the bytes written at most double this way.
+  return !lost_ &&
+         state_.last_block() - snapshot_block_ >= settings_.snapshot_blocks &&
+         block_bytes_ >= snapshot_bytes_;
+}
+
+void LaneOwner::SaveSnapshot(Fiber& fiber) {
+  const auto before = block_bytes_;
+  const auto snapshot = state_.Snapshot();
+  std::int64_t bytes = 0;
+  if (!journal_.SaveSnapshot(fiber, snapshot, bytes)) {
+    Lose("block " + std::to_string(snapshot.last_block) + " was trimmed");
+    return;
+  }
+  snapshot_block_ = snapshot.last_block;
+  snapshot_bytes_ = bytes;
+  block_bytes_ -= before;
+  log_.Write({.name = "lane_snapshot",
+              .lane = lane_,
+              .epoch = epoch(),
+              .detail = "block " + std::to_string(snapshot.last_block) + ", " +
+                        std::to_string(bytes) + " bytes"});
 }
 
 void LaneOwner::Lose(const std::string& why) {
--- a/source/server/lane_owner.h
+++ b/source/server/lane_owner.h
@@ -8,10 +8,10 @@
 #include <string>
 #include <vector>
 
-#include "core/lane_state.h"
 #include "log/event_log.h"
 #include "net/loop.h"
-#include "platform/kv_client.h"
+#include "server/lane_journal.h"
+#include "server/lane_settings.h"
 
 namespace comfreyfold {
 
@@ -28,11 +28,21 @@
   using std::runtime_error::runtime_error;
 };
 
+// An entry does not fit into a block. Nothing was appended.
+class EntryTooLarge : public std::runtime_error {
+ public:
+  using std::runtime_error::runtime_error;
+};
+
 // One lane held by this daemon: replays the journal, takes the lane over,
 // and appends blocks of whatever entries wait (group commit).
-class LaneOwner {
+class LaneOwner : public std::enable_shared_from_this<LaneOwner> {
  public:
-  LaneOwner(Loop& loop, KvClient& kv, EventLog& log, int lane);
+  LaneOwner(Loop& loop,
+            KvClient& kv,
+            EventLog& log,
+            const LaneSettings& settings,
+            int lane);
   ~LaneOwner();
 
   // Replays and appends the takeover. Throws LaneLost when another daemon
@@ -40,7 +50,9 @@
   void Open(Fiber& fiber);
 
   // Returns once `entries` are known committed and applied to the state.
-  // Throws LaneLost or AppendTimeout.
+  // Throws LaneLost, AppendTimeout or EntryTooLarge. After AppendTimeout
+  // intents are either not in the journal or withdrawn there as not run;
+  // other entries are still appended when the service answers.
   void Append(Fiber& fiber,
               std::vector<LaneEntry> entries,
               std::chrono::milliseconds timeout);
@@ -53,26 +65,44 @@
   // Waits for pending appends, then gives the lane up.
   void Handover(Fiber& fiber, std::chrono::milliseconds timeout);
 
+  // True when enough was appended that a snapshot pays.
+  bool snapshot_due() const;
+  // Throws KvUnavailable.
+  void SaveSnapshot(Fiber& fiber);
+
   const LaneState& state() const { return state_; }
+  const LaneSettings& settings() const { return settings_; }
   int lane() const { return lane_; }
   bool lost() const { return lost_; }
   std::int64_t epoch() const { return state_.epoch(); }
+  std::int64_t snapshot_block() const { return snapshot_block_; }
 
  private:
   struct Pending;
-  std::string BlockKey(std::int64_t number) const;
+  using Group = std::vector<std::shared_ptr<Pending>>;
+
   LaneBlock MakeBlock(std::vector<LaneEntry> entries, std::int64_t epoch) const;
-  bool TryCommit(Fiber& fiber, const LaneBlock& block);
+  void CheckSize(const std::vector<LaneEntry>& entries) const;
+  Group TakeGroup();
   void CommitLoop(Fiber& fiber);
+  void CommitGroup(Fiber& fiber, const Group& group);
+  void Settle(const LaneBlock& block, const Group& group);
+  void Withdraw(const Group& group);
   void Lose(const std::string& why);
 
   Loop& loop_;
-  KvClient& kv_;
   EventLog& log_;
+  const LaneSettings& settings_;
   int lane_;
+  LaneJournal journal_;
   LaneState state_;
+  std::int64_t snapshot_block_ = 0;
+  std::int64_t snapshot_bytes_ = 0;
+  std::int64_t block_bytes_ = 0;
   bool lost_ = false;
   bool committing_ = false;
+  // An intent was given up while its block is in doubt.
+  bool in_doubt_ = false;
   std::deque<std::shared_ptr<Pending>> pending_;
   Condition changed_;
 };
--- /dev/null
+++ b/source/server/lane_settings.h
@@ -0,0 +1,23 @@
+#ifndef SERVER_LANE_SETTINGS_H_
+#define SERVER_LANE_SETTINGS_H_
+
+#include <chrono>
+
+namespace comfreyfold {
+
+// How the lanes' journals are kept.
+struct LaneSettings {
+  // Blocks after a snapshot before the next one is due.
+  int snapshot_blocks = 256;
+  // An ended program is kept this long, so that late retries find it.
+  std::chrono::seconds retention{3600};
+  // An intent that is not committed by then is refused as not run.
+  std::chrono::milliseconds commit_timeout{2000};
+  // A non-idempotent call is not dispatched later than this after its
+  // intent was sent off: its lane may have a new owner by then.
+  std::chrono::milliseconds dispatch_window{3000};
+};
+
+}  // namespace comfreyfold
+
+#endif  // SERVER_LANE_SETTINGS_H_
--- /dev/null
+++ b/source/server/lane_tidier.cc
@@ -0,0 +1,72 @@
+#include "server/lane_tidier.h"
+
+#include <utility>
+
+namespace comfreyfold {
+
+namespace {
+constexpr std::chrono::milliseconds kTidyInterval{1000};
+constexpr std::chrono::milliseconds kAppendTimeout{5000};
+// Bounds the block that forgets programs.
+constexpr std::size_t kMostForgotten = 1000;
+}  // namespace
+
+void LaneTidier::Start() {
+  loop_.Spawn([this](Fiber& fiber) {
+    while (true) {
+      TidyOnce(fiber);
+      fiber.Sleep(kTidyInterval);
+    }
+  });
+}
+
+void LaneTidier::TidyOnce(Fiber& fiber) {
+  // Copied: the manager drops lost lanes while this waits.
+  const auto owned = lanes_.owned();
+  for (const auto& [lane, owner] : owned) {
+    try {
+      Tidy(fiber, *owner);
+    } catch (const std::runtime_error& e) {
+      log_.Write({.name = "lane_not_tidied", .lane = lane, .detail = e.what()});
+    }
+  }
+}
+
+void LaneTidier::Tidy(Fiber& fiber, LaneOwner& lane) {
+  if (lane.lost()) {
+    return;
+  }
+  auto forgotten = DueToForget(lane);
+  if (!forgotten.empty()) {
+    lane.Append(fiber, forgotten, kAppendTimeout);
+    for (const auto& it : forgotten) {
+      ended_.erase({it.customer, it.program});
+    }
+  }
+  if (lane.snapshot_due()) {
+    lane.SaveSnapshot(fiber);
+  }
+}
+
+std::vector<LaneEntry> LaneTidier::DueToForget(const LaneOwner& lane) {
+  const auto now = std::chrono::steady_clock::now();
+  std::vector<LaneEntry> out;
+  for (const auto& [key, program] : lane.state().programs()) {
+    if (!program.ended || !program.holds_on.empty()) {
+      continue;
+    }
+    const auto since = ended_.emplace(key, now).first->second;
+    if (now - since < lane.settings().retention ||
+        out.size() == kMostForgotten) {
+      continue;
+    }
+    LaneEntry entry;
+    entry.kind = EntryKind::kProgramForgotten;
+    entry.customer = key.customer;
+    entry.program = key.program;
+    out.push_back(std::move(entry));
+  }
+  return out;
+}
+
+}  // namespace comfreyfold
--- a/source/server/settings.cc
+++ b/source/server/settings.cc
@@ -14,6 +14,7 @@
 using std::chrono::seconds;
 
 constexpr int kMostLanes = 4096;
+constexpr int kMostSnapshotBlocks = 100000;
 constexpr int kMostConnections = 100000;
 constexpr std::int64_t kLeastBodyBytes = 1024;
 constexpr std::int64_t kMostBodyBytes = 256LL * 1024 * 1024;
@@ -85,6 +86,13 @@
   TakeContracts(reader, out.contracts);
 
   reader.Take("lanes", "count", out.lanes, 1, kMostLanes);
+  reader.Take("lanes", "snapshot_blocks", out.lane.snapshot_blocks, 2,
+              kMostSnapshotBlocks);
+  reader.Take("lanes", "retention", out.lane.retention, seconds(1), hours(720));
+  reader.Take("lanes", "commit_timeout", out.lane.commit_timeout,
+              milliseconds(100), minutes(1));
+  reader.Take("lanes", "dispatch_window", out.lane.dispatch_window,
+              milliseconds(100), minutes(1));
   reader.Take("members", "heartbeat_interval", out.heartbeat_interval,
               milliseconds(10), seconds(10));
   reader.Take("members", "heartbeat_timeout", out.heartbeat_timeout,
--- a/source/server/settings.h
+++ b/source/server/settings.h
@@ -6,6 +6,7 @@
 
 #include "net/http_server.h"
 #include "server/contract_store.h"
+#include "server/lane_settings.h"
 
 namespace comfreyfold {
 
@@ -24,6 +25,7 @@
   ContractSettings contracts;
 
   int lanes = 24;
+  LaneSettings lane;
   std::chrono::milliseconds heartbeat_interval{300};
   std::chrono::milliseconds heartbeat_timeout{1500};
   std::chrono::seconds member_lease{30};
--- a/source/wire/codec.cc
+++ b/source/wire/codec.cc
@@ -1,46 +1,18 @@
 #include "wire/codec.h"
 
-#include <memory>
-
-#include <thrift/protocol/TCompactProtocol.h>
-#include <thrift/transport/TBufferTransports.h>
-
+#include "wire/compact.h"
 #include "wire/gen/comfreyfold_types.h"
 
 namespace comfreyfold {
 
 namespace {
 
-using apache::thrift::protocol::TCompactProtocol;
-using apache::thrift::transport::TMemoryBuffer;
+using detail::Read;
+using detail::Write;
 
 constexpr std::size_t kLengthBytes = 4;
 constexpr std::size_t kLongestFrame = 64 * 1024 * 1024;
 
-template <typename T>
-std::string Write(const T& value) {
-  const auto memory = std::make_shared<TMemoryBuffer>();
-  TCompactProtocol protocol(memory);
-  value.write(&protocol);
-  return memory->getBufferAsString();
-}
-
-template <typename T>
-T Read(const std::string& buf) {
-  // The library's buffer takes a mutable pointer but only observes it.
-  auto* data = reinterpret_cast<std::uint8_t*>(const_cast<char*>(buf.data()));
-  const auto memory = std::make_shared<TMemoryBuffer>(
-      data, static_cast<std::uint32_t>(buf.size()));
-  TCompactProtocol protocol(memory);
-  T out;
-  try {
-    out.read(&protocol);
-  } catch (const apache::thrift::TException& e) {
-    throw WireError(std::string("not a valid message: ") + e.what());
-  }
-  return out;
-}
-
 wire::LaneEntry ToWire(const LaneEntry& entry) {
   wire::LaneEntry out;
   out.kind = static_cast<int>(entry.kind);
--- a/source/wire/comfreyfold.thrift
+++ b/source/wire/comfreyfold.thrift
@@ -29,6 +29,51 @@
   5: list<LaneEntry> entries,
 }
 
+struct CallRecord {
+  1: string key,
+  2: i64 call,
+  3: i32 kind,
+  4: string target,
+  5: string backend,
+  6: bool idempotent,
+  7: binary request,
+  8: i64 request_digest,
+  9: bool done,
+  10: i64 epoch,
+  11: i32 verdict,
+  12: i32 status,
+  13: binary answer,
+  14: i64 tokens,
+}
+
+struct ProgramState {
+  1: string customer,
+  2: string program,
+  3: list<CallRecord> calls,
+  4: set<string> holds_on,
+  5: bool ended,
+  6: string passed_limit,
+  7: i64 tokens,
+  8: i64 started_at_ms,
+  9: set<string> subagents,
+}
+
+// Cut into parts that the key-value service takes.
+struct LaneSnapshot {
+  1: i64 last_block,
+  2: i64 epoch,
+  3: string owner,
+  4: list<ProgramState> programs,
+}
+
+// Names the newest whole snapshot of a lane.
+struct SnapshotHead {
+  1: string uid,
+  2: i32 parts,
+  3: i64 last_block,
+  4: i64 bytes,
+}
+
 struct ForwardedCall {
   1: string customer,
   2: string program,
--- a/source/wire/gen/comfreyfold_types.cpp
+++ b/source/wire/gen/comfreyfold_types.cpp
@@ -598,6 +598,996 @@
 }
 
 
+CallRecord::~CallRecord() noexcept {
+}
+
+
+void CallRecord::__set_key(const std::string& val) {
+  this->key = val;
+}
+
+void CallRecord::__set_call(const int64_t val) {
+  this->call = val;
+}
+
+void CallRecord::__set_kind(const int32_t val) {
+  this->kind = val;
+}
+
+void CallRecord::__set_target(const std::string& val) {
+  this->target = val;
+}
+
+void CallRecord::__set_backend(const std::string& val) {
+  this->backend = val;
+}
+
+void CallRecord::__set_idempotent(const bool val) {
+  this->idempotent = val;
+}
+
+void CallRecord::__set_request(const std::string& val) {
+  this->request = val;
+}
+
+void CallRecord::__set_request_digest(const int64_t val) {
+  this->request_digest = val;
+}
+
+void CallRecord::__set_done(const bool val) {
+  this->done = val;
+}
+
+void CallRecord::__set_epoch(const int64_t val) {
+  this->epoch = val;
+}
+
+void CallRecord::__set_verdict(const int32_t val) {
+  this->verdict = val;
+}
+
+void CallRecord::__set_status(const int32_t val) {
+  this->status = val;
+}
+
+void CallRecord::__set_answer(const std::string& val) {
+  this->answer = val;
+}
+
+void CallRecord::__set_tokens(const int64_t val) {
+  this->tokens = val;
+}
+std::ostream& operator<<(std::ostream& out, const CallRecord& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t CallRecord::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->key);
+          this->__isset.key = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->call);
+          this->__isset.call = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->kind);
+          this->__isset.kind = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->target);
+          this->__isset.target = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->backend);
+          this->__isset.backend = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->idempotent);
+          this->__isset.idempotent = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 7:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readBinary(this->request);
+          this->__isset.request = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 8:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->request_digest);
+          this->__isset.request_digest = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 9:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->done);
+          this->__isset.done = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 10:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->epoch);
+          this->__isset.epoch = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 11:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->verdict);
+          this->__isset.verdict = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 12:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->status);
+          this->__isset.status = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 13:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readBinary(this->answer);
+          this->__isset.answer = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 14:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->tokens);
+          this->__isset.tokens = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t CallRecord::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("CallRecord");
+
+  xfer += oprot->writeFieldBegin("key", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->key);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("call", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->call);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("kind", ::apache::thrift::protocol::T_I32, 3);
+  xfer += oprot->writeI32(this->kind);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("target", ::apache::thrift::protocol::T_STRING, 4);
+  xfer += oprot->writeString(this->target);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("backend", ::apache::thrift::protocol::T_STRING, 5);
+  xfer += oprot->writeString(this->backend);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("idempotent", ::apache::thrift::protocol::T_BOOL, 6);
+  xfer += oprot->writeBool(this->idempotent);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("request", ::apache::thrift::protocol::T_STRING, 7);
+  xfer += oprot->writeBinary(this->request);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("request_digest", ::apache::thrift::protocol::T_I64, 8);
+  xfer += oprot->writeI64(this->request_digest);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("done", ::apache::thrift::protocol::T_BOOL, 9);
+  xfer += oprot->writeBool(this->done);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("epoch", ::apache::thrift::protocol::T_I64, 10);
+  xfer += oprot->writeI64(this->epoch);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("verdict", ::apache::thrift::protocol::T_I32, 11);
+  xfer += oprot->writeI32(this->verdict);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("status", ::apache::thrift::protocol::T_I32, 12);
+  xfer += oprot->writeI32(this->status);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("answer", ::apache::thrift::protocol::T_STRING, 13);
+  xfer += oprot->writeBinary(this->answer);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("tokens", ::apache::thrift::protocol::T_I64, 14);
+  xfer += oprot->writeI64(this->tokens);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(CallRecord &a, CallRecord &b) {
+  using ::std::swap;
+  swap(a.key, b.key);
+  swap(a.call, b.call);
+  swap(a.kind, b.kind);
+  swap(a.target, b.target);
+  swap(a.backend, b.backend);
+  swap(a.idempotent, b.idempotent);
+  swap(a.request, b.request);
+  swap(a.request_digest, b.request_digest);
+  swap(a.done, b.done);
+  swap(a.epoch, b.epoch);
+  swap(a.verdict, b.verdict);
+  swap(a.status, b.status);
+  swap(a.answer, b.answer);
+  swap(a.tokens, b.tokens);
+  swap(a.__isset, b.__isset);
+}
+
+CallRecord::CallRecord(const CallRecord& other10) {
+  key = other10.key;
+  call = other10.call;
+  kind = other10.kind;
+  target = other10.target;
+  backend = other10.backend;
+  idempotent = other10.idempotent;
+  request = other10.request;
+  request_digest = other10.request_digest;
+  done = other10.done;
+  epoch = other10.epoch;
+  verdict = other10.verdict;
+  status = other10.status;
+  answer = other10.answer;
+  tokens = other10.tokens;
+  __isset = other10.__isset;
+}
+CallRecord& CallRecord::operator=(const CallRecord& other11) {
+  key = other11.key;
+  call = other11.call;
+  kind = other11.kind;
+  target = other11.target;
+  backend = other11.backend;
+  idempotent = other11.idempotent;
+  request = other11.request;
+  request_digest = other11.request_digest;
+  done = other11.done;
+  epoch = other11.epoch;
+  verdict = other11.verdict;
+  status = other11.status;
+  answer = other11.answer;
+  tokens = other11.tokens;
+  __isset = other11.__isset;
+  return *this;
+}
+void CallRecord::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "CallRecord(";
+  out << "key=" << to_string(key);
+  out << ", " << "call=" << to_string(call);
+  out << ", " << "kind=" << to_string(kind);
+  out << ", " << "target=" << to_string(target);
+  out << ", " << "backend=" << to_string(backend);
+  out << ", " << "idempotent=" << to_string(idempotent);
+  out << ", " << "request=" << to_string(request);
+  out << ", " << "request_digest=" << to_string(request_digest);
+  out << ", " << "done=" << to_string(done);
+  out << ", " << "epoch=" << to_string(epoch);
+  out << ", " << "verdict=" << to_string(verdict);
+  out << ", " << "status=" << to_string(status);
+  out << ", " << "answer=" << to_string(answer);
+  out << ", " << "tokens=" << to_string(tokens);
+  out << ")";
+}
+
+
+ProgramState::~ProgramState() noexcept {
+}
+
+
+void ProgramState::__set_customer(const std::string& val) {
+  this->customer = val;
+}
+
+void ProgramState::__set_program(const std::string& val) {
+  this->program = val;
+}
+
+void ProgramState::__set_calls(const std::vector<CallRecord> & val) {
+  this->calls = val;
+}
+
+void ProgramState::__set_holds_on(const std::set<std::string> & val) {
+  this->holds_on = val;
+}
+
+void ProgramState::__set_ended(const bool val) {
+  this->ended = val;
+}
+
+void ProgramState::__set_passed_limit(const std::string& val) {
+  this->passed_limit = val;
+}
+
+void ProgramState::__set_tokens(const int64_t val) {
+  this->tokens = val;
+}
+
+void ProgramState::__set_started_at_ms(const int64_t val) {
+  this->started_at_ms = val;
+}
+
+void ProgramState::__set_subagents(const std::set<std::string> & val) {
+  this->subagents = val;
+}
+std::ostream& operator<<(std::ostream& out, const ProgramState& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t ProgramState::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->customer);
+          this->__isset.customer = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->program);
+          this->__isset.program = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->calls.clear();
+            uint32_t _size12;
+            ::apache::thrift::protocol::TType _etype15;
+            xfer += iprot->readListBegin(_etype15, _size12);
+            this->calls.resize(_size12);
+            uint32_t _i16;
+            for (_i16 = 0; _i16 < _size12; ++_i16)
+            {
+              xfer += this->calls[_i16].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.calls = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_SET) {
+          {
+            this->holds_on.clear();
+            uint32_t _size17;
+            ::apache::thrift::protocol::TType _etype20;
+            xfer += iprot->readSetBegin(_etype20, _size17);
+            uint32_t _i21;
+            for (_i21 = 0; _i21 < _size17; ++_i21)
+            {
+              std::string _elem22;
+              xfer += iprot->readString(_elem22);
+              this->holds_on.insert(_elem22);
+            }
+            xfer += iprot->readSetEnd();
+          }
+          this->__isset.holds_on = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->ended);
+          this->__isset.ended = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->passed_limit);
+          this->__isset.passed_limit = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 7:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->tokens);
+          this->__isset.tokens = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 8:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->started_at_ms);
+          this->__isset.started_at_ms = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 9:
+        if (ftype == ::apache::thrift::protocol::T_SET) {
+          {
+            this->subagents.clear();
+            uint32_t _size23;
+            ::apache::thrift::protocol::TType _etype26;
+            xfer += iprot->readSetBegin(_etype26, _size23);
+            uint32_t _i27;
+            for (_i27 = 0; _i27 < _size23; ++_i27)
+            {
+              std::string _elem28;
+              xfer += iprot->readString(_elem28);
+              this->subagents.insert(_elem28);
+            }
+            xfer += iprot->readSetEnd();
+          }
+          this->__isset.subagents = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t ProgramState::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("ProgramState");
+
+  xfer += oprot->writeFieldBegin("customer", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->customer);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("program", ::apache::thrift::protocol::T_STRING, 2);
+  xfer += oprot->writeString(this->program);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("calls", ::apache::thrift::protocol::T_LIST, 3);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->calls.size()));
+    std::vector<CallRecord> ::const_iterator _iter29;
+    for (_iter29 = this->calls.begin(); _iter29 != this->calls.end(); ++_iter29)
+    {
+      xfer += (*_iter29).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("holds_on", ::apache::thrift::protocol::T_SET, 4);
+  {
+    xfer += oprot->writeSetBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->holds_on.size()));
+    std::set<std::string> ::const_iterator _iter30;
+    for (_iter30 = this->holds_on.begin(); _iter30 != this->holds_on.end(); ++_iter30)
+    {
+      xfer += oprot->writeString((*_iter30));
+    }
+    xfer += oprot->writeSetEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("ended", ::apache::thrift::protocol::T_BOOL, 5);
+  xfer += oprot->writeBool(this->ended);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("passed_limit", ::apache::thrift::protocol::T_STRING, 6);
+  xfer += oprot->writeString(this->passed_limit);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("tokens", ::apache::thrift::protocol::T_I64, 7);
+  xfer += oprot->writeI64(this->tokens);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("started_at_ms", ::apache::thrift::protocol::T_I64, 8);
+  xfer += oprot->writeI64(this->started_at_ms);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("subagents", ::apache::thrift::protocol::T_SET, 9);
+  {
+    xfer += oprot->writeSetBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->subagents.size()));
+    std::set<std::string> ::const_iterator _iter31;
+    for (_iter31 = this->subagents.begin(); _iter31 != this->subagents.end(); ++_iter31)
+    {
+      xfer += oprot->writeString((*_iter31));
+    }
+    xfer += oprot->writeSetEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(ProgramState &a, ProgramState &b) {
+  using ::std::swap;
+  swap(a.customer, b.customer);
+  swap(a.program, b.program);
+  swap(a.calls, b.calls);
+  swap(a.holds_on, b.holds_on);
+  swap(a.ended, b.ended);
+  swap(a.passed_limit, b.passed_limit);
+  swap(a.tokens, b.tokens);
+  swap(a.started_at_ms, b.started_at_ms);
+  swap(a.subagents, b.subagents);
+  swap(a.__isset, b.__isset);
+}
+
+ProgramState::ProgramState(const ProgramState& other32) {
+  customer = other32.customer;
+  program = other32.program;
+  calls = other32.calls;
+  holds_on = other32.holds_on;
+  ended = other32.ended;
+  passed_limit = other32.passed_limit;
+  tokens = other32.tokens;
+  started_at_ms = other32.started_at_ms;
+  subagents = other32.subagents;
+  __isset = other32.__isset;
+}
+ProgramState& ProgramState::operator=(const ProgramState& other33) {
+  customer = other33.customer;
+  program = other33.program;
+  calls = other33.calls;
+  holds_on = other33.holds_on;
+  ended = other33.ended;
+  passed_limit = other33.passed_limit;
+  tokens = other33.tokens;
+  started_at_ms = other33.started_at_ms;
+  subagents = other33.subagents;
+  __isset = other33.__isset;
+  return *this;
+}
+void ProgramState::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "ProgramState(";
+  out << "customer=" << to_string(customer);
+  out << ", " << "program=" << to_string(program);
+  out << ", " << "calls=" << to_string(calls);
+  out << ", " << "holds_on=" << to_string(holds_on);
+  out << ", " << "ended=" << to_string(ended);
+  out << ", " << "passed_limit=" << to_string(passed_limit);
+  out << ", " << "tokens=" << to_string(tokens);
+  out << ", " << "started_at_ms=" << to_string(started_at_ms);
+  out << ", " << "subagents=" << to_string(subagents);
+  out << ")";
+}
+
+
+LaneSnapshot::~LaneSnapshot() noexcept {
+}
+
+
+void LaneSnapshot::__set_last_block(const int64_t val) {
+  this->last_block = val;
+}
+
+void LaneSnapshot::__set_epoch(const int64_t val) {
+  this->epoch = val;
+}
+
+void LaneSnapshot::__set_owner(const std::string& val) {
+  this->owner = val;
+}
+
+void LaneSnapshot::__set_programs(const std::vector<ProgramState> & val) {
+  this->programs = val;
+}
+std::ostream& operator<<(std::ostream& out, const LaneSnapshot& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t LaneSnapshot::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->last_block);
+          this->__isset.last_block = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->epoch);
+          this->__isset.epoch = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->owner);
+          this->__isset.owner = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->programs.clear();
+            uint32_t _size34;
+            ::apache::thrift::protocol::TType _etype37;
+            xfer += iprot->readListBegin(_etype37, _size34);
+            this->programs.resize(_size34);
+            uint32_t _i38;
+            for (_i38 = 0; _i38 < _size34; ++_i38)
+            {
+              xfer += this->programs[_i38].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.programs = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t LaneSnapshot::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("LaneSnapshot");
+
+  xfer += oprot->writeFieldBegin("last_block", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->last_block);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("epoch", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->epoch);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("owner", ::apache::thrift::protocol::T_STRING, 3);
+  xfer += oprot->writeString(this->owner);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("programs", ::apache::thrift::protocol::T_LIST, 4);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->programs.size()));
+    std::vector<ProgramState> ::const_iterator _iter39;
+    for (_iter39 = this->programs.begin(); _iter39 != this->programs.end(); ++_iter39)
+    {
+      xfer += (*_iter39).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(LaneSnapshot &a, LaneSnapshot &b) {
+  using ::std::swap;
+  swap(a.last_block, b.last_block);
+  swap(a.epoch, b.epoch);
+  swap(a.owner, b.owner);
+  swap(a.programs, b.programs);
+  swap(a.__isset, b.__isset);
+}
+
+LaneSnapshot::LaneSnapshot(const LaneSnapshot& other40) {
+  last_block = other40.last_block;
+  epoch = other40.epoch;
+  owner = other40.owner;
+  programs = other40.programs;
+  __isset = other40.__isset;
+}
+LaneSnapshot& LaneSnapshot::operator=(const LaneSnapshot& other41) {
+  last_block = other41.last_block;
+  epoch = other41.epoch;
+  owner = other41.owner;
+  programs = other41.programs;
+  __isset = other41.__isset;
+  return *this;
+}
+void LaneSnapshot::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "LaneSnapshot(";
+  out << "last_block=" << to_string(last_block);
+  out << ", " << "epoch=" << to_string(epoch);
+  out << ", " << "owner=" << to_string(owner);
+  out << ", " << "programs=" << to_string(programs);
+  out << ")";
+}
+
+
+SnapshotHead::~SnapshotHead() noexcept {
+}
+
+
+void SnapshotHead::__set_uid(const std::string& val) {
+  this->uid = val;
+}
+
+void SnapshotHead::__set_parts(const int32_t val) {
+  this->parts = val;
+}
+
+void SnapshotHead::__set_last_block(const int64_t val) {
+  this->last_block = val;
+}
+
+void SnapshotHead::__set_bytes(const int64_t val) {
+  this->bytes = val;
+}
+std::ostream& operator<<(std::ostream& out, const SnapshotHead& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t SnapshotHead::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->uid);
+          this->__isset.uid = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->parts);
+          this->__isset.parts = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->last_block);
+          this->__isset.last_block = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->bytes);
+          this->__isset.bytes = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t SnapshotHead::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("SnapshotHead");
+
+  xfer += oprot->writeFieldBegin("uid", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->uid);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("parts", ::apache::thrift::protocol::T_I32, 2);
+  xfer += oprot->writeI32(this->parts);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("last_block", ::apache::thrift::protocol::T_I64, 3);
+  xfer += oprot->writeI64(this->last_block);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("bytes", ::apache::thrift::protocol::T_I64, 4);
+  xfer += oprot->writeI64(this->bytes);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(SnapshotHead &a, SnapshotHead &b) {
+  using ::std::swap;
+  swap(a.uid, b.uid);
+  swap(a.parts, b.parts);
+  swap(a.last_block, b.last_block);
+  swap(a.bytes, b.bytes);
+  swap(a.__isset, b.__isset);
+}
+
+SnapshotHead::SnapshotHead(const SnapshotHead& other42) {
+  uid = other42.uid;
+  parts = other42.parts;
+  last_block = other42.last_block;
+  bytes = other42.bytes;
+  __isset = other42.__isset;
+}
+SnapshotHead& SnapshotHead::operator=(const SnapshotHead& other43) {
+  uid = other43.uid;
+  parts = other43.parts;
+  last_block = other43.last_block;
+  bytes = other43.bytes;
+  __isset = other43.__isset;
+  return *this;
+}
+void SnapshotHead::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "SnapshotHead(";
+  out << "uid=" << to_string(uid);
+  out << ", " << "parts=" << to_string(parts);
+  out << ", " << "last_block=" << to_string(last_block);
+  out << ", " << "bytes=" << to_string(bytes);
+  out << ")";
+}
+
+
 ForwardedCall::~ForwardedCall() noexcept {
 }
 
@@ -826,31 +1816,31 @@
   swap(a.__isset, b.__isset);
 }
 
-ForwardedCall::ForwardedCall(const ForwardedCall& other10) {
-  customer = other10.customer;
-  program = other10.program;
-  key = other10.key;
-  call = other10.call;
-  operation = other10.operation;
-  target = other10.target;
-  body = other10.body;
-  deadline_ms = other10.deadline_ms;
-  clock = other10.clock;
-  parent = other10.parent;
-  __isset = other10.__isset;
-}
-ForwardedCall& ForwardedCall::operator=(const ForwardedCall& other11) {
-  customer = other11.customer;
-  program = other11.program;
-  key = other11.key;
-  call = other11.call;
-  operation = other11.operation;
-  target = other11.target;
-  body = other11.body;
-  deadline_ms = other11.deadline_ms;
-  clock = other11.clock;
-  parent = other11.parent;
-  __isset = other11.__isset;
+ForwardedCall::ForwardedCall(const ForwardedCall& other44) {
+  customer = other44.customer;
+  program = other44.program;
+  key = other44.key;
+  call = other44.call;
+  operation = other44.operation;
+  target = other44.target;
+  body = other44.body;
+  deadline_ms = other44.deadline_ms;
+  clock = other44.clock;
+  parent = other44.parent;
+  __isset = other44.__isset;
+}
+ForwardedCall& ForwardedCall::operator=(const ForwardedCall& other45) {
+  customer = other45.customer;
+  program = other45.program;
+  key = other45.key;
+  call = other45.call;
+  operation = other45.operation;
+  target = other45.target;
+  body = other45.body;
+  deadline_ms = other45.deadline_ms;
+  clock = other45.clock;
+  parent = other45.parent;
+  __isset = other45.__isset;
   return *this;
 }
 void ForwardedCall::printTo(std::ostream& out) const {
@@ -1115,33 +2105,33 @@
   swap(a.__isset, b.__isset);
 }
 
-AnswerFrame::AnswerFrame(const AnswerFrame& other12) {
-  kind = other12.kind;
-  content = other12.content;
-  status = other12.status;
-  verdict = other12.verdict;
-  code = other12.code;
-  message = other12.message;
-  retry_after_ms = other12.retry_after_ms;
-  prompt_tokens = other12.prompt_tokens;
-  completion_tokens = other12.completion_tokens;
-  cached_tokens = other12.cached_tokens;
-  clock = other12.clock;
-  __isset = other12.__isset;
-}
-AnswerFrame& AnswerFrame::operator=(const AnswerFrame& other13) {
-  kind = other13.kind;
-  content = other13.content;
-  status = other13.status;
-  verdict = other13.verdict;
-  code = other13.code;
-  message = other13.message;
-  retry_after_ms = other13.retry_after_ms;
-  prompt_tokens = other13.prompt_tokens;
-  completion_tokens = other13.completion_tokens;
-  cached_tokens = other13.cached_tokens;
-  clock = other13.clock;
-  __isset = other13.__isset;
+AnswerFrame::AnswerFrame(const AnswerFrame& other46) {
+  kind = other46.kind;
+  content = other46.content;
+  status = other46.status;
+  verdict = other46.verdict;
+  code = other46.code;
+  message = other46.message;
+  retry_after_ms = other46.retry_after_ms;
+  prompt_tokens = other46.prompt_tokens;
+  completion_tokens = other46.completion_tokens;
+  cached_tokens = other46.cached_tokens;
+  clock = other46.clock;
+  __isset = other46.__isset;
+}
+AnswerFrame& AnswerFrame::operator=(const AnswerFrame& other47) {
+  kind = other47.kind;
+  content = other47.content;
+  status = other47.status;
+  verdict = other47.verdict;
+  code = other47.code;
+  message = other47.message;
+  retry_after_ms = other47.retry_after_ms;
+  prompt_tokens = other47.prompt_tokens;
+  completion_tokens = other47.completion_tokens;
+  cached_tokens = other47.cached_tokens;
+  clock = other47.clock;
+  __isset = other47.__isset;
   return *this;
 }
 void AnswerFrame::printTo(std::ostream& out) const {
@@ -1254,15 +2244,15 @@
   swap(a.__isset, b.__isset);
 }
 
-ContractText::ContractText(const ContractText& other14) {
-  customer = other14.customer;
-  text = other14.text;
-  __isset = other14.__isset;
+ContractText::ContractText(const ContractText& other48) {
+  customer = other48.customer;
+  text = other48.text;
+  __isset = other48.__isset;
 }
-ContractText& ContractText::operator=(const ContractText& other15) {
-  customer = other15.customer;
-  text = other15.text;
-  __isset = other15.__isset;
+ContractText& ContractText::operator=(const ContractText& other49) {
+  customer = other49.customer;
+  text = other49.text;
+  __isset = other49.__isset;
   return *this;
 }
 void ContractText::printTo(std::ostream& out) const {
@@ -1325,14 +2315,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->contracts.clear();
-            uint32_t _size16;
-            ::apache::thrift::protocol::TType _etype19;
-            xfer += iprot->readListBegin(_etype19, _size16);
-            this->contracts.resize(_size16);
-            uint32_t _i20;
-            for (_i20 = 0; _i20 < _size16; ++_i20)
+            uint32_t _size50;
+            ::apache::thrift::protocol::TType _etype53;
+            xfer += iprot->readListBegin(_etype53, _size50);
+            this->contracts.resize(_size50);
+            uint32_t _i54;
+            for (_i54 = 0; _i54 < _size50; ++_i54)
             {
-              xfer += this->contracts[_i20].read(iprot);
+              xfer += this->contracts[_i54].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1365,10 +2355,10 @@
   xfer += oprot->writeFieldBegin("contracts", ::apache::thrift::protocol::T_LIST, 2);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->contracts.size()));
-    std::vector<ContractText> ::const_iterator _iter21;
-    for (_iter21 = this->contracts.begin(); _iter21 != this->contracts.end(); ++_iter21)
+    std::vector<ContractText> ::const_iterator _iter55;
+    for (_iter55 = this->contracts.begin(); _iter55 != this->contracts.end(); ++_iter55)
     {
-      xfer += (*_iter21).write(oprot);
+      xfer += (*_iter55).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -1386,15 +2376,15 @@
   swap(a.__isset, b.__isset);
 }
 
-ContractSet::ContractSet(const ContractSet& other22) {
-  revision = other22.revision;
-  contracts = other22.contracts;
-  __isset = other22.__isset;
+ContractSet::ContractSet(const ContractSet& other56) {
+  revision = other56.revision;
+  contracts = other56.contracts;
+  __isset = other56.__isset;
 }
-ContractSet& ContractSet::operator=(const ContractSet& other23) {
-  revision = other23.revision;
-  contracts = other23.contracts;
-  __isset = other23.__isset;
+ContractSet& ContractSet::operator=(const ContractSet& other57) {
+  revision = other57.revision;
+  contracts = other57.contracts;
+  __isset = other57.__isset;
   return *this;
 }
 void ContractSet::printTo(std::ostream& out) const {
@@ -1498,15 +2488,15 @@
   swap(a.__isset, b.__isset);
 }
 
-OwnedLane::OwnedLane(const OwnedLane& other24) noexcept {
-  lane = other24.lane;
-  epoch = other24.epoch;
-  __isset = other24.__isset;
+OwnedLane::OwnedLane(const OwnedLane& other58) noexcept {
+  lane = other58.lane;
+  epoch = other58.epoch;
+  __isset = other58.__isset;
 }
-OwnedLane& OwnedLane::operator=(const OwnedLane& other25) noexcept {
-  lane = other25.lane;
-  epoch = other25.epoch;
-  __isset = other25.__isset;
+OwnedLane& OwnedLane::operator=(const OwnedLane& other59) noexcept {
+  lane = other59.lane;
+  epoch = other59.epoch;
+  __isset = other59.__isset;
   return *this;
 }
 void OwnedLane::printTo(std::ostream& out) const {
@@ -1617,14 +2607,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->lanes.clear();
-            uint32_t _size26;
-            ::apache::thrift::protocol::TType _etype29;
-            xfer += iprot->readListBegin(_etype29, _size26);
-            this->lanes.resize(_size26);
-            uint32_t _i30;
-            for (_i30 = 0; _i30 < _size26; ++_i30)
+            uint32_t _size60;
+            ::apache::thrift::protocol::TType _etype63;
+            xfer += iprot->readListBegin(_etype63, _size60);
+            this->lanes.resize(_size60);
+            uint32_t _i64;
+            for (_i64 = 0; _i64 < _size60; ++_i64)
             {
-              xfer += this->lanes[_i30].read(iprot);
+              xfer += this->lanes[_i64].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1693,10 +2683,10 @@
   xfer += oprot->writeFieldBegin("lanes", ::apache::thrift::protocol::T_LIST, 5);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->lanes.size()));
-    std::vector<OwnedLane> ::const_iterator _iter31;
-    for (_iter31 = this->lanes.begin(); _iter31 != this->lanes.end(); ++_iter31)
+    std::vector<OwnedLane> ::const_iterator _iter65;
+    for (_iter65 = this->lanes.begin(); _iter65 != this->lanes.end(); ++_iter65)
     {
-      xfer += (*_iter31).write(oprot);
+      xfer += (*_iter65).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -1732,27 +2722,27 @@
   swap(a.__isset, b.__isset);
 }
 
-Heartbeat::Heartbeat(const Heartbeat& other32) {
-  daemon = other32.daemon;
-  address = other32.address;
-  data_centre = other32.data_centre;
-  draining = other32.draining;
-  lanes = other32.lanes;
-  contracts_revision = other32.contracts_revision;
-  clock = other32.clock;
-  has_data_folder = other32.has_data_folder;
-  __isset = other32.__isset;
-}
-Heartbeat& Heartbeat::operator=(const Heartbeat& other33) {
-  daemon = other33.daemon;
-  address = other33.address;
-  data_centre = other33.data_centre;
-  draining = other33.draining;
-  lanes = other33.lanes;
-  contracts_revision = other33.contracts_revision;
-  clock = other33.clock;
-  has_data_folder = other33.has_data_folder;
-  __isset = other33.__isset;
+Heartbeat::Heartbeat(const Heartbeat& other66) {
+  daemon = other66.daemon;
+  address = other66.address;
+  data_centre = other66.data_centre;
+  draining = other66.draining;
+  lanes = other66.lanes;
+  contracts_revision = other66.contracts_revision;
+  clock = other66.clock;
+  has_data_folder = other66.has_data_folder;
+  __isset = other66.__isset;
+}
+Heartbeat& Heartbeat::operator=(const Heartbeat& other67) {
+  daemon = other67.daemon;
+  address = other67.address;
+  data_centre = other67.data_centre;
+  draining = other67.draining;
+  lanes = other67.lanes;
+  contracts_revision = other67.contracts_revision;
+  clock = other67.clock;
+  has_data_folder = other67.has_data_folder;
+  __isset = other67.__isset;
   return *this;
 }
 void Heartbeat::printTo(std::ostream& out) const {
--- a/source/wire/gen/comfreyfold_types.h
+++ b/source/wire/gen/comfreyfold_types.h
@@ -25,6 +25,14 @@
 
 class LaneBlock;
 
+class CallRecord;
+
+class ProgramState;
+
+class LaneSnapshot;
+
+class SnapshotHead;
+
 class ForwardedCall;
 
 class AnswerFrame;
@@ -255,6 +263,363 @@
 
 std::ostream& operator<<(std::ostream& out, const LaneBlock& obj);
 
+typedef struct _CallRecord__isset {
+  _CallRecord__isset() : key(false), call(false), kind(false), target(false), backend(false), idempotent(false), request(false), request_digest(false), done(false), epoch(false), verdict(false), status(false), answer(false), tokens(false) {}
+  bool key :1;
+  bool call :1;
+  bool kind :1;
+  bool target :1;
+  bool backend :1;
+  bool idempotent :1;
+  bool request :1;
+  bool request_digest :1;
+  bool done :1;
+  bool epoch :1;
+  bool verdict :1;
+  bool status :1;
+  bool answer :1;
+  bool tokens :1;
+} _CallRecord__isset;
+
+class CallRecord : public virtual ::apache::thrift::TBase {
+ public:
+
+  CallRecord(const CallRecord&);
+  CallRecord& operator=(const CallRecord&);
+  CallRecord() noexcept
+             : key(),
+               call(0),
+               kind(0),
+               target(),
+               backend(),
+               idempotent(0),
+               request(),
+               request_digest(0),
+               done(0),
+               epoch(0),
+               verdict(0),
+               status(0),
+               answer(),
+               tokens(0) {
+  }
+
+  virtual ~CallRecord() noexcept;
+  std::string key;
+  int64_t call;
+  int32_t kind;
+  std::string target;
+  std::string backend;
+  bool idempotent;
+  std::string request;
+  int64_t request_digest;
+  bool done;
+  int64_t epoch;
+  int32_t verdict;
+  int32_t status;
+  std::string answer;
+  int64_t tokens;
+
+  _CallRecord__isset __isset;
+
+  void __set_key(const std::string& val);
+
+  void __set_call(const int64_t val);
+
+  void __set_kind(const int32_t val);
+
+  void __set_target(const std::string& val);
+
+  void __set_backend(const std::string& val);
+
+  void __set_idempotent(const bool val);
+
+  void __set_request(const std::string& val);
+
+  void __set_request_digest(const int64_t val);
+
+  void __set_done(const bool val);
+
+  void __set_epoch(const int64_t val);
+
+  void __set_verdict(const int32_t val);
+
+  void __set_status(const int32_t val);
+
+  void __set_answer(const std::string& val);
+
+  void __set_tokens(const int64_t val);
+
+  bool operator == (const CallRecord & rhs) const
+  {
+    if (!(key == rhs.key))
+      return false;
+    if (!(call == rhs.call))
+      return false;
+    if (!(kind == rhs.kind))
+      return false;
+    if (!(target == rhs.target))
+      return false;
+    if (!(backend == rhs.backend))
+      return false;
+    if (!(idempotent == rhs.idempotent))
+      return false;
+    if (!(request == rhs.request))
+      return false;
+    if (!(request_digest == rhs.request_digest))
+      return false;
+    if (!(done == rhs.done))
+      return false;
+    if (!(epoch == rhs.epoch))
+      return false;
+    if (!(verdict == rhs.verdict))
+      return false;
+    if (!(status == rhs.status))
+      return false;
+    if (!(answer == rhs.answer))
+      return false;
+    if (!(tokens == rhs.tokens))
+      return false;
+    return true;
+  }
+  bool operator != (const CallRecord &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const CallRecord & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(CallRecord &a, CallRecord &b);
+
+std::ostream& operator<<(std::ostream& out, const CallRecord& obj);
+
+typedef struct _ProgramState__isset {
+  _ProgramState__isset() : customer(false), program(false), calls(false), holds_on(false), ended(false), passed_limit(false), tokens(false), started_at_ms(false), subagents(false) {}
+  bool customer :1;
+  bool program :1;
+  bool calls :1;
+  bool holds_on :1;
+  bool ended :1;
+  bool passed_limit :1;
+  bool tokens :1;
+  bool started_at_ms :1;
+  bool subagents :1;
+} _ProgramState__isset;
+
+class ProgramState : public virtual ::apache::thrift::TBase {
+ public:
+
+  ProgramState(const ProgramState&);
+  ProgramState& operator=(const ProgramState&);
+  ProgramState() noexcept
+               : customer(),
+                 program(),
+                 ended(0),
+                 passed_limit(),
+                 tokens(0),
+                 started_at_ms(0) {
+  }
+
+  virtual ~ProgramState() noexcept;
+  std::string customer;
+  std::string program;
+  std::vector<CallRecord>  calls;
+  std::set<std::string>  holds_on;
+  bool ended;
+  std::string passed_limit;
+  int64_t tokens;
+  int64_t started_at_ms;
+  std::set<std::string>  subagents;
+
+  _ProgramState__isset __isset;
+
+  void __set_customer(const std::string& val);
+
+  void __set_program(const std::string& val);
+
+  void __set_calls(const std::vector<CallRecord> & val);
+
+  void __set_holds_on(const std::set<std::string> & val);
+
+  void __set_ended(const bool val);
+
+  void __set_passed_limit(const std::string& val);
+
+  void __set_tokens(const int64_t val);
+
+  void __set_started_at_ms(const int64_t val);
+
+  void __set_subagents(const std::set<std::string> & val);
+
+  bool operator == (const ProgramState & rhs) const
+  {
+    if (!(customer == rhs.customer))
+      return false;
+    if (!(program == rhs.program))
+      return false;
+    if (!(calls == rhs.calls))
+      return false;
+    if (!(holds_on == rhs.holds_on))
+      return false;
+    if (!(ended == rhs.ended))
+      return false;
+    if (!(passed_limit == rhs.passed_limit))
+      return false;
+    if (!(tokens == rhs.tokens))
+      return false;
+    if (!(started_at_ms == rhs.started_at_ms))
+      return false;
+    if (!(subagents == rhs.subagents))
+      return false;
+    return true;
+  }
+  bool operator != (const ProgramState &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const ProgramState & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(ProgramState &a, ProgramState &b);
+
+std::ostream& operator<<(std::ostream& out, const ProgramState& obj);
+
+typedef struct _LaneSnapshot__isset {
+  _LaneSnapshot__isset() : last_block(false), epoch(false), owner(false), programs(false) {}
+  bool last_block :1;
+  bool epoch :1;
+  bool owner :1;
+  bool programs :1;
+} _LaneSnapshot__isset;
+
+class LaneSnapshot : public virtual ::apache::thrift::TBase {
+ public:
+
+  LaneSnapshot(const LaneSnapshot&);
+  LaneSnapshot& operator=(const LaneSnapshot&);
+  LaneSnapshot() noexcept
+               : last_block(0),
+                 epoch(0),
+                 owner() {
+  }
+
+  virtual ~LaneSnapshot() noexcept;
+  int64_t last_block;
+  int64_t epoch;
+  std::string owner;
+  std::vector<ProgramState>  programs;
+
+  _LaneSnapshot__isset __isset;
+
+  void __set_last_block(const int64_t val);
+
+  void __set_epoch(const int64_t val);
+
+  void __set_owner(const std::string& val);
+
+  void __set_programs(const std::vector<ProgramState> & val);
+
+  bool operator == (const LaneSnapshot & rhs) const
+  {
+    if (!(last_block == rhs.last_block))
+      return false;
+    if (!(epoch == rhs.epoch))
+      return false;
+    if (!(owner == rhs.owner))
+      return false;
+    if (!(programs == rhs.programs))
+      return false;
+    return true;
+  }
+  bool operator != (const LaneSnapshot &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const LaneSnapshot & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(LaneSnapshot &a, LaneSnapshot &b);
+
+std::ostream& operator<<(std::ostream& out, const LaneSnapshot& obj);
+
+typedef struct _SnapshotHead__isset {
+  _SnapshotHead__isset() : uid(false), parts(false), last_block(false), bytes(false) {}
+  bool uid :1;
+  bool parts :1;
+  bool last_block :1;
+  bool bytes :1;
+} _SnapshotHead__isset;
+
+class SnapshotHead : public virtual ::apache::thrift::TBase {
+ public:
+
+  SnapshotHead(const SnapshotHead&);
+  SnapshotHead& operator=(const SnapshotHead&);
+  SnapshotHead() noexcept
+               : uid(),
+                 parts(0),
+                 last_block(0),
+                 bytes(0) {
+  }
+
+  virtual ~SnapshotHead() noexcept;
+  std::string uid;
+  int32_t parts;
+  int64_t last_block;
+  int64_t bytes;
+
+  _SnapshotHead__isset __isset;
+
+  void __set_uid(const std::string& val);
+
+  void __set_parts(const int32_t val);
+
+  void __set_last_block(const int64_t val);
+
+  void __set_bytes(const int64_t val);
+
+  bool operator == (const SnapshotHead & rhs) const
+  {
+    if (!(uid == rhs.uid))
+      return false;
+    if (!(parts == rhs.parts))
+      return false;
+    if (!(last_block == rhs.last_block))
+      return false;
+    if (!(bytes == rhs.bytes))
+      return false;
+    return true;
+  }
+  bool operator != (const SnapshotHead &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const SnapshotHead & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(SnapshotHead &a, SnapshotHead &b);
+
+std::ostream& operator<<(std::ostream& out, const SnapshotHead& obj);
+
 typedef struct _ForwardedCall__isset {
   _ForwardedCall__isset() : customer(false), program(false), key(false), call(false), operation(false), target(false), body(false), deadline_ms(false), clock(false), parent(false) {}
   bool customer :1;
--- /dev/null
+++ b/tests/lane/lane_world.cc
@@ -0,0 +1,150 @@
+#include "lane/lane_world.h"
+
+#include <exception>
+
+#include <nlohmann/json.hpp>
+
+#include "platform/base64.h"
+#include "wire/codec.h"
+
+namespace comfreyfold::lane {
+
+namespace {
+
+using nlohmann::json;
+
+constexpr std::chrono::milliseconds kKvTimeout{2000};
+
+// Keeps an answer instead of sending it.
+class KeptAnswer : public HttpExchange {
+ public:
+  void Reply(int /*status*/,
+             const std::string& /*content_type*/,
+             const std::string& body,
+             const std::vector<HttpHeader>& /*headers*/) override {
+    body_ = body;
+  }
+  void Begin(int /*status*/,
+             const std::string& /*content_type*/,
+             const std::vector<HttpHeader>& /*headers*/) override {}
+  void Write(std::string_view /*piece*/) override {}
+  void End() override {}
+  void Abort() override {}
+  bool begun() const override { return true; }
+  bool broken() const override { return false; }
+  const std::string& body() const { return body_; }
+
+ private:
+  std::string body_;
+};
+
+}  // namespace
+
+LaneWorld::LaneWorld(Loop& loop, LaneSettings settings)
+    : loop_(loop),
+      settings_(settings),
+      service_(loop),
+      server_(
+          loop,
+          [this](Fiber& fiber,
+                 const HttpRequest& request,
+                 HttpExchange& exchange) { Handle(fiber, request, exchange); }),
+      http_(loop),
+      address_(server_.Listen("127.0.0.1:0")),
+      kv_(http_, address_, kKvTimeout) {}
+
+std::shared_ptr<LaneOwner> LaneWorld::MakeOwner(const std::string& daemon) {
+  auto& log = logs_[daemon];
+  if (!log) {
+    log = std::make_unique<EventLog>(daemon, "dc", "/dev/null");
+  }
+  return std::make_shared<LaneOwner>(loop_, kv_, *log, settings_, kLane);
+}
+
+void LaneWorld::Handle(Fiber& fiber,
+                       const HttpRequest& request,
+                       HttpExchange& exchange) {
+  if (before_) {
+    before_(fiber, request);
+  }
+  auto fate = out_ ? Fate::kLost : Fate::kAnswered;
+  if (!out_ && !fates_.empty()) {
+    fate = fates_.front();
+    fates_.pop_front();
+  }
+  if (fate == Fate::kLate) {
+    late_.push_back(request);
+  }
+  if (fate == Fate::kLost || fate == Fate::kLate) {
+    exchange.Abort();
+    return;
+  }
+  const auto answer = Execute(fiber, request);
+  if (fate == Fate::kLostAnswer) {
+    exchange.Abort();
+    return;
+  }
+  exchange.Reply(200, "application/json", answer);
+}
+
+std::string LaneWorld::Execute(Fiber& fiber, const HttpRequest& request) {
+  KeptAnswer answer;
+  service_.Handle(fiber, request, answer);
+  const auto reply = json::parse(answer.body());
+  if (!reply.value("succeeded", false)) {
+    return answer.body();
+  }
+  const auto body = json::parse(request.body);
+  for (const auto& it : body["success"]) {
+    if (!it.contains("request_put")) {
+      continue;
+    }
+    const auto key = DecodeBase64(it["request_put"]["key"].get<std::string>());
+    if (key.find("/block/") == std::string::npos) {
+      continue;
+    }
+    const auto block = DecodeLaneBlock(
+        DecodeBase64(it["request_put"]["value"].get<std::string>()));
+    if (!blocks_.emplace(block.number, block).second) {
+      repeated_block_ = block.number;
+    }
+  }
+  return answer.body();
+}
+
+void LaneWorld::DeliverLate(Fiber& fiber) {
+  const auto late = std::move(late_);
+  late_.clear();
+  for (const auto& it : late) {
+    Execute(fiber, it);
+  }
+}
+
+LaneState LaneWorld::NaiveState() const {
+  LaneState out;
+  for (const auto& [number, block] : blocks_) {
+    out.Apply(block);
+  }
+  return out;
+}
+
+void InLane(const LaneSettings& settings,
+            const std::function<void(Fiber&, LaneWorld&)>& body) {
+  std::exception_ptr error;
+  Loop loop;
+  LaneWorld world(loop, settings);
+  loop.Spawn([&](Fiber& fiber) {
+    try {
+      body(fiber, world);
+    } catch (const std::exception&) {
+      error = std::current_exception();
+    }
+    loop.Stop();
+  });
+  loop.Run();
+  if (error) {
+    std::rethrow_exception(error);
+  }
+}
+
+}  // namespace comfreyfold::lane
