--- a/source/core/lane_state.h
+++ b/source/core/lane_state.h
@@ -27,13 +27,17 @@
   std::string key;
   std::int64_t call = 0;  // 0: the next.
   std::uint64_t request_digest = 0;
+  bool former_owner_gone = false;  // What it ran counts as of no outcome.
 };
 
 enum class AdmitResult {
-  kNew,          // Begin it at the place given.
-  kAgain,        // Known and may be dispatched (again).
-  kAnswered,     // Answer from the record.
-  kMayHaveRun,   // An intent without outcome that must not be repeated.
+  kNew,         // Begin it at the place given.
+  kAgain,       // Known and may be dispatched (again).
+  kAnswered,    // Answer from the record.
+  kMayHaveRun,  // An intent without outcome that must not be repeated.
+  // A daemon that handed the lane over still runs it, or an earlier call of
+  // the program.
+  kAtFormerOwner,
   kInFlight,     // This owner is running it now.
   kKeyReused,    // The key belongs to another request.
   kOutOfOrder,   // Not the program's next call.
@@ -78,6 +82,7 @@
 
  private:
   void ApplyEntry(const LaneEntry& entry);
+  void ForgetFormerOwners();
   void Begin(const LaneEntry& entry);
   void Finish(const LaneEntry& entry);
   void Forget(const ProgramKey& key);
--- a/source/core/program_state.h
+++ b/source/core/program_state.h
@@ -23,6 +23,9 @@
   std::uint64_t request_digest = 0;
   bool done = false;
   std::int64_t epoch = 0;  // Of the owner that began it.
+  // The daemon that still runs it after a handover; empty once the lane was
+  // taken from a daemon that did not hand it over.
+  std::string held_by;
   Verdict verdict = Verdict::kNotRun;
   int status = 0;
   std::string answer;
@@ -39,8 +42,9 @@
   bool ended = false;
   std::string passed_limit;  // Why it was ended; empty: by its caller.
   std::int64_t tokens = 0;   // Used so far.
-  std::chrono::milliseconds started_at{};  // Since 1970; 0: no call yet.
-  std::set<std::string> subagents;         // Programs it has started.
+  std::chrono::milliseconds started_at{};     // Since 1970; 0: no call yet.
+  std::chrono::milliseconds last_begun_at{};  // Of its newest call.
+  std::set<std::string> subagents;            // Programs it has started.
 
   // The place the next new call takes.
   std::int64_t next_call() const {
--- a/source/server/call_journal.cc
+++ b/source/server/call_journal.cc
@@ -56,39 +56,34 @@
                            const LaneEntry& begun) {
   auto done = context.Entry(EntryKind::kCallDone);
   done.backend = begun.backend;
-  try {
-    context.lane->Append(fiber, {done}, context.left());
-  } catch (const LaneLost& e) {
-    throw NotOwner(e.what());
-  } catch (const AppendTimeout&) {
-    throw CallError(503, "outcome_not_recorded",
-                    "the call was not dispatched, but that is not in the "
-                    "journal; fetch it with the same Idempotency-Key",
-                    Verdict::kMayHaveRun, kRetrySoon);
-  }
+  AppendOutcome(fiber, context, done);
   throw CallError(503, "dispatch_too_late",
                   "the daemon was held up before it could dispatch the call; "
                   "retry with the same Idempotency-Key",
                   Verdict::kNotRun, kRetrySoon);
 }
 
-// An answer that fits no block still reaches its caller; the journal keeps
-// that the call ran, so that it is not repeated.
 void CallJournal::AppendOutcome(Fiber& fiber,
                                 const CallContext& context,
-                                LaneEntry done) {
+                                const LaneEntry& done) {
   try {
     context.lane->Append(fiber, {done}, context.left());
-  } catch (const EntryTooLarge& e) {
-    log_.Write({.name = "answer_not_kept",
-                .customer = done.customer,
-                .program = done.program,
-                .key = done.key,
-                .lane = context.lane->lane(),
-                .detail = e.what()});
-    done.answer.clear();
-    context.lane->Append(fiber, {done}, context.left());
+    return;
+  } catch (const LaneLost& e) {
+    if (done.kind != EntryKind::kCallDone) {
+      throw NotOwner(e.what());
+    }
+    if (context.lane->handed_over() &&
+        relay_.Send(fiber, done, context.lane->epoch(), context.left())) {
+      return;
+    }
+  } catch (const AppendTimeout&) {
+    // Reported below: the outcome stays pending and may yet be recorded.
   }
+  throw CallError(503, "outcome_not_recorded",
+                  "the call was dispatched but its outcome is not in the "
+                  "journal; fetch it with the same Idempotency-Key",
+                  Verdict::kMayHaveRun, kRetrySoon);
 }
 
 void CallJournal::CommitOutcome(Fiber& fiber,
@@ -96,11 +91,18 @@
                                 const LaneEntry& done) {
   try {
     AppendOutcome(fiber, context, done);
-  } catch (const std::runtime_error& e) {
-    throw CallError(503, "outcome_not_recorded",
-                    "the call was dispatched but its outcome is not in the "
-                    "journal; fetch it with the same Idempotency-Key",
-                    Verdict::kMayHaveRun, kRetrySoon);
+  } catch (const EntryTooLarge& e) {
+    // The answer still reaches its caller; the journal keeps that the call
+    // ran, so that it is not repeated.
+    log_.Write({.name = "answer_not_kept",
+                .customer = done.customer,
+                .program = done.program,
+                .key = done.key,
+                .lane = context.lane->lane(),
+                .detail = e.what()});
+    auto without = done;
+    without.answer.clear();
+    AppendOutcome(fiber, context, without);
   }
   log_.Write({.name = done.kind == EntryKind::kProgramEnded ? "program_ended"
                                                             : "call_done",
--- a/source/server/daemon.cc
+++ b/source/server/daemon.cc
@@ -6,7 +6,11 @@
 #include <prometheus/gauge.h>
 #include <prometheus/registry.h>
 #include <prometheus/text_serializer.h>
+
 #include <nlohmann/json.hpp>
+#include "server/lane_count.h"
+
+#include "core/call_error.h"
 
 namespace comfreyfold {
 
@@ -14,8 +18,10 @@
 
 using nlohmann::json;
 
-constexpr std::chrono::milliseconds kReleaseInterval{500};
+constexpr std::chrono::milliseconds kAskTimeout{5000};
 constexpr std::chrono::milliseconds kDrainStep{20};
+constexpr std::chrono::milliseconds kAgreeRetry{500};
+constexpr std::chrono::milliseconds kPeersStep{20};
 
 Heartbeat SelfOf(const Settings& settings) {
   Heartbeat out;
@@ -54,13 +60,16 @@
       engines_(http_),
       tools_(http_),
       chooser_(backends_),
-      journal_(log_),
+      relay_(http_, membership_, lanes_, log_),
+      journal_(log_, relay_),
       limits_(journal_),
       slots_(loop, lanes_),
       listing_(lanes_, settings_.daemon),
       reaper_(loop, lanes_, contracts_, log_),
       budgets_(loop, kv_, contracts_, log_),
+      strays_(loop, engines_, backends_, log_),
       model_runner_(loop,
+                    strays_,
                     engines_,
                     backends_,
                     chooser_,
@@ -78,19 +87,35 @@
               tool_runner_,
               requests_),
       urgent_(tools_, contracts_, backends_, log_),
-      releaser_(engines_, lanes_, backends_, log_),
+      releaser_(loop, engines_, lanes_, backends_, log_),
       router_(loop, http_, membership_, runner_, log_, settings_.lanes),
       caller_api_(contracts_, router_, urgent_, log_, settings_.call_deadline),
-      peer_api_(membership_, runner_, log_),
+      peer_api_(membership_, runner_, relay_, log_, [this] { lanes_.Tick(); }),
       peers_(loop,
              http_,
              kv_,
              log_,
              membership_,
              settings_.heartbeat_interval,
-             settings_.member_lease) {}
+             settings_.member_lease),
+      orders_(http_),
+      weights_(http_,
+               settings_.weight_store_address,
+               settings_.platform_timeout),
+      fence_(kv_, settings_.daemon, settings_.placement_claim),
+      steward_(loop,
+               kv_,
+               orders_,
+               weights_,
+               fence_,
+               membership_,
+               backends_,
+               contracts_,
+               log_,
+               settings_.placement_interval) {}
 
-std::string Daemon::Start() {
+std::string Daemon::Start(std::function<void(const std::string&)> on_refused) {
+  on_refused_ = std::move(on_refused);
   loop_.OnError([this](const char* what) {
     log_.Write({.name = "internal_error", .detail = what});
   });
@@ -103,6 +128,12 @@
   reaper_.Start();
   tidier_.Start();
   backends_.Start();
+  lanes_.OnApplied([this](const LaneOwner& owner, const LaneBlock& block) {
+    releaser_.Note(owner, block);
+  });
+  strays_.OnAskEnded([this](Fiber& fiber, const ProgramKey& program) {
+    return HasEnded(fiber, program);
+  });
   lanes_.OnChange([this] { peers_.Announce(); });
   peers_.Start([this] {
     membership_.self().contracts_revision = contracts_.revision();
@@ -111,15 +142,51 @@
     }
     lanes_.Tick();
   });
-  loop_.Spawn([this](Fiber& fiber) { ReleaseLoop(fiber); });
+  releaser_.Start();
+  steward_.Start();
+  loop_.Spawn([this](Fiber& fiber) { AgreeOnLanes(fiber); });
   return address;
 }
 
-void Daemon::ReleaseLoop(Fiber& fiber) {
+void Daemon::AgreeOnLanes(Fiber& fiber) {
   while (true) {
-    releaser_.ReleaseOnce(fiber);
-    fiber.Sleep(kReleaseInterval);
+    try {
+      AgreeOnLaneCount(fiber, kv_, settings_.lanes);
+      while (!peers_.KnowsPeers(settings_.heartbeat_timeout)) {
+        fiber.Sleep(kPeersStep);
+      }
+      lanes_.Open();
+      return;
+    } catch (const KvUnavailable&) {
+      // Serving as an entry needs no lanes.
+      fiber.Sleep(kAgreeRetry);
+    } catch (const LaneCountMismatch& e) {
+      on_refused_(e.what());
+      return;
+    }
+  }
+}
+
+bool Daemon::HasEnded(Fiber& fiber, const ProgramKey& program) {
+  ForwardedCall call;
+  call.customer = program.customer;
+  call.program = program.program;
+  call.operation = Operation::kHistory;
+  call.deadline = kAskTimeout;
+  bool ended = false;
+  try {
+    router_.Route(fiber, call, [&ended](const AnswerFrame& frame) {
+      const auto history = json::parse(frame.content, nullptr, false);
+      ended = history.is_object() && history.value("ended", false);
+    });
+  } catch (const CallError& e) {
+    // An ended program leaves the journal once it is released.
+    if (e.code() != "no_program") {
+      throw;
+    }
+    ended = true;
   }
+  return ended;
 }
 
 void Daemon::Handle(Fiber& fiber,
@@ -235,17 +302,29 @@
   membership_.self().draining = true;
   peers_.Announce();
   loop_.Spawn([this, on_drained = std::move(on_drained)](Fiber& fiber) {
-    const auto until = std::chrono::steady_clock::now() + settings_.drain_time;
-    server_.Drain();
-    while (server_.in_flight() > 0 &&
-           std::chrono::steady_clock::now() < until) {
-      fiber.Sleep(kDrainStep);
-    }
-    budgets_.GiveBackAll(fiber);
-    lanes_.HandOverAll(fiber, settings_.platform_timeout);
+    DrainAll(fiber);
     log_.Write({.name = "drain_ended"});
     on_drained();
   });
 }
 
+void Daemon::DrainAll(Fiber& fiber) {
+  const auto until = std::chrono::steady_clock::now() + settings_.drain_time;
+  // New calls go to the lanes' next owners at once; the calls in flight end
+  // here, and their outcomes are sent on.
+  server_.CloseAfterReplies();
+  while (!lanes_.HandOverAll(fiber, settings_.platform_timeout) &&
+         std::chrono::steady_clock::now() < until) {
+    log_.Write({.name = "drain_waits", .detail = "lanes not handed over"});
+  }
+  // The balancer's view lags: what it still sends is served for a while.
+  fiber.Sleep(settings_.drain_linger);
+  server_.Drain();
+  while (server_.in_flight() > 0 && std::chrono::steady_clock::now() < until) {
+    fiber.Sleep(kDrainStep);
+  }
+  budgets_.GiveBackAll(fiber);
+  peers_.Leave(fiber);
+}
+
 }  // namespace comfreyfold
--- a/source/server/daemon.h
+++ b/source/server/daemon.h
@@ -14,6 +14,7 @@
 #include "server/caller_api.h"
 #include "server/contract_peers.h"
 #include "server/contract_store.h"
+#include "server/engine_steward.h"
 #include "server/hold_releaser.h"
 #include "server/lane_manager.h"
 #include "server/lane_tidier.h"
@@ -22,6 +23,7 @@
 #include "server/program_listing.h"
 #include "server/program_reaper.h"
 #include "server/settings.h"
+#include "server/stray_holds.h"
 #include "server/urgent_sender.h"
 
 namespace comfreyfold {
@@ -31,8 +33,9 @@
  public:
   Daemon(Loop& loop, Settings settings);
 
-  // Listens and starts every role; returns the address bound.
-  std::string Start();
+  // Listens and starts every role; returns the address bound. `on_refused`
+  // gets the reason when this daemon cannot be one of the fleet.
+  std::string Start(std::function<void(const std::string&)> on_refused);
 
   // A planned stop: no new work, lanes handed over, requests in flight
   // answered. Calls `on_drained` at the end.
@@ -44,10 +47,14 @@
   std::string Status() const;
   std::string Metrics() const;
   bool ready() const;
-  void ReleaseLoop(Fiber& fiber);
+  void DrainAll(Fiber& fiber);
+  void AgreeOnLanes(Fiber& fiber);
+  // Whether the program has ended, as its owner says.
+  bool HasEnded(Fiber& fiber, const ProgramKey& program);
 
   Loop& loop_;
   Settings settings_;
+  std::function<void(const std::string&)> on_refused_;
   EventLog log_;
   HttpClient http_;
   HttpServer server_;
@@ -62,12 +69,14 @@
   EngineClient engines_;
   ToolClient tools_;
   BackendChooser chooser_;
+  OutcomeRelay relay_;
   CallJournal journal_;
   CallLimits limits_;
   CustomerSlots slots_;
   ProgramListing listing_;
   ProgramReaper reaper_;
   BudgetLedger budgets_;
+  StrayHolds strays_;
   ModelRunner model_runner_;
   ToolRunner tool_runner_;
   ProgramRequests requests_;
@@ -78,6 +87,10 @@
   CallerApi caller_api_;
   PeerApi peer_api_;
   PeerLinks peers_;
+  EngineOrders orders_;
+  WeightStoreClient weights_;
+  OrderFence fence_;
+  EngineSteward steward_;
 };
 
 }  // namespace comfreyfold
--- a/source/server/lane_owner.cc
+++ b/source/server/lane_owner.cc
@@ -14,6 +14,7 @@
 constexpr std::chrono::milliseconds kFirstBackoff{50};
 constexpr std::chrono::milliseconds kMostBackoff{2000};
 constexpr int kJitterPercent = 50;
+constexpr int kUnavailable = 503;  // HTTP status.
 // The fields of an entry beside its texts, and a block's own.
 constexpr std::size_t kEntryOverheadBytes = 128;
 
@@ -35,12 +36,19 @@
   return backoff - backoff * percent / 100;
 }
 
+bool HasIntent(const std::vector<LaneEntry>& entries) {
+  return std::any_of(entries.begin(), entries.end(), [](const auto& it) {
+    return it.kind == EntryKind::kCallBegun;
+  });
+}
+
 LaneEntry NotRunOutcome(const LaneEntry& intent) {
   auto out = intent;
   out.kind = EntryKind::kCallDone;
   out.request.clear();
   out.tokens = 0;
   out.verdict = Verdict::kNotRun;
+  out.status = kUnavailable;
   return out;
 }
 
@@ -50,12 +58,6 @@
   std::vector<LaneEntry> entries;
   bool committed = false;
   bool abandoned = false;
-
-  bool IsIntent() const {
-    return std::any_of(entries.begin(), entries.end(), [](const auto& it) {
-      return it.kind == EntryKind::kCallBegun;
-    });
-  }
 };
 
 LaneOwner::LaneOwner(Loop& loop,
@@ -96,15 +98,6 @@
   log_.Write({.name = "lane_taken", .lane = lane_, .epoch = epoch()});
 }
 
-bool LaneOwner::Confirm(Fiber& fiber) {
-  const auto next = journal_.Read(fiber, state_.last_block() + 1);
-  if (next && !lost_ &&
-      (next->owner != log_.daemon() || next->epoch != epoch())) {
-    Lose("another daemon's block " + std::to_string(next->number));
-  }
-  return !lost_;
-}
-
 void LaneOwner::CheckSize(const std::vector<LaneEntry>& entries) const {
   const auto bytes = BytesOf(entries);
   if (bytes > LaneJournal::kMostValueBytes) {
@@ -116,44 +109,74 @@
 void LaneOwner::Append(Fiber& fiber,
                        std::vector<LaneEntry> entries,
                        std::chrono::milliseconds timeout) {
+  changed_.WaitUntil(fiber, timeout, [this] { return !closing_; });
   if (lost_) {
     throw LaneLost("lane " + std::to_string(lane_) + " is no longer owned");
   }
   CheckSize(entries);
-  const auto pending = std::make_shared<Pending>();
-  pending->entries = std::move(entries);
   // The service is known to be silent: whoever waits too would only be
-  // refused later, and a second intent of a program could pass the first.
-  if (in_doubt_ && pending->IsIntent()) {
+  // refused later.
+  if (in_doubt_ && HasIntent(entries)) {
     throw AppendTimeout("lane " + std::to_string(lane_) +
                         ": an earlier block is in doubt");
   }
+  Wait(fiber, *Enqueue(std::move(entries)), timeout);
+}
+
+std::shared_ptr<LaneOwner::Pending> LaneOwner::Enqueue(
+    std::vector<LaneEntry> entries) {
+  auto pending = std::make_shared<Pending>();
+  pending->entries = std::move(entries);
   pending_.push_back(pending);
   if (!committing_) {
     committing_ = true;
+    // Held by the coroutine: a lane that is lost is dropped by its manager
+    // while a commit may still wait for the service.
     loop_.Spawn(
         [self = shared_from_this()](Fiber& child) { self->CommitLoop(child); });
   }
+  return pending;
+}
+
+void LaneOwner::Wait(Fiber& fiber,
+                     Pending& pending,
+                     std::chrono::milliseconds timeout) {
   changed_.WaitUntil(fiber, timeout,
-                     [this, &pending] { return pending->committed || lost_; });
-  if (pending->committed) {
+                     [this, &pending] { return pending.committed || lost_; });
+  if (pending.committed) {
     return;
   }
   if (lost_) {
     throw LaneLost("lane " + std::to_string(lane_) + " was taken over");
   }
-  pending->abandoned = true;
-  const bool queued =
-      std::find(pending_.begin(), pending_.end(), pending) != pending_.end();
-  in_doubt_ = in_doubt_ || (pending->IsIntent() && !queued);
+  pending.abandoned = true;
+  Withdraw(pending.entries);
   throw AppendTimeout("lane " + std::to_string(lane_) + ": no commit in time");
 }
 
+// The caller of an intent that is given up is told "not run", and nothing is
+// dispatched. The intent may be in a block that the service takes later:
+// without this outcome behind it the program would wait for a call that
+// never comes.
+void LaneOwner::Withdraw(const std::vector<LaneEntry>& entries) {
+  std::vector<LaneEntry> outcomes;
+  for (const auto& it : entries) {
+    if (it.kind == EntryKind::kCallBegun) {
+      outcomes.push_back(NotRunOutcome(it));
+    }
+  }
+  if (!outcomes.empty()) {
+    in_doubt_ = true;
+    Enqueue(std::move(outcomes));
+  }
+}
+
 LaneOwner::Group LaneOwner::TakeGroup() {
   // An intent that nobody waits for any more and that is in no block yet is
-  // dropped. An outcome stays: the call was dispatched.
-  std::erase_if(pending_,
-                [](const auto& it) { return it->abandoned && it->IsIntent(); });
+  // dropped: its caller was told "not run". Anything else is a fact.
+  std::erase_if(pending_, [](const auto& it) {
+    return it->abandoned && HasIntent(it->entries);
+  });
   Group out;
   std::size_t bytes = 0;
   while (!pending_.empty()) {
@@ -190,11 +213,11 @@
   // another with the same number could otherwise commit beside it.
   while (!lost_) {
     try {
-      if (journal_.TryCommit(fiber, block)) {
-        Settle(block, group);
-      } else if (!lost_) {
+      if (!journal_.TryCommit(fiber, block)) {
         Lose("another daemon's block " + std::to_string(block.number));
+        return;
       }
+      Committed(block, group);
       return;
     } catch (const KvUnavailable&) {
       fiber.Sleep(Jittered(backoff, block.uid));
@@ -203,35 +226,31 @@
   }
 }
 
-void LaneOwner::Settle(const LaneBlock& block, const Group& group) {
+void LaneOwner::Committed(const LaneBlock& block, const Group& group) {
   state_.Apply(block);
   block_bytes_ += static_cast<std::int64_t>(Encode(block).size());
   in_doubt_ = false;
+  if (on_applied_) {
+    on_applied_(*this, block);
+  }
   for (const auto& it : group) {
     it->committed = true;
   }
-  Withdraw(group);
+  if (state_.owner().empty()) {
+    handed_over_ = true;
+    lost_ = true;
+    log_.Write({.name = "lane_handed_over", .lane = lane_, .epoch = epoch()});
+  }
   changed_.NotifyAll();
 }
 
-// The caller of an intent that was given up has been told "not run", and
-// nothing was dispatched: the journal says so before anything else happens
-// in the lane, or the call would look as if it might have run.
-void LaneOwner::Withdraw(const Group& group) {
-  auto withdrawn = std::make_shared<Pending>();
-  for (const auto& pending : group) {
-    if (!pending->abandoned) {
-      continue;
-    }
-    for (const auto& it : pending->entries) {
-      if (it.kind == EntryKind::kCallBegun) {
-        withdrawn->entries.push_back(NotRunOutcome(it));
-      }
-    }
-  }
-  if (!withdrawn->entries.empty()) {
-    pending_.push_front(std::move(withdrawn));
+bool LaneOwner::Confirm(Fiber& fiber) {
+  const auto next = journal_.Read(fiber, state_.last_block() + 1);
+  if (next && !lost_ &&
+      (next->owner != log_.daemon() || next->epoch != epoch())) {
+    Lose("another daemon's block " + std::to_string(next->number));
   }
+  return !lost_;
 }
 
 bool LaneOwner::snapshot_due() const {
@@ -260,6 +279,12 @@
                         std::to_string(bytes) + " bytes"});
 }
 
+void LaneOwner::Supersede(const LaneOwnerView& newest) {
+  if (!lost_) {
+    Lose(newest.daemon + " holds epoch " + std::to_string(newest.epoch));
+  }
+}
+
 void LaneOwner::Lose(const std::string& why) {
   lost_ = true;
   log_.Write(
@@ -267,16 +292,25 @@
   changed_.NotifyAll();
 }
 
-void LaneOwner::Handover(Fiber& fiber, std::chrono::milliseconds timeout) {
+bool LaneOwner::Handover(Fiber& fiber, std::chrono::milliseconds timeout) {
+  if (lost_ || closing_) {
+    return handed_over_;
+  }
   LaneEntry entry;
   entry.kind = EntryKind::kHandover;
+  closing_ = true;
   try {
-    Append(fiber, {entry}, timeout);
+    Wait(fiber, *Enqueue({entry}), timeout);
   } catch (const std::runtime_error&) {
-    // The heartbeats tell the others just as well, only later.
+    // The entry may still commit, and then it counts.
   }
-  lost_ = true;
+  closing_ = false;
   changed_.NotifyAll();
+  return handed_over_;
+}
+
+void LaneOwner::WaitForChange(Fiber& fiber, std::chrono::milliseconds timeout) {
+  changed_.Wait(fiber, timeout);
 }
 
 }  // namespace comfreyfold
--- a/source/server/lane_owner.h
+++ b/source/server/lane_owner.h
@@ -3,11 +3,15 @@
 
 #include <chrono>
 #include <deque>
+#include <functional>
 #include <memory>
 #include <stdexcept>
 #include <string>
+#include <utility>
 #include <vector>
 
+#include "core/lane_state.h"
+#include "core/membership.h"
 #include "log/event_log.h"
 #include "net/loop.h"
 #include "server/lane_journal.h"
@@ -50,9 +54,9 @@
   void Open(Fiber& fiber);
 
   // Returns once `entries` are known committed and applied to the state.
-  // Throws LaneLost, AppendTimeout or EntryTooLarge. After AppendTimeout
-  // intents are either not in the journal or withdrawn there as not run;
-  // other entries are still appended when the service answers.
+  // Throws LaneLost, AppendTimeout or EntryTooLarge. After AppendTimeout an
+  // intent is either not in the journal or recorded there as not run; other
+  // entries are still appended when the service answers.
   void Append(Fiber& fiber,
               std::vector<LaneEntry> entries,
               std::chrono::milliseconds timeout);
@@ -62,8 +66,20 @@
   // KvUnavailable.
   bool Confirm(Fiber& fiber);
 
-  // Waits for pending appends, then gives the lane up.
-  void Handover(Fiber& fiber, std::chrono::milliseconds timeout);
+  // A heartbeat showed a newer owner: without an append of its own this
+  // one would not learn of it.
+  void Supersede(const LaneOwnerView& newest);
+
+  // Gives the lane up once what is pending is committed. False, and the
+  // lane stays, when that took longer than `timeout`.
+  bool Handover(Fiber& fiber, std::chrono::milliseconds timeout);
+
+  // Waits until something is committed or the lane is lost.
+  void WaitForChange(Fiber& fiber, std::chrono::milliseconds timeout);
+
+  // Runs after each block that this owner has committed and applied.
+  using AppliedHook = std::function<void(const LaneOwner&, const LaneBlock&)>;
+  void OnApplied(AppliedHook hook) { on_applied_ = std::move(hook); }
 
   // True when enough was appended that a snapshot pays.
   bool snapshot_due() const;
@@ -72,22 +88,25 @@
 
   const LaneState& state() const { return state_; }
   const LaneSettings& settings() const { return settings_; }
+  std::int64_t snapshot_block() const { return snapshot_block_; }
   int lane() const { return lane_; }
   bool lost() const { return lost_; }
+  // Lost by this daemon's own will: what it runs it may still finish.
+  bool handed_over() const { return handed_over_; }
   std::int64_t epoch() const { return state_.epoch(); }
-  std::int64_t snapshot_block() const { return snapshot_block_; }
 
  private:
   struct Pending;
   using Group = std::vector<std::shared_ptr<Pending>>;
-
+  std::shared_ptr<Pending> Enqueue(std::vector<LaneEntry> entries);
+  void Wait(Fiber& fiber, Pending& pending, std::chrono::milliseconds timeout);
+  void Withdraw(const std::vector<LaneEntry>& entries);
+  Group TakeGroup();
+  void CommitGroup(Fiber& fiber, const Group& group);
+  void Committed(const LaneBlock& block, const Group& group);
   LaneBlock MakeBlock(std::vector<LaneEntry> entries, std::int64_t epoch) const;
   void CheckSize(const std::vector<LaneEntry>& entries) const;
-  Group TakeGroup();
   void CommitLoop(Fiber& fiber);
-  void CommitGroup(Fiber& fiber, const Group& group);
-  void Settle(const LaneBlock& block, const Group& group);
-  void Withdraw(const Group& group);
   void Lose(const std::string& why);
 
   Loop& loop_;
@@ -98,13 +117,16 @@
   LaneState state_;
   std::int64_t snapshot_block_ = 0;
   std::int64_t snapshot_bytes_ = 0;
-  std::int64_t block_bytes_ = 0;
+  std::int64_t block_bytes_ = 0;  // Of the blocks after the snapshot.
   bool lost_ = false;
+  bool closing_ = false;  // A handover is being written.
+  bool handed_over_ = false;
   bool committing_ = false;
-  // An intent was given up while its block is in doubt.
+  // An intent was given up while the service was silent.
   bool in_doubt_ = false;
   std::deque<std::shared_ptr<Pending>> pending_;
   Condition changed_;
+  AppliedHook on_applied_;
 };
 
 }  // namespace comfreyfold
--- a/source/wire/comfreyfold.thrift
+++ b/source/wire/comfreyfold.thrift
@@ -44,6 +44,7 @@
   12: i32 status,
   13: binary answer,
   14: i64 tokens,
+  15: string held_by,
 }
 
 struct ProgramState {
@@ -56,6 +57,7 @@
   7: i64 tokens,
   8: i64 started_at_ms,
   9: set<string> subagents,
+  10: i64 last_begun_at_ms,
 }
 
 // Cut into parts that the key-value service takes.
--- a/source/wire/gen/comfreyfold_types.cpp
+++ b/source/wire/gen/comfreyfold_types.cpp
@@ -657,6 +657,10 @@
 void CallRecord::__set_tokens(const int64_t val) {
   this->tokens = val;
 }
+
+void CallRecord::__set_held_by(const std::string& val) {
+  this->held_by = val;
+}
 std::ostream& operator<<(std::ostream& out, const CallRecord& obj)
 {
   obj.printTo(out);
@@ -797,6 +801,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 15:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->held_by);
+          this->__isset.held_by = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -870,6 +882,10 @@
   xfer += oprot->writeI64(this->tokens);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("held_by", ::apache::thrift::protocol::T_STRING, 15);
+  xfer += oprot->writeString(this->held_by);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -891,6 +907,7 @@
   swap(a.status, b.status);
   swap(a.answer, b.answer);
   swap(a.tokens, b.tokens);
+  swap(a.held_by, b.held_by);
   swap(a.__isset, b.__isset);
 }
 
@@ -909,6 +926,7 @@
   status = other10.status;
   answer = other10.answer;
   tokens = other10.tokens;
+  held_by = other10.held_by;
   __isset = other10.__isset;
 }
 CallRecord& CallRecord::operator=(const CallRecord& other11) {
@@ -926,6 +944,7 @@
   status = other11.status;
   answer = other11.answer;
   tokens = other11.tokens;
+  held_by = other11.held_by;
   __isset = other11.__isset;
   return *this;
 }
@@ -946,6 +965,7 @@
   out << ", " << "status=" << to_string(status);
   out << ", " << "answer=" << to_string(answer);
   out << ", " << "tokens=" << to_string(tokens);
+  out << ", " << "held_by=" << to_string(held_by);
   out << ")";
 }
 
@@ -989,6 +1009,10 @@
 void ProgramState::__set_subagents(const std::set<std::string> & val) {
   this->subagents = val;
 }
+
+void ProgramState::__set_last_begun_at_ms(const int64_t val) {
+  this->last_begun_at_ms = val;
+}
 std::ostream& operator<<(std::ostream& out, const ProgramState& obj)
 {
   obj.printTo(out);
@@ -1127,6 +1151,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 10:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->last_begun_at_ms);
+          this->__isset.last_begun_at_ms = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -1204,6 +1236,10 @@
   }
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("last_begun_at_ms", ::apache::thrift::protocol::T_I64, 10);
+  xfer += oprot->writeI64(this->last_begun_at_ms);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -1220,6 +1256,7 @@
   swap(a.tokens, b.tokens);
   swap(a.started_at_ms, b.started_at_ms);
   swap(a.subagents, b.subagents);
+  swap(a.last_begun_at_ms, b.last_begun_at_ms);
   swap(a.__isset, b.__isset);
 }
 
@@ -1233,6 +1270,7 @@
   tokens = other32.tokens;
   started_at_ms = other32.started_at_ms;
   subagents = other32.subagents;
+  last_begun_at_ms = other32.last_begun_at_ms;
   __isset = other32.__isset;
 }
 ProgramState& ProgramState::operator=(const ProgramState& other33) {
@@ -1245,6 +1283,7 @@
   tokens = other33.tokens;
   started_at_ms = other33.started_at_ms;
   subagents = other33.subagents;
+  last_begun_at_ms = other33.last_begun_at_ms;
   __isset = other33.__isset;
   return *this;
 }
@@ -1260,6 +1299,7 @@
   out << ", " << "tokens=" << to_string(tokens);
   out << ", " << "started_at_ms=" << to_string(started_at_ms);
   out << ", " << "subagents=" << to_string(subagents);
+  out << ", " << "last_begun_at_ms=" << to_string(last_begun_at_ms);
   out << ")";
 }
 
--- a/source/wire/gen/comfreyfold_types.h
+++ b/source/wire/gen/comfreyfold_types.h
@@ -264,7 +264,7 @@
 std::ostream& operator<<(std::ostream& out, const LaneBlock& obj);
 
 typedef struct _CallRecord__isset {
-  _CallRecord__isset() : key(false), call(false), kind(false), target(false), backend(false), idempotent(false), request(false), request_digest(false), done(false), epoch(false), verdict(false), status(false), answer(false), tokens(false) {}
+  _CallRecord__isset() : key(false), call(false), kind(false), target(false), backend(false), idempotent(false), request(false), request_digest(false), done(false), epoch(false), verdict(false), status(false), answer(false), tokens(false), held_by(false) {}
   bool key :1;
   bool call :1;
   bool kind :1;
@@ -279,6 +279,7 @@
   bool status :1;
   bool answer :1;
   bool tokens :1;
+  bool held_by :1;
 } _CallRecord__isset;
 
 class CallRecord : public virtual ::apache::thrift::TBase {
@@ -300,7 +301,8 @@
                verdict(0),
                status(0),
                answer(),
-               tokens(0) {
+               tokens(0),
+               held_by() {
   }
 
   virtual ~CallRecord() noexcept;
@@ -318,6 +320,7 @@
   int32_t status;
   std::string answer;
   int64_t tokens;
+  std::string held_by;
 
   _CallRecord__isset __isset;
 
@@ -349,6 +352,8 @@
 
   void __set_tokens(const int64_t val);
 
+  void __set_held_by(const std::string& val);
+
   bool operator == (const CallRecord & rhs) const
   {
     if (!(key == rhs.key))
@@ -379,6 +384,8 @@
       return false;
     if (!(tokens == rhs.tokens))
       return false;
+    if (!(held_by == rhs.held_by))
+      return false;
     return true;
   }
   bool operator != (const CallRecord &rhs) const {
@@ -398,7 +405,7 @@
 std::ostream& operator<<(std::ostream& out, const CallRecord& obj);
 
 typedef struct _ProgramState__isset {
-  _ProgramState__isset() : customer(false), program(false), calls(false), holds_on(false), ended(false), passed_limit(false), tokens(false), started_at_ms(false), subagents(false) {}
+  _ProgramState__isset() : customer(false), program(false), calls(false), holds_on(false), ended(false), passed_limit(false), tokens(false), started_at_ms(false), subagents(false), last_begun_at_ms(false) {}
   bool customer :1;
   bool program :1;
   bool calls :1;
@@ -408,6 +415,7 @@
   bool tokens :1;
   bool started_at_ms :1;
   bool subagents :1;
+  bool last_begun_at_ms :1;
 } _ProgramState__isset;
 
 class ProgramState : public virtual ::apache::thrift::TBase {
@@ -421,7 +429,8 @@
                  ended(0),
                  passed_limit(),
                  tokens(0),
-                 started_at_ms(0) {
+                 started_at_ms(0),
+                 last_begun_at_ms(0) {
   }
 
   virtual ~ProgramState() noexcept;
@@ -434,6 +443,7 @@
   int64_t tokens;
   int64_t started_at_ms;
   std::set<std::string>  subagents;
+  int64_t last_begun_at_ms;
 
   _ProgramState__isset __isset;
 
@@ -455,6 +465,8 @@
 
   void __set_subagents(const std::set<std::string> & val);
 
+  void __set_last_begun_at_ms(const int64_t val);
+
   bool operator == (const ProgramState & rhs) const
   {
     if (!(customer == rhs.customer))
@@ -475,6 +487,8 @@
       return false;
     if (!(subagents == rhs.subagents))
       return false;
+    if (!(last_begun_at_ms == rhs.last_begun_at_ms))
+      return false;
     return true;
   }
   bool operator != (const ProgramState &rhs) const {
--- a/source/wire/snapshot_codec.cc
+++ b/source/wire/snapshot_codec.cc
@@ -25,6 +25,7 @@
   out.status = call.status;
   out.answer = call.answer;
   out.tokens = call.tokens;
+  out.held_by = call.held_by;
   return out;
 }
 
@@ -43,6 +44,7 @@
   out.verdict = static_cast<Verdict>(call.verdict);
   out.status = call.status;
   out.answer = call.answer;
+  out.held_by = call.held_by;
   out.tokens = call.tokens;
   return out;
 }
@@ -59,6 +61,7 @@
   out.passed_limit = program.passed_limit;
   out.tokens = program.tokens;
   out.started_at_ms = program.started_at.count();
+  out.last_begun_at_ms = program.last_begun_at.count();
   out.subagents = program.subagents;
   return out;
 }
@@ -75,6 +78,7 @@
   out.passed_limit = program.passed_limit;
   out.tokens = program.tokens;
   out.started_at = std::chrono::milliseconds(program.started_at_ms);
+  out.last_begun_at = std::chrono::milliseconds(program.last_begun_at_ms);
   out.subagents = program.subagents;
   return out;
 }
--- a/tests/process/failure.cc
+++ b/tests/process/failure.cc
@@ -25,7 +25,10 @@
 
 void FaultTools(Cluster& cluster, const std::string& fault, int count) {
   for (int i = 0; i < cluster.tool_servers(); ++i) {
-    cluster.Fault(cluster.tool_server(i), fault, count);
+    // Another failure may have killed this one.
+    if (cluster.Audit(cluster.tool_server(i)).is_object()) {
+      cluster.Fault(cluster.tool_server(i), fault, count);
+    }
   }
 }
 
@@ -70,8 +73,8 @@
 }  // namespace
 
 const std::vector<Failure>& AllFailures() {
-  static const auto* const kFailures = new std::vector<Failure>(MakeFailures());
-  return *kFailures;
+  static const auto* const failures = new std::vector<Failure>(MakeFailures());
+  return *failures;
 }
 
 const Failure& FailureNamed(const std::string& name) {
