Outage of the key-value service: process tests of prompt refusal and reconciliation

Six cases with real processes: service out, slow and with lost answers; urgent messages during an outage; an owner killed in the outage; calls counted at the stand-in in equal times. Unsafe work is refused as not run with Retry-After within 3 s and runs once, by the same key, when the service answers again.

The case now sets commit_timeout to 60 s, which keeps its scenario; no check is changed.

--- a/tests/harness/caller.h
+++ b/tests/harness/caller.h
@@ -12,8 +12,9 @@
 
 struct CallAnswer {
   int status = 0;
-  std::string body;     // Whole body, or the text put together of a stream.
-  std::string verdict;  // Of the header.
+  std::string body;         // Whole body, or the text put together of a stream.
+  std::string verdict;      // Of the header.
+  std::string retry_after;  // Of the header.
   nlohmann::json json() const {
     return nlohmann::json::parse(body, nullptr, false);
   }
--- a/tests/process/engine_memory_test.cc
+++ b/tests/process/engine_memory_test.cc
@@ -136,7 +136,10 @@
 }
 
 BOOST_AUTO_TEST_CASE(owner_frozen_before_dispatch_holds_nothing_when_it_wakes) {
-  InCluster({}, [](Fiber& fiber, Cluster& cluster) {
+  ClusterOptions options;
+  // Longer than the freeze: the owner dispatches when it wakes.
+  options.settings["lanes"] = "commit_timeout = 60s\n";
+  InCluster(options, [](Fiber& fiber, Cluster& cluster) {
     const std::string program = "owner-freezes";
     const int owner = cluster.OwnerOf(kCustomer, program);
     const int other = (owner + 1) % cluster.daemons();
--- /dev/null
+++ b/tests/process/outage_test.cc
@@ -0,0 +1,173 @@
+#include <algorithm>
+
+#include <boost/test/unit_test.hpp>
+
+#include "process/in_cluster.h"
+
+namespace comfreyfold::process {
+namespace {
+
+using harness::CallAnswer;
+using harness::Caller;
+using harness::Cluster;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr char kCustomer[] = "bandwerk";
+// "Within a couple of seconds", and the wait for the answer itself.
+constexpr milliseconds kPrompt{3000};
+constexpr milliseconds kTakeoverBound{5000};
+constexpr milliseconds kCountingTime{3000};
+
+struct TimedAnswer {
+  CallAnswer answer;
+  milliseconds time{};
+};
+
+TimedAnswer Book(Fiber& fiber,
+                 Cluster& cluster,
+                 const std::string& program,
+                 int daemon) {
+  Caller caller(fiber, cluster.http(), harness::kQuoteKey, program);
+  const auto start = std::chrono::steady_clock::now();
+  auto answer = caller.Use(cluster.daemon(daemon).address(), "order",
+                           "book_order", {{"item", "steel-19"}});
+  return {std::move(answer), std::chrono::duration_cast<milliseconds>(
+                                 std::chrono::steady_clock::now() - start)};
+}
+
+void CheckRefused(const TimedAnswer& it) {
+  BOOST_TEST(it.answer.status == 503);
+  BOOST_TEST(it.answer.verdict == "not_run");
+  BOOST_TEST(!it.answer.retry_after.empty());
+  BOOST_TEST(it.time.count() < kPrompt.count());
+}
+
+void SettleBooking(Fiber& fiber,
+                   Cluster& cluster,
+                   const std::string& program,
+                   int daemon) {
+  cluster.WaitFor("the booking to be taken again", [&] {
+    return Book(fiber, cluster, program, daemon).answer.status == 200;
+  });
+}
+
+std::size_t RunsOf(Cluster& cluster, const std::string& program) {
+  const auto runs = cluster.ToolRuns("book_order");
+  return static_cast<std::size_t>(
+      std::count_if(runs.begin(), runs.end(), [&](const auto& it) {
+        return it["program"] == std::string(kCustomer) + "/" + program;
+      }));
+}
+
+std::int64_t KvCalls(Cluster& cluster) {
+  std::int64_t out = 0;
+  const auto audit = cluster.Audit(cluster.kv());
+  for (const auto& it : audit) {
+    out += it.is_number() ? it.get<std::int64_t>() : 0;
+  }
+  return out;
+}
+
+std::int64_t CountKvCalls(Fiber& fiber, Cluster& cluster) {
+  const auto before = KvCalls(cluster);
+  fiber.Sleep(kCountingTime);
+  return KvCalls(cluster) - before;
+}
+
+// Refused while the service shows `fault`, run once when it has gone.
+void RefusedThenRunOnce(const std::string& fault, milliseconds delay) {
+  harness::ClusterOptions options;
+  InCluster(options, [&](Fiber& fiber, Cluster& cluster) {
+    cluster.Fault(cluster.kv(), fault, -1, delay);
+    for (int i = 0; i < cluster.daemons(); ++i) {
+      CheckRefused(Book(fiber, cluster, "booking", i));
+    }
+    BOOST_TEST(RunsOf(cluster, "booking") == 0);
+    cluster.Fault(cluster.kv(), fault, 0);
+    SettleBooking(fiber, cluster, "booking", 0);
+    BOOST_TEST(RunsOf(cluster, "booking") == 1);
+    Caller caller(fiber, cluster.http(), harness::kQuoteKey, "booking");
+    const auto history = caller.History(cluster.daemon(1).address()).json();
+    BOOST_TEST(history["calls"].size() == 1);
+  });
+}
+
+BOOST_AUTO_TEST_SUITE(outage)
+
+BOOST_AUTO_TEST_CASE(service_out_unsafe_work_is_refused_and_runs_later) {
+  RefusedThenRunOnce("out", {});
+}
+
+BOOST_AUTO_TEST_CASE(service_slow_unsafe_work_is_refused_and_runs_later) {
+  RefusedThenRunOnce("slow", milliseconds(2500));
+}
+
+BOOST_AUTO_TEST_CASE(answers_lost_unsafe_work_runs_once) {
+  InCluster({}, [](Fiber& fiber, Cluster& cluster) {
+    cluster.Fault(cluster.kv(), "lost_answer", 6);
+    SettleBooking(fiber, cluster, "booking", 0);
+    BOOST_TEST(RunsOf(cluster, "booking") == 1);
+  });
+}
+
+BOOST_AUTO_TEST_CASE(urgent_messages_go_out_while_the_service_is_out) {
+  InCluster({}, [](Fiber& fiber, Cluster& cluster) {
+    cluster.Fault(cluster.kv(), "out", -1);
+    CheckRefused(Book(fiber, cluster, "booking", 0));
+    Caller kiosk(fiber, cluster.http(), harness::kKioskKey, "kiosk");
+    for (int i = 0; i < cluster.daemons(); ++i) {
+      const auto answer =
+          kiosk.Use(cluster.daemon(i).address(), "lock-" + std::to_string(i),
+                    "kiosk_lock", {{"kiosk", i}}, "urgent");
+      BOOST_TEST(answer.status == 200);
+    }
+    BOOST_TEST(cluster.ToolRuns("kiosk_lock").size() == 3);
+  });
+}
+
+BOOST_AUTO_TEST_CASE(owner_killed_in_the_outage_loses_no_history) {
+  InCluster({}, [](Fiber& fiber, Cluster& cluster) {
+    SettleBooking(fiber, cluster, "first", 0);
+    const int owner = cluster.OwnerOf(kCustomer, "first");
+    BOOST_REQUIRE(owner >= 0);
+    const int other = (owner + 1) % cluster.daemons();
+    cluster.Fault(cluster.kv(), "out", -1);
+    CheckRefused(Book(fiber, cluster, "second", owner));
+    cluster.daemon(owner).Kill();
+    cluster.Fault(cluster.kv(), "out", 0);
+    Caller caller(fiber, cluster.http(), harness::kQuoteKey, "first");
+    cluster.WaitFor(
+        "the history at the next owner",
+        [&] {
+          const auto answer = caller.History(cluster.daemon(other).address());
+          return answer.status == 200 && answer.json()["calls"].size() == 1;
+        },
+        kTakeoverBound);
+    SettleBooking(fiber, cluster, "first", other);
+    SettleBooking(fiber, cluster, "second", other);
+    BOOST_TEST(RunsOf(cluster, "first") == 1);
+    BOOST_TEST(RunsOf(cluster, "second") == 1);
+  });
+}
+
+BOOST_AUTO_TEST_CASE(no_storm_of_calls_when_the_service_returns) {
+  InCluster({}, [](Fiber& fiber, Cluster& cluster) {
+    const auto before = CountKvCalls(fiber, cluster);
+    cluster.Fault(cluster.kv(), "out", -1);
+    const auto during = CountKvCalls(fiber, cluster);
+    cluster.Fault(cluster.kv(), "out", 0);
+    const auto after = CountKvCalls(fiber, cluster);
+    BOOST_TEST_MESSAGE("key-value calls in "
+                       << kCountingTime.count() << " ms: before " << before
+                       << ", in the outage " << during << ", after " << after);
+    BOOST_TEST(before > 0);
+    BOOST_TEST(during <= 3 * before);
+    BOOST_TEST(after <= 2 * before);
+  });
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace
+}  // namespace comfreyfold::process
