--- /dev/null
+++ b/source/core/write_pacer.h
@@ -0,0 +1,29 @@
+#ifndef CORE_WRITE_PACER_H_
+#define CORE_WRITE_PACER_H_
+
+#include <chrono>
+
+namespace comfreyfold {
+
+// Spreads writes so that no more than a rate of them goes out, but for a
+// short burst after a quiet time (the generic cell rate algorithm).
+class WritePacer {
+ public:
+  using TimePoint = std::chrono::steady_clock::time_point;
+
+  WritePacer(int writes_per_second, int burst);
+
+  void SetRate(int writes_per_second);
+
+  // Takes the next write's place; returns how long to wait for it.
+  std::chrono::milliseconds Reserve(TimePoint now);
+
+ private:
+  std::chrono::microseconds interval_;
+  int burst_;
+  TimePoint next_;
+};
+
+}  // namespace comfreyfold
+
+#endif  // CORE_WRITE_PACER_H_
--- a/source/server/lane_manager.cc
+++ b/source/server/lane_manager.cc
@@ -1,10 +1,13 @@
 #include "server/lane_manager.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace comfreyfold {
 
 namespace {
+// Blocks that go out at once after a quiet time.
+constexpr int kBurstWrites = 20;
 constexpr std::chrono::milliseconds kSettleTime{2000};
 constexpr std::chrono::milliseconds kHandoverTime{2000};
 constexpr std::chrono::milliseconds kHandoverStep{5};
@@ -21,14 +24,23 @@
       log_(log),
       membership_(membership),
       settings_(settings),
+      pacer_(settings.writes_per_second, kBurstWrites),
       lanes_(lanes) {}
 
 void LaneManager::Tick() {
+  ShareWrites();
   DropLost();
   TakeDue();
   GiveUpOne();
 }
 
+// The service's writes are shared by the daemons that can own lanes.
+void LaneManager::ShareWrites() {
+  const auto n = membership_.Eligible(std::chrono::steady_clock::now()).size();
+  pacer_.SetRate(settings_.writes_per_second /
+                 std::max(1, static_cast<int>(n)));
+}
+
 void LaneManager::DropLost() {
   const auto now = std::chrono::steady_clock::now();
   for (const auto& [lane, owner] : owned_) {
@@ -92,7 +104,8 @@
 }
 
 void LaneManager::Take(Fiber& fiber, int lane) {
-  auto owner = std::make_shared<LaneOwner>(loop_, kv_, log_, settings_, lane);
+  auto owner =
+      std::make_shared<LaneOwner>(loop_, kv_, log_, settings_, pacer_, lane);
   owner->OnApplied(on_applied_);
   try {
     owner->Open(fiber);
--- a/source/server/lane_manager.h
+++ b/source/server/lane_manager.h
@@ -51,6 +51,7 @@
   void OnApplied(LaneOwner::AppliedHook hook) { on_applied_ = std::move(hook); }
 
  private:
+  void ShareWrites();
   void Take(Fiber& fiber, int lane);
   void DropLost();
   void TakeDue();
@@ -63,6 +64,7 @@
   EventLog& log_;
   Membership& membership_;
   const LaneSettings& settings_;
+  WritePacer pacer_;
   int lanes_;
   std::map<int, std::shared_ptr<LaneOwner>> owned_;
   std::set<int> opening_;
--- a/source/server/lane_owner.cc
+++ b/source/server/lane_owner.cc
@@ -64,10 +64,12 @@
                      KvClient& kv,
                      EventLog& log,
                      const LaneSettings& settings,
+                     WritePacer& pacer,
                      int lane)
     : loop_(loop),
       log_(log),
       settings_(settings),
+      pacer_(pacer),
       lane_(lane),
       journal_(kv, lane),
       changed_(loop) {}
@@ -191,7 +193,12 @@
 }
 
 void LaneOwner::CommitLoop(Fiber& fiber) {
-  while (!lost_) {
+  while (!lost_ && !pending_.empty()) {
+    // What comes in during the wait goes into the same block.
+    const auto wait = pacer_.Reserve(std::chrono::steady_clock::now());
+    if (wait.count() > 0) {
+      fiber.Sleep(wait);
+    }
     const auto group = TakeGroup();
     if (group.empty()) {
       break;
--- a/source/server/lane_owner.h
+++ b/source/server/lane_owner.h
@@ -12,6 +12,7 @@
 
 #include "core/lane_state.h"
 #include "core/membership.h"
+#include "core/write_pacer.h"
 #include "log/event_log.h"
 #include "net/loop.h"
 #include "server/lane_journal.h"
@@ -46,6 +47,7 @@
             KvClient& kv,
             EventLog& log,
             const LaneSettings& settings,
+            WritePacer& pacer,
             int lane);
   ~LaneOwner();
 
@@ -112,6 +114,7 @@
   Loop& loop_;
   EventLog& log_;
   const LaneSettings& settings_;
+  WritePacer& pacer_;
   int lane_;
   LaneJournal journal_;
   LaneState state_;
--- a/source/server/lane_settings.h
+++ b/source/server/lane_settings.h
@@ -7,6 +7,9 @@
 
 // How the lanes' journals are kept.
 struct LaneSettings {
+  // Blocks that all daemons together may write a second; each takes an
+  // equal share of it.
+  int writes_per_second = 300;
   // Blocks after a snapshot before the next one is due.
   int snapshot_blocks = 256;
   // An ended program is kept this long, so that late retries find it.
--- a/source/server/settings.cc
+++ b/source/server/settings.cc
@@ -14,6 +14,7 @@
 using std::chrono::seconds;
 
 constexpr int kMostLanes = 4096;
+constexpr int kMostWritesPerSecond = 100000;
 constexpr int kMostSnapshotBlocks = 100000;
 constexpr int kMostConnections = 100000;
 constexpr std::int64_t kLeastBodyBytes = 1024;
@@ -93,6 +94,8 @@
   TakeContracts(reader, out.contracts);
 
   reader.Take("lanes", "count", out.lanes, 1, kMostLanes);
+  reader.Take("lanes", "writes_per_second", out.lane.writes_per_second, 1,
+              kMostWritesPerSecond);
   reader.Take("lanes", "snapshot_blocks", out.lane.snapshot_blocks, 2,
               kMostSnapshotBlocks);
   reader.Take("lanes", "retention", out.lane.retention, seconds(1), hours(720));
--- a/tests/lane/lane_world.h
+++ b/tests/lane/lane_world.h
@@ -49,6 +49,8 @@
   LaneJournal MakeJournal() { return {kv_, kLane}; }
 
   static constexpr int kLane = 3;
+  // More than any test writes.
+  static constexpr int kWritesPerSecond = 1000000;
 
  private:
   void Handle(Fiber& fiber, const HttpRequest& request, HttpExchange& exchange);
@@ -57,6 +59,7 @@
 
   Loop& loop_;
   LaneSettings settings_;
+  WritePacer pacer_{kWritesPerSecond, kWritesPerSecond};
   standins::KvService service_;
   HttpServer server_;
   HttpClient http_;
