--- a/tests/process/outage_test.cc
+++ b/tests/process/outage_test.cc
@@ -103,6 +103,21 @@
   RefusedThenRunOnce("slow", milliseconds(2500));
 }
 
+BOOST_AUTO_TEST_CASE(a_call_committed_too_late_is_recorded_as_not_run) {
+  harness::ClusterOptions options;
+  options.settings["lanes"] = "dispatch_window = 100ms\n";
+  InCluster(options, [](Fiber& fiber, Cluster& cluster) {
+    cluster.Fault(cluster.kv(), "slow", -1, milliseconds(300));
+    const auto late = Book(fiber, cluster, "booking", 0);
+    cluster.Fault(cluster.kv(), "slow", 0);
+    BOOST_TEST(late.answer.verdict == "not_run");
+    BOOST_TEST(late.answer.json()["error"]["code"] == "dispatch_too_late");
+    BOOST_TEST(RunsOf(cluster, "booking") == 0);
+    SettleBooking(fiber, cluster, "booking", 1);
+    BOOST_TEST(RunsOf(cluster, "booking") == 1);
+  });
+}
+
 BOOST_AUTO_TEST_CASE(answers_lost_unsafe_work_runs_once) {
   InCluster({}, [](Fiber& fiber, Cluster& cluster) {
     cluster.Fault(cluster.kv(), "lost_answer", 6);
