--- a/source/core/grant_use.h
+++ b/source/core/grant_use.h
@@ -15,6 +15,14 @@
   auto operator<=>(const GrantName&) const = default;
 };
 
+// What the calls of a lane used of a grant, within that lane's state.
+struct GrantTotal {
+  GrantName name;
+  std::int64_t tokens = 0;
+
+  bool operator==(const GrantTotal&) const = default;
+};
+
 // What the calls of one lane used of a grant, or may yet use at most.
 struct GrantUse {
   int lane = 0;
--- a/source/core/lane_entry.h
+++ b/source/core/lane_entry.h
@@ -24,8 +24,9 @@
   kHandover = 5,         // The owner gives the lane up of its own accord.
   kSubagentStarted = 6,  // `key` names the program that was started.
   kSealed = 7,           // Changes nothing: proves that the owner has the lane.
+  kProgramForgotten = 8,  // Ended long ago, nothing held: it leaves the lane.
 };
-inline constexpr EntryKind kLastEntryKind = EntryKind::kSealed;
+inline constexpr EntryKind kLastEntryKind = EntryKind::kProgramForgotten;
 
 // One durable fact about a program. Which fields count depends on `kind`.
 struct LaneEntry {
--- a/source/server/call_journal.cc
+++ b/source/server/call_journal.cc
@@ -1,33 +1,41 @@
 #include "server/call_journal.h"
 
+#include <algorithm>
+
 #include "core/call_error.h"
 
 namespace comfreyfold {
 
 namespace {
 constexpr std::chrono::milliseconds kRetrySoon{500};
+constexpr std::chrono::milliseconds kRetryLater{2000};
 }  // namespace
 
 void CallJournal::CommitIntent(Fiber& fiber,
                                const CallContext& context,
                                const LaneEntry& begun) {
+  const auto sent = std::chrono::steady_clock::now();
+  const auto& settings = context.lane->settings();
   try {
-    context.lane->Append(fiber, {begun}, context.left());
+    context.lane->Append(fiber, {begun},
+                         std::min(context.left(), settings.commit_timeout));
   } catch (const LaneLost& e) {
     // Whoever owns the lane now decides; here nothing was dispatched.
     throw NotOwner(e.what());
   } catch (const AppendTimeout&) {
-    // The intent may be in a block that the service takes later. Without
-    // this outcome behind it the program would wait for a call that was
-    // never dispatched.
-    auto refused = context.Entry(EntryKind::kCallDone);
-    refused.verdict = Verdict::kNotRun;
-    refused.status = 503;
-    context.lane->AppendLater({refused});
     throw CallError(503, "journal_unavailable",
                     "the program's journal cannot be written now; retry "
                     "with the same Idempotency-Key",
-                    Verdict::kNotRun, kRetrySoon);
+                    Verdict::kNotRun, kRetryLater);
+  } catch (const EntryTooLarge&) {
+    throw CallError(413, "too_large",
+                    "the request does not fit the program's journal; send "
+                    "less than 900 kB at once",
+                    Verdict::kNotRun);
+  }
+  if (!begun.idempotent &&
+      std::chrono::steady_clock::now() - sent > settings.dispatch_window) {
+    Withdraw(fiber, context, begun);
   }
   log_.Write({.name = "call_begun",
               .customer = begun.customer,
@@ -40,6 +48,21 @@
               .detail = begun.target});
 }
 
+// The daemon was paused after the commit. The lane may have a new owner who
+// has told the caller to check at the service whether the call ran: it must
+// not run after that check.
+void CallJournal::Withdraw(Fiber& fiber,
+                           const CallContext& context,
+                           const LaneEntry& begun) {
+  auto done = context.Entry(EntryKind::kCallDone);
+  done.backend = begun.backend;
+  AppendOutcome(fiber, context, done);
+  throw CallError(503, "dispatch_too_late",
+                  "the daemon was held up before it could dispatch the call; "
+                  "retry with the same Idempotency-Key",
+                  Verdict::kNotRun, kRetrySoon);
+}
+
 void CallJournal::AppendOutcome(Fiber& fiber,
                                 const CallContext& context,
                                 const LaneEntry& done) {
@@ -66,7 +89,21 @@
 void CallJournal::CommitOutcome(Fiber& fiber,
                                 const CallContext& context,
                                 const LaneEntry& done) {
-  AppendOutcome(fiber, context, done);
+  try {
+    AppendOutcome(fiber, context, done);
+  } catch (const EntryTooLarge& e) {
+    // The answer still reaches its caller; the journal keeps that the call
+    // ran, so that it is not repeated.
+    log_.Write({.name = "answer_not_kept",
+                .customer = done.customer,
+                .program = done.program,
+                .key = done.key,
+                .lane = context.lane->lane(),
+                .detail = e.what()});
+    auto without = done;
+    without.answer.clear();
+    AppendOutcome(fiber, context, without);
+  }
   log_.Write({.name = done.kind == EntryKind::kProgramEnded ? "program_ended"
                                                             : "call_done",
               .customer = done.customer,
--- a/source/server/daemon.cc
+++ b/source/server/daemon.cc
@@ -73,7 +73,8 @@
                 log_,
                 settings_.vm_list_interval,
                 settings_.load_interval),
-      lanes_(loop, kv_, log_, membership_, settings_.lanes),
+      lanes_(loop, kv_, log_, membership_, settings_.lane, settings_.lanes),
+      tidier_(loop, lanes_, log_),
       engines_(http_),
       tools_(http_),
       chooser_(backends_),
@@ -183,6 +184,7 @@
   budgets_.Start();
   reclaimer_.Start();
   reaper_.Start();
+  tidier_.Start();
   backends_.Start();
   lanes_.OnApplied([this](const LaneOwner& owner, const LaneBlock& block) {
     releaser_.Note(owner, block);
--- a/source/server/daemon.h
+++ b/source/server/daemon.h
@@ -18,6 +18,7 @@
 #include "server/engine_steward.h"
 #include "server/hold_releaser.h"
 #include "server/lane_manager.h"
+#include "server/lane_tidier.h"
 #include "server/metrics.h"
 #include "server/operator_api.h"
 #include "server/peer_api.h"
@@ -68,6 +69,7 @@
   ContractPeers contract_peers_;
   BackendDirectory backends_;
   LaneManager lanes_;
+  LaneTidier tidier_;
   EngineClient engines_;
   ToolClient tools_;
   BackendChooser chooser_;
--- a/source/server/grant_sealer.cc
+++ b/source/server/grant_sealer.cc
@@ -10,20 +10,15 @@
 constexpr char kThriftType[] = "application/vnd.apache.thrift.compact";
 constexpr std::chrono::milliseconds kAppendTimeout{1000};
 
-// Adds the lane's uses; false when its journal does not prove them.
-bool AddUses(const LaneOwner& owner,
+void AddUses(const LaneOwner& owner,
              const GrantQuestion& question,
              GrantAnswer& out) {
   for (const auto& it : question.grants) {
     const auto tokens = owner.state().UseOf(it);
-    if (!tokens) {
-      return false;
-    }
-    if (*tokens != 0) {
-      out.uses.push_back({owner.lane(), it, *tokens});
+    if (tokens != 0) {
+      out.uses.push_back({owner.lane(), it, tokens});
     }
   }
-  return true;
 }
 
 }  // namespace
@@ -42,9 +37,8 @@
     } catch (const std::runtime_error&) {
       continue;
     }
-    if (AddUses(*owner, question, out)) {
-      out.lanes.push_back(lane);
-    }
+    AddUses(*owner, question, out);
+    out.lanes.push_back(lane);
   }
   return out;
 }
--- a/source/server/lane_manager.h
+++ b/source/server/lane_manager.h
@@ -22,6 +22,7 @@
               KvClient& kv,
               EventLog& log,
               Membership& membership,
+              const LaneSettings& settings,
               int lanes);
 
   // Allows taking lanes, once their number is agreed with the fleet.
@@ -50,6 +51,7 @@
   void OnApplied(LaneOwner::AppliedHook hook) { on_applied_ = std::move(hook); }
 
  private:
+  void ShareWrites();
   void Take(Fiber& fiber, int lane);
   void DropLost();
   void TakeDue();
@@ -61,6 +63,8 @@
   KvClient& kv_;
   EventLog& log_;
   Membership& membership_;
+  const LaneSettings& settings_;
+  WritePacer pacer_;
   int lanes_;
   std::map<int, std::shared_ptr<LaneOwner>> owned_;
   std::set<int> opening_;
--- a/source/server/lane_owner.h
+++ b/source/server/lane_owner.h
@@ -12,9 +12,11 @@
 
 #include "core/lane_state.h"
 #include "core/membership.h"
+#include "core/write_pacer.h"
 #include "log/event_log.h"
 #include "net/loop.h"
-#include "platform/kv_client.h"
+#include "server/lane_journal.h"
+#include "server/lane_settings.h"
 
 namespace comfreyfold {
 
@@ -31,11 +33,22 @@
   using std::runtime_error::runtime_error;
 };
 
+// An entry does not fit into a block. Nothing was appended.
+class EntryTooLarge : public std::runtime_error {
+ public:
+  using std::runtime_error::runtime_error;
+};
+
 // One lane held by this daemon: replays the journal, takes the lane over,
 // and appends blocks of whatever entries wait (group commit).
 class LaneOwner : public std::enable_shared_from_this<LaneOwner> {
  public:
-  LaneOwner(Loop& loop, KvClient& kv, EventLog& log, int lane);
+  LaneOwner(Loop& loop,
+            KvClient& kv,
+            EventLog& log,
+            const LaneSettings& settings,
+            WritePacer& pacer,
+            int lane);
   ~LaneOwner();
 
   // Replays and appends the takeover. Throws LaneLost when another daemon
@@ -43,15 +56,13 @@
   void Open(Fiber& fiber);
 
   // Returns once `entries` are known committed and applied to the state.
-  // Throws LaneLost or AppendTimeout.
+  // Throws LaneLost, AppendTimeout or EntryTooLarge. After AppendTimeout an
+  // intent is either not in the journal or recorded there as not run; other
+  // entries are still appended when the service answers.
   void Append(Fiber& fiber,
               std::vector<LaneEntry> entries,
               std::chrono::milliseconds timeout);
 
-  // Queues `entries` behind what waits already, to be committed whenever the
-  // service takes them, if the lane is still owned then.
-  void AppendLater(std::vector<LaneEntry> entries);
-
   // Asks the service whether this is still the lane's owner; what it read
   // from its state before is then known to have been the newest. Throws
   // KvUnavailable.
@@ -72,7 +83,14 @@
   using AppliedHook = std::function<void(const LaneOwner&, const LaneBlock&)>;
   void OnApplied(AppliedHook hook) { on_applied_ = std::move(hook); }
 
+  // True when enough was appended that a snapshot pays.
+  bool snapshot_due() const;
+  // Throws KvUnavailable.
+  void SaveSnapshot(Fiber& fiber);
+
   const LaneState& state() const { return state_; }
+  const LaneSettings& settings() const { return settings_; }
+  std::int64_t snapshot_block() const { return snapshot_block_; }
   int lane() const { return lane_; }
   bool lost() const { return lost_; }
   // Lost by this daemon's own will: what it runs it may still finish.
@@ -82,27 +100,33 @@
  private:
   struct Pending;
   using Group = std::vector<std::shared_ptr<Pending>>;
-  static bool IsIntent(const Pending& pending);
   std::shared_ptr<Pending> Enqueue(std::vector<LaneEntry> entries);
   void Wait(Fiber& fiber, Pending& pending, std::chrono::milliseconds timeout);
+  void Withdraw(const std::vector<LaneEntry>& entries);
   Group TakeGroup();
   void CommitGroup(Fiber& fiber, const Group& group);
   void Committed(const LaneBlock& block, const Group& group);
-  std::string BlockKey(std::int64_t number) const;
   LaneBlock MakeBlock(std::vector<LaneEntry> entries, std::int64_t epoch) const;
-  bool TryCommit(Fiber& fiber, const LaneBlock& block);
+  void CheckSize(const std::vector<LaneEntry>& entries) const;
   void CommitLoop(Fiber& fiber);
   void Lose(const std::string& why);
 
   Loop& loop_;
-  KvClient& kv_;
   EventLog& log_;
+  const LaneSettings& settings_;
+  WritePacer& pacer_;
   int lane_;
+  LaneJournal journal_;
   LaneState state_;
+  std::int64_t snapshot_block_ = 0;
+  std::int64_t snapshot_bytes_ = 0;
+  std::int64_t block_bytes_ = 0;  // Of the blocks after the snapshot.
   bool lost_ = false;
   bool closing_ = false;  // A handover is being written.
   bool handed_over_ = false;
   bool committing_ = false;
+  // An intent was given up while the service was silent.
+  bool in_doubt_ = false;
   std::deque<std::shared_ptr<Pending>> pending_;
   Condition changed_;
   AppliedHook on_applied_;
