Budgets: an owner answers nothing about its own grant; property for the dead

Cause, found by reading: a daemon held for dead that came back before the question was put would have answered for its own lanes and gone on using the grant that its answer then closed. It answers for no lane now. The property 'takeovers, grants of the dead and of those held for dead' drives marks, takeovers, proofs and releases at any moment against the engines' sum.

--- a/source/server/daemon.cc
+++ b/source/server/daemon.cc
@@ -59,7 +59,7 @@
       listing_(lanes_, settings_.daemon),
       reaper_(loop, lanes_, contracts_, log_),
       budgets_(loop, kv_, contracts_, log_),
-      sealer_(lanes_),
+      sealer_(lanes_, budgets_.run()),
       reclaimer_(loop,
                  http_,
                  kv_,
--- a/source/server/grant_sealer.cc
+++ b/source/server/grant_sealer.cc
@@ -1,5 +1,7 @@
 #include "server/grant_sealer.h"
 
+#include <algorithm>
+
 #include "wire/codec.h"
 
 namespace comfreyfold {
@@ -30,6 +32,14 @@
 
 GrantAnswer GrantSealer::Answer(Fiber& fiber, const GrantQuestion& question) {
   GrantAnswer out;
+  // This daemon is held for dead and is not: it goes on using its grant in
+  // the lanes it has, so their sums prove nothing.
+  const bool own =
+      std::any_of(question.grants.begin(), question.grants.end(),
+                  [this](const GrantName& it) { return it.grant == run_; });
+  if (own) {
+    return out;
+  }
   // Copied: lanes come and go while this waits for the journal.
   const auto owned = lanes_.owned();
   for (const auto& [lane, owner] : owned) {
--- a/source/server/grant_sealer.h
+++ b/source/server/grant_sealer.h
@@ -1,6 +1,9 @@
 #ifndef SERVER_GRANT_SEALER_H_
 #define SERVER_GRANT_SEALER_H_
 
+#include <string>
+#include <utility>
+
 #include "core/grant_use.h"
 #include "net/http_server.h"
 #include "server/lane_manager.h"
@@ -11,10 +14,12 @@
 // /peer/grant-use, Thrift bodies).
 class GrantSealer {
  public:
-  explicit GrantSealer(LaneManager& lanes) : lanes_(lanes) {}
+  // `run` names this run of the daemon in grants.
+  GrantSealer(LaneManager& lanes, std::string run)
+      : lanes_(lanes), run_(std::move(run)) {}
 
   // Answers for every lane that is proved, by an append, to be owned here
-  // after the question was put.
+  // after the question was put; for none when the grant's holder lives.
   GrantAnswer Answer(Fiber& fiber, const GrantQuestion& question);
 
   // False when the path is not its own.
@@ -22,6 +27,7 @@
 
  private:
   LaneManager& lanes_;
+  std::string run_;
 };
 
 }  // namespace comfreyfold
--- a/tests/contract_property/budget_property_test.cc
+++ b/tests/contract_property/budget_property_test.cc
@@ -75,6 +75,27 @@
   }
 }
 
+// Deaths, takeovers of lanes, and grants given back for their holders.
+void RunReclaiming(BudgetWorld& world, const Step& step) {
+  const auto amount = static_cast<std::size_t>(step.amount);
+  if (step.kind < 40) {
+    Run(world, step);
+  } else if (step.kind < 41) {
+    world.Kill(step.daemon);
+  } else if (step.kind < 44) {
+    world.TakeLane(amount, step.daemon);
+  } else if (step.kind < 46) {
+    world.MarkClosing(amount);
+    // All lanes go to others, as after a real death.
+    for (std::size_t lane = 0; amount % 2 == 0 && lane < 3; ++lane) {
+      world.TakeLane(lane, step.daemon);
+    }
+    world.ProveClosing();
+  } else {
+    world.ReleaseClosing();
+  }
+}
+
 BOOST_AUTO_TEST_SUITE(budget_property)
 
 BOOST_AUTO_TEST_CASE(the_engines_never_use_more_than_the_budget) {
@@ -112,6 +133,30 @@
   BOOST_TEST(held);
 }
 
+BOOST_AUTO_TEST_CASE(what_is_given_back_for_the_dead_is_never_used_twice) {
+  constexpr std::size_t kDaemons = 3;
+  int releases = 0;
+  const bool held = rc::check(
+      "never exceeded: takeovers, grants of the dead and of those "
+      "held for dead",
+      [&releases] {
+        const auto steps = *GenSteps(kDaemons, 60);
+        BudgetWorld world(kDaemons, 1500);
+        for (const auto& it : steps) {
+          RunReclaiming(world, it);
+          RC_ASSERT(world.used() <= 1500);
+        }
+        while (world.in_flight() > 0) {
+          world.End(0, 16);
+        }
+        RC_ASSERT(world.used() <= 1500);
+        releases += world.releases();
+      });
+  BOOST_TEST(held);
+  BOOST_TEST(releases > 1000);
+  BOOST_TEST_MESSAGE("grants given back for others: " << releases);
+}
+
 BOOST_AUTO_TEST_CASE(a_death_leaves_less_than_a_twentieth_unusable) {
   constexpr std::size_t kDaemons = 5;
   const bool held = rc::check("one death, then the rest spend on", [] {
@@ -128,6 +173,7 @@
       }
     }
     world.Kill(victim);
+    world.TakeLane(victim, 0);
     // The engines drop the dead daemon's calls: its whole reserve is lost.
     while (world.in_flight() > 0) {
       world.End(0, 0);
--- a/tests/contract_property/budget_world.h
+++ b/tests/contract_property/budget_world.h
@@ -3,6 +3,7 @@
 
 #include <algorithm>
 #include <cstdint>
+#include <map>
 #include <memory>
 #include <optional>
 #include <string>
@@ -23,22 +24,27 @@
     std::size_t daemon = 0;
     std::int64_t tokens = 0;
     bool orphan = false;  // Its daemon died; the engine goes on.
+    std::size_t lane = 0;
+    std::int64_t epoch = 0;  // Of the lane when it was begun.
+    std::string run;
   };
 
   // What becomes of a write to the service.
   enum class Fate { kDone, kLostAnswer, kNever, kLate };
 
   BudgetWorld(std::size_t daemons, std::int64_t budget)
-      : daemons_(daemons), budget_(budget), seen_(daemons) {
+      : daemons_(daemons), budget_(budget), seen_(daemons), names_(daemons) {
     for (std::size_t i = 0; i < daemons; ++i) {
       Restart(i);
+      lanes_.push_back({static_cast<int>(i), 1});
     }
   }
 
   // The daemon at `index` starts anew, with nothing but its settings.
   void Restart(std::size_t index) {
+    names_[index] = "run-" + std::to_string(++runs_);
     daemons_[index] = std::make_unique<BudgetAccount>(
-        "d" + std::to_string(index), "run-" + std::to_string(++runs_));
+        "d" + std::to_string(index), names_[index]);
     LearnContract(index);
   }
 
@@ -46,6 +52,11 @@
     for (auto& it : calls_) {
       it.orphan = it.orphan || it.daemon == index;
     }
+    for (auto& it : lanes_) {
+      if (it.owner == static_cast<int>(index)) {
+        it.owner = -1;
+      }
+    }
     Restart(index);
   }
 
@@ -65,6 +76,10 @@
   // A call of at most `tokens`; false when it is refused as budget spent.
   bool Begin(std::size_t index, std::int64_t tokens, Fate fate) {
     auto& account = *daemons_[index];
+    const auto lane = LaneOwnedBy(index);
+    if (!lane) {
+      return true;  // Forwarded to an owner: neither run nor refused here.
+    }
     now_ += std::chrono::milliseconds(10);
     if (account.MustWait(tokens)) {
       return true;  // Waits in line: neither run nor refused.
@@ -79,7 +94,9 @@
         return granted;
       }
     }
-    calls_.push_back({index, tokens, false});
+    calls_.push_back(
+        {index, tokens, false, *lane, lanes_[*lane].epoch, names_[index]});
+    journal_[names_[index]] += tokens;
     return true;
   }
 
@@ -95,8 +112,54 @@
     used_ += used;
     if (!call.orphan) {
       daemons_[call.daemon]->Settle(call.tokens, used);
+      // The outcome is committed only by an owner that still has the lane.
+      if (lanes_[call.lane].epoch == call.epoch) {
+        journal_[call.run] += used - call.tokens;
+      }
+    }
+  }
+
+  // A daemon takes a lane, be its owner dead or only held for dead.
+  void TakeLane(std::size_t lane, std::size_t index) {
+    auto& it = lanes_[lane % lanes_.size()];
+    it.owner = static_cast<int>(index);
+    ++it.epoch;
+    daemons_[index]->Distrust();
+  }
+
+  // One holder, dead or not, is held for dead.
+  void MarkClosing(std::size_t which) {
+    if (!record_.grants.empty()) {
+      auto record = record_;
+      auto& grant = record.grants[which % record.grants.size()];
+      grant.closing = true;
+      closing_ = grant.id;
+      proof_.reset();
+      Store(record);
+    }
+  }
+
+  // The owners of all lanes tell what the journals prove of its grant.
+  void ProveClosing() {
+    const bool unowned =
+        std::any_of(lanes_.begin(), lanes_.end(), [this](const Lane& it) {
+          return it.owner < 0 ||
+                 names_[static_cast<std::size_t>(it.owner)] == closing_;
+        });
+    if (!unowned) {
+      proof_ = journal_[closing_];
+    }
+  }
+
+  void ReleaseClosing() {
+    auto record = record_;
+    if (proof_ && record.CloseGrant(closing_, *proof_)) {
+      ++releases_;
+      Store(record);
     }
+    proof_.reset();
   }
+  int releases() const { return releases_; }
 
   void GiveBack(std::size_t index, Fate fate) {
     Rewrite(index, fate, [&](BudgetRecord& record) {
@@ -121,6 +184,20 @@
   const BudgetRecord& record() const { return record_; }
 
  private:
+  struct Lane {
+    int owner = 0;  // -1: its owner died.
+    std::int64_t epoch = 0;
+  };
+
+  std::optional<std::size_t> LaneOwnedBy(std::size_t index) const {
+    for (std::size_t i = 0; i < lanes_.size(); ++i) {
+      if (lanes_[i].owner == static_cast<int>(index)) {
+        return i;
+      }
+    }
+    return std::nullopt;
+  }
+
   struct Late {
     std::int64_t base = 0;
     BudgetRecord record;
@@ -173,6 +250,12 @@
   std::vector<std::unique_ptr<BudgetAccount>> daemons_;
   std::int64_t budget_;
   std::vector<std::int64_t> seen_;
+  std::vector<std::string> names_;  // Of each daemon's run.
+  std::vector<Lane> lanes_;
+  std::map<std::string, std::int64_t> journal_;  // Sum of each run's grant.
+  std::string closing_;
+  std::optional<std::int64_t> proof_;
+  int releases_ = 0;
   std::int64_t period_ = 1;
   std::int64_t bound_ = 0;
   std::int64_t used_ = 0;
