--- a/tests/contract_property/budget_property_test.cc
+++ b/tests/contract_property/budget_property_test.cc
@@ -133,28 +133,45 @@
   BOOST_TEST(held);
 }
 
+// Every daemon takes a lane and spends whatever it still can.
+void SpendAll(BudgetWorld& world, std::size_t daemons) {
+  constexpr int kMostCalls = 500;
+  while (world.in_flight() > 0) {
+    world.End(0, 16);
+  }
+  for (std::size_t i = 0; i < daemons; ++i) {
+    world.TakeLane(i, i);
+    for (int n = 0; n < kMostCalls && world.Begin(i, 2, Fate::kDone); ++n) {
+      world.End(0, 16);
+    }
+  }
+}
+
 BOOST_AUTO_TEST_CASE(what_is_given_back_for_the_dead_is_never_used_twice) {
   constexpr std::size_t kDaemons = 3;
+  constexpr std::int64_t kBudget = 600;
+  int cases = 0;
   int releases = 0;
   const bool held = rc::check(
-      "never exceeded: takeovers, grants of the dead and of those "
-      "held for dead",
-      [&releases] {
+      "never exceeded: takeovers, grants of the dead and of those held for "
+      "dead",
+      [&] {
         const auto steps = *GenSteps(kDaemons, 60);
-        BudgetWorld world(kDaemons, 1500);
+        BudgetWorld world(kDaemons, kBudget);
         for (const auto& it : steps) {
           RunReclaiming(world, it);
-          RC_ASSERT(world.used() <= 1500);
-        }
-        while (world.in_flight() > 0) {
-          world.End(0, 16);
+          RC_ASSERT(world.used() <= kBudget);
         }
-        RC_ASSERT(world.used() <= 1500);
+        SpendAll(world, kDaemons);
+        RC_ASSERT(world.used() <= kBudget);
+        ++cases;
         releases += world.releases();
       });
   BOOST_TEST(held);
-  BOOST_TEST(releases > 1000);
-  BOOST_TEST_MESSAGE("grants given back for others: " << releases);
+  // Enough of the cases must come as far as a release.
+  BOOST_TEST(releases * 2 > cases);
+  BOOST_TEST_MESSAGE("grants given back for others: " << releases << " in "
+                                                      << cases << " cases");
 }
 
 BOOST_AUTO_TEST_CASE(a_death_leaves_less_than_a_twentieth_unusable) {
