--- a/source/server/daemon.cc
+++ b/source/server/daemon.cc
@@ -2,10 +2,10 @@
 
 #include <utility>
 
-#include <prometheus/counter.h>
-#include <prometheus/gauge.h>
-#include <prometheus/registry.h>
-#include <prometheus/text_serializer.h>
+#include "core/call_error.h"
+#include "net/error_reply.h"
+#include "server/lane_count.h"
+
 #include <nlohmann/json.hpp>
 
 namespace comfreyfold {
@@ -14,8 +14,10 @@
 
 using nlohmann::json;
 
-constexpr std::chrono::milliseconds kReleaseInterval{500};
+constexpr std::chrono::milliseconds kAskTimeout{5000};
 constexpr std::chrono::milliseconds kDrainStep{20};
+constexpr std::chrono::milliseconds kAgreeRetry{500};
+constexpr std::chrono::milliseconds kPeersStep{20};
 
 Heartbeat SelfOf(const Settings& settings) {
   Heartbeat out;
@@ -25,12 +27,34 @@
   return out;
 }
 
+bool StartsWith(const std::string& text, const char* prefix) {
+  return text.rfind(prefix, 0) == 0;
+}
+
+// What a request or its answer is for, as the metrics name it.
+std::string TrafficOf(const std::string& path) {
+  if (StartsWith(path, "/v1/")) {
+    return "entry";
+  }
+  if (StartsWith(path, "/v3/")) {
+    return "key_value";
+  }
+  if (path == "/peer/call") {
+    return "owner";
+  }
+  return StartsWith(path, "/peer/") ? "control" : "other";
+}
+
 }  // namespace
 
 Daemon::Daemon(Loop& loop, Settings settings)
     : loop_(loop),
       settings_(std::move(settings)),
-      log_(settings_.daemon, settings_.data_centre, settings_.log_file),
+      peer_secret_(settings_.peer_secret_file),
+      log_(settings_.daemon,
+           settings_.data_centre,
+           settings_.log_file,
+           static_cast<std::size_t>(settings_.recent_events_bytes)),
       http_(loop),
       server_(
           loop,
@@ -53,7 +77,8 @@
       engines_(http_),
       tools_(http_),
       chooser_(backends_),
-      journal_(log_),
+      relay_(http_, membership_, lanes_, log_),
+      journal_(log_, relay_),
       limits_(journal_),
       slots_(loop, lanes_),
       listing_(lanes_, settings_.daemon),
@@ -68,7 +93,9 @@
                  log_,
                  budgets_.run(),
                  settings_.lanes),
+      strays_(loop, engines_, backends_, log_),
       model_runner_(loop,
+                    strays_,
                     engines_,
                     backends_,
                     chooser_,
@@ -84,21 +111,67 @@
               slots_,
               model_runner_,
               tool_runner_,
-              requests_),
+              requests_,
+              log_),
       urgent_(tools_, contracts_, backends_, log_),
-      releaser_(engines_, lanes_, backends_, log_),
+      releaser_(loop, engines_, lanes_, backends_, log_),
       router_(loop, http_, membership_, runner_, log_, settings_.lanes),
-      caller_api_(contracts_, router_, urgent_, log_, settings_.call_deadline),
-      peer_api_(membership_, runner_, log_),
+      caller_api_(contracts_,
+                  router_,
+                  urgent_,
+                  log_,
+                  metrics_,
+                  settings_.call_deadline),
+      peer_api_(membership_, runner_, relay_, log_, [this] { lanes_.Tick(); }),
       peers_(loop,
              http_,
              kv_,
              log_,
              membership_,
              settings_.heartbeat_interval,
-             settings_.member_lease) {}
+             settings_.member_lease),
+      orders_(http_),
+      weights_(http_,
+               settings_.weight_store_address,
+               settings_.platform_timeout),
+      fence_(kv_, settings_.daemon, settings_.placement_claim),
+      steward_(loop,
+               kv_,
+               orders_,
+               weights_,
+               fence_,
+               membership_,
+               backends_,
+               contracts_,
+               log_,
+               settings_.placement_interval),
+      operator_api_(membership_,
+                    contracts_,
+                    backends_,
+                    lanes_,
+                    budgets_,
+                    kv_,
+                    log_,
+                    metrics_) {
+  peer_secret_.ShowOn(http_);
+  ConnectMetrics();
+}
 
-std::string Daemon::Start() {
+void Daemon::ConnectMetrics() {
+  log_.OnWrite([this](const Event& event) { metrics_.CountEvent(event.name); });
+  kv_.OnCall(
+      [this](const std::string& path, bool answered, Metrics::Duration time) {
+        metrics_.CountKeyValueCall(path, answered, time);
+      });
+  const auto count = [this](const HttpRequest& request, std::size_t bytes) {
+    metrics_.CountSentBytes(TrafficOf(request.Path()), bytes);
+  };
+  http_.OnSent(count);
+  server_.OnAnswered(count);
+}
+
+std::string Daemon::Start(std::function<void(const std::string&)> on_refused) {
+  on_refused_ = std::move(on_refused);
   loop_.OnError([this](const char* what) {
     log_.Write({.name = "internal_error", .detail = what});
   });
@@ -111,6 +184,12 @@
   reclaimer_.Start();
   reaper_.Start();
   backends_.Start();
+  lanes_.OnApplied([this](const LaneOwner& owner, const LaneBlock& block) {
+    releaser_.Note(owner, block);
+  });
+  strays_.OnAskEnded([this](Fiber& fiber, const ProgramKey& program) {
+    return HasEnded(fiber, program);
+  });
   lanes_.OnChange([this] {
     budgets_.Distrust();
     peers_.Announce();
@@ -122,124 +201,79 @@
     }
     lanes_.Tick();
   });
-  loop_.Spawn([this](Fiber& fiber) { ReleaseLoop(fiber); });
+  releaser_.Start();
+  steward_.Start();
+  loop_.Spawn([this](Fiber& fiber) { AgreeOnLanes(fiber); });
   return address;
 }
 
-void Daemon::ReleaseLoop(Fiber& fiber) {
+void Daemon::AgreeOnLanes(Fiber& fiber) {
   while (true) {
-    releaser_.ReleaseOnce(fiber);
-    fiber.Sleep(kReleaseInterval);
+    try {
+      AgreeOnLaneCount(fiber, kv_, settings_.lanes);
+      while (!peers_.KnowsPeers(settings_.heartbeat_timeout)) {
+        fiber.Sleep(kPeersStep);
+      }
+      lanes_.Open();
+      return;
+    } catch (const KvUnavailable&) {
+      // Serving as an entry needs no lanes.
+      fiber.Sleep(kAgreeRetry);
+    } catch (const LaneCountMismatch& e) {
+      on_refused_(e.what());
+      return;
+    }
   }
 }
 
-void Daemon::Handle(Fiber& fiber,
-                    const HttpRequest& request,
-                    HttpExchange& exchange) {
-  if (caller_api_.Handle(fiber, request, exchange) ||
-      peer_api_.Handle(fiber, request, exchange) ||
-      contract_peers_.Handle(request, exchange) ||
-      listing_.Handle(request, exchange) ||
-      sealer_.Handle(fiber, request, exchange) ||
-      HandleOperator(request, exchange)) {
-    return;
+bool Daemon::HasEnded(Fiber& fiber, const ProgramKey& program) {
+  ForwardedCall call;
+  call.customer = program.customer;
+  call.program = program.program;
+  call.operation = Operation::kHistory;
+  call.deadline = kAskTimeout;
+  bool ended = false;
+  try {
+    router_.Route(fiber, call, [&ended](const AnswerFrame& frame) {
+      const auto history = json::parse(frame.content, nullptr, false);
+      ended = history.is_object() && history.value("ended", false);
+    });
+  } catch (const CallError& e) {
+    // An ended program leaves the journal once it is released.
+    if (e.code() != "no_program") {
+      throw;
+    }
+    ended = true;
   }
-  exchange.Reply(404, "application/json",
-                 R"({"error":{"code":"no_such_path","message":)"
-                 R"("see the README for the paths","verdict":"not_run"}})");
-}
-
-bool Daemon::ready() const {
-  return !membership_.self().draining && contracts_.loaded() &&
-         backends_.loaded();
+  return ended;
 }
 
-bool Daemon::HandleOperator(const HttpRequest& request,
-                            HttpExchange& exchange) {
+void Daemon::Handle(Fiber& fiber,
+                    const HttpRequest& request,
+                    HttpExchange& exchange) {
   const auto path = request.Path();
-  if (path == "/healthz") {
-    exchange.Reply(200, "text/plain", "ok\n");
-  } else if (path == "/readyz") {
-    exchange.Reply(ready() ? 200 : 503, "text/plain",
-                   ready() ? "ready\n" : "not ready\n");
-  } else if (path == "/metrics") {
-    exchange.Reply(200, "text/plain; version=0.0.4", Metrics());
-  } else if (path == "/operator/status") {
-    exchange.Reply(200, "application/json", Status());
-  } else if (path == "/operator/events") {
-    const auto since =
-        std::strtoll(("0" + request.Query("since_us")).c_str(), nullptr, 10);
-    exchange.Reply(200, "application/x-ndjson",
-                   log_.Recent(std::chrono::microseconds(since)));
-  } else {
-    return false;
-  }
-  return true;
-}
-
-std::string Daemon::Status() const {
-  const auto now = std::chrono::steady_clock::now();
-  const auto& self = membership_.self();
-  json lanes = json::array();
-  for (const auto& [lane, owner] : lanes_.owned()) {
-    lanes.push_back({{"lane", lane},
-                     {"epoch", owner->epoch()},
-                     {"blocks", owner->state().last_block()},
-                     {"programs", owner->state().programs().size()}});
-  }
-  json peers = json::array();
-  for (const auto& [daemon, heartbeat] : membership_.peers()) {
-    peers.push_back({{"daemon", daemon},
-                     {"address", heartbeat.address},
-                     {"data_centre", heartbeat.data_centre},
-                     {"live", membership_.IsLive(daemon, now)},
-                     {"draining", heartbeat.draining},
-                     {"contracts_revision", heartbeat.contracts_revision}});
+  const RoleInFlight in_flight(metrics_, TrafficOf(path));
+  if (StartsWith(path, "/peer/") && !peer_secret_.Admits(request)) {
+    ReplyError(exchange,
+               CallError(403, "not_a_daemon",
+                         "this interface is for the daemons of the fleet; "
+                         "callers use the paths under /v1/",
+                         Verdict::kNotRun));
+    return;
   }
-  json backends = json::array();
-  for (const auto& [id, backend] : backends_.all()) {
-    backends.push_back(
-        {{"id", id},
-         {"address", backend.vm.address},
-         {"in_flight", backend.in_flight},
-         {"leaving",
-          backend.draining || backend.vm.state == VmState::kLeaving}});
+  try {
+    if (!caller_api_.Handle(fiber, request, exchange) &&
+        !peer_api_.Handle(fiber, request, exchange) &&
+        !contract_peers_.Handle(request, exchange) &&
+        !listing_.Handle(request, exchange) &&
+        !sealer_.Handle(fiber, request, exchange) &&
+        !operator_api_.Handle(request, exchange)) {
+      throw CallError(404, "no_such_path", "see the README for the paths",
+                      Verdict::kNotRun);
+    }
+  } catch (const CallError& e) {
+    ReplyError(exchange, e);
   }
-  return json{{"daemon", self.daemon},
-              {"address", self.address},
-              {"data_centre", self.data_centre},
-              {"ready", ready()},
-              {"draining", self.draining},
-              {"contracts_revision", contracts_.revision()},
-              {"key_value_calls", kv_.calls()},
-              {"lanes", lanes},
-              {"peers", peers},
-              {"backends", backends}}
-      .dump();
-}
-
-std::string Daemon::Metrics() const {
-  prometheus::Registry registry;
-  const auto gauge = [&registry](const char* name, const char* help,
-                                 double value) {
-    prometheus::BuildGauge()
-        .Name(name)
-        .Help(help)
-        .Register(registry)
-        .Add({})
-        .Set(value);
-  };
-  gauge("comfreyfold_lanes_owned", "Lanes that this daemon owns",
-        static_cast<double>(lanes_.owned().size()));
-  gauge("comfreyfold_requests_in_flight", "HTTP requests being handled",
-        server_.in_flight());
-  gauge("comfreyfold_key_value_calls", "Calls to the key-value service",
-        static_cast<double>(kv_.calls()));
-  gauge("comfreyfold_budget_writes", "Writes to the budget records",
-        static_cast<double>(budgets_.writes()));
-  gauge("comfreyfold_contracts_revision", "Revision of the contracts",
-        static_cast<double>(contracts_.revision()));
-  return prometheus::TextSerializer().Serialize(registry.Collect());
 }
 
 void Daemon::Drain(std::function<void()> on_drained) {
@@ -247,17 +281,29 @@
   membership_.self().draining = true;
   peers_.Announce();
   loop_.Spawn([this, on_drained = std::move(on_drained)](Fiber& fiber) {
-    const auto until = std::chrono::steady_clock::now() + settings_.drain_time;
-    server_.Drain();
-    while (server_.in_flight() > 0 &&
-           std::chrono::steady_clock::now() < until) {
-      fiber.Sleep(kDrainStep);
-    }
-    budgets_.GiveBackAll(fiber);
-    lanes_.HandOverAll(fiber, settings_.platform_timeout);
+    DrainAll(fiber);
     log_.Write({.name = "drain_ended"});
     on_drained();
   });
 }
 
+void Daemon::DrainAll(Fiber& fiber) {
+  const auto until = std::chrono::steady_clock::now() + settings_.drain_time;
+  // New calls go to the lanes' next owners at once; the calls in flight end
+  // here, and their outcomes are sent on.
+  server_.CloseAfterReplies();
+  while (!lanes_.HandOverAll(fiber, settings_.platform_timeout) &&
+         std::chrono::steady_clock::now() < until) {
+    log_.Write({.name = "drain_waits", .detail = "lanes not handed over"});
+  }
+  // The balancer's view lags: what it still sends is served for a while.
+  fiber.Sleep(settings_.drain_linger);
+  server_.Drain();
+  while (server_.in_flight() > 0 && std::chrono::steady_clock::now() < until) {
+    fiber.Sleep(kDrainStep);
+  }
+  budgets_.GiveBackAll(fiber);
+  peers_.Leave(fiber);
+}
+
 }  // namespace comfreyfold
--- a/source/server/daemon.h
+++ b/source/server/daemon.h
@@ -15,13 +15,18 @@
 #include "server/caller_api.h"
 #include "server/contract_peers.h"
 #include "server/contract_store.h"
+#include "server/engine_steward.h"
 #include "server/hold_releaser.h"
 #include "server/lane_manager.h"
+#include "server/metrics.h"
+#include "server/operator_api.h"
 #include "server/peer_api.h"
 #include "server/peer_links.h"
+#include "server/peer_secret.h"
 #include "server/program_listing.h"
 #include "server/program_reaper.h"
 #include "server/settings.h"
+#include "server/stray_holds.h"
 #include "server/urgent_sender.h"
 
 namespace comfreyfold {
@@ -31,8 +36,9 @@
  public:
   Daemon(Loop& loop, Settings settings);
 
-  // Listens and starts every role; returns the address bound.
-  std::string Start();
+  // Listens and starts every role; returns the address bound. `on_refused`
+  // gets the reason when this daemon cannot be one of the fleet.
+  std::string Start(std::function<void(const std::string&)> on_refused);
 
   // A planned stop: no new work, lanes handed over, requests in flight
   // answered. Calls `on_drained` at the end.
@@ -40,15 +46,19 @@
 
  private:
   void Handle(Fiber& fiber, const HttpRequest& request, HttpExchange& exchange);
-  bool HandleOperator(const HttpRequest& request, HttpExchange& exchange);
-  std::string Status() const;
-  std::string Metrics() const;
-  bool ready() const;
-  void ReleaseLoop(Fiber& fiber);
+  void DrainAll(Fiber& fiber);
+  void AgreeOnLanes(Fiber& fiber);
+  // Whether the program has ended, as its owner says.
+  bool HasEnded(Fiber& fiber, const ProgramKey& program);
+
+  void ConnectMetrics();
 
   Loop& loop_;
   Settings settings_;
+  PeerSecret peer_secret_;
+  std::function<void(const std::string&)> on_refused_;
   EventLog log_;
+  Metrics metrics_;
   HttpClient http_;
   HttpServer server_;
   KvClient kv_;
@@ -61,6 +71,7 @@
   EngineClient engines_;
   ToolClient tools_;
   BackendChooser chooser_;
+  OutcomeRelay relay_;
   CallJournal journal_;
   CallLimits limits_;
   CustomerSlots slots_;
@@ -69,6 +80,7 @@
   BudgetLedger budgets_;
   GrantSealer sealer_;
   BudgetReclaimer reclaimer_;
+  StrayHolds strays_;
   ModelRunner model_runner_;
   ToolRunner tool_runner_;
   ProgramRequests requests_;
@@ -79,6 +91,11 @@
   CallerApi caller_api_;
   PeerApi peer_api_;
   PeerLinks peers_;
+  EngineOrders orders_;
+  WeightStoreClient weights_;
+  OrderFence fence_;
+  EngineSteward steward_;
+  OperatorApi operator_api_;
 };
 
 }  // namespace comfreyfold
--- a/source/server/settings.cc
+++ b/source/server/settings.cc
@@ -14,6 +14,8 @@
 using std::chrono::seconds;
 
 constexpr int kMostLanes = 4096;
+constexpr std::int64_t kLeastRecentBytes = 64LL * 1024;
+constexpr std::int64_t kMostRecentBytes = 64LL * 1024 * 1024;
 constexpr int kMostConnections = 100000;
 constexpr std::int64_t kLeastBodyBytes = 1024;
 constexpr std::int64_t kMostBodyBytes = 256LL * 1024 * 1024;
@@ -72,12 +74,22 @@
   TakeAddress(reader, "daemon", "listen", out.listen);
   reader.Take("daemon", "data_folder", out.data_folder);
   reader.Take("daemon", "log_file", out.log_file);
+  reader.Take("daemon", "drain_linger", out.drain_linger, milliseconds(0),
+              minutes(5));
+  reader.Take("daemon", "peer_secret_file", out.peer_secret_file);
+  reader.Take("daemon", "recent_events_bytes", out.recent_events_bytes,
+              kLeastRecentBytes, kMostRecentBytes);
   reader.Take("daemon", "drain_time", out.drain_time, seconds(1), hours(1));
 
   reader.Require("platform", "key_value");
   TakeAddress(reader, "platform", "key_value", out.kv_address);
   reader.Require("platform", "vm_list");
   TakeAddress(reader, "platform", "vm_list", out.vm_list_address);
+  TakeAddress(reader, "platform", "weight_store", out.weight_store_address);
+  reader.Take("placement", "interval", out.placement_interval, milliseconds(50),
+              minutes(10));
+  reader.Take("placement", "claim", out.placement_claim, seconds(2),
+              minutes(10));
   reader.Take("platform", "timeout", out.platform_timeout, milliseconds(10),
               minutes(1));
   reader.Take("platform", "vm_list_interval", out.vm_list_interval,
--- a/source/server/settings.h
+++ b/source/server/settings.h
@@ -4,6 +4,7 @@
 #include <chrono>
 #include <string>
 
+#include "log/event_log.h"
 #include "net/http_server.h"
 #include "server/contract_store.h"
 
@@ -14,11 +15,16 @@
   std::string daemon;       // [daemon] id
   std::string data_centre;  // [daemon] data_centre
   std::string listen = "127.0.0.1:0";
-  std::string data_folder;  // Empty: this VM keeps nothing.
-  std::string log_file;     // Empty: standard output.
+  std::string data_folder;       // Empty: this VM keeps nothing.
+  std::string log_file;          // Empty: standard output.
+  std::string peer_secret_file;  // Empty: /peer/ takes every caller's word.
+  std::int64_t recent_events_bytes = EventLog::kRecentBytes;
 
   std::string kv_address;
   std::string vm_list_address;
+  std::string weight_store_address;  // Empty: nothing is placed.
+  std::chrono::milliseconds placement_interval{1000};
+  std::chrono::seconds placement_claim{10};
   std::chrono::milliseconds platform_timeout{1000};
   std::chrono::milliseconds vm_list_interval{1000};
   ContractSettings contracts;
@@ -31,6 +37,7 @@
   std::chrono::milliseconds call_deadline{60000};
   std::chrono::milliseconds load_interval{500};
   std::chrono::milliseconds drain_time{60000};
+  std::chrono::milliseconds drain_linger{1000};
   HttpLimits http;
 };
 
