--- a/tests/process/budget_test.cc
+++ b/tests/process/budget_test.cc
@@ -147,6 +147,12 @@
     BOOST_TEST(used > 0);
     BOOST_TEST(record.spent >= used);
     BOOST_TEST(record.spent - used < kTokens / 20);
+    // The lanes whose owners were asked can still be taken over.
+    cluster.daemon(0).Kill();
+    for (int i = 0; i < Cluster::kLanes; ++i) {
+      const auto name = "after-" + std::to_string(i);
+      BOOST_TEST(Chat(fiber, cluster, 1 + i % 2, {name, name}).status == 200);
+    }
     BOOST_TEST_MESSAGE(kDeaths << " deaths: used " << used << ", counted "
                                << record.spent << " of " << kTokens);
   });
