--- a/source/core/lane_state.cc
+++ b/source/core/lane_state.cc
@@ -41,12 +41,12 @@
     throw LaneCorrupt("block " + std::to_string(block.number) +
                       " starts an epoch without a takeover");
   }
-  whole_ = whole_ || block.number == 1;
   // An owner that gave the lane up goes on with its calls; of one that lost
   // it nobody knows.
   if (block.epoch > epoch_ && !owner_.empty()) {
     ForgetFormerOwners();
   }
+  whole_ = whole_ || block.number == 1;
   last_block_ = block.number;
   epoch_ = block.epoch;
   owner_ = block.owner;
--- a/source/server/daemon.h
+++ b/source/server/daemon.h
@@ -78,9 +78,9 @@
   ProgramListing listing_;
   ProgramReaper reaper_;
   BudgetLedger budgets_;
+  StrayHolds strays_;
   GrantSealer sealer_;
   BudgetReclaimer reclaimer_;
-  StrayHolds strays_;
   ModelRunner model_runner_;
   ToolRunner tool_runner_;
   ProgramRequests requests_;
--- a/tests/unit/placement_test.cc
+++ b/tests/unit/placement_test.cc
@@ -37,8 +37,8 @@
     ParsePlacement(text, "p.ini");
     BOOST_FAIL("accepted");
   } catch (const IniError& e) {
-    // The missing version, at its section; the kind, the name and the
-    // unknown key.
+    // The missing version at its section, the kind, the name and the unknown
+    // key.
     std::multiset<int> lines;
     for (const auto& it : e.faults()) {
       lines.insert(it.line);
