--- a/source/server/daemon.cc
+++ b/source/server/daemon.cc
@@ -86,7 +86,7 @@
       reaper_(loop, lanes_, contracts_, log_),
       budgets_(loop, kv_, contracts_, log_),
       strays_(loop, engines_, backends_, log_),
-      sealer_(lanes_),
+      sealer_(lanes_, budgets_.run()),
       reclaimer_(loop,
                  http_,
                  kv_,
