Refuse within the promised time when the key-value service is slow

Cause: an intent waited 2 s for its commit and the check that nobody took the lane another 1 s, 3000 ms in all against a bound of 3000.

--- a/source/server/lane_settings.h
+++ b/source/server/lane_settings.h
@@ -15,7 +15,7 @@
   // An ended program is kept this long, so that late retries find it.
   std::chrono::seconds retention{3600};
   // An intent that is not committed by then is refused as not run.
-  std::chrono::milliseconds commit_timeout{2000};
+  std::chrono::milliseconds commit_timeout{1500};
   // A non-idempotent call is not dispatched later than this after its
   // intent was sent off: its lane may have a new owner by then.
   std::chrono::milliseconds dispatch_window{3000};
