--- a/source/server/call_router.cc
+++ b/source/server/call_router.cc
@@ -134,9 +134,11 @@
   // owns the lane no answer from the old owner is worth waiting for.
   const int lane = LaneOf(call.customer, call.program, lanes_);
   options.cancelled = [this, lane, &owner] {
-    const auto newest =
-        membership_.OwnerOf(lane, std::chrono::steady_clock::now());
-    return newest && newest->epoch > owner.epoch;
+    const auto at = std::chrono::steady_clock::now();
+    const auto newest = membership_.OwnerOf(lane, at);
+    // One that handed the lane over still answers what it runs.
+    return newest && newest->epoch > owner.epoch &&
+           !membership_.IsLive(owner.daemon, at);
   };
   options.on_data = [&](std::string_view data) {
     reader.Feed(data, [&](const AnswerFrame& frame) {
--- a/source/server/daemon.h
+++ b/source/server/daemon.h
@@ -32,8 +32,9 @@
  public:
   Daemon(Loop& loop, Settings settings);
 
-  // Listens and starts every role; returns the address bound.
-  std::string Start();
+  // Listens and starts every role; returns the address bound. `on_refused`
+  // gets the reason when this daemon cannot be one of the fleet.
+  std::string Start(std::function<void(const std::string&)> on_refused);
 
   // A planned stop: no new work, lanes handed over, requests in flight
   // answered. Calls `on_drained` at the end.
@@ -47,9 +48,12 @@
   bool ready() const;
   // Whether the program has ended, as its owner says.
   bool HasEnded(Fiber& fiber, const ProgramKey& program);
+  void DrainAll(Fiber& fiber);
+  void AgreeOnLanes(Fiber& fiber);
 
   Loop& loop_;
   Settings settings_;
+  std::function<void(const std::string&)> on_refused_;
   EventLog log_;
   HttpClient http_;
   HttpServer server_;
@@ -63,6 +67,7 @@
   EngineClient engines_;
   ToolClient tools_;
   BackendChooser chooser_;
+  OutcomeRelay relay_;
   CallJournal journal_;
   CallLimits limits_;
   CustomerSlots slots_;
