Wait for the lane's loss as an event in the frozen owner's test

The wait asked who owns the lane now. Since lanes move back to a daemon that lives again, that state can pass unseen: the test failed once in a full run under load (waited in vain for 30 s). The old owner's own lane_lost event is as strict and stays.

--- a/tests/process/answers_test.cc
+++ b/tests/process/answers_test.cc
@@ -15,6 +15,7 @@
 using std::chrono::milliseconds;
 
 constexpr char kCustomer[] = "bandwerk";
+constexpr int kLateTurns = 12;
 constexpr int kLongAnswer = 300;  // Tokens, some 0.6 s of generation.
 
 // The whole answer of the stand-in engine to a program's first turn.
@@ -112,7 +113,8 @@
   InCluster({}, [](Fiber&, Cluster& cluster) {
     FaultEngines(cluster, "late", 2, milliseconds(500));
     std::vector<std::unique_ptr<Turn>> turns;
-    for (int i = 0; i < 12; ++i) {
+    turns.reserve(kLateTurns);
+    for (int i = 0; i < kLateTurns; ++i) {
       turns.push_back(std::make_unique<Turn>(
           cluster, "late-" + std::to_string(i), "same-key",
           "question " + std::to_string(i), i % cluster.daemons(), 8));
@@ -125,7 +127,7 @@
       }
       return ended >= 4;
     });
-    for (int i = 0; i < 12; ++i) {
+    for (int i = 0; i < kLateTurns; ++i) {
       const auto& answer = turns[static_cast<std::size_t>(i)]->Wait();
       BOOST_TEST(answer.status == 200);
       BOOST_TEST(answer.body == AnswerTo("question " + std::to_string(i), 8));
--- a/tests/process/at_most_once_test.cc
+++ b/tests/process/at_most_once_test.cc
@@ -118,9 +118,10 @@
     BOOST_TEST(booking.Settle(Other(cluster, owner, 2)).verdict ==
                "may_have_run");
     cluster.daemon(owner).Signal(SIGCONT);
-    cluster.WaitFor("the old owner to give the lane up", [&] {
-      return cluster.OwnerOf(kCustomer, booking.program()) != owner;
-    });
+    // The event, not the owner of the moment: lanes move back to a daemon
+    // that lives again.
+    cluster.WaitFor("the old owner to lose the lane",
+                    [&] { return cluster.EventSeen(owner, "lane_lost"); });
     BOOST_TEST(booking.Settle(owner).verdict == "may_have_run");
     BOOST_TEST(booking.Runs() == 1);
   });
