--- a/source/server/lane_owner.cc
+++ b/source/server/lane_owner.cc
@@ -131,6 +131,12 @@
   return out;
 }
 
+void LaneOwner::AppendLater(std::vector<LaneEntry> entries) {
+  if (!lost_) {
+    Enqueue(std::move(entries));
+  }
+}
+
 void LaneOwner::CommitLoop(Fiber& fiber) {
   while (!lost_) {
     const auto group = TakeGroup();
@@ -175,7 +181,6 @@
   for (const auto& it : group) {
     it->committed = true;
   }
-  CloseAbandonedIntents(group);
   if (state_.owner().empty()) {
     handed_over_ = true;
     lost_ = true;
@@ -184,23 +189,6 @@
   changed_.NotifyAll();
 }
 
-void LaneOwner::CloseAbandonedIntents(const Group& group) {
-  // Its caller was told "not run" and it will not be dispatched: without an
-  // outcome it would keep its program from going on.
-  for (const auto& it : group) {
-    if (!it->abandoned || !IsIntent(*it)) {
-      continue;
-    }
-    auto outcome = it->entries.front();
-    outcome.kind = EntryKind::kCallDone;
-    outcome.verdict = Verdict::kNotRun;
-    outcome.tokens = 0;
-    auto pending = std::make_shared<Pending>();
-    pending->entries.push_back(std::move(outcome));
-    pending_.push_back(std::move(pending));
-  }
-}
-
 bool LaneOwner::Confirm(Fiber& fiber) {
   const auto next = kv_.Get(fiber, BlockKey(state_.last_block() + 1));
   if (next && !lost_) {
--- a/source/server/lane_owner.h
+++ b/source/server/lane_owner.h
@@ -48,6 +48,10 @@
               std::vector<LaneEntry> entries,
               std::chrono::milliseconds timeout);
 
+  // Queues `entries` behind what waits already, to be committed whenever the
+  // service takes them, if the lane is still owned then.
+  void AppendLater(std::vector<LaneEntry> entries);
+
   // Asks the service whether this is still the lane's owner; what it read
   // from its state before is then known to have been the newest. Throws
   // KvUnavailable.
@@ -84,7 +88,6 @@
   Group TakeGroup();
   void CommitGroup(Fiber& fiber, const Group& group);
   void Committed(const LaneBlock& block, const Group& group);
-  void CloseAbandonedIntents(const Group& group);
   std::string BlockKey(std::int64_t number) const;
   LaneBlock MakeBlock(std::vector<LaneEntry> entries, std::int64_t epoch) const;
   bool TryCommit(Fiber& fiber, const LaneBlock& block);
