Let the owner's verdict arrive; settle lanes before a test fails them

Cause 1: entry and owner gave up at the same moment. Under load the entry was first and could only say 'may have run' of a call that its owner had refused: two_failures/refused_in_an_outage failed once in a full run. Cause 2: a started fleet moves its lanes for some seconds, so a test that killed the entry could kill a lane's new owner as well: answers/entry_killed waited in vain once. Tests that fail one daemon now take a program whose lane is where it stays. They ask the same of the daemons as before.

--- a/source/server/call_router.cc
+++ b/source/server/call_router.cc
@@ -12,6 +12,7 @@
 using std::chrono::milliseconds;
 
 constexpr milliseconds kOwnerRetry{50};
+constexpr milliseconds kVerdictGrace{2000};
 constexpr int kMisdirected = 421;
 
 // Passes each piece of an answer on once, though the call may be asked of
@@ -137,7 +138,9 @@
   FrameReader reader;
   bool done = false;
   HttpOptions options;
-  options.idle_timeout = call.deadline;
+  // The owner gives up at the deadline and knows whether the call ran; an
+  // entry that gave up at the same moment could only say that it may have.
+  options.idle_timeout = call.deadline + kVerdictGrace;
   // An owner that froze keeps its connections open: once another daemon
   // owns the lane no answer from the old owner is worth waiting for.
   const int lane = LaneOf(call.customer, call.program, lanes_);
--- a/tests/harness/cluster.cc
+++ b/tests/harness/cluster.cc
@@ -317,6 +317,24 @@
   return owner;
 }
 
+std::string Cluster::SettledProgram(const std::string& customer,
+                                    const std::string& stem) {
+  std::vector<std::string> ids;
+  ids.reserve(daemons_.size());
+  for (int i = 0; i < daemons(); ++i) {
+    ids.push_back("d" + std::to_string(i));
+  }
+  std::string out;
+  int n = 0;
+  WaitFor("a lane at the daemon it prefers", [&] {
+    out = stem + "-" + std::to_string(n++);
+    const auto lane = LaneOf(customer, out, kLanes);
+    const auto order = RendezvousOrder("lane/" + std::to_string(lane), ids);
+    return order.front() == "d" + std::to_string(OwnerOf(customer, out));
+  });
+  return out;
+}
+
 std::string QuoteContract() {
   return "[customer]\nname = bandwerk\napi_key_sha256 = " +
          Sha256Hex(kQuoteKey) +
--- a/tests/harness/cluster.h
+++ b/tests/harness/cluster.h
@@ -92,6 +92,10 @@
   bool EventSeen(int index, const std::string& event);
   // Index of the daemon that owns the program's lane; -1: none.
   int OwnerOf(const std::string& customer, const std::string& program);
+  // A program, named after `stem`, whose lane is with the daemon that it
+  // will stay with while all of them live.
+  std::string SettledProgram(const std::string& customer,
+                             const std::string& stem);
   // Runs the operators' tool.
   std::unique_ptr<Process> RunTool(const std::vector<std::string>& arguments);
   // Publishes the VM list; `leaving` names ids in that state.
--- a/tests/process/answers_test.cc
+++ b/tests/process/answers_test.cc
@@ -167,13 +167,14 @@
 
 BOOST_AUTO_TEST_CASE(entry_killed_and_the_answer_fetched_by_its_key) {
   InCluster({}, [](Fiber&, Cluster& cluster) {
-    const int owner = cluster.OwnerOf(kCustomer, "entry-killed");
+    const auto program = cluster.SettledProgram(kCustomer, "entry-killed");
+    const int owner = cluster.OwnerOf(kCustomer, program);
     const int entry = (owner + 1) % cluster.daemons();
-    Turn turn(cluster, "entry-killed", "k", "a tender", entry);
+    Turn turn(cluster, program, "k", "a tender", entry);
     turn.WaitForPieces();
     cluster.daemon(entry).Kill();
     BOOST_TEST(turn.Wait().status != 200);
-    const auto answer = Fetch(cluster, "entry-killed", "k", owner);
+    const auto answer = Fetch(cluster, program, "k", owner);
     BOOST_TEST(answer.body == AnswerTo("a tender", kLongAnswer));
     BOOST_TEST(EngineRuns(cluster) == 1);
   });
@@ -181,8 +182,9 @@
 
 BOOST_AUTO_TEST_CASE(owner_killed_and_its_successor_goes_on_with_the_stream) {
   InCluster({}, [](Fiber&, Cluster& cluster) {
-    const int owner = cluster.OwnerOf(kCustomer, "owner-killed");
-    Turn turn(cluster, "owner-killed", "k", "a tender",
+    const auto program = cluster.SettledProgram(kCustomer, "owner-killed");
+    const int owner = cluster.OwnerOf(kCustomer, program);
+    Turn turn(cluster, program, "k", "a tender",
               (owner + 1) % cluster.daemons());
     turn.WaitForPieces();
     cluster.daemon(owner).Kill();
@@ -240,9 +242,10 @@
 
 BOOST_AUTO_TEST_CASE(caller_that_leaves_in_the_stream_finds_its_answer) {
   InCluster({}, [](Fiber& fiber, Cluster& cluster) {
-    const int owner = cluster.OwnerOf(kCustomer, "leaves");
+    const auto program = cluster.SettledProgram(kCustomer, "leaves");
+    const int owner = cluster.OwnerOf(kCustomer, program);
     const int entry = (owner + 1) % cluster.daemons();
-    Caller caller(fiber, cluster.http(), harness::kQuoteKey, "leaves");
+    Caller caller(fiber, cluster.http(), harness::kQuoteKey, program);
     int pieces = 0;
     struct Left {};
     BOOST_CHECK_THROW(caller.Ask(cluster.daemon(entry).address(), "k",
@@ -253,7 +256,7 @@
                                    }
                                  }),
                       Left);
-    const auto answer = Fetch(cluster, "leaves", "k", entry);
+    const auto answer = Fetch(cluster, program, "k", entry);
     BOOST_TEST(answer.body == AnswerTo("a tender", kLongAnswer));
     BOOST_TEST(EngineRuns(cluster) == 1);
   });
--- a/tests/process/at_most_once_test.cc
+++ b/tests/process/at_most_once_test.cc
@@ -62,7 +62,8 @@
 
 BOOST_AUTO_TEST_CASE(entry_killed_while_the_call_runs) {
   InCluster({}, [](Fiber&, Cluster& cluster) {
-    Booking booking(cluster, "entry-killed", "order");
+    Booking booking(cluster, cluster.SettledProgram(kCustomer, "entry-killed"),
+                    "order");
     const int owner = OwnerOf(cluster, booking.program());
     const int entry = Other(cluster, owner);
     HangTools(cluster, 1, milliseconds(800));
@@ -77,7 +78,8 @@
 
 BOOST_AUTO_TEST_CASE(owner_killed_after_dispatch_before_the_outcome) {
   InCluster({}, [](Fiber&, Cluster& cluster) {
-    Booking booking(cluster, "owner-killed", "order");
+    Booking booking(cluster, cluster.SettledProgram(kCustomer, "owner-killed"),
+                    "order");
     const int owner = OwnerOf(cluster, booking.program());
     HangTools(cluster, -1, milliseconds(400));
     booking.Start(Other(cluster, owner));
@@ -92,7 +94,9 @@
 
 BOOST_AUTO_TEST_CASE(owner_killed_between_the_intent_and_dispatch) {
   InCluster(PatientDaemons(), [](Fiber&, Cluster& cluster) {
-    Booking booking(cluster, "owner-killed-early", "order");
+    Booking booking(cluster,
+                    cluster.SettledProgram(kCustomer, "owner-killed-early"),
+                    "order");
     const int owner = OwnerOf(cluster, booking.program());
     const auto fault = "late " + NextBlock(cluster, booking.program());
     HoldIntent(cluster, booking.program(), seconds(20));
@@ -107,7 +111,8 @@
 
 BOOST_AUTO_TEST_CASE(owner_frozen_while_the_call_runs_wakes_after_takeover) {
   InCluster({}, [](Fiber&, Cluster& cluster) {
-    Booking booking(cluster, "owner-frozen", "order");
+    Booking booking(cluster, cluster.SettledProgram(kCustomer, "owner-frozen"),
+                    "order");
     const int owner = OwnerOf(cluster, booking.program());
     HangTools(cluster, 1, milliseconds(400));
     booking.Start(Other(cluster, owner));
@@ -129,7 +134,9 @@
 
 BOOST_AUTO_TEST_CASE(owner_frozen_before_dispatch_wakes_after_takeover) {
   InCluster(PatientDaemons(), [](Fiber&, Cluster& cluster) {
-    Booking booking(cluster, "owner-frozen-early", "order");
+    Booking booking(cluster,
+                    cluster.SettledProgram(kCustomer, "owner-frozen-early"),
+                    "order");
     const int owner = OwnerOf(cluster, booking.program());
     const auto fault = "late " + NextBlock(cluster, booking.program());
     HoldIntent(cluster, booking.program(), milliseconds(1000));
--- a/tests/process/engine_memory_test.cc
+++ b/tests/process/engine_memory_test.cc
@@ -119,7 +119,7 @@
 
 BOOST_AUTO_TEST_CASE(owner_killed_while_the_hold_is_made) {
   InCluster({}, [](Fiber& fiber, Cluster& cluster) {
-    const std::string program = "owner-dies";
+    const auto program = cluster.SettledProgram(kCustomer, "owner-dies");
     const int owner = cluster.OwnerOf(kCustomer, program);
     const int other = (owner + 1) % cluster.daemons();
     const auto ended = AskBeside(cluster, program, owner, kLongAnswer);
@@ -141,7 +141,7 @@
 
 BOOST_AUTO_TEST_CASE(owner_frozen_before_dispatch_holds_nothing_when_it_wakes) {
   InCluster(PatientDaemons(), [](Fiber& fiber, Cluster& cluster) {
-    const std::string program = "owner-freezes";
+    const auto program = cluster.SettledProgram(kCustomer, "owner-freezes");
     const int owner = cluster.OwnerOf(kCustomer, program);
     const int other = (owner + 1) % cluster.daemons();
     const int lane = LaneOf(kCustomer, program, Cluster::kLanes);
--- a/tests/process/leaving_test.cc
+++ b/tests/process/leaving_test.cc
@@ -176,7 +176,7 @@
 // journal meanwhile.
 BOOST_AUTO_TEST_CASE(call_that_waited_for_the_journal_goes_elsewhere) {
   InCluster(PatientDaemons(), [](Fiber&, Cluster& cluster) {
-    const std::string program = "waits";
+    const auto program = cluster.SettledProgram("bandwerk", "waits");
     const int owner = cluster.OwnerOf("bandwerk", program);
     const int lane = LaneOf("bandwerk", program, Cluster::kLanes);
     std::int64_t next = 0;
--- a/tests/process/two_failures_test.cc
+++ b/tests/process/two_failures_test.cc
@@ -45,7 +45,8 @@
   InCluster(ShortDeadline(), [&](Fiber&, Cluster& cluster) {
     const auto& first = FailureNamed(pair.first);
     const auto& second = FailureNamed(pair.second);
-    Booking booking(cluster, "pair", "order");
+    Booking booking(cluster, cluster.SettledProgram("bandwerk", "pair"),
+                    "order");
     Scene scene{cluster, booking};
     scene.owner = cluster.OwnerOf("bandwerk", booking.program());
     scene.entry = (scene.owner + 1) % cluster.daemons();
