--- a/source/server/daemon.cc
+++ b/source/server/daemon.cc
@@ -85,6 +85,15 @@
       reaper_(loop, lanes_, contracts_, log_),
       budgets_(loop, kv_, contracts_, log_),
       strays_(loop, engines_, backends_, log_),
+      sealer_(lanes_),
+      reclaimer_(loop,
+                 http_,
+                 kv_,
+                 membership_,
+                 sealer_,
+                 log_,
+                 budgets_.run(),
+                 settings_.lanes),
       model_runner_(loop,
                     strays_,
                     engines_,
@@ -172,6 +181,7 @@
   contracts_.Start(
       [this](Fiber& fiber) { return contract_peers_.Fetch(fiber); });
   budgets_.Start();
+  reclaimer_.Start();
   reaper_.Start();
   backends_.Start();
   lanes_.OnApplied([this](const LaneOwner& owner, const LaneBlock& block) {
@@ -180,7 +190,10 @@
   strays_.OnAskEnded([this](Fiber& fiber, const ProgramKey& program) {
     return HasEnded(fiber, program);
   });
-  lanes_.OnChange([this] { peers_.Announce(); });
+  lanes_.OnChange([this] {
+    budgets_.Distrust();
+    peers_.Announce();
+  });
   peers_.Start([this] {
     membership_.self().contracts_revision = contracts_.revision();
     for (const auto& [daemon, heartbeat] : membership_.peers()) {
@@ -253,6 +266,7 @@
         !peer_api_.Handle(fiber, request, exchange) &&
         !contract_peers_.Handle(request, exchange) &&
         !listing_.Handle(request, exchange) &&
+        !sealer_.Handle(fiber, request, exchange) &&
         !operator_api_.Handle(request, exchange)) {
       throw CallError(404, "no_such_path", "see the README for the paths",
                       Verdict::kNotRun);
--- a/source/server/daemon.h
+++ b/source/server/daemon.h
@@ -9,6 +9,7 @@
 #include "platform/vm_list_client.h"
 #include "server/backend_directory.h"
 #include "server/budget_ledger.h"
+#include "server/budget_reclaimer.h"
 #include "server/call_router.h"
 #include "server/call_runner.h"
 #include "server/caller_api.h"
@@ -78,6 +79,8 @@
   ProgramReaper reaper_;
   BudgetLedger budgets_;
   StrayHolds strays_;
+  GrantSealer sealer_;
+  BudgetReclaimer reclaimer_;
   ModelRunner model_runner_;
   ToolRunner tool_runner_;
   ProgramRequests requests_;
