--- a/tests/process/leaving_test.cc
+++ b/tests/process/leaving_test.cc
@@ -45,6 +45,7 @@
 
   int answered() const { return shared_->answered; }
   int failed() const { return shared_->failed; }
+  const std::string& first_failure() const { return shared_->first_failure; }
   void Stop() {
     shared_->stop = true;
     cluster_.WaitFor("the load to end", [&] { return shared_->running == 0; });
@@ -56,6 +57,7 @@
     int running = 0;
     int answered = 0;
     int failed = 0;
+    std::string first_failure;
   };
 
   static void Call(Fiber& fiber, Cluster& cluster, Shared& shared, int index) {
@@ -66,10 +68,14 @@
           fiber, cluster.http(), harness::kQuoteKey,
           "load-" + std::to_string(index) + "-" + std::to_string(n / kTurns));
       const auto key = std::to_string(n);
-      const bool good =
-          caller.Ask(address, "t" + key, "go on", 2).status == 200 &&
-          caller.Use(address, "u" + key, "stock_lookup", {{"n", n}}).status ==
-              200;
+      auto answer = caller.Ask(address, "t" + key, "go on", 2);
+      if (answer.status == 200) {
+        answer = caller.Use(address, "u" + key, "stock_lookup", {{"n", n}});
+      }
+      const bool good = answer.status == 200;
+      if (!good && shared.first_failure.empty()) {
+        shared.first_failure = answer.body;
+      }
       ++(good ? shared.answered : shared.failed);
     }
   }
@@ -140,7 +146,7 @@
     load.Stop();
     BOOST_TEST(RunsAfter(cluster.Audit(cluster.engine(0)), limit) == 0);
     BOOST_TEST(RunsAfter(cluster.Audit(cluster.tool_server(0)), limit) == 0);
-    BOOST_TEST(load.failed() == 0);
+    BOOST_TEST(load.failed() == 0, load.first_failure());
   });
 }
 
