--- a/source/server/call_runner.cc
+++ b/source/server/call_runner.cc
@@ -92,6 +92,10 @@
       requests_.End(fiber, context);
       break;
     case Operation::kHistory:
+      // A superseded owner does not know the newest calls.
+      if (Superseded(fiber, *context.lane)) {
+        throw NotOwner("another daemon owns the lane");
+      }
       requests_.ReadHistory(context);
       break;
     case Operation::kAnswer:
--- a/source/server/lane_owner.cc
+++ b/source/server/lane_owner.cc
@@ -12,6 +12,8 @@
 namespace {
 
 constexpr std::chrono::milliseconds kFirstBackoff{50};
+// Under a storm of refusals the fleet reads so often for each lane.
+constexpr std::chrono::milliseconds kConfirmInterval{200};
 constexpr std::chrono::milliseconds kMostBackoff{2000};
 constexpr int kJitterPercent = 50;
 constexpr int kUnavailable = 503;  // HTTP status.
@@ -72,7 +74,8 @@
       pacer_(pacer),
       lane_(lane),
       journal_(kv, lane),
-      changed_(loop) {}
+      changed_(loop),
+      confirm_(loop, kConfirmInterval) {}
 
 LaneOwner::~LaneOwner() = default;
 
@@ -252,6 +255,11 @@
 }
 
 bool LaneOwner::Confirm(Fiber& fiber) {
+  return confirm_.Run(fiber,
+                      [this](Fiber& reader) { return ReadNextBlock(reader); });
+}
+
+bool LaneOwner::ReadNextBlock(Fiber& fiber) {
   const auto next = journal_.Read(fiber, state_.last_block() + 1);
   if (next && !lost_ &&
       (next->owner != log_.daemon() || next->epoch != epoch())) {
--- a/source/server/lane_owner.h
+++ b/source/server/lane_owner.h
@@ -17,6 +17,7 @@
 #include "net/loop.h"
 #include "server/lane_journal.h"
 #include "server/lane_settings.h"
+#include "server/shared_check.h"
 
 namespace comfreyfold {
 
@@ -64,8 +65,8 @@
               std::chrono::milliseconds timeout);
 
   // Asks the service whether this is still the lane's owner; what it read
-  // from its state before is then known to have been the newest. Throws
-  // KvUnavailable.
+  // from its state before is then known to have been the newest. Callers
+  // share the reads, however many ask. Throws KvUnavailable.
   bool Confirm(Fiber& fiber);
 
   // A heartbeat showed a newer owner: without an append of its own this
@@ -107,6 +108,7 @@
   void CommitGroup(Fiber& fiber, const Group& group);
   void Committed(const LaneBlock& block, const Group& group);
   LaneBlock MakeBlock(std::vector<LaneEntry> entries, std::int64_t epoch) const;
+  bool ReadNextBlock(Fiber& fiber);
   void CheckSize(const std::vector<LaneEntry>& entries) const;
   void CommitLoop(Fiber& fiber);
   void Lose(const std::string& why);
@@ -129,6 +131,7 @@
   bool in_doubt_ = false;
   std::deque<std::shared_ptr<Pending>> pending_;
   Condition changed_;
+  SharedCheck confirm_;
   AppliedHook on_applied_;
 };
 
