Probe a few peers a round in a large fleet and spread what changed as news

Cause: each daemon exchanged heartbeats with every other each round. Ruled out: longer intervals (a death would be seen after minutes), heartbeats by digest of the whole table (3 KB a message, seconds of delay), the key-value service as the meeting place (390 reads of 390 members). Now, past every_peer_up_to peers, a daemon probes two a round in the manner of SWIM; deaths, owners and newcomers ride on the probes, and the detector tells the next owners at once. Members are listed each 30 s instead of 2 s there.

--- a/bench/process/slopes.cc
+++ b/bench/process/slopes.cc
@@ -19,6 +19,7 @@
 using Clock = std::chrono::steady_clock;
 
 constexpr std::chrono::seconds kRestTime{6};
+constexpr std::chrono::seconds kSettleTime{10};
 constexpr std::chrono::seconds kOutage{10};
 constexpr double kMicrosecondsPerSecond = 1e6;
 constexpr int kCallers = 16;
@@ -167,6 +168,8 @@
 };
 
 RestFigures MeasureRest(Fiber& fiber, Cluster& cluster) {
+  // The news of the start is still under way.
+  fiber.Sleep(kSettleTime);
   const auto start = Clock::now();
   const auto usage = UsageOf(cluster);
   const double control = MetricSum(fiber, cluster, kControlBytes);
--- a/source/core/membership.cc
+++ b/source/core/membership.cc
@@ -1,12 +1,30 @@
 #include "core/membership.h"
 
 #include <algorithm>
+#include <bit>
+#include <functional>
+#include <tuple>
 #include <utility>
 
 #include "core/hash.h"
 
 namespace comfreyfold {
 
+namespace {
+
+// Each item of news goes on this many messages for each doubling of the
+// fleet, which reaches all of it but with negligible probability.
+constexpr int kMessagesPerDoubling = 3;
+// Keeps a message within a packet or two.
+constexpr std::size_t kMostNews = 8;
+
+bool SameState(const Heartbeat& a, const Heartbeat& b) {
+  return a.address == b.address && a.draining == b.draining &&
+         a.lanes == b.lanes && a.incarnation == b.incarnation;
+}
+
+}  // namespace
+
 Membership::Membership(Heartbeat self, std::chrono::milliseconds timeout)
     : self_(std::move(self)), timeout_(timeout) {}
 
@@ -14,6 +32,20 @@
   if (heartbeat.daemon == self_.daemon) {
     return;
   }
+  const auto known = peers_.find(heartbeat.daemon);
+  const bool changed =
+      known == peers_.end() || !SameState(known->second, heartbeat);
+  const auto dead = dead_.find(heartbeat.daemon);
+  if (dead != dead_.end()) {
+    // It may not know yet that it has to deny its death.
+    if (heartbeat.incarnation <= dead->second) {
+      return;
+    }
+    dead_.erase(dead);
+  }
+  if (changed) {
+    Spread(heartbeat.daemon);
+  }
   peers_[heartbeat.daemon] = heartbeat;
   last_heard_[heartbeat.daemon] = now;
   for (const auto& it : heartbeat.lanes) {
@@ -24,14 +56,122 @@
 
 void Membership::Suspect(const std::string& daemon) {
   last_heard_.erase(daemon);
+  const auto known = peers_.find(daemon);
+  if (!samples() || known == peers_.end() || dead_.contains(daemon)) {
+    return;
+  }
+  dead_[daemon] = known->second.incarnation;
+  Spread(daemon);
+}
+
+void Membership::Spread(const std::string& daemon) {
+  const auto doublings = std::bit_width(peers_.size() + 1);
+  to_spread_[daemon] = kMessagesPerDoubling * static_cast<int>(doublings);
+}
+
+bool Membership::IsNewer(const Heartbeat& heartbeat) const {
+  const auto known = peers_.find(heartbeat.daemon);
+  return known == peers_.end() ||
+         std::tie(heartbeat.incarnation, heartbeat.clock) >
+             std::tie(known->second.incarnation, known->second.clock);
+}
+
+void Membership::TakeNews(const Heartbeat& heartbeat, TimePoint now) {
+  // News goes round in circles: only what is newer tells of a life.
+  if (IsNewer(heartbeat)) {
+    Observe(heartbeat, now);
+  }
+}
+
+void Membership::TakeDeath(const DeadMember& dead) {
+  if (dead.daemon == self_.daemon) {
+    self_.incarnation = std::max(self_.incarnation, dead.incarnation + 1);
+    return;
+  }
+  const auto known = peers_.find(dead.daemon);
+  if (known == peers_.end() || dead_.contains(dead.daemon)) {
+    return;
+  }
+  if (known->second.incarnation <= dead.incarnation) {
+    dead_[dead.daemon] = dead.incarnation;
+  }
+  // Else it denied that already, which the teller has yet to hear.
+  Spread(dead.daemon);
+}
+
+void Membership::Take(const MemberMessage& message, TimePoint now) {
+  for (const auto& it : message.dead) {
+    TakeDeath(it);
+  }
+  for (const auto& it : message.news) {
+    TakeNews(it, now);
+  }
+  Observe(message.sender, now);
+}
+
+void Membership::AddNews(const std::string& daemon,
+                         MemberMessage& message) const {
+  const auto dead = dead_.find(daemon);
+  if (dead != dead_.end()) {
+    message.dead.push_back({daemon, dead->second});
+    return;
+  }
+  const auto known = peers_.find(daemon);
+  if (known != peers_.end()) {
+    message.news.push_back(known->second);
+  }
+}
+
+int Membership::Urgency(const std::string& daemon) const {
+  // When a whole fleet restarts there is news of everyone: a death has to
+  // pass it, for a lane waits for its next owner, and then the owners.
+  if (dead_.contains(daemon)) {
+    return 2;
+  }
+  const auto known = peers_.find(daemon);
+  return known != peers_.end() && !known->second.lanes.empty() ? 1 : 0;
+}
+
+MemberMessage Membership::Compose(const std::string& peer, std::int64_t clock) {
+  MemberMessage out;
+  out.sender = self_;
+  out.sender.clock = clock;
+  if (dead_.contains(peer)) {
+    AddNews(peer, out);
+  }
+  if (!samples()) {
+    return out;
+  }
+  std::vector<std::tuple<int, int, std::string>> items;
+  for (const auto& [daemon, left] : to_spread_) {
+    if (daemon != peer) {
+      items.emplace_back(Urgency(daemon), left, daemon);
+    }
+  }
+  // What has been told least comes first within its urgency.
+  const auto n = std::min(items.size(), kMostNews);
+  std::partial_sort(items.begin(),
+                    items.begin() + static_cast<std::ptrdiff_t>(n), items.end(),
+                    std::greater<>());
+  items.resize(n);
+  for (const auto& [urgency, left, daemon] : items) {
+    AddNews(daemon, out);
+    if (--to_spread_[daemon] <= 0) {
+      to_spread_.erase(daemon);
+    }
+  }
+  return out;
 }
 
 bool Membership::IsLive(const std::string& daemon, TimePoint now) const {
   if (daemon == self_.daemon) {
     return true;
   }
+  if (dead_.contains(daemon)) {
+    return false;
+  }
   const auto it = last_heard_.find(daemon);
-  return it != last_heard_.end() && now - it->second < timeout_;
+  return it != last_heard_.end() && now - it->second < timeout_ + probe_round_;
 }
 
 std::vector<std::string> Membership::Eligible(TimePoint now) const {
--- a/source/server/daemon.cc
+++ b/source/server/daemon.cc
@@ -17,6 +17,10 @@
   out.daemon = settings.daemon;
   out.data_centre = settings.data_centre;
   out.has_data_folder = !settings.data_folder.empty();
+  // A later run of the same daemon denies what was said of an earlier one.
+  out.incarnation = std::chrono::duration_cast<std::chrono::microseconds>(
+                        std::chrono::system_clock::now().time_since_epoch())
+                        .count();
   return out;
 }
 
@@ -104,13 +108,7 @@
                   metrics_,
                   settings_.call_deadline),
       peer_api_(membership_, runner_, log_),
-      peers_(loop,
-             http_,
-             kv_,
-             log_,
-             membership_,
-             settings_.heartbeat_interval,
-             settings_.member_lease),
+      peers_(loop, http_, kv_, log_, membership_, settings_.peers),
       operator_api_(membership_,
                     contracts_,
                     backends_,
--- a/source/server/peer_api.cc
+++ b/source/server/peer_api.cc
@@ -80,12 +80,11 @@
 
 void PeerApi::HandleHeartbeat(const HttpRequest& request,
                               HttpExchange& exchange) {
-  const auto heartbeat = DecodeHeartbeat(request.body);
-  log_.Receive(heartbeat.clock);
-  membership_.Observe(heartbeat, std::chrono::steady_clock::now());
-  auto self = membership_.self();
-  self.clock = log_.Stamp();
-  exchange.Reply(200, kThriftType, Encode(self));
+  const auto message = DecodeMemberMessage(request.body);
+  log_.Receive(message.sender.clock);
+  membership_.Take(message, std::chrono::steady_clock::now());
+  const auto reply = membership_.Compose(message.sender.daemon, log_.Stamp());
+  exchange.Reply(200, kThriftType, Encode(reply));
 }
 
 }  // namespace comfreyfold
--- a/source/server/peer_links.cc
+++ b/source/server/peer_links.cc
@@ -2,6 +2,7 @@
 
 #include <utility>
 
+#include "core/hash.h"
 #include "wire/codec.h"
 
 namespace comfreyfold {
@@ -9,6 +10,7 @@
 namespace {
 constexpr char kMemberPrefix[] = "members/";
 constexpr std::chrono::milliseconds kMembersInterval{2000};
+constexpr std::chrono::milliseconds kMembersIntervalOfLargeFleet{30000};
 constexpr std::chrono::milliseconds kRegisterRetry{500};
 }  // namespace
 
@@ -17,15 +19,14 @@
                      KvClient& kv,
                      EventLog& log,
                      Membership& membership,
-                     std::chrono::milliseconds interval,
-                     std::chrono::seconds lease)
+                     const PeerLinkOptions& options)
     : loop_(loop),
       http_(http),
       kv_(kv),
       log_(log),
       membership_(membership),
-      interval_(interval),
-      lease_(lease) {}
+      options_(options),
+      ring_(Hash64(membership.self().daemon)) {}
 
 void PeerLinks::Start(std::function<void()> on_round) {
   on_round_ = std::move(on_round);
@@ -37,10 +38,10 @@
 void PeerLinks::Register(Fiber& fiber) {
   std::int64_t lease = 0;
   while (true) {
-    auto pause = std::chrono::milliseconds(lease_) / 3;
+    auto pause = std::chrono::milliseconds(options_.lease) / 3;
     try {
       if (lease == 0 || !kv_.KeepAlive(fiber, lease)) {
-        lease = kv_.GrantLease(fiber, lease_);
+        lease = kv_.GrantLease(fiber, options_.lease);
         KvTxn txn;
         txn.puts.push_back({kMemberPrefix + membership_.self().daemon,
                             membership_.self().address, lease});
@@ -66,14 +67,18 @@
     } catch (const KvUnavailable&) {
       // The last list stands; peers that live keep answering heartbeats.
     }
-    fiber.Sleep(addresses_.empty() ? interval_ : kMembersInterval);
+    // In a large fleet the members tell each other of newcomers; the list
+    // only joins parts that have lost each other.
+    const auto pause =
+        membership_.samples() ? kMembersIntervalOfLargeFleet : kMembersInterval;
+    fiber.Sleep(addresses_.empty() ? options_.interval : pause);
   }
 }
 
 void PeerLinks::Beat(Fiber& fiber) {
   while (true) {
     Announce();
-    fiber.Sleep(interval_);
+    fiber.Sleep(options_.interval);
     on_round_();
   }
 }
@@ -85,37 +90,94 @@
       addresses.insert(heartbeat.address);
     }
   }
+  const auto peers = addresses.size();
+  const auto every = static_cast<std::size_t>(options_.every_peer_up_to);
+  const auto probes = static_cast<std::size_t>(options_.probes);
+  if (peers <= every) {
+    membership_.set_probe_round({});
+    StartExchanges({addresses.begin(), addresses.end()});
+    return;
+  }
+  // The ring visits each peer at least once in two passes.
+  constexpr int kPasses = 2;
+  membership_.set_probe_round(options_.interval * kPasses *
+                              static_cast<int>(peers / probes + 1));
+  StartExchanges(ring_.Next(addresses, probes));
+}
+
+void PeerLinks::StartExchanges(const std::vector<std::string>& addresses) {
   for (const auto& it : addresses) {
     // A peer that does not answer is not asked twice at the same time.
     if (busy_.insert(it).second) {
-      loop_.Spawn([this, it](Fiber& child) { Exchange(child, it); });
+      loop_.Spawn([this, it](Fiber& child) { Probe(child, it); });
+    }
+  }
+}
+
+std::string PeerLinks::DaemonAt(const std::string& address) const {
+  for (const auto& [daemon, heartbeat] : membership_.peers()) {
+    if (heartbeat.address == address) {
+      return daemon;
+    }
+  }
+  return {};
+}
+
+void PeerLinks::Probe(Fiber& fiber, const std::string& address) {
+  // Twice in a large fleet, where one failure is enough to be called dead.
+  const bool reached = Exchange(fiber, address) ||
+                       (membership_.samples() && Exchange(fiber, address));
+  busy_.erase(address);
+  const auto daemon = DaemonAt(address);
+  if (!reached && membership_.samples() && !daemon.empty()) {
+    Accuse(daemon);
+  }
+}
+
+void PeerLinks::Accuse(const std::string& daemon) {
+  const auto now = std::chrono::steady_clock::now();
+  if (!membership_.IsLive(daemon, now)) {
+    return;
+  }
+  const auto lanes = membership_.peers().at(daemon).lanes;
+  membership_.Suspect(daemon);
+  log_.Write({.name = "peer_unreachable", .peer = daemon});
+  // Those that should take its lanes are told at once; the rest hear of it
+  // as news.
+  std::set<std::string> successors;
+  for (const auto& it : lanes) {
+    const auto successor = membership_.PreferredOwner(it.lane, now);
+    const auto known = membership_.peers().find(successor);
+    if (known != membership_.peers().end()) {
+      successors.insert(known->second.address);
     }
   }
+  StartExchanges({successors.begin(), successors.end()});
 }
 
-void PeerLinks::Exchange(Fiber& fiber, const std::string& address) {
-  auto self = membership_.self();
-  self.clock = log_.Stamp();
+bool PeerLinks::Exchange(Fiber& fiber, const std::string& address) {
+  const auto message = membership_.Compose(DaemonAt(address), log_.Stamp());
   HttpOptions options;
-  options.connect_timeout = interval_ * 2;
-  options.idle_timeout = interval_ * 2;
+  options.connect_timeout = options_.interval * 2;
+  options.idle_timeout = options_.interval * 2;
   try {
     const auto reply =
         http_.Send(fiber, address,
                    {"POST",
                     "/peer/heartbeat",
                     {{"Content-Type", "application/vnd.apache.thrift.compact"}},
-                    Encode(self)},
+                    Encode(message)},
                    options);
     if (reply.status == 200) {
-      const auto peer = DecodeHeartbeat(reply.body);
-      log_.Receive(peer.clock);
-      membership_.Observe(peer, std::chrono::steady_clock::now());
+      const auto answer = DecodeMemberMessage(reply.body);
+      log_.Receive(answer.sender.clock);
+      membership_.Take(answer, std::chrono::steady_clock::now());
+      return true;
     }
   } catch (const std::runtime_error&) {
     // Silence is what the timeout of the membership is for.
   }
-  busy_.erase(address);
+  return false;
 }
 
 }  // namespace comfreyfold
--- a/source/server/peer_links.h
+++ b/source/server/peer_links.h
@@ -7,12 +7,21 @@
 #include <string>
 
 #include "core/membership.h"
+#include "core/probe_ring.h"
 #include "log/event_log.h"
 #include "net/http_client.h"
 #include "platform/kv_client.h"
 
 namespace comfreyfold {
 
+struct PeerLinkOptions {
+  std::chrono::milliseconds interval{300};
+  std::chrono::seconds lease{30};
+  // With more peers than this each round probes only some of them.
+  int every_peer_up_to = 8;
+  int probes = 2;
+};
+
 // Finds the other daemons through leased keys in the key-value service and
 // exchanges heartbeats with them.
 class PeerLinks {
@@ -22,8 +31,7 @@
             KvClient& kv,
             EventLog& log,
             Membership& membership,
-            std::chrono::milliseconds interval,
-            std::chrono::seconds lease);
+            const PeerLinkOptions& options);
 
   // `on_round` runs after each round of heartbeats.
   void Start(std::function<void()> on_round);
@@ -35,15 +43,19 @@
   void Register(Fiber& fiber);
   void FollowMembers(Fiber& fiber);
   void Beat(Fiber& fiber);
-  void Exchange(Fiber& fiber, const std::string& address);
+  void StartExchanges(const std::vector<std::string>& addresses);
+  void Probe(Fiber& fiber, const std::string& address);
+  void Accuse(const std::string& daemon);
+  std::string DaemonAt(const std::string& address) const;
+  bool Exchange(Fiber& fiber, const std::string& address);
 
   Loop& loop_;
   HttpClient& http_;
   KvClient& kv_;
   EventLog& log_;
   Membership& membership_;
-  std::chrono::milliseconds interval_;
-  std::chrono::seconds lease_;
+  PeerLinkOptions options_;
+  ProbeRing ring_;
   std::function<void()> on_round_;
   std::set<std::string> addresses_;
   std::set<std::string> busy_;
--- a/source/server/settings.cc
+++ b/source/server/settings.cc
@@ -16,6 +16,7 @@
 constexpr int kMostLanes = 4096;
 constexpr std::int64_t kLeastRecentBytes = 64LL * 1024;
 constexpr std::int64_t kMostRecentBytes = 64LL * 1024 * 1024;
+constexpr int kMostPeersEachRound = 64;
 constexpr int kMostConnections = 100000;
 constexpr std::int64_t kLeastBodyBytes = 1024;
 constexpr std::int64_t kMostBodyBytes = 256LL * 1024 * 1024;
@@ -90,12 +91,15 @@
   TakeContracts(reader, out.contracts);
 
   reader.Take("lanes", "count", out.lanes, 1, kMostLanes);
-  reader.Take("members", "heartbeat_interval", out.heartbeat_interval,
+  reader.Take("members", "heartbeat_interval", out.peers.interval,
               milliseconds(10), seconds(10));
   reader.Take("members", "heartbeat_timeout", out.heartbeat_timeout,
               milliseconds(50), minutes(1));
-  reader.Take("members", "lease", out.member_lease, seconds(2), minutes(10));
-  if (out.heartbeat_timeout < 2 * out.heartbeat_interval) {
+  reader.Take("members", "lease", out.peers.lease, seconds(2), minutes(10));
+  reader.Take("members", "every_peer_up_to", out.peers.every_peer_up_to, 0,
+              kMostPeersEachRound);
+  reader.Take("members", "probes", out.peers.probes, 1, kMostPeersEachRound);
+  if (out.heartbeat_timeout < 2 * out.peers.interval) {
     reader.Fault("members", "heartbeat_timeout",
                  "write at least twice heartbeat_interval");
   }
--- a/source/server/settings.h
+++ b/source/server/settings.h
@@ -7,6 +7,7 @@
 #include "log/event_log.h"
 #include "net/http_server.h"
 #include "server/contract_store.h"
+#include "server/peer_links.h"
 
 namespace comfreyfold {
 
@@ -27,9 +28,8 @@
   ContractSettings contracts;
 
   int lanes = 24;
-  std::chrono::milliseconds heartbeat_interval{300};
+  PeerLinkOptions peers;
   std::chrono::milliseconds heartbeat_timeout{1500};
-  std::chrono::seconds member_lease{30};
 
   std::chrono::milliseconds call_deadline{60000};
   std::chrono::milliseconds load_interval{500};
--- a/source/wire/codec.cc
+++ b/source/wire/codec.cc
@@ -92,6 +92,41 @@
   return out;
 }
 
+wire::Heartbeat ToWire(const Heartbeat& heartbeat) {
+  wire::Heartbeat out;
+  out.daemon = heartbeat.daemon;
+  out.address = heartbeat.address;
+  out.data_centre = heartbeat.data_centre;
+  out.draining = heartbeat.draining;
+  for (const auto& it : heartbeat.lanes) {
+    wire::OwnedLane lane;
+    lane.lane = it.lane;
+    lane.epoch = it.epoch;
+    out.lanes.push_back(lane);
+  }
+  out.contracts_revision = heartbeat.contracts_revision;
+  out.clock = heartbeat.clock;
+  out.has_data_folder = heartbeat.has_data_folder;
+  out.incarnation = heartbeat.incarnation;
+  return out;
+}
+
+Heartbeat FromWire(const wire::Heartbeat& heartbeat) {
+  Heartbeat out;
+  out.daemon = heartbeat.daemon;
+  out.address = heartbeat.address;
+  out.data_centre = heartbeat.data_centre;
+  out.draining = heartbeat.draining;
+  for (const auto& it : heartbeat.lanes) {
+    out.lanes.push_back({it.lane, it.epoch});
+  }
+  out.contracts_revision = heartbeat.contracts_revision;
+  out.clock = heartbeat.clock;
+  out.has_data_folder = heartbeat.has_data_folder;
+  out.incarnation = heartbeat.incarnation;
+  return out;
+}
+
 }  // namespace
 
 std::string Encode(const LaneBlock& block) {
@@ -204,37 +239,31 @@
   return out;
 }
 
-std::string Encode(const Heartbeat& heartbeat) {
-  wire::Heartbeat out;
-  out.daemon = heartbeat.daemon;
-  out.address = heartbeat.address;
-  out.data_centre = heartbeat.data_centre;
-  out.draining = heartbeat.draining;
-  for (const auto& it : heartbeat.lanes) {
-    wire::OwnedLane lane;
-    lane.lane = it.lane;
-    lane.epoch = it.epoch;
-    out.lanes.push_back(lane);
+std::string Encode(const MemberMessage& message) {
+  wire::MemberMessage out;
+  out.sender = ToWire(message.sender);
+  for (const auto& it : message.news) {
+    out.news.push_back(ToWire(it));
+  }
+  for (const auto& it : message.dead) {
+    wire::DeadMember dead;
+    dead.daemon = it.daemon;
+    dead.incarnation = it.incarnation;
+    out.dead.push_back(dead);
   }
-  out.contracts_revision = heartbeat.contracts_revision;
-  out.clock = heartbeat.clock;
-  out.has_data_folder = heartbeat.has_data_folder;
   return Write(out);
 }
 
-Heartbeat DecodeHeartbeat(const std::string& buf) {
-  const auto in = Read<wire::Heartbeat>(buf);
-  Heartbeat out;
-  out.daemon = in.daemon;
-  out.address = in.address;
-  out.data_centre = in.data_centre;
-  out.draining = in.draining;
-  for (const auto& it : in.lanes) {
-    out.lanes.push_back({it.lane, it.epoch});
+MemberMessage DecodeMemberMessage(const std::string& buf) {
+  const auto in = Read<wire::MemberMessage>(buf);
+  MemberMessage out;
+  out.sender = FromWire(in.sender);
+  for (const auto& it : in.news) {
+    out.news.push_back(FromWire(it));
+  }
+  for (const auto& it : in.dead) {
+    out.dead.push_back({it.daemon, it.incarnation});
   }
-  out.contracts_revision = in.contracts_revision;
-  out.clock = in.clock;
-  out.has_data_folder = in.has_data_folder;
   return out;
 }
 
--- a/source/wire/codec.h
+++ b/source/wire/codec.h
@@ -70,12 +70,12 @@
 std::string Encode(const LaneBlock& block);
 std::string Encode(const ForwardedCall& call);
 std::string Encode(const AnswerFrame& frame);
-std::string Encode(const Heartbeat& heartbeat);
+std::string Encode(const MemberMessage& message);
 std::string Encode(const ContractSet& contracts);
 LaneBlock DecodeLaneBlock(const std::string& buf);
 ForwardedCall DecodeForwardedCall(const std::string& buf);
 AnswerFrame DecodeAnswerFrame(const std::string& buf);
-Heartbeat DecodeHeartbeat(const std::string& buf);
+MemberMessage DecodeMemberMessage(const std::string& buf);
 ContractSet DecodeContractSet(const std::string& buf);
 
 // Splits a stream of frames, each after its length in four bytes.
--- a/source/wire/comfreyfold.thrift
+++ b/source/wire/comfreyfold.thrift
@@ -80,4 +80,16 @@
   6: i64 contracts_revision,
   7: i64 clock,
   8: bool has_data_folder,
+  9: i64 incarnation,
+}
+
+struct DeadMember {
+  1: string daemon,
+  2: i64 incarnation,
+}
+
+struct MemberMessage {
+  1: Heartbeat sender,
+  2: list<Heartbeat> news,
+  3: list<DeadMember> dead,
 }
--- a/source/wire/gen/comfreyfold_types.cpp
+++ b/source/wire/gen/comfreyfold_types.cpp
@@ -1553,6 +1553,10 @@
 void Heartbeat::__set_has_data_folder(const bool val) {
   this->has_data_folder = val;
 }
+
+void Heartbeat::__set_incarnation(const int64_t val) {
+  this->incarnation = val;
+}
 std::ostream& operator<<(std::ostream& out, const Heartbeat& obj)
 {
   obj.printTo(out);
@@ -1657,6 +1661,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 9:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->incarnation);
+          this->__isset.incarnation = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -1714,6 +1726,10 @@
   xfer += oprot->writeBool(this->has_data_folder);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("incarnation", ::apache::thrift::protocol::T_I64, 9);
+  xfer += oprot->writeI64(this->incarnation);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -1729,6 +1745,7 @@
   swap(a.contracts_revision, b.contracts_revision);
   swap(a.clock, b.clock);
   swap(a.has_data_folder, b.has_data_folder);
+  swap(a.incarnation, b.incarnation);
   swap(a.__isset, b.__isset);
 }
 
@@ -1741,6 +1758,7 @@
   contracts_revision = other32.contracts_revision;
   clock = other32.clock;
   has_data_folder = other32.has_data_folder;
+  incarnation = other32.incarnation;
   __isset = other32.__isset;
 }
 Heartbeat& Heartbeat::operator=(const Heartbeat& other33) {
@@ -1752,6 +1770,7 @@
   contracts_revision = other33.contracts_revision;
   clock = other33.clock;
   has_data_folder = other33.has_data_folder;
+  incarnation = other33.incarnation;
   __isset = other33.__isset;
   return *this;
 }
@@ -1766,6 +1785,291 @@
   out << ", " << "contracts_revision=" << to_string(contracts_revision);
   out << ", " << "clock=" << to_string(clock);
   out << ", " << "has_data_folder=" << to_string(has_data_folder);
+  out << ", " << "incarnation=" << to_string(incarnation);
+  out << ")";
+}
+
+
+DeadMember::~DeadMember() noexcept {
+}
+
+
+void DeadMember::__set_daemon(const std::string& val) {
+  this->daemon = val;
+}
+
+void DeadMember::__set_incarnation(const int64_t val) {
+  this->incarnation = val;
+}
+std::ostream& operator<<(std::ostream& out, const DeadMember& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t DeadMember::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->daemon);
+          this->__isset.daemon = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->incarnation);
+          this->__isset.incarnation = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t DeadMember::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("DeadMember");
+
+  xfer += oprot->writeFieldBegin("daemon", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->daemon);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("incarnation", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->incarnation);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(DeadMember &a, DeadMember &b) {
+  using ::std::swap;
+  swap(a.daemon, b.daemon);
+  swap(a.incarnation, b.incarnation);
+  swap(a.__isset, b.__isset);
+}
+
+DeadMember::DeadMember(const DeadMember& other34) {
+  daemon = other34.daemon;
+  incarnation = other34.incarnation;
+  __isset = other34.__isset;
+}
+DeadMember& DeadMember::operator=(const DeadMember& other35) {
+  daemon = other35.daemon;
+  incarnation = other35.incarnation;
+  __isset = other35.__isset;
+  return *this;
+}
+void DeadMember::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "DeadMember(";
+  out << "daemon=" << to_string(daemon);
+  out << ", " << "incarnation=" << to_string(incarnation);
+  out << ")";
+}
+
+
+MemberMessage::~MemberMessage() noexcept {
+}
+
+
+void MemberMessage::__set_sender(const Heartbeat& val) {
+  this->sender = val;
+}
+
+void MemberMessage::__set_news(const std::vector<Heartbeat> & val) {
+  this->news = val;
+}
+
+void MemberMessage::__set_dead(const std::vector<DeadMember> & val) {
+  this->dead = val;
+}
+std::ostream& operator<<(std::ostream& out, const MemberMessage& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t MemberMessage::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->sender.read(iprot);
+          this->__isset.sender = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->news.clear();
+            uint32_t _size36;
+            ::apache::thrift::protocol::TType _etype39;
+            xfer += iprot->readListBegin(_etype39, _size36);
+            this->news.resize(_size36);
+            uint32_t _i40;
+            for (_i40 = 0; _i40 < _size36; ++_i40)
+            {
+              xfer += this->news[_i40].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.news = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->dead.clear();
+            uint32_t _size41;
+            ::apache::thrift::protocol::TType _etype44;
+            xfer += iprot->readListBegin(_etype44, _size41);
+            this->dead.resize(_size41);
+            uint32_t _i45;
+            for (_i45 = 0; _i45 < _size41; ++_i45)
+            {
+              xfer += this->dead[_i45].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.dead = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t MemberMessage::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("MemberMessage");
+
+  xfer += oprot->writeFieldBegin("sender", ::apache::thrift::protocol::T_STRUCT, 1);
+  xfer += this->sender.write(oprot);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("news", ::apache::thrift::protocol::T_LIST, 2);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->news.size()));
+    std::vector<Heartbeat> ::const_iterator _iter46;
+    for (_iter46 = this->news.begin(); _iter46 != this->news.end(); ++_iter46)
+    {
+      xfer += (*_iter46).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("dead", ::apache::thrift::protocol::T_LIST, 3);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->dead.size()));
+    std::vector<DeadMember> ::const_iterator _iter47;
+    for (_iter47 = this->dead.begin(); _iter47 != this->dead.end(); ++_iter47)
+    {
+      xfer += (*_iter47).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(MemberMessage &a, MemberMessage &b) {
+  using ::std::swap;
+  swap(a.sender, b.sender);
+  swap(a.news, b.news);
+  swap(a.dead, b.dead);
+  swap(a.__isset, b.__isset);
+}
+
+MemberMessage::MemberMessage(const MemberMessage& other48) {
+  sender = other48.sender;
+  news = other48.news;
+  dead = other48.dead;
+  __isset = other48.__isset;
+}
+MemberMessage& MemberMessage::operator=(const MemberMessage& other49) {
+  sender = other49.sender;
+  news = other49.news;
+  dead = other49.dead;
+  __isset = other49.__isset;
+  return *this;
+}
+void MemberMessage::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "MemberMessage(";
+  out << "sender=" << to_string(sender);
+  out << ", " << "news=" << to_string(news);
+  out << ", " << "dead=" << to_string(dead);
   out << ")";
 }
 
--- a/source/wire/gen/comfreyfold_types.h
+++ b/source/wire/gen/comfreyfold_types.h
@@ -37,6 +37,10 @@
 
 class Heartbeat;
 
+class DeadMember;
+
+class MemberMessage;
+
 typedef struct _LaneEntry__isset {
   _LaneEntry__isset() : kind(false), customer(false), program(false), key(false), call(false), call_kind(false), target(false), backend(false), idempotent(false), request(false), request_digest(false), verdict(false), status(false), answer(false), tokens(false), begun_at_ms(false) {}
   bool kind :1;
@@ -624,7 +628,7 @@
 std::ostream& operator<<(std::ostream& out, const OwnedLane& obj);
 
 typedef struct _Heartbeat__isset {
-  _Heartbeat__isset() : daemon(false), address(false), data_centre(false), draining(false), lanes(false), contracts_revision(false), clock(false), has_data_folder(false) {}
+  _Heartbeat__isset() : daemon(false), address(false), data_centre(false), draining(false), lanes(false), contracts_revision(false), clock(false), has_data_folder(false), incarnation(false) {}
   bool daemon :1;
   bool address :1;
   bool data_centre :1;
@@ -633,6 +637,7 @@
   bool contracts_revision :1;
   bool clock :1;
   bool has_data_folder :1;
+  bool incarnation :1;
 } _Heartbeat__isset;
 
 class Heartbeat : public virtual ::apache::thrift::TBase {
@@ -647,7 +652,8 @@
               draining(0),
               contracts_revision(0),
               clock(0),
-              has_data_folder(0) {
+              has_data_folder(0),
+              incarnation(0) {
   }
 
   virtual ~Heartbeat() noexcept;
@@ -659,6 +665,7 @@
   int64_t contracts_revision;
   int64_t clock;
   bool has_data_folder;
+  int64_t incarnation;
 
   _Heartbeat__isset __isset;
 
@@ -678,6 +685,8 @@
 
   void __set_has_data_folder(const bool val);
 
+  void __set_incarnation(const int64_t val);
+
   bool operator == (const Heartbeat & rhs) const
   {
     if (!(daemon == rhs.daemon))
@@ -696,6 +705,8 @@
       return false;
     if (!(has_data_folder == rhs.has_data_folder))
       return false;
+    if (!(incarnation == rhs.incarnation))
+      return false;
     return true;
   }
   bool operator != (const Heartbeat &rhs) const {
@@ -714,6 +725,110 @@
 
 std::ostream& operator<<(std::ostream& out, const Heartbeat& obj);
 
+typedef struct _DeadMember__isset {
+  _DeadMember__isset() : daemon(false), incarnation(false) {}
+  bool daemon :1;
+  bool incarnation :1;
+} _DeadMember__isset;
+
+class DeadMember : public virtual ::apache::thrift::TBase {
+ public:
+
+  DeadMember(const DeadMember&);
+  DeadMember& operator=(const DeadMember&);
+  DeadMember() noexcept
+             : daemon(),
+               incarnation(0) {
+  }
+
+  virtual ~DeadMember() noexcept;
+  std::string daemon;
+  int64_t incarnation;
+
+  _DeadMember__isset __isset;
+
+  void __set_daemon(const std::string& val);
+
+  void __set_incarnation(const int64_t val);
+
+  bool operator == (const DeadMember & rhs) const
+  {
+    if (!(daemon == rhs.daemon))
+      return false;
+    if (!(incarnation == rhs.incarnation))
+      return false;
+    return true;
+  }
+  bool operator != (const DeadMember &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const DeadMember & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(DeadMember &a, DeadMember &b);
+
+std::ostream& operator<<(std::ostream& out, const DeadMember& obj);
+
+typedef struct _MemberMessage__isset {
+  _MemberMessage__isset() : sender(false), news(false), dead(false) {}
+  bool sender :1;
+  bool news :1;
+  bool dead :1;
+} _MemberMessage__isset;
+
+class MemberMessage : public virtual ::apache::thrift::TBase {
+ public:
+
+  MemberMessage(const MemberMessage&);
+  MemberMessage& operator=(const MemberMessage&);
+  MemberMessage() noexcept {
+  }
+
+  virtual ~MemberMessage() noexcept;
+  Heartbeat sender;
+  std::vector<Heartbeat>  news;
+  std::vector<DeadMember>  dead;
+
+  _MemberMessage__isset __isset;
+
+  void __set_sender(const Heartbeat& val);
+
+  void __set_news(const std::vector<Heartbeat> & val);
+
+  void __set_dead(const std::vector<DeadMember> & val);
+
+  bool operator == (const MemberMessage & rhs) const
+  {
+    if (!(sender == rhs.sender))
+      return false;
+    if (!(news == rhs.news))
+      return false;
+    if (!(dead == rhs.dead))
+      return false;
+    return true;
+  }
+  bool operator != (const MemberMessage &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const MemberMessage & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(MemberMessage &a, MemberMessage &b);
+
+std::ostream& operator<<(std::ostream& out, const MemberMessage& obj);
+
 }} // namespace
 
 #endif
--- a/tests/operations/fuzz_test.cc
+++ b/tests/operations/fuzz_test.cc
@@ -80,11 +80,13 @@
 }
 
 RC_BOOST_PROP(a_damaged_heartbeat_is_decoded_or_refused, ()) {
-  Heartbeat heartbeat;
-  heartbeat.daemon = *rc::gen::arbitrary<std::string>();
-  heartbeat.lanes.resize(*rc::gen::inRange<std::size_t>(0, 4));
-  const auto buf = Damaged(Encode(heartbeat), AnyDamages());
-  RC_ASSERT(DecodesOrRefuses(DecodeHeartbeat, buf));
+  MemberMessage message;
+  message.sender.daemon = *rc::gen::arbitrary<std::string>();
+  message.sender.lanes.resize(*rc::gen::inRange<std::size_t>(0, 4));
+  message.news.resize(*rc::gen::inRange<std::size_t>(0, 4));
+  message.dead.resize(*rc::gen::inRange<std::size_t>(0, 4));
+  const auto buf = Damaged(Encode(message), AnyDamages());
+  RC_ASSERT(DecodesOrRefuses(DecodeMemberMessage, buf));
 }
 
 // A newer daemon's value, or damage: it must not become a call that nothing
@@ -110,7 +112,7 @@
   const auto buf = *rc::gen::arbitrary<std::string>();
   RC_ASSERT(DecodesOrRefuses(DecodeForwardedCall, buf));
   RC_ASSERT(DecodesOrRefuses(DecodeAnswerFrame, buf));
-  RC_ASSERT(DecodesOrRefuses(DecodeHeartbeat, buf));
+  RC_ASSERT(DecodesOrRefuses(DecodeMemberMessage, buf));
   RC_ASSERT(DecodesOrRefuses(DecodeLaneBlock, buf));
 }
 
--- a/tests/operations/settings_test.cc
+++ b/tests/operations/settings_test.cc
@@ -55,6 +55,8 @@
     {"members", "heartbeat_interval", "11s"},
     {"members", "heartbeat_timeout", "1ms"},
     {"members", "lease", "1s"},
+    {"members", "every_peer_up_to", "-1"},
+    {"members", "probes", "0"},
     {"calls", "deadline", "2h"},
     {"calls", "load_interval", "0ms"},
     {"http", "body_bytes", "1"},
--- a/tests/process/operators_test.cc
+++ b/tests/process/operators_test.cc
@@ -190,6 +190,43 @@
   });
 }
 
+// Each daemon probes two others a round, as in a fleet of hundreds.
+BOOST_AUTO_TEST_CASE(a_sampled_fleet_takes_over_and_hears_of_a_return) {
+  ClusterOptions options;
+  options.daemons = 6;
+  options.settings["members"] = "every_peer_up_to = 0\nprobes = 2\n";
+  InCluster(options, [](Fiber& fiber, Cluster& cluster) {
+    constexpr std::chrono::seconds kTakeoverTime{5};
+    Caller caller(fiber, cluster.http(), harness::kQuoteKey, "sampled");
+    const int owner = cluster.OwnerOf("bandwerk", "sampled");
+    BOOST_REQUIRE(owner >= 0);
+    const auto entry =
+        cluster.daemon((owner + 1) % cluster.daemons()).address();
+    BOOST_TEST(caller.Use(entry, "a", "stock_lookup", 1).status == 200);
+    cluster.daemon(owner).Kill();
+    cluster.WaitFor(
+        "another owner",
+        [&] {
+          const int now = cluster.OwnerOf("bandwerk", "sampled");
+          return now >= 0 && now != owner;
+        },
+        kTakeoverTime);
+    BOOST_TEST(caller.Use(entry, "b", "stock_lookup", 1).status == 200);
+    cluster.StartDaemon(owner);
+    const auto name = "d" + std::to_string(owner);
+    cluster.WaitFor("everyone to hear of the return", [&] {
+      int heard = 0;
+      for (int i = 0; i < cluster.daemons(); ++i) {
+        const auto status = cluster.Status(i);
+        for (const auto& it : status["peers"]) {
+          heard += it["daemon"] == name && it["live"] == true ? 1 : 0;
+        }
+      }
+      return heard == cluster.daemons() - 1;
+    });
+  });
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace
