--- a/source/server/call_checks.cc
+++ b/source/server/call_checks.cc
@@ -39,6 +39,10 @@
   return out;
 }
 
+bool NeedsKey(Operation operation) {
+  return operation != Operation::kEnd && operation != Operation::kHistory;
+}
+
 void CheckMessages(const json& messages) {
   if (!messages.is_array() || messages.empty()) {
     Refuse("bad_request", "'messages' must be a list with one or more");
@@ -86,7 +90,10 @@
 void CheckCall(const ForwardedCall& call) {
   CheckName("the customer", call.customer);
   CheckName("Comfreyfold-Program", call.program);
-  CheckName("Idempotency-Key", call.key);
+  // A question about a program needs no key.
+  if (!call.key.empty() || NeedsKey(call.operation)) {
+    CheckName("Idempotency-Key", call.key);
+  }
   if (!call.parent.empty()) {
     CheckName("Comfreyfold-Parent", call.parent);
   }
--- a/source/server/call_runner.h
+++ b/source/server/call_runner.h
@@ -43,6 +43,7 @@
   void Dispatch(Fiber& fiber, CallContext& context);
   void RunCall(Fiber& fiber, CallContext& context);
   void Note(const char* name, const ForwardedCall& call, int lane);
+  Admission Admit(Fiber& fiber, const CallContext& context);
 
   LaneManager& lanes_;
   ContractStore& contracts_;
--- a/source/server/peer_api.cc
+++ b/source/server/peer_api.cc
@@ -1,5 +1,7 @@
 #include "server/peer_api.h"
 
+#include <utility>
+
 #include "core/call_error.h"
 #include "net/error_reply.h"
 #include "server/call_checks.h"
@@ -24,8 +26,16 @@
 
 }  // namespace
 
-PeerApi::PeerApi(Membership& membership, CallRunner& runner, EventLog& log)
-    : membership_(membership), runner_(runner), log_(log) {}
+PeerApi::PeerApi(Membership& membership,
+                 CallRunner& runner,
+                 OutcomeRelay& relay,
+                 EventLog& log,
+                 std::function<void()> on_lanes_given_up)
+    : membership_(membership),
+      runner_(runner),
+      relay_(relay),
+      log_(log),
+      on_lanes_given_up_(std::move(on_lanes_given_up)) {}
 
 bool PeerApi::Handle(Fiber& fiber,
                      const HttpRequest& request,
@@ -36,6 +46,10 @@
       HandleCall(fiber, request, exchange);
       return true;
     }
+    if (path == "/peer/outcome") {
+      HandleOutcome(fiber, request, exchange);
+      return true;
+    }
     if (path == "/peer/heartbeat") {
       HandleHeartbeat(request, exchange);
       return true;
@@ -78,12 +92,36 @@
   exchange.End();
 }
 
+void PeerApi::HandleOutcome(Fiber& fiber,
+                            const HttpRequest& request,
+                            HttpExchange& exchange) {
+  const auto outcome = DecodeLaneBlock(request.body);
+  switch (relay_.Receive(fiber, outcome)) {
+    case OutcomeRelay::Reception::kRecorded:
+      exchange.Reply(200, "text/plain", "recorded");
+      break;
+    case OutcomeRelay::Reception::kRefused:
+      exchange.Reply(409, "text/plain", "not recorded");
+      break;
+    case OutcomeRelay::Reception::kNotOwner:
+      exchange.Reply(kMisdirected, "text/plain", "not the owner");
+      break;
+  }
+}
+
 void PeerApi::HandleHeartbeat(const HttpRequest& request,
                               HttpExchange& exchange) {
   const auto message = DecodeMemberMessage(request.body);
-  log_.Receive(message.sender.clock);
+  const auto& sender = message.sender;
+  log_.Receive(sender.clock);
+  const auto before = membership_.peers().find(sender.daemon);
+  const bool gave_up = before != membership_.peers().end() &&
+                       sender.lanes.size() < before->second.lanes.size();
   membership_.Take(message, std::chrono::steady_clock::now());
-  const auto reply = membership_.Compose(message.sender.daemon, log_.Stamp());
+  if (gave_up) {
+    on_lanes_given_up_();
+  }
+  const auto reply = membership_.Compose(sender.daemon, log_.Stamp());
   exchange.Reply(200, kThriftType, Encode(reply));
 }
 
--- a/source/server/settings.h
+++ b/source/server/settings.h
@@ -23,6 +23,9 @@
 
   std::string kv_address;
   std::string vm_list_address;
+  std::string weight_store_address;  // Empty: nothing is placed.
+  std::chrono::milliseconds placement_interval{1000};
+  std::chrono::seconds placement_claim{10};
   std::chrono::milliseconds platform_timeout{1000};
   std::chrono::milliseconds vm_list_interval{1000};
   ContractSettings contracts;
@@ -34,6 +37,7 @@
   std::chrono::milliseconds call_deadline{60000};
   std::chrono::milliseconds load_interval{500};
   std::chrono::milliseconds drain_time{60000};
+  std::chrono::milliseconds drain_linger{1000};
   HttpLimits http;
 };
 
--- a/tests/harness/cluster.h
+++ b/tests/harness/cluster.h
@@ -40,6 +40,8 @@
   Cluster(Fiber& fiber, ClusterOptions options);
   ~Cluster();
 
+  // Replaces a section of the settings of daemons started from now on.
+  void SetSettings(const std::string& section, const std::string& lines);
   // Starts daemon `index` (again, after Kill).
   void StartDaemon(int index);
   // Starts a back end again at its address, after Kill, with no memory.
@@ -50,6 +52,8 @@
 
   // Writes `text` to a file and applies it with the tool.
   void Apply(const std::vector<std::string>& texts);
+  // The same of one text, without waiting for the tool.
+  std::unique_ptr<Process> ApplyBeside(const std::string& text);
 
   Process& daemon(int index) {
     return *daemons_[static_cast<std::size_t>(index)];
@@ -83,6 +87,8 @@
   std::vector<nlohmann::json> ToolRuns(const std::string& tool);
   // Programs that hold memory, over all engines that answer.
   std::size_t HeldPrograms();
+  // Whether a daemon's log has an event of that name.
+  bool EventSeen(int index, const std::string& event);
   // Index of the daemon that owns the program's lane; -1: none.
   int OwnerOf(const std::string& customer, const std::string& program);
   // Runs the operators' tool.
@@ -101,10 +107,12 @@
                       const std::string& kind,
                       std::vector<std::string> arguments);
 
+  std::map<std::string, std::string> replaced_;
   Fiber& fiber_;
   ClusterOptions options_;
   HttpClient http_;
   std::string folder_;
+  int files_beside_ = 0;
   std::unique_ptr<Process> kv_;
   std::unique_ptr<Process> vms_;
   std::unique_ptr<Process> weights_;
