--- a/source/server/daemon.cc
+++ b/source/server/daemon.cc
@@ -174,6 +174,7 @@
   backends_.Start();
   lanes_.OnApplied([this](const LaneOwner& owner, const LaneBlock& block) {
     releaser_.Note(owner, block);
+    metrics_.ObserveCommit(block.entries.size());
   });
   strays_.OnAskEnded([this](Fiber& fiber, const ProgramKey& program) {
     return HasEnded(fiber, program);
--- a/source/server/metrics.cc
+++ b/source/server/metrics.cc
@@ -77,6 +77,10 @@
       Histogram("comfreyfold_token_gap_seconds",
                 "Time between two pieces of one stream")
           .Add({}, TokenBuckets());
+  prometheus::Histogram& commit_entries =
+      Histogram("comfreyfold_commit_entries",
+                "Entries of a block committed to a lane's journal")
+          .Add({}, Buckets{1, 2, 4, 8, 16, 32, 64, 128, 256});
   prometheus::Family<prometheus::Gauge>& in_flight =
       prometheus::BuildGauge()
           .Name("comfreyfold_in_flight")
@@ -118,6 +122,10 @@
       .Observe(Seconds(time));
 }
 
+void Metrics::ObserveCommit(std::size_t entries) {
+  impl_->commit_entries.Observe(static_cast<double>(entries));
+}
+
 void Metrics::CountEvent(const std::string& name) {
   impl_->events.Add({{"event", name}}).Increment();
 }
--- a/source/server/metrics.h
+++ b/source/server/metrics.h
@@ -26,6 +26,8 @@
   void ObserveFirstToken(Duration time);
   void ObserveTokenGap(Duration time);
   void CountKeyValueCall(const std::string& kind, bool answered, Duration time);
+  // A block of so many entries was committed to a lane's journal.
+  void ObserveCommit(std::size_t entries);
   void CountEvent(const std::string& name);
   // Bytes written to a connection, by what the traffic is for.
   void CountSentBytes(const std::string& traffic, std::size_t bytes);
--- a/tests/process/operators_test.cc
+++ b/tests/process/operators_test.cc
@@ -162,7 +162,11 @@
 BOOST_AUTO_TEST_CASE(metrics_count_what_happened) {
   InCluster({}, [](Fiber& fiber, Cluster& cluster) {
     const auto address = cluster.daemon(0).address();
-    Caller caller(fiber, cluster.http(), harness::kQuoteKey, "counted");
+    std::string program = "counted";
+    while (cluster.OwnerOf("bandwerk", program) != 0) {
+      program += "-";
+    }
+    Caller caller(fiber, cluster.http(), harness::kQuoteKey, program);
     BOOST_TEST(caller.Ask(address, "a", "hi").status == 200);
     BOOST_TEST(caller.Use(address, "b", "stock_lookup", 1).status == 200);
     BOOST_TEST(caller.Use(address, "c", "unknown", 1).status == 404);
@@ -178,6 +182,8 @@
             R"(comfreyfold_refusals_total{code="no_service",verdict="not_run"})") ==
         1);
     BOOST_TEST(metric("comfreyfold_first_token_seconds_count") == 1);
+    // Two calls, each an intent and an outcome.
+    BOOST_TEST(metric("comfreyfold_commit_entries_sum") >= 4);
     BOOST_TEST(metric("comfreyfold_ready") == 1);
     BOOST_TEST(metric(R"(comfreyfold_in_flight{role="entry"})") == 0);
     BOOST_TEST(metric(R"(comfreyfold_sent_bytes_total{traffic="control"})") >
