--- a/source/net/http_server.cc
+++ b/source/net/http_server.cc
@@ -4,13 +4,13 @@
 #include <stdexcept>
 
 #include <boost/asio/ip/tcp.hpp>
-#include <boost/asio/write.hpp>
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
 
 #include "net/error_reply.h"
 #include "net/loop_impl.h"
 #include "net/parked.h"
+#include "net/server_exchange.h"
 
 namespace comfreyfold {
 
@@ -20,7 +20,6 @@
 
 namespace {
 
-constexpr std::chrono::seconds kWriteTimeout{30};
 constexpr std::chrono::milliseconds kAcceptPause{50};
 constexpr std::chrono::seconds kRefusalTimeout{1};
 constexpr std::chrono::milliseconds kRetryWhenCrowded{1000};
@@ -28,113 +27,6 @@
 // What a refused sender may still have under way before the close.
 constexpr std::size_t kDiscardBytes = 256 * 1024;
 
-struct Session {
-  explicit Session(tcp::socket socket) : stream(std::move(socket)) {}
-  beast::tcp_stream stream;
-  beast::flat_buffer buf;
-  bool busy = false;
-};
-
-class Exchange : public HttpExchange {
- public:
-  Exchange(Fiber& fiber, Session& session, bool keep_alive)
-      : fiber_(fiber), session_(session), keep_alive_(keep_alive) {}
-
-  void Reply(int status,
-             const std::string& content_type,
-             const std::string& body,
-             const std::vector<HttpHeader>& headers) override {
-    http::response<http::string_body> message;
-    Fill(message, status, content_type, headers);
-    message.body() = body;
-    message.prepare_payload();
-    begun_ = true;
-    boost::system::error_code ec;
-    session_.stream.expires_after(kWriteTimeout);
-    const auto n =
-        http::async_write(session_.stream, message, Parked(fiber_)[ec]);
-    Note(ec, n);
-  }
-
-  void Begin(int status,
-             const std::string& content_type,
-             const std::vector<HttpHeader>& headers) override {
-    http::response<http::empty_body> message;
-    Fill(message, status, content_type, headers);
-    message.chunked(true);
-    begun_ = true;
-    http::response_serializer<http::empty_body> serializer(message);
-    boost::system::error_code ec;
-    session_.stream.expires_after(kWriteTimeout);
-    const auto n = http::async_write_header(session_.stream, serializer,
-                                            Parked(fiber_)[ec]);
-    Note(ec, n);
-  }
-
-  void Write(std::string_view piece) override {
-    if (broken_ || piece.empty()) {
-      return;
-    }
-    boost::system::error_code ec;
-    session_.stream.expires_after(kWriteTimeout);
-    const auto n = boost::asio::async_write(
-        session_.stream,
-        http::make_chunk(boost::asio::buffer(piece.data(), piece.size())),
-        Parked(fiber_)[ec]);
-    Note(ec, n);
-  }
-
-  void End() override {
-    if (broken_) {
-      return;
-    }
-    boost::system::error_code ec;
-    session_.stream.expires_after(kWriteTimeout);
-    const auto n = boost::asio::async_write(
-        session_.stream, http::make_chunk_last(), Parked(fiber_)[ec]);
-    Note(ec, n);
-  }
-
-  void Abort() override {
-    broken_ = true;
-    begun_ = true;
-    session_.stream.close();
-  }
-
-  bool begun() const override { return begun_; }
-  bool broken() const override { return broken_; }
-  std::size_t sent_bytes() const { return sent_bytes_; }
-
- private:
-  template <typename Message>
-  void Fill(Message& message,
-            int status,
-            const std::string& content_type,
-            const std::vector<HttpHeader>& headers) {
-    message.version(11);
-    message.result(static_cast<unsigned>(status));
-    message.set(http::field::content_type, content_type);
-    message.keep_alive(keep_alive_);
-    for (const auto& it : headers) {
-      message.set(it.name, it.value);
-    }
-  }
-
-  void Note(boost::system::error_code ec, std::size_t bytes) {
-    sent_bytes_ += bytes;
-    if (ec) {
-      broken_ = true;
-    }
-  }
-
-  Fiber& fiber_;
-  Session& session_;
-  bool keep_alive_;
-  bool begun_ = false;
-  bool broken_ = false;
-  std::size_t sent_bytes_ = 0;
-};
-
 // Stops the reading of a request that comes too slowly. The stream's own
 // timeout closes the socket, which would leave nothing to answer on.
 class ReadDeadline {
@@ -331,7 +223,7 @@
   // closing with bytes unread would reset the connection and could take the
   // answer with it.
   static void Refuse(Fiber& fiber, Session& session, const CallError& error) {
-    Exchange exchange(fiber, session, false);
+    ServerExchange exchange(fiber, session, false);
     ReplyError(exchange, error);
     boost::system::error_code ec;
     session.stream.socket().shutdown(tcp::socket::shutdown_send, ec);
@@ -355,7 +247,7 @@
       // further one on this connection.
       const bool keep_alive =
           parser.get().keep_alive() && !draining && !closing;
-      Exchange exchange(fiber, session, keep_alive);
+      ServerExchange exchange(fiber, session, keep_alive);
       session.stream.expires_never();
       session.busy = true;
       ++in_flight;
@@ -370,7 +262,9 @@
     session.stream.socket().shutdown(tcp::socket::shutdown_send, ec);
   }
 
-  void Answer(Fiber& fiber, const HttpRequest& request, Exchange& exchange) {
+  void Answer(Fiber& fiber,
+              const HttpRequest& request,
+              ServerExchange& exchange) {
     try {
       handler(fiber, request, exchange);
     } catch (const std::exception& e) {
--- /dev/null
+++ b/source/net/server_exchange.cc
@@ -0,0 +1,95 @@
+#include "net/server_exchange.h"
+
+#include <boost/asio/write.hpp>
+#include <boost/beast/http.hpp>
+
+#include "net/parked.h"
+
+namespace comfreyfold {
+
+namespace http = boost::beast::http;
+
+template <typename Message>
+void ServerExchange::Fill(Message& message,
+                          int status,
+                          const std::string& content_type,
+                          const std::vector<HttpHeader>& headers) const {
+  constexpr unsigned kHttp11 = 11;
+  message.version(kHttp11);
+  message.result(static_cast<unsigned>(status));
+  message.set(http::field::content_type, content_type);
+  message.keep_alive(keep_alive_);
+  for (const auto& it : headers) {
+    message.set(it.name, it.value);
+  }
+}
+
+void ServerExchange::Reply(int status,
+                           const std::string& content_type,
+                           const std::string& body,
+                           const std::vector<HttpHeader>& headers) {
+  http::response<http::string_body> message;
+  Fill(message, status, content_type, headers);
+  message.body() = body;
+  message.prepare_payload();
+  begun_ = true;
+  boost::system::error_code ec;
+  session_.stream.expires_after(kWriteTimeout);
+  const auto n =
+      http::async_write(session_.stream, message, Parked(fiber_)[ec]);
+  Note(ec, n);
+}
+
+void ServerExchange::Begin(int status,
+                           const std::string& content_type,
+                           const std::vector<HttpHeader>& headers) {
+  http::response<http::empty_body> message;
+  Fill(message, status, content_type, headers);
+  message.chunked(true);
+  begun_ = true;
+  http::response_serializer<http::empty_body> serializer(message);
+  boost::system::error_code ec;
+  session_.stream.expires_after(kWriteTimeout);
+  const auto n =
+      http::async_write_header(session_.stream, serializer, Parked(fiber_)[ec]);
+  Note(ec, n);
+}
+
+void ServerExchange::Write(std::string_view piece) {
+  if (broken_ || piece.empty()) {
+    return;
+  }
+  boost::system::error_code ec;
+  session_.stream.expires_after(kWriteTimeout);
+  const auto n = boost::asio::async_write(
+      session_.stream,
+      http::make_chunk(boost::asio::buffer(piece.data(), piece.size())),
+      Parked(fiber_)[ec]);
+  Note(ec, n);
+}
+
+void ServerExchange::End() {
+  if (broken_) {
+    return;
+  }
+  boost::system::error_code ec;
+  session_.stream.expires_after(kWriteTimeout);
+  const auto n = boost::asio::async_write(
+      session_.stream, http::make_chunk_last(), Parked(fiber_)[ec]);
+  Note(ec, n);
+}
+
+void ServerExchange::Abort() {
+  broken_ = true;
+  begun_ = true;
+  session_.stream.close();
+}
+
+void ServerExchange::Note(boost::system::error_code ec, std::size_t bytes) {
+  sent_bytes_ += bytes;
+  if (ec) {
+    broken_ = true;
+  }
+}
+
+}  // namespace comfreyfold
--- a/tests/process/bad_input_test.cc
+++ b/tests/process/bad_input_test.cc
@@ -11,6 +11,7 @@
 #include <boost/test/unit_test.hpp>
 
 #include "harness/raw_connection.h"
+#include "process/bad_requests.h"
 #include "process/in_cluster.h"
 #include "wire/codec.h"
 
@@ -24,13 +25,8 @@
 using harness::StatusOf;
 using nlohmann::json;
 
-constexpr int kBodyBytes = 65536;
-constexpr int kHeaderBytes = 4096;
 constexpr int kConnections = 40;
 constexpr char kSecret[] = "a-secret-of-the-whole-fleet";
-constexpr char kChat[] = "/v1/chat/completions";
-constexpr char kGoodChat[] =
-    R"({"model":"quote-large","messages":[{"role":"user","content":"hi"}]})";
 
 ClusterOptions Options() {
   ClusterOptions out;
@@ -41,193 +37,6 @@
   return out;
 }
 
-struct BadRequest {
-  const char* what;
-  std::string method;
-  std::string path;
-  std::vector<HttpHeader> headers;
-  std::string body;
-  int status;
-  const char* code;
-};
-
-std::string Nested(std::size_t depth) {
-  return std::string(depth, '[') + std::string(depth, ']');
-}
-
-std::string ChatWith(const std::string& key, const json& value) {
-  auto body = json::parse(kGoodChat);
-  body[key] = value;
-  return body.dump();
-}
-
-std::vector<BadRequest> BadRequests() {
-  const std::string tool = "/v1/tools/stock_lookup";
-  const std::string big(kBodyBytes + 1, 'x');
-  return {
-      {"no JSON", "POST", kChat, {}, "hello", 400, "bad_json"},
-      {"cut JSON", "POST", kChat, {}, R"({"model":)", 400, "bad_json"},
-      {"a list", "POST", kChat, {}, "[]", 400, "bad_json"},
-      {"nothing", "POST", kChat, {}, "", 400, "bad_json"},
-      {"deep nesting", "POST", kChat, {}, Nested(5000), 400, "nested_too_deep"},
-      {"deep arguments",
-       "POST",
-       tool,
-       {},
-       Nested(5000),
-       400,
-       "nested_too_deep"},
-      {"not UTF-8", "POST", tool, {}, "\"\xff\xfe\"", 400, "bad_json"},
-      {"huge number", "POST", tool, {}, "1e999", 400, "bad_json"},
-      {"model a number",
-       "POST",
-       kChat,
-       {},
-       ChatWith("model", 7),
-       400,
-       "bad_request"},
-      {"model with a slash",
-       "POST",
-       kChat,
-       {},
-       ChatWith("model", "a/b"),
-       400,
-       "bad_name"},
-      {"messages a string",
-       "POST",
-       kChat,
-       {},
-       ChatWith("messages", "hi"),
-       400,
-       "bad_request"},
-      {"message a number",
-       "POST",
-       kChat,
-       {},
-       ChatWith("messages", json::array({1})),
-       400,
-       "bad_request"},
-      {"no message",
-       "POST",
-       kChat,
-       {},
-       ChatWith("messages", json::array()),
-       400,
-       "bad_request"},
-      {"tokens below one",
-       "POST",
-       kChat,
-       {},
-       ChatWith("max_tokens", 0),
-       400,
-       "bad_request"},
-      {"tokens past 64 bits",
-       "POST",
-       kChat,
-       {},
-       ChatWith("max_tokens", UINT64_MAX),
-       400,
-       "bad_request"},
-      {"stream a string",
-       "POST",
-       kChat,
-       {},
-       ChatWith("stream", "yes"),
-       400,
-       "bad_request"},
-      {"unknown model",
-       "POST",
-       kChat,
-       {},
-       ChatWith("model", "other"),
-       404,
-       "no_engine"},
-      {"unknown tool", "POST", "/v1/tools/other", {}, "{}", 404, "no_service"},
-      {"not urgent",
-       "POST",
-       "/v1/urgent/stock_lookup",
-       {},
-       "{}",
-       403,
-       "not_urgent"},
-      {"no API key",
-       "POST",
-       kChat,
-       {{"Authorization", "none"}},
-       kGoodChat,
-       401,
-       "bad_api_key"},
-      {"bad program name",
-       "POST",
-       tool,
-       {{"Comfreyfold-Program", "a b"}},
-       "{}",
-       400,
-       "bad_name"},
-      {"long key",
-       "POST",
-       tool,
-       {{"Idempotency-Key", std::string(201, 'k')}},
-       "{}",
-       400,
-       "bad_name"},
-      {"bad parent",
-       "POST",
-       tool,
-       {{"Comfreyfold-Parent", "a/b"}},
-       "{}",
-       400,
-       "bad_name"},
-      {"call number a word",
-       "POST",
-       tool,
-       {{"Comfreyfold-Call", "two"}},
-       "{}",
-       400,
-       "bad_call_number"},
-      {"call number past 64 bits",
-       "POST",
-       tool,
-       {{"Comfreyfold-Call", "99999999999999999999"}},
-       "{}",
-       400,
-       "bad_call_number"},
-      {"call out of order",
-       "POST",
-       tool,
-       {{"Comfreyfold-Call", "9"}},
-       "{}",
-       409,
-       "out_of_order"},
-      {"no such path", "POST", "/v1/other", {}, "{}", 404, "no_such_path"},
-      {"wrong method", "DELETE", kChat, {}, "", 404, "no_such_path"},
-      {"history of nothing",
-       "GET",
-       "/v1/programs/never/history",
-       {},
-       "",
-       404,
-       "no_program"},
-      {"body too large", "POST", tool, {}, big, 413, "body_too_large"},
-      {"headers too large",
-       "POST",
-       tool,
-       {{"X-Long", std::string(kHeaderBytes, 'h')}},
-       "{}",
-       431,
-       "headers_too_large"},
-      {"daemon's path", "POST", "/peer/call", {}, "junk", 403, "not_a_daemon"},
-      {"heartbeat", "POST", "/peer/heartbeat", {}, "junk", 403, "not_a_daemon"},
-      {"events of no lane",
-       "GET",
-       "/operator/events?lane=x",
-       {},
-       "",
-       400,
-       "bad_query"},
-  };
-}
-
 // Shares a secret among the daemons, which callers lack.
 class SecretFile {
  public:
