--- a/source/server/model_runner.cc
+++ b/source/server/model_runner.cc
@@ -124,6 +124,7 @@
   begun.idempotent = true;
   begun.request = request;
   begun.tokens = context.budget.tokens();
+  begun.grant = budgets_.run();
   const auto placed = Begin(fiber, context, begun);
   context.budget.MarkDispatched();
   const StrayGuard stray(strays_, context, begun.backend);
@@ -144,6 +145,7 @@
   };
   auto done = context.Entry(EntryKind::kCallDone);
   done.backend = begun.backend;
+  done.grant = begun.grant;
   EngineResult result;
   try {
     result = engines_.Complete(fiber, placed.address, engine_call);
