--- a/source/server/call_runner.cc
+++ b/source/server/call_runner.cc
@@ -107,6 +107,14 @@
   }
 }
 
+void CallRunner::Note(const char* name, const ForwardedCall& call, int lane) {
+  log_.Write({.name = name,
+              .customer = call.customer,
+              .program = call.program,
+              .key = call.key,
+              .lane = lane});
+}
+
 Admission CallRunner::Admit(Fiber& fiber, const CallContext& context) {
   CallClaim claim{context.program, context.call.key, context.call.call,
                   context.Digest()};
@@ -129,14 +137,6 @@
   return admission;
 }
 
-void CallRunner::Note(const char* name, const ForwardedCall& call, int lane) {
-  log_.Write({.name = name,
-              .customer = call.customer,
-              .program = call.program,
-              .key = call.key,
-              .lane = lane});
-}
-
 void CallRunner::RunCall(Fiber& fiber, CallContext& context) {
   const auto& call = context.call;
   const auto admission = Admit(fiber, context);
--- a/source/server/call_runner.h
+++ b/source/server/call_runner.h
@@ -42,8 +42,8 @@
  private:
   void Dispatch(Fiber& fiber, CallContext& context);
   void RunCall(Fiber& fiber, CallContext& context);
-  Admission Admit(Fiber& fiber, const CallContext& context);
   void Note(const char* name, const ForwardedCall& call, int lane);
+  Admission Admit(Fiber& fiber, const CallContext& context);
 
   LaneManager& lanes_;
   ContractStore& contracts_;
--- a/source/server/daemon.cc
+++ b/source/server/daemon.cc
@@ -2,12 +2,12 @@
 
 #include <utility>
 
+#include <nlohmann/json.hpp>
+
 #include "core/call_error.h"
 #include "net/error_reply.h"
 #include "server/lane_count.h"
 
-#include <nlohmann/json.hpp>
-
 namespace comfreyfold {
 
 namespace {
@@ -24,6 +24,10 @@
   out.daemon = settings.daemon;
   out.data_centre = settings.data_centre;
   out.has_data_folder = !settings.data_folder.empty();
+  // A later run of the same daemon denies what was said of an earlier one.
+  out.incarnation = std::chrono::duration_cast<std::chrono::microseconds>(
+                        std::chrono::system_clock::now().time_since_epoch())
+                        .count();
   return out;
 }
 
@@ -124,13 +128,15 @@
                   metrics_,
                   settings_.call_deadline),
       peer_api_(membership_, runner_, relay_, log_, [this] { lanes_.Tick(); }),
-      peers_(loop,
-             http_,
-             kv_,
-             log_,
-             membership_,
-             settings_.heartbeat_interval,
-             settings_.member_lease),
+      peers_(loop, http_, kv_, log_, membership_, settings_.peers),
+      operator_api_(membership_,
+                    contracts_,
+                    backends_,
+                    lanes_,
+                    budgets_,
+                    kv_,
+                    log_,
+                    metrics_),
       orders_(http_),
       weights_(http_,
                settings_.weight_store_address,
@@ -145,15 +151,7 @@
                backends_,
                contracts_,
                log_,
-               settings_.placement_interval),
-      operator_api_(membership_,
-                    contracts_,
-                    backends_,
-                    lanes_,
-                    budgets_,
-                    kv_,
-                    log_,
-                    metrics_) {
+               settings_.placement_interval) {
   peer_secret_.ShowOn(http_);
   ConnectMetrics();
 }
@@ -188,6 +186,7 @@
   backends_.Start();
   lanes_.OnApplied([this](const LaneOwner& owner, const LaneBlock& block) {
     releaser_.Note(owner, block);
+    metrics_.ObserveCommit(block.entries.size());
   });
   strays_.OnAskEnded([this](Fiber& fiber, const ProgramKey& program) {
     return HasEnded(fiber, program);
--- a/source/server/daemon.h
+++ b/source/server/daemon.h
@@ -47,17 +47,16 @@
 
  private:
   void Handle(Fiber& fiber, const HttpRequest& request, HttpExchange& exchange);
+  void ConnectMetrics();
   void DrainAll(Fiber& fiber);
   void AgreeOnLanes(Fiber& fiber);
   // Whether the program has ended, as its owner says.
   bool HasEnded(Fiber& fiber, const ProgramKey& program);
 
-  void ConnectMetrics();
-
   Loop& loop_;
   Settings settings_;
-  PeerSecret peer_secret_;
   std::function<void(const std::string&)> on_refused_;
+  PeerSecret peer_secret_;
   EventLog log_;
   Metrics metrics_;
   HttpClient http_;
@@ -93,11 +92,11 @@
   CallerApi caller_api_;
   PeerApi peer_api_;
   PeerLinks peers_;
+  OperatorApi operator_api_;
   EngineOrders orders_;
   WeightStoreClient weights_;
   OrderFence fence_;
   EngineSteward steward_;
-  OperatorApi operator_api_;
 };
 
 }  // namespace comfreyfold
--- a/source/server/peer_api.cc
+++ b/source/server/peer_api.cc
@@ -111,18 +111,18 @@
 
 void PeerApi::HandleHeartbeat(const HttpRequest& request,
                               HttpExchange& exchange) {
-  const auto heartbeat = DecodeHeartbeat(request.body);
-  log_.Receive(heartbeat.clock);
-  const auto before = membership_.peers().find(heartbeat.daemon);
+  const auto message = DecodeMemberMessage(request.body);
+  const auto& sender = message.sender;
+  log_.Receive(sender.clock);
+  const auto before = membership_.peers().find(sender.daemon);
   const bool gave_up = before != membership_.peers().end() &&
-                       heartbeat.lanes.size() < before->second.lanes.size();
-  membership_.Observe(heartbeat, std::chrono::steady_clock::now());
+                       sender.lanes.size() < before->second.lanes.size();
+  membership_.Take(message, std::chrono::steady_clock::now());
   if (gave_up) {
     on_lanes_given_up_();
   }
-  auto self = membership_.self();
-  self.clock = log_.Stamp();
-  exchange.Reply(200, kThriftType, Encode(self));
+  const auto reply = membership_.Compose(sender.daemon, log_.Stamp());
+  exchange.Reply(200, kThriftType, Encode(reply));
 }
 
 }  // namespace comfreyfold
--- a/source/server/settings.cc
+++ b/source/server/settings.cc
@@ -18,6 +18,7 @@
 constexpr std::int64_t kMostRecentBytes = 64LL * 1024 * 1024;
 constexpr int kMostWritesPerSecond = 100000;
 constexpr int kMostSnapshotBlocks = 100000;
+constexpr int kMostPeersEachRound = 64;
 constexpr int kMostConnections = 100000;
 constexpr std::int64_t kLeastBodyBytes = 1024;
 constexpr std::int64_t kMostBodyBytes = 256LL * 1024 * 1024;
@@ -76,11 +77,11 @@
   TakeAddress(reader, "daemon", "listen", out.listen);
   reader.Take("daemon", "data_folder", out.data_folder);
   reader.Take("daemon", "log_file", out.log_file);
-  reader.Take("daemon", "drain_linger", out.drain_linger, milliseconds(0),
-              minutes(5));
   reader.Take("daemon", "peer_secret_file", out.peer_secret_file);
   reader.Take("daemon", "recent_events_bytes", out.recent_events_bytes,
               kLeastRecentBytes, kMostRecentBytes);
+  reader.Take("daemon", "drain_linger", out.drain_linger, milliseconds(0),
+              minutes(5));
   reader.Take("daemon", "drain_time", out.drain_time, seconds(1), hours(1));
 
   reader.Require("platform", "key_value");
@@ -108,12 +109,15 @@
               milliseconds(100), minutes(1));
   reader.Take("lanes", "dispatch_window", out.lane.dispatch_window,
               milliseconds(100), minutes(1));
-  reader.Take("members", "heartbeat_interval", out.heartbeat_interval,
+  reader.Take("members", "heartbeat_interval", out.peers.interval,
               milliseconds(10), seconds(10));
   reader.Take("members", "heartbeat_timeout", out.heartbeat_timeout,
               milliseconds(50), minutes(1));
-  reader.Take("members", "lease", out.member_lease, seconds(2), minutes(10));
-  if (out.heartbeat_timeout < 2 * out.heartbeat_interval) {
+  reader.Take("members", "lease", out.peers.lease, seconds(2), minutes(10));
+  reader.Take("members", "every_peer_up_to", out.peers.every_peer_up_to, 0,
+              kMostPeersEachRound);
+  reader.Take("members", "probes", out.peers.probes, 1, kMostPeersEachRound);
+  if (out.heartbeat_timeout < 2 * out.peers.interval) {
     reader.Fault("members", "heartbeat_timeout",
                  "write at least twice heartbeat_interval");
   }
--- a/source/server/settings.h
+++ b/source/server/settings.h
@@ -8,6 +8,7 @@
 #include "net/http_server.h"
 #include "server/contract_store.h"
 #include "server/lane_settings.h"
+#include "server/peer_links.h"
 
 namespace comfreyfold {
 
@@ -32,9 +33,8 @@
 
   int lanes = 24;
   LaneSettings lane;
-  std::chrono::milliseconds heartbeat_interval{300};
+  PeerLinkOptions peers;
   std::chrono::milliseconds heartbeat_timeout{1500};
-  std::chrono::seconds member_lease{30};
 
   std::chrono::milliseconds call_deadline{60000};
   std::chrono::milliseconds load_interval{500};
--- a/source/wire/gen/comfreyfold_types.cpp
+++ b/source/wire/gen/comfreyfold_types.cpp
@@ -3263,6 +3263,10 @@
 void Heartbeat::__set_has_data_folder(const bool val) {
   this->has_data_folder = val;
 }
+
+void Heartbeat::__set_incarnation(const int64_t val) {
+  this->incarnation = val;
+}
 std::ostream& operator<<(std::ostream& out, const Heartbeat& obj)
 {
   obj.printTo(out);
@@ -3367,6 +3371,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 9:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->incarnation);
+          this->__isset.incarnation = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -3424,6 +3436,10 @@
   xfer += oprot->writeBool(this->has_data_folder);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("incarnation", ::apache::thrift::protocol::T_I64, 9);
+  xfer += oprot->writeI64(this->incarnation);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -3439,6 +3455,7 @@
   swap(a.contracts_revision, b.contracts_revision);
   swap(a.clock, b.clock);
   swap(a.has_data_folder, b.has_data_folder);
+  swap(a.incarnation, b.incarnation);
   swap(a.__isset, b.__isset);
 }
 
@@ -3451,6 +3468,7 @@
   contracts_revision = other100.contracts_revision;
   clock = other100.clock;
   has_data_folder = other100.has_data_folder;
+  incarnation = other100.incarnation;
   __isset = other100.__isset;
 }
 Heartbeat& Heartbeat::operator=(const Heartbeat& other101) {
@@ -3462,6 +3480,7 @@
   contracts_revision = other101.contracts_revision;
   clock = other101.clock;
   has_data_folder = other101.has_data_folder;
+  incarnation = other101.incarnation;
   __isset = other101.__isset;
   return *this;
 }
@@ -3476,6 +3495,291 @@
   out << ", " << "contracts_revision=" << to_string(contracts_revision);
   out << ", " << "clock=" << to_string(clock);
   out << ", " << "has_data_folder=" << to_string(has_data_folder);
+  out << ", " << "incarnation=" << to_string(incarnation);
+  out << ")";
+}
+
+
+DeadMember::~DeadMember() noexcept {
+}
+
+
+void DeadMember::__set_daemon(const std::string& val) {
+  this->daemon = val;
+}
+
+void DeadMember::__set_incarnation(const int64_t val) {
+  this->incarnation = val;
+}
+std::ostream& operator<<(std::ostream& out, const DeadMember& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t DeadMember::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->daemon);
+          this->__isset.daemon = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->incarnation);
+          this->__isset.incarnation = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t DeadMember::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("DeadMember");
+
+  xfer += oprot->writeFieldBegin("daemon", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->daemon);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("incarnation", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->incarnation);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(DeadMember &a, DeadMember &b) {
+  using ::std::swap;
+  swap(a.daemon, b.daemon);
+  swap(a.incarnation, b.incarnation);
+  swap(a.__isset, b.__isset);
+}
+
+DeadMember::DeadMember(const DeadMember& other102) {
+  daemon = other102.daemon;
+  incarnation = other102.incarnation;
+  __isset = other102.__isset;
+}
+DeadMember& DeadMember::operator=(const DeadMember& other103) {
+  daemon = other103.daemon;
+  incarnation = other103.incarnation;
+  __isset = other103.__isset;
+  return *this;
+}
+void DeadMember::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "DeadMember(";
+  out << "daemon=" << to_string(daemon);
+  out << ", " << "incarnation=" << to_string(incarnation);
+  out << ")";
+}
+
+
+MemberMessage::~MemberMessage() noexcept {
+}
+
+
+void MemberMessage::__set_sender(const Heartbeat& val) {
+  this->sender = val;
+}
+
+void MemberMessage::__set_news(const std::vector<Heartbeat> & val) {
+  this->news = val;
+}
+
+void MemberMessage::__set_dead(const std::vector<DeadMember> & val) {
+  this->dead = val;
+}
+std::ostream& operator<<(std::ostream& out, const MemberMessage& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t MemberMessage::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->sender.read(iprot);
+          this->__isset.sender = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->news.clear();
+            uint32_t _size104;
+            ::apache::thrift::protocol::TType _etype107;
+            xfer += iprot->readListBegin(_etype107, _size104);
+            this->news.resize(_size104);
+            uint32_t _i108;
+            for (_i108 = 0; _i108 < _size104; ++_i108)
+            {
+              xfer += this->news[_i108].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.news = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->dead.clear();
+            uint32_t _size109;
+            ::apache::thrift::protocol::TType _etype112;
+            xfer += iprot->readListBegin(_etype112, _size109);
+            this->dead.resize(_size109);
+            uint32_t _i113;
+            for (_i113 = 0; _i113 < _size109; ++_i113)
+            {
+              xfer += this->dead[_i113].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.dead = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t MemberMessage::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("MemberMessage");
+
+  xfer += oprot->writeFieldBegin("sender", ::apache::thrift::protocol::T_STRUCT, 1);
+  xfer += this->sender.write(oprot);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("news", ::apache::thrift::protocol::T_LIST, 2);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->news.size()));
+    std::vector<Heartbeat> ::const_iterator _iter114;
+    for (_iter114 = this->news.begin(); _iter114 != this->news.end(); ++_iter114)
+    {
+      xfer += (*_iter114).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("dead", ::apache::thrift::protocol::T_LIST, 3);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->dead.size()));
+    std::vector<DeadMember> ::const_iterator _iter115;
+    for (_iter115 = this->dead.begin(); _iter115 != this->dead.end(); ++_iter115)
+    {
+      xfer += (*_iter115).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(MemberMessage &a, MemberMessage &b) {
+  using ::std::swap;
+  swap(a.sender, b.sender);
+  swap(a.news, b.news);
+  swap(a.dead, b.dead);
+  swap(a.__isset, b.__isset);
+}
+
+MemberMessage::MemberMessage(const MemberMessage& other116) {
+  sender = other116.sender;
+  news = other116.news;
+  dead = other116.dead;
+  __isset = other116.__isset;
+}
+MemberMessage& MemberMessage::operator=(const MemberMessage& other117) {
+  sender = other117.sender;
+  news = other117.news;
+  dead = other117.dead;
+  __isset = other117.__isset;
+  return *this;
+}
+void MemberMessage::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "MemberMessage(";
+  out << "sender=" << to_string(sender);
+  out << ", " << "news=" << to_string(news);
+  out << ", " << "dead=" << to_string(dead);
   out << ")";
 }
 
