--- a/source/server/call_runner.h
+++ b/source/server/call_runner.h
@@ -23,7 +23,8 @@
              CustomerSlots& slots,
              ModelRunner& models,
              ToolRunner& tools,
-             ProgramRequests& requests)
+             ProgramRequests& requests,
+             EventLog& log)
       : lanes_(lanes),
         contracts_(contracts),
         limits_(limits),
@@ -31,6 +32,7 @@
         models_(models),
         tools_(tools),
         requests_(requests),
+        log_(log),
         gate_(loop) {}
 
   // Runs one call. Ends with a kDone frame, or throws CallError or
@@ -41,6 +43,7 @@
   void Dispatch(Fiber& fiber, CallContext& context);
   void RunCall(Fiber& fiber, CallContext& context);
   Admission Admit(Fiber& fiber, const CallContext& context);
+  void Note(const char* name, const ForwardedCall& call, int lane);
 
   LaneManager& lanes_;
   ContractStore& contracts_;
@@ -49,6 +52,7 @@
   ModelRunner& models_;
   ToolRunner& tools_;
   ProgramRequests& requests_;
+  EventLog& log_;
   ProgramGate gate_;
 };
 
--- a/source/server/caller_api.cc
+++ b/source/server/caller_api.cc
@@ -7,7 +7,9 @@
 #include <nlohmann/json.hpp>
 
 #include "core/call_error.h"
+#include "net/error_reply.h"
 #include "platform/base64.h"
+#include "server/call_checks.h"
 
 namespace comfreyfold {
 
@@ -16,7 +18,6 @@
 using nlohmann::json;
 
 constexpr char kJsonType[] = "application/json";
-constexpr std::size_t kLongestName = 200;
 
 [[noreturn]] void Refuse(int status,
                          const char* code,
@@ -24,43 +25,86 @@
   throw CallError(status, code, message, Verdict::kNotRun);
 }
 
-// Names and keys become parts of journal keys and log lines.
-void CheckName(const std::string& what, const std::string& text) {
-  const bool good = !text.empty() && text.size() <= kLongestName &&
-                    std::all_of(text.begin(), text.end(), [](unsigned char c) {
-                      return c > ' ' && c < 127 && c != '/';
-                    });
-  if (!good) {
-    Refuse(400, "bad_name",
-           what +
-               " must be 1 to 200 printable characters without '/' or "
-               "space");
-  }
+// Answers come from servers as they are: text that is not UTF-8 is shown
+// with replacement characters.
+std::string Dump(const json& data) {
+  return data.dump(-1, ' ', false, json::error_handler_t::replace);
+}
+
+std::string StreamEvent(const std::string& data) {
+  return "data: " + data + "\n\n";
 }
 
-json ErrorBody(const CallError& e) {
-  return {{"error",
-           {{"code", e.code()},
-            {"message", e.what()},
-            {"type", "comfreyfold_error"},
-            {"verdict", ToString(e.verdict())}}}};
+// One of the program's own calls, as against a question about it.
+bool IsCall(Operation operation) {
+  return operation == Operation::kModel || operation == Operation::kTool ||
+         operation == Operation::kService;
 }
 
-std::vector<HttpHeader> ErrorHeaders(const CallError& e) {
-  std::vector<HttpHeader> out{
-      {"Comfreyfold-Verdict", std::string(ToString(e.verdict()))}};
-  if (e.retry_after().count() > 0) {
-    const auto seconds =
-        std::chrono::ceil<std::chrono::seconds>(e.retry_after());
-    out.push_back({"Retry-After", std::to_string(seconds.count())});
+const char* NameOf(Operation operation) {
+  switch (operation) {
+    case Operation::kModel:
+      return "model";
+    case Operation::kTool:
+      return "tool";
+    case Operation::kService:
+      return "service";
+    case Operation::kEnd:
+      return "end";
+    case Operation::kHistory:
+      return "history";
+    case Operation::kAnswer:
+      return "answer";
+    case Operation::kSubagent:
+      return "subagent";
   }
-  return out;
+  return "unknown";
+}
+
+// A name from a header, or one made here.
+std::string TakeName(const HttpRequest& request,
+                     const char* header,
+                     const char* prefix) {
+  const auto text = request.Header(header);
+  if (text.empty()) {
+    return prefix + RandomId();
+  }
+  CheckName(header, text);
+  return text;
 }
 
-std::string StreamEvent(const json& data) {
-  return "data: " + data.dump() + "\n\n";
+void SendError(HttpExchange& exchange, const CallError& e) {
+  if (!exchange.begun()) {
+    ReplyError(exchange, e);
+    return;
+  }
+  exchange.Write(StreamEvent(ErrorBody(e)));
+  exchange.End();
 }
 
+// Measures when the pieces of a stream come.
+class PieceTimes {
+ public:
+  explicit PieceTimes(Metrics& metrics) : metrics_(metrics) {}
+
+  void Piece() {
+    const auto now = std::chrono::steady_clock::now();
+    if (first_) {
+      metrics_.ObserveFirstToken(now - last_);
+    } else {
+      metrics_.ObserveTokenGap(now - last_);
+    }
+    first_ = false;
+    last_ = now;
+  }
+
+ private:
+  Metrics& metrics_;
+  bool first_ = true;
+  std::chrono::steady_clock::time_point last_ =
+      std::chrono::steady_clock::now();
+};
+
 std::vector<std::string> Split(const std::string& path) {
   std::vector<std::string> out;
   std::size_t start = 1;
@@ -85,15 +129,29 @@
 
 }  // namespace
 
+const char* CallerApi::NameOf(const CallerRequest& read) {
+  return read.urgent ? "urgent" : comfreyfold::NameOf(read.call.operation);
+}
+
+Event CallerApi::EventOf(const char* name, const CallerRequest& read) {
+  return {.name = name,
+          .customer = read.call.customer,
+          .program = read.call.program,
+          .key = read.call.key,
+          .detail = NameOf(read)};
+}
+
 CallerApi::CallerApi(ContractStore& contracts,
                      CallRouter& router,
                      UrgentSender& urgent,
                      EventLog& log,
+                     Metrics& metrics,
                      std::chrono::milliseconds deadline)
     : contracts_(contracts),
       router_(router),
       urgent_(urgent),
       log_(log),
+      metrics_(metrics),
       deadline_(deadline) {}
 
 bool CallerApi::Handle(Fiber& fiber,
@@ -102,26 +160,32 @@
   if (request.Path().rfind("/v1/", 0) != 0) {
     return false;
   }
+  const auto start = std::chrono::steady_clock::now();
+  CallerRequest read;
+  std::string code = "ok";
   try {
-    HandleCall(fiber, request, exchange);
+    contracts_.EnsureCurrent(fiber);
+    ReadCaller(request, read.call);
+    ReadTarget(request, read);
+    log_.Write(EventOf("call_received", read));
+    Answer(fiber, read, exchange);
+    log_.Write(EventOf("call_answered", read));
   } catch (const CallError& e) {
-    log_.Write({.name = "call_refused",
-                .program = request.Header("Comfreyfold-Program"),
-                .key = request.Header("Idempotency-Key"),
-                .detail = e.code() + " " + std::string(ToString(e.verdict()))});
-    if (!exchange.begun()) {
-      exchange.Reply(e.status(), kJsonType, ErrorBody(e).dump(),
-                     ErrorHeaders(e));
-    } else {
-      exchange.Write(StreamEvent(ErrorBody(e)));
-      exchange.End();
-    }
+    code = e.code();
+    const auto verdict = std::string(ToString(e.verdict()));
+    metrics_.CountRefusal(code, verdict);
+    auto event = EventOf("call_refused", read);
+    event.detail += " " + code + " " + verdict;
+    log_.Write(event);
+    SendError(exchange, e);
   }
+  metrics_.CountCall(NameOf(read), code,
+                     std::chrono::steady_clock::now() - start);
   return true;
 }
 
-ForwardedCall CallerApi::ReadCall(const HttpRequest& request) const {
-  ForwardedCall out;
+void CallerApi::ReadCaller(const HttpRequest& request,
+                           ForwardedCall& out) const {
   constexpr std::string_view kBearer = "Bearer ";
   const auto authorization = request.Header("Authorization");
   const auto contract =
@@ -133,62 +197,72 @@
            "no contract has this API key; send it as Authorization: Bearer");
   }
   out.customer = contract->customer;
-  out.program = request.Header("Comfreyfold-Program");
   // A call outside any program is a program of one call.
-  if (out.program.empty()) {
-    out.program = "single-" + RandomId();
+  out.program = TakeName(request, "Comfreyfold-Program", "single-");
+  out.key = TakeName(request, "Idempotency-Key", "");
+  const auto parent = request.Header("Comfreyfold-Parent");
+  if (!parent.empty()) {
+    CheckName("Comfreyfold-Parent", parent);
+    out.parent = parent;
   }
-  out.key = request.Header("Idempotency-Key");
-  if (out.key.empty()) {
-    out.key = RandomId();
-  }
-  out.parent = request.Header("Comfreyfold-Parent");
   const auto place = request.Header("Comfreyfold-Call");
   if (!place.empty()) {
     out.call = ReadPlace(place);
   }
   out.body = request.body;
   out.deadline = deadline_;
-  return out;
 }
 
-void CallerApi::ReadModelCall(const HttpRequest& request,
-                              ForwardedCall& call) const {
-  const auto body = json::parse(request.body, nullptr, false);
-  if (!body.is_object()) {
-    Refuse(400, "bad_json", "the body must be a JSON object");
-  }
-  if (!body.contains("model") || !body["model"].is_string()) {
-    Refuse(400, "bad_request", "'model' must be a string");
-  }
-  if (!body.contains("messages") || !body["messages"].is_array() ||
-      body["messages"].empty()) {
-    Refuse(400, "bad_request", "'messages' must be a list with one or more");
-  }
-  for (const auto& it : body["messages"]) {
-    if (!it.is_object() || !it.value("role", json()).is_string() ||
-        !it.value("content", json()).is_string()) {
-      Refuse(400, "bad_request",
-             "each message must have 'role' and 'content' as strings");
+void CallerApi::ReadTarget(const HttpRequest& request,
+                           CallerRequest& out) const {
+  const auto parts = Split(request.Path());
+  const bool post = request.method == "POST";
+  const bool get = request.method == "GET";
+  if (post && request.Path() == "/v1/chat/completions") {
+    ReadModelCall(out);
+  } else if (post && parts.size() == 3 &&
+             (parts[1] == "tools" || parts[1] == "services" ||
+              parts[1] == "urgent")) {
+    out.call.target = parts[2];
+    out.call.operation =
+        parts[1] == "services" ? Operation::kService : Operation::kTool;
+    out.urgent = parts[1] == "urgent";
+  } else if (parts.size() >= 4 && parts[1] == "programs" && (post || get)) {
+    CheckName("the program in the path", parts[2]);
+    out.call.program = parts[2];
+    if (post && parts.size() == 4 && parts[3] == "end") {
+      out.call.operation = Operation::kEnd;
+    } else if (get && parts.size() == 4 && parts[3] == "history") {
+      out.call.operation = Operation::kHistory;
+    } else if (get && parts.size() == 5 && parts[3] == "calls") {
+      CheckName("the key in the path", parts[4]);
+      out.call.operation = Operation::kAnswer;
+      out.call.key = parts[4];
+    } else {
+      Refuse(404, "no_such_path", "see the README for the paths");
     }
+  } else {
+    Refuse(404, "no_such_path", "see the README for the paths");
   }
-  if (body.contains("max_tokens") &&
-      (!body["max_tokens"].is_number_integer() ||
-       body["max_tokens"].get<std::int64_t>() < 1)) {
-    Refuse(400, "bad_request", "'max_tokens' must be a whole number from 1");
-  }
-  if (body.contains("stream") && !body["stream"].is_boolean()) {
-    Refuse(400, "bad_request", "'stream' must be true or false");
+  CheckCall(out.call);
+}
+
+void CallerApi::ReadModelCall(CallerRequest& out) {
+  out.call.operation = Operation::kModel;
+  const auto body = json::parse(out.call.body, nullptr, false);
+  if (body.is_object()) {
+    // Of the wrong type they are refused by CheckCall.
+    const auto model = body.value("model", json());
+    const auto stream = body.value("stream", json());
+    out.call.target = model.is_string() ? model.get<std::string>() : "";
+    out.stream = stream.is_boolean() && stream.get<bool>();
   }
-  call.operation = Operation::kModel;
-  call.target = body["model"].get<std::string>();
 }
 
 void CallerApi::RegisterSubagent(Fiber& fiber, const ForwardedCall& call) {
   if (call.parent.empty()) {
     return;
   }
-  CheckName("Comfreyfold-Parent", call.parent);
   // The parent's owner counts; one that it knows costs no write.
   auto claim = call;
   claim.operation = Operation::kSubagent;
@@ -199,58 +273,21 @@
   router_.Route(fiber, claim, [](const AnswerFrame&) {});
 }
 
-void CallerApi::HandleCall(Fiber& fiber,
-                           const HttpRequest& request,
-                           HttpExchange& exchange) {
-  contracts_.EnsureCurrent(fiber);
-  auto call = ReadCall(request);
-  const auto parts = Split(request.Path());
-  const bool post = request.method == "POST";
-  if (post && request.Path() == "/v1/chat/completions") {
-    CheckName("Comfreyfold-Program", call.program);
-    CheckName("Idempotency-Key", call.key);
-    ReadModelCall(request, call);
-    RegisterSubagent(fiber, call);
-    AnswerModel(fiber, call, json::parse(call.body).value("stream", false),
-                exchange);
+void CallerApi::Answer(Fiber& fiber,
+                       const CallerRequest& read,
+                       HttpExchange& exchange) {
+  if (read.urgent) {
+    AnswerUrgent(fiber, read.call, exchange);
     return;
   }
-  if (post && parts.size() == 3 &&
-      (parts[1] == "tools" || parts[1] == "services" || parts[1] == "urgent")) {
-    CheckName("Comfreyfold-Program", call.program);
-    CheckName("Idempotency-Key", call.key);
-    CheckName("the name in the path", parts[2]);
-    if (json::parse(call.body, nullptr, false).is_discarded()) {
-      Refuse(400, "bad_json", "the body must be JSON");
-    }
-    call.target = parts[2];
-    call.operation =
-        parts[1] == "services" ? Operation::kService : Operation::kTool;
-    if (parts[1] == "urgent") {
-      AnswerUrgent(fiber, call, exchange);
-    } else {
-      RegisterSubagent(fiber, call);
-      AnswerPlain(fiber, call, exchange);
-    }
-    return;
+  if (IsCall(read.call.operation)) {
+    RegisterSubagent(fiber, read.call);
   }
-  if (parts.size() >= 4 && parts[1] == "programs") {
-    call.program = parts[2];
-    CheckName("the program in the path", call.program);
-    if (post && parts.size() == 4 && parts[3] == "end") {
-      call.operation = Operation::kEnd;
-    } else if (!post && parts.size() == 4 && parts[3] == "history") {
-      call.operation = Operation::kHistory;
-    } else if (!post && parts.size() == 5 && parts[3] == "calls") {
-      call.operation = Operation::kAnswer;
-      call.key = parts[4];
-    } else {
-      Refuse(404, "no_such_path", "see the README for the paths");
-    }
-    AnswerPlain(fiber, call, exchange);
-    return;
+  if (read.call.operation == Operation::kModel) {
+    AnswerModel(fiber, read.call, read.stream, exchange);
+  } else {
+    AnswerPlain(fiber, read.call, exchange);
   }
-  Refuse(404, "no_such_path", "see the README for the paths");
 }
 
 void CallerApi::AnswerModel(Fiber& fiber,
@@ -267,19 +304,23 @@
                 {"model", call.target},
                 {"choices", {{{"index", 0}, {"delta", json::object()}}}}};
   std::size_t streamed = 0;
+  PieceTimes times(metrics_);
   const auto write = [&](const std::string& text) {
     if (!exchange.begun()) {
       exchange.Begin(200, "text/event-stream", early);
     }
     chunk["choices"][0]["delta"] = {{"content", text}};
-    exchange.Write(StreamEvent(chunk));
+    exchange.Write(StreamEvent(Dump(chunk)));
     streamed += text.size();
   };
   AnswerFrame done;
   router_.Route(fiber, call, [&](const AnswerFrame& frame) {
     if (frame.kind == FrameKind::kDone) {
       done = frame;
-    } else if (stream) {
+      return;
+    }
+    times.Piece();
+    if (stream) {
       write(frame.content);
     }
   });
@@ -298,7 +339,7 @@
            {"message", {{"role", "assistant"}, {"content", done.content}}},
            {"finish_reason", "stop"}}}},
         {"usage", usage}};
-    exchange.Reply(200, kJsonType, body.dump(), headers);
+    exchange.Reply(200, kJsonType, Dump(body), headers);
     return;
   }
   // An answer from the record was not streamed yet, or only its start.
@@ -311,7 +352,7 @@
   chunk["choices"][0]["delta"] = json::object();
   chunk["choices"][0]["finish_reason"] = "stop";
   chunk["usage"] = usage;
-  exchange.Write(StreamEvent(chunk));
+  exchange.Write(StreamEvent(Dump(chunk)));
   exchange.Write("data: [DONE]\n\n");
   exchange.End();
 }
--- a/source/server/peer_api.cc
+++ b/source/server/peer_api.cc
@@ -3,6 +3,8 @@
 #include <utility>
 
 #include "core/call_error.h"
+#include "net/error_reply.h"
+#include "server/call_checks.h"
 
 namespace comfreyfold {
 
@@ -39,16 +41,24 @@
                      const HttpRequest& request,
                      HttpExchange& exchange) {
   const auto path = request.Path();
-  if (path == "/peer/call") {
-    HandleCall(fiber, request, exchange);
-    return true;
-  }
-  if (path == "/peer/outcome") {
-    HandleOutcome(fiber, request, exchange);
-    return true;
-  }
-  if (path == "/peer/heartbeat") {
-    HandleHeartbeat(request, exchange);
+  try {
+    if (path == "/peer/call") {
+      HandleCall(fiber, request, exchange);
+      return true;
+    }
+    if (path == "/peer/outcome") {
+      HandleOutcome(fiber, request, exchange);
+      return true;
+    }
+    if (path == "/peer/heartbeat") {
+      HandleHeartbeat(request, exchange);
+      return true;
+    }
+  } catch (const WireError& e) {
+    ReplyError(exchange, CallError(400, "bad_body",
+                                   std::string(e.what()) +
+                                       "; run the same version on each daemon",
+                                   Verdict::kNotRun));
     return true;
   }
   return false;
@@ -58,6 +68,7 @@
                          const HttpRequest& request,
                          HttpExchange& exchange) {
   const auto call = DecodeForwardedCall(request.body);
+  CheckCall(call);
   log_.Receive(call.clock);
   const auto send = [this, &exchange](AnswerFrame frame) {
     if (!exchange.begun()) {
--- a/source/server/settings.cc
+++ b/source/server/settings.cc
@@ -16,6 +16,8 @@
 constexpr int kMostLanes = 4096;
 constexpr int kMostWritesPerSecond = 100000;
 constexpr int kMostSnapshotBlocks = 100000;
+constexpr std::int64_t kLeastRecentBytes = 64LL * 1024;
+constexpr std::int64_t kMostRecentBytes = 64LL * 1024 * 1024;
 constexpr int kMostConnections = 100000;
 constexpr std::int64_t kLeastBodyBytes = 1024;
 constexpr std::int64_t kMostBodyBytes = 256LL * 1024 * 1024;
@@ -76,6 +78,9 @@
   reader.Take("daemon", "log_file", out.log_file);
   reader.Take("daemon", "drain_linger", out.drain_linger, milliseconds(0),
               minutes(5));
+  reader.Take("daemon", "peer_secret_file", out.peer_secret_file);
+  reader.Take("daemon", "recent_events_bytes", out.recent_events_bytes,
+              kLeastRecentBytes, kMostRecentBytes);
   reader.Take("daemon", "drain_time", out.drain_time, seconds(1), hours(1));
 
   reader.Require("platform", "key_value");
--- a/source/tool/command.h
+++ b/source/tool/command.h
@@ -17,6 +17,8 @@
   std::vector<std::string> daemons;    // ip:port of each daemon to ask.
   std::vector<std::string> arguments;  // After the command's name.
   bool json = false;
+  int lane = -1;         // --lane; -1: every lane.
+  std::string customer;  // --customer; empty: every customer.
   bool dry_run = false;
   std::chrono::seconds wait{18};  // For every daemon to confirm a change.
 };
