--- a/source/tool/main.cc
+++ b/source/tool/main.cc
@@ -25,7 +25,7 @@
                            const std::string& name) {
   const auto it =
       std::find_if(commands.begin(), commands.end(),
-                   [&name](const Command& it) { return it.name == name; });
+                   [&name](const Command& c) { return c.name == name; });
   return it == commands.end() ? nullptr : &*it;
 }
 
--- a/source/wire/gen/comfreyfold_types.cpp
+++ b/source/wire/gen/comfreyfold_types.cpp
@@ -81,6 +81,10 @@
 void LaneEntry::__set_begun_at_ms(const int64_t val) {
   this->begun_at_ms = val;
 }
+
+void LaneEntry::__set_grant(const std::string& val) {
+  this->grant = val;
+}
 std::ostream& operator<<(std::ostream& out, const LaneEntry& obj)
 {
   obj.printTo(out);
@@ -237,6 +241,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 41:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->grant);
+          this->__isset.grant = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -318,6 +330,10 @@
   xfer += oprot->writeI64(this->begun_at_ms);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("grant", ::apache::thrift::protocol::T_STRING, 41);
+  xfer += oprot->writeString(this->grant);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -341,6 +357,7 @@
   swap(a.answer, b.answer);
   swap(a.tokens, b.tokens);
   swap(a.begun_at_ms, b.begun_at_ms);
+  swap(a.grant, b.grant);
   swap(a.__isset, b.__isset);
 }
 
@@ -361,6 +378,7 @@
   answer = other0.answer;
   tokens = other0.tokens;
   begun_at_ms = other0.begun_at_ms;
+  grant = other0.grant;
   __isset = other0.__isset;
 }
 LaneEntry& LaneEntry::operator=(const LaneEntry& other1) {
@@ -380,6 +398,7 @@
   answer = other1.answer;
   tokens = other1.tokens;
   begun_at_ms = other1.begun_at_ms;
+  grant = other1.grant;
   __isset = other1.__isset;
   return *this;
 }
@@ -402,6 +421,515 @@
   out << ", " << "answer=" << to_string(answer);
   out << ", " << "tokens=" << to_string(tokens);
   out << ", " << "begun_at_ms=" << to_string(begun_at_ms);
+  out << ", " << "grant=" << to_string(grant);
+  out << ")";
+}
+
+
+GrantName::~GrantName() noexcept {
+}
+
+
+void GrantName::__set_customer(const std::string& val) {
+  this->customer = val;
+}
+
+void GrantName::__set_grant(const std::string& val) {
+  this->grant = val;
+}
+std::ostream& operator<<(std::ostream& out, const GrantName& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t GrantName::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->customer);
+          this->__isset.customer = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->grant);
+          this->__isset.grant = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t GrantName::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("GrantName");
+
+  xfer += oprot->writeFieldBegin("customer", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->customer);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("grant", ::apache::thrift::protocol::T_STRING, 2);
+  xfer += oprot->writeString(this->grant);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(GrantName &a, GrantName &b) {
+  using ::std::swap;
+  swap(a.customer, b.customer);
+  swap(a.grant, b.grant);
+  swap(a.__isset, b.__isset);
+}
+
+GrantName::GrantName(const GrantName& other2) {
+  customer = other2.customer;
+  grant = other2.grant;
+  __isset = other2.__isset;
+}
+GrantName& GrantName::operator=(const GrantName& other3) {
+  customer = other3.customer;
+  grant = other3.grant;
+  __isset = other3.__isset;
+  return *this;
+}
+void GrantName::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "GrantName(";
+  out << "customer=" << to_string(customer);
+  out << ", " << "grant=" << to_string(grant);
+  out << ")";
+}
+
+
+GrantQuestion::~GrantQuestion() noexcept {
+}
+
+
+void GrantQuestion::__set_grants(const std::vector<GrantName> & val) {
+  this->grants = val;
+}
+std::ostream& operator<<(std::ostream& out, const GrantQuestion& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t GrantQuestion::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->grants.clear();
+            uint32_t _size4;
+            ::apache::thrift::protocol::TType _etype7;
+            xfer += iprot->readListBegin(_etype7, _size4);
+            this->grants.resize(_size4);
+            uint32_t _i8;
+            for (_i8 = 0; _i8 < _size4; ++_i8)
+            {
+              xfer += this->grants[_i8].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.grants = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t GrantQuestion::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("GrantQuestion");
+
+  xfer += oprot->writeFieldBegin("grants", ::apache::thrift::protocol::T_LIST, 1);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->grants.size()));
+    std::vector<GrantName> ::const_iterator _iter9;
+    for (_iter9 = this->grants.begin(); _iter9 != this->grants.end(); ++_iter9)
+    {
+      xfer += (*_iter9).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(GrantQuestion &a, GrantQuestion &b) {
+  using ::std::swap;
+  swap(a.grants, b.grants);
+  swap(a.__isset, b.__isset);
+}
+
+GrantQuestion::GrantQuestion(const GrantQuestion& other10) {
+  grants = other10.grants;
+  __isset = other10.__isset;
+}
+GrantQuestion& GrantQuestion::operator=(const GrantQuestion& other11) {
+  grants = other11.grants;
+  __isset = other11.__isset;
+  return *this;
+}
+void GrantQuestion::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "GrantQuestion(";
+  out << "grants=" << to_string(grants);
+  out << ")";
+}
+
+
+GrantUse::~GrantUse() noexcept {
+}
+
+
+void GrantUse::__set_lane(const int32_t val) {
+  this->lane = val;
+}
+
+void GrantUse::__set_name(const GrantName& val) {
+  this->name = val;
+}
+
+void GrantUse::__set_tokens(const int64_t val) {
+  this->tokens = val;
+}
+std::ostream& operator<<(std::ostream& out, const GrantUse& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t GrantUse::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->lane);
+          this->__isset.lane = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->name.read(iprot);
+          this->__isset.name = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->tokens);
+          this->__isset.tokens = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t GrantUse::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("GrantUse");
+
+  xfer += oprot->writeFieldBegin("lane", ::apache::thrift::protocol::T_I32, 1);
+  xfer += oprot->writeI32(this->lane);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("name", ::apache::thrift::protocol::T_STRUCT, 2);
+  xfer += this->name.write(oprot);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("tokens", ::apache::thrift::protocol::T_I64, 3);
+  xfer += oprot->writeI64(this->tokens);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(GrantUse &a, GrantUse &b) {
+  using ::std::swap;
+  swap(a.lane, b.lane);
+  swap(a.name, b.name);
+  swap(a.tokens, b.tokens);
+  swap(a.__isset, b.__isset);
+}
+
+GrantUse::GrantUse(const GrantUse& other12) {
+  lane = other12.lane;
+  name = other12.name;
+  tokens = other12.tokens;
+  __isset = other12.__isset;
+}
+GrantUse& GrantUse::operator=(const GrantUse& other13) {
+  lane = other13.lane;
+  name = other13.name;
+  tokens = other13.tokens;
+  __isset = other13.__isset;
+  return *this;
+}
+void GrantUse::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "GrantUse(";
+  out << "lane=" << to_string(lane);
+  out << ", " << "name=" << to_string(name);
+  out << ", " << "tokens=" << to_string(tokens);
+  out << ")";
+}
+
+
+GrantAnswer::~GrantAnswer() noexcept {
+}
+
+
+void GrantAnswer::__set_lanes(const std::vector<int32_t> & val) {
+  this->lanes = val;
+}
+
+void GrantAnswer::__set_uses(const std::vector<GrantUse> & val) {
+  this->uses = val;
+}
+std::ostream& operator<<(std::ostream& out, const GrantAnswer& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t GrantAnswer::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->lanes.clear();
+            uint32_t _size14;
+            ::apache::thrift::protocol::TType _etype17;
+            xfer += iprot->readListBegin(_etype17, _size14);
+            this->lanes.resize(_size14);
+            uint32_t _i18;
+            for (_i18 = 0; _i18 < _size14; ++_i18)
+            {
+              xfer += iprot->readI32(this->lanes[_i18]);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.lanes = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->uses.clear();
+            uint32_t _size19;
+            ::apache::thrift::protocol::TType _etype22;
+            xfer += iprot->readListBegin(_etype22, _size19);
+            this->uses.resize(_size19);
+            uint32_t _i23;
+            for (_i23 = 0; _i23 < _size19; ++_i23)
+            {
+              xfer += this->uses[_i23].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.uses = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t GrantAnswer::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("GrantAnswer");
+
+  xfer += oprot->writeFieldBegin("lanes", ::apache::thrift::protocol::T_LIST, 1);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I32, static_cast<uint32_t>(this->lanes.size()));
+    std::vector<int32_t> ::const_iterator _iter24;
+    for (_iter24 = this->lanes.begin(); _iter24 != this->lanes.end(); ++_iter24)
+    {
+      xfer += oprot->writeI32((*_iter24));
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("uses", ::apache::thrift::protocol::T_LIST, 2);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->uses.size()));
+    std::vector<GrantUse> ::const_iterator _iter25;
+    for (_iter25 = this->uses.begin(); _iter25 != this->uses.end(); ++_iter25)
+    {
+      xfer += (*_iter25).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(GrantAnswer &a, GrantAnswer &b) {
+  using ::std::swap;
+  swap(a.lanes, b.lanes);
+  swap(a.uses, b.uses);
+  swap(a.__isset, b.__isset);
+}
+
+GrantAnswer::GrantAnswer(const GrantAnswer& other26) {
+  lanes = other26.lanes;
+  uses = other26.uses;
+  __isset = other26.__isset;
+}
+GrantAnswer& GrantAnswer::operator=(const GrantAnswer& other27) {
+  lanes = other27.lanes;
+  uses = other27.uses;
+  __isset = other27.__isset;
+  return *this;
+}
+void GrantAnswer::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "GrantAnswer(";
+  out << "lanes=" << to_string(lanes);
+  out << ", " << "uses=" << to_string(uses);
   out << ")";
 }
 
@@ -493,14 +1021,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->entries.clear();
-            uint32_t _size2;
-            ::apache::thrift::protocol::TType _etype5;
-            xfer += iprot->readListBegin(_etype5, _size2);
-            this->entries.resize(_size2);
-            uint32_t _i6;
-            for (_i6 = 0; _i6 < _size2; ++_i6)
+            uint32_t _size28;
+            ::apache::thrift::protocol::TType _etype31;
+            xfer += iprot->readListBegin(_etype31, _size28);
+            this->entries.resize(_size28);
+            uint32_t _i32;
+            for (_i32 = 0; _i32 < _size28; ++_i32)
             {
-              xfer += this->entries[_i6].read(iprot);
+              xfer += this->entries[_i32].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -545,10 +1073,10 @@
   xfer += oprot->writeFieldBegin("entries", ::apache::thrift::protocol::T_LIST, 5);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->entries.size()));
-    std::vector<LaneEntry> ::const_iterator _iter7;
-    for (_iter7 = this->entries.begin(); _iter7 != this->entries.end(); ++_iter7)
+    std::vector<LaneEntry> ::const_iterator _iter33;
+    for (_iter33 = this->entries.begin(); _iter33 != this->entries.end(); ++_iter33)
     {
-      xfer += (*_iter7).write(oprot);
+      xfer += (*_iter33).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -569,21 +1097,21 @@
   swap(a.__isset, b.__isset);
 }
 
-LaneBlock::LaneBlock(const LaneBlock& other8) {
-  number = other8.number;
-  uid = other8.uid;
-  epoch = other8.epoch;
-  owner = other8.owner;
-  entries = other8.entries;
-  __isset = other8.__isset;
-}
-LaneBlock& LaneBlock::operator=(const LaneBlock& other9) {
-  number = other9.number;
-  uid = other9.uid;
-  epoch = other9.epoch;
-  owner = other9.owner;
-  entries = other9.entries;
-  __isset = other9.__isset;
+LaneBlock::LaneBlock(const LaneBlock& other34) {
+  number = other34.number;
+  uid = other34.uid;
+  epoch = other34.epoch;
+  owner = other34.owner;
+  entries = other34.entries;
+  __isset = other34.__isset;
+}
+LaneBlock& LaneBlock::operator=(const LaneBlock& other35) {
+  number = other35.number;
+  uid = other35.uid;
+  epoch = other35.epoch;
+  owner = other35.owner;
+  entries = other35.entries;
+  __isset = other35.__isset;
   return *this;
 }
 void LaneBlock::printTo(std::ostream& out) const {
@@ -911,41 +1439,41 @@
   swap(a.__isset, b.__isset);
 }
 
-CallRecord::CallRecord(const CallRecord& other10) {
-  key = other10.key;
-  call = other10.call;
-  kind = other10.kind;
-  target = other10.target;
-  backend = other10.backend;
-  idempotent = other10.idempotent;
-  request = other10.request;
-  request_digest = other10.request_digest;
-  done = other10.done;
-  epoch = other10.epoch;
-  verdict = other10.verdict;
-  status = other10.status;
-  answer = other10.answer;
-  tokens = other10.tokens;
-  held_by = other10.held_by;
-  __isset = other10.__isset;
-}
-CallRecord& CallRecord::operator=(const CallRecord& other11) {
-  key = other11.key;
-  call = other11.call;
-  kind = other11.kind;
-  target = other11.target;
-  backend = other11.backend;
-  idempotent = other11.idempotent;
-  request = other11.request;
-  request_digest = other11.request_digest;
-  done = other11.done;
-  epoch = other11.epoch;
-  verdict = other11.verdict;
-  status = other11.status;
-  answer = other11.answer;
-  tokens = other11.tokens;
-  held_by = other11.held_by;
-  __isset = other11.__isset;
+CallRecord::CallRecord(const CallRecord& other36) {
+  key = other36.key;
+  call = other36.call;
+  kind = other36.kind;
+  target = other36.target;
+  backend = other36.backend;
+  idempotent = other36.idempotent;
+  request = other36.request;
+  request_digest = other36.request_digest;
+  done = other36.done;
+  epoch = other36.epoch;
+  verdict = other36.verdict;
+  status = other36.status;
+  answer = other36.answer;
+  tokens = other36.tokens;
+  held_by = other36.held_by;
+  __isset = other36.__isset;
+}
+CallRecord& CallRecord::operator=(const CallRecord& other37) {
+  key = other37.key;
+  call = other37.call;
+  kind = other37.kind;
+  target = other37.target;
+  backend = other37.backend;
+  idempotent = other37.idempotent;
+  request = other37.request;
+  request_digest = other37.request_digest;
+  done = other37.done;
+  epoch = other37.epoch;
+  verdict = other37.verdict;
+  status = other37.status;
+  answer = other37.answer;
+  tokens = other37.tokens;
+  held_by = other37.held_by;
+  __isset = other37.__isset;
   return *this;
 }
 void CallRecord::printTo(std::ostream& out) const {
@@ -1061,14 +1589,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->calls.clear();
-            uint32_t _size12;
-            ::apache::thrift::protocol::TType _etype15;
-            xfer += iprot->readListBegin(_etype15, _size12);
-            this->calls.resize(_size12);
-            uint32_t _i16;
-            for (_i16 = 0; _i16 < _size12; ++_i16)
+            uint32_t _size38;
+            ::apache::thrift::protocol::TType _etype41;
+            xfer += iprot->readListBegin(_etype41, _size38);
+            this->calls.resize(_size38);
+            uint32_t _i42;
+            for (_i42 = 0; _i42 < _size38; ++_i42)
             {
-              xfer += this->calls[_i16].read(iprot);
+              xfer += this->calls[_i42].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1081,15 +1609,15 @@
         if (ftype == ::apache::thrift::protocol::T_SET) {
           {
             this->holds_on.clear();
-            uint32_t _size17;
-            ::apache::thrift::protocol::TType _etype20;
-            xfer += iprot->readSetBegin(_etype20, _size17);
-            uint32_t _i21;
-            for (_i21 = 0; _i21 < _size17; ++_i21)
+            uint32_t _size43;
+            ::apache::thrift::protocol::TType _etype46;
+            xfer += iprot->readSetBegin(_etype46, _size43);
+            uint32_t _i47;
+            for (_i47 = 0; _i47 < _size43; ++_i47)
             {
-              std::string _elem22;
-              xfer += iprot->readString(_elem22);
-              this->holds_on.insert(_elem22);
+              std::string _elem48;
+              xfer += iprot->readString(_elem48);
+              this->holds_on.insert(_elem48);
             }
             xfer += iprot->readSetEnd();
           }
@@ -1134,15 +1662,15 @@
         if (ftype == ::apache::thrift::protocol::T_SET) {
           {
             this->subagents.clear();
-            uint32_t _size23;
-            ::apache::thrift::protocol::TType _etype26;
-            xfer += iprot->readSetBegin(_etype26, _size23);
-            uint32_t _i27;
-            for (_i27 = 0; _i27 < _size23; ++_i27)
+            uint32_t _size49;
+            ::apache::thrift::protocol::TType _etype52;
+            xfer += iprot->readSetBegin(_etype52, _size49);
+            uint32_t _i53;
+            for (_i53 = 0; _i53 < _size49; ++_i53)
             {
-              std::string _elem28;
-              xfer += iprot->readString(_elem28);
-              this->subagents.insert(_elem28);
+              std::string _elem54;
+              xfer += iprot->readString(_elem54);
+              this->subagents.insert(_elem54);
             }
             xfer += iprot->readSetEnd();
           }
@@ -1187,10 +1715,10 @@
   xfer += oprot->writeFieldBegin("calls", ::apache::thrift::protocol::T_LIST, 3);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->calls.size()));
-    std::vector<CallRecord> ::const_iterator _iter29;
-    for (_iter29 = this->calls.begin(); _iter29 != this->calls.end(); ++_iter29)
+    std::vector<CallRecord> ::const_iterator _iter55;
+    for (_iter55 = this->calls.begin(); _iter55 != this->calls.end(); ++_iter55)
     {
-      xfer += (*_iter29).write(oprot);
+      xfer += (*_iter55).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -1199,10 +1727,10 @@
   xfer += oprot->writeFieldBegin("holds_on", ::apache::thrift::protocol::T_SET, 4);
   {
     xfer += oprot->writeSetBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->holds_on.size()));
-    std::set<std::string> ::const_iterator _iter30;
-    for (_iter30 = this->holds_on.begin(); _iter30 != this->holds_on.end(); ++_iter30)
+    std::set<std::string> ::const_iterator _iter56;
+    for (_iter56 = this->holds_on.begin(); _iter56 != this->holds_on.end(); ++_iter56)
     {
-      xfer += oprot->writeString((*_iter30));
+      xfer += oprot->writeString((*_iter56));
     }
     xfer += oprot->writeSetEnd();
   }
@@ -1227,10 +1755,10 @@
   xfer += oprot->writeFieldBegin("subagents", ::apache::thrift::protocol::T_SET, 9);
   {
     xfer += oprot->writeSetBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->subagents.size()));
-    std::set<std::string> ::const_iterator _iter31;
-    for (_iter31 = this->subagents.begin(); _iter31 != this->subagents.end(); ++_iter31)
+    std::set<std::string> ::const_iterator _iter57;
+    for (_iter57 = this->subagents.begin(); _iter57 != this->subagents.end(); ++_iter57)
     {
-      xfer += oprot->writeString((*_iter31));
+      xfer += oprot->writeString((*_iter57));
     }
     xfer += oprot->writeSetEnd();
   }
@@ -1260,31 +1788,31 @@
   swap(a.__isset, b.__isset);
 }
 
-ProgramState::ProgramState(const ProgramState& other32) {
-  customer = other32.customer;
-  program = other32.program;
-  calls = other32.calls;
-  holds_on = other32.holds_on;
-  ended = other32.ended;
-  passed_limit = other32.passed_limit;
-  tokens = other32.tokens;
-  started_at_ms = other32.started_at_ms;
-  subagents = other32.subagents;
-  last_begun_at_ms = other32.last_begun_at_ms;
-  __isset = other32.__isset;
-}
-ProgramState& ProgramState::operator=(const ProgramState& other33) {
-  customer = other33.customer;
-  program = other33.program;
-  calls = other33.calls;
-  holds_on = other33.holds_on;
-  ended = other33.ended;
-  passed_limit = other33.passed_limit;
-  tokens = other33.tokens;
-  started_at_ms = other33.started_at_ms;
-  subagents = other33.subagents;
-  last_begun_at_ms = other33.last_begun_at_ms;
-  __isset = other33.__isset;
+ProgramState::ProgramState(const ProgramState& other58) {
+  customer = other58.customer;
+  program = other58.program;
+  calls = other58.calls;
+  holds_on = other58.holds_on;
+  ended = other58.ended;
+  passed_limit = other58.passed_limit;
+  tokens = other58.tokens;
+  started_at_ms = other58.started_at_ms;
+  subagents = other58.subagents;
+  last_begun_at_ms = other58.last_begun_at_ms;
+  __isset = other58.__isset;
+}
+ProgramState& ProgramState::operator=(const ProgramState& other59) {
+  customer = other59.customer;
+  program = other59.program;
+  calls = other59.calls;
+  holds_on = other59.holds_on;
+  ended = other59.ended;
+  passed_limit = other59.passed_limit;
+  tokens = other59.tokens;
+  started_at_ms = other59.started_at_ms;
+  subagents = other59.subagents;
+  last_begun_at_ms = other59.last_begun_at_ms;
+  __isset = other59.__isset;
   return *this;
 }
 void ProgramState::printTo(std::ostream& out) const {
@@ -1379,14 +1907,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->programs.clear();
-            uint32_t _size34;
-            ::apache::thrift::protocol::TType _etype37;
-            xfer += iprot->readListBegin(_etype37, _size34);
-            this->programs.resize(_size34);
-            uint32_t _i38;
-            for (_i38 = 0; _i38 < _size34; ++_i38)
+            uint32_t _size60;
+            ::apache::thrift::protocol::TType _etype63;
+            xfer += iprot->readListBegin(_etype63, _size60);
+            this->programs.resize(_size60);
+            uint32_t _i64;
+            for (_i64 = 0; _i64 < _size60; ++_i64)
             {
-              xfer += this->programs[_i38].read(iprot);
+              xfer += this->programs[_i64].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1427,10 +1955,10 @@
   xfer += oprot->writeFieldBegin("programs", ::apache::thrift::protocol::T_LIST, 4);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->programs.size()));
-    std::vector<ProgramState> ::const_iterator _iter39;
-    for (_iter39 = this->programs.begin(); _iter39 != this->programs.end(); ++_iter39)
+    std::vector<ProgramState> ::const_iterator _iter65;
+    for (_iter65 = this->programs.begin(); _iter65 != this->programs.end(); ++_iter65)
     {
-      xfer += (*_iter39).write(oprot);
+      xfer += (*_iter65).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -1450,19 +1978,19 @@
   swap(a.__isset, b.__isset);
 }
 
-LaneSnapshot::LaneSnapshot(const LaneSnapshot& other40) {
-  last_block = other40.last_block;
-  epoch = other40.epoch;
-  owner = other40.owner;
-  programs = other40.programs;
-  __isset = other40.__isset;
+LaneSnapshot::LaneSnapshot(const LaneSnapshot& other66) {
+  last_block = other66.last_block;
+  epoch = other66.epoch;
+  owner = other66.owner;
+  programs = other66.programs;
+  __isset = other66.__isset;
 }
-LaneSnapshot& LaneSnapshot::operator=(const LaneSnapshot& other41) {
-  last_block = other41.last_block;
-  epoch = other41.epoch;
-  owner = other41.owner;
-  programs = other41.programs;
-  __isset = other41.__isset;
+LaneSnapshot& LaneSnapshot::operator=(const LaneSnapshot& other67) {
+  last_block = other67.last_block;
+  epoch = other67.epoch;
+  owner = other67.owner;
+  programs = other67.programs;
+  __isset = other67.__isset;
   return *this;
 }
 void LaneSnapshot::printTo(std::ostream& out) const {
@@ -1602,19 +2130,19 @@
   swap(a.__isset, b.__isset);
 }
 
-SnapshotHead::SnapshotHead(const SnapshotHead& other42) {
-  uid = other42.uid;
-  parts = other42.parts;
-  last_block = other42.last_block;
-  bytes = other42.bytes;
-  __isset = other42.__isset;
+SnapshotHead::SnapshotHead(const SnapshotHead& other68) {
+  uid = other68.uid;
+  parts = other68.parts;
+  last_block = other68.last_block;
+  bytes = other68.bytes;
+  __isset = other68.__isset;
 }
-SnapshotHead& SnapshotHead::operator=(const SnapshotHead& other43) {
-  uid = other43.uid;
-  parts = other43.parts;
-  last_block = other43.last_block;
-  bytes = other43.bytes;
-  __isset = other43.__isset;
+SnapshotHead& SnapshotHead::operator=(const SnapshotHead& other69) {
+  uid = other69.uid;
+  parts = other69.parts;
+  last_block = other69.last_block;
+  bytes = other69.bytes;
+  __isset = other69.__isset;
   return *this;
 }
 void SnapshotHead::printTo(std::ostream& out) const {
@@ -1856,31 +2384,31 @@
   swap(a.__isset, b.__isset);
 }
 
-ForwardedCall::ForwardedCall(const ForwardedCall& other44) {
-  customer = other44.customer;
-  program = other44.program;
-  key = other44.key;
-  call = other44.call;
-  operation = other44.operation;
-  target = other44.target;
-  body = other44.body;
-  deadline_ms = other44.deadline_ms;
-  clock = other44.clock;
-  parent = other44.parent;
-  __isset = other44.__isset;
-}
-ForwardedCall& ForwardedCall::operator=(const ForwardedCall& other45) {
-  customer = other45.customer;
-  program = other45.program;
-  key = other45.key;
-  call = other45.call;
-  operation = other45.operation;
-  target = other45.target;
-  body = other45.body;
-  deadline_ms = other45.deadline_ms;
-  clock = other45.clock;
-  parent = other45.parent;
-  __isset = other45.__isset;
+ForwardedCall::ForwardedCall(const ForwardedCall& other70) {
+  customer = other70.customer;
+  program = other70.program;
+  key = other70.key;
+  call = other70.call;
+  operation = other70.operation;
+  target = other70.target;
+  body = other70.body;
+  deadline_ms = other70.deadline_ms;
+  clock = other70.clock;
+  parent = other70.parent;
+  __isset = other70.__isset;
+}
+ForwardedCall& ForwardedCall::operator=(const ForwardedCall& other71) {
+  customer = other71.customer;
+  program = other71.program;
+  key = other71.key;
+  call = other71.call;
+  operation = other71.operation;
+  target = other71.target;
+  body = other71.body;
+  deadline_ms = other71.deadline_ms;
+  clock = other71.clock;
+  parent = other71.parent;
+  __isset = other71.__isset;
   return *this;
 }
 void ForwardedCall::printTo(std::ostream& out) const {
@@ -2145,33 +2673,33 @@
   swap(a.__isset, b.__isset);
 }
 
-AnswerFrame::AnswerFrame(const AnswerFrame& other46) {
-  kind = other46.kind;
-  content = other46.content;
-  status = other46.status;
-  verdict = other46.verdict;
-  code = other46.code;
-  message = other46.message;
-  retry_after_ms = other46.retry_after_ms;
-  prompt_tokens = other46.prompt_tokens;
-  completion_tokens = other46.completion_tokens;
-  cached_tokens = other46.cached_tokens;
-  clock = other46.clock;
-  __isset = other46.__isset;
-}
-AnswerFrame& AnswerFrame::operator=(const AnswerFrame& other47) {
-  kind = other47.kind;
-  content = other47.content;
-  status = other47.status;
-  verdict = other47.verdict;
-  code = other47.code;
-  message = other47.message;
-  retry_after_ms = other47.retry_after_ms;
-  prompt_tokens = other47.prompt_tokens;
-  completion_tokens = other47.completion_tokens;
-  cached_tokens = other47.cached_tokens;
-  clock = other47.clock;
-  __isset = other47.__isset;
+AnswerFrame::AnswerFrame(const AnswerFrame& other72) {
+  kind = other72.kind;
+  content = other72.content;
+  status = other72.status;
+  verdict = other72.verdict;
+  code = other72.code;
+  message = other72.message;
+  retry_after_ms = other72.retry_after_ms;
+  prompt_tokens = other72.prompt_tokens;
+  completion_tokens = other72.completion_tokens;
+  cached_tokens = other72.cached_tokens;
+  clock = other72.clock;
+  __isset = other72.__isset;
+}
+AnswerFrame& AnswerFrame::operator=(const AnswerFrame& other73) {
+  kind = other73.kind;
+  content = other73.content;
+  status = other73.status;
+  verdict = other73.verdict;
+  code = other73.code;
+  message = other73.message;
+  retry_after_ms = other73.retry_after_ms;
+  prompt_tokens = other73.prompt_tokens;
+  completion_tokens = other73.completion_tokens;
+  cached_tokens = other73.cached_tokens;
+  clock = other73.clock;
+  __isset = other73.__isset;
   return *this;
 }
 void AnswerFrame::printTo(std::ostream& out) const {
@@ -2284,15 +2812,15 @@
   swap(a.__isset, b.__isset);
 }
 
-ContractText::ContractText(const ContractText& other48) {
-  customer = other48.customer;
-  text = other48.text;
-  __isset = other48.__isset;
+ContractText::ContractText(const ContractText& other74) {
+  customer = other74.customer;
+  text = other74.text;
+  __isset = other74.__isset;
 }
-ContractText& ContractText::operator=(const ContractText& other49) {
-  customer = other49.customer;
-  text = other49.text;
-  __isset = other49.__isset;
+ContractText& ContractText::operator=(const ContractText& other75) {
+  customer = other75.customer;
+  text = other75.text;
+  __isset = other75.__isset;
   return *this;
 }
 void ContractText::printTo(std::ostream& out) const {
@@ -2355,14 +2883,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->contracts.clear();
-            uint32_t _size50;
-            ::apache::thrift::protocol::TType _etype53;
-            xfer += iprot->readListBegin(_etype53, _size50);
-            this->contracts.resize(_size50);
-            uint32_t _i54;
-            for (_i54 = 0; _i54 < _size50; ++_i54)
+            uint32_t _size76;
+            ::apache::thrift::protocol::TType _etype79;
+            xfer += iprot->readListBegin(_etype79, _size76);
+            this->contracts.resize(_size76);
+            uint32_t _i80;
+            for (_i80 = 0; _i80 < _size76; ++_i80)
             {
-              xfer += this->contracts[_i54].read(iprot);
+              xfer += this->contracts[_i80].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -2395,10 +2923,10 @@
   xfer += oprot->writeFieldBegin("contracts", ::apache::thrift::protocol::T_LIST, 2);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->contracts.size()));
-    std::vector<ContractText> ::const_iterator _iter55;
-    for (_iter55 = this->contracts.begin(); _iter55 != this->contracts.end(); ++_iter55)
+    std::vector<ContractText> ::const_iterator _iter81;
+    for (_iter81 = this->contracts.begin(); _iter81 != this->contracts.end(); ++_iter81)
     {
-      xfer += (*_iter55).write(oprot);
+      xfer += (*_iter81).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -2416,15 +2944,15 @@
   swap(a.__isset, b.__isset);
 }
 
-ContractSet::ContractSet(const ContractSet& other56) {
-  revision = other56.revision;
-  contracts = other56.contracts;
-  __isset = other56.__isset;
+ContractSet::ContractSet(const ContractSet& other82) {
+  revision = other82.revision;
+  contracts = other82.contracts;
+  __isset = other82.__isset;
 }
-ContractSet& ContractSet::operator=(const ContractSet& other57) {
-  revision = other57.revision;
-  contracts = other57.contracts;
-  __isset = other57.__isset;
+ContractSet& ContractSet::operator=(const ContractSet& other83) {
+  revision = other83.revision;
+  contracts = other83.contracts;
+  __isset = other83.__isset;
   return *this;
 }
 void ContractSet::printTo(std::ostream& out) const {
@@ -2528,15 +3056,15 @@
   swap(a.__isset, b.__isset);
 }
 
-OwnedLane::OwnedLane(const OwnedLane& other58) noexcept {
-  lane = other58.lane;
-  epoch = other58.epoch;
-  __isset = other58.__isset;
+OwnedLane::OwnedLane(const OwnedLane& other84) noexcept {
+  lane = other84.lane;
+  epoch = other84.epoch;
+  __isset = other84.__isset;
 }
-OwnedLane& OwnedLane::operator=(const OwnedLane& other59) noexcept {
-  lane = other59.lane;
-  epoch = other59.epoch;
-  __isset = other59.__isset;
+OwnedLane& OwnedLane::operator=(const OwnedLane& other85) noexcept {
+  lane = other85.lane;
+  epoch = other85.epoch;
+  __isset = other85.__isset;
   return *this;
 }
 void OwnedLane::printTo(std::ostream& out) const {
@@ -2647,14 +3175,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->lanes.clear();
-            uint32_t _size60;
-            ::apache::thrift::protocol::TType _etype63;
-            xfer += iprot->readListBegin(_etype63, _size60);
-            this->lanes.resize(_size60);
-            uint32_t _i64;
-            for (_i64 = 0; _i64 < _size60; ++_i64)
+            uint32_t _size86;
+            ::apache::thrift::protocol::TType _etype89;
+            xfer += iprot->readListBegin(_etype89, _size86);
+            this->lanes.resize(_size86);
+            uint32_t _i90;
+            for (_i90 = 0; _i90 < _size86; ++_i90)
             {
-              xfer += this->lanes[_i64].read(iprot);
+              xfer += this->lanes[_i90].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -2723,10 +3251,10 @@
   xfer += oprot->writeFieldBegin("lanes", ::apache::thrift::protocol::T_LIST, 5);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->lanes.size()));
-    std::vector<OwnedLane> ::const_iterator _iter65;
-    for (_iter65 = this->lanes.begin(); _iter65 != this->lanes.end(); ++_iter65)
+    std::vector<OwnedLane> ::const_iterator _iter91;
+    for (_iter91 = this->lanes.begin(); _iter91 != this->lanes.end(); ++_iter91)
     {
-      xfer += (*_iter65).write(oprot);
+      xfer += (*_iter91).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -2762,27 +3290,27 @@
   swap(a.__isset, b.__isset);
 }
 
-Heartbeat::Heartbeat(const Heartbeat& other66) {
-  daemon = other66.daemon;
-  address = other66.address;
-  data_centre = other66.data_centre;
-  draining = other66.draining;
-  lanes = other66.lanes;
-  contracts_revision = other66.contracts_revision;
-  clock = other66.clock;
-  has_data_folder = other66.has_data_folder;
-  __isset = other66.__isset;
-}
-Heartbeat& Heartbeat::operator=(const Heartbeat& other67) {
-  daemon = other67.daemon;
-  address = other67.address;
-  data_centre = other67.data_centre;
-  draining = other67.draining;
-  lanes = other67.lanes;
-  contracts_revision = other67.contracts_revision;
-  clock = other67.clock;
-  has_data_folder = other67.has_data_folder;
-  __isset = other67.__isset;
+Heartbeat::Heartbeat(const Heartbeat& other92) {
+  daemon = other92.daemon;
+  address = other92.address;
+  data_centre = other92.data_centre;
+  draining = other92.draining;
+  lanes = other92.lanes;
+  contracts_revision = other92.contracts_revision;
+  clock = other92.clock;
+  has_data_folder = other92.has_data_folder;
+  __isset = other92.__isset;
+}
+Heartbeat& Heartbeat::operator=(const Heartbeat& other93) {
+  daemon = other93.daemon;
+  address = other93.address;
+  data_centre = other93.data_centre;
+  draining = other93.draining;
+  lanes = other93.lanes;
+  contracts_revision = other93.contracts_revision;
+  clock = other93.clock;
+  has_data_folder = other93.has_data_folder;
+  __isset = other93.__isset;
   return *this;
 }
 void Heartbeat::printTo(std::ostream& out) const {
