--- a/source/wire/codec.cc
+++ b/source/wire/codec.cc
@@ -8,20 +8,12 @@
 namespace {
 
 using detail::Read;
+using detail::ToEnum;
 using detail::Write;
 
 constexpr std::size_t kLengthBytes = 4;
 constexpr std::size_t kLongestFrame = 64 * 1024 * 1024;
 
-// Values of an enum run from 0 to `last`.
-template <typename Enum>
-Enum ToEnum(int value, Enum last) {
-  if (value < 0 || value > static_cast<int>(last)) {
-    throw WireError("unknown kind " + std::to_string(value));
-  }
-  return static_cast<Enum>(value);
-}
-
 wire::LaneEntry ToWire(const LaneEntry& entry) {
   wire::LaneEntry out;
   out.kind = static_cast<int>(entry.kind);
--- a/source/wire/compact.h
+++ b/source/wire/compact.h
@@ -39,6 +39,15 @@
   return out;
 }
 
+// Values of an enum run from 0 to `last`. Throws WireError.
+template <typename Enum>
+Enum ToEnum(int value, Enum last) {
+  if (value < 0 || value > static_cast<int>(last)) {
+    throw WireError("unknown kind " + std::to_string(value));
+  }
+  return static_cast<Enum>(value);
+}
+
 }  // namespace comfreyfold::detail
 
 #endif  // WIRE_COMPACT_H_
--- a/source/wire/snapshot_codec.cc
+++ b/source/wire/snapshot_codec.cc
@@ -33,7 +33,7 @@
   CallRecord out;
   out.key = call.key;
   out.call = call.call;
-  out.kind = static_cast<CallKind>(call.kind);
+  out.kind = detail::ToEnum(call.kind, CallKind::kService);
   out.target = call.target;
   out.backend = call.backend;
   out.idempotent = call.idempotent;
@@ -41,7 +41,7 @@
   out.request_digest = static_cast<std::uint64_t>(call.request_digest);
   out.done = call.done;
   out.epoch = call.epoch;
-  out.verdict = static_cast<Verdict>(call.verdict);
+  out.verdict = detail::ToEnum(call.verdict, Verdict::kRan);
   out.status = call.status;
   out.answer = call.answer;
   out.held_by = call.held_by;
