--- /dev/null
+++ b/source/core/call_scheduler.cc
@@ -0,0 +1,183 @@
+#include "core/call_scheduler.h"
+
+#include <algorithm>
+#include <cmath>
+#include <utility>
+
+#include "core/hash.h"
+
+namespace comfreyfold {
+
+namespace {
+
+using std::chrono::nanoseconds;
+
+constexpr char kUrgentKey[] = "urgent";
+
+}  // namespace
+
+CallScheduler::CallScheduler(const DecisionSettings& settings,
+                             std::uint64_t seed,
+                             Servers servers)
+    : settings_(settings),
+      servers_(std::move(servers)),
+      chooser_(settings, seed),
+      health_(settings),
+      queue_(settings.aging),
+      urgent_(settings.aging),
+      admission_(settings) {}
+
+nanoseconds CallScheduler::CostOf(const ScheduledCall& call) const {
+  const auto added = std::max<std::int64_t>(
+      0, call.request.prompt_tokens - call.request.seen_tokens);
+  return added * settings_.prefill_per_token + call.generation;
+}
+
+AdmissionAnswer CallScheduler::Submit(const ScheduledCall& call,
+                                      TimePoint now) {
+  const QueuedCall queued{
+      call.id,      call.customer, call.weight, call.priority,
+      CostOf(call), call.attained, now};
+  AdmissionAnswer answer;
+  if (call.urgent) {
+    seen_urgent_ = true;
+    urgent_.Push(queued);
+  } else {
+    const auto backlog = queue_.Backlog(call.customer);
+    const bool waits = backlog > nanoseconds::zero();
+    answer = admission_.Decide(
+        {queued.cost, backlog, call.weight,
+         queue_.ActiveWeight() + (waits ? 0 : call.weight),
+         chooser_.ShareOfSlots(now), call.first_call, call.left});
+    if (!answer.accepted) {
+      return answer;
+    }
+    queue_.Push(queued);
+  }
+  waiting_[call.id] = call;
+  chooser_.SetDemand(demand());
+  return answer;
+}
+
+std::vector<std::string> CallScheduler::Usable(const ScheduledCall& call,
+                                               TimePoint now) const {
+  std::vector<BackendHealth::Candidate> candidates;
+  for (auto& it : servers_(call)) {
+    const int in_flight = chooser_.InFlight(it);
+    candidates.push_back({std::move(it), in_flight});
+  }
+  return Reserved(health_.Usable(candidates, now), call.urgent);
+}
+
+// Daemons cannot agree on a free slot in the time that an urgent message
+// has, but on whole servers they agree without a word. When one of them
+// fails the next in the order takes its place.
+std::vector<std::string> CallScheduler::Reserved(
+    std::vector<std::string> usable,
+    bool urgent) const {
+  if (!settings_.queue_calls || settings_.urgent_server_share <= 0 ||
+      usable.size() < 2 || !(urgent || seen_urgent_)) {
+    return usable;
+  }
+  const auto n = std::clamp<std::size_t>(
+      static_cast<std::size_t>(std::ceil(static_cast<double>(usable.size()) *
+                                         settings_.urgent_server_share)),
+      1, usable.size() - 1);
+  auto order = RendezvousOrder(kUrgentKey, std::move(usable));
+  const auto split = order.begin() + static_cast<std::ptrdiff_t>(n);
+  return urgent ? std::vector<std::string>(order.begin(), split)
+                : std::vector<std::string>(split, order.end());
+}
+
+std::optional<EngineChoice> CallScheduler::PlaceWithRoom(
+    const ScheduledCall& call,
+    const std::vector<std::string>& usable,
+    TimePoint now) {
+  std::vector<std::string> free;
+  for (const auto& it : usable) {
+    if (chooser_.HasRoom(it, now)) {
+      free.push_back(it);
+    }
+  }
+  return free.empty() ? std::nullopt : chooser_.Choose(call.request, free, now);
+}
+
+// A call whose best server is full waits for it as long as the wait costs
+// less than the prefill elsewhere; an aged one takes any free slot.
+std::optional<EngineChoice> CallScheduler::Place(const QueuedCall& queued,
+                                                 TimePoint now) {
+  const auto& call = waiting_.at(queued.id);
+  const auto usable = Usable(call, now);
+  if (usable.empty()) {
+    return std::nullopt;
+  }
+  const bool aged = now - queued.arrived >= settings_.aging;
+  if (settings_.queue_calls && aged && !call.urgent) {
+    return PlaceWithRoom(call, usable, now);
+  }
+  auto choice = chooser_.Choose(call.request, usable, now);
+  const bool goes =
+      choice && (!settings_.queue_calls || call.urgent || choice->has_room);
+  return goes ? choice : std::nullopt;
+}
+
+bool CallScheduler::AnyRoom(TimePoint now) const {
+  return !settings_.queue_calls || chooser_.AnyRoom(now);
+}
+
+Dispatch CallScheduler::Start(const QueuedCall& queued,
+                              const EngineChoice& choice) {
+  auto call = std::move(waiting_.at(queued.id));
+  waiting_.erase(queued.id);
+  chooser_.Dispatched(choice.engine);
+  running_[queued.id] = {std::move(call), choice.engine, queued.cost};
+  return {queued.id, choice};
+}
+
+std::optional<Dispatch> CallScheduler::Next(TimePoint now) {
+  std::optional<EngineChoice> choice;
+  const auto fits = [&](const QueuedCall& queued) {
+    choice = Place(queued, now);
+    return choice.has_value();
+  };
+  if (const auto urgent = urgent_.Take(now, fits)) {
+    return Start(*urgent, *choice);
+  }
+  if (queue_.size() == 0 || !AnyRoom(now)) {
+    return std::nullopt;
+  }
+  if (const auto queued = queue_.Take(now, fits)) {
+    return Start(*queued, *choice);
+  }
+  return std::nullopt;
+}
+
+void CallScheduler::Finished(const CallOutcome& outcome, TimePoint now) {
+  const auto it = running_.find(outcome.id);
+  if (it == running_.end()) {
+    return;
+  }
+  const auto& [call, server, cost] = it->second;
+  chooser_.Finished({server, call.request.program, outcome.tokens,
+                     outcome.cached, outcome.service, !outcome.failed},
+                    now);
+  if (outcome.failed) {
+    health_.Failed(server, now);
+  } else {
+    health_.Succeeded(server);
+  }
+  if (!call.urgent) {
+    queue_.Charge(call.customer, call.weight, outcome.service - cost);
+  }
+  running_.erase(it);
+  chooser_.SetDemand(demand());
+}
+
+bool CallScheduler::Cancel(std::uint64_t id) {
+  const bool waited = queue_.Remove(id) || urgent_.Remove(id);
+  waiting_.erase(id);
+  chooser_.SetDemand(demand());
+  return waited;
+}
+
+}  // namespace comfreyfold
--- /dev/null
+++ b/source/core/engine_chooser.cc
@@ -0,0 +1,349 @@
+#include "core/engine_chooser.h"
+
+#include <algorithm>
+#include <cmath>
+#include <tuple>
+
+#include "core/hash.h"
+
+namespace comfreyfold {
+
+namespace {
+
+using std::chrono::nanoseconds;
+
+constexpr int kMeanWindow = 32;  // Calls that the mean service time spans.
+constexpr double kResidenceStep = 0.25;
+// Of the mean service time, for a server whose slots are all taken but not
+// queued on: parts equals without driving a program from its cache.
+constexpr double kLoadShare = 0.05;
+
+nanoseconds Scale(nanoseconds time, double factor) {
+  return nanoseconds(
+      static_cast<std::int64_t>(static_cast<double>(time.count()) * factor));
+}
+
+}  // namespace
+
+EngineChooser::EngineChooser(const DecisionSettings& settings,
+                             std::uint64_t seed)
+    : settings_(settings), seed_(seed) {}
+
+void EngineChooser::SetServer(const std::string& id, bool takes_work) {
+  servers_[id].takes_work = takes_work;
+}
+
+void EngineChooser::RemoveServer(const std::string& id) {
+  const auto it = servers_.find(id);
+  if (it == servers_.end()) {
+    return;
+  }
+  own_ -= it->second.own;
+  servers_.erase(it);
+  for (auto& [program, engines] : beliefs_) {
+    engines.erase(id);
+  }
+}
+
+void EngineChooser::ObserveLoad(const std::string& id, const EngineLoad& load) {
+  const auto it = servers_.find(id);
+  if (it != servers_.end()) {
+    it->second.load = load;
+  }
+}
+
+void EngineChooser::ObservePeer(const std::string& peer,
+                                int demand,
+                                TimePoint now) {
+  peers_[peer] = {demand, now};
+}
+
+void EngineChooser::Dispatched(const std::string& id) {
+  ++servers_[id].own;
+  ++own_;
+}
+
+void EngineChooser::Finished(const Finish& finish, TimePoint now) {
+  const auto it = servers_.find(finish.server);
+  if (it == servers_.end()) {
+    return;
+  }
+  if (it->second.own > 0) {
+    --it->second.own;
+    --own_;
+  }
+  if (!finish.ran) {
+    return;
+  }
+  mean_service_ =
+      mean_service_ == nanoseconds::zero()
+          ? finish.service
+          : mean_service_ + (finish.service - mean_service_) / kMeanWindow;
+  const auto* belief = Find(finish.server, finish.program);
+  if (belief != nullptr) {
+    LearnResidence(it->second, now - finish.service - belief->used,
+                   finish.cached < belief->tokens / 2);
+  }
+  SetCached(finish.server, finish.program, finish.tokens, now);
+}
+
+// Cache events come late or not at all, so what an engine is seen to have
+// kept or lost at each turn says how long it keeps things.
+void EngineChooser::LearnResidence(Server& server,
+                                   nanoseconds idle,
+                                   bool lost) {
+  auto& known = server.residence;
+  if (lost && (!known || idle < *known)) {
+    const auto before = known.value_or(idle);
+    known = before + Scale(idle - before, kResidenceStep);
+  } else if (!lost && known && idle > *known) {
+    *known += Scale(idle - *known, kResidenceStep);
+  }
+}
+
+// An event older than the program's last turn there tells of a copy that is
+// gone anyway.
+void EngineChooser::ObserveEviction(const std::string& id,
+                                    const std::string& program,
+                                    TimePoint at) {
+  const auto* belief = Find(id, program);
+  const auto it = servers_.find(id);
+  if (belief == nullptr || it == servers_.end() || belief->used > at) {
+    return;
+  }
+  LearnResidence(it->second, at - belief->used, true);
+  SetCached(id, program, 0, at);
+}
+
+void EngineChooser::SetCached(const std::string& id,
+                              const std::string& program,
+                              std::int64_t tokens,
+                              TimePoint now) {
+  if (tokens > 0) {
+    beliefs_[program][id] = {tokens, now};
+    return;
+  }
+  const auto it = beliefs_.find(program);
+  if (it != beliefs_.end()) {
+    it->second.erase(id);
+  }
+}
+
+void EngineChooser::Forget(const std::string& program) {
+  beliefs_.erase(program);
+}
+
+const EngineChooser::Belief* EngineChooser::Find(
+    const std::string& id,
+    const std::string& program) const {
+  const auto engines = beliefs_.find(program);
+  if (engines == beliefs_.end()) {
+    return nullptr;
+  }
+  const auto it = engines->second.find(id);
+  return it == engines->second.end() ? nullptr : &it->second;
+}
+
+std::vector<std::string> EngineChooser::Candidates(
+    const std::vector<std::string>& among,
+    const EngineRequest& request) const {
+  std::vector<std::string> out;
+  for (const auto& [id, server] : servers_) {
+    const bool named = among.empty() ||
+                       std::find(among.begin(), among.end(), id) != among.end();
+    if (named && server.takes_work && !request.avoid.contains(id)) {
+      out.push_back(id);
+    }
+  }
+  return out;
+}
+
+std::optional<EngineChoice> EngineChooser::Choose(
+    const EngineRequest& request,
+    const std::vector<std::string>& among,
+    TimePoint now) {
+  auto ids = Candidates(among, request);
+  if (ids.empty()) {
+    // A server that failed this call is still better than none.
+    EngineRequest again = request;
+    again.avoid.clear();
+    ids = Candidates(among, again);
+  }
+  if (ids.empty()) {
+    return std::nullopt;
+  }
+  if (settings_.policy == EnginePolicy::kRoundRobin) {
+    return Weigh(ids[(seed_ + turn_++) % ids.size()], request, now);
+  }
+  if (settings_.policy == EnginePolicy::kLeastLoaded) {
+    return Weigh(LeastLoaded(ids), request, now);
+  }
+  // Ties fall differently on each daemon, so that they do not all go to the
+  // same engine when all engines look alike.
+  std::optional<EngineChoice> best;
+  std::uint64_t best_tie = 0;
+  for (const auto& it : ids) {
+    auto choice = Weigh(it, request, now);
+    const auto tie = Hash64(it, seed_ ^ Hash64(request.program));
+    if (!best || std::tie(choice.cost, tie) < std::tie(best->cost, best_tie)) {
+      best = std::move(choice);
+      best_tie = tie;
+    }
+  }
+  return best;
+}
+
+std::string EngineChooser::LeastLoaded(const std::vector<std::string>& ids) {
+  const auto load = [this](const std::string& id) {
+    const auto& it = servers_.at(id).load;
+    return it.running + it.waiting;
+  };
+  const auto first = (seed_ + turn_++) % ids.size();
+  auto best = ids[first];
+  for (std::size_t i = 1; i < ids.size(); ++i) {
+    const auto& it = ids[(first + i) % ids.size()];
+    if (load(it) < load(best)) {
+      best = it;
+    }
+  }
+  return best;
+}
+
+EngineChoice EngineChooser::Weigh(const std::string& id,
+                                  const EngineRequest& request,
+                                  TimePoint now) const {
+  const auto& server = servers_.at(id);
+  EngineChoice out;
+  out.engine = id;
+  const auto* belief = Find(id, request.program);
+  if (belief != nullptr && Believed(server, *belief, now)) {
+    out.cached_tokens = std::min(belief->tokens, request.prompt_tokens);
+  }
+  const auto imported = std::max<std::int64_t>(
+      0, std::min(request.exported_tokens, request.prompt_tokens) -
+             out.cached_tokens);
+  const auto missing = request.prompt_tokens - out.cached_tokens - imported;
+  const auto again = std::max<std::int64_t>(
+      0, std::min(request.seen_tokens, request.prompt_tokens) -
+             out.cached_tokens - imported);
+  const double occupancy = Occupancy(id, now);
+  const double slots = Slots(server);
+  if (occupancy + 1 > slots) {
+    out.wait = Scale(mean_service_, (occupancy + 1 - slots) / slots);
+  }
+  const auto fill = missing * settings_.prefill_per_token +
+                    imported * settings_.import_per_token;
+  const auto load = Scale(mean_service_, kLoadShare * occupancy / slots);
+  out.cost = Scale(out.wait + fill + load, settings_.latency_weight) +
+             Scale(again * settings_.prefill_per_token, settings_.cache_weight);
+  out.has_room = HasRoom(id, now);
+  return out;
+}
+
+int EngineChooser::Slots(const Server& server) const {
+  return std::max(
+      1, server.load.slots > 0 ? server.load.slots : settings_.engine_slots);
+}
+
+int EngineChooser::InFlight(const std::string& id) const {
+  const auto it = servers_.find(id);
+  return it == servers_.end() ? 0 : it->second.own;
+}
+
+// A peer's count at one server is older than most of its calls last, and
+// every daemon that believed it would send its calls to the same place. How
+// much the peers have to do in all changes slowly: it says which part of
+// every server is this daemon's, and what the peers do there is taken to be
+// like what it does itself.
+double EngineChooser::Share(TimePoint now) const {
+  int daemons = 1;
+  int all = demand_;
+  for (const auto& [peer, entry] : peers_) {
+    if (now - entry.told <= settings_.peer_report_timeout) {
+      ++daemons;
+      all += entry.demand;
+    }
+  }
+  const double even = 1.0 / daemons;
+  return all == 0 ? even : std::max(even, static_cast<double>(demand_) / all);
+}
+
+double EngineChooser::Occupancy(const std::string& id, TimePoint now) const {
+  return InFlight(id) / Share(now);
+}
+
+int EngineChooser::DaemonCount(TimePoint now) const {
+  int out = 1;
+  for (const auto& [peer, entry] : peers_) {
+    out += now - entry.told <= settings_.peer_report_timeout ? 1 : 0;
+  }
+  return out;
+}
+
+int EngineChooser::RoomFor(int slots, TimePoint now) const {
+  return std::max(1, static_cast<int>(std::ceil(
+                         slots * settings_.slot_headroom * Share(now))));
+}
+
+bool EngineChooser::HasRoom(const std::string& id, TimePoint now) const {
+  const auto it = servers_.find(id);
+  return it != servers_.end() &&
+         it->second.own < RoomFor(Slots(it->second), now) &&
+         own_ < RoomFor(TotalSlots(), now);
+}
+
+bool EngineChooser::AnyRoom(TimePoint now) const {
+  return std::any_of(servers_.begin(), servers_.end(), [&](const auto& it) {
+    return it.second.takes_work && HasRoom(it.first, now);
+  });
+}
+
+int EngineChooser::TotalSlots() const {
+  int out = 0;
+  for (const auto& [id, server] : servers_) {
+    out += server.takes_work ? Slots(server) : 0;
+  }
+  return out;
+}
+
+int EngineChooser::ShareOfSlots(TimePoint now) const {
+  return std::max(1, static_cast<int>(TotalSlots() * Share(now)));
+}
+
+std::optional<nanoseconds> EngineChooser::Residence(
+    const std::string& id) const {
+  const auto it = servers_.find(id);
+  return it == servers_.end() ? std::nullopt : it->second.residence;
+}
+
+std::int64_t EngineChooser::MemoryTokens(const std::string& id) const {
+  const auto it = servers_.find(id);
+  return it == servers_.end() ? 0 : it->second.load.memory_tokens;
+}
+
+bool EngineChooser::Believed(const Server& server,
+                             const Belief& belief,
+                             TimePoint now) {
+  return !server.residence || now - belief.used <= *server.residence;
+}
+
+std::int64_t EngineChooser::Held(const std::string& id, TimePoint now) const {
+  std::int64_t out = 0;
+  const auto server = servers_.find(id);
+  for (const auto& [program, engines] : beliefs_) {
+    const auto it = engines.find(id);
+    if (it != engines.end() && server != servers_.end() &&
+        Believed(server->second, it->second, now)) {
+      out += it->second.tokens;
+    }
+  }
+  return out;
+}
+
+std::int64_t EngineChooser::Cached(const std::string& id,
+                                   const std::string& program) const {
+  const auto* belief = Find(id, program);
+  return belief == nullptr ? 0 : belief->tokens;
+}
+
+}  // namespace comfreyfold
--- a/source/core/membership.h
+++ b/source/core/membership.h
@@ -8,11 +8,10 @@
 #include <vector>
 
 #include "core/heartbeat.h"
+#include "core/time_point.h"
 
 namespace comfreyfold {
 
-using TimePoint = std::chrono::steady_clock::time_point;
-
 struct LaneOwnerView {
   std::string daemon;
   std::string address;
