--- a/source/core/decision_settings.h
+++ b/source/core/decision_settings.h
@@ -33,7 +33,7 @@
 
   // Admission.
   bool refuse_early = true;
-  std::chrono::milliseconds queue_limit{4000};
+  std::chrono::milliseconds queue_limit{2000};
 
   // Retries and health.
   double retry_ratio = 0.2;  // Retries for each first attempt.
--- a/source/core/engine_chooser.cc
+++ b/source/core/engine_chooser.cc
@@ -31,6 +31,7 @@
 
 void EngineChooser::SetServer(const std::string& id, bool takes_work) {
   servers_[id].takes_work = takes_work;
+  CountSlots();
 }
 
 void EngineChooser::RemoveServer(const std::string& id) {
@@ -40,15 +41,14 @@
   }
   own_ -= it->second.own;
   servers_.erase(it);
-  for (auto& [program, engines] : beliefs_) {
-    engines.erase(id);
-  }
+  CountSlots();
 }
 
 void EngineChooser::ObserveLoad(const std::string& id, const EngineLoad& load) {
   const auto it = servers_.find(id);
   if (it != servers_.end()) {
     it->second.load = load;
+    CountSlots();
   }
 }
 
@@ -79,7 +79,7 @@
       mean_service_ == nanoseconds::zero()
           ? finish.service
           : mean_service_ + (finish.service - mean_service_) / kMeanWindow;
-  const auto* belief = Find(finish.server, finish.program);
+  const auto* belief = Find(it->second, finish.program);
   if (belief != nullptr) {
     LearnResidence(it->second, now - finish.service - belief->used,
                    finish.cached < belief->tokens / 2);
@@ -106,9 +106,10 @@
 void EngineChooser::ObserveEviction(const std::string& id,
                                     const std::string& program,
                                     TimePoint at) {
-  const auto* belief = Find(id, program);
   const auto it = servers_.find(id);
-  if (belief == nullptr || it == servers_.end() || belief->used > at) {
+  const auto* belief =
+      it == servers_.end() ? nullptr : Find(it->second, program);
+  if (belief == nullptr || belief->used > at) {
     return;
   }
   LearnResidence(it->second, at - belief->used, true);
@@ -119,29 +120,27 @@
                               const std::string& program,
                               std::int64_t tokens,
                               TimePoint now) {
-  if (tokens > 0) {
-    beliefs_[program][id] = {tokens, now};
+  const auto it = servers_.find(id);
+  if (it == servers_.end()) {
     return;
   }
-  const auto it = beliefs_.find(program);
-  if (it != beliefs_.end()) {
-    it->second.erase(id);
+  if (tokens > 0) {
+    it->second.beliefs[program] = {tokens, now};
+  } else {
+    it->second.beliefs.erase(program);
   }
 }
 
 void EngineChooser::Forget(const std::string& program) {
-  beliefs_.erase(program);
+  for (auto& [id, server] : servers_) {
+    server.beliefs.erase(program);
+  }
 }
 
-const EngineChooser::Belief* EngineChooser::Find(
-    const std::string& id,
-    const std::string& program) const {
-  const auto engines = beliefs_.find(program);
-  if (engines == beliefs_.end()) {
-    return nullptr;
-  }
-  const auto it = engines->second.find(id);
-  return it == engines->second.end() ? nullptr : &it->second;
+const EngineChooser::Belief* EngineChooser::Find(const Server& server,
+                                                 const std::string& program) {
+  const auto it = server.beliefs.find(program);
+  return it == server.beliefs.end() ? nullptr : &it->second;
 }
 
 std::vector<std::string> EngineChooser::Candidates(
@@ -215,7 +214,7 @@
   const auto& server = servers_.at(id);
   EngineChoice out;
   out.engine = id;
-  const auto* belief = Find(id, request.program);
+  const auto* belief = Find(server, request.program);
   if (belief != nullptr && Believed(server, *belief, now)) {
     out.cached_tokens = std::min(belief->tokens, request.prompt_tokens);
   }
@@ -289,7 +288,7 @@
   const auto it = servers_.find(id);
   return it != servers_.end() &&
          it->second.own < RoomFor(Slots(it->second), now) &&
-         own_ < RoomFor(TotalSlots(), now);
+         own_ < RoomFor(total_slots_, now);
 }
 
 bool EngineChooser::AnyRoom(TimePoint now) const {
@@ -298,16 +297,15 @@
   });
 }
 
-int EngineChooser::TotalSlots() const {
-  int out = 0;
+void EngineChooser::CountSlots() {
+  total_slots_ = 0;
   for (const auto& [id, server] : servers_) {
-    out += server.takes_work ? Slots(server) : 0;
+    total_slots_ += server.takes_work ? Slots(server) : 0;
   }
-  return out;
 }
 
 int EngineChooser::ShareOfSlots(TimePoint now) const {
-  return std::max(1, static_cast<int>(TotalSlots() * Share(now)));
+  return std::max(1, static_cast<int>(total_slots_ * Share(now)));
 }
 
 std::optional<nanoseconds> EngineChooser::Residence(
@@ -329,20 +327,21 @@
 
 std::int64_t EngineChooser::Held(const std::string& id, TimePoint now) const {
   std::int64_t out = 0;
-  const auto server = servers_.find(id);
-  for (const auto& [program, engines] : beliefs_) {
-    const auto it = engines.find(id);
-    if (it != engines.end() && server != servers_.end() &&
-        Believed(server->second, it->second, now)) {
-      out += it->second.tokens;
-    }
+  const auto it = servers_.find(id);
+  if (it == servers_.end()) {
+    return out;
+  }
+  for (const auto& [program, belief] : it->second.beliefs) {
+    out += Believed(it->second, belief, now) ? belief.tokens : 0;
   }
   return out;
 }
 
 std::int64_t EngineChooser::Cached(const std::string& id,
                                    const std::string& program) const {
-  const auto* belief = Find(id, program);
+  const auto it = servers_.find(id);
+  const auto* belief =
+      it == servers_.end() ? nullptr : Find(it->second, program);
   return belief == nullptr ? 0 : belief->tokens;
 }
 
--- a/source/core/engine_chooser.h
+++ b/source/core/engine_chooser.h
@@ -7,6 +7,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <unordered_map>
 #include <vector>
 
 #include "core/decision_settings.h"
@@ -105,15 +106,16 @@
   std::chrono::nanoseconds MeanService() const { return mean_service_; }
 
  private:
+  struct Belief {
+    std::int64_t tokens = 0;
+    TimePoint used;
+  };
   struct Server {
     bool takes_work = true;
     int own = 0;
     EngineLoad load;
     std::optional<std::chrono::nanoseconds> residence;
-  };
-  struct Belief {
-    std::int64_t tokens = 0;
-    TimePoint used;
+    std::unordered_map<std::string, Belief> beliefs;  // By program.
   };
   struct Peer {
     int demand = 0;
@@ -128,9 +130,9 @@
                              bool lost);
   std::vector<std::string> Candidates(const std::vector<std::string>& among,
                                       const EngineRequest& request) const;
-  const Belief* Find(const std::string& id, const std::string& program) const;
+  static const Belief* Find(const Server& server, const std::string& program);
   int Slots(const Server& server) const;
-  int TotalSlots() const;
+  void CountSlots();
   static bool Believed(const Server& server,
                        const Belief& belief,
                        TimePoint now);
@@ -141,10 +143,10 @@
   std::uint64_t seed_;
   std::uint64_t turn_ = 0;
   int own_ = 0;
+  int total_slots_ = 0;
   int demand_ = 0;
   std::map<std::string, Server> servers_;
   std::map<std::string, Peer> peers_;
-  std::map<std::string, std::map<std::string, Belief>> beliefs_;  // By program.
   std::chrono::nanoseconds mean_service_{};
 };
 
