--- a/source/net/http_client.cc
+++ b/source/net/http_client.cc
@@ -9,6 +9,7 @@
 #include <boost/beast/http.hpp>
 
 #include "net/loop_impl.h"
+#include "net/parked.h"
 
 namespace comfreyfold {
 
@@ -21,6 +22,7 @@
 constexpr std::size_t kIdleConnectionsPerAddress = 64;
 constexpr std::uint64_t kBodyLimitBytes = 256ULL * 1024 * 1024;
 constexpr std::size_t kPieceBytes = 16 * 1024;
+constexpr std::chrono::milliseconds kCancelStep{50};
 
 tcp::endpoint ParseEndpoint(const std::string& address) {
   const auto n = address.rfind(':');
@@ -61,6 +63,56 @@
   }
 }
 
+// Asks the `cancelled` hook while an exchange waits for the other side, and
+// breaks the wait off when told to.
+class CancelWatch {
+ public:
+  CancelWatch(boost::asio::io_context& io,
+              beast::tcp_stream& stream,
+              const std::function<bool()>& cancelled)
+      : state_(std::make_shared<State>(io, stream, cancelled)) {
+    if (cancelled) {
+      state_->Arm();
+    }
+  }
+  ~CancelWatch() {
+    // The timer's handler may run after the exchange is gone.
+    state_->over = true;
+    state_->timer.cancel();
+  }
+  CancelWatch(const CancelWatch&) = delete;
+  CancelWatch& operator=(const CancelWatch&) = delete;
+
+ private:
+  struct State : std::enable_shared_from_this<State> {
+    State(boost::asio::io_context& io,
+          beast::tcp_stream& watched,
+          const std::function<bool()>& asked)
+        : timer(io), stream(watched), cancelled(asked) {}
+
+    void Arm() {
+      timer.expires_after(kCancelStep);
+      timer.async_wait([self = shared_from_this()](boost::system::error_code) {
+        if (self->over) {
+          return;
+        }
+        if (self->cancelled()) {
+          self->stream.cancel();
+        } else {
+          self->Arm();
+        }
+      });
+    }
+
+    boost::asio::steady_timer timer;
+    beast::tcp_stream& stream;
+    const std::function<bool()>& cancelled;
+    bool over = false;
+  };
+
+  std::shared_ptr<State> state_;
+};
+
 }  // namespace
 
 struct HttpClient::Impl {
@@ -98,8 +150,7 @@
     auto connection = std::make_unique<Connection>(loop.impl().io);
     connection->stream.expires_after(timeout);
     boost::system::error_code ec;
-    connection->stream.async_connect(ParseEndpoint(address),
-                                     fiber.impl().yield[ec]);
+    connection->stream.async_connect(ParseEndpoint(address), Parked(fiber)[ec]);
     if (ec) {
       throw HttpFailure("connect to " + address + ": " + ec.message(), false);
     }
@@ -131,7 +182,6 @@
   }
   auto& stream = connection->stream;
   boost::system::error_code ec;
-  auto yield = fiber.impl().yield[ec];
 
   const auto check = [&ec, &address](const char* doing) {
     if (ec) {
@@ -140,14 +190,15 @@
     }
   };
 
+  const CancelWatch watch(impl_->loop.impl().io, stream, options.cancelled);
   auto message = ToBeast(address, request);
   stream.expires_after(options.idle_timeout);
-  http::async_write(stream, message, yield);
+  http::async_write(stream, message, Parked(fiber)[ec]);
   check("write to");
 
   http::response_parser<http::buffer_body> parser;
   parser.body_limit(kBodyLimitBytes);
-  http::async_read_header(stream, connection->buf, parser, yield);
+  http::async_read_header(stream, connection->buf, parser, Parked(fiber)[ec]);
   check("read from");
 
   HttpReply reply;
@@ -163,7 +214,7 @@
     parser.get().body().data = piece.data();
     parser.get().body().size = piece.size();
     stream.expires_after(options.idle_timeout);
-    http::async_read_some(stream, connection->buf, parser, yield);
+    http::async_read_some(stream, connection->buf, parser, Parked(fiber)[ec]);
     if (ec == http::error::need_buffer) {
       ec = {};
     }
--- a/source/server/call_runner.cc
+++ b/source/server/call_runner.cc
@@ -11,11 +11,31 @@
 
 constexpr milliseconds kRetrySoon{500};
 
+std::string ProgramEndedText(const CallContext& context) {
+  const auto* program = context.state();
+  if (program == nullptr || program->passed_limit.empty()) {
+    return "the program has ended; start a new one";
+  }
+  return "the program was ended because it passed its contract's " +
+         program->passed_limit + "; start a new one";
+}
+
+// A daemon that lost its lane without knowing would say "not run" of a call
+// that its successor ran. While the service is out nobody can succeed it.
+bool Superseded(Fiber& fiber, LaneOwner& lane) {
+  try {
+    return !lane.Confirm(fiber);
+  } catch (const KvUnavailable&) {
+    return lane.lost();
+  }
+}
+
 }  // namespace
 
 void CallRunner::Run(Fiber& fiber,
                      const ForwardedCall& call,
                      const FrameSink& sink) {
+  contracts_.EnsureCurrent(fiber);
   CallContext context{call,
                       sink,
                       nullptr,
@@ -41,7 +61,18 @@
   if (!context.lane) {
     throw NotOwner("lane " + std::to_string(lane) + " is not owned here");
   }
-  switch (call.operation) {
+  try {
+    Dispatch(fiber, context);
+  } catch (const CallError& e) {
+    if (e.verdict() == Verdict::kNotRun && Superseded(fiber, *context.lane)) {
+      throw NotOwner(e.what());
+    }
+    throw;
+  }
+}
+
+void CallRunner::Dispatch(Fiber& fiber, CallContext& context) {
+  switch (context.call.operation) {
     case Operation::kModel:
     case Operation::kTool:
     case Operation::kService:
@@ -56,6 +87,9 @@
     case Operation::kAnswer:
       requests_.ReadAnswer(context);
       break;
+    case Operation::kSubagent:
+      requests_.StartSubagent(fiber, context);
+      break;
   }
 }
 
@@ -95,12 +129,12 @@
                       "retry",
                       Verdict::kNotRun, kRetrySoon);
     case AdmitResult::kProgramEnded:
-      throw CallError(410, "program_ended",
-                      "the program has ended; start a new one",
+      throw CallError(410, "program_ended", ProgramEndedText(context),
                       Verdict::kNotRun);
   }
-  limits_.Check(context);
+  limits_.Check(fiber, context);
   if (call.operation == Operation::kModel) {
+    const auto slot = slots_.Enter(fiber, *context.contract, context.deadline);
     models_.Run(fiber, context);
   } else {
     tools_.Run(fiber, context);
--- a/source/server/daemon.cc
+++ b/source/server/daemon.cc
@@ -41,7 +41,8 @@
       kv_(http_, settings_.kv_address, settings_.platform_timeout),
       vms_(http_, settings_.vm_list_address, settings_.platform_timeout),
       membership_(SelfOf(settings_), settings_.heartbeat_timeout),
-      contracts_(loop, kv_, log_, settings_.contract_poll_interval),
+      contracts_(loop, kv_, log_, settings_.contracts),
+      contract_peers_(http_, membership_, contracts_),
       backends_(loop,
                 http_,
                 vms_,
@@ -53,13 +54,25 @@
       tools_(http_),
       chooser_(backends_),
       journal_(log_),
-      model_runner_(engines_, backends_, chooser_, journal_),
+      limits_(journal_),
+      slots_(loop, lanes_),
+      listing_(lanes_, settings_.daemon),
+      reaper_(loop, lanes_, contracts_, log_),
+      budgets_(loop, kv_, contracts_, log_),
+      model_runner_(loop,
+                    engines_,
+                    backends_,
+                    chooser_,
+                    journal_,
+                    limits_,
+                    budgets_),
       tool_runner_(tools_, backends_, chooser_, journal_),
       requests_(journal_),
       runner_(loop,
               lanes_,
               contracts_,
               limits_,
+              slots_,
               model_runner_,
               tool_runner_,
               requests_),
@@ -83,11 +96,17 @@
   const auto address = server_.Listen(settings_.listen);
   membership_.self().address = address;
   log_.Write({.name = "daemon_started", .detail = address});
-  contracts_.Start();
+  contracts_.Start(
+      [this](Fiber& fiber) { return contract_peers_.Fetch(fiber); });
+  budgets_.Start();
+  reaper_.Start();
   backends_.Start();
   lanes_.OnChange([this] { peers_.Announce(); });
   peers_.Start([this] {
     membership_.self().contracts_revision = contracts_.revision();
+    for (const auto& [daemon, heartbeat] : membership_.peers()) {
+      contracts_.HeardOf(heartbeat.contracts_revision);
+    }
     lanes_.Tick();
   });
   loop_.Spawn([this](Fiber& fiber) { ReleaseLoop(fiber); });
@@ -106,7 +125,8 @@
                     HttpExchange& exchange) {
   if (caller_api_.Handle(fiber, request, exchange) ||
       peer_api_.Handle(fiber, request, exchange) ||
-      HandleOperator(request, exchange)) {
+      contract_peers_.Handle(request, exchange) ||
+      listing_.Handle(request, exchange) || HandleOperator(request, exchange)) {
     return;
   }
   exchange.Reply(404, "application/json",
@@ -200,6 +220,8 @@
         server_.in_flight());
   gauge("comfreyfold_key_value_calls", "Calls to the key-value service",
         static_cast<double>(kv_.calls()));
+  gauge("comfreyfold_budget_writes", "Writes to the budget records",
+        static_cast<double>(budgets_.writes()));
   gauge("comfreyfold_contracts_revision", "Revision of the contracts",
         static_cast<double>(contracts_.revision()));
   return prometheus::TextSerializer().Serialize(registry.Collect());
@@ -216,6 +238,7 @@
            std::chrono::steady_clock::now() < until) {
       fiber.Sleep(kDrainStep);
     }
+    budgets_.GiveBackAll(fiber);
     lanes_.HandOverAll(fiber, settings_.platform_timeout);
     log_.Write({.name = "drain_ended"});
     on_drained();
--- a/source/server/daemon.h
+++ b/source/server/daemon.h
@@ -8,14 +8,18 @@
 #include "platform/kv_client.h"
 #include "platform/vm_list_client.h"
 #include "server/backend_directory.h"
+#include "server/budget_ledger.h"
 #include "server/call_router.h"
 #include "server/call_runner.h"
 #include "server/caller_api.h"
+#include "server/contract_peers.h"
 #include "server/contract_store.h"
 #include "server/hold_releaser.h"
 #include "server/lane_manager.h"
 #include "server/peer_api.h"
 #include "server/peer_links.h"
+#include "server/program_listing.h"
+#include "server/program_reaper.h"
 #include "server/settings.h"
 #include "server/urgent_sender.h"
 
@@ -50,6 +54,7 @@
   VmListClient vms_;
   Membership membership_;
   ContractStore contracts_;
+  ContractPeers contract_peers_;
   BackendDirectory backends_;
   LaneManager lanes_;
   EngineClient engines_;
@@ -57,6 +62,10 @@
   BackendChooser chooser_;
   CallJournal journal_;
   CallLimits limits_;
+  CustomerSlots slots_;
+  ProgramListing listing_;
+  ProgramReaper reaper_;
+  BudgetLedger budgets_;
   ModelRunner model_runner_;
   ToolRunner tool_runner_;
   ProgramRequests requests_;
--- a/source/server/model_runner.cc
+++ b/source/server/model_runner.cc
@@ -1,11 +1,9 @@
 #include "server/model_runner.h"
 
-#include <algorithm>
-
 #include <nlohmann/json.hpp>
 
 #include "core/call_error.h"
-#include "platform/base64.h"
+#include "core/token_bound.h"
 #include "server/history.h"
 
 namespace comfreyfold {
@@ -19,6 +17,31 @@
 
 }  // namespace
 
+const Backend* ModelRunner::BackendToResume(const CallContext& context) {
+  const auto* program = context.state();
+  if (program == nullptr) {
+    return nullptr;
+  }
+  for (const auto& it : program->calls) {
+    if (it.key == context.call.key && !it.done) {
+      return directory_.Find(it.backend);
+    }
+  }
+  return nullptr;
+}
+
+void ModelRunner::Cancel(const std::string& address,
+                         const std::string& request_id) {
+  // Beside the call: its caller need not wait for the engine's word, and a
+  // stream that cannot be cancelled ends by itself.
+  loop_.Spawn([this, address, request_id](Fiber& fiber) {
+    try {
+      engines_.Cancel(fiber, address, request_id);
+    } catch (const BackendFailure&) {
+    }
+  });
+}
+
 void ModelRunner::Run(Fiber& fiber, CallContext& context) {
   const auto body = json::parse(context.call.body);
   const auto known = MessagesOf(context.state());
@@ -26,24 +49,36 @@
   auto messages = known;
   messages.insert(messages.end(), added.begin(), added.end());
 
-  auto& backend = chooser_.ChooseEngine(context);
+  const auto request = added.dump();
+  const auto answer_tokens = limits_.AnswerTokens(
+      context, body.value("max_tokens", kDefaultAnswerTokens));
+  const auto prompt_bound = PromptBound(context.state(), context.call.target,
+                                        {request.size(), added.size()});
+  context.budget =
+      budgets_.Reserve(fiber, context.program.customer,
+                       prompt_bound + answer_tokens, context.deadline);
+
+  // Looked up after the last wait: the directory may drop a server.
+  const auto* resumed = BackendToResume(context);
+  auto& backend = resumed != nullptr ? *directory_.Find(resumed->vm.id)
+                                     : chooser_.ChooseEngine(context);
   const InFlight in_flight(directory_, backend);
   const auto address = backend.vm.address;
   auto begun = context.Entry(EntryKind::kCallBegun);
   begun.backend = backend.vm.id;
   begun.idempotent = true;
-  begun.request = added.dump();
+  begun.request = request;
+  begun.tokens = context.budget.tokens();
   journal_.CommitIntent(fiber, context, begun);
+  context.budget.MarkDispatched();
 
   EngineCall engine_call;
   engine_call.program = begun.customer + "/" + begun.program;
-  // Names hold no '/', so no two calls share an id; hashed to fit a URL.
-  engine_call.request_id = Sha256Hex(engine_call.program + "/" + begun.key);
+  engine_call.request_id = StreamId(begun.customer, begun.program, begun.key);
+  engine_call.resume = resumed != nullptr;
   engine_call.model = context.call.target;
   engine_call.messages = messages.dump();
-  engine_call.max_tokens =
-      std::min<std::int64_t>(body.value("max_tokens", kDefaultAnswerTokens),
-                             context.contract->max_call_tokens);
+  engine_call.max_tokens = answer_tokens;
   engine_call.priority = context.contract->priority;
   engine_call.idle_timeout = context.left();
   engine_call.on_text = [&context](std::string_view text) {
@@ -57,8 +92,13 @@
   try {
     result = engines_.Complete(fiber, address, engine_call);
   } catch (const BackendFailure& e) {
+    if (e.verdict() != Verdict::kNotRun) {
+      Cancel(address, engine_call.request_id);
+    }
     done.verdict = e.verdict();
     done.status = 502;
+    done.tokens = e.verdict() == Verdict::kNotRun ? 0 : begun.tokens;
+    context.budget.Settle(done.tokens);
     journal_.CommitOutcome(fiber, context, done);
     throw CallError(
         502, "engine_failed",
@@ -69,6 +109,7 @@
   done.status = 200;
   done.answer = result.text;
   done.tokens = result.prompt_tokens + result.completion_tokens;
+  context.budget.Settle(done.tokens);
   journal_.CommitOutcome(fiber, context, done);
 
   AnswerFrame frame;
--- a/source/wire/codec.cc
+++ b/source/wire/codec.cc
@@ -58,6 +58,7 @@
   out.status = entry.status;
   out.answer = entry.answer;
   out.tokens = entry.tokens;
+  out.begun_at_ms = entry.begun_at.count();
   return out;
 }
 
@@ -78,6 +79,7 @@
   out.status = entry.status;
   out.answer = entry.answer;
   out.tokens = entry.tokens;
+  out.begun_at = std::chrono::milliseconds(entry.begun_at_ms);
   return out;
 }
 
@@ -108,6 +110,27 @@
   return out;
 }
 
+std::string Encode(const ContractSet& contracts) {
+  wire::ContractSet out;
+  out.revision = contracts.revision;
+  for (const auto& it : contracts.contracts) {
+    auto& text = out.contracts.emplace_back();
+    text.customer = it.customer;
+    text.text = it.text;
+  }
+  return Write(out);
+}
+
+ContractSet DecodeContractSet(const std::string& buf) {
+  const auto in = Read<wire::ContractSet>(buf);
+  ContractSet out;
+  out.revision = in.revision;
+  for (const auto& it : in.contracts) {
+    out.contracts.push_back({it.customer, it.text});
+  }
+  return out;
+}
+
 std::string Encode(const ForwardedCall& call) {
   wire::ForwardedCall out;
   out.customer = call.customer;
--- a/source/wire/codec.h
+++ b/source/wire/codec.h
@@ -9,6 +9,7 @@
 #include <string_view>
 #include <vector>
 
+#include "core/contract_set.h"
 #include "core/heartbeat.h"
 #include "core/lane_entry.h"
 
@@ -25,9 +26,10 @@
   kModel = 0,
   kTool = 1,
   kService = 2,
-  kEnd = 3,      // End the program.
-  kHistory = 4,  // Its history as JSON.
-  kAnswer = 5,   // The answer recorded under the key.
+  kEnd = 3,       // End the program.
+  kHistory = 4,   // Its history as JSON.
+  kAnswer = 5,    // The answer recorded under the key.
+  kSubagent = 6,  // Count the program named by the key as its sub-agent.
 };
 
 // A call on its way from the daemon that took it to the lane's owner.
@@ -66,10 +68,12 @@
 std::string Encode(const ForwardedCall& call);
 std::string Encode(const AnswerFrame& frame);
 std::string Encode(const Heartbeat& heartbeat);
+std::string Encode(const ContractSet& contracts);
 LaneBlock DecodeLaneBlock(const std::string& buf);
 ForwardedCall DecodeForwardedCall(const std::string& buf);
 AnswerFrame DecodeAnswerFrame(const std::string& buf);
 Heartbeat DecodeHeartbeat(const std::string& buf);
+ContractSet DecodeContractSet(const std::string& buf);
 
 // Splits a stream of frames, each after its length in four bytes.
 class FrameReader {
--- a/source/wire/comfreyfold.thrift
+++ b/source/wire/comfreyfold.thrift
@@ -18,6 +18,7 @@
   13: i32 status,
   14: binary answer,
   15: i64 tokens,
+  40: i64 begun_at_ms,
 }
 
 struct LaneBlock {
@@ -55,6 +56,16 @@
   11: i64 clock,
 }
 
+struct ContractText {
+  1: string customer,
+  2: string text,
+}
+
+struct ContractSet {
+  1: i64 revision,
+  2: list<ContractText> contracts,
+}
+
 struct OwnedLane {
   1: i32 lane,
   2: i64 epoch,
--- a/source/wire/gen/comfreyfold_types.cpp
+++ b/source/wire/gen/comfreyfold_types.cpp
@@ -77,6 +77,10 @@
 void LaneEntry::__set_tokens(const int64_t val) {
   this->tokens = val;
 }
+
+void LaneEntry::__set_begun_at_ms(const int64_t val) {
+  this->begun_at_ms = val;
+}
 std::ostream& operator<<(std::ostream& out, const LaneEntry& obj)
 {
   obj.printTo(out);
@@ -225,6 +229,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 40:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->begun_at_ms);
+          this->__isset.begun_at_ms = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -302,6 +314,10 @@
   xfer += oprot->writeI64(this->tokens);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("begun_at_ms", ::apache::thrift::protocol::T_I64, 40);
+  xfer += oprot->writeI64(this->begun_at_ms);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -324,6 +340,7 @@
   swap(a.status, b.status);
   swap(a.answer, b.answer);
   swap(a.tokens, b.tokens);
+  swap(a.begun_at_ms, b.begun_at_ms);
   swap(a.__isset, b.__isset);
 }
 
@@ -343,6 +360,7 @@
   status = other0.status;
   answer = other0.answer;
   tokens = other0.tokens;
+  begun_at_ms = other0.begun_at_ms;
   __isset = other0.__isset;
 }
 LaneEntry& LaneEntry::operator=(const LaneEntry& other1) {
@@ -361,6 +379,7 @@
   status = other1.status;
   answer = other1.answer;
   tokens = other1.tokens;
+  begun_at_ms = other1.begun_at_ms;
   __isset = other1.__isset;
   return *this;
 }
@@ -382,6 +401,7 @@
   out << ", " << "status=" << to_string(status);
   out << ", " << "answer=" << to_string(answer);
   out << ", " << "tokens=" << to_string(tokens);
+  out << ", " << "begun_at_ms=" << to_string(begun_at_ms);
   out << ")";
 }
 
@@ -1142,6 +1162,250 @@
 }
 
 
+ContractText::~ContractText() noexcept {
+}
+
+
+void ContractText::__set_customer(const std::string& val) {
+  this->customer = val;
+}
+
+void ContractText::__set_text(const std::string& val) {
+  this->text = val;
+}
+std::ostream& operator<<(std::ostream& out, const ContractText& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t ContractText::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->customer);
+          this->__isset.customer = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->text);
+          this->__isset.text = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t ContractText::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("ContractText");
+
+  xfer += oprot->writeFieldBegin("customer", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->customer);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("text", ::apache::thrift::protocol::T_STRING, 2);
+  xfer += oprot->writeString(this->text);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(ContractText &a, ContractText &b) {
+  using ::std::swap;
+  swap(a.customer, b.customer);
+  swap(a.text, b.text);
+  swap(a.__isset, b.__isset);
+}
+
+ContractText::ContractText(const ContractText& other14) {
+  customer = other14.customer;
+  text = other14.text;
+  __isset = other14.__isset;
+}
+ContractText& ContractText::operator=(const ContractText& other15) {
+  customer = other15.customer;
+  text = other15.text;
+  __isset = other15.__isset;
+  return *this;
+}
+void ContractText::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "ContractText(";
+  out << "customer=" << to_string(customer);
+  out << ", " << "text=" << to_string(text);
+  out << ")";
+}
+
+
+ContractSet::~ContractSet() noexcept {
+}
+
+
+void ContractSet::__set_revision(const int64_t val) {
+  this->revision = val;
+}
+
+void ContractSet::__set_contracts(const std::vector<ContractText> & val) {
+  this->contracts = val;
+}
+std::ostream& operator<<(std::ostream& out, const ContractSet& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t ContractSet::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->revision);
+          this->__isset.revision = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->contracts.clear();
+            uint32_t _size16;
+            ::apache::thrift::protocol::TType _etype19;
+            xfer += iprot->readListBegin(_etype19, _size16);
+            this->contracts.resize(_size16);
+            uint32_t _i20;
+            for (_i20 = 0; _i20 < _size16; ++_i20)
+            {
+              xfer += this->contracts[_i20].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.contracts = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t ContractSet::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("ContractSet");
+
+  xfer += oprot->writeFieldBegin("revision", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->revision);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("contracts", ::apache::thrift::protocol::T_LIST, 2);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->contracts.size()));
+    std::vector<ContractText> ::const_iterator _iter21;
+    for (_iter21 = this->contracts.begin(); _iter21 != this->contracts.end(); ++_iter21)
+    {
+      xfer += (*_iter21).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(ContractSet &a, ContractSet &b) {
+  using ::std::swap;
+  swap(a.revision, b.revision);
+  swap(a.contracts, b.contracts);
+  swap(a.__isset, b.__isset);
+}
+
+ContractSet::ContractSet(const ContractSet& other22) {
+  revision = other22.revision;
+  contracts = other22.contracts;
+  __isset = other22.__isset;
+}
+ContractSet& ContractSet::operator=(const ContractSet& other23) {
+  revision = other23.revision;
+  contracts = other23.contracts;
+  __isset = other23.__isset;
+  return *this;
+}
+void ContractSet::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "ContractSet(";
+  out << "revision=" << to_string(revision);
+  out << ", " << "contracts=" << to_string(contracts);
+  out << ")";
+}
+
+
 OwnedLane::~OwnedLane() noexcept {
 }
 
@@ -1234,15 +1498,15 @@
   swap(a.__isset, b.__isset);
 }
 
-OwnedLane::OwnedLane(const OwnedLane& other14) noexcept {
-  lane = other14.lane;
-  epoch = other14.epoch;
-  __isset = other14.__isset;
+OwnedLane::OwnedLane(const OwnedLane& other24) noexcept {
+  lane = other24.lane;
+  epoch = other24.epoch;
+  __isset = other24.__isset;
 }
-OwnedLane& OwnedLane::operator=(const OwnedLane& other15) noexcept {
-  lane = other15.lane;
-  epoch = other15.epoch;
-  __isset = other15.__isset;
+OwnedLane& OwnedLane::operator=(const OwnedLane& other25) noexcept {
+  lane = other25.lane;
+  epoch = other25.epoch;
+  __isset = other25.__isset;
   return *this;
 }
 void OwnedLane::printTo(std::ostream& out) const {
@@ -1353,14 +1617,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->lanes.clear();
-            uint32_t _size16;
-            ::apache::thrift::protocol::TType _etype19;
-            xfer += iprot->readListBegin(_etype19, _size16);
-            this->lanes.resize(_size16);
-            uint32_t _i20;
-            for (_i20 = 0; _i20 < _size16; ++_i20)
+            uint32_t _size26;
+            ::apache::thrift::protocol::TType _etype29;
+            xfer += iprot->readListBegin(_etype29, _size26);
+            this->lanes.resize(_size26);
+            uint32_t _i30;
+            for (_i30 = 0; _i30 < _size26; ++_i30)
             {
-              xfer += this->lanes[_i20].read(iprot);
+              xfer += this->lanes[_i30].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1429,10 +1693,10 @@
   xfer += oprot->writeFieldBegin("lanes", ::apache::thrift::protocol::T_LIST, 5);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->lanes.size()));
-    std::vector<OwnedLane> ::const_iterator _iter21;
-    for (_iter21 = this->lanes.begin(); _iter21 != this->lanes.end(); ++_iter21)
+    std::vector<OwnedLane> ::const_iterator _iter31;
+    for (_iter31 = this->lanes.begin(); _iter31 != this->lanes.end(); ++_iter31)
     {
-      xfer += (*_iter21).write(oprot);
+      xfer += (*_iter31).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -1468,27 +1732,27 @@
   swap(a.__isset, b.__isset);
 }
 
-Heartbeat::Heartbeat(const Heartbeat& other22) {
-  daemon = other22.daemon;
-  address = other22.address;
-  data_centre = other22.data_centre;
-  draining = other22.draining;
-  lanes = other22.lanes;
-  contracts_revision = other22.contracts_revision;
-  clock = other22.clock;
-  has_data_folder = other22.has_data_folder;
-  __isset = other22.__isset;
-}
-Heartbeat& Heartbeat::operator=(const Heartbeat& other23) {
-  daemon = other23.daemon;
-  address = other23.address;
-  data_centre = other23.data_centre;
-  draining = other23.draining;
-  lanes = other23.lanes;
-  contracts_revision = other23.contracts_revision;
-  clock = other23.clock;
-  has_data_folder = other23.has_data_folder;
-  __isset = other23.__isset;
+Heartbeat::Heartbeat(const Heartbeat& other32) {
+  daemon = other32.daemon;
+  address = other32.address;
+  data_centre = other32.data_centre;
+  draining = other32.draining;
+  lanes = other32.lanes;
+  contracts_revision = other32.contracts_revision;
+  clock = other32.clock;
+  has_data_folder = other32.has_data_folder;
+  __isset = other32.__isset;
+}
+Heartbeat& Heartbeat::operator=(const Heartbeat& other33) {
+  daemon = other33.daemon;
+  address = other33.address;
+  data_centre = other33.data_centre;
+  draining = other33.draining;
+  lanes = other33.lanes;
+  contracts_revision = other33.contracts_revision;
+  clock = other33.clock;
+  has_data_folder = other33.has_data_folder;
+  __isset = other33.__isset;
   return *this;
 }
 void Heartbeat::printTo(std::ostream& out) const {
--- a/source/wire/gen/comfreyfold_types.h
+++ b/source/wire/gen/comfreyfold_types.h
@@ -29,12 +29,16 @@
 
 class AnswerFrame;
 
+class ContractText;
+
+class ContractSet;
+
 class OwnedLane;
 
 class Heartbeat;
 
 typedef struct _LaneEntry__isset {
-  _LaneEntry__isset() : kind(false), customer(false), program(false), key(false), call(false), call_kind(false), target(false), backend(false), idempotent(false), request(false), request_digest(false), verdict(false), status(false), answer(false), tokens(false) {}
+  _LaneEntry__isset() : kind(false), customer(false), program(false), key(false), call(false), call_kind(false), target(false), backend(false), idempotent(false), request(false), request_digest(false), verdict(false), status(false), answer(false), tokens(false), begun_at_ms(false) {}
   bool kind :1;
   bool customer :1;
   bool program :1;
@@ -50,6 +54,7 @@
   bool status :1;
   bool answer :1;
   bool tokens :1;
+  bool begun_at_ms :1;
 } _LaneEntry__isset;
 
 class LaneEntry : public virtual ::apache::thrift::TBase {
@@ -72,7 +77,8 @@
               verdict(0),
               status(0),
               answer(),
-              tokens(0) {
+              tokens(0),
+              begun_at_ms(0) {
   }
 
   virtual ~LaneEntry() noexcept;
@@ -91,6 +97,7 @@
   int32_t status;
   std::string answer;
   int64_t tokens;
+  int64_t begun_at_ms;
 
   _LaneEntry__isset __isset;
 
@@ -124,6 +131,8 @@
 
   void __set_tokens(const int64_t val);
 
+  void __set_begun_at_ms(const int64_t val);
+
   bool operator == (const LaneEntry & rhs) const
   {
     if (!(kind == rhs.kind))
@@ -156,6 +165,8 @@
       return false;
     if (!(tokens == rhs.tokens))
       return false;
+    if (!(begun_at_ms == rhs.begun_at_ms))
+      return false;
     return true;
   }
   bool operator != (const LaneEntry &rhs) const {
@@ -463,6 +474,105 @@
 
 std::ostream& operator<<(std::ostream& out, const AnswerFrame& obj);
 
+typedef struct _ContractText__isset {
+  _ContractText__isset() : customer(false), text(false) {}
+  bool customer :1;
+  bool text :1;
+} _ContractText__isset;
+
+class ContractText : public virtual ::apache::thrift::TBase {
+ public:
+
+  ContractText(const ContractText&);
+  ContractText& operator=(const ContractText&);
+  ContractText() noexcept
+               : customer(),
+                 text() {
+  }
+
+  virtual ~ContractText() noexcept;
+  std::string customer;
+  std::string text;
+
+  _ContractText__isset __isset;
+
+  void __set_customer(const std::string& val);
+
+  void __set_text(const std::string& val);
+
+  bool operator == (const ContractText & rhs) const
+  {
+    if (!(customer == rhs.customer))
+      return false;
+    if (!(text == rhs.text))
+      return false;
+    return true;
+  }
+  bool operator != (const ContractText &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const ContractText & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(ContractText &a, ContractText &b);
+
+std::ostream& operator<<(std::ostream& out, const ContractText& obj);
+
+typedef struct _ContractSet__isset {
+  _ContractSet__isset() : revision(false), contracts(false) {}
+  bool revision :1;
+  bool contracts :1;
+} _ContractSet__isset;
+
+class ContractSet : public virtual ::apache::thrift::TBase {
+ public:
+
+  ContractSet(const ContractSet&);
+  ContractSet& operator=(const ContractSet&);
+  ContractSet() noexcept
+              : revision(0) {
+  }
+
+  virtual ~ContractSet() noexcept;
+  int64_t revision;
+  std::vector<ContractText>  contracts;
+
+  _ContractSet__isset __isset;
+
+  void __set_revision(const int64_t val);
+
+  void __set_contracts(const std::vector<ContractText> & val);
+
+  bool operator == (const ContractSet & rhs) const
+  {
+    if (!(revision == rhs.revision))
+      return false;
+    if (!(contracts == rhs.contracts))
+      return false;
+    return true;
+  }
+  bool operator != (const ContractSet &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const ContractSet & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(ContractSet &a, ContractSet &b);
+
+std::ostream& operator<<(std::ostream& out, const ContractSet& obj);
+
 typedef struct _OwnedLane__isset {
   _OwnedLane__isset() : lane(false), epoch(false) {}
   bool lane :1;
