Take cache events out of the decisions; keep urgent servers by target

What the engines are seen to have kept at each turn already says it. At full size polling them would be 390 daemons times 600 engines.

Servers are reserved for a target's urgent calls, not for every target once an urgent call was seen.

--- a/source/core/call_scheduler.cc
+++ b/source/core/call_scheduler.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <iterator>
 #include <utility>
 
 #include "core/hash.h"
@@ -13,6 +14,7 @@
 using std::chrono::nanoseconds;
 
 constexpr char kUrgentKey[] = "urgent";
+constexpr std::chrono::milliseconds kReservedAge{100};
 
 }  // namespace
 
@@ -40,7 +42,7 @@
       CostOf(call), call.attained, now};
   AdmissionAnswer answer;
   if (call.urgent) {
-    seen_urgent_ = true;
+    ReserveFor(call.target);
     urgent_.Push(queued);
   } else {
     const auto backlog = queue_.Backlog(call.customer);
@@ -59,24 +61,28 @@
   return answer;
 }
 
-std::vector<std::string> CallScheduler::Usable(const ScheduledCall& call,
-                                               TimePoint now) const {
+void CallScheduler::ReserveFor(const std::string& target) {
+  if (urgent_targets_.insert(target).second) {
+    reserved_at_ = TimePoint();
+  }
+}
+
+std::vector<std::string> CallScheduler::Healthy(const ScheduledCall& call,
+                                                TimePoint now) const {
   std::vector<BackendHealth::Candidate> candidates;
   for (auto& it : servers_(call)) {
     const int in_flight = chooser_.InFlight(it);
     candidates.push_back({std::move(it), in_flight});
   }
-  return Reserved(health_.Usable(candidates, now), call.urgent);
+  return health_.Usable(candidates, now);
 }
 
 // Daemons cannot agree on a free slot in the time that an urgent message
 // has, but on whole servers they agree without a word. When one of them
 // fails the next in the order takes its place.
 std::vector<std::string> CallScheduler::Reserved(
-    std::vector<std::string> usable,
-    bool urgent) const {
-  if (!settings_.queue_calls || settings_.urgent_server_share <= 0 ||
-      usable.size() < 2 || !(urgent || seen_urgent_)) {
+    std::vector<std::string> usable) const {
+  if (usable.size() < 2 || settings_.urgent_server_share <= 0) {
     return usable;
   }
   const auto n = std::clamp<std::size_t>(
@@ -84,9 +90,46 @@
                                          settings_.urgent_server_share)),
       1, usable.size() - 1);
   auto order = RendezvousOrder(kUrgentKey, std::move(usable));
-  const auto split = order.begin() + static_cast<std::ptrdiff_t>(n);
-  return urgent ? std::vector<std::string>(order.begin(), split)
-                : std::vector<std::string>(split, order.end());
+  order.resize(n);
+  return order;
+}
+
+void CallScheduler::RefreshReserved(TimePoint now) {
+  if (now - reserved_at_ < kReservedAge && reserved_at_ != TimePoint()) {
+    return;
+  }
+  reserved_at_ = now;
+  reserved_.clear();
+  for (const auto& it : urgent_targets_) {
+    ScheduledCall urgent;
+    urgent.target = it;
+    const auto usable = Healthy(urgent, now);
+    if (usable.size() < 2) {
+      continue;
+    }
+    for (auto& id : Reserved(usable)) {
+      reserved_.insert(std::move(id));
+    }
+  }
+}
+
+std::vector<std::string> CallScheduler::Usable(const ScheduledCall& call,
+                                               TimePoint now) {
+  if (!call.server.empty()) {
+    return {call.server};
+  }
+  auto usable = Healthy(call, now);
+  if (!settings_.queue_calls || settings_.urgent_server_share <= 0) {
+    return usable;
+  }
+  if (call.urgent) {
+    return Reserved(std::move(usable));
+  }
+  RefreshReserved(now);
+  std::vector<std::string> others;
+  std::copy_if(usable.begin(), usable.end(), std::back_inserter(others),
+               [this](const auto& it) { return !reserved_.contains(it); });
+  return others.empty() ? usable : others;
 }
 
 std::optional<EngineChoice> CallScheduler::PlaceWithRoom(
--- a/source/core/call_scheduler.h
+++ b/source/core/call_scheduler.h
@@ -6,6 +6,7 @@
 #include <functional>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -28,6 +29,7 @@
   std::chrono::nanoseconds attained{};    // By its program so far.
   bool first_call = false;
   bool urgent = false;               // Passes the queue.
+  std::string server;                // The only one that will do; or empty.
   std::chrono::milliseconds left{};  // Until its deadline; 0: none.
 };
 
@@ -64,6 +66,9 @@
   // Ask again until there is none after every event.
   std::optional<Dispatch> Next(TimePoint now);
 
+  // Servers of `target` are kept free for its urgent calls.
+  void ReserveFor(const std::string& target);
+
   // A dispatched call ended, or a waiting one was given up.
   void Finished(const CallOutcome& outcome, TimePoint now);
   bool Cancel(std::uint64_t id);
@@ -84,16 +89,17 @@
     std::chrono::nanoseconds cost{};
   };
   std::chrono::nanoseconds CostOf(const ScheduledCall& call) const;
-  std::vector<std::string> Usable(const ScheduledCall& call,
-                                  TimePoint now) const;
+  std::vector<std::string> Usable(const ScheduledCall& call, TimePoint now);
   std::optional<EngineChoice> Place(const QueuedCall& queued, TimePoint now);
   std::optional<EngineChoice> PlaceWithRoom(
       const ScheduledCall& call,
       const std::vector<std::string>& usable,
       TimePoint now);
-  // Those of `usable` for urgent calls, or those for all others.
-  std::vector<std::string> Reserved(std::vector<std::string> usable,
-                                    bool urgent) const;
+  std::vector<std::string> Healthy(const ScheduledCall& call,
+                                   TimePoint now) const;
+  // Those of `usable` that urgent calls go to.
+  std::vector<std::string> Reserved(std::vector<std::string> usable) const;
+  void RefreshReserved(TimePoint now);
   bool AnyRoom(TimePoint now) const;
   Dispatch Start(const QueuedCall& queued, const EngineChoice& choice);
 
@@ -106,7 +112,9 @@
   AdmissionControl admission_;
   std::map<std::uint64_t, ScheduledCall> waiting_;
   std::map<std::uint64_t, Running> running_;
-  bool seen_urgent_ = false;
+  std::set<std::string> urgent_targets_;
+  std::set<std::string> reserved_;  // Servers, as of `reserved_at_`.
+  TimePoint reserved_at_;
 };
 
 }  // namespace comfreyfold
--- a/source/core/engine_chooser.cc
+++ b/source/core/engine_chooser.cc
@@ -87,8 +87,8 @@
   SetCached(finish.server, finish.program, finish.tokens, now);
 }
 
-// Cache events come late or not at all, so what an engine is seen to have
-// kept or lost at each turn says how long it keeps things.
+// What an engine is seen to have kept or lost at each turn says how long it
+// keeps things; its cache events, late and with gaps, added nothing to that.
 void EngineChooser::LearnResidence(Server& server,
                                    nanoseconds idle,
                                    bool lost) {
@@ -101,21 +101,6 @@
   }
 }
 
-// An event older than the program's last turn there tells of a copy that is
-// gone anyway.
-void EngineChooser::ObserveEviction(const std::string& id,
-                                    const std::string& program,
-                                    TimePoint at) {
-  const auto it = servers_.find(id);
-  const auto* belief =
-      it == servers_.end() ? nullptr : Find(it->second, program);
-  if (belief == nullptr || belief->used > at) {
-    return;
-  }
-  LearnResidence(it->second, at - belief->used, true);
-  SetCached(id, program, 0, at);
-}
-
 void EngineChooser::SetCached(const std::string& id,
                               const std::string& program,
                               std::int64_t tokens,
--- a/source/core/engine_chooser.h
+++ b/source/core/engine_chooser.h
@@ -69,15 +69,11 @@
   };
   void Finished(const Finish& finish, TimePoint now);
 
-  // The engine's memory changed by our order, or as a cache event tells.
+  // The engine's memory changed by our order.
   void SetCached(const std::string& id,
                  const std::string& program,
                  std::int64_t tokens,
                  TimePoint now);
-  // A cache event: the engine dropped `program` at `at`.
-  void ObserveEviction(const std::string& id,
-                       const std::string& program,
-                       TimePoint at);
   void Forget(const std::string& program);
 
   // The best of `among` (empty: of all that take work); none when there is
