--- a/source/server/daemon.h
+++ b/source/server/daemon.h
@@ -14,6 +14,7 @@
 #include "server/caller_api.h"
 #include "server/contract_peers.h"
 #include "server/contract_store.h"
+#include "server/engine_steward.h"
 #include "server/hold_releaser.h"
 #include "server/lane_manager.h"
 #include "server/peer_api.h"
@@ -21,6 +22,7 @@
 #include "server/program_listing.h"
 #include "server/program_reaper.h"
 #include "server/settings.h"
+#include "server/stray_holds.h"
 #include "server/urgent_sender.h"
 
 namespace comfreyfold {
@@ -43,7 +45,8 @@
   std::string Status() const;
   std::string Metrics() const;
   bool ready() const;
-  void ReleaseLoop(Fiber& fiber);
+  // Whether the program has ended, as its owner says.
+  bool HasEnded(Fiber& fiber, const ProgramKey& program);
 
   Loop& loop_;
   Settings settings_;
@@ -66,6 +69,7 @@
   ProgramListing listing_;
   ProgramReaper reaper_;
   BudgetLedger budgets_;
+  StrayHolds strays_;
   ModelRunner model_runner_;
   ToolRunner tool_runner_;
   ProgramRequests requests_;
@@ -76,6 +80,10 @@
   CallerApi caller_api_;
   PeerApi peer_api_;
   PeerLinks peers_;
+  EngineOrders orders_;
+  WeightStoreClient weights_;
+  OrderFence fence_;
+  EngineSteward steward_;
 };
 
 }  // namespace comfreyfold
--- a/tests/harness/cluster.cc
+++ b/tests/harness/cluster.cc
@@ -3,6 +3,7 @@
 #include <cstdio>
 #include <filesystem>
 #include <fstream>
+#include <sstream>
 #include <stdexcept>
 
 #include "core/hash.h"
@@ -178,7 +179,9 @@
             return false;
           }
         }
-        return lanes >= kLanes;
+        // More would be claims of daemons that do not know yet that they
+        // were superseded.
+        return lanes == kLanes;
       },
       timeout);
 }
@@ -207,6 +210,12 @@
   }
 }
 
+std::unique_ptr<Process> Cluster::ApplyBeside(const std::string& text) {
+  const auto file =
+      WriteFile("beside-" + std::to_string(++files_beside_) + ".ini", text);
+  return RunTool({"apply", "--wait", "3", file});
+}
+
 void Cluster::Fault(Process& standin,
                     const std::string& name,
                     int count,
@@ -273,6 +282,13 @@
   return out;
 }
 
+bool Cluster::EventSeen(int index, const std::string& event) {
+  std::ifstream in(folder_ + "/d" + std::to_string(index) + ".log");
+  std::ostringstream text;
+  text << in.rdbuf();
+  return text.str().find("\"event\":\"" + event + "\"") != std::string::npos;
+}
+
 int Cluster::OwnerOf(const std::string& customer, const std::string& program) {
   const int lane = LaneOf(customer, program, kLanes);
   int owner = -1;
