Share the engines' slots by lanes owned, not by demand told in heartbeats

Cause: demand needs a field of its own in the heartbeats; the lanes that a peer owns are told already and change seldom.

--- a/bench/bench_run_servers.cc
+++ b/bench/bench_run_servers.cc
@@ -19,6 +19,7 @@
 constexpr seconds kVmListLag{3};
 constexpr seconds kTakeoverTime{2};
 constexpr milliseconds kToolEstimate{60};
+constexpr int kLanesEach = 4;
 constexpr milliseconds kUrgentInterval{250};
 constexpr milliseconds kUrgentService{20};
 
@@ -76,13 +77,13 @@
     if (!from->alive) {
       continue;
     }
-    loop_.After(kDaemonWay, [this, peer = from->id(),
-                             engines = from->engines().demand(),
-                             services = from->services().demand()] {
+    from->engines().chooser().SetWork(kLanesEach);
+    from->services().chooser().SetWork(kLanesEach);
+    loop_.After(kDaemonWay, [this, peer = from->id()] {
       for (const auto& to : daemons_) {
         if (to->id() != peer) {
-          to->engines().chooser().ObservePeer(peer, engines, loop_.now());
-          to->services().chooser().ObservePeer(peer, services, loop_.now());
+          to->engines().chooser().ObservePeer(peer, kLanesEach, loop_.now());
+          to->services().chooser().ObservePeer(peer, kLanesEach, loop_.now());
         }
       }
     });
--- a/bench/policy.cc
+++ b/bench/policy.cc
@@ -62,7 +62,7 @@
                 it.sticky = true;
                 it.settings.policy = EnginePolicy::kRoundRobin;
               }),
-      Without("peer demand",
+      Without("peer shares",
               [](Policy& it) {
                 it.settings.peer_report_timeout = std::chrono::milliseconds(0);
               }),
--- a/source/core/call_scheduler.cc
+++ b/source/core/call_scheduler.cc
@@ -57,7 +57,6 @@
     queue_.Push(queued);
   }
   waiting_[call.id] = call;
-  chooser_.SetDemand(demand());
   return answer;
 }
 
@@ -213,13 +212,11 @@
     queue_.Charge(call.customer, call.weight, outcome.service - cost);
   }
   running_.erase(it);
-  chooser_.SetDemand(demand());
 }
 
 bool CallScheduler::Cancel(std::uint64_t id) {
   const bool waited = queue_.Remove(id) || urgent_.Remove(id);
   waiting_.erase(id);
-  chooser_.SetDemand(demand());
   return waited;
 }
 
--- a/source/core/call_scheduler.h
+++ b/source/core/call_scheduler.h
@@ -77,10 +77,6 @@
   const EngineChooser& chooser() const { return chooser_; }
   BackendHealth& health() { return health_; }
   std::size_t waiting() const { return queue_.size(); }
-  // Calls that wait or run, for the peers.
-  int demand() const {
-    return static_cast<int>(waiting_.size() + running_.size());
-  }
 
  private:
   struct Running {
--- a/source/core/engine_chooser.cc
+++ b/source/core/engine_chooser.cc
@@ -53,9 +53,9 @@
 }
 
 void EngineChooser::ObservePeer(const std::string& peer,
-                                int demand,
+                                int work,
                                 TimePoint now) {
-  peers_[peer] = {demand, now};
+  peers_[peer] = {work, now};
 }
 
 void EngineChooser::Dispatched(const std::string& id) {
@@ -235,21 +235,21 @@
 }
 
 // A peer's count at one server is older than most of its calls last, and
-// every daemon that believed it would send its calls to the same place. How
-// much the peers have to do in all changes slowly: it says which part of
-// every server is this daemon's, and what the peers do there is taken to be
+// every daemon that believed it would send its calls to the same place. Which
+// lanes the peers own changes seldom: it says which part of every server is
+// this daemon's, and what the peers do there is taken to be
 // like what it does itself.
 double EngineChooser::Share(TimePoint now) const {
   int daemons = 1;
-  int all = demand_;
+  int all = work_;
   for (const auto& [peer, entry] : peers_) {
     if (now - entry.told <= settings_.peer_report_timeout) {
       ++daemons;
-      all += entry.demand;
+      all += entry.work;
     }
   }
   const double even = 1.0 / daemons;
-  return all == 0 ? even : std::max(even, static_cast<double>(demand_) / all);
+  return all == 0 ? even : std::max(even, static_cast<double>(work_) / all);
 }
 
 double EngineChooser::Occupancy(const std::string& id, TimePoint now) const {
--- a/source/core/engine_chooser.h
+++ b/source/core/engine_chooser.h
@@ -51,10 +51,10 @@
   void SetServer(const std::string& id, bool takes_work);
   void RemoveServer(const std::string& id);
   void ObserveLoad(const std::string& id, const EngineLoad& load);
-  // The newest heartbeat of the daemon `peer`: its calls that wait or run.
-  void ObservePeer(const std::string& peer, int demand, TimePoint now);
+  // The newest heartbeat of the daemon `peer`: the lanes it owns.
+  void ObservePeer(const std::string& peer, int work, TimePoint now);
   // The same of this daemon.
-  void SetDemand(int demand) { demand_ = demand; }
+  void SetWork(int work) { work_ = work; }
 
   // This daemon's own calls.
   void Dispatched(const std::string& id);
@@ -114,7 +114,7 @@
     std::unordered_map<std::string, Belief> beliefs;  // By program.
   };
   struct Peer {
-    int demand = 0;
+    int work = 0;
     TimePoint told;
   };
   std::string LeastLoaded(const std::vector<std::string>& ids);
@@ -140,7 +140,7 @@
   std::uint64_t turn_ = 0;
   int own_ = 0;
   int total_slots_ = 0;
-  int demand_ = 0;
+  int work_ = 0;
   std::map<std::string, Server> servers_;
   std::map<std::string, Peer> peers_;
   std::chrono::nanoseconds mean_service_{};
--- a/tests/decisions/engine_chooser_test.cc
+++ b/tests/decisions/engine_chooser_test.cc
@@ -65,11 +65,11 @@
   BOOST_TEST(choice->cached_tokens == 0);
 }
 
-BOOST_FIXTURE_TEST_CASE(SlotsAreSharedByDemand, Fixture) {
-  chooser.SetDemand(10);
+BOOST_FIXTURE_TEST_CASE(SlotsAreSharedByLanes, Fixture) {
+  chooser.SetWork(10);
   chooser.ObservePeer("d1", 10, now);
   BOOST_TEST(chooser.ShareOfSlots(now) == 12);
-  chooser.SetDemand(30);
+  chooser.SetWork(30);
   BOOST_TEST(chooser.ShareOfSlots(now) == 18);
   // Never under its even part, however much the peer has to do.
   chooser.ObservePeer("d1", 1000, now);
