Wire the decisions into the daemon; keep exceptions apart when a handler spawns

Cause: calls went to the engine of the turn before or the least used one and failed for good at the first refusal.

Calls now wait in a dispatch queue at the owner, in front of the servers; failed ones go to another server by RetryPolicy, each dispatch with an intent of its own; urgent messages pass the queue to servers kept free; engine memory is copied out through tool pauses that outlast what the engine keeps.

Fault found: a coroutine spawned in an exception handler starts at once, and its first wait cleared the handler's exception, so that a later `throw;` ended the daemon ("terminate called without an active exception"; seen in at_most_once, two_failures and engine_memory). HandlerThatSpawnsKeepsItsException failed first (SIGABRT); Loop::Spawn now sets the exceptions aside.

--- /dev/null
+++ b/bench/real/main.cc
@@ -0,0 +1,238 @@
+// The ranking of the policies on real processes: the same generated
+// programs, scaled down, against a cluster for each policy in turn.
+
+#include <algorithm>
+#include <iomanip>
+#include <iostream>
+
+#include <cxxopts.hpp>
+
+#include "harness/caller.h"
+#include "harness/cluster.h"
+#include "platform/base64.h"
+#include "result.h"
+#include "workload.h"
+
+namespace comfreyfold::bench {
+namespace {
+
+using harness::Caller;
+using harness::Cluster;
+using harness::ClusterOptions;
+using std::chrono::duration;
+using std::chrono::milliseconds;
+using std::chrono::nanoseconds;
+using std::chrono::seconds;
+
+constexpr int kEngines = 3;
+constexpr int kSlots = 4;
+constexpr int kMemoryTokens = 60000;
+constexpr int kPauseScale = 4;  // Pauses are cut to this part.
+constexpr int kBytesPerToken = 4;
+constexpr int kRefusedTries = 20;
+
+struct RealOptions {
+  WorkloadKind kind = WorkloadKind::kKiosk;
+  std::uint64_t seed = 1;
+  seconds arrivals{20};
+  double load = 0.9;
+};
+
+std::string ContractOf() {
+  return "[customer]\nname = customer\napi_key_sha256 = " +
+         Sha256Hex("bench-key") +
+         "\n[budget]\ntokens = 1000000000\nperiod = 24h\n"
+         "[share]\nweight = 1\nconcurrency = 1000\n"
+         "[program]\ntokens = 100000000\n"
+         "[tool stock_lookup]\nidempotent = true\nattempts = 3\n";
+}
+
+ClusterOptions OptionsOf(const std::string& policy) {
+  ClusterOptions out;
+  out.engines = kEngines;
+  out.engine_arguments = {"--slots",         std::to_string(kSlots),
+                          "--memory-tokens", std::to_string(kMemoryTokens),
+                          "--load-lag-ms",   "500"};
+  out.settings["decisions"] = "policy = " + policy + "\n";
+  return out;
+}
+
+// The programs of one cluster and what was measured of them.
+class RealRun {
+ public:
+  RealRun(Fiber& fiber, Cluster& cluster, const RealOptions& options)
+      : fiber_(fiber), cluster_(cluster), ended_(fiber.loop()) {
+    WorkloadOptions workload{options.kind, options.seed, options.arrivals};
+    workload.slots = kEngines * kSlots;
+    workload.base_load = options.load;
+    workload.flood_load = 0;
+    programs_ = Generate(workload, {});
+  }
+
+  Result Run() {
+    result_.programs = static_cast<int>(programs_.size());
+    open_ = result_.programs;
+    for (const auto& it : programs_) {
+      fiber_.loop().Spawn([this, &it](Fiber& child) { RunProgram(child, it); });
+    }
+    ended_.WaitUntil(fiber_, std::chrono::minutes(5),
+                     [this] { return open_ == 0; });
+    result_.failed += open_;
+    ReadAudits();
+    return result_;
+  }
+
+ private:
+  void RunProgram(Fiber& fiber, const GeneratedProgram& spec) {
+    fiber.Sleep(std::chrono::duration_cast<milliseconds>(spec.arrival));
+    Caller caller(fiber, cluster_.http(), "bench-key", NameOf(spec));
+    nanoseconds latency{};
+    bool answered = true;
+    for (std::size_t i = 0; i < spec.turns.size() && answered; ++i) {
+      const auto asked = std::chrono::steady_clock::now();
+      answered = RunTurn(fiber, caller, spec, i);
+      latency += std::chrono::steady_clock::now() - asked;
+      if (i + 1 < spec.turns.size()) {
+        fiber.Sleep(std::chrono::duration_cast<milliseconds>(
+            spec.turns[i].pause / kPauseScale));
+      }
+    }
+    caller.End(Address(spec, 0));
+    if (answered) {
+      ++result_.finished;
+      result_.latency_s.push_back(duration<double>(latency).count());
+    } else {
+      ++result_.failed;
+    }
+    --open_;
+    ended_.NotifyAll();
+  }
+
+  // A model turn and the tool call after it.
+  bool RunTurn(Fiber& fiber,
+               Caller& caller,
+               const GeneratedProgram& spec,
+               std::size_t index) {
+    const auto& turn = spec.turns[index];
+    const auto key = std::to_string(index);
+    const std::string text(
+        static_cast<std::size_t>(turn.added_tokens) * kBytesPerToken, 'x');
+    int status = 0;
+    for (int n = 0; n < kRefusedTries && status != 200; ++n) {
+      status = caller
+                   .Ask(Address(spec, index), "m" + key, key + text,
+                        static_cast<int>(turn.answer_tokens))
+                   .status;
+      if (status != 200) {
+        ++result_.refused;
+        fiber.Sleep(milliseconds(200));
+      }
+    }
+    return status == 200 &&
+           caller.Use(Address(spec, index), "t" + key, "stock_lookup", {{}})
+                   .status == 200;
+  }
+
+  static std::string NameOf(const GeneratedProgram& spec) {
+    auto out = spec.id;
+    std::replace(out.begin(), out.end(), '/', '-');
+    return out;
+  }
+
+  std::string Address(const GeneratedProgram& spec, std::size_t index) {
+    const auto n = spec.id.size() + spec.turns.size() + index;
+    return cluster_.daemon(static_cast<int>(n) % cluster_.daemons()).address();
+  }
+
+  // What each engine prefilled, against what the program's turns before had
+  // in their prompts.
+  void ReadAudits() {
+    std::map<std::string, std::map<std::int64_t, nlohmann::json>> runs;
+    for (int i = 0; i < kEngines; ++i) {
+      for (const auto& it : cluster_.Audit(cluster_.engine(i))["runs"]) {
+        runs[it["program"]][it["time_us"]] = it;
+      }
+    }
+    for (const auto& [program, turns] : runs) {
+      std::int64_t seen = 0;
+      for (const auto& [at, it] : turns) {
+        const auto prompt = it["prompt_tokens"].get<std::int64_t>();
+        const auto cached = it["cached_tokens"].get<std::int64_t>();
+        result_.prompt_tokens += prompt;
+        result_.prefilled_again_tokens +=
+            std::max<std::int64_t>(0, std::min(seen, prompt) - cached);
+        seen = prompt;
+      }
+    }
+  }
+
+  Fiber& fiber_;
+  Cluster& cluster_;
+  Condition ended_;
+  std::vector<GeneratedProgram> programs_;
+  int open_ = 0;
+  Result result_;
+};
+
+void Measure(Fiber& fiber,
+             const std::string& policy,
+             const RealOptions& options) {
+  Cluster cluster(fiber, OptionsOf(policy));
+  cluster.WaitReady();
+  cluster.Apply({ContractOf()});
+  const auto result = RealRun(fiber, cluster, options).Run();
+  std::cout << std::left << std::setw(14) << policy << std::right << std::fixed
+            << std::setprecision(2) << std::setw(10)
+            << Percentile(result.latency_s, 0.50) << std::setw(10)
+            << Percentile(result.latency_s, 0.95) << std::setw(10)
+            << Percentile(result.latency_s, 0.99) << std::setw(10)
+            << 100 * result.wasted_share() << std::setw(10) << result.finished
+            << std::setw(10) << result.failed << std::setw(10) << result.refused
+            << std::endl;
+}
+
+int Main(int argc, char** argv) {
+  cxxopts::Options options("comfreyfold_real_run",
+                           "The policies on real processes");
+  options.add_options()("workload", "quote or kiosk",
+                        cxxopts::value<std::string>()->default_value("kiosk"))(
+      "seed", "of the generated programs",
+      cxxopts::value<int>()->default_value("1"))(
+      "seconds", "for which programs arrive",
+      cxxopts::value<int>()->default_value("20"))(
+      "load", "percent of the engines' slots",
+      cxxopts::value<int>()->default_value("90"))(
+      "policies", "by name",
+      cxxopts::value<std::vector<std::string>>()->default_value(
+          "ours,round_robin,least_loaded"));
+  const auto args = options.parse(argc, argv);
+  const RealOptions run{
+      args["workload"].as<std::string>() == "quote" ? WorkloadKind::kQuote
+                                                    : WorkloadKind::kKiosk,
+      static_cast<std::uint64_t>(args["seed"].as<int>()),
+      seconds(args["seconds"].as<int>()), args["load"].as<int>() / 100.0};
+  std::cout << ToString(run.kind) << ", seed " << run.seed << "\n"
+            << "policy             p50_s     p95_s     p99_s  wasted_%      "
+               "done    failed   refused\n";
+  Loop loop;
+  int code = 0;
+  loop.OnError([&code](const char* what) {
+    std::cerr << what << std::endl;
+    code = 1;
+  });
+  loop.Spawn([&](Fiber& fiber) {
+    for (const auto& it : args["policies"].as<std::vector<std::string>>()) {
+      Measure(fiber, it, run);
+    }
+    loop.Stop();
+  });
+  loop.Run();
+  return code;
+}
+
+}  // namespace
+}  // namespace comfreyfold::bench
+
+int main(int argc, char** argv) {
+  return comfreyfold::bench::Main(argc, argv);
+}
--- a/source/backend/engine_client.cc
+++ b/source/backend/engine_client.cc
@@ -183,19 +183,42 @@
   }
 }
 
-void EngineClient::Release(Fiber& fiber,
-                           const std::string& address,
-                           const std::string& program) {
-  const json body = {{"program", program}};
-  const auto reply = Control(fiber, address,
-                             {"POST",
-                              "/cache/release",
-                              {{"Content-Type", "application/json"}},
-                              body.dump()});
+HttpReply EngineClient::Cache(Fiber& fiber,
+                              const std::string& address,
+                              const std::string& verb,
+                              const std::string& body) {
+  auto reply = Control(
+      fiber, address,
+      {"POST", "/cache/" + verb, {{"Content-Type", "application/json"}}, body});
   if (reply.status != 200) {
-    throw BackendFailure("release answered " + std::to_string(reply.status),
+    throw BackendFailure(verb + " answered " + std::to_string(reply.status),
                          Verdict::kMayHaveRun);
   }
+  return reply;
+}
+
+void EngineClient::Release(Fiber& fiber,
+                           const std::string& address,
+                           const std::string& program) {
+  Cache(fiber, address, "release", json{{"program", program}}.dump());
+}
+
+std::string EngineClient::Export(Fiber& fiber,
+                                 const std::string& address,
+                                 const std::string& program) {
+  const auto reply =
+      Cache(fiber, address, "export", json{{"program", program}}.dump());
+  const auto answer = json::parse(reply.body, nullptr, false);
+  return answer.is_object() ? answer.value("cache", std::string())
+                            : std::string();
+}
+
+void EngineClient::Import(Fiber& fiber,
+                          const std::string& address,
+                          const std::string& program,
+                          const std::string& copy) {
+  Cache(fiber, address, "import",
+        json{{"program", program}, {"cache", copy}}.dump());
 }
 
 }  // namespace comfreyfold
--- a/source/backend/engine_client.h
+++ b/source/backend/engine_client.h
@@ -71,7 +71,21 @@
                const std::string& address,
                const std::string& program);
 
+  // A copy of what the engine holds for `program`, empty when it holds
+  // nothing; and the way back, to any engine. Throw BackendFailure.
+  std::string Export(Fiber& fiber,
+                     const std::string& address,
+                     const std::string& program);
+  void Import(Fiber& fiber,
+              const std::string& address,
+              const std::string& program,
+              const std::string& copy);
+
  private:
+  HttpReply Cache(Fiber& fiber,
+                  const std::string& address,
+                  const std::string& verb,
+                  const std::string& body);
   HttpReply Control(Fiber& fiber,
                     const std::string& address,
                     const HttpRequest& request);
--- a/source/core/decision_settings.h
+++ b/source/core/decision_settings.h
@@ -2,6 +2,7 @@
 #define CORE_DECISION_SETTINGS_H_
 
 #include <chrono>
+#include <cstdint>
 
 namespace comfreyfold {
 
@@ -16,6 +17,7 @@
   double latency_weight = 1.0;
   double cache_weight = 1.0;
   std::chrono::nanoseconds prefill_per_token{20000};
+  std::chrono::nanoseconds decode_per_token{2000000};
   std::chrono::nanoseconds import_per_token{10000};
   std::chrono::nanoseconds export_per_token{2000};
   int engine_slots = 8;  // Until an engine reports its own.
@@ -30,6 +32,7 @@
 
   // Holds through pauses.
   double hold_memory_share = 0.5;  // Of an engine's memory, all daemons.
+  std::int64_t export_bytes = 32 * 1024 * 1024;  // Copies this daemon keeps.
 
   // Admission.
   bool refuse_early = true;
@@ -37,6 +40,7 @@
 
   // Retries and health.
   double retry_ratio = 0.2;  // Retries for each first attempt.
+  int model_attempts = 3;    // Most dispatches of one model turn.
   int ejection_failures = 3;
   std::chrono::milliseconds ejection_time{1000};
   double most_ejected = 0.5;  // Of the servers of one kind.
--- a/source/core/engine_chooser.cc
+++ b/source/core/engine_chooser.cc
@@ -30,8 +30,11 @@
     : settings_(settings), seed_(seed) {}
 
 void EngineChooser::SetServer(const std::string& id, bool takes_work) {
-  servers_[id].takes_work = takes_work;
-  CountSlots();
+  const auto [it, added] = servers_.try_emplace(id);
+  if (added || it->second.takes_work != takes_work) {
+    it->second.takes_work = takes_work;
+    CountSlots();
+  }
 }
 
 void EngineChooser::RemoveServer(const std::string& id) {
@@ -44,11 +47,22 @@
   CountSlots();
 }
 
+std::vector<std::string> EngineChooser::Servers() const {
+  std::vector<std::string> out;
+  for (const auto& [id, server] : servers_) {
+    out.push_back(id);
+  }
+  return out;
+}
+
 void EngineChooser::ObserveLoad(const std::string& id, const EngineLoad& load) {
   const auto it = servers_.find(id);
   if (it != servers_.end()) {
+    const bool resized = it->second.load.slots != load.slots;
     it->second.load = load;
-    CountSlots();
+    if (resized) {
+      CountSlots();
+    }
   }
 }
 
--- a/source/core/engine_chooser.h
+++ b/source/core/engine_chooser.h
@@ -50,6 +50,7 @@
   // Adds a server, or says whether it takes new work.
   void SetServer(const std::string& id, bool takes_work);
   void RemoveServer(const std::string& id);
+  std::vector<std::string> Servers() const;
   void ObserveLoad(const std::string& id, const EngineLoad& load);
   // The newest heartbeat of the daemon `peer`: the lanes it owns.
   void ObservePeer(const std::string& peer, int work, TimePoint now);
--- a/source/net/loop.cc
+++ b/source/net/loop.cc
@@ -27,6 +27,8 @@
 }
 
 void Loop::Spawn(std::function<void(Fiber&)> body) {
+  // The coroutine may start at once, also in the middle of a handler.
+  const ExceptionsAside aside;
   boost::asio::spawn(
       impl_->io,
       [this, body = std::move(body)](boost::asio::yield_context yield) {
--- a/source/net/parked.h
+++ b/source/net/parked.h
@@ -9,20 +9,15 @@
 
 namespace comfreyfold {
 
-// Stands for a coroutine that waits: written as the completion token of a
-// wait, it lives until the coroutine runs again.
-class Parked {
+// Sets aside the exceptions that are being handled, for as long as another
+// coroutine may run. The runtime keeps them by thread and coroutines share
+// one: handlers that overlap would end each other's exceptions.
+class ExceptionsAside {
  public:
-  explicit Parked(Fiber& fiber) : yield_(fiber.impl().yield) {
-    *Current() = {};
-  }
-  ~Parked() { *Current() = saved_; }
-  Parked(const Parked&) = delete;
-  Parked& operator=(const Parked&) = delete;
-
-  boost::asio::yield_context operator[](boost::system::error_code& ec) const {
-    return yield_[ec];
-  }
+  ExceptionsAside() { *Current() = {}; }
+  ~ExceptionsAside() { *Current() = saved_; }
+  ExceptionsAside(const ExceptionsAside&) = delete;
+  ExceptionsAside& operator=(const ExceptionsAside&) = delete;
 
  private:
   // The head of __cxa_eh_globals, as the Itanium C++ ABI lays it down.
@@ -31,17 +26,28 @@
     unsigned int uncaught = 0;
   };
 
-  // The runtime keeps the exceptions being handled by thread. Coroutines
-  // share one, so a handler that waits has to take its own along: handlers
-  // that overlap would end each other's exceptions.
   static Exceptions* Current() {
     return reinterpret_cast<Exceptions*>(abi::__cxa_get_globals());
   }
 
-  boost::asio::yield_context& yield_;
   Exceptions saved_ = *Current();
 };
 
+// Stands for a coroutine that waits: written as the completion token of a
+// wait, it lives until the coroutine runs again.
+class Parked {
+ public:
+  explicit Parked(Fiber& fiber) : yield_(fiber.impl().yield) {}
+
+  boost::asio::yield_context operator[](boost::system::error_code& ec) const {
+    return yield_[ec];
+  }
+
+ private:
+  boost::asio::yield_context& yield_;
+  ExceptionsAside aside_;
+};
+
 }  // namespace comfreyfold
 
 #endif  // NET_PARKED_H_
--- a/source/server/backend_chooser.cc
+++ b/source/server/backend_chooser.cc
@@ -1,64 +1,80 @@
 #include "server/backend_chooser.h"
 
-#include <algorithm>
-
 #include "core/call_error.h"
 
 namespace comfreyfold {
 
 namespace {
-constexpr std::chrono::milliseconds kRetrySoon{500};
-}  // namespace
 
-InFlight::InFlight(BackendDirectory& directory, Backend& backend)
-    : directory_(directory), id_(backend.vm.id) {
-  ++backend.in_flight;
-}
+constexpr std::chrono::milliseconds kRetrySoon{500};
+// A caller's bound on the answer is about twice what it gets.
+constexpr int kAnswersOfBound = 2;
 
-InFlight::InFlight(BackendDirectory& directory, const std::string& id)
-    : InFlight(directory, *directory.Find(id)) {}
+}  // namespace
 
-InFlight::~InFlight() {
-  if (auto* backend = directory_.Find(id_)) {
-    --backend->in_flight;
+ScheduledCall BackendChooser::CallOf(const CallContext& context,
+                                     const std::set<std::string>& avoid) const {
+  ScheduledCall out;
+  out.customer = context.program.customer;
+  out.target = context.call.target;
+  out.weight = context.contract->weight;
+  out.priority = context.contract->priority;
+  out.request.program =
+      context.program.customer + "/" + context.program.program;
+  out.request.avoid = avoid;
+  const auto* program = context.state();
+  out.first_call = program == nullptr || program->calls.empty();
+  if (program != nullptr) {
+    out.attained = program->tokens * settings_.prefill_per_token;
   }
+  return out;
 }
 
-Backend& BackendChooser::ChooseEngine(const CallContext& context) {
-  const auto servers = directory_.Serving(VmRole::kEngine, context.call.target);
-  if (servers.empty()) {
+std::unique_ptr<ServerSlot> BackendChooser::ChooseEngine(
+    Fiber& fiber,
+    const CallContext& context,
+    const TurnSize& size,
+    const std::set<std::string>& avoid) {
+  if (directory_.Serving(VmRole::kEngine, context.call.target).empty()) {
     throw CallError(
         404, "no_engine",
         "no engine serves model '" + context.call.target + "'; check its name",
         Verdict::kNotRun, kRetrySoon);
   }
-  const auto* program = context.state();
-  if (program != nullptr) {
-    for (auto* it : servers) {
-      if (program->holds_on.contains(it->vm.id)) {
-        return *it;
-      }
-    }
-  }
-  return **std::min_element(servers.begin(), servers.end(),
-                            [](const Backend* a, const Backend* b) {
-                              return a->in_flight < b->in_flight;
-                            });
+  auto call = CallOf(context, avoid);
+  call.request.prompt_tokens = size.prompt_tokens;
+  call.request.seen_tokens = size.seen_tokens;
+  call.request.exported_tokens = size.exported_tokens;
+  call.generation =
+      size.answer_tokens / kAnswersOfBound * settings_.decode_per_token;
+  return engines_.Enter(fiber, std::move(call), context.left());
 }
 
-Backend& BackendChooser::ChooseService(const CallContext& context) {
-  const auto servers =
-      directory_.Serving(VmRole::kService, context.call.target);
-  if (servers.empty()) {
+std::unique_ptr<ServerSlot> BackendChooser::Rejoin(Fiber& fiber,
+                                                   const CallContext& context,
+                                                   const std::string& engine) {
+  auto call = CallOf(context, {});
+  call.server = engine;
+  call.urgent = true;
+  return engines_.Enter(fiber, std::move(call), context.left());
+}
+
+std::unique_ptr<ServerSlot> BackendChooser::ChooseService(
+    Fiber& fiber,
+    const CallContext& context,
+    const std::set<std::string>& avoid) {
+  if (directory_.Serving(VmRole::kService, context.call.target).empty()) {
     throw CallError(
         404, "no_service",
         "no server offers '" + context.call.target + "'; check its name",
         Verdict::kNotRun, kRetrySoon);
   }
-  return **std::min_element(servers.begin(), servers.end(),
-                            [](const Backend* a, const Backend* b) {
-                              return a->in_flight < b->in_flight;
-                            });
+  for (const auto& [name, rule] : context.contract->tools) {
+    if (rule.urgent) {
+      services_.scheduler().ReserveFor(name);
+    }
+  }
+  return services_.Enter(fiber, CallOf(context, avoid), context.left());
 }
 
 }  // namespace comfreyfold
--- a/source/server/backend_chooser.h
+++ b/source/server/backend_chooser.h
@@ -1,38 +1,57 @@
 #ifndef SERVER_BACKEND_CHOOSER_H_
 #define SERVER_BACKEND_CHOOSER_H_
 
-#include "server/backend_directory.h"
+#include <memory>
+#include <set>
+#include <string>
+
 #include "server/call_context.h"
+#include "server/dispatch_queue.h"
 
 namespace comfreyfold {
 
-// Chooses the backend server of a call. Throws CallError (not run) when
-// none serves it.
-class BackendChooser {
- public:
-  explicit BackendChooser(BackendDirectory& directory)
-      : directory_(directory) {}
-
-  Backend& ChooseEngine(const CallContext& context);
-  Backend& ChooseService(const CallContext& context);
-
- private:
-  BackendDirectory& directory_;
+// What a model turn asks of an engine.
+struct TurnSize {
+  std::int64_t prompt_tokens = 0;
+  std::int64_t seen_tokens = 0;  // Of them, in the turns before.
+  std::int64_t exported_tokens = 0;
+  std::int64_t answer_tokens = 0;  // At most.
 };
 
-// Counts a call against a server for as long as it lives. Holds the id:
-// the directory may drop the server meanwhile.
-class InFlight {
+// Gives calls a place on a backend server. Throws CallError (not run) when
+// none serves them, and when they are refused for load.
+class BackendChooser {
  public:
-  InFlight(BackendDirectory& directory, Backend& backend);
-  InFlight(BackendDirectory& directory, const std::string& id);
-  ~InFlight();
-  InFlight(const InFlight&) = delete;
-  InFlight& operator=(const InFlight&) = delete;
+  BackendChooser(BackendDirectory& directory,
+                 DispatchQueue& engines,
+                 DispatchQueue& services,
+                 const DecisionSettings& settings)
+      : directory_(directory),
+        engines_(engines),
+        services_(services),
+        settings_(settings) {}
+
+  // `avoid` names the servers that have failed the call.
+  std::unique_ptr<ServerSlot> ChooseEngine(Fiber& fiber,
+                                           const CallContext& context,
+                                           const TurnSize& size,
+                                           const std::set<std::string>& avoid);
+  // A place on `engine`, where the call may be running already.
+  std::unique_ptr<ServerSlot> Rejoin(Fiber& fiber,
+                                     const CallContext& context,
+                                     const std::string& engine);
+  std::unique_ptr<ServerSlot> ChooseService(Fiber& fiber,
+                                            const CallContext& context,
+                                            const std::set<std::string>& avoid);
 
  private:
+  ScheduledCall CallOf(const CallContext& context,
+                       const std::set<std::string>& avoid) const;
+
   BackendDirectory& directory_;
-  std::string id_;
+  DispatchQueue& engines_;
+  DispatchQueue& services_;
+  const DecisionSettings& settings_;
 };
 
 }  // namespace comfreyfold
--- a/source/server/backend_directory.cc
+++ b/source/server/backend_directory.cc
@@ -101,6 +101,7 @@
   }
   backend->reported_running = load.value("running", 0);
   backend->reported_waiting = load.value("waiting", 0);
+  backend->reported_slots = load.value("slots", 0);
   const bool draining = load.value("draining", false);
   if (draining && !backend->draining) {
     log_.Write({.name = "backend_draining", .backend = id});
--- a/source/server/backend_directory.h
+++ b/source/server/backend_directory.h
@@ -21,6 +21,7 @@
   int in_flight = 0;  // Calls of this daemon.
   int reported_running = 0;
   int reported_waiting = 0;
+  int reported_slots = 0;                   // 0: not told.
   std::vector<std::string> reports_models;  // Loaded by order.
 };
 
--- a/source/server/daemon.cc
+++ b/source/server/daemon.cc
@@ -54,7 +54,25 @@
       lanes_(loop, kv_, log_, membership_, settings_.lanes),
       engines_(http_),
       tools_(http_),
-      chooser_(backends_),
+      engine_queue_(loop,
+                    backends_,
+                    VmRole::kEngine,
+                    settings_.decisions,
+                    settings_.daemon),
+      service_queue_(loop,
+                     backends_,
+                     VmRole::kService,
+                     settings_.decisions,
+                     settings_.daemon),
+      chooser_(backends_, engine_queue_, service_queue_, settings_.decisions),
+      holds_(loop,
+             engines_,
+             backends_,
+             engine_queue_,
+             lanes_,
+             log_,
+             settings_.decisions),
+      retries_(settings_.decisions),
       journal_(log_),
       limits_(journal_),
       slots_(loop, lanes_),
@@ -69,8 +87,11 @@
                     chooser_,
                     journal_,
                     limits_,
-                    budgets_),
-      tool_runner_(tools_, backends_, chooser_, journal_),
+                    budgets_,
+                    holds_,
+                    retries_,
+                    settings_.decisions),
+      tool_runner_(tools_, backends_, chooser_, journal_, holds_, retries_),
       requests_(journal_),
       runner_(loop,
               lanes_,
@@ -80,7 +101,7 @@
               model_runner_,
               tool_runner_,
               requests_),
-      urgent_(tools_, contracts_, backends_, log_),
+      urgent_(tools_, contracts_, backends_, service_queue_, log_),
       releaser_(loop, engines_, lanes_, backends_, log_),
       router_(loop, http_, membership_, runner_, log_, settings_.lanes),
       caller_api_(contracts_, router_, urgent_, log_, settings_.call_deadline),
@@ -133,6 +154,7 @@
       contracts_.HeardOf(heartbeat.contracts_revision);
     }
     lanes_.Tick();
+    RefreshDecisions();
   });
   releaser_.Start();
   steward_.Start();
@@ -161,6 +183,12 @@
   return ended;
 }
 
+void Daemon::RefreshDecisions() {
+  engine_queue_.Refresh(membership_);
+  service_queue_.Refresh(membership_);
+  holds_.Prune();
+}
+
 void Daemon::Handle(Fiber& fiber,
                     const HttpRequest& request,
                     HttpExchange& exchange) {
--- a/source/server/daemon.h
+++ b/source/server/daemon.h
@@ -42,6 +42,7 @@
  private:
   void Handle(Fiber& fiber, const HttpRequest& request, HttpExchange& exchange);
   bool HandleOperator(const HttpRequest& request, HttpExchange& exchange);
+  void RefreshDecisions();
   std::string Status() const;
   std::string Metrics() const;
   bool ready() const;
@@ -62,7 +63,11 @@
   LaneManager lanes_;
   EngineClient engines_;
   ToolClient tools_;
+  DispatchQueue engine_queue_;
+  DispatchQueue service_queue_;
   BackendChooser chooser_;
+  HoldKeeper holds_;
+  RetryPolicy retries_;
   CallJournal journal_;
   CallLimits limits_;
   CustomerSlots slots_;
--- /dev/null
+++ b/source/server/decision_keys.h
@@ -0,0 +1,14 @@
+#ifndef SERVER_DECISION_KEYS_H_
+#define SERVER_DECISION_KEYS_H_
+
+#include "core/decision_settings.h"
+#include "core/ini_reader.h"
+
+namespace comfreyfold {
+
+// Reads the section [decisions].
+void TakeDecisions(IniReader& reader, DecisionSettings& out);
+
+}  // namespace comfreyfold
+
+#endif  // SERVER_DECISION_KEYS_H_
--- a/source/server/model_runner.cc
+++ b/source/server/model_runner.cc
@@ -1,5 +1,8 @@
 #include "server/model_runner.h"
 
+#include <algorithm>
+#include <optional>
+
 #include <nlohmann/json.hpp>
 
 #include "core/call_error.h"
@@ -15,6 +18,11 @@
 constexpr std::chrono::milliseconds kRetrySoon{500};
 constexpr std::int64_t kDefaultAnswerTokens = 16;
 constexpr int kBeginRounds = 3;
+constexpr std::size_t kBytesPerToken = 4;  // About, for the choice alone.
+
+std::int64_t Tokens(const std::string& text) {
+  return static_cast<std::int64_t>(text.size() / kBytesPerToken);
+}
 
 // Looks at the end of a dispatch whether the lane was lost meanwhile.
 class StrayGuard {
@@ -53,42 +61,46 @@
   return nullptr;
 }
 
-ModelRunner::Placed ModelRunner::Begin(Fiber& fiber,
-                                       CallContext& context,
-                                       LaneEntry& begun) {
-  Placed out;
-  const auto* resumed = BackendToResume(context);
-  out.resume = resumed != nullptr;
+std::unique_ptr<ServerSlot> ModelRunner::Choose(Fiber& fiber,
+                                                CallContext& context,
+                                                Turn& turn) {
+  // Only the first dispatch here can find a stream that an earlier owner
+  // has begun.
+  const auto* resumed = turn.committed ? nullptr : BackendToResume(context);
+  turn.call.resume = resumed != nullptr;
+  return resumed != nullptr
+             ? chooser_.Rejoin(fiber, context, std::string(resumed->vm.id))
+             : chooser_.ChooseEngine(fiber, context, turn.size, turn.failed);
+}
+
+std::unique_ptr<ServerSlot> ModelRunner::Begin(Fiber& fiber,
+                                               CallContext& context,
+                                               Turn& turn) {
+  std::unique_ptr<ServerSlot> slot;
   for (int round = 0; round < kBeginRounds; ++round) {
-    // Looked up after the last wait: the directory may drop a server.
-    Backend* backend = nullptr;
-    try {
-      backend = out.resume ? directory_.Find(resumed->vm.id)
-                           : &chooser_.ChooseEngine(context);
-    } catch (const CallError&) {
-      if (round > 0) {
-        RecordNotRun(fiber, context);
-      }
-      throw;
-    }
-    out.in_flight = std::make_unique<InFlight>(directory_, *backend);
-    out.address = backend->vm.address;
-    begun.backend = backend->vm.id;
-    journal_.CommitIntent(fiber, context, begun);
+    slot.reset();
+    slot = Choose(fiber, context, turn);
+    turn.begun.backend = slot->server();
+    turn.begun.tokens = turn.spent_tokens + turn.budget_tokens;
+    journal_.CommitIntent(fiber, context, turn.begun);
+    turn.committed = true;
     // The commit may have waited through an outage, and the engine have
     // begun to leave meanwhile.
-    if (directory_.TakesWork(begun.backend)) {
+    if (directory_.TakesWork(turn.begun.backend)) {
       break;
     }
-    out.resume = false;
   }
-  return out;
+  return slot;
 }
 
-void ModelRunner::RecordNotRun(Fiber& fiber, CallContext& context) {
+void ModelRunner::RecordFailure(Fiber& fiber,
+                                CallContext& context,
+                                const Turn& turn) {
   auto done = context.Entry(EntryKind::kCallDone);
-  done.verdict = Verdict::kNotRun;
-  done.status = 503;
+  done.backend = turn.begun.backend;
+  done.verdict = turn.worst;
+  done.status = turn.attempts == 0 ? 503 : 502;
+  done.tokens = turn.spent_tokens;
   journal_.CommitOutcome(fiber, context, done);
 }
 
@@ -104,69 +116,144 @@
   });
 }
 
-void ModelRunner::Run(Fiber& fiber, CallContext& context) {
+ModelRunner::Turn ModelRunner::Prepare(Fiber& fiber, CallContext& context) {
   const auto body = json::parse(context.call.body);
   const auto known = MessagesOf(context.state());
   const auto added = NewMessages(known, body.at("messages"));
   auto messages = known;
   messages.insert(messages.end(), added.begin(), added.end());
 
-  const auto request = added.dump();
+  Turn turn;
+  turn.begun = context.Entry(EntryKind::kCallBegun);
+  turn.begun.idempotent = true;
+  turn.begun.request = added.dump();
   const auto answer_tokens = limits_.AnswerTokens(
       context, body.value("max_tokens", kDefaultAnswerTokens));
-  const auto prompt_bound = PromptBound(context.state(), context.call.target,
-                                        {request.size(), added.size()});
-  context.budget =
-      budgets_.Reserve(fiber, context.program.customer,
-                       prompt_bound + answer_tokens, context.deadline);
-
-  auto begun = context.Entry(EntryKind::kCallBegun);
-  begun.idempotent = true;
-  begun.request = request;
-  begun.tokens = context.budget.tokens();
-  const auto placed = Begin(fiber, context, begun);
+  turn.budget_tokens = PromptBound(context.state(), context.call.target,
+                                   {turn.begun.request.size(), added.size()}) +
+                       answer_tokens;
+  context.budget = budgets_.Reserve(fiber, context.program.customer,
+                                    turn.budget_tokens, context.deadline);
+
+  turn.call.program = turn.begun.customer + "/" + turn.begun.program;
+  turn.call.request_id =
+      StreamId(turn.begun.customer, turn.begun.program, turn.begun.key);
+  turn.call.model = context.call.target;
+  turn.call.messages = messages.dump();
+  turn.call.max_tokens = answer_tokens;
+  turn.call.priority = context.contract->priority;
+  turn.size.answer_tokens = answer_tokens;
+  turn.size.prompt_tokens = Tokens(turn.call.messages);
+  turn.size.seen_tokens = context.state() == nullptr ? 0 : Tokens(known.dump());
+  turn.size.exported_tokens = holds_.PauseEnds(context);
+  return turn;
+}
+
+EngineResult ModelRunner::Dispatch(Fiber& fiber,
+                                   CallContext& context,
+                                   Turn& turn,
+                                   ServerSlot& slot) {
+  const auto* backend = directory_.Find(slot.server());
+  if (backend == nullptr) {
+    throw BackendFailure("the engine has left", Verdict::kNotRun);
+  }
+  const std::string address = backend->vm.address;
   context.budget.MarkDispatched();
-  const StrayGuard stray(strays_, context, begun.backend);
-
-  EngineCall engine_call;
-  engine_call.program = begun.customer + "/" + begun.program;
-  engine_call.request_id = StreamId(begun.customer, begun.program, begun.key);
-  engine_call.resume = placed.resume;
-  engine_call.model = context.call.target;
-  engine_call.messages = messages.dump();
-  engine_call.max_tokens = answer_tokens;
-  engine_call.priority = context.contract->priority;
-  engine_call.idle_timeout = context.left();
-  engine_call.on_text = [&context](std::string_view text) {
+  const StrayGuard stray(strays_, context, slot.server());
+  holds_.BeforeTurn(fiber, context, slot);
+  turn.call.idle_timeout = context.left();
+  turn.call.on_text = [&context, &turn](std::string_view text) {
+    turn.streamed = true;
     AnswerFrame frame;
     frame.content = std::string(text);
     context.sink(frame);
   };
-  auto done = context.Entry(EntryKind::kCallDone);
-  done.backend = begun.backend;
-  EngineResult result;
   try {
-    result = engines_.Complete(fiber, placed.address, engine_call);
+    auto result = engines_.Complete(fiber, address, turn.call);
+    const auto tokens = result.prompt_tokens + result.completion_tokens;
+    slot.Ran(tokens, result.cached_tokens);
+    holds_.TurnEnded(context, slot.server(), tokens);
+    return result;
   } catch (const BackendFailure& e) {
-    directory_.Doubt(begun.backend);
+    slot.Failed();
+    directory_.Doubt(slot.server());
     if (e.verdict() != Verdict::kNotRun) {
-      Cancel(placed.address, engine_call.request_id);
+      Cancel(address, turn.call.request_id);
     }
-    done.verdict = e.verdict();
-    done.status = 502;
-    done.tokens = e.verdict() == Verdict::kNotRun ? 0 : begun.tokens;
-    context.budget.Settle(done.tokens);
-    journal_.CommitOutcome(fiber, context, done);
+    throw;
+  }
+}
+
+// A dispatch that may have run may have used all it reserved; the next one
+// needs tokens of its own. Text that the caller has seen is never followed
+// by that of another engine.
+void ModelRunner::AfterFailure(Fiber& fiber,
+                               CallContext& context,
+                               Turn& turn,
+                               const BackendFailure& failure) {
+  const bool may_have_run = failure.verdict() != Verdict::kNotRun;
+  turn.worst = std::max(turn.worst, failure.verdict());
+  turn.spent_tokens += may_have_run ? turn.budget_tokens : 0;
+  const auto pause =
+      turn.streamed ? std::nullopt
+                    : retries_.Next({failure.verdict(), true, turn.attempts,
+                                     settings_.model_attempts, context.left()});
+  if (!pause) {
+    context.budget.Settle(may_have_run ? turn.budget_tokens : 0);
+    RecordFailure(fiber, context, turn);
     throw CallError(
         502, "engine_failed",
-        std::string(e.what()) + "; retry with the same Idempotency-Key",
-        e.verdict(), kRetrySoon);
+        std::string(failure.what()) + "; retry with the same Idempotency-Key",
+        turn.worst, kRetrySoon);
+  }
+  fiber.Sleep(*pause);
+  if (may_have_run) {
+    context.budget.Settle(turn.budget_tokens);
+    context.budget = budgets_.Reserve(fiber, context.program.customer,
+                                      turn.budget_tokens, context.deadline);
+  }
+}
+
+EngineResult ModelRunner::RunAttempts(Fiber& fiber,
+                                      CallContext& context,
+                                      Turn& turn) {
+  retries_.ObserveCall();
+  while (true) {
+    const auto slot = Begin(fiber, context, turn);
+    ++turn.attempts;
+    try {
+      return Dispatch(fiber, context, turn, *slot);
+    } catch (const BackendFailure& e) {
+      turn.failed.insert(slot->server());
+      AfterFailure(fiber, context, turn, e);
+    }
+  }
+}
+
+void ModelRunner::Run(Fiber& fiber, CallContext& context) {
+  auto turn = Prepare(fiber, context);
+  EngineResult result;
+  try {
+    result = RunAttempts(fiber, context, turn);
+  } catch (const CallError& e) {
+    // Failures of engines are on record; what remains is a turn that was
+    // begun and then found no place.
+    const bool unrecorded = turn.committed && e.status() != 502;
+    if (!unrecorded) {
+      throw;
+    }
+    RecordFailure(fiber, context, turn);
+    throw CallError(e.status(), e.code(), e.what(), turn.worst,
+                    e.retry_after());
   }
+  auto done = context.Entry(EntryKind::kCallDone);
+  done.backend = turn.begun.backend;
   done.verdict = Verdict::kRan;
   done.status = 200;
   done.answer = result.text;
-  done.tokens = result.prompt_tokens + result.completion_tokens;
-  context.budget.Settle(done.tokens);
+  const auto used = result.prompt_tokens + result.completion_tokens;
+  done.tokens = turn.spent_tokens + used;
+  context.budget.Settle(used);
   journal_.CommitOutcome(fiber, context, done);
 
   AnswerFrame frame;
--- a/source/server/settings.cc
+++ b/source/server/settings.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 
 #include "core/ini_reader.h"
+#include "server/decision_keys.h"
 
 namespace comfreyfold {
 
@@ -104,6 +105,7 @@
               hours(1));
   reader.Take("calls", "load_interval", out.load_interval, milliseconds(10),
               minutes(1));
+  TakeDecisions(reader, out.decisions);
   TakeHttp(reader, out.http);
   reader.Finish();
   return out;
--- a/source/server/settings.h
+++ b/source/server/settings.h
@@ -4,6 +4,7 @@
 #include <chrono>
 #include <string>
 
+#include "core/decision_settings.h"
 #include "net/http_server.h"
 #include "server/contract_store.h"
 
@@ -34,6 +35,7 @@
   std::chrono::milliseconds call_deadline{60000};
   std::chrono::milliseconds load_interval{500};
   std::chrono::milliseconds drain_time{60000};
+  DecisionSettings decisions;
   HttpLimits http;
 };
 
--- a/source/server/tool_runner.cc
+++ b/source/server/tool_runner.cc
@@ -1,7 +1,6 @@
 #include "server/tool_runner.h"
 
 #include <algorithm>
-#include <memory>
 
 #include "core/call_error.h"
 
@@ -11,58 +10,108 @@
 constexpr std::chrono::milliseconds kRetrySoon{500};
 }  // namespace
 
-std::string ToolRunner::ChooseAgain(Fiber& fiber, CallContext& context) {
-  try {
-    return chooser_.ChooseService(context).vm.id;
-  } catch (const CallError&) {
-    auto done = context.Entry(EntryKind::kCallDone);
-    done.verdict = Verdict::kNotRun;
-    done.status = 503;
-    journal_.CommitOutcome(fiber, context, done);
-    throw;
-  }
+void ToolRunner::RecordFailure(Fiber& fiber,
+                               CallContext& context,
+                               const Attempts& attempts) {
+  auto done = context.Entry(EntryKind::kCallDone);
+  done.backend = attempts.server;
+  done.verdict = attempts.worst;
+  done.status = attempts.made == 0 ? 503 : 502;
+  journal_.CommitOutcome(fiber, context, done);
 }
 
-void ToolRunner::Run(Fiber& fiber, CallContext& context) {
-  const auto rule = context.contract->RuleFor(context.call.target);
+std::unique_ptr<ServerSlot> ToolRunner::Begin(Fiber& fiber,
+                                              CallContext& context,
+                                              const ToolRule& rule,
+                                              Attempts& attempts) {
   auto begun = context.Entry(EntryKind::kCallBegun);
   begun.idempotent = rule.idempotent;
   begun.request = context.call.body;
-  const auto* chosen = &chooser_.ChooseService(context);
-  begun.backend = chosen->vm.id;
-  auto in_flight = std::make_unique<InFlight>(directory_, begun.backend);
+  auto slot = chooser_.ChooseService(fiber, context, attempts.failed);
+  begun.backend = slot->server();
   journal_.CommitIntent(fiber, context, begun);
+  attempts.begun = true;
+  if (directory_.TakesWork(slot->server())) {
+    return slot;
+  }
   // The commit may have waited through an outage, and the server have begun
   // to leave meanwhile. Nothing was sent yet: another one will do.
-  if (!directory_.TakesWork(begun.backend)) {
-    begun.backend = ChooseAgain(fiber, context);
-    in_flight = std::make_unique<InFlight>(directory_, begun.backend);
-  }
-  const auto address = directory_.Find(begun.backend)->vm.address;
+  slot.reset();
+  return chooser_.ChooseService(fiber, context, attempts.failed);
+}
 
-  ToolCall tool_call;
-  tool_call.name = context.call.target;
-  tool_call.key = begun.key;
-  tool_call.program = begun.customer + "/" + begun.program;
-  tool_call.body = context.call.body;
-  tool_call.timeout = std::min(rule.timeout, context.left());
-  auto done = context.Entry(EntryKind::kCallDone);
-  done.backend = begun.backend;
-  ToolResult result;
+ToolResult ToolRunner::Dispatch(Fiber& fiber,
+                                CallContext& context,
+                                const ToolRule& rule,
+                                ServerSlot& slot) {
+  const auto* backend = directory_.Find(slot.server());
+  if (backend == nullptr) {
+    throw BackendFailure("the server has left", Verdict::kNotRun);
+  }
+  ToolCall call;
+  call.name = context.call.target;
+  call.key = context.call.key;
+  call.program = context.program.customer + "/" + context.program.program;
+  call.body = context.call.body;
+  call.timeout = std::min(rule.timeout, context.left());
   try {
-    result = tools_.Call(fiber, address, tool_call);
-  } catch (const BackendFailure& e) {
-    directory_.Doubt(begun.backend);
-    done.verdict = e.verdict();
-    done.status = 502;
-    journal_.CommitOutcome(fiber, context, done);
-    throw CallError(
-        502, "service_failed",
-        std::string(e.what()) + (e.verdict() == Verdict::kNotRun
-                                     ? "; retry with the same Idempotency-Key"
-                                     : "; check at the service whether it ran"),
-        e.verdict(), kRetrySoon);
+    return tools_.Call(fiber, std::string(backend->vm.address), call);
+  } catch (const BackendFailure&) {
+    slot.Failed();
+    directory_.Doubt(slot.server());
+    throw;
+  }
+}
+
+ToolResult ToolRunner::RunAttempts(Fiber& fiber,
+                                   CallContext& context,
+                                   const ToolRule& rule,
+                                   Attempts& attempts) {
+  retries_.ObserveCall();
+  while (true) {
+    std::unique_ptr<ServerSlot> slot;
+    try {
+      slot = Begin(fiber, context, rule, attempts);
+    } catch (const CallError& e) {
+      if (!attempts.begun) {
+        throw;
+      }
+      RecordFailure(fiber, context, attempts);
+      throw CallError(e.status(), e.code(), e.what(), attempts.worst,
+                      e.retry_after());
+    }
+    ++attempts.made;
+    attempts.server = slot->server();
+    try {
+      return Dispatch(fiber, context, rule, *slot);
+    } catch (const BackendFailure& e) {
+      attempts.failed.insert(slot->server());
+      attempts.worst = std::max(attempts.worst, e.verdict());
+      slot.reset();
+      const auto pause =
+          retries_.Next({e.verdict(), rule.idempotent, attempts.made,
+                         rule.attempts, context.left()});
+      if (!pause) {
+        RecordFailure(fiber, context, attempts);
+        throw CallError(502, "service_failed",
+                        std::string(e.what()) +
+                            (attempts.worst == Verdict::kNotRun
+                                 ? "; retry with the same Idempotency-Key"
+                                 : "; check at the service whether it ran"),
+                        attempts.worst, kRetrySoon);
+      }
+      fiber.Sleep(*pause);
+    }
   }
+}
+
+void ToolRunner::Run(Fiber& fiber, CallContext& context) {
+  holds_.PauseBegins(context);
+  const auto rule = context.contract->RuleFor(context.call.target);
+  Attempts attempts;
+  const auto result = RunAttempts(fiber, context, rule, attempts);
+  auto done = context.Entry(EntryKind::kCallDone);
+  done.backend = attempts.server;
   done.verdict = Verdict::kRan;
   done.status = result.status;
   done.answer = result.body;
--- a/source/server/urgent_sender.cc
+++ b/source/server/urgent_sender.cc
@@ -19,15 +19,18 @@
                     Verdict::kNotRun);
   }
   const auto rule = contract->RuleFor(call.target);
-  auto servers = directory_.Serving(VmRole::kService, call.target);
   const ToolCall tool_call{call.target, call.key,
                            call.customer + "/" + call.program, call.body,
                            rule.timeout};
+  std::set<std::string> failed;
   auto verdict = Verdict::kNotRun;
   std::string why = "no server offers '" + call.target + "'";
-  const auto attempts = static_cast<std::size_t>(rule.attempts);
-  for (std::size_t i = 0; i < attempts && !servers.empty(); ++i) {
-    const auto* server = servers[i % servers.size()];
+  for (int i = 0; i < rule.attempts; ++i) {
+    const auto slot = Choose(fiber, call, failed);
+    const auto* server = slot ? directory_.Find(slot->server()) : nullptr;
+    if (server == nullptr) {
+      break;
+    }
     log_.Write({.name = "urgent_sent",
                 .customer = call.customer,
                 .program = call.program,
@@ -37,13 +40,32 @@
     try {
       return tools_.Call(fiber, std::string(server->vm.address), tool_call);
     } catch (const BackendFailure& e) {
+      slot->Failed();
+      directory_.Doubt(slot->server());
+      failed.insert(slot->server());
       verdict = std::max(verdict, e.verdict());
       why = e.what();
-      servers = directory_.Serving(VmRole::kService, call.target);
     }
   }
   throw CallError(502, "urgent_failed", why + "; send it again", verdict,
                   kRetrySoon);
 }
 
+// Null when no server offers the service. No retry budget here: urgent
+// messages are few, and each must arrive.
+std::unique_ptr<ServerSlot> UrgentSender::Choose(
+    Fiber& fiber,
+    const ForwardedCall& call,
+    const std::set<std::string>& failed) {
+  if (directory_.Serving(VmRole::kService, call.target).empty()) {
+    return nullptr;
+  }
+  ScheduledCall urgent;
+  urgent.customer = call.customer;
+  urgent.target = call.target;
+  urgent.request.avoid = failed;
+  urgent.urgent = true;
+  return services_.Enter(fiber, std::move(urgent), call.deadline);
+}
+
 }  // namespace comfreyfold
--- a/source/server/urgent_sender.h
+++ b/source/server/urgent_sender.h
@@ -5,6 +5,7 @@
 #include "log/event_log.h"
 #include "server/backend_directory.h"
 #include "server/contract_store.h"
+#include "server/dispatch_queue.h"
 #include "wire/codec.h"
 
 namespace comfreyfold {
@@ -16,19 +17,26 @@
   UrgentSender(ToolClient& tools,
                ContractStore& contracts,
                BackendDirectory& directory,
+               DispatchQueue& services,
                EventLog& log)
       : tools_(tools),
         contracts_(contracts),
         directory_(directory),
+        services_(services),
         log_(log) {}
 
   // Only to services that the contract calls urgent. Throws CallError.
   ToolResult Send(Fiber& fiber, const ForwardedCall& call);
 
  private:
+  std::unique_ptr<ServerSlot> Choose(Fiber& fiber,
+                                     const ForwardedCall& call,
+                                     const std::set<std::string>& failed);
+
   ToolClient& tools_;
   ContractStore& contracts_;
   BackendDirectory& directory_;
+  DispatchQueue& services_;
   EventLog& log_;
 };
 
--- a/tests/unit/fiber_exception_test.cc
+++ b/tests/unit/fiber_exception_test.cc
@@ -53,5 +53,29 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+// Starts a coroutine that waits at once, then throws on.
+std::string SpawnInHandler(Fiber& fiber) {
+  std::string out;
+  try {
+    try {
+      throw std::runtime_error("first");
+    } catch (const std::runtime_error&) {
+      fiber.loop().Spawn([](Fiber& child) { child.Sleep(milliseconds(1)); });
+      throw;
+    }
+  } catch (const std::runtime_error& e) {
+    out = e.what();
+  }
+  return out;
+}
+
+BOOST_AUTO_TEST_CASE(HandlerThatSpawnsKeepsItsException) {
+  Loop loop;
+  std::string out;
+  loop.Spawn([&out](Fiber& fiber) { out = SpawnInHandler(fiber); });
+  loop.Run();
+  BOOST_TEST(out == "first");
+}
+
 }  // namespace
 }  // namespace comfreyfold
