--- a/bench/policies.gp
+++ b/bench/policies.gp
@@ -8,6 +8,8 @@
 set ylabel "seconds"
 set y2label "% of prompt tokens"
 set y2tics
+set yrange [0:*]
+set y2range [0:100]
 set xtics rotate by -20
 plot "< grep ^".workload.",peak ".csv using 5:xtic(3) title "p95 (s)", \
      "" using 8 axes x1y2 title "wasted (%)"
--- a/source/core/lane_entry.h
+++ b/source/core/lane_entry.h
@@ -11,6 +11,7 @@
 namespace comfreyfold {
 
 enum class CallKind { kModel = 0, kTool = 1, kService = 2 };
+inline constexpr CallKind kLastCallKind = CallKind::kService;
 
 enum class EntryKind {
   kTakeover = 0,   // The block's owner holds the lane from here on.
@@ -23,6 +24,7 @@
   kHandover = 5,          // The owner gives the lane up of its own accord.
   kSubagentStarted = 40,  // `key` names the program that was started.
 };
+inline constexpr EntryKind kLastEntryKind = EntryKind::kSubagentStarted;
 
 // One durable fact about a program. Which fields count depends on `kind`.
 struct LaneEntry {
--- a/source/server/call_runner.cc
+++ b/source/server/call_runner.cc
@@ -10,6 +10,7 @@
 using std::chrono::milliseconds;
 
 constexpr milliseconds kRetrySoon{500};
+constexpr milliseconds kFormerOwnerStep{100};
 
 std::string ProgramEndedText(const CallContext& context) {
   const auto* program = context.state();
@@ -36,8 +37,18 @@
                      const ForwardedCall& call,
                      const FrameSink& sink) {
   contracts_.EnsureCurrent(fiber);
+  const int lane = LaneOf(call.customer, call.program, lanes_.lanes());
+  Note("call_queued", call, lane);
+  bool first = true;
+  const FrameSink noting_sink = [&](const AnswerFrame& frame) {
+    if (first && frame.kind == FrameKind::kDelta) {
+      Note("first_piece", call, lane);
+      first = false;
+    }
+    sink(frame);
+  };
   CallContext context{call,
-                      sink,
+                      noting_sink,
                       nullptr,
                       contracts_.FindByName(call.customer),
                       {call.customer, call.program},
@@ -56,7 +67,6 @@
                     Verdict::kNotRun, kRetrySoon);
   }
   // Looked up after the wait: the lane may have moved meanwhile.
-  const int lane = LaneOf(call.customer, call.program, lanes_.lanes());
   context.lane = lanes_.Find(lane);
   if (!context.lane) {
     throw NotOwner("lane " + std::to_string(lane) + " is not owned here");
@@ -93,10 +103,39 @@
   }
 }
 
+Admission CallRunner::Admit(Fiber& fiber, const CallContext& context) {
+  CallClaim claim{context.program, context.call.key, context.call.call,
+                  context.Digest()};
+  auto admission = context.lane->state().Admit(claim);
+  // The daemon that handed the lane over sends the outcome of what it still
+  // runs; should it die, its calls are like those of any dead owner.
+  while (admission.result == AdmitResult::kAtFormerOwner) {
+    if (context.lane->lost()) {
+      throw NotOwner("lane lost while waiting for its former owner");
+    }
+    if (std::chrono::steady_clock::now() >= context.deadline) {
+      break;
+    }
+    claim.former_owner_gone = !lanes_.IsLive(admission.record->held_by);
+    if (!claim.former_owner_gone) {
+      context.lane->WaitForChange(fiber, kFormerOwnerStep);
+    }
+    admission = context.lane->state().Admit(claim);
+  }
+  return admission;
+}
+
+void CallRunner::Note(const char* name, const ForwardedCall& call, int lane) {
+  log_.Write({.name = name,
+              .customer = call.customer,
+              .program = call.program,
+              .key = call.key,
+              .lane = lane});
+}
+
 void CallRunner::RunCall(Fiber& fiber, CallContext& context) {
   const auto& call = context.call;
-  const auto admission = context.lane->state().Admit(
-      {context.program, call.key, call.call, context.Digest()});
+  const auto admission = Admit(fiber, context);
   context.place = admission.call;
   switch (admission.result) {
     case AdmitResult::kNew:
@@ -105,6 +144,13 @@
     case AdmitResult::kAnswered:
       requests_.AnswerFromRecord(context, *admission.record);
       return;
+    case AdmitResult::kAtFormerOwner:
+      throw CallError(503, "call_still_running",
+                      "a call of the program still runs at the daemon that "
+                      "began it; retry with the same Idempotency-Key",
+                      admission.record->key == call.key ? Verdict::kMayHaveRun
+                                                        : Verdict::kNotRun,
+                      kRetrySoon);
     case AdmitResult::kMayHaveRun:
     case AdmitResult::kInFlight:
       throw CallError(409, "outcome_unknown",
--- a/source/server/daemon.h
+++ b/source/server/daemon.h
@@ -17,8 +17,11 @@
 #include "server/engine_steward.h"
 #include "server/hold_releaser.h"
 #include "server/lane_manager.h"
+#include "server/metrics.h"
+#include "server/operator_api.h"
 #include "server/peer_api.h"
 #include "server/peer_links.h"
+#include "server/peer_secret.h"
 #include "server/program_listing.h"
 #include "server/program_reaper.h"
 #include "server/settings.h"
@@ -32,8 +35,9 @@
  public:
   Daemon(Loop& loop, Settings settings);
 
-  // Listens and starts every role; returns the address bound.
-  std::string Start();
+  // Listens and starts every role; returns the address bound. `on_refused`
+  // gets the reason when this daemon cannot be one of the fleet.
+  std::string Start(std::function<void(const std::string&)> on_refused);
 
   // A planned stop: no new work, lanes handed over, requests in flight
   // answered. Calls `on_drained` at the end.
@@ -41,17 +45,20 @@
 
  private:
   void Handle(Fiber& fiber, const HttpRequest& request, HttpExchange& exchange);
-  bool HandleOperator(const HttpRequest& request, HttpExchange& exchange);
   void RefreshDecisions();
-  std::string Status() const;
-  std::string Metrics() const;
-  bool ready() const;
+  void DrainAll(Fiber& fiber);
+  void AgreeOnLanes(Fiber& fiber);
   // Whether the program has ended, as its owner says.
   bool HasEnded(Fiber& fiber, const ProgramKey& program);
 
+  void ConnectMetrics();
+
   Loop& loop_;
   Settings settings_;
+  PeerSecret peer_secret_;
+  std::function<void(const std::string&)> on_refused_;
   EventLog log_;
+  Metrics metrics_;
   HttpClient http_;
   HttpServer server_;
   KvClient kv_;
@@ -68,6 +75,7 @@
   BackendChooser chooser_;
   HoldKeeper holds_;
   RetryPolicy retries_;
+  OutcomeRelay relay_;
   CallJournal journal_;
   CallLimits limits_;
   CustomerSlots slots_;
@@ -89,6 +97,7 @@
   WeightStoreClient weights_;
   OrderFence fence_;
   EngineSteward steward_;
+  OperatorApi operator_api_;
 };
 
 }  // namespace comfreyfold
--- a/source/server/settings.h
+++ b/source/server/settings.h
@@ -5,6 +5,7 @@
 #include <string>
 
 #include "core/decision_settings.h"
+#include "log/event_log.h"
 #include "net/http_server.h"
 #include "server/contract_store.h"
 
@@ -15,8 +16,10 @@
   std::string daemon;       // [daemon] id
   std::string data_centre;  // [daemon] data_centre
   std::string listen = "127.0.0.1:0";
-  std::string data_folder;  // Empty: this VM keeps nothing.
-  std::string log_file;     // Empty: standard output.
+  std::string data_folder;       // Empty: this VM keeps nothing.
+  std::string log_file;          // Empty: standard output.
+  std::string peer_secret_file;  // Empty: /peer/ takes every caller's word.
+  std::int64_t recent_events_bytes = EventLog::kRecentBytes;
 
   std::string kv_address;
   std::string vm_list_address;
@@ -36,6 +39,7 @@
   std::chrono::milliseconds load_interval{500};
   std::chrono::milliseconds drain_time{60000};
   DecisionSettings decisions;
+  std::chrono::milliseconds drain_linger{1000};
   HttpLimits http;
 };
 
--- a/source/tool/main.cc
+++ b/source/tool/main.cc
@@ -66,6 +66,8 @@
       context.arguments = args["arguments"].as<std::vector<std::string>>();
     }
     context.json = args.count("json") > 0;
+    context.lane = args["lane"].as<int>();
+    context.customer = args["customer"].as<std::string>();
     context.dry_run = args.count("dry-run") > 0;
     try {
       code = command.run(context);
@@ -90,7 +92,10 @@
       cxxopts::value<std::vector<std::string>>())(
       "wait", "seconds that daemons may take to confirm",
       cxxopts::value<int>())("dry-run", "write nothing")("json", "print JSON")(
-      "help", "show this page")(
+      "lane", "only this lane", cxxopts::value<int>()->default_value("-1"))(
+      "customer", "only this customer",
+      cxxopts::value<std::string>()->default_value(""))("help",
+                                                        "show this page")(
       "command", "the command",
       cxxopts::value<std::string>()->default_value("help"))(
       "arguments", "its arguments", cxxopts::value<std::vector<std::string>>());
--- a/source/wire/codec.h
+++ b/source/wire/codec.h
@@ -32,6 +32,8 @@
   kSubagent = 6,  // Count the program named by the key as its sub-agent.
 };
 
+inline constexpr Operation kLastOperation = Operation::kSubagent;
+
 // A call on its way from the daemon that took it to the lane's owner.
 struct ForwardedCall {
   std::string customer;
@@ -47,6 +49,7 @@
 };
 
 enum class FrameKind { kDelta = 0, kDone = 1, kError = 2 };
+inline constexpr FrameKind kLastFrameKind = FrameKind::kError;
 
 // A piece of an answer on its way back.
 struct AnswerFrame {
