--- a/bench/real/main.cc
+++ b/bench/real/main.cc
@@ -156,7 +156,8 @@
   void ReadAudits() {
     std::map<std::string, std::map<std::int64_t, nlohmann::json>> runs;
     for (int i = 0; i < kEngines; ++i) {
-      for (const auto& it : cluster_.Audit(cluster_.engine(i))["runs"]) {
+      const auto audit = cluster_.Audit(cluster_.engine(i));
+      for (const auto& it : audit["runs"]) {
         runs[it["program"]][it["time_us"]] = it;
       }
     }
