--- a/bench/real/main.cc
+++ b/bench/real/main.cc
@@ -27,7 +27,7 @@
 constexpr int kEngines = 3;
 constexpr int kSlots = 4;
 constexpr int kMemoryTokens = 40000;
-constexpr int kPauseScale = 4;        // Pauses are cut to this part.
+constexpr int kPauseScale = 4;  // Pauses are cut to this part.
 constexpr int kBytesPerToken = 4;
 constexpr int kRefusedTries = 20;
 // They bound the run.
