--- a/source/server/daemon.h
+++ b/source/server/daemon.h
@@ -48,6 +48,7 @@
  private:
   void Handle(Fiber& fiber, const HttpRequest& request, HttpExchange& exchange);
   void ConnectMetrics();
+  void RefreshDecisions();
   void DrainAll(Fiber& fiber);
   void AgreeOnLanes(Fiber& fiber);
   // Whether the program has ended, as its owner says.
@@ -71,7 +72,11 @@
   LaneTidier tidier_;
   EngineClient engines_;
   ToolClient tools_;
+  DispatchQueue engine_queue_;
+  DispatchQueue service_queue_;
   BackendChooser chooser_;
+  HoldKeeper holds_;
+  RetryPolicy retries_;
   OutcomeRelay relay_;
   CallJournal journal_;
   CallLimits limits_;
