Look for stray holds after the outcome, not after the dispatch

Cause: the merge of the decisions moved the check for a lost lane to the end of the dispatch; an owner that wakes from a pause learns that its lane is lost only when it appends the outcome, so what its late dispatch held stayed held. Ruled out: the longer dispatch window of the test's daemons (the turn is idempotent, the window does not apply). Before: engine_memory/owner_frozen_before_dispatch failed (40 s in vain). After: passed three times in three. The daemons of tests that hold answers back now wait as long for a commit as for an answer, in one place: leaving/call_that_waited_for_the_journal was refused by the new commit_timeout of 1.5 s, which is right by itself and not what that test is about. No assertion changed.

--- a/source/server/model_runner.cc
+++ b/source/server/model_runner.cc
@@ -24,16 +24,20 @@
   return static_cast<std::int64_t>(text.size() / kBytesPerToken);
 }
 
-// Looks at the end of a dispatch whether the lane was lost meanwhile.
+// Looks at the end of a turn, its outcome included, whether the lane was
+// lost meanwhile: an owner that was paused learns it from that append.
 class StrayGuard {
  public:
   StrayGuard(StrayHolds& strays,
              const CallContext& context,
-             std::string backend)
-      : strays_(strays), context_(context), backend_(std::move(backend)) {}
+             const std::set<std::string>& dispatched_to)
+      : strays_(strays), context_(context), dispatched_to_(dispatched_to) {}
   ~StrayGuard() {
-    if (context_.lane->lost()) {
-      strays_.Add(context_.program, backend_);
+    if (!context_.lane->lost()) {
+      return;
+    }
+    for (const auto& it : dispatched_to_) {
+      strays_.Add(context_.program, it);
     }
   }
   StrayGuard(const StrayGuard&) = delete;
@@ -42,7 +46,7 @@
  private:
   StrayHolds& strays_;
   const CallContext& context_;
-  std::string backend_;
+  const std::set<std::string>& dispatched_to_;
 };
 
 }  // namespace
@@ -161,7 +165,7 @@
   }
   const std::string address = backend->vm.address;
   context.budget.MarkDispatched();
-  const StrayGuard stray(strays_, context, slot.server());
+  turn.dispatched_to.insert(slot.server());
   holds_.BeforeTurn(fiber, context, slot);
   turn.call.idle_timeout = context.left();
   turn.call.on_text = [&context, &turn](std::string_view text) {
@@ -234,6 +238,7 @@
 
 void ModelRunner::Run(Fiber& fiber, CallContext& context) {
   auto turn = Prepare(fiber, context);
+  const StrayGuard stray(strays_, context, turn.dispatched_to);
   EngineResult result;
   try {
     result = RunAttempts(fiber, context, turn);
--- a/source/server/model_runner.h
+++ b/source/server/model_runner.h
@@ -58,6 +58,8 @@
     int attempts = 0;
     std::set<std::string> failed;  // Engines.
     Verdict worst = Verdict::kNotRun;
+    // Engines that may hold memory for this turn.
+    std::set<std::string> dispatched_to;
   };
 
   Turn Prepare(Fiber& fiber, CallContext& context);
--- a/source/tool/confirmation.cc
+++ b/source/tool/confirmation.cc
@@ -29,6 +29,7 @@
     std::int64_t revision) {
   const auto start = steady_clock::now();
   std::vector<Confirmation> out;
+  out.reserve(daemons.size());
   for (const auto& it : daemons) {
     out.push_back({it});
   }
--- a/tests/process/engine_memory_test.cc
+++ b/tests/process/engine_memory_test.cc
@@ -140,10 +140,7 @@
 }
 
 BOOST_AUTO_TEST_CASE(owner_frozen_before_dispatch_holds_nothing_when_it_wakes) {
-  auto options = PatientDaemons();
-  // Longer than the freeze: the owner dispatches when it wakes.
-  options.settings["lanes"] = "commit_timeout = 60s\n";
-  InCluster(options, [](Fiber& fiber, Cluster& cluster) {
+  InCluster(PatientDaemons(), [](Fiber& fiber, Cluster& cluster) {
     const auto program = cluster.SettledProgram(kCustomer, "owner-freezes");
     const int owner = cluster.OwnerOf(kCustomer, program);
     const int other = (owner + 1) % cluster.daemons();
--- a/tests/process/in_cluster.cc
+++ b/tests/process/in_cluster.cc
@@ -7,6 +7,7 @@
 harness::ClusterOptions PatientDaemons() {
   harness::ClusterOptions out;
   out.settings["platform"] = "timeout = 20s\n";
+  out.settings["lanes"] = "commit_timeout = 60s\ndispatch_window = 60s\n";
   return out;
 }
 
