--- a/source/server/budget_reclaimer.cc
+++ b/source/server/budget_reclaimer.cc
@@ -5,6 +5,7 @@
 
 #include "core/hash.h"
 #include "platform/budget_codec.h"
+#include "server/peer_protocol.h"
 #include "wire/codec.h"
 
 namespace comfreyfold {
@@ -16,7 +17,6 @@
 constexpr std::chrono::seconds kInterval{3};
 // One read of all records this often finds what events did not tell of.
 constexpr int kRoundsBetweenSweeps = 20;
-constexpr char kPath[] = "/peer/grant-use";
 constexpr std::chrono::seconds kPeerTimeout{5};
 
 }  // namespace
@@ -131,13 +131,10 @@
     if (!membership_.IsLive(daemon, steady_clock::now())) {
       continue;
     }
-    const auto reply =
-        http_.Send(fiber, heartbeat.address,
-                   {"POST",
-                    kPath,
-                    {{"Content-Type", "application/vnd.apache.thrift.compact"}},
-                    body},
-                   options);
+    const auto reply = http_.Send(
+        fiber, heartbeat.address,
+        {"POST", kGrantUsePath, {{"Content-Type", kThriftType}}, body},
+        options);
     if (reply.status == 200) {
       out.Add(DecodeGrantAnswer(reply.body));
     }
--- a/source/server/call_router.cc
+++ b/source/server/call_router.cc
@@ -4,6 +4,7 @@
 
 #include "core/call_error.h"
 #include "core/hash.h"
+#include "server/peer_protocol.h"
 
 namespace comfreyfold {
 
@@ -13,7 +14,6 @@
 
 constexpr milliseconds kOwnerRetry{50};
 constexpr milliseconds kVerdictGrace{2000};
-constexpr int kMisdirected = 421;
 
 // Passes each piece of an answer on once, though the call may be asked of
 // several owners in turn.
@@ -166,13 +166,10 @@
       sink(frame);
     });
   };
-  const auto reply =
-      http_.Send(fiber, owner.address,
-                 {"POST",
-                  "/peer/call",
-                  {{"Content-Type", "application/vnd.apache.thrift.compact"}},
-                  Encode(message)},
-                 options);
+  const auto reply = http_.Send(
+      fiber, owner.address,
+      {"POST", kCallPath, {{"Content-Type", kThriftType}}, Encode(message)},
+      options);
   if (reply.status == kMisdirected) {
     throw NotOwner("owner has moved");
   }
--- a/source/server/contract_peers.cc
+++ b/source/server/contract_peers.cc
@@ -3,14 +3,14 @@
 #include <algorithm>
 #include <vector>
 
+#include "server/peer_protocol.h"
+
 #include "wire/codec.h"
 
 namespace comfreyfold {
 
 namespace {
 
-constexpr char kPath[] = "/peer/contracts";
-constexpr char kThriftType[] = "application/vnd.apache.thrift.compact";
 constexpr std::chrono::milliseconds kPeerTimeout{500};
 
 }  // namespace
@@ -32,8 +32,8 @@
   options.idle_timeout = kPeerTimeout;
   for (const auto& it : peers) {
     try {
-      const auto reply =
-          http_.Send(fiber, it.address, {"GET", kPath, {}, {}}, options);
+      const auto reply = http_.Send(fiber, it.address,
+                                    {"GET", kContractsPath, {}, {}}, options);
       if (reply.status == 200) {
         return DecodeContractSet(reply.body);
       }
@@ -46,7 +46,7 @@
 
 bool ContractPeers::Handle(const HttpRequest& request,
                            HttpExchange& exchange) const {
-  if (request.Path() != kPath) {
+  if (request.Path() != kContractsPath) {
     return false;
   }
   // A daemon that is catching up itself confirms nothing.
--- a/source/server/daemon.cc
+++ b/source/server/daemon.cc
@@ -7,6 +7,7 @@
 #include "core/call_error.h"
 #include "net/error_reply.h"
 #include "server/lane_count.h"
+#include "server/peer_protocol.h"
 
 namespace comfreyfold {
 
@@ -43,10 +44,10 @@
   if (StartsWith(path, "/v3/")) {
     return "key_value";
   }
-  if (path == "/peer/call") {
+  if (path == kCallPath) {
     return "owner";
   }
-  return StartsWith(path, "/peer/") ? "control" : "other";
+  return StartsWith(path, kPeerPrefix) ? "control" : "other";
 }
 
 }  // namespace
@@ -282,7 +283,7 @@
                     HttpExchange& exchange) {
   const auto path = request.Path();
   const RoleInFlight in_flight(metrics_, TrafficOf(path));
-  if (StartsWith(path, "/peer/") && !peer_secret_.Admits(request)) {
+  if (StartsWith(path, kPeerPrefix) && !peer_secret_.Admits(request)) {
     ReplyError(exchange,
                CallError(403, "not_a_daemon",
                          "this interface is for the daemons of the fleet; "
--- a/source/server/grant_sealer.cc
+++ b/source/server/grant_sealer.cc
@@ -2,14 +2,14 @@
 
 #include <algorithm>
 
+#include "server/peer_protocol.h"
+
 #include "wire/codec.h"
 
 namespace comfreyfold {
 
 namespace {
 
-constexpr char kPath[] = "/peer/grant-use";
-constexpr char kThriftType[] = "application/vnd.apache.thrift.compact";
 constexpr std::chrono::milliseconds kAppendTimeout{1000};
 
 void AddUses(const LaneOwner& owner,
@@ -56,7 +56,7 @@
 bool GrantSealer::Handle(Fiber& fiber,
                          const HttpRequest& request,
                          HttpExchange& exchange) {
-  if (request.Path() != kPath) {
+  if (request.Path() != kGrantUsePath) {
     return false;
   }
   const auto answer = Answer(fiber, DecodeGrantQuestion(request.body));
--- a/source/server/outcome_relay.cc
+++ b/source/server/outcome_relay.cc
@@ -1,6 +1,7 @@
 #include "server/outcome_relay.h"
 
 #include "core/hash.h"
+#include "server/peer_protocol.h"
 #include "wire/codec.h"
 
 namespace comfreyfold {
@@ -12,7 +13,6 @@
 
 constexpr milliseconds kOwnerRetry{20};
 constexpr milliseconds kAppendTimeout{5000};
-constexpr int kMisdirected = 421;
 
 const CallRecord* FindOpen(const LaneState& state,
                            const LaneEntry& done,
@@ -78,13 +78,12 @@
   HttpOptions options;
   options.idle_timeout = timeout;
   try {
-    const auto reply =
-        http_.Send(fiber, owner.address,
-                   {"POST",
-                    "/peer/outcome",
-                    {{"Content-Type", "application/vnd.apache.thrift.compact"}},
-                    Encode(outcome)},
-                   options);
+    const auto reply = http_.Send(fiber, owner.address,
+                                  {"POST",
+                                   kOutcomePath,
+                                   {{"Content-Type", kThriftType}},
+                                   Encode(outcome)},
+                                  options);
     if (reply.status == 200) {
       return Reception::kRecorded;
     }
--- a/source/server/peer_api.cc
+++ b/source/server/peer_api.cc
@@ -5,14 +5,12 @@
 #include "core/call_error.h"
 #include "net/error_reply.h"
 #include "server/call_checks.h"
+#include "server/peer_protocol.h"
 
 namespace comfreyfold {
 
 namespace {
 
-constexpr char kThriftType[] = "application/vnd.apache.thrift.compact";
-constexpr int kMisdirected = 421;
-
 AnswerFrame ErrorFrame(const CallError& e) {
   AnswerFrame out;
   out.kind = FrameKind::kError;
@@ -42,15 +40,15 @@
                      HttpExchange& exchange) {
   const auto path = request.Path();
   try {
-    if (path == "/peer/call") {
+    if (path == kCallPath) {
       HandleCall(fiber, request, exchange);
       return true;
     }
-    if (path == "/peer/outcome") {
+    if (path == kOutcomePath) {
       HandleOutcome(fiber, request, exchange);
       return true;
     }
-    if (path == "/peer/heartbeat") {
+    if (path == kHeartbeatPath) {
       HandleHeartbeat(request, exchange);
       return true;
     }
--- a/source/server/peer_links.cc
+++ b/source/server/peer_links.cc
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include "core/hash.h"
+#include "server/peer_protocol.h"
 #include "wire/codec.h"
 
 namespace comfreyfold {
@@ -194,13 +195,12 @@
   options.connect_timeout = options_.interval * 2;
   options.idle_timeout = options_.interval * 2;
   try {
-    const auto reply =
-        http_.Send(fiber, address,
-                   {"POST",
-                    "/peer/heartbeat",
-                    {{"Content-Type", "application/vnd.apache.thrift.compact"}},
-                    Encode(message)},
-                   options);
+    const auto reply = http_.Send(fiber, address,
+                                  {"POST",
+                                   kHeartbeatPath,
+                                   {{"Content-Type", kThriftType}},
+                                   Encode(message)},
+                                  options);
     if (reply.status == 200) {
       const auto answer = DecodeMemberMessage(reply.body);
       log_.Receive(answer.sender.clock);
--- a/source/server/peer_secret.cc
+++ b/source/server/peer_secret.cc
@@ -5,6 +5,8 @@
 
 #include <openssl/crypto.h>
 
+#include "server/peer_protocol.h"
+
 namespace comfreyfold {
 
 namespace {
@@ -32,7 +34,7 @@
 
 void PeerSecret::ShowOn(HttpClient& http) const {
   if (!secret_.empty()) {
-    http.AddHeader("/peer/", {kHeader, secret_});
+    http.AddHeader(kPeerPrefix, {kHeader, secret_});
   }
 }
 
--- a/tests/harness/demo.cc
+++ b/tests/harness/demo.cc
@@ -166,6 +166,12 @@
       "/v1/chat/completions -d '{\"model\":\"quote-large\",\"messages\":"
       "[{\"role\":\"user\",\"content\":\"hello\"}]}'");
   Say("a tool call:\n" + curl + "/v1/tools/stock_lookup -d '{}'");
+  Say("a plain service, an urgent message (with a key whose contract has "
+      "it):\n" +
+      curl + "/v1/services/stock_lookup -d '{}'\n" + curl +
+      "/v1/urgent/kiosk_lock -d '{}'");
+  Say("an earlier answer, by its Idempotency-Key:\n" + curl +
+      "/v1/programs/mine/calls/KEY");
   Say("the history:\n" + curl + "/v1/programs/mine/history");
   Say("the end:\n" + curl + "/v1/programs/mine/end -d '{}'");
 }
--- /dev/null
+++ b/tests/harness/fixed_seed.h
@@ -0,0 +1,18 @@
+#ifndef HARNESS_FIXED_SEED_H_
+#define HARNESS_FIXED_SEED_H_
+
+#include <cstdlib>
+#include <iostream>
+
+namespace comfreyfold::harness {
+
+// Gives RapidCheck the same cases in every run and prints them; a run with
+// others sets RC_PARAMS. To be called before the first property.
+inline void FixSeed(const char* params) {
+  setenv("RC_PARAMS", params, 0);
+  std::cout << "RC_PARAMS=\"" << std::getenv("RC_PARAMS") << "\"" << std::endl;
+}
+
+}  // namespace comfreyfold::harness
+
+#endif  // HARNESS_FIXED_SEED_H_
