A retry that comes before a withdrawal is recorded waits for it

Cause: an intent given up in doubt commits when the service returns, and the outcome "not run" behind it is a block of its own. A retry that came between the two found an open call of this epoch and was told "may have run". Ruled out: a dispatch (the stand-in saw no run), a takeover (same epoch).

The call of a program by its key is found in one place now.

Test: outage/a_retry_before_the_withdrawal_is_recorded_runs_once holds both blocks back at the stand-in for 900 ms each, so that the time between them is always met.

--- a/source/core/lane_state.cc
+++ b/source/core/lane_state.cc
@@ -7,10 +7,8 @@
 
 namespace {
 
-template <typename Calls>
-auto FindCall(Calls& calls, const std::string& key) {
-  return std::find_if(calls.begin(), calls.end(),
-                      [&key](const CallRecord& it) { return it.key == key; });
+CallRecord* FindCall(ProgramState& program, const std::string& key) {
+  return const_cast<CallRecord*>(std::as_const(program).FindCall(key));
 }
 
 // A record that certainly did not run may be begun anew; one that may have
@@ -114,12 +112,12 @@
     program.started_at = entry.begun_at;
   }
   program.last_begun_at = std::max(program.last_begun_at, entry.begun_at);
-  auto it = FindCall(program.calls, entry.key);
-  if (it == program.calls.end()) {
+  auto* it = FindCall(program, entry.key);
+  if (it == nullptr) {
     // Counted here: an intent whose writer no longer waited for it may come
     // before one that was given the same number.
     const auto next = program.next_call();
-    it = program.calls.emplace(program.calls.end());
+    it = &program.calls.emplace_back();
     it->call = next;
   }
   it->key = entry.key;
@@ -148,8 +146,8 @@
     return;
   }
   auto& program = found->second;
-  const auto it = FindCall(program.calls, entry.key);
-  if (it == program.calls.end()) {
+  auto* it = FindCall(program, entry.key);
+  if (it == nullptr) {
     return;
   }
   // What was reserved and not used goes back; a call begun again by another
@@ -215,26 +213,26 @@
   const auto* program = Find(claim.program);
   const std::int64_t next = program == nullptr ? 1 : program->next_call();
   if (program != nullptr) {
-    const auto it = FindCall(program->calls, claim.key);
-    if (it != program->calls.end()) {
+    const auto* it = program->FindCall(claim.key);
+    if (it != nullptr) {
       if (it->request_digest != claim.request_digest ||
           (claim.call != 0 && claim.call != it->call)) {
-        return {AdmitResult::kKeyReused, it->call, &*it};
+        return {AdmitResult::kKeyReused, it->call, it};
       }
       if (it->done && it->verdict == Verdict::kRan) {
-        return {AdmitResult::kAnswered, it->call, &*it};
+        return {AdmitResult::kAnswered, it->call, it};
       }
       if (!it->done && it->epoch == epoch_) {
-        return {AdmitResult::kInFlight, it->call, &*it};
+        return {AdmitResult::kInFlight, it->call, it};
       }
       if (AtFormerOwner(*it, claim)) {
-        return {AdmitResult::kAtFormerOwner, it->call, &*it};
+        return {AdmitResult::kAtFormerOwner, it->call, it};
       }
       if (program->ended) {
-        return {AdmitResult::kProgramEnded, it->call, &*it};
+        return {AdmitResult::kProgramEnded, it->call, it};
       }
       return {MayRepeat(*it) ? AdmitResult::kAgain : AdmitResult::kMayHaveRun,
-              it->call, &*it};
+              it->call, it};
     }
     if (program->ended) {
       return {AdmitResult::kProgramEnded, next, nullptr};
--- a/source/core/program_state.h
+++ b/source/core/program_state.h
@@ -1,6 +1,7 @@
 #ifndef CORE_PROGRAM_STATE_H_
 #define CORE_PROGRAM_STATE_H_
 
+#include <algorithm>
 #include <chrono>
 #include <cstdint>
 #include <set>
@@ -46,6 +47,14 @@
   std::chrono::milliseconds last_begun_at{};  // Of its newest call.
   std::set<std::string> subagents;            // Programs it has started.
 
+  // The call of that key; null: there is none.
+  const CallRecord* FindCall(const std::string& key) const {
+    const auto it = std::find_if(
+        calls.begin(), calls.end(),
+        [&key](const CallRecord& call) { return call.key == key; });
+    return it == calls.end() ? nullptr : &*it;
+  }
+
   // The place the next new call takes.
   std::int64_t next_call() const {
     return static_cast<std::int64_t>(calls.size()) + 1;
--- a/source/server/call_runner.cc
+++ b/source/server/call_runner.cc
@@ -1,5 +1,7 @@
 #include "server/call_runner.h"
 
+#include <algorithm>
+
 #include "core/call_error.h"
 #include "core/hash.h"
 
@@ -31,6 +33,40 @@
   }
 }
 
+// This owner began a call of the program and its outcome is not recorded.
+bool IsOpen(const Admission& admission) {
+  return admission.result == AdmitResult::kInFlight ||
+         admission.result == AdmitResult::kEarlierOpen;
+}
+
+// The program's gate was passed, so that none of its calls runs here: an
+// open one has its outcome on the way into the journal.
+void AwaitOutcome(Fiber& fiber, const CallContext& context) {
+  auto& lane = *context.lane;
+  const auto until = std::chrono::steady_clock::now() +
+                     std::min(lane.settings().commit_timeout, context.left());
+  while (lane.PendingOutcome(context.program) != nullptr && !lane.lost() &&
+         std::chrono::steady_clock::now() < until) {
+    lane.WaitForChange(fiber, kFormerOwnerStep);
+  }
+  if (lane.lost()) {
+    throw NotOwner("lane lost while an outcome was recorded");
+  }
+}
+
+void ThrowIfOutcomeWaits(const CallContext& context, const CallRecord& open) {
+  const auto* outcome = context.lane->PendingOutcome(context.program);
+  if (outcome == nullptr) {
+    return;
+  }
+  throw CallError(
+      503, "outcome_pending",
+      "the outcome of a call of the program cannot be recorded "
+      "now; retry with the same Idempotency-Key",
+      open.key == context.call.key ? outcome->verdict : Verdict::kNotRun,
+      kRetrySoon);
+}
+
 }  // namespace
 
 void CallRunner::Run(Fiber& fiber,
@@ -119,6 +155,21 @@
   CallClaim claim{context.program, context.call.key, context.call.call,
                   context.Digest()};
   auto admission = context.lane->state().Admit(claim);
+  AwaitFormerOwner(fiber, context, claim, admission);
+  if (IsOpen(admission)) {
+    AwaitOutcome(fiber, context);
+    admission = context.lane->state().Admit(claim);
+  }
+  if (IsOpen(admission)) {
+    ThrowIfOutcomeWaits(context, *admission.record);
+  }
+  return admission;
+}
+
+void CallRunner::AwaitFormerOwner(Fiber& fiber,
+                                  const CallContext& context,
+                                  CallClaim& claim,
+                                  Admission& admission) {
   // The daemon that handed the lane over sends the outcome of what it still
   // runs; should it die, its calls are like those of any dead owner.
   while (admission.result == AdmitResult::kAtFormerOwner) {
@@ -134,7 +185,6 @@
     }
     admission = context.lane->state().Admit(claim);
   }
-  return admission;
 }
 
 void CallRunner::RunCall(Fiber& fiber, CallContext& context) {
--- a/source/server/call_runner.h
+++ b/source/server/call_runner.h
@@ -44,6 +44,10 @@
   void RunCall(Fiber& fiber, CallContext& context);
   void Note(const char* name, const ForwardedCall& call, int lane);
   Admission Admit(Fiber& fiber, const CallContext& context);
+  void AwaitFormerOwner(Fiber& fiber,
+                        const CallContext& context,
+                        CallClaim& claim,
+                        Admission& admission);
 
   LaneManager& lanes_;
   ContractStore& contracts_;
--- a/source/server/lane_owner.cc
+++ b/source/server/lane_owner.cc
@@ -202,11 +202,12 @@
     if (wait.count() > 0) {
       fiber.Sleep(wait);
     }
-    const auto group = TakeGroup();
-    if (group.empty()) {
+    in_commit_ = TakeGroup();
+    if (in_commit_.empty()) {
       break;
     }
-    CommitGroup(fiber, group);
+    CommitGroup(fiber, in_commit_);
+    in_commit_.clear();
   }
   committing_ = false;
   changed_.NotifyAll();
@@ -324,6 +325,22 @@
   return handed_over_;
 }
 
+const LaneEntry* LaneOwner::PendingOutcome(const ProgramKey& program) const {
+  const auto find = [&program](const auto& groups) -> const LaneEntry* {
+    for (const auto& group : groups) {
+      for (const auto& it : group->entries) {
+        if (it.kind == EntryKind::kCallDone &&
+            it.customer == program.customer && it.program == program.program) {
+          return &it;
+        }
+      }
+    }
+    return nullptr;
+  };
+  const auto* out = find(in_commit_);
+  return out != nullptr ? out : find(pending_);
+}
+
 void LaneOwner::WaitForChange(Fiber& fiber, std::chrono::milliseconds timeout) {
   changed_.Wait(fiber, timeout);
 }
--- a/source/server/lane_owner.h
+++ b/source/server/lane_owner.h
@@ -77,6 +77,10 @@
   // lane stays, when that took longer than `timeout`.
   bool Handover(Fiber& fiber, std::chrono::milliseconds timeout);
 
+  // The outcome of the program's open call that waits to be committed; null:
+  // none does. Valid until the next wait.
+  const LaneEntry* PendingOutcome(const ProgramKey& program) const;
+
   // Waits until something is committed or the lane is lost.
   void WaitForChange(Fiber& fiber, std::chrono::milliseconds timeout);
 
@@ -130,6 +134,7 @@
   // An intent was given up while the service was silent.
   bool in_doubt_ = false;
   std::deque<std::shared_ptr<Pending>> pending_;
+  Group in_commit_;  // In the block that is being written.
   Condition changed_;
   SharedCheck confirm_;
   AppliedHook on_applied_;
--- a/source/server/model_runner.cc
+++ b/source/server/model_runner.cc
@@ -53,16 +53,11 @@
 
 const Backend* ModelRunner::BackendToResume(const CallContext& context) {
   const auto* program = context.state();
-  if (program == nullptr) {
-    return nullptr;
-  }
-  for (const auto& it : program->calls) {
-    if (it.key == context.call.key && !it.done &&
-        directory_.TakesWork(it.backend)) {
-      return directory_.Find(it.backend);
-    }
-  }
-  return nullptr;
+  const auto* call =
+      program == nullptr ? nullptr : program->FindCall(context.call.key);
+  const bool resumes =
+      call != nullptr && !call->done && directory_.TakesWork(call->backend);
+  return resumes ? directory_.Find(call->backend) : nullptr;
 }
 
 std::unique_ptr<ServerSlot> ModelRunner::Choose(Fiber& fiber,
--- a/source/server/outcome_relay.cc
+++ b/source/server/outcome_relay.cc
@@ -21,27 +21,18 @@
   if (program == nullptr) {
     return nullptr;
   }
-  for (const auto& it : program->calls) {
-    // Begun again since, it is another run whose outcome comes by itself.
-    if (it.key == done.key && !it.done && it.epoch == epoch) {
-      return &it;
-    }
-  }
-  return nullptr;
+  const auto* call = program->FindCall(done.key);
+  // Begun again since, it is another run whose outcome comes by itself.
+  const bool open = call != nullptr && !call->done && call->epoch == epoch;
+  return open ? call : nullptr;
 }
 
 // True when this very outcome is in the journal already.
 bool IsRecorded(const LaneState& state, const LaneEntry& done) {
   const auto* program = state.Find({done.customer, done.program});
-  if (program == nullptr) {
-    return false;
-  }
-  for (const auto& it : program->calls) {
-    if (it.key == done.key) {
-      return it.done && it.verdict == done.verdict && it.answer == done.answer;
-    }
-  }
-  return false;
+  const auto* call = program == nullptr ? nullptr : program->FindCall(done.key);
+  return call != nullptr && call->done && call->verdict == done.verdict &&
+         call->answer == done.answer;
 }
 
 }  // namespace
--- a/source/server/program_requests.cc
+++ b/source/server/program_requests.cc
@@ -71,14 +71,8 @@
 
 void ProgramRequests::ReadAnswer(const CallContext& context) {
   const auto* program = context.state();
-  const CallRecord* record = nullptr;
-  if (program != nullptr) {
-    for (const auto& it : program->calls) {
-      if (it.key == context.call.key) {
-        record = &it;
-      }
-    }
-  }
+  const auto* record =
+      program == nullptr ? nullptr : program->FindCall(context.call.key);
   if (record == nullptr) {
     throw CallError(404, "no_call",
                     "no call of the program has this key; it did not run",
--- a/tests/harness/cluster.cc
+++ b/tests/harness/cluster.cc
@@ -309,7 +309,8 @@
 }
 
 std::string Cluster::NextBlockKey(const std::string& customer,
-                                  const std::string& program) {
+                                  const std::string& program,
+                                  int after) {
   const int lane = LaneOf(customer, program, kLanes);
   const auto status = Status(OwnerOf(customer, program));
   if (!status.is_object()) {
@@ -317,7 +318,7 @@
   }
   for (const auto& it : status["lanes"]) {
     if (it["lane"] == lane) {
-      return BlockKey(lane, it["blocks"].get<std::int64_t>() + 1);
+      return BlockKey(lane, it["blocks"].get<std::int64_t>() + 1 + after);
     }
   }
   return {};
--- a/tests/harness/cluster.h
+++ b/tests/harness/cluster.h
@@ -95,9 +95,10 @@
   std::string SettledProgram(const std::string& customer,
                              const std::string& stem);
   // The key, in the key-value service, of the next block of the program's
-  // lane; empty when nobody owns it.
+  // lane, or of one `after` it; empty when nobody owns it.
   std::string NextBlockKey(const std::string& customer,
-                           const std::string& program);
+                           const std::string& program,
+                           int after = 0);
   // Runs the operators' tool.
   std::unique_ptr<Process> RunTool(const std::vector<std::string>& arguments);
   // The same without any address: those come from its settings.
--- a/tests/process/outage_test.cc
+++ b/tests/process/outage_test.cc
@@ -118,6 +118,29 @@
   });
 }
 
+// Its intent is in the journal and the outcome "not run" behind it is not
+// yet: a retry that comes between is never told that the call may have run.
+BOOST_AUTO_TEST_CASE(a_retry_before_the_withdrawal_is_recorded_runs_once) {
+  auto options = PatientDaemons();
+  options.settings["lanes"] = "commit_timeout = 300ms\n";
+  InCluster(options, [](Fiber& fiber, Cluster& cluster) {
+    const auto program = cluster.SettledProgram(kCustomer, "withdrawn");
+    const int owner = cluster.OwnerOf(kCustomer, program);
+    const auto intent = cluster.NextBlockKey(kCustomer, program);
+    const auto outcome = cluster.NextBlockKey(kCustomer, program, 1);
+    cluster.Fault(cluster.kv(), "late " + intent, 1, milliseconds(900));
+    cluster.Fault(cluster.kv(), "late " + outcome, 1, milliseconds(900));
+    BOOST_TEST(Book(fiber, cluster, program, owner).answer.verdict ==
+               "not_run");
+    cluster.WaitFor("the booking to be taken again", [&] {
+      const auto answer = Book(fiber, cluster, program, owner).answer;
+      BOOST_TEST(answer.verdict != "may_have_run", answer.body);
+      return answer.status == 200;
+    });
+    BOOST_TEST(RunsOf(cluster, program) == 1);
+  });
+}
+
 BOOST_AUTO_TEST_CASE(answers_lost_unsafe_work_runs_once) {
   InCluster({}, [](Fiber& fiber, Cluster& cluster) {
     cluster.Fault(cluster.kv(), "lost_answer", 6);
