--- a/source/core/call_error.h
+++ b/source/core/call_error.h
@@ -10,6 +10,12 @@
 
 namespace comfreyfold {
 
+// When a refused caller should come again: soon where a lane that moves or a
+// back end with a place frees what it waits for, later where that takes an
+// answer of the key-value service or the end of another call.
+inline constexpr std::chrono::milliseconds kRetrySoon{500};
+inline constexpr std::chrono::milliseconds kRetryLater{1000};
+
 // A refusal or failure as a caller sees it.
 class CallError : public std::runtime_error {
  public:
--- a/source/server/backend_chooser.cc
+++ b/source/server/backend_chooser.cc
@@ -6,7 +6,6 @@
 
 namespace {
 
-constexpr std::chrono::milliseconds kRetrySoon{500};
 // A caller's bound on the answer is about twice what it gets.
 constexpr int kAnswersOfBound = 2;
 
--- a/source/server/budget_ledger.cc
+++ b/source/server/budget_ledger.cc
@@ -17,7 +17,6 @@
 
 constexpr milliseconds kReturnStep{500};
 constexpr seconds kIdleReturn{5};
-constexpr milliseconds kRetrySoon{1000};
 // A refusal is not asked again of the service for this long.
 constexpr milliseconds kRefusalMemory{1000};
 constexpr milliseconds kFirstConflictPause{5};
@@ -145,7 +144,7 @@
       throw CallError(503, "budget_busy",
                       "other calls of the customer hold the budget that can "
                       "be reserved at a time; retry",
-                      Verdict::kNotRun, kRetrySoon);
+                      Verdict::kNotRun, kRetryLater);
     }
     if (wait || holding->writing) {
       holding->changed.Wait(fiber, Left(deadline));
@@ -169,7 +168,7 @@
     throw CallError(503, "budget_unavailable",
                     "the budget records cannot be reached and what was "
                     "granted here is used up; retry",
-                    Verdict::kNotRun, kRetrySoon);
+                    Verdict::kNotRun, kRetryLater);
   }
   if (!granted) {
     holding.refused_tokens = tokens;
--- a/source/server/call_journal.cc
+++ b/source/server/call_journal.cc
@@ -7,8 +7,7 @@
 namespace comfreyfold {
 
 namespace {
-constexpr std::chrono::milliseconds kRetrySoon{500};
-constexpr std::chrono::milliseconds kRetryLater{2000};
+constexpr std::chrono::milliseconds kRetryInOutage{2000};
 }  // namespace
 
 void CallJournal::CommitIntent(Fiber& fiber,
@@ -26,7 +25,7 @@
     throw CallError(503, "journal_unavailable",
                     "the program's journal cannot be written now; retry "
                     "with the same Idempotency-Key",
-                    Verdict::kNotRun, kRetryLater);
+                    Verdict::kNotRun, kRetryInOutage);
   } catch (const EntryTooLarge&) {
     throw CallError(413, "too_large",
                     "the request does not fit the program's journal; send "
--- a/source/server/call_runner.cc
+++ b/source/server/call_runner.cc
@@ -11,7 +11,6 @@
 
 using std::chrono::milliseconds;
 
-constexpr milliseconds kRetrySoon{500};
 constexpr milliseconds kFormerOwnerStep{100};
 
 std::string ProgramEndedText(const CallContext& context) {
--- a/source/server/contract_store.cc
+++ b/source/server/contract_store.cc
@@ -18,7 +18,6 @@
 constexpr milliseconds kTickInterval{100};
 constexpr milliseconds kReloadRetry{100};
 constexpr milliseconds kCatchUpWait{2000};
-constexpr milliseconds kRetrySoon{1000};
 
 // The contracts and the revision of their newest change, from one read.
 ContractSet ToSet(const KvRange& range) {
@@ -163,7 +162,7 @@
     throw CallError(503, "contracts_not_current",
                     "this daemon cannot tell whether its contracts are the "
                     "newest; retry, or go through another daemon",
-                    Verdict::kNotRun, kRetrySoon);
+                    Verdict::kNotRun, kRetryLater);
   }
 }
 
--- a/source/server/customer_slots.cc
+++ b/source/server/customer_slots.cc
@@ -8,10 +8,6 @@
 
 namespace comfreyfold {
 
-namespace {
-constexpr std::chrono::milliseconds kRetrySoon{1000};
-}  // namespace
-
 CustomerSlots::Slot::Slot(CustomerSlots& slots, std::string customer)
     : slots_(slots), customer_(std::move(customer)) {
   ++slots_.in_flight_[customer_];
@@ -49,7 +45,7 @@
     throw CallError(429, "concurrency_limit",
                     "the customer has as many model turns in flight as its "
                     "contract allows; retry",
-                    Verdict::kNotRun, kRetrySoon);
+                    Verdict::kNotRun, kRetryLater);
   }
   return {*this, contract.customer};
 }
--- a/source/server/dispatch_queue.cc
+++ b/source/server/dispatch_queue.cc
@@ -11,8 +11,6 @@
 
 using std::chrono::milliseconds;
 
-constexpr milliseconds kRetrySoon{500};
-
 TimePoint Now() {
   return std::chrono::steady_clock::now();
 }
--- a/source/server/model_runner.cc
+++ b/source/server/model_runner.cc
@@ -15,7 +15,6 @@
 
 using nlohmann::json;
 
-constexpr std::chrono::milliseconds kRetrySoon{500};
 constexpr std::int64_t kDefaultAnswerTokens = 16;
 constexpr int kBeginRounds = 3;
 constexpr std::size_t kBytesPerToken = 4;  // About, for the choice alone.
--- a/source/server/tool_runner.cc
+++ b/source/server/tool_runner.cc
@@ -6,10 +6,6 @@
 
 namespace comfreyfold {
 
-namespace {
-constexpr std::chrono::milliseconds kRetrySoon{500};
-}  // namespace
-
 void ToolRunner::RecordFailure(Fiber& fiber,
                                CallContext& context,
                                const Attempts& attempts) {
--- a/source/server/urgent_sender.cc
+++ b/source/server/urgent_sender.cc
@@ -6,10 +6,6 @@
 
 namespace comfreyfold {
 
-namespace {
-constexpr std::chrono::milliseconds kRetrySoon{500};
-}  // namespace
-
 ToolResult UrgentSender::Send(Fiber& fiber, const ForwardedCall& call) {
   const auto contract = contracts_.FindByName(call.customer);
   if (!contract || !contract->RuleFor(call.target).urgent) {
--- a/tests/standins/engine_service.cc
+++ b/tests/standins/engine_service.cc
@@ -245,13 +245,9 @@
     exchange.Reply(200, "application/json", Audit());
     return;
   }
-  if (faults_.Due("out")) {
-    exchange.Abort();
+  if (!faults_.Pass(fiber, exchange)) {
     return;
   }
-  if (faults_.Due("slow")) {
-    fiber.Sleep(faults_.Delay("slow"));
-  }
   if (path == "/v1/chat/completions") {
     Complete(fiber, request, exchange);
   } else if (path.rfind("/v1/streams/", 0) == 0) {
--- a/tests/standins/faults.cc
+++ b/tests/standins/faults.cc
@@ -16,6 +16,17 @@
   return true;
 }
 
+bool Faults::Pass(Fiber& fiber, HttpExchange& exchange) {
+  if (Due("out")) {
+    exchange.Abort();
+    return false;
+  }
+  if (Due("slow")) {
+    fiber.Sleep(Delay("slow"));
+  }
+  return true;
+}
+
 bool Faults::Due(const std::string& name) {
   const auto it = faults_.find(name);
   if (it == faults_.end() || it->second.count == 0) {
--- a/tests/standins/faults.h
+++ b/tests/standins/faults.h
@@ -31,6 +31,9 @@
   // Takes POST /fault; false when the request is another.
   bool Handle(const HttpRequest& request, HttpExchange& exchange);
 
+  // Shows `out` and `slow`. False when the request was dropped.
+  bool Pass(Fiber& fiber, HttpExchange& exchange);
+
   // True if `name` is due now; uses up one of its count.
   bool Due(const std::string& name);
   std::chrono::milliseconds Delay(const std::string& name) const;
--- a/tests/standins/kv_service.cc
+++ b/tests/standins/kv_service.cc
@@ -202,13 +202,9 @@
     return;
   }
   ++calls_[path];
-  if (faults_.Due("out")) {
-    exchange.Abort();
+  if (!faults_.Pass(fiber, exchange)) {
     return;
   }
-  if (faults_.Due("slow")) {
-    fiber.Sleep(faults_.Delay("slow"));
-  }
   const auto body = json::parse(request.body);
   if (path == "/v3/watch") {
     Watch(fiber, body, exchange);
--- a/tests/standins/tool_service.cc
+++ b/tests/standins/tool_service.cc
@@ -38,8 +38,7 @@
     exchange.Reply(200, "application/json", "{}");
     return;
   }
-  if (faults_.Due("out")) {
-    exchange.Abort();
+  if (!faults_.Pass(fiber, exchange)) {
     return;
   }
   if (faults_.Due("refuse")) {
@@ -47,9 +46,6 @@
     exchange.Reply(503, "application/json", R"({"error":"not run"})");
     return;
   }
-  if (faults_.Due("slow")) {
-    fiber.Sleep(faults_.Delay("slow"));
-  }
   const auto tool = path.substr(path.rfind('/') + 1);
   const auto now = std::chrono::duration_cast<std::chrono::microseconds>(
       std::chrono::system_clock::now().time_since_epoch());
--- a/tests/standins/weight_store_service.cc
+++ b/tests/standins/weight_store_service.cc
@@ -27,13 +27,9 @@
                    json{{"served", served_}, {"refused", refused_}}.dump());
     return;
   }
-  if (faults_.Due("out")) {
-    exchange.Abort();
+  if (!faults_.Pass(fiber, exchange)) {
     return;
   }
-  if (faults_.Due("slow")) {
-    fiber.Sleep(faults_.Delay("slow"));
-  }
   if (!Allowed()) {
     ++refused_;
     exchange.Reply(429, "application/json", "{}", {{"Retry-After", "1"}});
