Tell the daemon an engine's memory, and offer it every copy

The engine now reports memory_tokens, a copy is offered before every turn, the engine takes what it lacks and says how much, and the import no longer hides the loss from what is learnt of the engine.

The stand-in evicted contexts of turns that ran, went on generating and then exported the rest as if whole; a turn that runs now keeps its memory.

Test engine_memory/context_evicted_in_a_pause_comes_back_from_its_copy fails on the daemons before (nothing is copied out), passes now.

--- a/source/backend/engine_client.cc
+++ b/source/backend/engine_client.cc
@@ -213,12 +213,15 @@
                             : std::string();
 }
 
-void EngineClient::Import(Fiber& fiber,
-                          const std::string& address,
-                          const std::string& program,
-                          const std::string& copy) {
-  Cache(fiber, address, "import",
-        json{{"program", program}, {"cache", copy}}.dump());
+std::int64_t EngineClient::Import(Fiber& fiber,
+                                  const std::string& address,
+                                  const std::string& program,
+                                  const std::string& copy) {
+  const auto reply = Cache(fiber, address, "import",
+                           json{{"program", program}, {"cache", copy}}.dump());
+  const auto answer = json::parse(reply.body, nullptr, false);
+  return answer.is_object() ? answer.value("imported_tokens", std::int64_t{0})
+                            : 0;
 }
 
 }  // namespace comfreyfold
--- a/source/backend/engine_client.h
+++ b/source/backend/engine_client.h
@@ -76,10 +76,11 @@
   std::string Export(Fiber& fiber,
                      const std::string& address,
                      const std::string& program);
-  void Import(Fiber& fiber,
-              const std::string& address,
-              const std::string& program,
-              const std::string& copy);
+  // Returns the tokens that the engine lacked.
+  std::int64_t Import(Fiber& fiber,
+                      const std::string& address,
+                      const std::string& program,
+                      const std::string& copy);
 
  private:
   HttpReply Cache(Fiber& fiber,
--- a/source/server/backend_directory.cc
+++ b/source/server/backend_directory.cc
@@ -102,6 +102,8 @@
   backend->reported_running = load.value("running", 0);
   backend->reported_waiting = load.value("waiting", 0);
   backend->reported_slots = load.value("slots", 0);
+  backend->reported_memory_tokens =
+      load.value("memory_tokens", std::int64_t{0});
   const bool draining = load.value("draining", false);
   if (draining && !backend->draining) {
     log_.Write({.name = "backend_draining", .backend = id});
--- a/source/server/dispatch_queue.cc
+++ b/source/server/dispatch_queue.cc
@@ -129,9 +129,9 @@
   for (const auto& [id, backend] : directory_.all()) {
     if (backend.vm.role == role_) {
       chooser.SetServer(id, directory_.TakesWork(id));
-      chooser.ObserveLoad(id,
-                          {backend.reported_running, backend.reported_waiting,
-                           backend.reported_slots});
+      chooser.ObserveLoad(
+          id, {backend.reported_running, backend.reported_waiting,
+               backend.reported_slots, backend.reported_memory_tokens});
     }
   }
   Pump();
--- a/source/server/hold_keeper.cc
+++ b/source/server/hold_keeper.cc
@@ -152,30 +152,37 @@
       });
 }
 
-void HoldKeeper::BeforeTurn(Fiber& fiber,
-                            const CallContext& context,
-                            const ServerSlot& slot) {
+// A copy was made because the engine may lose its own, and what is believed
+// of an engine's memory is a guess: the engine is offered the copy, and takes
+// of it what it lacks.
+std::int64_t HoldKeeper::BeforeTurn(Fiber& fiber,
+                                    const CallContext& context,
+                                    const ServerSlot& slot) {
   const auto it = holds_.find(context.program);
   if (it == holds_.end()) {
-    return;
+    return 0;
   }
   if (!it->second.engine.empty() && it->second.engine != slot.server()) {
     Drop(context.program, it->second.engine);
   }
   const auto* backend = directory_.Find(slot.server());
-  const bool lacks = slot.choice().cached_tokens < it->second.exported_tokens;
-  if (backend == nullptr || !lacks) {
-    return;
+  if (backend == nullptr || it->second.exported.empty()) {
+    return 0;
   }
   try {
-    engines_.Import(fiber, std::string(backend->vm.address),
-                    Name(context.program), std::string(it->second.exported));
-    log_.Write({.name = "hold_imported",
-                .customer = context.program.customer,
-                .program = context.program.program,
-                .backend = slot.server()});
+    const auto imported = engines_.Import(
+        fiber, std::string(backend->vm.address), Name(context.program),
+        std::string(it->second.exported));
+    if (imported > 0) {
+      log_.Write({.name = "hold_imported",
+                  .customer = context.program.customer,
+                  .program = context.program.program,
+                  .backend = slot.server()});
+    }
+    return imported;
   } catch (const BackendFailure&) {
     // The engine prefills instead.
+    return 0;
   }
 }
 
--- a/source/server/hold_keeper.h
+++ b/source/server/hold_keeper.h
@@ -35,10 +35,10 @@
   // import can bring to any engine.
   std::int64_t PauseEnds(const CallContext& context);
   // Brings to `slot`'s engine what it lacks, and frees the copy that the
-  // program has left on another.
-  void BeforeTurn(Fiber& fiber,
-                  const CallContext& context,
-                  const ServerSlot& slot);
+  // program has left on another. Returns the tokens imported.
+  std::int64_t BeforeTurn(Fiber& fiber,
+                          const CallContext& context,
+                          const ServerSlot& slot);
 
   // Forgets programs that have ended or moved to another owner.
   void Prune();
--- a/source/server/model_runner.cc
+++ b/source/server/model_runner.cc
@@ -161,7 +161,7 @@
   const std::string address = backend->vm.address;
   context.budget.MarkDispatched();
   turn.dispatched_to.insert(slot.server());
-  holds_.BeforeTurn(fiber, context, slot);
+  const auto imported = holds_.BeforeTurn(fiber, context, slot);
   turn.call.idle_timeout = context.left();
   turn.call.on_text = [&context, &turn](std::string_view text) {
     turn.streamed = true;
@@ -172,7 +172,7 @@
   try {
     auto result = engines_.Complete(fiber, address, turn.call);
     const auto tokens = result.prompt_tokens + result.completion_tokens;
-    slot.Ran(tokens, result.cached_tokens);
+    slot.Ran(tokens, result.cached_tokens - imported);
     holds_.TurnEnded(context, slot.server(), tokens);
     return result;
   } catch (const BackendFailure& e) {
--- a/tests/process/engine_memory_test.cc
+++ b/tests/process/engine_memory_test.cc
@@ -14,6 +14,8 @@
 using std::chrono::seconds;
 
 constexpr char kCustomer[] = "bandwerk";
+constexpr std::size_t kContextBytes = 8000;
+constexpr std::int64_t kContextTokens = 2000;
 constexpr int kShortAnswer = 40;
 constexpr int kLongAnswer = 3000;  // Tokens, 6 s of generation and more.
 
@@ -116,6 +118,40 @@
   });
 }
 
+// The engine has room for one of the two contexts.
+BOOST_AUTO_TEST_CASE(context_evicted_in_a_pause_comes_back_from_its_copy) {
+  ClusterOptions options;
+  options.engines = 1;
+  options.engine_arguments = {"--memory-tokens", "3000"};
+  InCluster(options, [](Fiber& fiber, Cluster& cluster) {
+    const auto program = cluster.SettledProgram(kCustomer, "pauses");
+    const int owner = cluster.OwnerOf(kCustomer, program);
+    const auto& address = cluster.daemon(owner).address();
+    auto caller = Quote(fiber, cluster, program);
+    BOOST_TEST(
+        caller.Ask(address, "t", std::string(kContextBytes, 'a')).status ==
+        200);
+    int n = 0;
+    cluster.WaitFor("the context to be copied out", [&] {
+      const auto key = std::to_string(++n);
+      caller.Use(address, "u" + key, "stock_lookup", {{}});
+      const bool copied = cluster.EventSeen(owner, "hold_exported");
+      if (!copied) {
+        caller.Ask(address, "t" + key, "more");
+      }
+      return copied;
+    });
+    Quote(fiber, cluster, "takes-its-room")
+        .Ask(address, "t", std::string(kContextBytes, 'b'));
+    BOOST_TEST(cluster.HeldPrograms() == 1);
+    BOOST_TEST(caller.Ask(address, "last", "and now").status == 200);
+    const auto audit = cluster.Audit(cluster.engine(0));
+    const auto last = audit["runs"].back();
+    BOOST_TEST(last["program"] == std::string(kCustomer) + "/" + program);
+    BOOST_TEST(last["cached_tokens"].get<std::int64_t>() >= kContextTokens);
+  });
+}
+
 BOOST_AUTO_TEST_CASE(owner_killed_while_the_hold_is_made) {
   InCluster({}, [](Fiber& fiber, Cluster& cluster) {
     const auto program = cluster.SettledProgram(kCustomer, "owner-dies");
--- a/tests/standins/engine_cache.cc
+++ b/tests/standins/engine_cache.cc
@@ -49,9 +49,22 @@
   return it == items_.end() ? std::string() : it->second.prompt;
 }
 
-void EngineCache::Import(const std::string& program,
-                         const std::string& prompt) {
-  Store(program, prompt);
+std::size_t EngineCache::Import(const std::string& program,
+                                const std::string& prompt) {
+  const auto held = items_.find(program);
+  if (held != items_.end() && held->second.prompt.starts_with(prompt)) {
+    Touch(held->second);
+    return 0;
+  }
+  return prompt.size() - Store(program, prompt);
+}
+
+void EngineCache::End(const std::string& program) {
+  const auto it = running_.find(program);
+  if (it != running_.end() && --it->second == 0) {
+    running_.erase(it);
+  }
+  Evict(program);
 }
 
 std::int64_t EngineCache::held_tokens() const {
@@ -67,11 +80,14 @@
          held_tokens() > options_.memory_tokens) {
     auto oldest = items_.end();
     for (auto it = items_.begin(); it != items_.end(); ++it) {
-      if (it->first != keep &&
+      if (it->first != keep && !running_.contains(it->first) &&
           (oldest == items_.end() || it->second.used < oldest->second.used)) {
         oldest = it;
       }
     }
+    if (oldest == items_.end()) {
+      return;  // Turns that run need more than there is.
+    }
     const auto program = oldest->first;
     items_.erase(oldest);
     Publish("evicted", program);
--- a/tests/standins/engine_cache.h
+++ b/tests/standins/engine_cache.h
@@ -27,6 +27,9 @@
 
   static std::int64_t Tokens(std::size_t bytes);
 
+  // A turn of `program` runs until its `End`: what it uses is not evicted.
+  void Begin(const std::string& program) { ++running_[program]; }
+  void End(const std::string& program);
   // Bytes of `prompt` found for `program`; holds the prompt from here on.
   std::size_t Store(const std::string& program, const std::string& prompt);
   // A generated piece.
@@ -34,8 +37,11 @@
   void Release(const std::string& program);
   // What is held for `program`; empty when nothing is.
   std::string Export(const std::string& program) const;
-  void Import(const std::string& program, const std::string& prompt);
+  // Takes a copy over; one that is held already stays. Returns the bytes
+  // that were lacking.
+  std::size_t Import(const std::string& program, const std::string& prompt);
 
+  std::int64_t memory_tokens() const { return options_.memory_tokens; }
   std::int64_t held_tokens() const;
   nlohmann::json Held() const;
   // Events after number `since` that are due by now.
@@ -60,6 +66,7 @@
 
   CacheOptions options_;
   std::map<std::string, Item> items_;
+  std::map<std::string, int> running_;  // Turns by program.
   std::vector<Event> events_;
   std::int64_t next_event_ = 1;
   std::int64_t uses_ = 0;
--- a/tests/standins/engine_service.cc
+++ b/tests/standins/engine_service.cc
@@ -61,10 +61,12 @@
 
   slots_.Acquire(fiber, body.value("priority", 0));
   if (!stream->cancelled) {
+    cache_.Begin(program);
     const auto cached = cache_.Store(program, prompt);
     runs_[run].cached_tokens = Tokens(cached);
     Prefill(fiber, prompt, cached);
     Decode(fiber, request, prompt, cached, *stream);
+    cache_.End(program);
   }
   runs_[run].cancelled = stream->cancelled;
   stream->done = true;
@@ -180,10 +182,13 @@
 }
 
 std::string EngineService::Load() const {
-  return json{
-      {"running", slots_.running()}, {"waiting", slots_.waiting()},
-      {"slots", slots_.slots()},     {"held_tokens", cache_.held_tokens()},
-      {"models", orders_.models()},  {"draining", draining_}}
+  return json{{"running", slots_.running()},
+              {"waiting", slots_.waiting()},
+              {"slots", slots_.slots()},
+              {"held_tokens", cache_.held_tokens()},
+              {"memory_tokens", cache_.memory_tokens()},
+              {"models", orders_.models()},
+              {"draining", draining_}}
       .dump();
 }
 
@@ -206,7 +211,17 @@
   Follow(fiber, stream, std::stoul("0" + request.Query("from")), exchange);
 }
 
-bool EngineService::HandleCache(const HttpRequest& request,
+std::int64_t EngineService::Import(Fiber& fiber,
+                                   const std::string& program,
+                                   const std::string& copy) {
+  const auto lacking = Tokens(cache_.Import(program, copy));
+  fiber.Sleep(std::chrono::ceil<std::chrono::milliseconds>(
+      options_.import_per_token * lacking));
+  return lacking;
+}
+
+bool EngineService::HandleCache(Fiber& fiber,
+                                const HttpRequest& request,
                                 HttpExchange& exchange) {
   const auto path = request.Path();
   if (path == "/cache/events") {
@@ -226,7 +241,8 @@
   } else if (path == "/cache/export") {
     answer["cache"] = cache_.Export(program);
   } else if (path == "/cache/import") {
-    cache_.Import(program, body.at("cache").get<std::string>());
+    answer["imported_tokens"] =
+        Import(fiber, program, body.at("cache").get<std::string>());
   } else {
     return false;
   }
@@ -265,7 +281,7 @@
     orders_.Handle(request, exchange);
   } else if (path == "/orders") {
     exchange.Reply(200, "application/json", orders_.State().dump());
-  } else if (!HandleCache(request, exchange)) {
+  } else if (!HandleCache(fiber, request, exchange)) {
     exchange.Reply(404, "application/json", "{}");
   }
 }
--- a/tests/standins/engine_service.h
+++ b/tests/standins/engine_service.h
@@ -21,6 +21,7 @@
 struct EngineOptions {
   std::chrono::microseconds prefill_per_token{20};
   std::chrono::microseconds decode_per_token{2000};
+  std::chrono::microseconds import_per_token{10};
   int slots = 8;  // Turns that run at the same time.
   std::chrono::milliseconds load_lag{};
   bool checks_fencing = true;
@@ -72,7 +73,12 @@
   void HandleStream(Fiber& fiber,
                     const HttpRequest& request,
                     HttpExchange& exchange);
-  bool HandleCache(const HttpRequest& request, HttpExchange& exchange);
+  bool HandleCache(Fiber& fiber,
+                   const HttpRequest& request,
+                   HttpExchange& exchange);
+  std::int64_t Import(Fiber& fiber,
+                      const std::string& program,
+                      const std::string& copy);
   std::string Audit() const;
   std::string Load() const;
 
