Count running turns against the bench engine's memory; show moved waste

The bench's engine held memory only for contexts at rest, a real one also for the turns that run.

Bench and real run now show which part of the waste follows a move to another engine.

--- a/bench/bench_run.cc
+++ b/bench/bench_run.cc
@@ -200,8 +200,10 @@
   }
   const auto prompt = run.history_tokens + run.current().added_tokens;
   result_.prompt_tokens += prompt;
-  result_.prefilled_again_tokens += std::max<std::int64_t>(
+  const auto again = std::max<std::int64_t>(
       0, run.history_tokens - result.cached - result.imported);
+  result_.prefilled_again_tokens += again;
+  result_.again_after_move_tokens += run.engine == id ? 0 : again;
   CountHoldUse(run, result);
   run.history_tokens = prompt + run.current().answer_tokens;
   run.kept_tokens = result.kept;
--- a/bench/engine_model.cc
+++ b/bench/engine_model.cc
@@ -35,6 +35,12 @@
   auto& entry = memory_[turn.program];
   ++entry.running;
   entry.used = ++clock_;
+  // Turns that run need their memory whatever the rest; a context that does
+  // not fit at their end is not kept.
+  const auto tokens = turn.prompt_tokens + turn.answer_tokens;
+  used_tokens_ += tokens - entry.tokens;
+  entry.tokens = tokens;
+  MakeRoom();
   const auto missing = turn.prompt_tokens - result.cached - result.imported;
   result.service = missing * costs_.prefill_per_token +
                    result.imported * costs_.import_per_token +
@@ -53,36 +59,30 @@
   busy_ += result.service;
   auto& entry = memory_[turn.program];
   --entry.running;
-  const auto tokens = turn.prompt_tokens + turn.answer_tokens;
-  used_tokens_ -= entry.tokens;
-  entry.tokens = 0;
-  if (MakeRoom(tokens, turn.program)) {
-    entry.tokens = tokens;
-    used_tokens_ += tokens;
-    result.kept = tokens;
-  }
+  entry.used = ++clock_;
+  MakeRoom();
+  const auto kept = memory_.find(turn.program);
+  result.kept = kept == memory_.end() ? 0 : kept->second.tokens;
   --running_;
   StartNext();
   turn.done(result);
 }
 
-bool EngineModel::MakeRoom(std::int64_t tokens, const std::string& keep) {
-  while (used_tokens_ + tokens > costs_.memory_tokens) {
+void EngineModel::MakeRoom() {
+  while (used_tokens_ > costs_.memory_tokens) {
     auto oldest = memory_.end();
     for (auto it = memory_.begin(); it != memory_.end(); ++it) {
-      const bool free = !it->second.pinned && it->second.running == 0 &&
-                        it->second.tokens > 0 && it->first != keep;
+      const bool free = !it->second.pinned && it->second.running == 0;
       if (free &&
           (oldest == memory_.end() || it->second.used < oldest->second.used)) {
         oldest = it;
       }
     }
     if (oldest == memory_.end()) {
-      return false;
+      return;
     }
     Release(std::string(oldest->first));
   }
-  return true;
 }
 
 void EngineModel::Pin(const std::string& program) {
--- a/bench/engine_model.h
+++ b/bench/engine_model.h
@@ -55,7 +55,7 @@
   };
   void StartNext();
   void Finish(const EngineTurn& turn, EngineTurn::Result result, int life);
-  bool MakeRoom(std::int64_t tokens, const std::string& keep);
+  void MakeRoom();
 
   EventLoop& loop_;
   EngineCosts costs_;
--- a/bench/real/main.cc
+++ b/bench/real/main.cc
@@ -158,18 +158,24 @@
     for (int i = 0; i < kEngines; ++i) {
       const auto audit = cluster_.Audit(cluster_.engine(i));
       for (const auto& it : audit["runs"]) {
-        runs[it["program"]][it["time_us"]] = it;
+        auto& run = runs[it["program"]][it["time_us"]];
+        run = it;
+        run["engine"] = i;
       }
     }
     for (const auto& [program, turns] : runs) {
       std::int64_t seen = 0;
+      int engine = 0;
       for (const auto& [at, it] : turns) {
         const auto prompt = it["prompt_tokens"].get<std::int64_t>();
         const auto cached = it["cached_tokens"].get<std::int64_t>();
         result_.prompt_tokens += prompt;
-        result_.prefilled_again_tokens +=
+        const auto again =
             std::max<std::int64_t>(0, std::min(seen, prompt) - cached);
+        result_.prefilled_again_tokens += again;
+        result_.again_after_move_tokens += it["engine"] == engine ? 0 : again;
         seen = prompt;
+        engine = it["engine"];
       }
     }
   }
@@ -194,9 +200,12 @@
             << Percentile(result.latency_s, 0.50) << std::setw(10)
             << Percentile(result.latency_s, 0.95) << std::setw(10)
             << Percentile(result.latency_s, 0.99) << std::setw(10)
-            << 100 * result.wasted_share() << std::setw(10) << result.finished
-            << std::setw(10) << result.failed << std::setw(10) << result.refused
-            << std::endl;
+            << 100 * result.wasted_share() << std::setw(10)
+            << 100.0 * static_cast<double>(result.again_after_move_tokens) /
+                   static_cast<double>(
+                       std::max<std::int64_t>(1, result.prompt_tokens))
+            << std::setw(10) << result.finished << std::setw(10)
+            << result.failed << std::setw(10) << result.refused << std::endl;
 }
 
 int Main(int argc, char** argv) {
@@ -220,7 +229,8 @@
       static_cast<std::uint64_t>(args["seed"].as<int>()),
       seconds(args["seconds"].as<int>()), args["load"].as<int>() / 100.0};
   std::cout << ToString(run.kind) << ", seed " << run.seed << "\n"
-            << "policy             p50_s     p95_s     p99_s  wasted_%      "
+            << "policy             p50_s     p95_s     p99_s  wasted_%   "
+               "moved_%      "
                "done    failed   refused\n";
   Loop loop;
   int code = 0;
--- a/bench/report.cc
+++ b/bench/report.cc
@@ -62,6 +62,11 @@
        return Share(static_cast<double>(it.prefilled_again_tokens),
                     static_cast<double>(it.prompt_tokens));
      }},
+    {"moved_%",
+     [](const Result& it) {
+       return Share(static_cast<double>(it.again_after_move_tokens),
+                    static_cast<double>(it.prompt_tokens));
+     }},
     {"unused_%",
      [](const Result& it) {
        return Share(static_cast<double>(it.held_unused_tokens),
--- a/bench/result.cc
+++ b/bench/result.cc
@@ -33,6 +33,7 @@
   }
   prompt_tokens += other.prompt_tokens;
   prefilled_again_tokens += other.prefilled_again_tokens;
+  again_after_move_tokens += other.again_after_move_tokens;
   held_unused_tokens += other.held_unused_tokens;
   Append(urgent_delay_ms, other.urgent_delay_ms);
   programs += other.programs;
--- a/bench/result.h
+++ b/bench/result.h
@@ -16,6 +16,8 @@
   std::map<std::string, double> customer_work_s;  // Served, on slots.
   std::int64_t prompt_tokens = 0;
   std::int64_t prefilled_again_tokens = 0;
+  // Of them, by a turn on another engine than the turn before.
+  std::int64_t again_after_move_tokens = 0;
   std::int64_t held_unused_tokens = 0;
   std::vector<double> urgent_delay_ms;
   int programs = 0;
