--- a/source/core/heartbeat.h
+++ b/source/core/heartbeat.h
@@ -22,7 +22,7 @@
   std::vector<OwnedLane> lanes;
   std::int64_t contracts_revision = 0;
   std::int64_t clock = 0;  // Hybrid logical clock.
-  bool has_data_folder = false;
+  std::string spool;       // Id of its block spool; empty: it has none.
   // Raised by the daemon itself, to deny that it is dead.
   std::int64_t incarnation = 0;
 };
--- a/source/core/lane_entry.h
+++ b/source/core/lane_entry.h
@@ -6,6 +6,7 @@
 #include <string>
 #include <vector>
 
+#include "core/spool_holder.h"
 #include "core/verdict.h"
 
 namespace comfreyfold {
@@ -25,8 +26,9 @@
   kSubagentStarted = 6,  // `key` names the program that was started.
   kSealed = 7,           // Changes nothing: proves that the owner has the lane.
   kProgramForgotten = 8,  // Ended long ago, nothing held: it leaves the lane.
+  kHolders = 9,  // Names who keeps the lane's blocks while the service is out.
 };
-inline constexpr EntryKind kLastEntryKind = EntryKind::kProgramForgotten;
+inline constexpr EntryKind kLastEntryKind = EntryKind::kHolders;
 
 // One durable fact about a program. Which fields count depends on `kind`.
 struct LaneEntry {
@@ -47,6 +49,7 @@
   std::int64_t tokens = 0;  // Reserved when begun, used when done.
   std::string grant;        // Of the budget, that the tokens are taken from.
   std::chrono::milliseconds begun_at{};  // Since 1970, of kCallBegun.
+  std::vector<SpoolHolder> holders;      // Of kHolders.
 
   bool operator==(const LaneEntry&) const = default;
 };
--- a/source/core/lane_snapshot.h
+++ b/source/core/lane_snapshot.h
@@ -7,6 +7,7 @@
 
 #include "core/grant_use.h"
 #include "core/program_state.h"
+#include "core/spool_holder.h"
 
 namespace comfreyfold {
 
@@ -17,6 +18,7 @@
   std::string owner;
   std::vector<ProgramState> programs;
   std::vector<GrantTotal> grants;
+  std::vector<SpoolHolder> holders;
 
   bool operator==(const LaneSnapshot&) const = default;
 };
--- a/source/core/lane_state.cc
+++ b/source/core/lane_state.cc
@@ -57,6 +57,12 @@
   const ProgramKey key{entry.customer, entry.program};
   switch (entry.kind) {
     case EntryKind::kTakeover:
+      // Named for one owner: the next names its own.
+      holders_.clear();
+      break;
+    case EntryKind::kHolders:
+      holders_ = entry.holders;
+      break;
     case EntryKind::kSealed:
       break;
     case EntryKind::kHandover:
@@ -174,7 +180,7 @@
 }
 
 LaneSnapshot LaneState::Snapshot() const {
-  LaneSnapshot out{last_block_, epoch_, owner_, {}, {}};
+  LaneSnapshot out{last_block_, epoch_, owner_, {}, {}, holders_};
   for (const auto& [key, program] : programs_) {
     out.programs.push_back(program);
   }
@@ -189,6 +195,7 @@
   out.last_block_ = snapshot.last_block;
   out.epoch_ = snapshot.epoch;
   out.owner_ = std::move(snapshot.owner);
+  out.holders_ = std::move(snapshot.holders);
   for (auto& it : snapshot.programs) {
     const ProgramKey key{it.customer, it.program};
     out.programs_[key] = std::move(it);
--- a/source/core/lane_state.h
+++ b/source/core/lane_state.h
@@ -82,6 +82,8 @@
   std::int64_t last_block() const { return last_block_; }
   std::int64_t epoch() const { return epoch_; }
   const std::string& owner() const { return owner_; }
+  // Who keeps blocks of this owner while the service is out; empty: nobody.
+  const std::vector<SpoolHolder>& holders() const { return holders_; }
 
  private:
   void ApplyEntry(const LaneEntry& entry);
@@ -95,6 +97,7 @@
   std::int64_t epoch_ = 0;
   std::string owner_;
   std::map<GrantName, std::int64_t> grant_uses_;
+  std::vector<SpoolHolder> holders_;
 };
 
 }  // namespace comfreyfold
--- /dev/null
+++ b/source/server/block_spool.cc
@@ -0,0 +1,202 @@
+#include "server/block_spool.h"
+
+#include <algorithm>
+#include <cerrno>
+#include <cstdio>
+#include <fstream>
+#include <iterator>
+#include <system_error>
+
+#include <fcntl.h>
+#include <unistd.h>
+
+#include "platform/base64.h"
+#include "wire/codec.h"
+
+namespace comfreyfold {
+
+namespace {
+
+namespace fs = std::filesystem;
+
+constexpr char kIdFile[] = "id";
+constexpr char kNewSuffix[] = ".new";
+// Bounds one answer to a few blocks of the largest size.
+constexpr std::size_t kMostAnswerBytes = 4UL * 1024 * 1024;
+
+// A file or folder open for as long as this lives.
+class Descriptor {
+ public:
+  Descriptor(const fs::path& path, int flags) : path_(path) {
+    constexpr int kOwnerOnly = 0600;
+    // NOLINTNEXTLINE(cppcoreguidelines-pro-type-vararg)
+    fd_ = ::open(path.c_str(), flags | O_CLOEXEC, kOwnerOnly);
+    Check(fd_ >= 0, "open");
+  }
+  ~Descriptor() {
+    if (fd_ >= 0) {
+      ::close(fd_);
+    }
+  }
+  Descriptor(const Descriptor&) = delete;
+  Descriptor& operator=(const Descriptor&) = delete;
+
+  void Write(const std::string& bytes) const {
+    std::size_t at = 0;
+    while (at < bytes.size()) {
+      const auto n = ::write(fd_, bytes.data() + at, bytes.size() - at);
+      Check(n > 0 || errno == EINTR, "write");
+      at += n > 0 ? static_cast<std::size_t>(n) : 0;
+    }
+  }
+  void Sync() const { Check(::fsync(fd_) == 0, "fsync"); }
+
+ private:
+  void Check(bool good, const char* what) const {
+    if (!good) {
+      throw fs::filesystem_error(
+          what, path_, std::error_code(errno, std::generic_category()));
+    }
+  }
+
+  fs::path path_;
+  int fd_ = -1;
+};
+
+void SyncFolder(const fs::path& folder) {
+  Descriptor(folder, O_RDONLY | O_DIRECTORY).Sync();
+}
+
+// Whole or not at all, also after a crash.
+void WriteDurably(const fs::path& path, const std::string& bytes) {
+  auto fresh = path;
+  fresh += kNewSuffix;
+  {
+    const Descriptor file(fresh, O_WRONLY | O_CREAT | O_TRUNC);
+    file.Write(bytes);
+    file.Sync();
+  }
+  fs::rename(fresh, path);
+  SyncFolder(path.parent_path());
+}
+
+std::string ReadFile(const fs::path& path) {
+  std::ifstream in(path, std::ios::binary);
+  if (!in) {
+    throw fs::filesystem_error("read", path,
+                               std::error_code(EIO, std::generic_category()));
+  }
+  return {std::istreambuf_iterator<char>(in), {}};
+}
+
+}  // namespace
+
+BlockSpool::BlockSpool(const std::string& data_folder, EventLog& log)
+    : folder_(fs::path(data_folder) / "spool"), log_(log) {
+  fs::create_directories(folder_);
+  SyncFolder(data_folder);
+  Load();
+  if (id_.empty()) {
+    id_ = RandomId();
+    WriteDurably(folder_ / kIdFile, id_);
+  }
+}
+
+void BlockSpool::Load() {
+  for (const auto& it : fs::directory_iterator(folder_)) {
+    if (it.path().extension() == kNewSuffix) {
+      fs::remove(it.path());  // Of a write that was never answered.
+    } else {
+      LoadFile(it.path());
+    }
+  }
+}
+
+void BlockSpool::LoadFile(const fs::path& path) {
+  const auto name = path.filename().string();
+  int lane = 0;
+  long long number = 0;
+  if (name == kIdFile) {
+    id_ = ReadFile(path);
+  } else if (std::sscanf(name.c_str(), "block-%d-%lld", &lane, &number) == 2) {
+    lanes_[lane].epochs[number] = DecodeLaneBlock(ReadFile(path)).epoch;
+  } else if (std::sscanf(name.c_str(), "seal-%d", &lane) == 1) {
+    lanes_[lane].seal = std::stoll(ReadFile(path));
+  }
+}
+
+fs::path BlockSpool::BlockPath(int lane, std::int64_t number) const {
+  return folder_ /
+         ("block-" + std::to_string(lane) + "-" + std::to_string(number));
+}
+
+fs::path BlockSpool::SealPath(int lane) const {
+  return folder_ / ("seal-" + std::to_string(lane));
+}
+
+SpoolAnswer BlockSpool::Store(const SpoolRequest& request) {
+  if (request.spool != id_) {
+    return {SpoolStatus::kOtherSpool, {}};
+  }
+  const auto block = DecodeLaneBlock(request.block);
+  auto& lane = lanes_[request.lane];
+  const auto there = lane.epochs.find(block.number);
+  // Of the numbers forgotten the service has a block, if not this one: a
+  // request that was long under way.
+  if (block.epoch < lane.seal || block.number <= lane.forgotten ||
+      (there != lane.epochs.end() && there->second > block.epoch)) {
+    return {SpoolStatus::kSealed, {}};
+  }
+  WriteDurably(BlockPath(request.lane, block.number), request.block);
+  lane.epochs[block.number] = block.epoch;
+  return {};
+}
+
+SpoolAnswer BlockSpool::Seal(const SpoolRequest& request) {
+  if (request.spool != id_) {
+    return {SpoolStatus::kOtherSpool, {}};
+  }
+  auto& lane = lanes_[request.lane];
+  if (request.epoch < lane.seal) {
+    return {SpoolStatus::kSealed, {}};
+  }
+  if (request.epoch > lane.seal) {
+    WriteDurably(SealPath(request.lane), std::to_string(request.epoch));
+    lane.seal = request.epoch;
+    log_.Write({.name = "lane_sealed",
+                .lane = request.lane,
+                .epoch = request.epoch,
+                .detail = std::to_string(lane.epochs.size()) + " blocks held"});
+  }
+  SpoolAnswer out;
+  std::size_t bytes = 0;
+  for (auto it = lane.epochs.upper_bound(request.number);
+       it != lane.epochs.end() && bytes < kMostAnswerBytes; ++it) {
+    out.blocks.push_back(ReadFile(BlockPath(request.lane, it->first)));
+    bytes += out.blocks.back().size();
+  }
+  return out;
+}
+
+SpoolAnswer BlockSpool::Forget(const SpoolRequest& request) {
+  if (request.spool != id_) {
+    return {SpoolStatus::kOtherSpool, {}};
+  }
+  auto& lane = lanes_[request.lane];
+  lane.forgotten = std::max(lane.forgotten, request.number);
+  while (!lane.epochs.empty() && lane.epochs.begin()->first <= request.number) {
+    fs::remove(BlockPath(request.lane, lane.epochs.begin()->first));
+    lane.epochs.erase(lane.epochs.begin());
+  }
+  return {};
+}
+
+std::size_t BlockSpool::held() const {
+  std::size_t out = 0;
+  for (const auto& [number, lane] : lanes_) {
+    out += lane.epochs.size();
+  }
+  return out;
+}
+
+}  // namespace comfreyfold
--- a/source/server/daemon.cc
+++ b/source/server/daemon.cc
@@ -20,11 +20,17 @@
 constexpr std::chrono::milliseconds kAgreeRetry{500};
 constexpr std::chrono::milliseconds kPeersStep{20};
 
-Heartbeat SelfOf(const Settings& settings) {
+std::unique_ptr<BlockSpool> OpenSpool(const Settings& settings, EventLog& log) {
+  return settings.data_folder.empty()
+             ? nullptr
+             : std::make_unique<BlockSpool>(settings.data_folder, log);
+}
+
+Heartbeat SelfOf(const Settings& settings, const BlockSpool* spool) {
   Heartbeat out;
   out.daemon = settings.daemon;
   out.data_centre = settings.data_centre;
-  out.has_data_folder = !settings.data_folder.empty();
+  out.spool = spool == nullptr ? std::string() : spool->id();
   // A later run of the same daemon denies what was said of an earlier one.
   out.incarnation = std::chrono::duration_cast<std::chrono::microseconds>(
                         std::chrono::system_clock::now().time_since_epoch())
@@ -69,7 +75,9 @@
           settings_.http),
       kv_(http_, settings_.kv_address, settings_.platform_timeout),
       vms_(http_, settings_.vm_list_address, settings_.platform_timeout),
-      membership_(SelfOf(settings_), settings_.heartbeat_timeout),
+      spool_(OpenSpool(settings_, log_)),
+      membership_(SelfOf(settings_, spool_.get()), settings_.heartbeat_timeout),
+      holders_(http_, kv_, membership_, spool_.get(), log_),
       contracts_(loop, kv_, log_, settings_.contracts),
       contract_peers_(http_, membership_, contracts_),
       backends_(loop,
@@ -78,7 +86,13 @@
                 log_,
                 settings_.vm_list_interval,
                 settings_.load_interval),
-      lanes_(loop, kv_, log_, membership_, settings_.lane, settings_.lanes),
+      lanes_(loop,
+             kv_,
+             log_,
+             membership_,
+             settings_.lane,
+             settings_.lanes,
+             &holders_),
       tidier_(loop, lanes_, log_),
       engines_(http_),
       tools_(http_),
@@ -155,6 +169,7 @@
                     contracts_,
                     backends_,
                     lanes_,
+                    holders_,
                     budgets_,
                     kv_,
                     log_,
@@ -296,6 +311,7 @@
         !peer_api_.Handle(fiber, request, exchange) &&
         !contract_peers_.Handle(request, exchange) &&
         !listing_.Handle(request, exchange) &&
+        !holders_.Handle(request, exchange) &&
         !sealer_.Handle(fiber, request, exchange) &&
         !operator_api_.Handle(request, exchange)) {
       throw CallError(404, "no_such_path", "see the README for the paths",
--- a/source/server/daemon.h
+++ b/source/server/daemon.h
@@ -8,6 +8,7 @@
 #include "platform/kv_client.h"
 #include "platform/vm_list_client.h"
 #include "server/backend_directory.h"
+#include "server/block_spool.h"
 #include "server/budget_ledger.h"
 #include "server/budget_reclaimer.h"
 #include "server/call_router.h"
@@ -22,6 +23,7 @@
 #include "server/metrics.h"
 #include "server/operator_api.h"
 #include "server/peer_api.h"
+#include "server/peer_holders.h"
 #include "server/peer_links.h"
 #include "server/peer_secret.h"
 #include "server/program_listing.h"
@@ -64,7 +66,9 @@
   HttpServer server_;
   KvClient kv_;
   VmListClient vms_;
+  std::unique_ptr<BlockSpool> spool_;  // Null without a data folder.
   Membership membership_;
+  PeerHolders holders_;
   ContractStore contracts_;
   ContractPeers contract_peers_;
   BackendDirectory backends_;
--- a/source/server/lane_manager.cc
+++ b/source/server/lane_manager.cc
@@ -18,20 +18,25 @@
                          EventLog& log,
                          Membership& membership,
                          const LaneSettings& settings,
-                         int lanes)
+                         int lanes,
+                         HolderLinks* holders)
     : loop_(loop),
       kv_(kv),
       log_(log),
       membership_(membership),
       settings_(settings),
       pacer_(settings.writes_per_second, kBurstWrites),
-      lanes_(lanes) {}
+      lanes_(lanes),
+      holders_(holders) {}
 
 void LaneManager::Tick() {
   ShareWrites();
   DropLost();
   TakeDue();
   GiveUpOne();
+  for (const auto& [lane, owner] : owned_) {
+    owner->ReviewHolders(std::chrono::steady_clock::now());
+  }
 }
 
 // The service's writes are shared by the daemons that can own lanes.
@@ -104,11 +109,11 @@
 }
 
 void LaneManager::Take(Fiber& fiber, int lane) {
-  auto owner =
-      std::make_shared<LaneOwner>(loop_, kv_, log_, settings_, pacer_, lane);
+  auto owner = std::make_shared<LaneOwner>(loop_, kv_, log_, settings_, pacer_,
+                                           lane, holders_);
   owner->OnApplied(on_applied_);
   try {
-    owner->Open(fiber);
+    Open(fiber, *owner);
     owned_[lane] = std::move(owner);
   } catch (const std::exception& e) {
     log_.Write({.name = "lane_not_taken", .lane = lane, .detail = e.what()});
@@ -117,6 +122,35 @@
   Publish();
 }
 
+// Blocks that only the holders have are waited for as long as one of them may
+// come back, and a while longer.
+void LaneManager::Open(Fiber& fiber, LaneOwner& owner) {
+  using Without = LaneOwner::WithoutHolders;
+  const auto now = std::chrono::steady_clock::now();
+  const auto since = without_holders_.find(owner.lane());
+  const bool patient = since == without_holders_.end() ||
+                       now - since->second < settings_.holder_patience;
+  try {
+    owner.Open(fiber, patient ? Without::kRefuse : Without::kTakeOver);
+  } catch (const HoldersUnreachable& e) {
+    if (e.all_gone()) {
+      without_holders_.emplace(owner.lane(), now);
+    } else {
+      without_holders_.erase(owner.lane());
+    }
+    throw;
+  }
+  without_holders_.erase(owner.lane());
+}
+
+std::size_t LaneManager::waiting_blocks() const {
+  std::size_t out = 0;
+  for (const auto& [lane, owner] : owned_) {
+    out += owner->waiting_blocks();
+  }
+  return out;
+}
+
 std::shared_ptr<LaneOwner> LaneManager::Find(int lane) const {
   const auto it = owned_.find(lane);
   return it == owned_.end() || it->second->lost() ? nullptr : it->second;
--- a/source/server/lane_manager.h
+++ b/source/server/lane_manager.h
@@ -23,7 +23,8 @@
               EventLog& log,
               Membership& membership,
               const LaneSettings& settings,
-              int lanes);
+              int lanes,
+              HolderLinks* holders = nullptr);
 
   // Allows taking lanes, once their number is agreed with the fleet.
   void Open() { open_ = true; }
@@ -38,6 +39,9 @@
   }
   int lanes() const { return lanes_; }
 
+  // Blocks of the lanes owned here that only their holders have.
+  std::size_t waiting_blocks() const;
+
   // Gives every lane up; false when some could not be within `timeout`.
   bool HandOverAll(Fiber& fiber, std::chrono::milliseconds timeout);
 
@@ -53,6 +57,7 @@
  private:
   void ShareWrites();
   void Take(Fiber& fiber, int lane);
+  void Open(Fiber& fiber, LaneOwner& owner);
   void DropLost();
   void TakeDue();
   void GiveUpOne();
@@ -66,8 +71,11 @@
   const LaneSettings& settings_;
   WritePacer pacer_;
   int lanes_;
+  HolderLinks* holders_;
   std::map<int, std::shared_ptr<LaneOwner>> owned_;
   std::set<int> opening_;
+  // Lanes whose holders have all left, since when.
+  std::map<int, std::chrono::steady_clock::time_point> without_holders_;
   std::vector<std::string> eligible_;
   std::chrono::steady_clock::time_point eligible_since_;
   bool giving_up_ = false;
--- a/source/server/lane_owner.cc
+++ b/source/server/lane_owner.cc
@@ -16,6 +16,15 @@
 constexpr std::chrono::milliseconds kConfirmInterval{200};
 constexpr std::chrono::milliseconds kMostBackoff{2000};
 constexpr int kJitterPercent = 50;
+// So many uploads for each block that goes to the holders once the service
+// answers again: what waits grows shorter under any load.
+constexpr int kUploadsForEachCommit = 2;
+constexpr std::chrono::milliseconds kUploadWait{5000};
+// Daemons come and go in bursts.
+constexpr std::chrono::milliseconds kHoldersGoneTime{3000};
+constexpr std::chrono::milliseconds kNamingTimeout{5000};
+constexpr std::chrono::milliseconds kForgetInterval{1000};
+constexpr int kForgetTries = 60;
 constexpr int kUnavailable = 503;  // HTTP status.
 // The fields of an entry beside its texts, and a block's own.
 constexpr std::size_t kEntryOverheadBytes = 128;
@@ -44,6 +53,22 @@
   });
 }
 
+bool HasUnsafeIntent(const std::vector<LaneEntry>& entries) {
+  return std::any_of(entries.begin(), entries.end(), [](const auto& it) {
+    return it.kind == EntryKind::kCallBegun && !it.idempotent;
+  });
+}
+
+// Only the service may take these: they decide who answers for the lane, or
+// what is dispatched on their strength must not run twice.
+bool NeedsService(const std::vector<LaneEntry>& entries) {
+  return HasUnsafeIntent(entries) ||
+         std::any_of(entries.begin(), entries.end(), [](const auto& it) {
+           return it.kind == EntryKind::kHandover ||
+                  it.kind == EntryKind::kHolders;
+         });
+}
+
 LaneEntry NotRunOutcome(const LaneEntry& intent) {
   auto out = intent;
   out.kind = EntryKind::kCallDone;
@@ -57,8 +82,14 @@
 }  // namespace
 
 struct LaneOwner::Pending {
+  enum class State {
+    kOpen,
+    kCommitted,
+    kRefused,    // It is in no block.
+    kWithdrawn,  // The holders have it: nothing may be dispatched.
+  };
   std::vector<LaneEntry> entries;
-  bool committed = false;
+  State state = State::kOpen;
   bool abandoned = false;
 };
 
@@ -67,13 +98,16 @@
                      EventLog& log,
                      const LaneSettings& settings,
                      WritePacer& pacer,
-                     int lane)
+                     int lane,
+                     HolderLinks* holders)
     : loop_(loop),
       log_(log),
       settings_(settings),
       pacer_(pacer),
       lane_(lane),
       journal_(kv, lane),
+      holders_(holders),
+      spool_(holders, journal_, lane),
       changed_(loop),
       confirm_(loop, kConfirmInterval) {}
 
@@ -85,15 +119,49 @@
           std::move(entries)};
 }
 
-void LaneOwner::Open(Fiber& fiber) {
+void LaneOwner::RecoverFromHolders(Fiber& fiber,
+                                   WithoutHolders without_holders) {
+  try {
+    const auto blocks =
+        spool_.Recover(fiber, state_, [this](const LaneBlock& block) {
+          state_.Apply(block);
+          block_bytes_ += static_cast<std::int64_t>(Encode(block).size());
+        });
+    if (blocks > 0) {
+      Uploaded(blocks);
+    }
+  } catch (const HoldersSealed& e) {
+    throw LaneLost(e.what());
+  } catch (const HoldersUnreachable& e) {
+    if (without_holders == WithoutHolders::kRefuse || !e.all_gone()) {
+      throw;
+    }
+    log_.Write({.name = "spool_abandoned",
+                .lane = lane_,
+                .epoch = epoch(),
+                .detail = e.what()});
+  }
+}
+
+void LaneOwner::Open(Fiber& fiber, WithoutHolders without_holders) {
   auto replay = journal_.Replay(fiber);
   state_ = std::move(replay.state);
   snapshot_block_ = replay.snapshot_block;
   snapshot_bytes_ = replay.snapshot_bytes;
   block_bytes_ = replay.block_bytes;
-  LaneEntry takeover;
-  takeover.kind = EntryKind::kTakeover;
-  const auto block = MakeBlock({takeover}, state_.epoch() + 1);
+  RecoverFromHolders(fiber, without_holders);
+  const auto former_holders = state_.holders();
+  std::vector<LaneEntry> entries(1);
+  entries.front().kind = EntryKind::kTakeover;
+  if (holders_ != nullptr) {
+    auto& named = entries.emplace_back();
+    named.kind = EntryKind::kHolders;
+    named.holders = holders_->Choose(lane_);
+    if (named.holders.empty()) {
+      entries.pop_back();
+    }
+  }
+  const auto block = MakeBlock(std::move(entries), state_.epoch() + 1);
   // One try: a lost answer is settled by the read in TryCommit, and when
   // the service is silent the next round starts from a fresh replay.
   if (!journal_.TryCommit(fiber, block)) {
@@ -101,6 +169,7 @@
   }
   state_.Apply(block);
   log_.Write({.name = "lane_taken", .lane = lane_, .epoch = epoch()});
+  ForgetAt(former_holders, block.number);
 }
 
 void LaneOwner::CheckSize(const std::vector<LaneEntry>& entries) const {
@@ -119,6 +188,10 @@
     throw LaneLost("lane " + std::to_string(lane_) + " is no longer owned");
   }
   CheckSize(entries);
+  if (!spool_.empty() && NeedsService(entries)) {
+    throw AppendTimeout("lane " + std::to_string(lane_) +
+                        ": the key-value service is out");
+  }
   // The service is known to be silent: whoever waits too would only be
   // refused later.
   if (in_doubt_ && HasIntent(entries)) {
@@ -146,15 +219,24 @@
 void LaneOwner::Wait(Fiber& fiber,
                      Pending& pending,
                      std::chrono::milliseconds timeout) {
-  changed_.WaitUntil(fiber, timeout,
-                     [this, &pending] { return pending.committed || lost_; });
-  if (pending.committed) {
+  changed_.WaitUntil(fiber, timeout, [this, &pending] {
+    return pending.state != Pending::State::kOpen || lost_;
+  });
+  if (pending.state == Pending::State::kCommitted) {
     return;
   }
+  if (pending.state == Pending::State::kRefused) {
+    throw AppendTimeout("lane " + std::to_string(lane_) +
+                        ": the key-value service is out");
+  }
   if (lost_) {
     throw LaneLost("lane " + std::to_string(lane_) + " was taken over");
   }
   pending.abandoned = true;
+  // A block that the holders have is not in doubt.
+  if (pending.state == Pending::State::kOpen && HasIntent(pending.entries)) {
+    in_doubt_ = true;
+  }
   Withdraw(pending.entries);
   throw AppendTimeout("lane " + std::to_string(lane_) + ": no commit in time");
 }
@@ -171,7 +253,6 @@
     }
   }
   if (!outcomes.empty()) {
-    in_doubt_ = true;
     Enqueue(std::move(outcomes));
   }
 }
@@ -182,6 +263,7 @@
   std::erase_if(pending_, [](const auto& it) {
     return it->abandoned && HasIntent(it->entries);
   });
+  RefuseWhileOut();
   Group out;
   std::size_t bytes = 0;
   while (!pending_.empty()) {
@@ -195,6 +277,29 @@
   return out;
 }
 
+void LaneOwner::RefuseWhileOut() {
+  if (spool_.empty()) {
+    return;
+  }
+  std::erase_if(pending_, [](const auto& it) {
+    if (!NeedsService(it->entries)) {
+      return false;
+    }
+    it->state = Pending::State::kRefused;
+    return true;
+  });
+  changed_.NotifyAll();
+}
+
+void LaneOwner::AwaitUploads(Fiber& fiber) {
+  if (service_answers_ && !spool_.empty()) {
+    changed_.WaitUntil(fiber, kUploadWait, [this] {
+      return lost_ || spool_.empty() || !service_answers_ ||
+             uploads_since_commit_ >= kUploadsForEachCommit;
+    });
+  }
+}
+
 void LaneOwner::CommitLoop(Fiber& fiber) {
   while (!lost_ && !pending_.empty()) {
     // What comes in during the wait goes into the same block.
@@ -202,6 +307,7 @@
     if (wait.count() > 0) {
       fiber.Sleep(wait);
     }
+    AwaitUploads(fiber);
     in_commit_ = TakeGroup();
     if (in_commit_.empty()) {
       break;
@@ -223,29 +329,130 @@
   // Once a block may have reached the service it is this block or none:
   // another with the same number could otherwise commit beside it.
   while (!lost_) {
-    try {
-      if (!journal_.TryCommit(fiber, block)) {
+    switch (TryCommit(fiber, block)) {
+      case CommitResult::kInService:
+        Committed(block, group);
+        return;
+      case CommitResult::kAtHolders:
+        WaitAtHolders(block, group);
+        return;
+      case CommitResult::kAnotherThere:
         Lose("another daemon's block " + std::to_string(block.number));
         return;
-      }
-      Committed(block, group);
-      return;
+      case CommitResult::kNoAnswer:
+        fiber.Sleep(Jittered(backoff, block.uid));
+        backoff = std::min(backoff * 2, kMostBackoff);
+    }
+  }
+}
+
+LaneOwner::CommitResult LaneOwner::TryCommit(Fiber& fiber,
+                                             const LaneBlock& block) {
+  // The service takes blocks in order: first those that wait.
+  if (spool_.empty()) {
+    try {
+      return journal_.TryCommit(fiber, block) ? CommitResult::kInService
+                                              : CommitResult::kAnotherThere;
     } catch (const KvUnavailable&) {
-      fiber.Sleep(Jittered(backoff, block.uid));
-      backoff = std::min(backoff * 2, kMostBackoff);
+      // The holders may have it meanwhile.
     }
   }
+  return spool_.Commit(fiber, state_.holders(), block)
+             ? CommitResult::kAtHolders
+             : CommitResult::kNoAnswer;
 }
 
-void LaneOwner::Committed(const LaneBlock& block, const Group& group) {
+void LaneOwner::ApplyOwn(const LaneBlock& block) {
   state_.Apply(block);
   block_bytes_ += static_cast<std::int64_t>(Encode(block).size());
   in_doubt_ = false;
   if (on_applied_) {
     on_applied_(*this, block);
   }
+}
+
+// Committed, but should this daemon and both holders be lost at once it would
+// be gone: what must not run twice is not dispatched on its strength.
+void LaneOwner::WaitAtHolders(const LaneBlock& block, const Group& group) {
+  ApplyOwn(block);
+  uploads_since_commit_ = 0;
   for (const auto& it : group) {
-    it->committed = true;
+    it->state = HasUnsafeIntent(it->entries) ? Pending::State::kWithdrawn
+                                             : Pending::State::kCommitted;
+  }
+  log_.Write({.name = "block_spooled",
+              .lane = lane_,
+              .epoch = epoch(),
+              .detail = "block " + std::to_string(block.number)});
+  changed_.NotifyAll();
+  if (!uploading_) {
+    uploading_ = true;
+    service_answers_ = false;
+    loop_.Spawn(
+        [self = shared_from_this()](Fiber& child) { self->UploadLoop(child); });
+  }
+}
+
+void LaneOwner::UploadLoop(Fiber& fiber) {
+  auto backoff = kFirstBackoff;
+  int blocks = 0;
+  while (!lost_ && !spool_.empty()) {
+    fiber.Sleep(pacer_.Reserve(std::chrono::steady_clock::now()));
+    try {
+      const auto number = spool_.first();
+      if (!spool_.UploadFirst(fiber)) {
+        Lose("another daemon's block " + std::to_string(number));
+        break;
+      }
+      ++blocks;
+      ++uploads_since_commit_;
+      service_answers_ = true;
+      backoff = kFirstBackoff;
+    } catch (const KvUnavailable&) {
+      service_answers_ = false;
+      fiber.Sleep(Jittered(backoff, log_.daemon() + std::to_string(lane_)));
+      backoff = std::min(backoff * 2, kMostBackoff);
+    }
+    changed_.NotifyAll();
+  }
+  uploading_ = false;
+  if (!lost_) {
+    Uploaded(blocks);
+    ForgetAt(state_.holders(), state_.last_block());
+  }
+}
+
+void LaneOwner::Uploaded(int blocks) {
+  log_.Write({.name = "spool_uploaded",
+              .lane = lane_,
+              .epoch = epoch(),
+              .detail = std::to_string(blocks) + " blocks"});
+}
+
+// Beside everything else: what a holder keeps too long does no harm.
+void LaneOwner::ForgetAt(const std::vector<SpoolHolder>& holders,
+                         std::int64_t number) {
+  if (holders_ == nullptr || holders.empty()) {
+    return;
+  }
+  spool_.Forgotten();
+  loop_.Spawn([self = shared_from_this(), holders, number](Fiber& child) {
+    for (int i = 0; i < kForgetTries && !self->lost_; ++i) {
+      if (self->spool_.Forget(child, holders, number)) {
+        return;
+      }
+      child.Sleep(kForgetInterval);
+    }
+  });
+}
+
+void LaneOwner::Committed(const LaneBlock& block, const Group& group) {
+  ApplyOwn(block);
+  if (spool_.to_forget()) {
+    ForgetAt(state_.holders(), block.number);
+  }
+  for (const auto& it : group) {
+    it->state = Pending::State::kCommitted;
   }
   if (state_.owner().empty()) {
     handed_over_ = true;
@@ -261,18 +468,81 @@
 }
 
 bool LaneOwner::ReadNextBlock(Fiber& fiber) {
-  const auto next = journal_.Read(fiber, state_.last_block() + 1);
+  auto number = spool_.empty() ? state_.last_block() + 1 : spool_.first();
+  while (!lost_) {
+    const auto next = journal_.Read(fiber, number);
+    LoseTo(next);
+    // Behind blocks of its own that it does not know to be there, another
+    // daemon's may follow.
+    if (!next || number > state_.last_block()) {
+      break;
+    }
+    ++number;
+  }
+  return !lost_;
+}
+
+void LaneOwner::LoseTo(const std::optional<LaneBlock>& next) {
   if (next && !lost_ &&
       (next->owner != log_.daemon() || next->epoch != epoch())) {
     Lose("another daemon's block " + std::to_string(next->number));
   }
-  return !lost_;
+}
+
+bool LaneOwner::HoldersAreThere() const {
+  const auto& named = state_.holders();
+  return named.size() == kHoldersOfLane &&
+         std::all_of(named.begin(), named.end(),
+                     [this](const auto& it) { return holders_->IsThere(it); });
+}
+
+void LaneOwner::ReviewHolders(TimePoint now) {
+  if (holders_ == nullptr || lost_ || naming_ || !spool_.empty()) {
+    return;
+  }
+  if (HoldersAreThere() || holders_->Choose(lane_).empty()) {
+    amiss_since_.reset();
+    return;
+  }
+  amiss_since_ = amiss_since_.value_or(now);
+  if (now - *amiss_since_ >= kHoldersGoneTime) {
+    amiss_since_.reset();
+    naming_ = true;
+    loop_.Spawn([self = shared_from_this()](Fiber& child) {
+      try {
+        self->NameHolders(child);
+      } catch (const std::runtime_error&) {
+        // The next review tries again.
+      }
+      self->naming_ = false;
+    });
+  }
+}
+
+void LaneOwner::NameHolders(Fiber& fiber) {
+  // In doubt, this block would keep every other waiting: it is begun only
+  // when the service has just answered.
+  if (!Confirm(fiber)) {
+    return;
+  }
+  LaneEntry entry;
+  entry.kind = EntryKind::kHolders;
+  entry.holders = holders_->Choose(lane_);
+  if (entry.holders.empty()) {
+    return;
+  }
+  auto former = state_.holders();
+  Append(fiber, {entry}, kNamingTimeout);
+  former.insert(former.end(), entry.holders.begin(), entry.holders.end());
+  if (spool_.empty()) {
+    ForgetAt(former, state_.last_block());
+  }
 }
 
 bool LaneOwner::snapshot_due() const {
   // A snapshot that is larger than the blocks it replaces would write more
   // than it saves: the bytes written at most double this way.
-  return !lost_ &&
+  return !lost_ && spool_.empty() &&
          state_.last_block() - snapshot_block_ >= settings_.snapshot_blocks &&
          block_bytes_ >= snapshot_bytes_;
 }
@@ -309,7 +579,8 @@
 }
 
 bool LaneOwner::Handover(Fiber& fiber, std::chrono::milliseconds timeout) {
-  if (lost_ || closing_) {
+  // While the service is out nobody could take the lane.
+  if (lost_ || closing_ || !spool_.empty()) {
     return handed_over_;
   }
   LaneEntry entry;
--- a/source/server/lane_owner.h
+++ b/source/server/lane_owner.h
@@ -5,6 +5,7 @@
 #include <deque>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <stdexcept>
 #include <string>
 #include <utility>
@@ -17,6 +18,7 @@
 #include "net/loop.h"
 #include "server/lane_journal.h"
 #include "server/lane_settings.h"
+#include "server/lane_spool.h"
 #include "server/shared_check.h"
 
 namespace comfreyfold {
@@ -28,7 +30,8 @@
   using std::runtime_error::runtime_error;
 };
 
-// An append was not known committed within its time.
+// An append was not known committed within its time, or must wait for the
+// key-value service.
 class AppendTimeout : public std::runtime_error {
  public:
   using std::runtime_error::runtime_error;
@@ -41,7 +44,9 @@
 };
 
 // One lane held by this daemon: replays the journal, takes the lane over,
-// and appends blocks of whatever entries wait (group commit).
+// and appends blocks of whatever entries wait (group commit). While the
+// service is out its holders keep the blocks, and no intent that must not run
+// twice is taken.
 class LaneOwner : public std::enable_shared_from_this<LaneOwner> {
  public:
   LaneOwner(Loop& loop,
@@ -49,12 +54,21 @@
             EventLog& log,
             const LaneSettings& settings,
             WritePacer& pacer,
-            int lane);
+            int lane,
+            HolderLinks* holders = nullptr);
   ~LaneOwner();
 
-  // Replays and appends the takeover. Throws LaneLost when another daemon
-  // was quicker and KvUnavailable when the service does not answer.
-  void Open(Fiber& fiber);
+  // What Open does when no holder of the lane can be reached.
+  enum class WithoutHolders { kRefuse, kTakeOver };
+
+  // Replays, puts into the service what the lane's holders have, and appends
+  // the takeover. Throws LaneLost when another daemon was quicker,
+  // KvUnavailable when the service does not answer, and HoldersUnreachable.
+  void Open(Fiber& fiber,
+            WithoutHolders without_holders = WithoutHolders::kRefuse);
+
+  // Names other holders when one has been gone for a while.
+  void ReviewHolders(TimePoint now);
 
   // Returns once `entries` are known committed and applied to the state.
   // Throws LaneLost, AppendTimeout or EntryTooLarge. After AppendTimeout an
@@ -98,6 +112,8 @@
   std::int64_t snapshot_block() const { return snapshot_block_; }
   int lane() const { return lane_; }
   bool lost() const { return lost_; }
+  // Blocks that only the holders have.
+  std::size_t waiting_blocks() const { return spool_.size(); }
   // Lost by this daemon's own will: what it runs it may still finish.
   bool handed_over() const { return handed_over_; }
   std::int64_t epoch() const { return state_.epoch(); }
@@ -110,9 +126,22 @@
   void Withdraw(const std::vector<LaneEntry>& entries);
   Group TakeGroup();
   void CommitGroup(Fiber& fiber, const Group& group);
+  enum class CommitResult { kInService, kAtHolders, kAnotherThere, kNoAnswer };
+  CommitResult TryCommit(Fiber& fiber, const LaneBlock& block);
   void Committed(const LaneBlock& block, const Group& group);
+  void WaitAtHolders(const LaneBlock& block, const Group& group);
+  void ApplyOwn(const LaneBlock& block);
+  void RefuseWhileOut();
+  void AwaitUploads(Fiber& fiber);
+  void UploadLoop(Fiber& fiber);
+  void Uploaded(int blocks);
+  void RecoverFromHolders(Fiber& fiber, WithoutHolders without_holders);
+  void ForgetAt(const std::vector<SpoolHolder>& holders, std::int64_t number);
+  void NameHolders(Fiber& fiber);
+  bool HoldersAreThere() const;
   LaneBlock MakeBlock(std::vector<LaneEntry> entries, std::int64_t epoch) const;
   bool ReadNextBlock(Fiber& fiber);
+  void LoseTo(const std::optional<LaneBlock>& next);
   void CheckSize(const std::vector<LaneEntry>& entries) const;
   void CommitLoop(Fiber& fiber);
   void Lose(const std::string& why);
@@ -123,6 +152,8 @@
   WritePacer& pacer_;
   int lane_;
   LaneJournal journal_;
+  HolderLinks* holders_;
+  LaneSpool spool_;
   LaneState state_;
   std::int64_t snapshot_block_ = 0;
   std::int64_t snapshot_bytes_ = 0;
@@ -133,6 +164,11 @@
   bool committing_ = false;
   // An intent was given up while the service was silent.
   bool in_doubt_ = false;
+  bool uploading_ = false;
+  bool service_answers_ = false;  // The last upload came through.
+  int uploads_since_commit_ = 0;  // Since the last block went to holders.
+  bool naming_ = false;           // New holders are being named.
+  std::optional<TimePoint> amiss_since_;  // Holders are missing.
   std::deque<std::shared_ptr<Pending>> pending_;
   Group in_commit_;  // In the block that is being written.
   Condition changed_;
--- a/source/server/lane_settings.h
+++ b/source/server/lane_settings.h
@@ -19,6 +19,9 @@
   // A non-idempotent call is not dispatched later than this after its
   // intent was sent off: its lane may have a new owner by then.
   std::chrono::milliseconds dispatch_window{3000};
+  // A lane whose holders have all left the fleet is taken over this long
+  // after, without the blocks that only they had.
+  std::chrono::milliseconds holder_patience{30000};
 };
 
 }  // namespace comfreyfold
--- a/source/server/operator_api.cc
+++ b/source/server/operator_api.cc
@@ -44,6 +44,7 @@
                          const ContractStore& contracts,
                          const BackendDirectory& backends,
                          const LaneManager& lanes,
+                         const PeerHolders& holders,
                          const BudgetLedger& budgets,
                          const KvClient& kv,
                          const EventLog& log,
@@ -52,6 +53,7 @@
       contracts_(contracts),
       backends_(backends),
       lanes_(lanes),
+      holders_(holders),
       budgets_(budgets),
       kv_(kv),
       log_(log),
@@ -78,6 +80,12 @@
                       const auto now = std::chrono::steady_clock::now();
                       return count(membership_.Eligible(now).size()) - 1;
                     });
+  metrics_.AddGauge("comfreyfold_spool_held",
+                    "Blocks of other daemons' lanes on the disk here",
+                    [=, this] { return count(holders_.held()); });
+  metrics_.AddGauge("comfreyfold_spool_waiting",
+                    "Blocks of lanes owned here that the service lacks",
+                    [=, this] { return count(lanes_.waiting_blocks()); });
   metrics_.AddGauge("comfreyfold_backends", "Backend servers known",
                     [=, this] { return count(backends_.all().size()); });
   metrics_.AddGauge("comfreyfold_budget_writes", "Writes to the budget records",
@@ -128,10 +136,15 @@
   const auto& self = membership_.self();
   json lanes = json::array();
   for (const auto& [lane, owner] : lanes_.owned()) {
+    json holders = json::array();
+    for (const auto& it : owner->state().holders()) {
+      holders.push_back(it.daemon);
+    }
     lanes.push_back({{"lane", lane},
                      {"epoch", owner->epoch()},
                      {"blocks", owner->state().last_block()},
                      {"snapshot", owner->snapshot_block()},
+                     {"holders", std::move(holders)},
                      {"programs", owner->state().programs().size()}});
   }
   json peers = json::array();
@@ -147,16 +160,19 @@
   for (const auto& [id, backend] : backends_.all()) {
     backends.push_back(ToJson(backend));
   }
-  return json{{"daemon", self.daemon},
-              {"address", self.address},
-              {"data_centre", self.data_centre},
-              {"ready", ready()},
-              {"draining", self.draining},
-              {"contracts_revision", contracts_.revision()},
-              {"key_value_calls", kv_.calls()},
-              {"lanes", lanes},
-              {"peers", peers},
-              {"backends", backends}}
+  return json{
+      {"daemon", self.daemon},
+      {"address", self.address},
+      {"data_centre", self.data_centre},
+      {"ready", ready()},
+      {"draining", self.draining},
+      {"contracts_revision", contracts_.revision()},
+      {"key_value_calls", kv_.calls()},
+      {"lanes", lanes},
+      {"spool",
+       {{"held", holders_.held()}, {"waiting", lanes_.waiting_blocks()}}},
+      {"peers", peers},
+      {"backends", backends}}
       .dump();
 }
 
--- a/source/server/operator_api.h
+++ b/source/server/operator_api.h
@@ -13,6 +13,7 @@
 #include "server/contract_store.h"
 #include "server/lane_manager.h"
 #include "server/metrics.h"
+#include "server/peer_holders.h"
 
 namespace comfreyfold {
 
@@ -24,6 +25,7 @@
               const ContractStore& contracts,
               const BackendDirectory& backends,
               const LaneManager& lanes,
+              const PeerHolders& holders,
               const BudgetLedger& budgets,
               const KvClient& kv,
               const EventLog& log,
@@ -44,6 +46,7 @@
   const ContractStore& contracts_;
   const BackendDirectory& backends_;
   const LaneManager& lanes_;
+  const PeerHolders& holders_;
   const BudgetLedger& budgets_;
   const KvClient& kv_;
   const EventLog& log_;
--- a/source/server/peer_links.cc
+++ b/source/server/peer_links.cc
@@ -10,7 +10,6 @@
 namespace comfreyfold {
 
 namespace {
-constexpr char kMemberPrefix[] = "members/";
 constexpr std::chrono::milliseconds kMembersInterval{2000};
 constexpr std::chrono::milliseconds kMembersIntervalOfLargeFleet{30000};
 constexpr std::chrono::milliseconds kRegisterRetry{500};
--- a/source/server/peer_protocol.h
+++ b/source/server/peer_protocol.h
@@ -12,7 +12,14 @@
 inline constexpr char kOutcomePath[] = "/peer/outcome";      // LaneBlock.
 inline constexpr char kHeartbeatPath[] = "/peer/heartbeat";  // Heartbeat.
 inline constexpr char kContractsPath[] = "/peer/contracts";  // ContractSet.
-inline constexpr char kGrantUsePath[] = "/peer/grant-use";   // GrantQuestion.
+// SpoolRequest, answered by SpoolAnswer.
+inline constexpr char kSpoolStorePath[] = "/peer/spool/store";
+inline constexpr char kSpoolSealPath[] = "/peer/spool/seal";
+inline constexpr char kSpoolForgetPath[] = "/peer/spool/forget";
+inline constexpr char kGrantUsePath[] = "/peer/grant-use";  // GrantQuestion.
+
+// Key, in the key-value service, of a daemon on the list of members.
+inline constexpr char kMemberPrefix[] = "members/";
 
 // HTTP status of a daemon that does not own the lane: nothing was run.
 inline constexpr int kMisdirected = 421;
--- a/source/server/settings.cc
+++ b/source/server/settings.cc
@@ -110,6 +110,8 @@
               milliseconds(100), minutes(1));
   reader.Take("lanes", "dispatch_window", out.lane.dispatch_window,
               milliseconds(100), minutes(1));
+  reader.Take("lanes", "holder_patience", out.lane.holder_patience, seconds(1),
+              hours(24));
   reader.Take("members", "heartbeat_interval", out.peers.interval,
               milliseconds(10), seconds(10));
   reader.Take("members", "heartbeat_timeout", out.heartbeat_timeout,
--- a/source/wire/codec.cc
+++ b/source/wire/codec.cc
@@ -14,6 +14,13 @@
 constexpr std::size_t kLengthBytes = 4;
 constexpr std::size_t kLongestFrame = 64 * 1024 * 1024;
 
+wire::SpoolHolder ToWire(const SpoolHolder& holder) {
+  wire::SpoolHolder out;
+  out.daemon = holder.daemon;
+  out.spool = holder.spool;
+  return out;
+}
+
 wire::LaneEntry ToWire(const LaneEntry& entry) {
   wire::LaneEntry out;
   out.kind = static_cast<int>(entry.kind);
@@ -33,6 +40,9 @@
   out.tokens = entry.tokens;
   out.begun_at_ms = entry.begun_at.count();
   out.grant = entry.grant;
+  for (const auto& it : entry.holders) {
+    out.holders.push_back(ToWire(it));
+  }
   return out;
 }
 
@@ -55,6 +65,9 @@
   out.tokens = entry.tokens;
   out.begun_at = std::chrono::milliseconds(entry.begun_at_ms);
   out.grant = entry.grant;
+  for (const auto& it : entry.holders) {
+    out.holders.push_back({it.daemon, it.spool});
+  }
   return out;
 }
 
@@ -79,7 +92,7 @@
   }
   out.contracts_revision = heartbeat.contracts_revision;
   out.clock = heartbeat.clock;
-  out.has_data_folder = heartbeat.has_data_folder;
+  out.spool = heartbeat.spool;
   out.incarnation = heartbeat.incarnation;
   return out;
 }
@@ -95,7 +108,7 @@
   }
   out.contracts_revision = heartbeat.contracts_revision;
   out.clock = heartbeat.clock;
-  out.has_data_folder = heartbeat.has_data_folder;
+  out.spool = heartbeat.spool;
   out.incarnation = heartbeat.incarnation;
   return out;
 }
@@ -187,6 +200,33 @@
   return out;
 }
 
+std::string Encode(const SpoolRequest& request) {
+  wire::SpoolRequest out;
+  out.spool = request.spool;
+  out.lane = request.lane;
+  out.epoch = request.epoch;
+  out.number = request.number;
+  out.block = request.block;
+  return Write(out);
+}
+
+SpoolRequest DecodeSpoolRequest(const std::string& buf) {
+  const auto in = Read<wire::SpoolRequest>(buf);
+  return {in.spool, in.lane, in.epoch, in.number, in.block};
+}
+
+std::string Encode(const SpoolAnswer& answer) {
+  wire::SpoolAnswer out;
+  out.status = static_cast<int>(answer.status);
+  out.blocks = answer.blocks;
+  return Write(out);
+}
+
+SpoolAnswer DecodeSpoolAnswer(const std::string& buf) {
+  const auto in = Read<wire::SpoolAnswer>(buf);
+  return {ToEnum(in.status, kLastSpoolStatus), in.blocks};
+}
+
 std::string Encode(const ForwardedCall& call) {
   wire::ForwardedCall out;
   out.customer = call.customer;
--- a/source/wire/codec.h
+++ b/source/wire/codec.h
@@ -13,6 +13,7 @@
 #include "core/grant_use.h"
 #include "core/heartbeat.h"
 #include "core/lane_entry.h"
+#include "wire/spool_messages.h"
 
 namespace comfreyfold {
 
@@ -75,6 +76,8 @@
 std::string Encode(const ContractSet& contracts);
 std::string Encode(const GrantQuestion& question);
 std::string Encode(const GrantAnswer& answer);
+std::string Encode(const SpoolRequest& request);
+std::string Encode(const SpoolAnswer& answer);
 LaneBlock DecodeLaneBlock(const std::string& buf);
 ForwardedCall DecodeForwardedCall(const std::string& buf);
 AnswerFrame DecodeAnswerFrame(const std::string& buf);
@@ -82,6 +85,8 @@
 ContractSet DecodeContractSet(const std::string& buf);
 GrantQuestion DecodeGrantQuestion(const std::string& buf);
 GrantAnswer DecodeGrantAnswer(const std::string& buf);
+SpoolRequest DecodeSpoolRequest(const std::string& buf);
+SpoolAnswer DecodeSpoolAnswer(const std::string& buf);
 
 // Splits a stream of frames, each after its length in four bytes.
 class FrameReader {
--- a/source/wire/comfreyfold.thrift
+++ b/source/wire/comfreyfold.thrift
@@ -2,6 +2,11 @@
 // journal. Fields are only ever added, never renumbered.
 namespace cpp comfreyfold.wire
 
+struct SpoolHolder {
+  1: string daemon,
+  2: string spool,
+}
+
 struct LaneEntry {
   1: i32 kind,
   2: string customer,
@@ -20,6 +25,7 @@
   15: i64 tokens,
   40: i64 begun_at_ms,
   41: string grant,
+  42: list<SpoolHolder> holders,
 }
 
 struct GrantName {
@@ -93,6 +99,7 @@
   3: string owner,
   4: list<ProgramState> programs,
   5: list<GrantTotal> grants,
+  6: list<SpoolHolder> holders,
 }
 
 // Names the newest whole snapshot of a lane.
@@ -153,8 +160,9 @@
   5: list<OwnedLane> lanes,
   6: i64 contracts_revision,
   7: i64 clock,
-  8: bool has_data_folder,
+  // 8 was has_data_folder.
   9: i64 incarnation,
+  10: string spool,
 }
 
 struct DeadMember {
@@ -167,3 +175,18 @@
   2: list<Heartbeat> news,
   3: list<DeadMember> dead,
 }
+
+// Asks of a lane's holder: to keep a block, to be sealed and give the blocks
+// after `number`, or to forget those up to `number`.
+struct SpoolRequest {
+  1: string spool,
+  2: i32 lane,
+  3: i64 epoch,
+  4: i64 number,
+  5: binary block,
+}
+
+struct SpoolAnswer {
+  1: i32 status,
+  2: list<binary> blocks,
+}
--- a/source/wire/gen/comfreyfold_types.cpp
+++ b/source/wire/gen/comfreyfold_types.cpp
@@ -14,6 +14,118 @@
 namespace comfreyfold { namespace wire {
 
 
+SpoolHolder::~SpoolHolder() noexcept {
+}
+
+
+void SpoolHolder::__set_daemon(const std::string& val) {
+  this->daemon = val;
+}
+
+void SpoolHolder::__set_spool(const std::string& val) {
+  this->spool = val;
+}
+std::ostream& operator<<(std::ostream& out, const SpoolHolder& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t SpoolHolder::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->daemon);
+          this->__isset.daemon = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->spool);
+          this->__isset.spool = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t SpoolHolder::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("SpoolHolder");
+
+  xfer += oprot->writeFieldBegin("daemon", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->daemon);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("spool", ::apache::thrift::protocol::T_STRING, 2);
+  xfer += oprot->writeString(this->spool);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(SpoolHolder &a, SpoolHolder &b) {
+  using ::std::swap;
+  swap(a.daemon, b.daemon);
+  swap(a.spool, b.spool);
+  swap(a.__isset, b.__isset);
+}
+
+SpoolHolder::SpoolHolder(const SpoolHolder& other137) {
+  daemon = other137.daemon;
+  spool = other137.spool;
+  __isset = other137.__isset;
+}
+SpoolHolder& SpoolHolder::operator=(const SpoolHolder& other138) {
+  daemon = other138.daemon;
+  spool = other138.spool;
+  __isset = other138.__isset;
+  return *this;
+}
+void SpoolHolder::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "SpoolHolder(";
+  out << "daemon=" << to_string(daemon);
+  out << ", " << "spool=" << to_string(spool);
+  out << ")";
+}
+
+
 LaneEntry::~LaneEntry() noexcept {
 }
 
@@ -85,6 +197,10 @@
 void LaneEntry::__set_grant(const std::string& val) {
   this->grant = val;
 }
+
+void LaneEntry::__set_holders(const std::vector<SpoolHolder> & val) {
+  this->holders = val;
+}
 std::ostream& operator<<(std::ostream& out, const LaneEntry& obj)
 {
   obj.printTo(out);
@@ -249,6 +365,26 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 42:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->holders.clear();
+            uint32_t _size101;
+            ::apache::thrift::protocol::TType _etype104;
+            xfer += iprot->readListBegin(_etype104, _size101);
+            this->holders.resize(_size101);
+            uint32_t _i105;
+            for (_i105 = 0; _i105 < _size101; ++_i105)
+            {
+              xfer += this->holders[_i105].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.holders = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -334,6 +470,18 @@
   xfer += oprot->writeString(this->grant);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("holders", ::apache::thrift::protocol::T_LIST, 42);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->holders.size()));
+    std::vector<SpoolHolder> ::const_iterator _iter106;
+    for (_iter106 = this->holders.begin(); _iter106 != this->holders.end(); ++_iter106)
+    {
+      xfer += (*_iter106).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -358,48 +506,51 @@
   swap(a.tokens, b.tokens);
   swap(a.begun_at_ms, b.begun_at_ms);
   swap(a.grant, b.grant);
+  swap(a.holders, b.holders);
   swap(a.__isset, b.__isset);
 }
 
-LaneEntry::LaneEntry(const LaneEntry& other0) {
-  kind = other0.kind;
-  customer = other0.customer;
-  program = other0.program;
-  key = other0.key;
-  call = other0.call;
-  call_kind = other0.call_kind;
-  target = other0.target;
-  backend = other0.backend;
-  idempotent = other0.idempotent;
-  request = other0.request;
-  request_digest = other0.request_digest;
-  verdict = other0.verdict;
-  status = other0.status;
-  answer = other0.answer;
-  tokens = other0.tokens;
-  begun_at_ms = other0.begun_at_ms;
-  grant = other0.grant;
-  __isset = other0.__isset;
-}
-LaneEntry& LaneEntry::operator=(const LaneEntry& other1) {
-  kind = other1.kind;
-  customer = other1.customer;
-  program = other1.program;
-  key = other1.key;
-  call = other1.call;
-  call_kind = other1.call_kind;
-  target = other1.target;
-  backend = other1.backend;
-  idempotent = other1.idempotent;
-  request = other1.request;
-  request_digest = other1.request_digest;
-  verdict = other1.verdict;
-  status = other1.status;
-  answer = other1.answer;
-  tokens = other1.tokens;
-  begun_at_ms = other1.begun_at_ms;
-  grant = other1.grant;
-  __isset = other1.__isset;
+LaneEntry::LaneEntry(const LaneEntry& other107) {
+  kind = other107.kind;
+  customer = other107.customer;
+  program = other107.program;
+  key = other107.key;
+  call = other107.call;
+  call_kind = other107.call_kind;
+  target = other107.target;
+  backend = other107.backend;
+  idempotent = other107.idempotent;
+  request = other107.request;
+  request_digest = other107.request_digest;
+  verdict = other107.verdict;
+  status = other107.status;
+  answer = other107.answer;
+  tokens = other107.tokens;
+  begun_at_ms = other107.begun_at_ms;
+  grant = other107.grant;
+  holders = other107.holders;
+  __isset = other107.__isset;
+}
+LaneEntry& LaneEntry::operator=(const LaneEntry& other108) {
+  kind = other108.kind;
+  customer = other108.customer;
+  program = other108.program;
+  key = other108.key;
+  call = other108.call;
+  call_kind = other108.call_kind;
+  target = other108.target;
+  backend = other108.backend;
+  idempotent = other108.idempotent;
+  request = other108.request;
+  request_digest = other108.request_digest;
+  verdict = other108.verdict;
+  status = other108.status;
+  answer = other108.answer;
+  tokens = other108.tokens;
+  begun_at_ms = other108.begun_at_ms;
+  grant = other108.grant;
+  holders = other108.holders;
+  __isset = other108.__isset;
   return *this;
 }
 void LaneEntry::printTo(std::ostream& out) const {
@@ -422,6 +573,7 @@
   out << ", " << "tokens=" << to_string(tokens);
   out << ", " << "begun_at_ms=" << to_string(begun_at_ms);
   out << ", " << "grant=" << to_string(grant);
+  out << ", " << "holders=" << to_string(holders);
   out << ")";
 }
 
@@ -1967,6 +2119,10 @@
 void LaneSnapshot::__set_grants(const std::vector<GrantTotal> & val) {
   this->grants = val;
 }
+
+void LaneSnapshot::__set_holders(const std::vector<SpoolHolder> & val) {
+  this->holders = val;
+}
 std::ostream& operator<<(std::ostream& out, const LaneSnapshot& obj)
 {
   obj.printTo(out);
@@ -2023,14 +2179,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->programs.clear();
-            uint32_t _size62;
-            ::apache::thrift::protocol::TType _etype65;
-            xfer += iprot->readListBegin(_etype65, _size62);
-            this->programs.resize(_size62);
-            uint32_t _i66;
-            for (_i66 = 0; _i66 < _size62; ++_i66)
+            uint32_t _size109;
+            ::apache::thrift::protocol::TType _etype112;
+            xfer += iprot->readListBegin(_etype112, _size109);
+            this->programs.resize(_size109);
+            uint32_t _i113;
+            for (_i113 = 0; _i113 < _size109; ++_i113)
             {
-              xfer += this->programs[_i66].read(iprot);
+              xfer += this->programs[_i113].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -2043,14 +2199,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->grants.clear();
-            uint32_t _size67;
-            ::apache::thrift::protocol::TType _etype70;
-            xfer += iprot->readListBegin(_etype70, _size67);
-            this->grants.resize(_size67);
-            uint32_t _i71;
-            for (_i71 = 0; _i71 < _size67; ++_i71)
+            uint32_t _size114;
+            ::apache::thrift::protocol::TType _etype117;
+            xfer += iprot->readListBegin(_etype117, _size114);
+            this->grants.resize(_size114);
+            uint32_t _i118;
+            for (_i118 = 0; _i118 < _size114; ++_i118)
             {
-              xfer += this->grants[_i71].read(iprot);
+              xfer += this->grants[_i118].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -2059,6 +2215,26 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->holders.clear();
+            uint32_t _size119;
+            ::apache::thrift::protocol::TType _etype122;
+            xfer += iprot->readListBegin(_etype122, _size119);
+            this->holders.resize(_size119);
+            uint32_t _i123;
+            for (_i123 = 0; _i123 < _size119; ++_i123)
+            {
+              xfer += this->holders[_i123].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.holders = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -2091,10 +2267,10 @@
   xfer += oprot->writeFieldBegin("programs", ::apache::thrift::protocol::T_LIST, 4);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->programs.size()));
-    std::vector<ProgramState> ::const_iterator _iter72;
-    for (_iter72 = this->programs.begin(); _iter72 != this->programs.end(); ++_iter72)
+    std::vector<ProgramState> ::const_iterator _iter124;
+    for (_iter124 = this->programs.begin(); _iter124 != this->programs.end(); ++_iter124)
     {
-      xfer += (*_iter72).write(oprot);
+      xfer += (*_iter124).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -2103,10 +2279,22 @@
   xfer += oprot->writeFieldBegin("grants", ::apache::thrift::protocol::T_LIST, 5);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->grants.size()));
-    std::vector<GrantTotal> ::const_iterator _iter73;
-    for (_iter73 = this->grants.begin(); _iter73 != this->grants.end(); ++_iter73)
+    std::vector<GrantTotal> ::const_iterator _iter125;
+    for (_iter125 = this->grants.begin(); _iter125 != this->grants.end(); ++_iter125)
     {
-      xfer += (*_iter73).write(oprot);
+      xfer += (*_iter125).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("holders", ::apache::thrift::protocol::T_LIST, 6);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->holders.size()));
+    std::vector<SpoolHolder> ::const_iterator _iter126;
+    for (_iter126 = this->holders.begin(); _iter126 != this->holders.end(); ++_iter126)
+    {
+      xfer += (*_iter126).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -2124,24 +2312,27 @@
   swap(a.owner, b.owner);
   swap(a.programs, b.programs);
   swap(a.grants, b.grants);
+  swap(a.holders, b.holders);
   swap(a.__isset, b.__isset);
 }
 
-LaneSnapshot::LaneSnapshot(const LaneSnapshot& other74) {
-  last_block = other74.last_block;
-  epoch = other74.epoch;
-  owner = other74.owner;
-  programs = other74.programs;
-  grants = other74.grants;
-  __isset = other74.__isset;
-}
-LaneSnapshot& LaneSnapshot::operator=(const LaneSnapshot& other75) {
-  last_block = other75.last_block;
-  epoch = other75.epoch;
-  owner = other75.owner;
-  programs = other75.programs;
-  grants = other75.grants;
-  __isset = other75.__isset;
+LaneSnapshot::LaneSnapshot(const LaneSnapshot& other127) {
+  last_block = other127.last_block;
+  epoch = other127.epoch;
+  owner = other127.owner;
+  programs = other127.programs;
+  grants = other127.grants;
+  holders = other127.holders;
+  __isset = other127.__isset;
+}
+LaneSnapshot& LaneSnapshot::operator=(const LaneSnapshot& other128) {
+  last_block = other128.last_block;
+  epoch = other128.epoch;
+  owner = other128.owner;
+  programs = other128.programs;
+  grants = other128.grants;
+  holders = other128.holders;
+  __isset = other128.__isset;
   return *this;
 }
 void LaneSnapshot::printTo(std::ostream& out) const {
@@ -2152,6 +2343,7 @@
   out << ", " << "owner=" << to_string(owner);
   out << ", " << "programs=" << to_string(programs);
   out << ", " << "grants=" << to_string(grants);
+  out << ", " << "holders=" << to_string(holders);
   out << ")";
 }
 
@@ -3260,13 +3452,13 @@
   this->clock = val;
 }
 
-void Heartbeat::__set_has_data_folder(const bool val) {
-  this->has_data_folder = val;
-}
-
 void Heartbeat::__set_incarnation(const int64_t val) {
   this->incarnation = val;
 }
+
+void Heartbeat::__set_spool(const std::string& val) {
+  this->spool = val;
+}
 std::ostream& operator<<(std::ostream& out, const Heartbeat& obj)
 {
   obj.printTo(out);
@@ -3331,14 +3523,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->lanes.clear();
-            uint32_t _size94;
-            ::apache::thrift::protocol::TType _etype97;
-            xfer += iprot->readListBegin(_etype97, _size94);
-            this->lanes.resize(_size94);
-            uint32_t _i98;
-            for (_i98 = 0; _i98 < _size94; ++_i98)
+            uint32_t _size129;
+            ::apache::thrift::protocol::TType _etype132;
+            xfer += iprot->readListBegin(_etype132, _size129);
+            this->lanes.resize(_size129);
+            uint32_t _i133;
+            for (_i133 = 0; _i133 < _size129; ++_i133)
             {
-              xfer += this->lanes[_i98].read(iprot);
+              xfer += this->lanes[_i133].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -3363,14 +3555,6 @@
           xfer += iprot->skip(ftype);
         }
         break;
-      case 8:
-        if (ftype == ::apache::thrift::protocol::T_BOOL) {
-          xfer += iprot->readBool(this->has_data_folder);
-          this->__isset.has_data_folder = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
       case 9:
         if (ftype == ::apache::thrift::protocol::T_I64) {
           xfer += iprot->readI64(this->incarnation);
@@ -3379,6 +3563,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 10:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->spool);
+          this->__isset.spool = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -3415,10 +3607,10 @@
   xfer += oprot->writeFieldBegin("lanes", ::apache::thrift::protocol::T_LIST, 5);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->lanes.size()));
-    std::vector<OwnedLane> ::const_iterator _iter99;
-    for (_iter99 = this->lanes.begin(); _iter99 != this->lanes.end(); ++_iter99)
+    std::vector<OwnedLane> ::const_iterator _iter134;
+    for (_iter134 = this->lanes.begin(); _iter134 != this->lanes.end(); ++_iter134)
     {
-      xfer += (*_iter99).write(oprot);
+      xfer += (*_iter134).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -3432,14 +3624,14 @@
   xfer += oprot->writeI64(this->clock);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("has_data_folder", ::apache::thrift::protocol::T_BOOL, 8);
-  xfer += oprot->writeBool(this->has_data_folder);
-  xfer += oprot->writeFieldEnd();
-
   xfer += oprot->writeFieldBegin("incarnation", ::apache::thrift::protocol::T_I64, 9);
   xfer += oprot->writeI64(this->incarnation);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("spool", ::apache::thrift::protocol::T_STRING, 10);
+  xfer += oprot->writeString(this->spool);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -3454,34 +3646,34 @@
   swap(a.lanes, b.lanes);
   swap(a.contracts_revision, b.contracts_revision);
   swap(a.clock, b.clock);
-  swap(a.has_data_folder, b.has_data_folder);
   swap(a.incarnation, b.incarnation);
+  swap(a.spool, b.spool);
   swap(a.__isset, b.__isset);
 }
 
-Heartbeat::Heartbeat(const Heartbeat& other100) {
-  daemon = other100.daemon;
-  address = other100.address;
-  data_centre = other100.data_centre;
-  draining = other100.draining;
-  lanes = other100.lanes;
-  contracts_revision = other100.contracts_revision;
-  clock = other100.clock;
-  has_data_folder = other100.has_data_folder;
-  incarnation = other100.incarnation;
-  __isset = other100.__isset;
-}
-Heartbeat& Heartbeat::operator=(const Heartbeat& other101) {
-  daemon = other101.daemon;
-  address = other101.address;
-  data_centre = other101.data_centre;
-  draining = other101.draining;
-  lanes = other101.lanes;
-  contracts_revision = other101.contracts_revision;
-  clock = other101.clock;
-  has_data_folder = other101.has_data_folder;
-  incarnation = other101.incarnation;
-  __isset = other101.__isset;
+Heartbeat::Heartbeat(const Heartbeat& other135) {
+  daemon = other135.daemon;
+  address = other135.address;
+  data_centre = other135.data_centre;
+  draining = other135.draining;
+  lanes = other135.lanes;
+  contracts_revision = other135.contracts_revision;
+  clock = other135.clock;
+  incarnation = other135.incarnation;
+  spool = other135.spool;
+  __isset = other135.__isset;
+}
+Heartbeat& Heartbeat::operator=(const Heartbeat& other136) {
+  daemon = other136.daemon;
+  address = other136.address;
+  data_centre = other136.data_centre;
+  draining = other136.draining;
+  lanes = other136.lanes;
+  contracts_revision = other136.contracts_revision;
+  clock = other136.clock;
+  incarnation = other136.incarnation;
+  spool = other136.spool;
+  __isset = other136.__isset;
   return *this;
 }
 void Heartbeat::printTo(std::ostream& out) const {
@@ -3494,8 +3686,8 @@
   out << ", " << "lanes=" << to_string(lanes);
   out << ", " << "contracts_revision=" << to_string(contracts_revision);
   out << ", " << "clock=" << to_string(clock);
-  out << ", " << "has_data_folder=" << to_string(has_data_folder);
   out << ", " << "incarnation=" << to_string(incarnation);
+  out << ", " << "spool=" << to_string(spool);
   out << ")";
 }
 
@@ -3783,4 +3975,308 @@
   out << ")";
 }
 
+
+SpoolRequest::~SpoolRequest() noexcept {
+}
+
+
+void SpoolRequest::__set_spool(const std::string& val) {
+  this->spool = val;
+}
+
+void SpoolRequest::__set_lane(const int32_t val) {
+  this->lane = val;
+}
+
+void SpoolRequest::__set_epoch(const int64_t val) {
+  this->epoch = val;
+}
+
+void SpoolRequest::__set_number(const int64_t val) {
+  this->number = val;
+}
+
+void SpoolRequest::__set_block(const std::string& val) {
+  this->block = val;
+}
+std::ostream& operator<<(std::ostream& out, const SpoolRequest& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t SpoolRequest::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->spool);
+          this->__isset.spool = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->lane);
+          this->__isset.lane = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->epoch);
+          this->__isset.epoch = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->number);
+          this->__isset.number = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readBinary(this->block);
+          this->__isset.block = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t SpoolRequest::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("SpoolRequest");
+
+  xfer += oprot->writeFieldBegin("spool", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->spool);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("lane", ::apache::thrift::protocol::T_I32, 2);
+  xfer += oprot->writeI32(this->lane);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("epoch", ::apache::thrift::protocol::T_I64, 3);
+  xfer += oprot->writeI64(this->epoch);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("number", ::apache::thrift::protocol::T_I64, 4);
+  xfer += oprot->writeI64(this->number);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("block", ::apache::thrift::protocol::T_STRING, 5);
+  xfer += oprot->writeBinary(this->block);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(SpoolRequest &a, SpoolRequest &b) {
+  using ::std::swap;
+  swap(a.spool, b.spool);
+  swap(a.lane, b.lane);
+  swap(a.epoch, b.epoch);
+  swap(a.number, b.number);
+  swap(a.block, b.block);
+  swap(a.__isset, b.__isset);
+}
+
+SpoolRequest::SpoolRequest(const SpoolRequest& other139) {
+  spool = other139.spool;
+  lane = other139.lane;
+  epoch = other139.epoch;
+  number = other139.number;
+  block = other139.block;
+  __isset = other139.__isset;
+}
+SpoolRequest& SpoolRequest::operator=(const SpoolRequest& other140) {
+  spool = other140.spool;
+  lane = other140.lane;
+  epoch = other140.epoch;
+  number = other140.number;
+  block = other140.block;
+  __isset = other140.__isset;
+  return *this;
+}
+void SpoolRequest::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "SpoolRequest(";
+  out << "spool=" << to_string(spool);
+  out << ", " << "lane=" << to_string(lane);
+  out << ", " << "epoch=" << to_string(epoch);
+  out << ", " << "number=" << to_string(number);
+  out << ", " << "block=" << to_string(block);
+  out << ")";
+}
+
+
+SpoolAnswer::~SpoolAnswer() noexcept {
+}
+
+
+void SpoolAnswer::__set_status(const int32_t val) {
+  this->status = val;
+}
+
+void SpoolAnswer::__set_blocks(const std::vector<std::string> & val) {
+  this->blocks = val;
+}
+std::ostream& operator<<(std::ostream& out, const SpoolAnswer& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t SpoolAnswer::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->status);
+          this->__isset.status = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->blocks.clear();
+            uint32_t _size141;
+            ::apache::thrift::protocol::TType _etype144;
+            xfer += iprot->readListBegin(_etype144, _size141);
+            this->blocks.resize(_size141);
+            uint32_t _i145;
+            for (_i145 = 0; _i145 < _size141; ++_i145)
+            {
+              xfer += iprot->readBinary(this->blocks[_i145]);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.blocks = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t SpoolAnswer::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("SpoolAnswer");
+
+  xfer += oprot->writeFieldBegin("status", ::apache::thrift::protocol::T_I32, 1);
+  xfer += oprot->writeI32(this->status);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("blocks", ::apache::thrift::protocol::T_LIST, 2);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->blocks.size()));
+    std::vector<std::string> ::const_iterator _iter146;
+    for (_iter146 = this->blocks.begin(); _iter146 != this->blocks.end(); ++_iter146)
+    {
+      xfer += oprot->writeBinary((*_iter146));
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(SpoolAnswer &a, SpoolAnswer &b) {
+  using ::std::swap;
+  swap(a.status, b.status);
+  swap(a.blocks, b.blocks);
+  swap(a.__isset, b.__isset);
+}
+
+SpoolAnswer::SpoolAnswer(const SpoolAnswer& other147) {
+  status = other147.status;
+  blocks = other147.blocks;
+  __isset = other147.__isset;
+}
+SpoolAnswer& SpoolAnswer::operator=(const SpoolAnswer& other148) {
+  status = other148.status;
+  blocks = other148.blocks;
+  __isset = other148.__isset;
+  return *this;
+}
+void SpoolAnswer::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "SpoolAnswer(";
+  out << "status=" << to_string(status);
+  out << ", " << "blocks=" << to_string(blocks);
+  out << ")";
+}
+
 }} // namespace
--- a/source/wire/gen/comfreyfold_types.h
+++ b/source/wire/gen/comfreyfold_types.h
@@ -21,6 +21,8 @@
 
 namespace comfreyfold { namespace wire {
 
+class SpoolHolder;
+
 class LaneEntry;
 
 class GrantName;
@@ -59,8 +61,62 @@
 
 class MemberMessage;
 
+class SpoolRequest;
+
+class SpoolAnswer;
+
+typedef struct _SpoolHolder__isset {
+  _SpoolHolder__isset() : daemon(false), spool(false) {}
+  bool daemon :1;
+  bool spool :1;
+} _SpoolHolder__isset;
+
+class SpoolHolder : public virtual ::apache::thrift::TBase {
+ public:
+
+  SpoolHolder(const SpoolHolder&);
+  SpoolHolder& operator=(const SpoolHolder&);
+  SpoolHolder() noexcept
+              : daemon(),
+                spool() {
+  }
+
+  virtual ~SpoolHolder() noexcept;
+  std::string daemon;
+  std::string spool;
+
+  _SpoolHolder__isset __isset;
+
+  void __set_daemon(const std::string& val);
+
+  void __set_spool(const std::string& val);
+
+  bool operator == (const SpoolHolder & rhs) const
+  {
+    if (!(daemon == rhs.daemon))
+      return false;
+    if (!(spool == rhs.spool))
+      return false;
+    return true;
+  }
+  bool operator != (const SpoolHolder &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const SpoolHolder & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(SpoolHolder &a, SpoolHolder &b);
+
+std::ostream& operator<<(std::ostream& out, const SpoolHolder& obj);
+
 typedef struct _LaneEntry__isset {
-  _LaneEntry__isset() : kind(false), customer(false), program(false), key(false), call(false), call_kind(false), target(false), backend(false), idempotent(false), request(false), request_digest(false), verdict(false), status(false), answer(false), tokens(false), begun_at_ms(false), grant(false) {}
+  _LaneEntry__isset() : kind(false), customer(false), program(false), key(false), call(false), call_kind(false), target(false), backend(false), idempotent(false), request(false), request_digest(false), verdict(false), status(false), answer(false), tokens(false), begun_at_ms(false), grant(false), holders(false) {}
   bool kind :1;
   bool customer :1;
   bool program :1;
@@ -78,6 +134,7 @@
   bool tokens :1;
   bool begun_at_ms :1;
   bool grant :1;
+  bool holders :1;
 } _LaneEntry__isset;
 
 class LaneEntry : public virtual ::apache::thrift::TBase {
@@ -123,6 +180,7 @@
   int64_t tokens;
   int64_t begun_at_ms;
   std::string grant;
+  std::vector<SpoolHolder>  holders;
 
   _LaneEntry__isset __isset;
 
@@ -160,6 +218,8 @@
 
   void __set_grant(const std::string& val);
 
+  void __set_holders(const std::vector<SpoolHolder> & val);
+
   bool operator == (const LaneEntry & rhs) const
   {
     if (!(kind == rhs.kind))
@@ -196,6 +256,8 @@
       return false;
     if (!(grant == rhs.grant))
       return false;
+    if (!(holders == rhs.holders))
+      return false;
     return true;
   }
   bool operator != (const LaneEntry &rhs) const {
@@ -774,12 +836,13 @@
 std::ostream& operator<<(std::ostream& out, const GrantTotal& obj);
 
 typedef struct _LaneSnapshot__isset {
-  _LaneSnapshot__isset() : last_block(false), epoch(false), owner(false), programs(false), grants(false) {}
+  _LaneSnapshot__isset() : last_block(false), epoch(false), owner(false), programs(false), grants(false), holders(false) {}
   bool last_block :1;
   bool epoch :1;
   bool owner :1;
   bool programs :1;
   bool grants :1;
+  bool holders :1;
 } _LaneSnapshot__isset;
 
 class LaneSnapshot : public virtual ::apache::thrift::TBase {
@@ -799,6 +862,7 @@
   std::string owner;
   std::vector<ProgramState>  programs;
   std::vector<GrantTotal>  grants;
+  std::vector<SpoolHolder>  holders;
 
   _LaneSnapshot__isset __isset;
 
@@ -812,6 +876,8 @@
 
   void __set_grants(const std::vector<GrantTotal> & val);
 
+  void __set_holders(const std::vector<SpoolHolder> & val);
+
   bool operator == (const LaneSnapshot & rhs) const
   {
     if (!(last_block == rhs.last_block))
@@ -824,6 +890,8 @@
       return false;
     if (!(grants == rhs.grants))
       return false;
+    if (!(holders == rhs.holders))
+      return false;
     return true;
   }
   bool operator != (const LaneSnapshot &rhs) const {
@@ -1275,7 +1343,7 @@
 std::ostream& operator<<(std::ostream& out, const OwnedLane& obj);
 
 typedef struct _Heartbeat__isset {
-  _Heartbeat__isset() : daemon(false), address(false), data_centre(false), draining(false), lanes(false), contracts_revision(false), clock(false), has_data_folder(false), incarnation(false) {}
+  _Heartbeat__isset() : daemon(false), address(false), data_centre(false), draining(false), lanes(false), contracts_revision(false), clock(false), incarnation(false), spool(false) {}
   bool daemon :1;
   bool address :1;
   bool data_centre :1;
@@ -1283,8 +1351,8 @@
   bool lanes :1;
   bool contracts_revision :1;
   bool clock :1;
-  bool has_data_folder :1;
   bool incarnation :1;
+  bool spool :1;
 } _Heartbeat__isset;
 
 class Heartbeat : public virtual ::apache::thrift::TBase {
@@ -1299,8 +1367,8 @@
               draining(0),
               contracts_revision(0),
               clock(0),
-              has_data_folder(0),
-              incarnation(0) {
+              incarnation(0),
+              spool() {
   }
 
   virtual ~Heartbeat() noexcept;
@@ -1311,8 +1379,8 @@
   std::vector<OwnedLane>  lanes;
   int64_t contracts_revision;
   int64_t clock;
-  bool has_data_folder;
   int64_t incarnation;
+  std::string spool;
 
   _Heartbeat__isset __isset;
 
@@ -1330,10 +1398,10 @@
 
   void __set_clock(const int64_t val);
 
-  void __set_has_data_folder(const bool val);
-
   void __set_incarnation(const int64_t val);
 
+  void __set_spool(const std::string& val);
+
   bool operator == (const Heartbeat & rhs) const
   {
     if (!(daemon == rhs.daemon))
@@ -1350,10 +1418,10 @@
       return false;
     if (!(clock == rhs.clock))
       return false;
-    if (!(has_data_folder == rhs.has_data_folder))
-      return false;
     if (!(incarnation == rhs.incarnation))
       return false;
+    if (!(spool == rhs.spool))
+      return false;
     return true;
   }
   bool operator != (const Heartbeat &rhs) const {
@@ -1476,6 +1544,126 @@
 
 std::ostream& operator<<(std::ostream& out, const MemberMessage& obj);
 
+typedef struct _SpoolRequest__isset {
+  _SpoolRequest__isset() : spool(false), lane(false), epoch(false), number(false), block(false) {}
+  bool spool :1;
+  bool lane :1;
+  bool epoch :1;
+  bool number :1;
+  bool block :1;
+} _SpoolRequest__isset;
+
+class SpoolRequest : public virtual ::apache::thrift::TBase {
+ public:
+
+  SpoolRequest(const SpoolRequest&);
+  SpoolRequest& operator=(const SpoolRequest&);
+  SpoolRequest() noexcept
+               : spool(),
+                 lane(0),
+                 epoch(0),
+                 number(0),
+                 block() {
+  }
+
+  virtual ~SpoolRequest() noexcept;
+  std::string spool;
+  int32_t lane;
+  int64_t epoch;
+  int64_t number;
+  std::string block;
+
+  _SpoolRequest__isset __isset;
+
+  void __set_spool(const std::string& val);
+
+  void __set_lane(const int32_t val);
+
+  void __set_epoch(const int64_t val);
+
+  void __set_number(const int64_t val);
+
+  void __set_block(const std::string& val);
+
+  bool operator == (const SpoolRequest & rhs) const
+  {
+    if (!(spool == rhs.spool))
+      return false;
+    if (!(lane == rhs.lane))
+      return false;
+    if (!(epoch == rhs.epoch))
+      return false;
+    if (!(number == rhs.number))
+      return false;
+    if (!(block == rhs.block))
+      return false;
+    return true;
+  }
+  bool operator != (const SpoolRequest &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const SpoolRequest & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(SpoolRequest &a, SpoolRequest &b);
+
+std::ostream& operator<<(std::ostream& out, const SpoolRequest& obj);
+
+typedef struct _SpoolAnswer__isset {
+  _SpoolAnswer__isset() : status(false), blocks(false) {}
+  bool status :1;
+  bool blocks :1;
+} _SpoolAnswer__isset;
+
+class SpoolAnswer : public virtual ::apache::thrift::TBase {
+ public:
+
+  SpoolAnswer(const SpoolAnswer&);
+  SpoolAnswer& operator=(const SpoolAnswer&);
+  SpoolAnswer() noexcept
+              : status(0) {
+  }
+
+  virtual ~SpoolAnswer() noexcept;
+  int32_t status;
+  std::vector<std::string>  blocks;
+
+  _SpoolAnswer__isset __isset;
+
+  void __set_status(const int32_t val);
+
+  void __set_blocks(const std::vector<std::string> & val);
+
+  bool operator == (const SpoolAnswer & rhs) const
+  {
+    if (!(status == rhs.status))
+      return false;
+    if (!(blocks == rhs.blocks))
+      return false;
+    return true;
+  }
+  bool operator != (const SpoolAnswer &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const SpoolAnswer & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(SpoolAnswer &a, SpoolAnswer &b);
+
+std::ostream& operator<<(std::ostream& out, const SpoolAnswer& obj);
+
 }} // namespace
 
 #endif
--- a/source/wire/snapshot_codec.cc
+++ b/source/wire/snapshot_codec.cc
@@ -100,18 +100,26 @@
     grant.tokens = it.tokens;
     out.grants.push_back(grant);
   }
+  for (const auto& it : snapshot.holders) {
+    auto& holder = out.holders.emplace_back();
+    holder.daemon = it.daemon;
+    holder.spool = it.spool;
+  }
   return detail::Write(out);
 }
 
 LaneSnapshot DecodeLaneSnapshot(const std::string& buf) {
   const auto in = detail::Read<wire::LaneSnapshot>(buf);
-  LaneSnapshot out{in.last_block, in.epoch, in.owner, {}, {}};
+  LaneSnapshot out{in.last_block, in.epoch, in.owner, {}, {}, {}};
   for (const auto& it : in.programs) {
     out.programs.push_back(FromWire(it));
   }
   for (const auto& it : in.grants) {
     out.grants.push_back({{it.name.customer, it.name.grant}, it.tokens});
   }
+  for (const auto& it : in.holders) {
+    out.holders.push_back({it.daemon, it.spool});
+  }
   return out;
 }
 
--- a/tests/harness/cluster.cc
+++ b/tests/harness/cluster.cc
@@ -95,6 +95,14 @@
   replaced_[section] = lines;
 }
 
+std::string Cluster::DataFolder(int index) const {
+  return folder_ + "/d" + std::to_string(index) + ".data";
+}
+
+void Cluster::EmptyDataFolder(int index) {
+  std::filesystem::remove_all(DataFolder(index));
+}
+
 void Cluster::StartDaemon(int index) {
   const auto id = "d" + std::to_string(index);
   // A daemon that starts again keeps its address, as a VM does.
@@ -109,6 +117,10 @@
            "\n" +
            (weights_ ? "weight_store = " + weights_->address() + "\n" : "")},
       {"lanes", "count = " + std::to_string(kLanes) + "\n"}};
+  if (options_.data_folders.contains(index)) {
+    std::filesystem::create_directories(DataFolder(index));
+    sections["daemon"] += "data_folder = " + DataFolder(index) + "\n";
+  }
   for (const auto& [section, lines] : options_.settings) {
     sections[section] += lines;
   }
--- a/tests/harness/cluster.h
+++ b/tests/harness/cluster.h
@@ -4,6 +4,7 @@
 #include <chrono>
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -25,6 +26,8 @@
   std::vector<std::string> tool_arguments;
   bool engines_check_fencing = true;
   bool weight_store = false;
+  // Daemons that have a data folder, kept over their restarts.
+  std::set<int> data_folders;
   // More lines for each daemon's settings, by section.
   std::map<std::string, std::string> settings;
 };
@@ -42,6 +45,8 @@
   void SetSettings(const std::string& section, const std::string& lines);
   // Starts daemon `index` (again, after Kill).
   void StartDaemon(int index);
+  // Replaces the disk of a daemon that does not run by an empty one.
+  void EmptyDataFolder(int index);
   // Starts a back end again at its address, after Kill, with no memory.
   void RestartEngine(int index);
   void RestartToolServer(int index);
@@ -113,6 +118,7 @@
                std::chrono::milliseconds timeout = std::chrono::seconds(30));
 
  private:
+  std::string DataFolder(int index) const;
   std::string WriteFile(const std::string& name, const std::string& text);
   static void Restart(std::unique_ptr<Process>& standin,
                       const std::string& kind,
