Outage test: idempotent work goes on while the service is out

Model turns and lookups through each daemon are answered in the outage, a booking is refused; afterwards the histories are whole, no lookup ran twice, the spools are empty.

--- a/tests/process/outage_test.cc
+++ b/tests/process/outage_test.cc
@@ -1,4 +1,5 @@
 #include <algorithm>
+#include <set>
 
 #include <boost/test/unit_test.hpp>
 
@@ -93,6 +94,82 @@
   });
 }
 
+// Each daemon's lanes have the other two as holders.
+harness::ClusterOptions WithHolders() {
+  harness::ClusterOptions out;
+  out.data_folders = {0, 1, 2};
+  return out;
+}
+
+std::int64_t SpoolCount(Cluster& cluster, const char* which) {
+  std::int64_t out = 0;
+  for (int i = 0; i < cluster.daemons(); ++i) {
+    const auto status = cluster.Status(i);
+    out += status.is_object() ? status["spool"][which].get<std::int64_t>() : 0;
+  }
+  return out;
+}
+
+void AwaitHolders(Cluster& cluster) {
+  cluster.WaitFor("two holders for every lane", [&] {
+    std::size_t lanes = 0;
+    for (int i = 0; i < cluster.daemons(); ++i) {
+      const auto status = cluster.Status(i);
+      if (!status.is_object()) {
+        continue;
+      }
+      for (const auto& it : status["lanes"]) {
+        lanes += it["holders"].size() == 2 ? 1 : 0;
+      }
+    }
+    return lanes == Cluster::kLanes;
+  });
+}
+
+void AwaitEmptySpools(Cluster& cluster) {
+  cluster.WaitFor("empty spools", [&] {
+    return SpoolCount(cluster, "held") == 0 &&
+           SpoolCount(cluster, "waiting") == 0;
+  });
+}
+
+// One lookup and one turn of a program named after the round, by `daemon`.
+void LookUpAndAsk(Fiber& fiber,
+                  Cluster& cluster,
+                  int daemon,
+                  const std::string& program,
+                  const std::string& round) {
+  Caller caller(fiber, cluster.http(), harness::kQuoteKey, program);
+  const auto& address = cluster.daemon(daemon).address();
+  const auto stock = caller.Use(address, "stock-" + round, "stock_lookup",
+                                {{"item", "steel-19"}});
+  BOOST_TEST(stock.status == 200, stock.body);
+  const auto turn = caller.Ask(address, "turn-" + round, "and the price?");
+  BOOST_TEST(turn.status == 200, turn.body);
+}
+
+void CheckHistory(Fiber& fiber,
+                  Cluster& cluster,
+                  int daemon,
+                  const std::string& program,
+                  std::size_t calls) {
+  Caller caller(fiber, cluster.http(), harness::kQuoteKey, program);
+  const auto history = caller.History(cluster.daemon(daemon).address()).json();
+  BOOST_TEST(history["calls"].size() == calls, history.dump());
+  for (const auto& it : history["calls"]) {
+    BOOST_TEST(it["verdict"] == "ran");
+  }
+}
+
+void CheckNothingRanTwice(Cluster& cluster) {
+  std::set<std::string> seen;
+  for (const auto& it : cluster.ToolRuns("stock_lookup")) {
+    const auto call =
+        it["program"].get<std::string>() + " " + it["key"].get<std::string>();
+    BOOST_TEST(seen.insert(call).second, call);
+  }
+}
+
 BOOST_AUTO_TEST_SUITE(outage)
 
 BOOST_AUTO_TEST_CASE(service_out_unsafe_work_is_refused_and_runs_later) {
@@ -141,6 +218,39 @@
   });
 }
 
+BOOST_AUTO_TEST_CASE(idempotent_work_goes_on_while_the_service_is_out) {
+  InCluster(WithHolders(), [](Fiber& fiber, Cluster& cluster) {
+    AwaitHolders(cluster);
+    constexpr int kPrograms = 6;
+    const auto all = [&](const std::string& round) {
+      for (int i = 0; i < kPrograms; ++i) {
+        LookUpAndAsk(fiber, cluster, i % cluster.daemons(),
+                     "quote-" + std::to_string(i), round);
+      }
+    };
+    all("before");
+    BOOST_TEST(SpoolCount(cluster, "held") == 0);
+    cluster.Fault(cluster.kv(), "out", -1);
+    all("in-it");
+    CheckRefused(Book(fiber, cluster, "quote-0", 0));
+    CheckHistory(fiber, cluster, 1, "quote-1", 4);
+    all("still-in-it");
+    BOOST_TEST(SpoolCount(cluster, "held") > 0);
+    BOOST_TEST(SpoolCount(cluster, "waiting") > 0);
+    cluster.Fault(cluster.kv(), "out", 0);
+    AwaitEmptySpools(cluster);
+    all("after");
+    for (int i = 0; i < kPrograms; ++i) {
+      CheckHistory(fiber, cluster, (i + 1) % cluster.daemons(),
+                   "quote-" + std::to_string(i), 8);
+    }
+    CheckNothingRanTwice(cluster);
+    BOOST_TEST(RunsOf(cluster, "quote-0") == 0);
+    SettleBooking(fiber, cluster, "quote-0", 0);
+    BOOST_TEST(RunsOf(cluster, "quote-0") == 1);
+  });
+}
+
 BOOST_AUTO_TEST_CASE(answers_lost_unsafe_work_runs_once) {
   InCluster({}, [](Fiber& fiber, Cluster& cluster) {
     cluster.Fault(cluster.kv(), "lost_answer", 6);
