--- a/tests/lane/lane_world.cc
+++ b/tests/lane/lane_world.cc
@@ -58,8 +58,8 @@
   if (!log) {
     log = std::make_unique<EventLog>(daemon, "dc", "/dev/null");
   }
-  return std::make_shared<LaneOwner>(loop_, kv_, *log, settings_, pacer_,
-                                     kLane);
+  return std::make_shared<LaneOwner>(loop_, kv_, *log, settings_, pacer_, kLane,
+                                     holders_);
 }
 
 void LaneWorld::Handle(Fiber& fiber,
--- a/tests/lane/lane_world.h
+++ b/tests/lane/lane_world.h
@@ -28,6 +28,8 @@
  public:
   LaneWorld(Loop& loop, LaneSettings settings);
 
+  // Owners made from now on have these holders.
+  void SetHolders(HolderLinks& holders) { holders_ = &holders; }
   std::shared_ptr<LaneOwner> MakeOwner(const std::string& daemon);
   // The fate of the next requests; those after them are answered.
   void SetFates(std::deque<Fate> fates) { fates_ = std::move(fates); }
@@ -68,6 +70,7 @@
   std::map<std::string, std::unique_ptr<EventLog>> logs_;
   std::deque<Fate> fates_;
   bool out_ = false;
+  HolderLinks* holders_ = nullptr;
   std::vector<HttpRequest> late_;
   std::function<void(Fiber&, const HttpRequest&)> before_;
   std::map<std::int64_t, LaneBlock> blocks_;
--- /dev/null
+++ b/tests/lane/spool_holders.cc
@@ -0,0 +1,154 @@
+#include "lane/spool_holders.h"
+
+#include <stdexcept>
+
+#include "wire/codec.h"
+
+namespace comfreyfold::lane {
+
+namespace fs = std::filesystem;
+
+namespace {
+constexpr std::chrono::milliseconds kHop{1};
+}  // namespace
+
+ScratchFolder::ScratchFolder() {
+  std::string name = (fs::temp_directory_path() / "spool-XXXXXX").string();
+  if (mkdtemp(name.data()) == nullptr) {
+    throw std::runtime_error("no temporary folder");
+  }
+  path_ = name;
+}
+
+ScratchFolder::~ScratchFolder() {
+  std::error_code ec;
+  fs::remove_all(path_, ec);
+}
+
+std::string ScratchFolder::Sub(const std::string& name) const {
+  return (path_ / name).string();
+}
+
+SpoolHolders::SpoolHolders(const std::set<std::string>& daemons) {
+  for (const auto& it : daemons) {
+    Restart(it);
+  }
+}
+
+void SpoolHolders::Restart(const std::string& daemon) {
+  const auto folder = folder_.Sub(daemon);
+  fs::create_directories(folder);
+  spools_[daemon] = std::make_unique<BlockSpool>(folder, log_);
+}
+
+void SpoolHolders::ReplaceDisk(const std::string& daemon) {
+  fs::remove_all(folder_.Sub(daemon));
+  Restart(daemon);
+}
+
+void SpoolHolders::SetDown(const std::string& daemon, bool down) {
+  if (down) {
+    down_.insert(daemon);
+  } else {
+    down_.erase(daemon);
+  }
+}
+
+void SpoolHolders::SetListed(const std::string& daemon, bool listed) {
+  if (listed) {
+    unlisted_.erase(daemon);
+  } else {
+    unlisted_.insert(daemon);
+  }
+}
+
+void SpoolHolders::LoseAnswers(const std::string& daemon, int count) {
+  lost_answers_[daemon] = count;
+}
+
+std::size_t SpoolHolders::held() const {
+  std::size_t out = 0;
+  for (const auto& [daemon, spool] : spools_) {
+    out += spool->held();
+  }
+  return out;
+}
+
+std::vector<SpoolHolder> SpoolHolders::Choose(int /*lane*/) {
+  std::vector<SpoolHolder> out;
+  for (const auto& [daemon, spool] : spools_) {
+    if (!down_.contains(daemon) && out.size() < kHoldersOfLane) {
+      out.push_back(Named(daemon));
+    }
+  }
+  return out.size() < kHoldersOfLane ? std::vector<SpoolHolder>() : out;
+}
+
+bool SpoolHolders::IsThere(const SpoolHolder& holder) {
+  return !down_.contains(holder.daemon) && Named(holder.daemon) == holder;
+}
+
+bool SpoolHolders::MayReturn(Fiber& /*fiber*/, const SpoolHolder& holder) {
+  return !unlisted_.contains(holder.daemon) && Named(holder.daemon) == holder;
+}
+
+SpoolAnswer SpoolHolders::Ask(
+    Fiber& fiber,
+    const std::string& daemon,
+    const std::function<SpoolAnswer(BlockSpool&)>& ask) {
+  fiber.Sleep(kHop);
+  if (down_.contains(daemon)) {
+    return {SpoolStatus::kNoAnswer, {}};
+  }
+  auto out = ask(*spools_.at(daemon));
+  if (lost_answers_[daemon] > 0) {
+    --lost_answers_[daemon];
+    return {SpoolStatus::kNoAnswer, {}};
+  }
+  return out;
+}
+
+SpoolStatus SpoolHolders::Store(Fiber& fiber,
+                                const SpoolHolder& holder,
+                                int lane,
+                                const LaneBlock& block) {
+  return Ask(fiber, holder.daemon,
+             [&](BlockSpool& spool) {
+               return spool.Store({holder.spool, lane, block.epoch,
+                                   block.number, Encode(block)});
+             })
+      .status;
+}
+
+SealAnswer SpoolHolders::Seal(Fiber& fiber,
+                              const SpoolHolder& holder,
+                              int lane,
+                              std::int64_t epoch,
+                              std::int64_t number) {
+  const auto answer = Ask(fiber, holder.daemon, [&](BlockSpool& spool) {
+    return spool.Seal({holder.spool, lane, epoch, number, {}});
+  });
+  if (after_seal_) {
+    const auto hook = std::move(after_seal_);
+    after_seal_ = nullptr;
+    hook(fiber);
+  }
+  SealAnswer out{answer.status, {}};
+  for (const auto& it : answer.blocks) {
+    out.blocks.push_back(DecodeLaneBlock(it));
+  }
+  return out;
+}
+
+SpoolStatus SpoolHolders::Forget(Fiber& fiber,
+                                 const SpoolHolder& holder,
+                                 int lane,
+                                 std::int64_t number) {
+  return Ask(fiber, holder.daemon,
+             [&](BlockSpool& spool) {
+               return spool.Forget({holder.spool, lane, 0, number, {}});
+             })
+      .status;
+}
+
+}  // namespace comfreyfold::lane
