--- a/tests/lane/lane_world.cc
+++ b/tests/lane/lane_world.cc
@@ -63,7 +63,7 @@
 
 std::shared_ptr<LaneOwner> LaneWorld::MakeOwner(const std::string& daemon) {
   return std::make_shared<LaneOwner>(loop_, kv_, log(daemon), settings_, pacer_,
-                                     kLane);
+                                     kLane, holders_);
 }
 
 void LaneWorld::Handle(Fiber& fiber,
--- a/tests/lane/lane_world.h
+++ b/tests/lane/lane_world.h
@@ -28,6 +28,8 @@
  public:
   LaneWorld(Loop& loop, LaneSettings settings);
 
+  // Owners made from now on have these holders.
+  void SetHolders(HolderLinks& holders) { holders_ = &holders; }
   std::shared_ptr<LaneOwner> MakeOwner(const std::string& daemon);
   EventLog& log(const std::string& daemon);
   const LaneSettings& settings() const { return settings_; }
@@ -70,6 +72,7 @@
   std::map<std::string, std::unique_ptr<EventLog>> logs_;
   std::deque<Fate> fates_;
   bool out_ = false;
+  HolderLinks* holders_ = nullptr;
   std::vector<HttpRequest> late_;
   std::function<void(Fiber&, const HttpRequest&)> before_;
   std::map<std::int64_t, LaneBlock> blocks_;
