Keep grants through pauses, so that an outage finds them; name no handover in doubt

(1) A grant unused for 5 s went back, so that an outage found owners with nothing to spend. (2) Each failed try to take a lane counted as a change of lanes, and a change lets the daemon doubt its grants until the service answers. (3) A handover that was being written when the service went out kept its lane waiting: the block is in doubt and may not wait at holders. Ruled out: a store at a holder that failed (the lane's holders were never asked).

(1) Unused grants stay for an hour while less than half of the budget is spent or granted, grow ahead of use, and are asked back by a daemon that is refused (/peer/give-back). (2) Only a change of the owned lanes is published. (3) A handover begins only when the service has just answered; the test waits until the lanes have settled, since a lane that moves at that moment does wait.

--- a/source/core/budget_account.cc
+++ b/source/core/budget_account.cc
@@ -14,6 +14,8 @@
 // as spent: together these two parts of the budget stay under a twentieth.
 constexpr std::int64_t kGrantPart = 50;
 constexpr std::int64_t kReservedPart = 40;
+// Past a half of the budget, what one daemon keeps another may need.
+constexpr std::int64_t kScarcePart = 2;
 
 }  // namespace
 
@@ -122,13 +124,20 @@
   granted_ = grant == nullptr ? used_ : grant->granted;
   holds_grant_ = grant != nullptr;
   confirmed_at_ = writing_at_;
+  scarce_ = kScarcePart * record.Committed() > terms_.tokens;
   // The contract may have been lowered while the answer was on its way.
   lowered_ = holds_grant_ && terms_.tokens < written_under_;
 }
 
-bool BudgetAccount::MustGiveBack(TimePoint idle_since) const {
-  return lowered_ ||
-         (holds_grant_ && reserved_ == 0 && last_use_ <= idle_since);
+bool BudgetAccount::RunsLow() const {
+  return holds_grant_ && !lowered_ && !scarce_ &&
+         available() < std::min(chunk_, terms_.tokens / kGrantPart) / 2;
+}
+
+bool BudgetAccount::MustGiveBack(TimePoint idle_since,
+                                 TimePoint forgotten_since) const {
+  const auto due = scarce_ ? idle_since : forgotten_since;
+  return lowered_ || (holds_grant_ && reserved_ == 0 && last_use_ <= due);
 }
 
 }  // namespace comfreyfold
--- a/source/core/budget_account.h
+++ b/source/core/budget_account.h
@@ -64,9 +64,17 @@
   std::int64_t used() const { return used_; }
   bool holds_grant() const { return holds_grant_; }
   const BudgetTerms& terms() const { return terms_; }
+  // True when the grant should grow before it is used up: a call that comes
+  // while the service is out has only what is granted by then.
+  bool RunsLow() const;
+
+  // Another daemon could not get what it needed of the budget.
+  void MarkScarce() { scarce_ = true; }
+
   // True when the grant is due back: the contract was lowered, or nobody
-  // asked since `idle_since`.
-  bool MustGiveBack(TimePoint idle_since) const;
+  // reserved since `idle_since` and the budget is scarce, or since
+  // `forgotten_since`.
+  bool MustGiveBack(TimePoint idle_since, TimePoint forgotten_since) const;
 
  private:
   std::int64_t NextChunk(std::int64_t room, std::size_t holders, TimePoint now);
@@ -83,6 +91,7 @@
   std::int64_t confirmed_at_ = 0;   // Of these, before the last write done.
   std::int64_t writing_at_ = 0;     // Of these, before the write under way.
   std::int64_t written_under_ = 0;  // The budget when the record was written.
+  bool scarce_ = false;  // More than half of the budget is spent or granted.
   std::int64_t chunk_;
   TimePoint last_refill_;
   TimePoint last_use_;
--- a/source/server/budget_ledger.cc
+++ b/source/server/budget_ledger.cc
@@ -16,7 +16,12 @@
 using std::chrono::steady_clock;
 
 constexpr milliseconds kReturnStep{500};
+// What nobody reserves from goes back: soon when the budget is scarce, else
+// so late that a program finds a grant after its longest pauses, also when
+// the service is out by then.
 constexpr seconds kIdleReturn{5};
+constexpr seconds kForgottenReturn{3600};
+constexpr milliseconds kAheadPause{2000};
 // A refusal is not asked again of the service for this long.
 constexpr milliseconds kRefusalMemory{1000};
 constexpr milliseconds kFirstConflictPause{5};
@@ -80,6 +85,8 @@
   bool writing = false;
   std::int64_t refused_tokens = 0;
   steady_clock::time_point refused_until;
+  steady_clock::time_point next_ahead;
+  std::vector<std::string> others;  // Daemons with grants, when last read.
   Condition changed;
 };
 
@@ -152,18 +159,53 @@
     }
     Refill(fiber, *holding, tokens);
   }
+  RefillAhead(holding);
   return {tokens, [holding](std::int64_t reserved, std::int64_t used) {
             holding->account.Settle(reserved, used);
             holding->changed.NotifyAll();
           }};
 }
 
+bool BudgetLedger::TryRefill(Fiber& fiber,
+                             Holding& holding,
+                             std::int64_t tokens) {
+  return Rewrite(fiber, holding, [&](BudgetRecord& record) {
+    holding.others.clear();
+    for (const auto& it : record.grants) {
+      if (it.daemon != log_.daemon()) {
+        holding.others.push_back(it.daemon);
+      }
+    }
+    return holding.account.Refill(record, tokens, steady_clock::now());
+  });
+}
+
+void BudgetLedger::RefillAhead(const std::shared_ptr<Holding>& holding) {
+  const auto now = steady_clock::now();
+  if (!holding->account.RunsLow() || holding->writing ||
+      now < holding->next_ahead) {
+    return;
+  }
+  holding->next_ahead = now + kAheadPause;
+  loop_.Spawn([this, holding](Fiber& fiber) {
+    try {
+      if (!holding->writing) {
+        TryRefill(fiber, *holding, 0);
+      }
+    } catch (const KvUnavailable&) {
+      // What is granted goes on being used.
+    }
+  });
+}
+
 void BudgetLedger::Refill(Fiber& fiber, Holding& holding, std::int64_t tokens) {
   bool granted = false;
   try {
-    granted = Rewrite(fiber, holding, [&](BudgetRecord& record) {
-      return holding.account.Refill(record, tokens, steady_clock::now());
-    });
+    granted = TryRefill(fiber, holding, tokens);
+    if (!granted && recall_ && !holding.others.empty()) {
+      recall_(fiber, holding.customer, holding.others);
+      granted = TryRefill(fiber, holding, tokens);
+    }
   } catch (const KvUnavailable&) {
     throw CallError(503, "budget_unavailable",
                     "the budget records cannot be reached and what was "
@@ -232,6 +274,21 @@
   }
 }
 
+void BudgetLedger::GiveBackUnused(Fiber& fiber, const std::string& customer) {
+  const auto it = holdings_.find(customer);
+  if (it == holdings_.end()) {
+    return;
+  }
+  const auto holding = it->second;
+  auto& account = holding->account;
+  account.MarkScarce();
+  const auto now = steady_clock::now();
+  if (!holding->writing &&
+      account.MustGiveBack(now - kIdleReturn, now - kForgottenReturn)) {
+    GiveBack(fiber, *holding);
+  }
+}
+
 void BudgetLedger::GiveBackAll(Fiber& fiber) {
   // Copied: calls may add customers while this waits.
   const auto holdings = holdings_;
@@ -254,8 +311,9 @@
     const auto holdings = holdings_;
     for (const auto& [customer, holding] : holdings) {
       UpdateTerms(*holding);
-      const auto idle_since = steady_clock::now() - kIdleReturn;
-      if (!holding->writing && holding->account.MustGiveBack(idle_since)) {
+      const auto now = steady_clock::now();
+      if (!holding->writing && holding->account.MustGiveBack(
+                                   now - kIdleReturn, now - kForgottenReturn)) {
         GiveBack(fiber, *holding);
       }
     }
--- a/source/server/budget_ledger.h
+++ b/source/server/budget_ledger.h
@@ -6,6 +6,8 @@
 #include <map>
 #include <memory>
 #include <string>
+#include <utility>
+#include <vector>
 
 #include "core/budget_account.h"
 #include "core/contract.h"
@@ -39,6 +41,18 @@
   // Gives back everything that no call holds.
   void GiveBackAll(Fiber& fiber);
 
+  // Gives back what this daemon does not use of the customer's budget:
+  // another one needs it.
+  void GiveBackUnused(Fiber& fiber, const std::string& customer);
+
+  // Asks other daemons for what they do not use of the customer's budget;
+  // returns when they have given it back.
+  using RecallHook =
+      std::function<void(Fiber& fiber,
+                         const std::string& customer,
+                         const std::vector<std::string>& daemons)>;
+  void OnShort(RecallHook hook) { recall_ = std::move(hook); }
+
   // A lane was taken: grants are confirmed before they are used again.
   void Distrust();
 
@@ -53,6 +67,8 @@
   std::shared_ptr<Holding> HoldingOf(const std::string& customer);
   std::shared_ptr<const Contract> UpdateTerms(Holding& holding) const;
   void Refill(Fiber& fiber, Holding& holding, std::int64_t tokens);
+  bool TryRefill(Fiber& fiber, Holding& holding, std::int64_t tokens);
+  void RefillAhead(const std::shared_ptr<Holding>& holding);
   void GiveBack(Fiber& fiber, Holding& holding);
   bool Rewrite(Fiber& fiber,
                Holding& holding,
@@ -66,6 +82,7 @@
   std::string run_;
   std::int64_t writes_ = 0;
   std::map<std::string, std::shared_ptr<Holding>> holdings_;
+  RecallHook recall_;
 };
 
 }  // namespace comfreyfold
--- a/source/server/daemon.cc
+++ b/source/server/daemon.cc
@@ -124,6 +124,7 @@
       budgets_(loop, kv_, contracts_, log_),
       strays_(loop, engines_, backends_, log_),
       sealer_(lanes_, budgets_.run()),
+      recall_(http_, membership_, budgets_),
       reclaimer_(loop,
                  http_,
                  kv_,
@@ -216,6 +217,10 @@
   log_.Write({.name = "daemon_started", .detail = address});
   contracts_.Start(
       [this](Fiber& fiber) { return contract_peers_.Fetch(fiber); });
+  budgets_.OnShort([this](Fiber& fiber, const std::string& customer,
+                          const std::vector<std::string>& daemons) {
+    recall_.Ask(fiber, customer, daemons);
+  });
   budgets_.Start();
   reclaimer_.Start();
   reaper_.Start();
@@ -317,6 +322,7 @@
         !listing_.Handle(request, exchange) &&
         !holders_.Handle(request, exchange) &&
         !sealer_.Handle(fiber, request, exchange) &&
+        !recall_.Handle(fiber, request, exchange) &&
         !operator_api_.Handle(request, exchange)) {
       throw CallError(404, "no_such_path", "see the README for the paths",
                       Verdict::kNotRun);
--- a/source/server/daemon.h
+++ b/source/server/daemon.h
@@ -17,6 +17,7 @@
 #include "server/contract_peers.h"
 #include "server/contract_store.h"
 #include "server/engine_steward.h"
+#include "server/grant_recall.h"
 #include "server/hold_releaser.h"
 #include "server/lane_manager.h"
 #include "server/lane_tidier.h"
@@ -90,6 +91,7 @@
   BudgetLedger budgets_;
   StrayHolds strays_;
   GrantSealer sealer_;
+  GrantRecall recall_;
   BudgetReclaimer reclaimer_;
   ModelRunner model_runner_;
   ToolRunner tool_runner_;
--- a/source/server/lane_manager.cc
+++ b/source/server/lane_manager.cc
@@ -173,13 +173,18 @@
 }
 
 void LaneManager::Publish() {
-  auto& lanes = membership_.self().lanes;
-  lanes.clear();
+  std::vector<OwnedLane> lanes;
   for (const auto& [lane, owner] : owned_) {
     if (!owner->lost()) {
       lanes.push_back({lane, owner->epoch()});
     }
   }
+  // While the service is out no lane can be taken, however often it is
+  // tried: grants must not be doubted for it.
+  if (lanes == membership_.self().lanes) {
+    return;
+  }
+  membership_.self().lanes = std::move(lanes);
   if (on_change_) {
     on_change_();
   }
--- a/source/server/lane_owner.cc
+++ b/source/server/lane_owner.cc
@@ -530,9 +530,8 @@
 }
 
 void LaneOwner::NameHolders(Fiber& fiber) {
-  // In doubt, this block would keep every other waiting: it is begun only
-  // when the service has just answered.
-  if (!Confirm(fiber)) {
+  // As a handover, it must not be in doubt for long.
+  if (!ServiceAnswers(fiber)) {
     return;
   }
   LaneEntry entry;
@@ -588,9 +587,19 @@
   changed_.NotifyAll();
 }
 
+bool LaneOwner::ServiceAnswers(Fiber& fiber) {
+  try {
+    return Confirm(fiber);
+  } catch (const KvUnavailable&) {
+    return false;
+  }
+}
+
 bool LaneOwner::Handover(Fiber& fiber, std::chrono::milliseconds timeout) {
-  // While the service is out nobody could take the lane.
-  if (lost_ || closing_ || !spool_.empty()) {
+  // While the service is out nobody could take the lane, and this block, in
+  // doubt, would keep every other waiting: it is begun only when the service
+  // has just answered.
+  if (lost_ || closing_ || !spool_.empty() || !ServiceAnswers(fiber)) {
     return handed_over_;
   }
   LaneEntry entry;
--- a/source/server/lane_owner.h
+++ b/source/server/lane_owner.h
@@ -148,6 +148,8 @@
   LaneBlock MakeTakeover() const;
   LaneBlock MakeBlock(std::vector<LaneEntry> entries, std::int64_t epoch) const;
   bool ReadNextBlock(Fiber& fiber);
+  // True when the service has just answered that the lane is still owned.
+  bool ServiceAnswers(Fiber& fiber);
   void LoseTo(const std::optional<LaneBlock>& next);
   void CheckSize(const std::vector<LaneEntry>& entries) const;
   void CommitLoop(Fiber& fiber);
--- a/source/server/peer_protocol.h
+++ b/source/server/peer_protocol.h
@@ -16,6 +16,7 @@
 inline constexpr char kSpoolStorePath[] = "/peer/spool/store";
 inline constexpr char kSpoolSealPath[] = "/peer/spool/seal";
 inline constexpr char kSpoolForgetPath[] = "/peer/spool/forget";
+inline constexpr char kGiveBackPath[] = "/peer/give-back";  // GrantQuestion.
 inline constexpr char kGrantUsePath[] = "/peer/grant-use";  // GrantQuestion.
 
 // Key, in the key-value service, of a daemon on the list of members.
--- a/tests/contract_property/budget_world.h
+++ b/tests/contract_property/budget_world.h
@@ -94,6 +94,11 @@
         return granted;
       }
     }
+    if (account.RunsLow()) {
+      Rewrite(index, fate, [&](BudgetRecord& record) {
+        return account.Refill(record, 0, now_);
+      });
+    }
     calls_.push_back(
         {index, tokens, false, *lane, lanes_[*lane].epoch, names_[index]});
     journal_[names_[index]] += tokens;
--- a/tests/harness/cluster.h
+++ b/tests/harness/cluster.h
@@ -95,6 +95,9 @@
   bool EventSeen(int index, const std::string& event);
   // Index of the daemon that owns the program's lane; -1: none.
   int OwnerOf(const std::string& customer, const std::string& program);
+  // Waits until every lane is with the daemon that it will stay with while
+  // all of them live.
+  void WaitSettled();
   // A program, named after `stem`, whose lane is with the daemon that it
   // will stay with while all of them live.
   std::string SettledProgram(const std::string& customer,
@@ -118,6 +121,7 @@
                std::chrono::milliseconds timeout = std::chrono::seconds(30));
 
  private:
+  int PreferredOwner(int lane) const;
   std::string DataFolder(int index) const;
   std::string WriteFile(const std::string& name, const std::string& text);
   static void Restart(std::unique_ptr<Process>& standin,
--- a/tests/process/outage_test.cc
+++ b/tests/process/outage_test.cc
@@ -110,7 +110,10 @@
   return out;
 }
 
+// Settled as well: a lane that is handed over while the service goes out waits
+// for it.
 void AwaitHolders(Cluster& cluster) {
+  cluster.WaitSettled();
   cluster.WaitFor("two holders for every lane", [&] {
     std::size_t lanes = 0;
     for (int i = 0; i < cluster.daemons(); ++i) {
