An idempotent call that may have run is never said to be not run

Cause: the outcome that withdraws an intent said "not run" whatever earlier dispatches of the same call had done.

An intent now carries the worst verdict of the call's earlier dispatches, also of those by earlier owners; its withdrawal records that, and the caller is told it.

Ruled out: keeping it in the lane's state alone. The state knows only that an intent was begun; which dispatch certainly did not run is known to the runner.

Failed before, pass after: lane_journal/an_intent_given_up_keeps_what_an_earlier_ attempt_may_do (two checks), outage/a_lookup_that_may_have_run_is_never_told_not_run (not_run in place of may_have_run). Ran: ctest -R '^(lane|unit|outage|at_most_once| two_failures|generated|ownership)$', 7 of 7 passed.

--- a/source/core/lane_entry.h
+++ b/source/core/lane_entry.h
@@ -43,6 +43,7 @@
   bool idempotent = false;
   std::string request;               // JSON: new messages, or arguments.
   std::uint64_t request_digest = 0;  // Of the body as the caller sent it.
+  // Of kCallDone; of kCallBegun: of the call's earlier dispatches.
   Verdict verdict = Verdict::kNotRun;
   int status = 0;
   std::string answer;
--- a/source/server/call_journal.cc
+++ b/source/server/call_journal.cc
@@ -56,11 +56,12 @@
                            const LaneEntry& begun) {
   auto done = context.Entry(EntryKind::kCallDone);
   done.backend = begun.backend;
+  done.verdict = begun.verdict;
   AppendOutcome(fiber, context, done);
   throw CallError(503, "dispatch_too_late",
                   "the daemon was held up before it could dispatch the call; "
                   "retry with the same Idempotency-Key",
-                  Verdict::kNotRun, kRetrySoon);
+                  begun.verdict, kRetrySoon);
 }
 
 void CallJournal::AppendOutcome(Fiber& fiber,
--- a/source/server/call_journal.h
+++ b/source/server/call_journal.h
@@ -26,7 +26,7 @@
                      const LaneEntry& done);
 
  private:
-  // Records that the call was not dispatched, and throws.
+  // Records that the call was not dispatched by this intent, and throws.
   void Withdraw(Fiber& fiber,
                 const CallContext& context,
                 const LaneEntry& begun);
--- a/source/server/call_runner.cc
+++ b/source/server/call_runner.cc
@@ -113,6 +113,10 @@
     if (e.verdict() == Verdict::kNotRun && Superseded(fiber, *context.lane)) {
       throw NotOwner(e.what());
     }
+    if (e.verdict() < context.earlier) {
+      throw CallError(e.status(), e.code(), e.what(), context.earlier,
+                      e.retry_after());
+    }
     throw;
   }
 }
@@ -193,7 +197,9 @@
   context.place = admission.call;
   switch (admission.result) {
     case AdmitResult::kNew:
+      break;
     case AdmitResult::kAgain:
+      context.earlier = admission.record->verdict;
       break;
     case AdmitResult::kAnswered:
       requests_.AnswerFromRecord(context, *admission.record);
--- a/source/server/lane_owner.cc
+++ b/source/server/lane_owner.cc
@@ -69,12 +69,12 @@
          });
 }
 
-LaneEntry NotRunOutcome(const LaneEntry& intent) {
+// Of an intent that is not dispatched: earlier dispatches decide its verdict.
+LaneEntry WithdrawnOutcome(const LaneEntry& intent) {
   auto out = intent;
   out.kind = EntryKind::kCallDone;
   out.request.clear();
   out.tokens = 0;
-  out.verdict = Verdict::kNotRun;
   out.status = kUnavailable;
   return out;
 }
@@ -249,7 +249,7 @@
   std::vector<LaneEntry> outcomes;
   for (const auto& it : entries) {
     if (it.kind == EntryKind::kCallBegun) {
-      outcomes.push_back(NotRunOutcome(it));
+      outcomes.push_back(WithdrawnOutcome(it));
     }
   }
   if (!outcomes.empty()) {
--- a/source/server/model_runner.cc
+++ b/source/server/model_runner.cc
@@ -81,6 +81,7 @@
     slot = Choose(fiber, context, turn);
     turn.begun.backend = slot->server();
     turn.begun.tokens = turn.spent_tokens + turn.budget_tokens;
+    turn.begun.verdict = turn.worst;
     journal_.CommitIntent(fiber, context, turn.begun);
     turn.committed = true;
     // The commit may have waited through an outage, and the engine have
@@ -124,6 +125,7 @@
   messages.insert(messages.end(), added.begin(), added.end());
 
   Turn turn;
+  turn.worst = context.earlier;
   turn.begun = context.Entry(EntryKind::kCallBegun);
   turn.begun.idempotent = true;
   turn.begun.request = added.dump();
--- a/source/server/tool_runner.cc
+++ b/source/server/tool_runner.cc
@@ -27,6 +27,7 @@
   auto begun = context.Entry(EntryKind::kCallBegun);
   begun.idempotent = rule.idempotent;
   begun.request = context.call.body;
+  begun.verdict = attempts.worst;
   auto slot = chooser_.ChooseService(fiber, context, attempts.failed);
   begun.backend = slot->server();
   journal_.CommitIntent(fiber, context, begun);
@@ -109,6 +110,7 @@
   holds_.PauseBegins(context);
   const auto rule = context.contract->RuleFor(context.call.target);
   Attempts attempts;
+  attempts.worst = context.earlier;
   const auto result = RunAttempts(fiber, context, rule, attempts);
   auto done = context.Entry(EntryKind::kCallDone);
   done.backend = attempts.server;
--- a/tests/lane/lane_journal_test.cc
+++ b/tests/lane/lane_journal_test.cc
@@ -165,6 +165,29 @@
   });
 }
 
+// A second dispatch of an idempotent call whose first one may have run.
+BOOST_AUTO_TEST_CASE(an_intent_given_up_keeps_what_an_earlier_attempt_may_do) {
+  InLane({}, [](Fiber& fiber, LaneWorld& world) {
+    const auto owner = Take(fiber, world, "a");
+    auto again = Entry(EntryKind::kCallBegun, "p", "k");
+    again.idempotent = true;
+    owner->Append(fiber, {again}, kPatience);
+    world.SetOut(true);
+    again.verdict = Verdict::kMayHaveRun;
+    BOOST_CHECK_THROW(owner->Append(fiber, {again}, kSoon), AppendTimeout);
+    const auto* pending = owner->PendingOutcome({"c", "p"});
+    BOOST_REQUIRE(pending != nullptr);
+    BOOST_TEST((pending->verdict == Verdict::kMayHaveRun));
+    world.SetOut(false);
+    WaitFor(fiber, [&] {
+      return owner->state().Find({"c", "p"})->calls.front().done;
+    });
+    const auto admission = owner->state().Admit(Claim("p", "k"));
+    BOOST_TEST((admission.result == AdmitResult::kAgain));
+    BOOST_TEST((admission.record->verdict == Verdict::kMayHaveRun));
+  });
+}
+
 BOOST_AUTO_TEST_CASE(an_outcome_outlives_the_patience_of_its_caller) {
   InLane({}, [](Fiber& fiber, LaneWorld& world) {
     const auto owner = Take(fiber, world, "a");
--- a/tests/process/outage_test.cc
+++ b/tests/process/outage_test.cc
@@ -259,6 +259,50 @@
   });
 }
 
+// Its server dies while it runs, and the next dispatch finds the service out.
+BOOST_AUTO_TEST_CASE(a_lookup_that_may_have_run_is_never_told_not_run) {
+  harness::ClusterOptions options;
+  options.settings["lanes"] = "commit_timeout = 300ms\n";
+  // Its outcome is waited for so long.
+  options.settings["calls"] = "deadline = 3s\n";
+  InCluster(options, [](Fiber& fiber, Cluster& cluster) {
+    const auto program = cluster.SettledProgram(kCustomer, "lookup");
+    const int owner = cluster.OwnerOf(kCustomer, program);
+    const auto address = cluster.daemon(owner).address();
+    for (int i = 0; i < cluster.tool_servers(); ++i) {
+      cluster.Fault(cluster.tool_server(i), "hang", -1, seconds(20));
+    }
+    CallAnswer first;
+    bool ended = false;
+    fiber.loop().Spawn([&](Fiber& child) {
+      Caller caller(child, cluster.http(), harness::kQuoteKey, program);
+      first = caller.Use(address, "stock", "stock_lookup", {{"item", 1}});
+      ended = true;
+    });
+    cluster.WaitFor("the lookup to run", [&] {
+      return cluster.ToolRuns("stock_lookup").size() == 1;
+    });
+    cluster.Fault(cluster.kv(), "out", -1);
+    const bool at_first =
+        !cluster.Audit(cluster.tool_server(0))["runs"].empty();
+    cluster.tool_server(at_first ? 0 : 1).Kill();
+    Caller caller(fiber, cluster.http(), harness::kQuoteKey, program);
+    const auto retry = [&] {
+      return caller.Use(address, "stock", "stock_lookup", {{"item", 1}});
+    };
+    cluster.WaitFor("the first answer", [&] { return ended; });
+    BOOST_TEST(first.verdict == "may_have_run", first.body);
+    BOOST_TEST(retry().verdict == "may_have_run");
+    cluster.Fault(cluster.kv(), "out", 0);
+    cluster.Fault(cluster.tool_server(at_first ? 1 : 0), "hang", 0);
+    cluster.WaitFor("the lookup to be answered", [&] {
+      const auto answer = retry();
+      BOOST_TEST(answer.verdict != "not_run", answer.body);
+      return answer.status == 200;
+    });
+  });
+}
+
 BOOST_AUTO_TEST_CASE(urgent_messages_go_out_while_the_service_is_out) {
   InCluster({}, [](Fiber& fiber, Cluster& cluster) {
     cluster.Fault(cluster.kv(), "out", -1);
