Process test: a contract's concurrency limit over three daemons

The limit had unit tests only. 48 programs ask at once through three daemons; the engine's stand-in tells the most turns that it ran at a time.

--- a/tests/process/limits_test.cc
+++ b/tests/process/limits_test.cc
@@ -101,6 +101,41 @@
   });
 }
 
+// Entered through three daemons, which own the lanes between them.
+BOOST_AUTO_TEST_CASE(concurrency_is_never_passed_over_the_daemons) {
+  constexpr int kConcurrency = Cluster::kLanes;
+  constexpr int kPrograms = 4 * kConcurrency;
+  harness::ClusterOptions options;
+  options.engines = 1;  // Whose most is that of all.
+  options.engine_arguments = {"--decode-us", "20000", "--slots",
+                              std::to_string(kPrograms)};
+  InCluster(options, [&](Fiber& fiber, Cluster& cluster) {
+    auto contract = ContractWith(kBigBudget, "turns = 10");
+    const std::string limit = "concurrency = ";
+    contract.replace(contract.find(limit), std::string::npos,
+                     limit + std::to_string(kConcurrency) + "\n");
+    cluster.Apply({contract});
+    int answered = 0;
+    int ended = 0;
+    for (int i = 0; i < kPrograms; ++i) {
+      fiber.loop().Spawn([&, i](Fiber& child) {
+        const auto reply = Chat(child, cluster, i % cluster.daemons(),
+                                {"parallel-" + std::to_string(i), "turn"});
+        answered += reply.status == 200 ? 1 : 0;
+        ++ended;
+      });
+    }
+    cluster.WaitFor("every turn to end", [&] { return ended == kPrograms; });
+    BOOST_TEST(answered == kPrograms);
+    const auto audit = cluster.Audit(cluster.engine(0));
+    const auto most = audit["most_running"].get<int>();
+    BOOST_TEST_MESSAGE("at most " << most << " turns at a time");
+    BOOST_TEST(most <= kConcurrency);
+    // The limit is what held them, not a lack of work.
+    BOOST_TEST(most >= kConcurrency / 2);
+  });
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace
--- a/tests/process/spool_test.cc
+++ b/tests/process/spool_test.cc
@@ -317,13 +317,14 @@
     BOOST_TEST(cluster.daemon(kCutOff).Wait(kStopTime) == 0);
     cluster.StartDaemon(kCutOff);
     cluster.WaitReady();
-    std::vector<std::unique_ptr<Program>> programs;
+    std::unique_ptr<Program> at_cut_off;
+    int n = 0;
     cluster.WaitFor("a lane at the daemon that is cut off", [&] {
-      programs.push_back(std::make_unique<Program>(
-          cluster, "cut-" + std::to_string(programs.size())));
-      return programs.back()->owner() == kCutOff;
+      at_cut_off =
+          std::make_unique<Program>(cluster, "cut-" + std::to_string(n++));
+      return at_cut_off->owner() == kCutOff;
     });
-    auto& program = *programs.back();
+    auto& program = *at_cut_off;
     const int other = program.Other(kCutOff);
     program.Work(other, "before");
     relay.set_cut(true);
@@ -377,6 +378,7 @@
 BOOST_AUTO_TEST_CASE(no_storm_of_calls_when_the_service_returns) {
   InCluster(WithHolders(), [](Fiber&, Cluster& cluster) {
     std::vector<std::unique_ptr<Program>> programs;
+    programs.reserve(kDaemons);
     for (int i = 0; i < kDaemons; ++i) {
       programs.push_back(
           std::make_unique<Program>(cluster, "storm-" + std::to_string(i)));
--- a/tests/standins/engine_service.cc
+++ b/tests/standins/engine_service.cc
@@ -162,11 +162,10 @@
 }
 
 std::string EngineService::Audit() const {
-  json out = {{"runs", json::array()},
-              {"held", cache_.Held()},
-              {"refused_us", refused_us_},
-              {"orders", orders_.audit()},
-              {"state", orders_.State()}};
+  json out = {
+      {"runs", json::array()},     {"held", cache_.Held()},
+      {"refused_us", refused_us_}, {"most_running", slots_.most_running()},
+      {"orders", orders_.audit()}, {"state", orders_.State()}};
   for (const auto& it : runs_) {
     out["runs"].push_back({{"request_id", it.request_id},
                            {"program", it.program},
--- a/tests/standins/slot_queue.cc
+++ b/tests/standins/slot_queue.cc
@@ -1,5 +1,7 @@
 #include "standins/slot_queue.h"
 
+#include <algorithm>
+
 namespace comfreyfold::standins {
 
 namespace {
@@ -14,6 +16,7 @@
   });
   queue_.erase(ticket);
   ++running_;
+  most_running_ = std::max(most_running_, running_);
   changed_.NotifyAll();
 }
 
--- a/tests/standins/slot_queue.h
+++ b/tests/standins/slot_queue.h
@@ -19,12 +19,14 @@
   void Release();
 
   int running() const { return running_; }
+  int most_running() const { return most_running_; }  // Since the start.
   int waiting() const { return static_cast<int>(queue_.size()); }
   int slots() const { return slots_; }
 
  private:
   int slots_;
   int running_ = 0;
+  int most_running_ = 0;
   std::int64_t next_ticket_ = 1;
   std::set<std::pair<int, std::int64_t>> queue_;  // Falling priority, ticket.
   Condition changed_;
