--- a/bench/bench_run.cc
+++ b/bench/bench_run.cc
@@ -29,13 +29,16 @@
                    WorkloadKind kind,
                    std::uint64_t seed)
     : policy_(policy), scenario_(scenario) {
-  if (kind == WorkloadKind::kQuote) {
+  if (kind == WorkloadKind::kQuote && !scenario_.shortened) {
     scenario_.action_servers /= 2;
   }
   WorkloadOptions options{kind, seed, scenario_.duration};
   options.slots = scenario_.engines * scenario_.costs.slots;
   options.base_load = scenario_.base_load;
   options.flood_load = scenario_.flood_load;
+  if (scenario_.shortened) {
+    Shorten(options);
+  }
   programs_ = Generate(options, scenario_.costs);
   runs_.resize(programs_.size());
   for (int i = 0; i < scenario_.engines; ++i) {
--- a/bench/main.cc
+++ b/bench/main.cc
@@ -15,6 +15,7 @@
   std::string policies;
   std::string workload;
   std::string scenario;
+  int first_seed = 1;
   int seeds = 3;
   std::chrono::seconds duration{90};
   std::string csv;
@@ -33,9 +34,10 @@
 Row Measure(const Policy& policy,
             const Scenario& scenario,
             WorkloadKind kind,
+            int first_seed,
             int seeds) {
   Row row{ToString(kind), scenario.name, policy.name, {}};
-  for (int seed = 1; seed <= seeds; ++seed) {
+  for (int seed = first_seed; seed < first_seed + seeds; ++seed) {
     row.result.Add(
         BenchRun(policy, scenario, kind, static_cast<std::uint64_t>(seed))
             .Run());
@@ -43,6 +45,21 @@
   return row;
 }
 
+std::vector<Scenario> ScenariosOf(const Options& options) {
+  auto real = RealRunScenario();
+  if (options.scenario == real.name) {
+    return {real};
+  }
+  std::vector<Scenario> out;
+  for (auto& it : AllScenarios()) {
+    if (options.scenario == "all" || options.scenario == it.name) {
+      it.duration = options.duration;
+      out.push_back(it);
+    }
+  }
+  return out;
+}
+
 void RunAll(const Options& options) {
   std::ofstream csv;
   if (!options.csv.empty()) {
@@ -54,17 +71,15 @@
     if (options.workload != "all" && options.workload != ToString(kind)) {
       continue;
     }
-    for (auto scenario : AllScenarios()) {
-      if (options.scenario != "all" && options.scenario != scenario.name) {
-        continue;
-      }
-      scenario.duration = options.duration;
+    for (const auto& scenario : ScenariosOf(options)) {
       std::cout << "\n"
-                << ToString(kind) << ", " << scenario.name << ", seeds 1 to "
-                << options.seeds << "\n";
+                << ToString(kind) << ", " << scenario.name << ", seeds "
+                << options.first_seed << " to "
+                << options.first_seed + options.seeds - 1 << "\n";
       PrintHeading(std::cout);
       for (const auto& policy : policies) {
-        const auto row = Measure(policy, scenario, kind, options.seeds);
+        const auto row =
+            Measure(policy, scenario, kind, options.first_seed, options.seeds);
         PrintRow(std::cout, row);
         if (csv.is_open()) {
           WriteCsvRow(csv, row);
@@ -86,7 +101,8 @@
       cxxopts::value<std::string>()->default_value("all"))(
       "scenario", "all, or one by name, as in 'engine lost'",
       cxxopts::value<std::string>()->default_value("all"))(
-      "seeds", "runs of each, with seeds from 1",
+      "seed", "the first seed", cxxopts::value<int>()->default_value("1"))(
+      "seeds", "runs of each, with seeds from the first",
       cxxopts::value<int>()->default_value("3"))(
       "seconds", "for which programs arrive",
       cxxopts::value<int>()->default_value("90"))(
@@ -101,7 +117,8 @@
     comfreyfold::bench::RunAll(
         {parsed["policies"].as<std::string>(),
          parsed["workload"].as<std::string>(),
-         parsed["scenario"].as<std::string>(), parsed["seeds"].as<int>(),
+         parsed["scenario"].as<std::string>(), parsed["seed"].as<int>(),
+         parsed["seeds"].as<int>(),
          std::chrono::seconds(parsed["seconds"].as<int>()),
          parsed["csv"].as<std::string>()});
     return 0;
--- a/bench/real/main.cc
+++ b/bench/real/main.cc
@@ -26,19 +26,16 @@
 
 constexpr int kEngines = 3;
 constexpr int kSlots = 4;
-constexpr int kMemoryTokens = 40000;
-constexpr int kPauseScale = 4;  // Pauses are cut to this part.
 constexpr int kBytesPerToken = 4;
 constexpr int kRefusedTries = 20;
-// They bound the run.
-constexpr std::size_t kMostTurns = 6;
-constexpr milliseconds kMostPause{3000};
 
 struct RealOptions {
   WorkloadKind kind = WorkloadKind::kKiosk;
   std::uint64_t seed = 1;
   seconds arrivals{20};
   double load = 0.9;
+  int memory_tokens = 40000;  // Of an engine.
+  std::string setting;        // One more line of [decisions].
 };
 
 std::string ContractOf() {
@@ -50,13 +47,16 @@
          "[tool stock_lookup]\nidempotent = true\nattempts = 3\n";
 }
 
-ClusterOptions OptionsOf(const std::string& policy) {
+ClusterOptions OptionsOf(const std::string& policy,
+                         const RealOptions& options) {
   ClusterOptions out;
   out.engines = kEngines;
-  out.engine_arguments = {"--slots",         std::to_string(kSlots),
-                          "--memory-tokens", std::to_string(kMemoryTokens),
-                          "--load-lag-ms",   "500"};
-  out.settings["decisions"] = "policy = " + policy + "\n";
+  out.engine_arguments = {
+      "--slots",         std::to_string(kSlots),
+      "--memory-tokens", std::to_string(options.memory_tokens),
+      "--load-lag-ms",   "500"};
+  out.settings["decisions"] =
+      "policy = " + policy + "\n" + options.setting + "\n";
   return out;
 }
 
@@ -69,10 +69,8 @@
     workload.slots = kEngines * kSlots;
     workload.base_load = options.load;
     workload.flood_load = 0;
+    Shorten(workload);
     programs_ = Generate(workload, {});
-    for (auto& it : programs_) {
-      it.turns.resize(std::min(it.turns.size(), kMostTurns));
-    }
   }
 
   Result Run() {
@@ -100,8 +98,7 @@
       latency += std::chrono::steady_clock::now() - asked;
       if (i + 1 < spec.turns.size()) {
         fiber.Sleep(
-            std::min(kMostPause, std::chrono::duration_cast<milliseconds>(
-                                     spec.turns[i].pause / kPauseScale)));
+            std::chrono::duration_cast<milliseconds>(spec.turns[i].pause));
       }
     }
     caller.End(Address(spec, 0));
@@ -191,7 +188,7 @@
 void Measure(Fiber& fiber,
              const std::string& policy,
              const RealOptions& options) {
-  Cluster cluster(fiber, OptionsOf(policy));
+  Cluster cluster(fiber, OptionsOf(policy, options));
   cluster.WaitReady();
   cluster.Apply({ContractOf()});
   const auto result = RealRun(fiber, cluster, options).Run();
@@ -219,15 +216,22 @@
       cxxopts::value<int>()->default_value("20"))(
       "load", "percent of the engines' slots",
       cxxopts::value<int>()->default_value("90"))(
+      "memory-tokens", "of each engine",
+      cxxopts::value<int>()->default_value("40000"))(
+      "setting", "a line for [decisions], as in 'slot_headroom_percent = 150'",
+      cxxopts::value<std::string>()->default_value(""))(
       "policies", "by name",
       cxxopts::value<std::vector<std::string>>()->default_value(
           "ours,round_robin,least_loaded"));
   const auto args = options.parse(argc, argv);
-  const RealOptions run{
-      args["workload"].as<std::string>() == "quote" ? WorkloadKind::kQuote
-                                                    : WorkloadKind::kKiosk,
-      static_cast<std::uint64_t>(args["seed"].as<int>()),
-      seconds(args["seconds"].as<int>()), args["load"].as<int>() / 100.0};
+  const RealOptions run{args["workload"].as<std::string>() == "quote"
+                            ? WorkloadKind::kQuote
+                            : WorkloadKind::kKiosk,
+                        static_cast<std::uint64_t>(args["seed"].as<int>()),
+                        seconds(args["seconds"].as<int>()),
+                        args["load"].as<int>() / 100.0,
+                        args["memory-tokens"].as<int>(),
+                        args["setting"].as<std::string>()};
   std::cout << ToString(run.kind) << ", seed " << run.seed << "\n"
             << "policy             p50_s     p95_s     p99_s  wasted_%   "
                "moved_%      "
--- a/bench/scenario.cc
+++ b/bench/scenario.cc
@@ -14,4 +14,16 @@
   return out;
 }
 
+Scenario RealRunScenario() {
+  Scenario out{.name = "real run", .base_load = 0.8, .flood_load = 0};
+  out.duration = std::chrono::seconds(10);
+  out.daemons = 3;
+  out.engines = 3;
+  out.action_servers = 2;
+  out.costs.slots = 4;
+  out.costs.memory_tokens = 40000;
+  out.shortened = true;
+  return out;
+}
+
 }  // namespace comfreyfold::bench
--- a/bench/scenario.h
+++ b/bench/scenario.h
@@ -28,11 +28,15 @@
   int action_servers = 10;
   int action_slots = 4;
   EngineCosts costs;
+  bool shortened = false;  // Programs and pauses.
 };
 
 // At rest, under load, at twice capacity, and under load with each fault.
 std::vector<Scenario> AllScenarios();
 
+// The size of the run on real processes.
+Scenario RealRunScenario();
+
 }  // namespace comfreyfold::bench
 
 #endif  // BENCH_SCENARIO_H_
--- a/bench/workload.cc
+++ b/bench/workload.cc
@@ -170,6 +170,12 @@
   return kind == WorkloadKind::kQuote ? "quote" : "kiosk";
 }
 
+void Shorten(WorkloadOptions& options) {
+  options.most_turns = 6;
+  options.pause_divisor = 4;
+  options.most_pause = seconds(3);
+}
+
 std::vector<GeneratedProgram> Generate(const WorkloadOptions& options,
                                        const EngineCosts& costs) {
   std::vector<GeneratedProgram> out;
@@ -177,6 +183,14 @@
                 "customer-", kBaseCustomers, out);
   GenerateGroup(options, costs, Draw(options.seed + 1000), options.flood_load,
                 kFloodCustomer, 1, out);
+  for (auto& program : out) {
+    if (options.most_turns > 0) {
+      program.turns.resize(std::min(program.turns.size(), options.most_turns));
+    }
+    for (auto& it : program.turns) {
+      it.pause = std::min(options.most_pause, it.pause / options.pause_divisor);
+    }
+  }
   return out;
 }
 
--- a/bench/workload.h
+++ b/bench/workload.h
@@ -39,8 +39,15 @@
   double slots = 80;        // Of all engines.
   double base_load = 0.5;   // Of the customers within their share.
   double flood_load = 0.3;  // Of one customer more.
+  // Bounds of a short run; 0 turns: none.
+  std::size_t most_turns = 0;
+  int pause_divisor = 1;
+  std::chrono::nanoseconds most_pause = std::chrono::hours(1);
 };
 
+// The bounds of the run on real processes.
+void Shorten(WorkloadOptions& options);
+
 // Prices of the stand-in engine.
 struct EngineCosts {
   std::chrono::nanoseconds prefill_per_token{20000};
