--- a/bench/bench_run_servers.cc
+++ b/bench/bench_run_servers.cc
@@ -111,6 +111,7 @@
     }
     last.running = it->running();
     last.waiting = it->waiting();
+    last.held_tokens = it->used_tokens();
   }
   for (const auto& [id, it] : services_) {
     auto& last = last_loads_[id];
--- a/bench/daemon_model.cc
+++ b/bench/daemon_model.cc
@@ -92,6 +92,7 @@
   question.held_tokens = chooser.Held(run.engine, now);
   question.memory_share = static_cast<std::int64_t>(
       share * static_cast<double>(chooser.MemoryTokens(run.engine)));
+  question.memory_short = chooser.MemoryShort(run.engine);
   question.residence = chooser.Residence(run.engine);
   question.can_export = policy_.can_export;
   return holds_.Decide(question);
--- a/bench/engine_model.h
+++ b/bench/engine_model.h
@@ -44,6 +44,7 @@
 
   int running() const { return running_; }
   int waiting() const { return static_cast<int>(queue_.size()); }
+  std::int64_t used_tokens() const { return used_tokens_; }
   std::chrono::nanoseconds busy() const { return busy_; }
 
  private:
--- a/source/core/engine_chooser.cc
+++ b/source/core/engine_chooser.cc
@@ -334,6 +334,16 @@
   return it == servers_.end() ? 0 : it->second.load.memory_tokens;
 }
 
+bool EngineChooser::MemoryShort(const std::string& id) const {
+  const auto it = servers_.find(id);
+  if (it == servers_.end() || it->second.load.memory_tokens == 0) {
+    return false;
+  }
+  const auto& load = it->second.load;
+  return static_cast<double>(load.held_tokens) >
+         settings_.hold_memory_share * static_cast<double>(load.memory_tokens);
+}
+
 bool EngineChooser::Believed(const Server& server,
                              const Belief& belief,
                              TimePoint now) {
--- a/source/core/engine_chooser.h
+++ b/source/core/engine_chooser.h
@@ -21,6 +21,7 @@
   int waiting = 0;
   int slots = 0;                   // 0: not told.
   std::int64_t memory_tokens = 0;  // 0: not told.
+  std::int64_t held_tokens = 0;    // Of them, in use.
 };
 
 // The call that needs a server.
@@ -95,6 +96,8 @@
   std::optional<std::chrono::nanoseconds> Residence(
       const std::string& id) const;
   std::int64_t MemoryTokens(const std::string& id) const;
+  // Whether the engine says that more than the holds' share is in use.
+  bool MemoryShort(const std::string& id) const;
   // Tokens of this daemon's programs believed to be in its memory.
   std::int64_t Held(const std::string& id, TimePoint now) const;
   double Share(TimePoint now) const;
--- a/source/core/hold_policy.cc
+++ b/source/core/hold_policy.cc
@@ -48,12 +48,13 @@
 }
 
 // Pauses are taken as exponential: the chance that one outlasts the time
-// that the engine keeps things is the chance that the context is lost.
+// that the engine keeps things is the chance that the context is lost. What
+// the peers hold and turns that run use is known from the engine alone.
 double HoldPolicy::LossChance(const HoldQuestion& question) const {
   const bool over_share =
       question.memory_share > 0 &&
       question.held_tokens + question.tokens > question.memory_share;
-  if (over_share) {
+  if (over_share || question.memory_short) {
     return 1;
   }
   if (!question.residence) {
--- a/source/core/hold_policy.h
+++ b/source/core/hold_policy.h
@@ -25,6 +25,7 @@
   std::int64_t exported_tokens = 0;  // Of them, copied out before.
   std::int64_t held_tokens = 0;      // By this daemon on that engine.
   std::int64_t memory_share = 0;     // What it may hold there; 0: not known.
+  bool memory_short = false;         // By the engine's own report.
   // How long the engine keeps an unused prefix; none: nothing lost yet.
   std::optional<std::chrono::nanoseconds> residence;
   bool can_export = true;
--- a/source/server/backend_directory.cc
+++ b/source/server/backend_directory.cc
@@ -104,6 +104,7 @@
   backend->reported_slots = load.value("slots", 0);
   backend->reported_memory_tokens =
       load.value("memory_tokens", std::int64_t{0});
+  backend->reported_held_tokens = load.value("held_tokens", std::int64_t{0});
   const bool draining = load.value("draining", false);
   if (draining && !backend->draining) {
     log_.Write({.name = "backend_draining", .backend = id});
--- a/source/server/backend_directory.h
+++ b/source/server/backend_directory.h
@@ -23,6 +23,7 @@
   int reported_waiting = 0;
   int reported_slots = 0;                   // 0: not told.
   std::int64_t reported_memory_tokens = 0;  // 0: not told.
+  std::int64_t reported_held_tokens = 0;
   std::vector<std::string> reports_models;  // Loaded by order.
 };
 
--- a/source/server/dispatch_queue.cc
+++ b/source/server/dispatch_queue.cc
@@ -129,7 +129,8 @@
       chooser.SetServer(id, directory_.TakesWork(id));
       chooser.ObserveLoad(
           id, {backend.reported_running, backend.reported_waiting,
-               backend.reported_slots, backend.reported_memory_tokens});
+               backend.reported_slots, backend.reported_memory_tokens,
+               backend.reported_held_tokens});
     }
   }
   Pump();
--- a/source/server/hold_keeper.cc
+++ b/source/server/hold_keeper.cc
@@ -57,6 +57,7 @@
   question.memory_share = static_cast<std::int64_t>(
       settings_.hold_memory_share * chooser.Share(now) *
       static_cast<double>(chooser.MemoryTokens(hold.engine)));
+  question.memory_short = chooser.MemoryShort(hold.engine);
   question.residence = chooser.Residence(hold.engine);
   question.can_export = exported_bytes_ < settings_.export_bytes;
   return policy_.Decide(question);
--- a/tests/decisions/engine_chooser_test.cc
+++ b/tests/decisions/engine_chooser_test.cc
@@ -95,6 +95,14 @@
   BOOST_TEST(!chooser.HasRoom("e2", now));
 }
 
+BOOST_FIXTURE_TEST_CASE(EngineOverTheHoldsShareIsShortOfMemory, Fixture) {
+  BOOST_TEST(!chooser.MemoryShort("e0"));  // Tells nothing.
+  chooser.ObserveLoad("e0", {.memory_tokens = 1000, .held_tokens = 500});
+  BOOST_TEST(!chooser.MemoryShort("e0"));
+  chooser.ObserveLoad("e0", {.memory_tokens = 1000, .held_tokens = 501});
+  BOOST_TEST(chooser.MemoryShort("e0"));
+}
+
 BOOST_FIXTURE_TEST_CASE(ServerThatFailedTheCallIsLast, Fixture) {
   BOOST_TEST(Choose({"p", 100, 0, 0, {"e0", "e1"}}) == "e2");
   // Better than none.
--- a/tests/decisions/policies_test.cc
+++ b/tests/decisions/policies_test.cc
@@ -140,6 +140,9 @@
   BOOST_TEST((policy.Decide(question) == HoldAction::kExport));
   question.memory_share = 20000;
   BOOST_TEST((policy.Decide(question) == HoldAction::kKeep));
+  // Peers and turns that run fill the engine.
+  question.memory_short = true;
+  BOOST_TEST((policy.Decide(question) == HoldAction::kExport));
 }
 
 BOOST_AUTO_TEST_CASE(CustomerWithinItsShareIsNotRefusedForOthers) {
