Keep a context in the stand-in while it is brought in

Contexts of 20,000 to 38,000 tokens were evicted while their import lasted (0.2 to 0.4 s) and the turn behind it prefilled them: an engine holds the memory that a transfer writes to.

--- a/tests/standins/engine_service.cc
+++ b/tests/standins/engine_service.cc
@@ -214,9 +214,12 @@
 std::int64_t EngineService::Import(Fiber& fiber,
                                    const std::string& program,
                                    const std::string& copy) {
+  // What is being brought in is not evicted meanwhile.
+  cache_.Begin(program);
   const auto lacking = Tokens(cache_.Import(program, copy));
   fiber.Sleep(std::chrono::ceil<std::chrono::milliseconds>(
       options_.import_per_token * lacking));
+  cache_.End(program);
   return lacking;
 }
 
