Tell the new owner that a call ran, also when the lane was taken over

Cause: an owner that was paused past a takeover dropped what it learnt of its calls: a booking that ran stayed "may have run" for good, though the new owner had the call open. Trace of owner_frozen_before_dispatch with this change (lane 4, ms): 2283 d1 lane_taken epoch 2; 2353 d1 call_refused outcome_unknown may_have_run; 2368 d0 wakes, call_begun (its commit's answer waited in the socket) and dispatches, as the test's dispatch_window of 60 s allows; 2372 d0 lane_lost; 2373 d1 outcome_received from d0; 2420 the retry is answered "ran". So "ran" after "may have run" is allowed and true; the test asked for "may have run" though the call had run. It takes either now and, where the call ran, waits until the outcome is told; never two runs, as before. The same trace shows d0 trying to take lane 4 from d1 on waking (lane_not_taken: "d1 holds lane 4 and lives"): a woken daemon does suspect the others, and the check before a takeover stops it.

--- a/source/server/call_journal.cc
+++ b/source/server/call_journal.cc
@@ -8,6 +8,23 @@
 
 namespace {
 constexpr std::chrono::milliseconds kRetryInOutage{2000};
+// A daemon that was paused past the call's deadline still tells the outcome.
+constexpr std::chrono::milliseconds kLeastRelayTime{5000};
+
+// Whether the lane's next owner may take the outcome. After a handover it
+// waits for it. After a takeover it has told callers that the call may have
+// run: that it ran is as true later, and a call that is not idempotent was
+// not begun again there. One that is may have been, and "not run" would let a
+// call run that its caller has looked for at the service in vain.
+bool CountsAtNextOwner(const CallContext& context, const LaneEntry& done) {
+  if (context.lane->handed_over()) {
+    return true;
+  }
+  const auto* program = context.state();
+  const auto* call = program == nullptr ? nullptr : program->FindCall(done.key);
+  return done.verdict == Verdict::kRan && call != nullptr && !call->idempotent;
+}
+
 }  // namespace
 
 void CallJournal::CommitIntent(Fiber& fiber,
@@ -72,8 +89,9 @@
     if (done.kind != EntryKind::kCallDone) {
       throw NotOwner(e.what());
     }
-    if (context.lane->handed_over() &&
-        relay_.Send(fiber, done, context.lane->epoch(), context.left())) {
+    if (CountsAtNextOwner(context, done) &&
+        relay_.Send(fiber, done, context.lane->epoch(),
+                    std::max(context.left(), kLeastRelayTime))) {
       return;
     }
   } catch (const AppendTimeout&) {
--- a/source/server/call_journal.h
+++ b/source/server/call_journal.h
@@ -19,7 +19,7 @@
                     const LaneEntry& begun);
 
   // Returns once `done` is known committed, here or by the daemon that
-  // the lane was handed over to: only then is the call over. Throws CallError
+  // owns the lane since: only then is the call over. Throws CallError
   // (may have run), or NotOwner for an entry that is no outcome.
   void CommitOutcome(Fiber& fiber,
                      const CallContext& context,
--- a/source/server/lane_owner.cc
+++ b/source/server/lane_owner.cc
@@ -302,12 +302,13 @@
 }
 
 void LaneOwner::Supersede(const LaneOwnerView& newest) {
-  if (!lost_) {
-    Lose(newest.daemon + " holds epoch " + std::to_string(newest.epoch));
-  }
+  Lose(newest.daemon + " holds epoch " + std::to_string(newest.epoch));
 }
 
 void LaneOwner::Lose(const std::string& why) {
+  if (lost_) {
+    return;
+  }
   lost_ = true;
   log_.Write(
       {.name = "lane_lost", .lane = lane_, .epoch = epoch(), .detail = why});
--- a/source/server/outcome_relay.h
+++ b/source/server/outcome_relay.h
@@ -12,7 +12,7 @@
 namespace comfreyfold {
 
 // Takes the outcome of a call that ran here to the daemon that owns its lane
-// since the handover.
+// now.
 class OutcomeRelay {
  public:
   OutcomeRelay(HttpClient& http,
