Two daemons follow each server and tell the others

Cause: every daemon asked every server twice a second: by the slopes 5.3% of a core and 54 KB a second at 600 servers, against bounds of 1.4% and 9 KB.

Change: past nine daemons two follow each server (rendezvous hashing over the live ones) and tell every live peer at once that it begins to leave, is gone or is back; all others ask it once at first, then every 5 s while calls of theirs run there and every 60 s otherwise, at most 5 a round.

Ruled out: news on the membership messages (several rounds on the way; telling directly costs more only while something changes), asking less often (24 s until a leaving server is noticed), one follower (frozen, nobody tells), load as news (past 9 KB a second at 600 servers).

Conclusion: within the bounds by extrapolation; the chooser's poorer view of load was not measured.

--- a/bench/process/slopes.cc
+++ b/bench/process/slopes.cc
@@ -196,13 +196,17 @@
 }
 
 // What a daemon spends on following the servers' load reports.
-void MeasureServers() {
+void MeasureServers(int daemons, const std::string& calls) {
   std::vector<Point> processor;
   std::vector<Point> sent;
   constexpr int kToolServers = 2;
   for (const int engines : {2, 8, 16, 32}) {
     ClusterOptions options;
+    options.daemons = daemons;
     options.engines = engines;
+    if (!calls.empty()) {
+      options.settings["calls"] = calls + "\n";
+    }
     RunWithCluster(options, [&](Fiber& fiber, Cluster& cluster) {
       const double before = MetricSum(fiber, cluster, kOtherBytes);
       const auto start = Clock::now();
@@ -303,6 +307,10 @@
                            "Slopes of processor time, memory and messages");
   options.add_options()("only", "calls, servers, fleets or states; empty: all",
                         cxxopts::value<std::string>()->default_value(""))(
+      "daemons", "for servers: daemons that follow them",
+      cxxopts::value<int>()->default_value("3"))(
+      "calls", "for servers: a line of the daemons' [calls]",
+      cxxopts::value<std::string>()->default_value(""))(
       "fleets", "numbers of daemons",
       cxxopts::value<std::vector<int>>()->default_value("3,6,9,18"));
   const auto args = options.parse(argc, argv);
@@ -319,7 +327,7 @@
     });
   }
   if (only.empty() || only == "servers") {
-    MeasureServers();
+    MeasureServers(args["daemons"].as<int>(), args["calls"].as<std::string>());
   }
   if (only.empty() || only == "fleets") {
     MeasureFleets(Sizes(args));
--- /dev/null
+++ b/source/core/server_state.h
@@ -0,0 +1,28 @@
+#ifndef CORE_SERVER_STATE_H_
+#define CORE_SERVER_STATE_H_
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace comfreyfold {
+
+enum class ServerCondition { kTakesWork, kDraining, kUnreachable };
+inline constexpr auto kLastServerCondition = ServerCondition::kUnreachable;
+
+// What a daemon saw of a backend server.
+struct ServerState {
+  std::string server;
+  ServerCondition condition = ServerCondition::kTakesWork;
+  std::int64_t clock = 0;  // Hybrid logical clock; the newest counts.
+  int slots = 0;           // 0: not told.
+};
+
+// Servers whose condition has changed.
+struct ServerNews {
+  std::vector<ServerState> servers;
+};
+
+}  // namespace comfreyfold
+
+#endif  // CORE_SERVER_STATE_H_
--- a/source/server/backend_directory.cc
+++ b/source/server/backend_directory.cc
@@ -23,13 +23,15 @@
                                    VmListClient& vms,
                                    EventLog& log,
                                    std::chrono::milliseconds list_interval,
-                                   std::chrono::milliseconds load_interval)
+                                   std::chrono::milliseconds load_interval,
+                                   LoadFollowers followers)
     : loop_(loop),
       http_(http),
       vms_(vms),
       log_(log),
       list_interval_(list_interval),
-      load_interval_(load_interval) {}
+      load_interval_(load_interval),
+      followers_(std::move(followers)) {}
 
 void BackendDirectory::Start() {
   loop_.Spawn([this](Fiber& fiber) { FollowList(fiber); });
@@ -55,13 +57,45 @@
   }
 }
 
+void BackendDirectory::SetDaemons(const std::vector<std::string>& daemons) {
+  followers_.SetDaemons(daemons);
+}
+
+void BackendDirectory::OnChange(std::function<void(const ServerState&)> hook) {
+  on_change_ = std::move(hook);
+}
+
+std::vector<AskedServer> BackendDirectory::Askable() const {
+  std::vector<AskedServer> out;
+  for (const auto& [id, backend] : backends_) {
+    out.push_back({id, backend.in_flight > 0, backend.asked});
+  }
+  return out;
+}
+
+// The load of a server that nobody here follows soon says nothing; what is
+// in flight from here and the share of the peers are known all the time.
+void BackendDirectory::ForgetOldLoads() {
+  const auto now = std::chrono::steady_clock::now();
+  for (auto& [id, backend] : backends_) {
+    if (followers_.Follows(id)) {
+      continue;
+    }
+    backend.followed.reset();
+    if (backend.asked &&
+        now - *backend.asked > LoadFollowers::kReportLifetime) {
+      backend.reported_running = 0;
+      backend.reported_waiting = 0;
+    }
+  }
+}
+
 void BackendDirectory::FollowLoad(Fiber& fiber) {
   while (true) {
-    std::vector<std::string> ids;
-    for (const auto& [id, backend] : backends_) {
-      ids.push_back(id);
-    }
-    for (const auto& it : ids) {
+    ForgetOldLoads();
+    const auto now = std::chrono::steady_clock::now();
+    for (const auto& it : followers_.ServersToAsk(Askable(), now)) {
+      backends_[it].asked = now;
       loop_.Spawn([this, it](Fiber& child) { ReadLoad(child, it); });
     }
     fiber.Sleep(load_interval_);
@@ -85,38 +119,97 @@
         http_.Send(fiber, before->vm.address, {"GET", "/load"}, options);
     load = nlohmann::json::parse(reply.body, nullptr, false);
   } catch (const HttpFailure& e) {
-    SetReachable(id, e.sent());
+    auto* backend = Find(id);
+    if (backend != nullptr && e.sent()) {
+      SetReachable(*backend, true);
+    } else {
+      Saw(id, ServerCondition::kUnreachable);
+    }
     return;
   }
-  SetReachable(id, true);
   auto* backend = Find(id);
-  if (backend == nullptr || !load.is_object()) {
+  if (backend == nullptr) {
     return;
   }
-  backend->reports_models.clear();
+  SetReachable(*backend, true);
+  if (load.is_object()) {
+    TakeLoad(*backend, load);
+    Saw(id, load.value("draining", false) ? ServerCondition::kDraining
+                                          : ServerCondition::kTakesWork);
+  }
+}
+
+void BackendDirectory::TakeLoad(Backend& backend, const nlohmann::json& load) {
+  backend.reports_models.clear();
   for (const auto& it : load.value("models", nlohmann::json::array())) {
     if (it.is_string()) {
-      backend->reports_models.push_back(it.get<std::string>());
+      backend.reports_models.push_back(it.get<std::string>());
     }
   }
-  backend->reported_running = load.value("running", 0);
-  backend->reported_waiting = load.value("waiting", 0);
-  backend->reported_slots = load.value("slots", 0);
-  const bool draining = load.value("draining", false);
-  if (draining && !backend->draining) {
-    log_.Write({.name = "backend_draining", .backend = id});
-  }
-  backend->draining = draining;
+  backend.reported_running = load.value("running", 0);
+  backend.reported_waiting = load.value("waiting", 0);
+  backend.reported_slots = load.value("slots", 0);
 }
 
-void BackendDirectory::SetReachable(const std::string& id, bool reachable) {
+void BackendDirectory::Saw(const std::string& id, ServerCondition condition) {
   auto* backend = Find(id);
-  if (backend == nullptr || backend->reachable == reachable) {
+  if (backend == nullptr) {
+    return;
+  }
+  backend->seen_clock = log_.Stamp();
+  SetCondition(*backend, condition);
+  if (followers_.Follows(id)) {
+    TellOfChange(*backend, condition);
+  }
+}
+
+// Only what this daemon itself saw change is told: two followers of which
+// one cannot reach the server would contradict each other without end.
+void BackendDirectory::TellOfChange(Backend& backend,
+                                    ServerCondition condition) {
+  const auto before = backend.followed.value_or(backend.told);
+  backend.followed = condition;
+  if (before == condition || !on_change_) {
+    return;
+  }
+  backend.told = condition;
+  on_change_(
+      {backend.vm.id, condition, backend.seen_clock, backend.reported_slots});
+}
+
+void BackendDirectory::Take(const ServerState& state) {
+  auto* backend = Find(state.server);
+  if (backend == nullptr || state.clock <= backend->seen_clock) {
+    return;
+  }
+  backend->seen_clock = state.clock;
+  backend->told = state.condition;
+  if (state.slots > 0) {
+    backend->reported_slots = state.slots;
+  }
+  SetCondition(*backend, state.condition);
+}
+
+void BackendDirectory::SetCondition(Backend& backend,
+                                    ServerCondition condition) {
+  SetReachable(backend, condition != ServerCondition::kUnreachable);
+  if (condition == ServerCondition::kUnreachable) {
+    return;
+  }
+  const bool draining = condition == ServerCondition::kDraining;
+  if (draining && !backend.draining) {
+    log_.Write({.name = "backend_draining", .backend = backend.vm.id});
+  }
+  backend.draining = draining;
+}
+
+void BackendDirectory::SetReachable(Backend& backend, bool reachable) {
+  if (backend.reachable == reachable) {
     return;
   }
-  backend->reachable = reachable;
+  backend.reachable = reachable;
   log_.Write({.name = reachable ? "backend_reachable" : "backend_unreachable",
-              .backend = id});
+              .backend = backend.vm.id});
 }
 
 bool BackendDirectory::TakesWork(const std::string& id) const {
--- a/source/server/backend_directory.h
+++ b/source/server/backend_directory.h
@@ -2,10 +2,17 @@
 #define SERVER_BACKEND_DIRECTORY_H_
 
 #include <chrono>
+#include <cstdint>
+#include <functional>
 #include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
+#include <nlohmann/json_fwd.hpp>
+
+#include "core/load_followers.h"
+#include "core/server_state.h"
 #include "log/event_log.h"
 #include "net/http_client.h"
 #include "platform/vm_list_client.h"
@@ -21,7 +28,14 @@
   int in_flight = 0;  // Calls of this daemon.
   int reported_running = 0;
   int reported_waiting = 0;
-  int reported_slots = 0;                   // 0: not told.
+  int reported_slots = 0;  // 0: not told.
+  // Of the newest look at its condition, here or by a peer.
+  std::int64_t seen_clock = 0;
+  std::optional<TimePoint> asked;  // For its load, by this daemon.
+  // The condition last told between the daemons, and what this one saw last
+  // while it followed the server.
+  ServerCondition told = ServerCondition::kTakesWork;
+  std::optional<ServerCondition> followed;
   std::vector<std::string> reports_models;  // Loaded by order.
 };
 
@@ -34,10 +48,19 @@
                    VmListClient& vms,
                    EventLog& log,
                    std::chrono::milliseconds list_interval,
-                   std::chrono::milliseconds load_interval);
+                   std::chrono::milliseconds load_interval,
+                   LoadFollowers followers);
 
   void Start();
 
+  // The daemons that share the following of servers.
+  void SetDaemons(const std::vector<std::string>& daemons);
+  bool Follows(const std::string& id) const { return followers_.Follows(id); }
+  // Told when a server that this daemon follows changes.
+  void OnChange(std::function<void(const ServerState&)> hook);
+  // What a peer saw of a server that it follows.
+  void Take(const ServerState& state);
+
   // Servers that serve `name` in `role` and take new work. Those that
   // cannot be reached are left out as long as another one can.
   std::vector<Backend*> Serving(VmRole role, const std::string& name);
@@ -55,7 +78,13 @@
   void FollowList(Fiber& fiber);
   void FollowLoad(Fiber& fiber);
   void ReadLoad(Fiber& fiber, const std::string& id);
-  void SetReachable(const std::string& id, bool reachable);
+  std::vector<AskedServer> Askable() const;
+  void ForgetOldLoads();
+  static void TakeLoad(Backend& backend, const nlohmann::json& load);
+  void Saw(const std::string& id, ServerCondition condition);
+  void TellOfChange(Backend& backend, ServerCondition condition);
+  void SetCondition(Backend& backend, ServerCondition condition);
+  void SetReachable(Backend& backend, bool reachable);
 
   Loop& loop_;
   HttpClient& http_;
@@ -63,6 +92,8 @@
   EventLog& log_;
   std::chrono::milliseconds list_interval_;
   std::chrono::milliseconds load_interval_;
+  LoadFollowers followers_;
+  std::function<void(const ServerState&)> on_change_;
   std::map<std::string, Backend> backends_;
   bool loaded_ = false;
 };
--- a/source/server/daemon.cc
+++ b/source/server/daemon.cc
@@ -77,7 +77,9 @@
                 vms_,
                 log_,
                 settings_.vm_list_interval,
-                settings_.load_interval),
+                settings_.load_interval,
+                LoadFollowers(settings_.daemon, settings_.followers)),
+      announcer_(loop, http_, membership_, backends_, log_),
       lanes_(loop, kv_, log_, membership_, settings_.lane, settings_.lanes),
       tidier_(loop, lanes_, log_),
       engines_(http_, settings_.token_coalescing),
@@ -205,6 +207,8 @@
   reclaimer_.Start();
   reaper_.Start();
   tidier_.Start();
+  backends_.OnChange(
+      [this](const ServerState& state) { announcer_.Announce(state); });
   backends_.Start();
   lanes_.OnApplied([this](const LaneOwner& owner, const LaneBlock& block) {
     releaser_.Note(owner, block);
@@ -273,6 +277,7 @@
 }
 
 void Daemon::RefreshDecisions() {
+  backends_.SetDaemons(membership_.Eligible(std::chrono::steady_clock::now()));
   engine_queue_.Refresh(membership_);
   service_queue_.Refresh(membership_);
   holds_.Prune();
@@ -295,6 +300,7 @@
     if (!caller_api_.Handle(fiber, request, exchange) &&
         !peer_api_.Handle(fiber, request, exchange) &&
         !contract_peers_.Handle(request, exchange) &&
+        !announcer_.Handle(request, exchange) &&
         !listing_.Handle(request, exchange) &&
         !sealer_.Handle(fiber, request, exchange) &&
         !operator_api_.Handle(request, exchange)) {
--- a/source/server/daemon.h
+++ b/source/server/daemon.h
@@ -26,6 +26,7 @@
 #include "server/peer_secret.h"
 #include "server/program_listing.h"
 #include "server/program_reaper.h"
+#include "server/server_announcer.h"
 #include "server/settings.h"
 #include "server/stray_holds.h"
 #include "server/urgent_sender.h"
@@ -68,6 +69,7 @@
   ContractStore contracts_;
   ContractPeers contract_peers_;
   BackendDirectory backends_;
+  ServerAnnouncer announcer_;
   LaneManager lanes_;
   LaneTidier tidier_;
   EngineClient engines_;
--- a/source/server/operator_api.cc
+++ b/source/server/operator_api.cc
@@ -30,9 +30,10 @@
   return out;
 }
 
-json ToJson(const Backend& backend) {
+json ToJson(const Backend& backend, bool followed) {
   return {
       {"id", backend.vm.id},
+      {"followed", followed},
       {"address", backend.vm.address},
       {"in_flight", backend.in_flight},
       {"leaving", backend.draining || backend.vm.state == VmState::kLeaving}};
@@ -145,7 +146,7 @@
   }
   json backends = json::array();
   for (const auto& [id, backend] : backends_.all()) {
-    backends.push_back(ToJson(backend));
+    backends.push_back(ToJson(backend, backends_.Follows(id)));
   }
   return json{{"daemon", self.daemon},
               {"address", self.address},
--- a/source/server/peer_protocol.h
+++ b/source/server/peer_protocol.h
@@ -12,6 +12,7 @@
 inline constexpr char kOutcomePath[] = "/peer/outcome";      // LaneBlock.
 inline constexpr char kHeartbeatPath[] = "/peer/heartbeat";  // Heartbeat.
 inline constexpr char kContractsPath[] = "/peer/contracts";  // ContractSet.
+inline constexpr char kServersPath[] = "/peer/servers";      // ServerNews.
 inline constexpr char kGrantUsePath[] = "/peer/grant-use";   // GrantQuestion.
 
 // HTTP status of a daemon that does not own the lane: nothing was run.
--- a/source/server/settings.cc
+++ b/source/server/settings.cc
@@ -19,6 +19,8 @@
 constexpr std::int64_t kMostRecentBytes = 64LL * 1024 * 1024;
 constexpr int kMostWritesPerSecond = 100000;
 constexpr int kMostSnapshotBlocks = 100000;
+constexpr int kMostFollowers = 16;
+constexpr int kMostDaemonsThatAllFollow = 1000;
 constexpr int kMostPeersEachRound = 64;
 constexpr int kMostConnections = 100000;
 constexpr std::int64_t kLeastBodyBytes = 1024;
@@ -127,6 +129,10 @@
               hours(1));
   reader.Take("calls", "load_interval", out.load_interval, milliseconds(10),
               minutes(1));
+  reader.Take("calls", "load_followers", out.followers.followers, 1,
+              kMostFollowers);
+  reader.Take("calls", "every_daemon_follows_up_to",
+              out.followers.every_daemon_up_to, 0, kMostDaemonsThatAllFollow);
   reader.Take("calls", "token_coalescing", out.token_coalescing,
               milliseconds(0), seconds(1));
   TakeDecisions(reader, out.decisions);
--- a/source/server/settings.h
+++ b/source/server/settings.h
@@ -5,6 +5,7 @@
 #include <string>
 
 #include "core/decision_settings.h"
+#include "core/load_followers.h"
 #include "log/event_log.h"
 #include "net/http_server.h"
 #include "server/contract_store.h"
@@ -39,6 +40,7 @@
 
   std::chrono::milliseconds call_deadline{60000};
   std::chrono::milliseconds load_interval{500};
+  FollowerSettings followers;
   std::chrono::milliseconds token_coalescing{20};
   std::chrono::milliseconds drain_time{60000};
   DecisionSettings decisions;
--- a/source/wire/codec.cc
+++ b/source/wire/codec.cc
@@ -279,6 +279,30 @@
   return out;
 }
 
+std::string Encode(const ServerNews& news) {
+  wire::ServerNews out;
+  for (const auto& it : news.servers) {
+    wire::ServerState state;
+    state.server = it.server;
+    state.condition = static_cast<int>(it.condition);
+    state.clock = it.clock;
+    state.slots = it.slots;
+    out.servers.push_back(state);
+  }
+  return Write(out);
+}
+
+ServerNews DecodeServerNews(const std::string& buf) {
+  ServerNews out;
+  const auto in = Read<wire::ServerNews>(buf);
+  for (const auto& it : in.servers) {
+    out.servers.push_back({it.server,
+                           ToEnum(it.condition, kLastServerCondition), it.clock,
+                           static_cast<int>(it.slots)});
+  }
+  return out;
+}
+
 std::string EncodeFramed(const AnswerFrame& frame) {
   const auto body = Encode(frame);
   const auto n = static_cast<std::uint32_t>(body.size());
--- a/source/wire/codec.h
+++ b/source/wire/codec.h
@@ -13,6 +13,7 @@
 #include "core/grant_use.h"
 #include "core/heartbeat.h"
 #include "core/lane_entry.h"
+#include "core/server_state.h"
 
 namespace comfreyfold {
 
@@ -72,6 +73,7 @@
 std::string Encode(const ForwardedCall& call);
 std::string Encode(const AnswerFrame& frame);
 std::string Encode(const MemberMessage& message);
+std::string Encode(const ServerNews& news);
 std::string Encode(const ContractSet& contracts);
 std::string Encode(const GrantQuestion& question);
 std::string Encode(const GrantAnswer& answer);
@@ -79,6 +81,7 @@
 ForwardedCall DecodeForwardedCall(const std::string& buf);
 AnswerFrame DecodeAnswerFrame(const std::string& buf);
 MemberMessage DecodeMemberMessage(const std::string& buf);
+ServerNews DecodeServerNews(const std::string& buf);
 ContractSet DecodeContractSet(const std::string& buf);
 GrantQuestion DecodeGrantQuestion(const std::string& buf);
 GrantAnswer DecodeGrantAnswer(const std::string& buf);
--- a/source/wire/comfreyfold.thrift
+++ b/source/wire/comfreyfold.thrift
@@ -167,3 +167,15 @@
   2: list<Heartbeat> news,
   3: list<DeadMember> dead,
 }
+
+// What a daemon saw of a backend server that it follows.
+struct ServerState {
+  1: string server,
+  2: i32 condition,
+  3: i64 clock,
+  4: i64 slots,
+}
+
+struct ServerNews {
+  1: list<ServerState> servers,
+}
--- a/source/wire/gen/comfreyfold_types.cpp
+++ b/source/wire/gen/comfreyfold_types.cpp
@@ -3783,4 +3783,268 @@
   out << ")";
 }
 
+
+ServerState::~ServerState() noexcept {
+}
+
+
+void ServerState::__set_server(const std::string& val) {
+  this->server = val;
+}
+
+void ServerState::__set_condition(const int32_t val) {
+  this->condition = val;
+}
+
+void ServerState::__set_clock(const int64_t val) {
+  this->clock = val;
+}
+
+void ServerState::__set_slots(const int64_t val) {
+  this->slots = val;
+}
+std::ostream& operator<<(std::ostream& out, const ServerState& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t ServerState::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->server);
+          this->__isset.server = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->condition);
+          this->__isset.condition = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->clock);
+          this->__isset.clock = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->slots);
+          this->__isset.slots = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t ServerState::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("ServerState");
+
+  xfer += oprot->writeFieldBegin("server", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->server);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("condition", ::apache::thrift::protocol::T_I32, 2);
+  xfer += oprot->writeI32(this->condition);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("clock", ::apache::thrift::protocol::T_I64, 3);
+  xfer += oprot->writeI64(this->clock);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("slots", ::apache::thrift::protocol::T_I64, 4);
+  xfer += oprot->writeI64(this->slots);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(ServerState &a, ServerState &b) {
+  using ::std::swap;
+  swap(a.server, b.server);
+  swap(a.condition, b.condition);
+  swap(a.clock, b.clock);
+  swap(a.slots, b.slots);
+  swap(a.__isset, b.__isset);
+}
+
+ServerState::ServerState(const ServerState& other76) {
+  server = other76.server;
+  condition = other76.condition;
+  clock = other76.clock;
+  slots = other76.slots;
+  __isset = other76.__isset;
+}
+ServerState& ServerState::operator=(const ServerState& other77) {
+  server = other77.server;
+  condition = other77.condition;
+  clock = other77.clock;
+  slots = other77.slots;
+  __isset = other77.__isset;
+  return *this;
+}
+void ServerState::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "ServerState(";
+  out << "server=" << to_string(server);
+  out << ", " << "condition=" << to_string(condition);
+  out << ", " << "clock=" << to_string(clock);
+  out << ", " << "slots=" << to_string(slots);
+  out << ")";
+}
+
+
+ServerNews::~ServerNews() noexcept {
+}
+
+
+void ServerNews::__set_servers(const std::vector<ServerState> & val) {
+  this->servers = val;
+}
+std::ostream& operator<<(std::ostream& out, const ServerNews& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t ServerNews::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->servers.clear();
+            uint32_t _size4;
+            ::apache::thrift::protocol::TType _etype7;
+            xfer += iprot->readListBegin(_etype7, _size4);
+            this->servers.resize(_size4);
+            uint32_t _i8;
+            for (_i8 = 0; _i8 < _size4; ++_i8)
+            {
+              xfer += this->servers[_i8].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.servers = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t ServerNews::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("ServerNews");
+
+  xfer += oprot->writeFieldBegin("servers", ::apache::thrift::protocol::T_LIST, 1);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->servers.size()));
+    std::vector<ServerState> ::const_iterator _iter9;
+    for (_iter9 = this->servers.begin(); _iter9 != this->servers.end(); ++_iter9)
+    {
+      xfer += (*_iter9).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(ServerNews &a, ServerNews &b) {
+  using ::std::swap;
+  swap(a.servers, b.servers);
+  swap(a.__isset, b.__isset);
+}
+
+ServerNews::ServerNews(const ServerNews& other10) {
+  servers = other10.servers;
+  __isset = other10.__isset;
+}
+ServerNews& ServerNews::operator=(const ServerNews& other11) {
+  servers = other11.servers;
+  __isset = other11.__isset;
+  return *this;
+}
+void ServerNews::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "ServerNews(";
+  out << "servers=" << to_string(servers);
+  out << ")";
+}
+
 }} // namespace
--- a/source/wire/gen/comfreyfold_types.h
+++ b/source/wire/gen/comfreyfold_types.h
@@ -59,6 +59,10 @@
 
 class MemberMessage;
 
+class ServerState;
+
+class ServerNews;
+
 typedef struct _LaneEntry__isset {
   _LaneEntry__isset() : kind(false), customer(false), program(false), key(false), call(false), call_kind(false), target(false), backend(false), idempotent(false), request(false), request_digest(false), verdict(false), status(false), answer(false), tokens(false), begun_at_ms(false), grant(false) {}
   bool kind :1;
@@ -1476,6 +1480,112 @@
 
 std::ostream& operator<<(std::ostream& out, const MemberMessage& obj);
 
+typedef struct _ServerState__isset {
+  _ServerState__isset() : server(false), condition(false), clock(false), slots(false) {}
+  bool server :1;
+  bool condition :1;
+  bool clock :1;
+  bool slots :1;
+} _ServerState__isset;
+
+class ServerState : public virtual ::apache::thrift::TBase {
+ public:
+
+  ServerState(const ServerState&);
+  ServerState& operator=(const ServerState&);
+  ServerState() noexcept
+               : server(),
+                 condition(0),
+                 clock(0),
+                 slots(0) {
+  }
+
+  virtual ~ServerState() noexcept;
+  std::string server;
+  int32_t condition;
+  int64_t clock;
+  int64_t slots;
+
+  _ServerState__isset __isset;
+
+  void __set_server(const std::string& val);
+
+  void __set_condition(const int32_t val);
+
+  void __set_clock(const int64_t val);
+
+  void __set_slots(const int64_t val);
+
+  bool operator == (const ServerState & rhs) const
+  {
+    if (!(server == rhs.server))
+      return false;
+    if (!(condition == rhs.condition))
+      return false;
+    if (!(clock == rhs.clock))
+      return false;
+    if (!(slots == rhs.slots))
+      return false;
+    return true;
+  }
+  bool operator != (const ServerState &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const ServerState & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(ServerState &a, ServerState &b);
+
+std::ostream& operator<<(std::ostream& out, const ServerState& obj);
+
+typedef struct _ServerNews__isset {
+  _ServerNews__isset() : servers(false) {}
+  bool servers :1;
+} _ServerNews__isset;
+
+class ServerNews : public virtual ::apache::thrift::TBase {
+ public:
+
+  ServerNews(const ServerNews&);
+  ServerNews& operator=(const ServerNews&);
+  ServerNews() noexcept {
+  }
+
+  virtual ~ServerNews() noexcept;
+  std::vector<ServerState>  servers;
+
+  _ServerNews__isset __isset;
+
+  void __set_servers(const std::vector<ServerState> & val);
+
+  bool operator == (const ServerNews & rhs) const
+  {
+    if (!(servers == rhs.servers))
+      return false;
+    return true;
+  }
+  bool operator != (const ServerNews &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const ServerNews & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(ServerNews &a, ServerNews &b);
+
+std::ostream& operator<<(std::ostream& out, const ServerNews& obj);
+
 }} // namespace
 
 #endif
