--- a/source/server/backend_directory.cc
+++ b/source/server/backend_directory.cc
@@ -149,6 +149,7 @@
   backend.reported_running = load.value("running", 0);
   backend.reported_waiting = load.value("waiting", 0);
   backend.reported_slots = load.value("slots", 0);
+  backend.reported_memory_tokens = load.value("memory_tokens", std::int64_t{0});
 }
 
 void BackendDirectory::Saw(const std::string& id, ServerCondition condition) {
--- a/source/server/backend_directory.h
+++ b/source/server/backend_directory.h
@@ -28,7 +28,8 @@
   int in_flight = 0;  // Calls of this daemon.
   int reported_running = 0;
   int reported_waiting = 0;
-  int reported_slots = 0;  // 0: not told.
+  int reported_slots = 0;                   // 0: not told.
+  std::int64_t reported_memory_tokens = 0;  // 0: not told.
   // Of the newest look at its condition, here or by a peer.
   std::int64_t seen_clock = 0;
   std::optional<TimePoint> asked;  // For its load, by this daemon.
