--- a/source/wire/comfreyfold.thrift
+++ b/source/wire/comfreyfold.thrift
@@ -190,3 +190,15 @@
   1: i32 status,
   2: list<binary> blocks,
 }
+
+// What a daemon saw of a backend server that it follows.
+struct ServerState {
+  1: string server,
+  2: i32 condition,
+  3: i64 clock,
+  4: i64 slots,
+}
+
+struct ServerNews {
+  1: list<ServerState> servers,
+}
--- a/source/wire/gen/comfreyfold_types.cpp
+++ b/source/wire/gen/comfreyfold_types.cpp
@@ -106,15 +106,15 @@
   swap(a.__isset, b.__isset);
 }
 
-SpoolHolder::SpoolHolder(const SpoolHolder& other137) {
-  daemon = other137.daemon;
-  spool = other137.spool;
-  __isset = other137.__isset;
-}
-SpoolHolder& SpoolHolder::operator=(const SpoolHolder& other138) {
-  daemon = other138.daemon;
-  spool = other138.spool;
-  __isset = other138.__isset;
+SpoolHolder::SpoolHolder(const SpoolHolder& other0) {
+  daemon = other0.daemon;
+  spool = other0.spool;
+  __isset = other0.__isset;
+}
+SpoolHolder& SpoolHolder::operator=(const SpoolHolder& other1) {
+  daemon = other1.daemon;
+  spool = other1.spool;
+  __isset = other1.__isset;
   return *this;
 }
 void SpoolHolder::printTo(std::ostream& out) const {
@@ -369,14 +369,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->holders.clear();
-            uint32_t _size101;
-            ::apache::thrift::protocol::TType _etype104;
-            xfer += iprot->readListBegin(_etype104, _size101);
-            this->holders.resize(_size101);
-            uint32_t _i105;
-            for (_i105 = 0; _i105 < _size101; ++_i105)
+            uint32_t _size2;
+            ::apache::thrift::protocol::TType _etype5;
+            xfer += iprot->readListBegin(_etype5, _size2);
+            this->holders.resize(_size2);
+            uint32_t _i6;
+            for (_i6 = 0; _i6 < _size2; ++_i6)
             {
-              xfer += this->holders[_i105].read(iprot);
+              xfer += this->holders[_i6].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -473,10 +473,10 @@
   xfer += oprot->writeFieldBegin("holders", ::apache::thrift::protocol::T_LIST, 42);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->holders.size()));
-    std::vector<SpoolHolder> ::const_iterator _iter106;
-    for (_iter106 = this->holders.begin(); _iter106 != this->holders.end(); ++_iter106)
+    std::vector<SpoolHolder> ::const_iterator _iter7;
+    for (_iter7 = this->holders.begin(); _iter7 != this->holders.end(); ++_iter7)
     {
-      xfer += (*_iter106).write(oprot);
+      xfer += (*_iter7).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -510,47 +510,47 @@
   swap(a.__isset, b.__isset);
 }
 
-LaneEntry::LaneEntry(const LaneEntry& other107) {
-  kind = other107.kind;
-  customer = other107.customer;
-  program = other107.program;
-  key = other107.key;
-  call = other107.call;
-  call_kind = other107.call_kind;
-  target = other107.target;
-  backend = other107.backend;
-  idempotent = other107.idempotent;
-  request = other107.request;
-  request_digest = other107.request_digest;
-  verdict = other107.verdict;
-  status = other107.status;
-  answer = other107.answer;
-  tokens = other107.tokens;
-  begun_at_ms = other107.begun_at_ms;
-  grant = other107.grant;
-  holders = other107.holders;
-  __isset = other107.__isset;
-}
-LaneEntry& LaneEntry::operator=(const LaneEntry& other108) {
-  kind = other108.kind;
-  customer = other108.customer;
-  program = other108.program;
-  key = other108.key;
-  call = other108.call;
-  call_kind = other108.call_kind;
-  target = other108.target;
-  backend = other108.backend;
-  idempotent = other108.idempotent;
-  request = other108.request;
-  request_digest = other108.request_digest;
-  verdict = other108.verdict;
-  status = other108.status;
-  answer = other108.answer;
-  tokens = other108.tokens;
-  begun_at_ms = other108.begun_at_ms;
-  grant = other108.grant;
-  holders = other108.holders;
-  __isset = other108.__isset;
+LaneEntry::LaneEntry(const LaneEntry& other8) {
+  kind = other8.kind;
+  customer = other8.customer;
+  program = other8.program;
+  key = other8.key;
+  call = other8.call;
+  call_kind = other8.call_kind;
+  target = other8.target;
+  backend = other8.backend;
+  idempotent = other8.idempotent;
+  request = other8.request;
+  request_digest = other8.request_digest;
+  verdict = other8.verdict;
+  status = other8.status;
+  answer = other8.answer;
+  tokens = other8.tokens;
+  begun_at_ms = other8.begun_at_ms;
+  grant = other8.grant;
+  holders = other8.holders;
+  __isset = other8.__isset;
+}
+LaneEntry& LaneEntry::operator=(const LaneEntry& other9) {
+  kind = other9.kind;
+  customer = other9.customer;
+  program = other9.program;
+  key = other9.key;
+  call = other9.call;
+  call_kind = other9.call_kind;
+  target = other9.target;
+  backend = other9.backend;
+  idempotent = other9.idempotent;
+  request = other9.request;
+  request_digest = other9.request_digest;
+  verdict = other9.verdict;
+  status = other9.status;
+  answer = other9.answer;
+  tokens = other9.tokens;
+  begun_at_ms = other9.begun_at_ms;
+  grant = other9.grant;
+  holders = other9.holders;
+  __isset = other9.__isset;
   return *this;
 }
 void LaneEntry::printTo(std::ostream& out) const {
@@ -670,15 +670,15 @@
   swap(a.__isset, b.__isset);
 }
 
-GrantName::GrantName(const GrantName& other2) {
-  customer = other2.customer;
-  grant = other2.grant;
-  __isset = other2.__isset;
+GrantName::GrantName(const GrantName& other10) {
+  customer = other10.customer;
+  grant = other10.grant;
+  __isset = other10.__isset;
 }
-GrantName& GrantName::operator=(const GrantName& other3) {
-  customer = other3.customer;
-  grant = other3.grant;
-  __isset = other3.__isset;
+GrantName& GrantName::operator=(const GrantName& other11) {
+  customer = other11.customer;
+  grant = other11.grant;
+  __isset = other11.__isset;
   return *this;
 }
 void GrantName::printTo(std::ostream& out) const {
@@ -729,14 +729,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->grants.clear();
-            uint32_t _size4;
-            ::apache::thrift::protocol::TType _etype7;
-            xfer += iprot->readListBegin(_etype7, _size4);
-            this->grants.resize(_size4);
-            uint32_t _i8;
-            for (_i8 = 0; _i8 < _size4; ++_i8)
+            uint32_t _size12;
+            ::apache::thrift::protocol::TType _etype15;
+            xfer += iprot->readListBegin(_etype15, _size12);
+            this->grants.resize(_size12);
+            uint32_t _i16;
+            for (_i16 = 0; _i16 < _size12; ++_i16)
             {
-              xfer += this->grants[_i8].read(iprot);
+              xfer += this->grants[_i16].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -765,10 +765,10 @@
   xfer += oprot->writeFieldBegin("grants", ::apache::thrift::protocol::T_LIST, 1);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->grants.size()));
-    std::vector<GrantName> ::const_iterator _iter9;
-    for (_iter9 = this->grants.begin(); _iter9 != this->grants.end(); ++_iter9)
+    std::vector<GrantName> ::const_iterator _iter17;
+    for (_iter17 = this->grants.begin(); _iter17 != this->grants.end(); ++_iter17)
     {
-      xfer += (*_iter9).write(oprot);
+      xfer += (*_iter17).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -785,13 +785,13 @@
   swap(a.__isset, b.__isset);
 }
 
-GrantQuestion::GrantQuestion(const GrantQuestion& other10) {
-  grants = other10.grants;
-  __isset = other10.__isset;
+GrantQuestion::GrantQuestion(const GrantQuestion& other18) {
+  grants = other18.grants;
+  __isset = other18.__isset;
 }
-GrantQuestion& GrantQuestion::operator=(const GrantQuestion& other11) {
-  grants = other11.grants;
-  __isset = other11.__isset;
+GrantQuestion& GrantQuestion::operator=(const GrantQuestion& other19) {
+  grants = other19.grants;
+  __isset = other19.__isset;
   return *this;
 }
 void GrantQuestion::printTo(std::ostream& out) const {
@@ -911,17 +911,17 @@
   swap(a.__isset, b.__isset);
 }
 
-GrantUse::GrantUse(const GrantUse& other12) {
-  lane = other12.lane;
-  name = other12.name;
-  tokens = other12.tokens;
-  __isset = other12.__isset;
+GrantUse::GrantUse(const GrantUse& other20) {
+  lane = other20.lane;
+  name = other20.name;
+  tokens = other20.tokens;
+  __isset = other20.__isset;
 }
-GrantUse& GrantUse::operator=(const GrantUse& other13) {
-  lane = other13.lane;
-  name = other13.name;
-  tokens = other13.tokens;
-  __isset = other13.__isset;
+GrantUse& GrantUse::operator=(const GrantUse& other21) {
+  lane = other21.lane;
+  name = other21.name;
+  tokens = other21.tokens;
+  __isset = other21.__isset;
   return *this;
 }
 void GrantUse::printTo(std::ostream& out) const {
@@ -977,14 +977,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->lanes.clear();
-            uint32_t _size14;
-            ::apache::thrift::protocol::TType _etype17;
-            xfer += iprot->readListBegin(_etype17, _size14);
-            this->lanes.resize(_size14);
-            uint32_t _i18;
-            for (_i18 = 0; _i18 < _size14; ++_i18)
+            uint32_t _size22;
+            ::apache::thrift::protocol::TType _etype25;
+            xfer += iprot->readListBegin(_etype25, _size22);
+            this->lanes.resize(_size22);
+            uint32_t _i26;
+            for (_i26 = 0; _i26 < _size22; ++_i26)
             {
-              xfer += iprot->readI32(this->lanes[_i18]);
+              xfer += iprot->readI32(this->lanes[_i26]);
             }
             xfer += iprot->readListEnd();
           }
@@ -997,14 +997,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->uses.clear();
-            uint32_t _size19;
-            ::apache::thrift::protocol::TType _etype22;
-            xfer += iprot->readListBegin(_etype22, _size19);
-            this->uses.resize(_size19);
-            uint32_t _i23;
-            for (_i23 = 0; _i23 < _size19; ++_i23)
+            uint32_t _size27;
+            ::apache::thrift::protocol::TType _etype30;
+            xfer += iprot->readListBegin(_etype30, _size27);
+            this->uses.resize(_size27);
+            uint32_t _i31;
+            for (_i31 = 0; _i31 < _size27; ++_i31)
             {
-              xfer += this->uses[_i23].read(iprot);
+              xfer += this->uses[_i31].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1033,10 +1033,10 @@
   xfer += oprot->writeFieldBegin("lanes", ::apache::thrift::protocol::T_LIST, 1);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I32, static_cast<uint32_t>(this->lanes.size()));
-    std::vector<int32_t> ::const_iterator _iter24;
-    for (_iter24 = this->lanes.begin(); _iter24 != this->lanes.end(); ++_iter24)
+    std::vector<int32_t> ::const_iterator _iter32;
+    for (_iter32 = this->lanes.begin(); _iter32 != this->lanes.end(); ++_iter32)
     {
-      xfer += oprot->writeI32((*_iter24));
+      xfer += oprot->writeI32((*_iter32));
     }
     xfer += oprot->writeListEnd();
   }
@@ -1045,10 +1045,10 @@
   xfer += oprot->writeFieldBegin("uses", ::apache::thrift::protocol::T_LIST, 2);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->uses.size()));
-    std::vector<GrantUse> ::const_iterator _iter25;
-    for (_iter25 = this->uses.begin(); _iter25 != this->uses.end(); ++_iter25)
+    std::vector<GrantUse> ::const_iterator _iter33;
+    for (_iter33 = this->uses.begin(); _iter33 != this->uses.end(); ++_iter33)
     {
-      xfer += (*_iter25).write(oprot);
+      xfer += (*_iter33).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -1066,15 +1066,15 @@
   swap(a.__isset, b.__isset);
 }
 
-GrantAnswer::GrantAnswer(const GrantAnswer& other26) {
-  lanes = other26.lanes;
-  uses = other26.uses;
-  __isset = other26.__isset;
+GrantAnswer::GrantAnswer(const GrantAnswer& other34) {
+  lanes = other34.lanes;
+  uses = other34.uses;
+  __isset = other34.__isset;
 }
-GrantAnswer& GrantAnswer::operator=(const GrantAnswer& other27) {
-  lanes = other27.lanes;
-  uses = other27.uses;
-  __isset = other27.__isset;
+GrantAnswer& GrantAnswer::operator=(const GrantAnswer& other35) {
+  lanes = other35.lanes;
+  uses = other35.uses;
+  __isset = other35.__isset;
   return *this;
 }
 void GrantAnswer::printTo(std::ostream& out) const {
@@ -1173,14 +1173,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->entries.clear();
-            uint32_t _size28;
-            ::apache::thrift::protocol::TType _etype31;
-            xfer += iprot->readListBegin(_etype31, _size28);
-            this->entries.resize(_size28);
-            uint32_t _i32;
-            for (_i32 = 0; _i32 < _size28; ++_i32)
+            uint32_t _size36;
+            ::apache::thrift::protocol::TType _etype39;
+            xfer += iprot->readListBegin(_etype39, _size36);
+            this->entries.resize(_size36);
+            uint32_t _i40;
+            for (_i40 = 0; _i40 < _size36; ++_i40)
             {
-              xfer += this->entries[_i32].read(iprot);
+              xfer += this->entries[_i40].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1225,10 +1225,10 @@
   xfer += oprot->writeFieldBegin("entries", ::apache::thrift::protocol::T_LIST, 5);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->entries.size()));
-    std::vector<LaneEntry> ::const_iterator _iter33;
-    for (_iter33 = this->entries.begin(); _iter33 != this->entries.end(); ++_iter33)
+    std::vector<LaneEntry> ::const_iterator _iter41;
+    for (_iter41 = this->entries.begin(); _iter41 != this->entries.end(); ++_iter41)
     {
-      xfer += (*_iter33).write(oprot);
+      xfer += (*_iter41).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -1249,21 +1249,21 @@
   swap(a.__isset, b.__isset);
 }
 
-LaneBlock::LaneBlock(const LaneBlock& other34) {
-  number = other34.number;
-  uid = other34.uid;
-  epoch = other34.epoch;
-  owner = other34.owner;
-  entries = other34.entries;
-  __isset = other34.__isset;
-}
-LaneBlock& LaneBlock::operator=(const LaneBlock& other35) {
-  number = other35.number;
-  uid = other35.uid;
-  epoch = other35.epoch;
-  owner = other35.owner;
-  entries = other35.entries;
-  __isset = other35.__isset;
+LaneBlock::LaneBlock(const LaneBlock& other42) {
+  number = other42.number;
+  uid = other42.uid;
+  epoch = other42.epoch;
+  owner = other42.owner;
+  entries = other42.entries;
+  __isset = other42.__isset;
+}
+LaneBlock& LaneBlock::operator=(const LaneBlock& other43) {
+  number = other43.number;
+  uid = other43.uid;
+  epoch = other43.epoch;
+  owner = other43.owner;
+  entries = other43.entries;
+  __isset = other43.__isset;
   return *this;
 }
 void LaneBlock::printTo(std::ostream& out) const {
@@ -1591,41 +1591,41 @@
   swap(a.__isset, b.__isset);
 }
 
-CallRecord::CallRecord(const CallRecord& other36) {
-  key = other36.key;
-  call = other36.call;
-  kind = other36.kind;
-  target = other36.target;
-  backend = other36.backend;
-  idempotent = other36.idempotent;
-  request = other36.request;
-  request_digest = other36.request_digest;
-  done = other36.done;
-  epoch = other36.epoch;
-  verdict = other36.verdict;
-  status = other36.status;
-  answer = other36.answer;
-  tokens = other36.tokens;
-  held_by = other36.held_by;
-  __isset = other36.__isset;
-}
-CallRecord& CallRecord::operator=(const CallRecord& other37) {
-  key = other37.key;
-  call = other37.call;
-  kind = other37.kind;
-  target = other37.target;
-  backend = other37.backend;
-  idempotent = other37.idempotent;
-  request = other37.request;
-  request_digest = other37.request_digest;
-  done = other37.done;
-  epoch = other37.epoch;
-  verdict = other37.verdict;
-  status = other37.status;
-  answer = other37.answer;
-  tokens = other37.tokens;
-  held_by = other37.held_by;
-  __isset = other37.__isset;
+CallRecord::CallRecord(const CallRecord& other44) {
+  key = other44.key;
+  call = other44.call;
+  kind = other44.kind;
+  target = other44.target;
+  backend = other44.backend;
+  idempotent = other44.idempotent;
+  request = other44.request;
+  request_digest = other44.request_digest;
+  done = other44.done;
+  epoch = other44.epoch;
+  verdict = other44.verdict;
+  status = other44.status;
+  answer = other44.answer;
+  tokens = other44.tokens;
+  held_by = other44.held_by;
+  __isset = other44.__isset;
+}
+CallRecord& CallRecord::operator=(const CallRecord& other45) {
+  key = other45.key;
+  call = other45.call;
+  kind = other45.kind;
+  target = other45.target;
+  backend = other45.backend;
+  idempotent = other45.idempotent;
+  request = other45.request;
+  request_digest = other45.request_digest;
+  done = other45.done;
+  epoch = other45.epoch;
+  verdict = other45.verdict;
+  status = other45.status;
+  answer = other45.answer;
+  tokens = other45.tokens;
+  held_by = other45.held_by;
+  __isset = other45.__isset;
   return *this;
 }
 void CallRecord::printTo(std::ostream& out) const {
@@ -1741,14 +1741,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->calls.clear();
-            uint32_t _size38;
-            ::apache::thrift::protocol::TType _etype41;
-            xfer += iprot->readListBegin(_etype41, _size38);
-            this->calls.resize(_size38);
-            uint32_t _i42;
-            for (_i42 = 0; _i42 < _size38; ++_i42)
+            uint32_t _size46;
+            ::apache::thrift::protocol::TType _etype49;
+            xfer += iprot->readListBegin(_etype49, _size46);
+            this->calls.resize(_size46);
+            uint32_t _i50;
+            for (_i50 = 0; _i50 < _size46; ++_i50)
             {
-              xfer += this->calls[_i42].read(iprot);
+              xfer += this->calls[_i50].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1761,15 +1761,15 @@
         if (ftype == ::apache::thrift::protocol::T_SET) {
           {
             this->holds_on.clear();
-            uint32_t _size43;
-            ::apache::thrift::protocol::TType _etype46;
-            xfer += iprot->readSetBegin(_etype46, _size43);
-            uint32_t _i47;
-            for (_i47 = 0; _i47 < _size43; ++_i47)
+            uint32_t _size51;
+            ::apache::thrift::protocol::TType _etype54;
+            xfer += iprot->readSetBegin(_etype54, _size51);
+            uint32_t _i55;
+            for (_i55 = 0; _i55 < _size51; ++_i55)
             {
-              std::string _elem48;
-              xfer += iprot->readString(_elem48);
-              this->holds_on.insert(_elem48);
+              std::string _elem56;
+              xfer += iprot->readString(_elem56);
+              this->holds_on.insert(_elem56);
             }
             xfer += iprot->readSetEnd();
           }
@@ -1814,15 +1814,15 @@
         if (ftype == ::apache::thrift::protocol::T_SET) {
           {
             this->subagents.clear();
-            uint32_t _size49;
-            ::apache::thrift::protocol::TType _etype52;
-            xfer += iprot->readSetBegin(_etype52, _size49);
-            uint32_t _i53;
-            for (_i53 = 0; _i53 < _size49; ++_i53)
+            uint32_t _size57;
+            ::apache::thrift::protocol::TType _etype60;
+            xfer += iprot->readSetBegin(_etype60, _size57);
+            uint32_t _i61;
+            for (_i61 = 0; _i61 < _size57; ++_i61)
             {
-              std::string _elem54;
-              xfer += iprot->readString(_elem54);
-              this->subagents.insert(_elem54);
+              std::string _elem62;
+              xfer += iprot->readString(_elem62);
+              this->subagents.insert(_elem62);
             }
             xfer += iprot->readSetEnd();
           }
@@ -1867,10 +1867,10 @@
   xfer += oprot->writeFieldBegin("calls", ::apache::thrift::protocol::T_LIST, 3);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->calls.size()));
-    std::vector<CallRecord> ::const_iterator _iter55;
-    for (_iter55 = this->calls.begin(); _iter55 != this->calls.end(); ++_iter55)
+    std::vector<CallRecord> ::const_iterator _iter63;
+    for (_iter63 = this->calls.begin(); _iter63 != this->calls.end(); ++_iter63)
     {
-      xfer += (*_iter55).write(oprot);
+      xfer += (*_iter63).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -1879,10 +1879,10 @@
   xfer += oprot->writeFieldBegin("holds_on", ::apache::thrift::protocol::T_SET, 4);
   {
     xfer += oprot->writeSetBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->holds_on.size()));
-    std::set<std::string> ::const_iterator _iter56;
-    for (_iter56 = this->holds_on.begin(); _iter56 != this->holds_on.end(); ++_iter56)
+    std::set<std::string> ::const_iterator _iter64;
+    for (_iter64 = this->holds_on.begin(); _iter64 != this->holds_on.end(); ++_iter64)
     {
-      xfer += oprot->writeString((*_iter56));
+      xfer += oprot->writeString((*_iter64));
     }
     xfer += oprot->writeSetEnd();
   }
@@ -1907,10 +1907,10 @@
   xfer += oprot->writeFieldBegin("subagents", ::apache::thrift::protocol::T_SET, 9);
   {
     xfer += oprot->writeSetBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->subagents.size()));
-    std::set<std::string> ::const_iterator _iter57;
-    for (_iter57 = this->subagents.begin(); _iter57 != this->subagents.end(); ++_iter57)
+    std::set<std::string> ::const_iterator _iter65;
+    for (_iter65 = this->subagents.begin(); _iter65 != this->subagents.end(); ++_iter65)
     {
-      xfer += oprot->writeString((*_iter57));
+      xfer += oprot->writeString((*_iter65));
     }
     xfer += oprot->writeSetEnd();
   }
@@ -1940,31 +1940,31 @@
   swap(a.__isset, b.__isset);
 }
 
-ProgramState::ProgramState(const ProgramState& other58) {
-  customer = other58.customer;
-  program = other58.program;
-  calls = other58.calls;
-  holds_on = other58.holds_on;
-  ended = other58.ended;
-  passed_limit = other58.passed_limit;
-  tokens = other58.tokens;
-  started_at_ms = other58.started_at_ms;
-  subagents = other58.subagents;
-  last_begun_at_ms = other58.last_begun_at_ms;
-  __isset = other58.__isset;
-}
-ProgramState& ProgramState::operator=(const ProgramState& other59) {
-  customer = other59.customer;
-  program = other59.program;
-  calls = other59.calls;
-  holds_on = other59.holds_on;
-  ended = other59.ended;
-  passed_limit = other59.passed_limit;
-  tokens = other59.tokens;
-  started_at_ms = other59.started_at_ms;
-  subagents = other59.subagents;
-  last_begun_at_ms = other59.last_begun_at_ms;
-  __isset = other59.__isset;
+ProgramState::ProgramState(const ProgramState& other66) {
+  customer = other66.customer;
+  program = other66.program;
+  calls = other66.calls;
+  holds_on = other66.holds_on;
+  ended = other66.ended;
+  passed_limit = other66.passed_limit;
+  tokens = other66.tokens;
+  started_at_ms = other66.started_at_ms;
+  subagents = other66.subagents;
+  last_begun_at_ms = other66.last_begun_at_ms;
+  __isset = other66.__isset;
+}
+ProgramState& ProgramState::operator=(const ProgramState& other67) {
+  customer = other67.customer;
+  program = other67.program;
+  calls = other67.calls;
+  holds_on = other67.holds_on;
+  ended = other67.ended;
+  passed_limit = other67.passed_limit;
+  tokens = other67.tokens;
+  started_at_ms = other67.started_at_ms;
+  subagents = other67.subagents;
+  last_begun_at_ms = other67.last_begun_at_ms;
+  __isset = other67.__isset;
   return *this;
 }
 void ProgramState::printTo(std::ostream& out) const {
@@ -2076,15 +2076,15 @@
   swap(a.__isset, b.__isset);
 }
 
-GrantTotal::GrantTotal(const GrantTotal& other60) {
-  name = other60.name;
-  tokens = other60.tokens;
-  __isset = other60.__isset;
+GrantTotal::GrantTotal(const GrantTotal& other68) {
+  name = other68.name;
+  tokens = other68.tokens;
+  __isset = other68.__isset;
 }
-GrantTotal& GrantTotal::operator=(const GrantTotal& other61) {
-  name = other61.name;
-  tokens = other61.tokens;
-  __isset = other61.__isset;
+GrantTotal& GrantTotal::operator=(const GrantTotal& other69) {
+  name = other69.name;
+  tokens = other69.tokens;
+  __isset = other69.__isset;
   return *this;
 }
 void GrantTotal::printTo(std::ostream& out) const {
@@ -2179,14 +2179,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->programs.clear();
-            uint32_t _size109;
-            ::apache::thrift::protocol::TType _etype112;
-            xfer += iprot->readListBegin(_etype112, _size109);
-            this->programs.resize(_size109);
-            uint32_t _i113;
-            for (_i113 = 0; _i113 < _size109; ++_i113)
+            uint32_t _size70;
+            ::apache::thrift::protocol::TType _etype73;
+            xfer += iprot->readListBegin(_etype73, _size70);
+            this->programs.resize(_size70);
+            uint32_t _i74;
+            for (_i74 = 0; _i74 < _size70; ++_i74)
             {
-              xfer += this->programs[_i113].read(iprot);
+              xfer += this->programs[_i74].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -2199,14 +2199,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->grants.clear();
-            uint32_t _size114;
-            ::apache::thrift::protocol::TType _etype117;
-            xfer += iprot->readListBegin(_etype117, _size114);
-            this->grants.resize(_size114);
-            uint32_t _i118;
-            for (_i118 = 0; _i118 < _size114; ++_i118)
+            uint32_t _size75;
+            ::apache::thrift::protocol::TType _etype78;
+            xfer += iprot->readListBegin(_etype78, _size75);
+            this->grants.resize(_size75);
+            uint32_t _i79;
+            for (_i79 = 0; _i79 < _size75; ++_i79)
             {
-              xfer += this->grants[_i118].read(iprot);
+              xfer += this->grants[_i79].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -2219,14 +2219,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->holders.clear();
-            uint32_t _size119;
-            ::apache::thrift::protocol::TType _etype122;
-            xfer += iprot->readListBegin(_etype122, _size119);
-            this->holders.resize(_size119);
-            uint32_t _i123;
-            for (_i123 = 0; _i123 < _size119; ++_i123)
+            uint32_t _size80;
+            ::apache::thrift::protocol::TType _etype83;
+            xfer += iprot->readListBegin(_etype83, _size80);
+            this->holders.resize(_size80);
+            uint32_t _i84;
+            for (_i84 = 0; _i84 < _size80; ++_i84)
             {
-              xfer += this->holders[_i123].read(iprot);
+              xfer += this->holders[_i84].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -2267,10 +2267,10 @@
   xfer += oprot->writeFieldBegin("programs", ::apache::thrift::protocol::T_LIST, 4);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->programs.size()));
-    std::vector<ProgramState> ::const_iterator _iter124;
-    for (_iter124 = this->programs.begin(); _iter124 != this->programs.end(); ++_iter124)
+    std::vector<ProgramState> ::const_iterator _iter85;
+    for (_iter85 = this->programs.begin(); _iter85 != this->programs.end(); ++_iter85)
     {
-      xfer += (*_iter124).write(oprot);
+      xfer += (*_iter85).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -2279,10 +2279,10 @@
   xfer += oprot->writeFieldBegin("grants", ::apache::thrift::protocol::T_LIST, 5);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->grants.size()));
-    std::vector<GrantTotal> ::const_iterator _iter125;
-    for (_iter125 = this->grants.begin(); _iter125 != this->grants.end(); ++_iter125)
+    std::vector<GrantTotal> ::const_iterator _iter86;
+    for (_iter86 = this->grants.begin(); _iter86 != this->grants.end(); ++_iter86)
     {
-      xfer += (*_iter125).write(oprot);
+      xfer += (*_iter86).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -2291,10 +2291,10 @@
   xfer += oprot->writeFieldBegin("holders", ::apache::thrift::protocol::T_LIST, 6);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->holders.size()));
-    std::vector<SpoolHolder> ::const_iterator _iter126;
-    for (_iter126 = this->holders.begin(); _iter126 != this->holders.end(); ++_iter126)
+    std::vector<SpoolHolder> ::const_iterator _iter87;
+    for (_iter87 = this->holders.begin(); _iter87 != this->holders.end(); ++_iter87)
     {
-      xfer += (*_iter126).write(oprot);
+      xfer += (*_iter87).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -2316,23 +2316,23 @@
   swap(a.__isset, b.__isset);
 }
 
-LaneSnapshot::LaneSnapshot(const LaneSnapshot& other127) {
-  last_block = other127.last_block;
-  epoch = other127.epoch;
-  owner = other127.owner;
-  programs = other127.programs;
-  grants = other127.grants;
-  holders = other127.holders;
-  __isset = other127.__isset;
-}
-LaneSnapshot& LaneSnapshot::operator=(const LaneSnapshot& other128) {
-  last_block = other128.last_block;
-  epoch = other128.epoch;
-  owner = other128.owner;
-  programs = other128.programs;
-  grants = other128.grants;
-  holders = other128.holders;
-  __isset = other128.__isset;
+LaneSnapshot::LaneSnapshot(const LaneSnapshot& other88) {
+  last_block = other88.last_block;
+  epoch = other88.epoch;
+  owner = other88.owner;
+  programs = other88.programs;
+  grants = other88.grants;
+  holders = other88.holders;
+  __isset = other88.__isset;
+}
+LaneSnapshot& LaneSnapshot::operator=(const LaneSnapshot& other89) {
+  last_block = other89.last_block;
+  epoch = other89.epoch;
+  owner = other89.owner;
+  programs = other89.programs;
+  grants = other89.grants;
+  holders = other89.holders;
+  __isset = other89.__isset;
   return *this;
 }
 void LaneSnapshot::printTo(std::ostream& out) const {
@@ -2474,19 +2474,19 @@
   swap(a.__isset, b.__isset);
 }
 
-SnapshotHead::SnapshotHead(const SnapshotHead& other76) {
-  uid = other76.uid;
-  parts = other76.parts;
-  last_block = other76.last_block;
-  bytes = other76.bytes;
-  __isset = other76.__isset;
+SnapshotHead::SnapshotHead(const SnapshotHead& other90) {
+  uid = other90.uid;
+  parts = other90.parts;
+  last_block = other90.last_block;
+  bytes = other90.bytes;
+  __isset = other90.__isset;
 }
-SnapshotHead& SnapshotHead::operator=(const SnapshotHead& other77) {
-  uid = other77.uid;
-  parts = other77.parts;
-  last_block = other77.last_block;
-  bytes = other77.bytes;
-  __isset = other77.__isset;
+SnapshotHead& SnapshotHead::operator=(const SnapshotHead& other91) {
+  uid = other91.uid;
+  parts = other91.parts;
+  last_block = other91.last_block;
+  bytes = other91.bytes;
+  __isset = other91.__isset;
   return *this;
 }
 void SnapshotHead::printTo(std::ostream& out) const {
@@ -2728,31 +2728,31 @@
   swap(a.__isset, b.__isset);
 }
 
-ForwardedCall::ForwardedCall(const ForwardedCall& other78) {
-  customer = other78.customer;
-  program = other78.program;
-  key = other78.key;
-  call = other78.call;
-  operation = other78.operation;
-  target = other78.target;
-  body = other78.body;
-  deadline_ms = other78.deadline_ms;
-  clock = other78.clock;
-  parent = other78.parent;
-  __isset = other78.__isset;
-}
-ForwardedCall& ForwardedCall::operator=(const ForwardedCall& other79) {
-  customer = other79.customer;
-  program = other79.program;
-  key = other79.key;
-  call = other79.call;
-  operation = other79.operation;
-  target = other79.target;
-  body = other79.body;
-  deadline_ms = other79.deadline_ms;
-  clock = other79.clock;
-  parent = other79.parent;
-  __isset = other79.__isset;
+ForwardedCall::ForwardedCall(const ForwardedCall& other92) {
+  customer = other92.customer;
+  program = other92.program;
+  key = other92.key;
+  call = other92.call;
+  operation = other92.operation;
+  target = other92.target;
+  body = other92.body;
+  deadline_ms = other92.deadline_ms;
+  clock = other92.clock;
+  parent = other92.parent;
+  __isset = other92.__isset;
+}
+ForwardedCall& ForwardedCall::operator=(const ForwardedCall& other93) {
+  customer = other93.customer;
+  program = other93.program;
+  key = other93.key;
+  call = other93.call;
+  operation = other93.operation;
+  target = other93.target;
+  body = other93.body;
+  deadline_ms = other93.deadline_ms;
+  clock = other93.clock;
+  parent = other93.parent;
+  __isset = other93.__isset;
   return *this;
 }
 void ForwardedCall::printTo(std::ostream& out) const {
@@ -3017,33 +3017,33 @@
   swap(a.__isset, b.__isset);
 }
 
-AnswerFrame::AnswerFrame(const AnswerFrame& other80) {
-  kind = other80.kind;
-  content = other80.content;
-  status = other80.status;
-  verdict = other80.verdict;
-  code = other80.code;
-  message = other80.message;
-  retry_after_ms = other80.retry_after_ms;
-  prompt_tokens = other80.prompt_tokens;
-  completion_tokens = other80.completion_tokens;
-  cached_tokens = other80.cached_tokens;
-  clock = other80.clock;
-  __isset = other80.__isset;
-}
-AnswerFrame& AnswerFrame::operator=(const AnswerFrame& other81) {
-  kind = other81.kind;
-  content = other81.content;
-  status = other81.status;
-  verdict = other81.verdict;
-  code = other81.code;
-  message = other81.message;
-  retry_after_ms = other81.retry_after_ms;
-  prompt_tokens = other81.prompt_tokens;
-  completion_tokens = other81.completion_tokens;
-  cached_tokens = other81.cached_tokens;
-  clock = other81.clock;
-  __isset = other81.__isset;
+AnswerFrame::AnswerFrame(const AnswerFrame& other94) {
+  kind = other94.kind;
+  content = other94.content;
+  status = other94.status;
+  verdict = other94.verdict;
+  code = other94.code;
+  message = other94.message;
+  retry_after_ms = other94.retry_after_ms;
+  prompt_tokens = other94.prompt_tokens;
+  completion_tokens = other94.completion_tokens;
+  cached_tokens = other94.cached_tokens;
+  clock = other94.clock;
+  __isset = other94.__isset;
+}
+AnswerFrame& AnswerFrame::operator=(const AnswerFrame& other95) {
+  kind = other95.kind;
+  content = other95.content;
+  status = other95.status;
+  verdict = other95.verdict;
+  code = other95.code;
+  message = other95.message;
+  retry_after_ms = other95.retry_after_ms;
+  prompt_tokens = other95.prompt_tokens;
+  completion_tokens = other95.completion_tokens;
+  cached_tokens = other95.cached_tokens;
+  clock = other95.clock;
+  __isset = other95.__isset;
   return *this;
 }
 void AnswerFrame::printTo(std::ostream& out) const {
@@ -3156,15 +3156,15 @@
   swap(a.__isset, b.__isset);
 }
 
-ContractText::ContractText(const ContractText& other82) {
-  customer = other82.customer;
-  text = other82.text;
-  __isset = other82.__isset;
+ContractText::ContractText(const ContractText& other96) {
+  customer = other96.customer;
+  text = other96.text;
+  __isset = other96.__isset;
 }
-ContractText& ContractText::operator=(const ContractText& other83) {
-  customer = other83.customer;
-  text = other83.text;
-  __isset = other83.__isset;
+ContractText& ContractText::operator=(const ContractText& other97) {
+  customer = other97.customer;
+  text = other97.text;
+  __isset = other97.__isset;
   return *this;
 }
 void ContractText::printTo(std::ostream& out) const {
@@ -3227,14 +3227,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->contracts.clear();
-            uint32_t _size84;
-            ::apache::thrift::protocol::TType _etype87;
-            xfer += iprot->readListBegin(_etype87, _size84);
-            this->contracts.resize(_size84);
-            uint32_t _i88;
-            for (_i88 = 0; _i88 < _size84; ++_i88)
+            uint32_t _size98;
+            ::apache::thrift::protocol::TType _etype101;
+            xfer += iprot->readListBegin(_etype101, _size98);
+            this->contracts.resize(_size98);
+            uint32_t _i102;
+            for (_i102 = 0; _i102 < _size98; ++_i102)
             {
-              xfer += this->contracts[_i88].read(iprot);
+              xfer += this->contracts[_i102].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -3267,10 +3267,10 @@
   xfer += oprot->writeFieldBegin("contracts", ::apache::thrift::protocol::T_LIST, 2);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->contracts.size()));
-    std::vector<ContractText> ::const_iterator _iter89;
-    for (_iter89 = this->contracts.begin(); _iter89 != this->contracts.end(); ++_iter89)
+    std::vector<ContractText> ::const_iterator _iter103;
+    for (_iter103 = this->contracts.begin(); _iter103 != this->contracts.end(); ++_iter103)
     {
-      xfer += (*_iter89).write(oprot);
+      xfer += (*_iter103).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -3288,15 +3288,15 @@
   swap(a.__isset, b.__isset);
 }
 
-ContractSet::ContractSet(const ContractSet& other90) {
-  revision = other90.revision;
-  contracts = other90.contracts;
-  __isset = other90.__isset;
+ContractSet::ContractSet(const ContractSet& other104) {
+  revision = other104.revision;
+  contracts = other104.contracts;
+  __isset = other104.__isset;
 }
-ContractSet& ContractSet::operator=(const ContractSet& other91) {
-  revision = other91.revision;
-  contracts = other91.contracts;
-  __isset = other91.__isset;
+ContractSet& ContractSet::operator=(const ContractSet& other105) {
+  revision = other105.revision;
+  contracts = other105.contracts;
+  __isset = other105.__isset;
   return *this;
 }
 void ContractSet::printTo(std::ostream& out) const {
@@ -3400,15 +3400,15 @@
   swap(a.__isset, b.__isset);
 }
 
-OwnedLane::OwnedLane(const OwnedLane& other92) noexcept {
-  lane = other92.lane;
-  epoch = other92.epoch;
-  __isset = other92.__isset;
+OwnedLane::OwnedLane(const OwnedLane& other106) noexcept {
+  lane = other106.lane;
+  epoch = other106.epoch;
+  __isset = other106.__isset;
 }
-OwnedLane& OwnedLane::operator=(const OwnedLane& other93) noexcept {
-  lane = other93.lane;
-  epoch = other93.epoch;
-  __isset = other93.__isset;
+OwnedLane& OwnedLane::operator=(const OwnedLane& other107) noexcept {
+  lane = other107.lane;
+  epoch = other107.epoch;
+  __isset = other107.__isset;
   return *this;
 }
 void OwnedLane::printTo(std::ostream& out) const {
@@ -3523,14 +3523,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->lanes.clear();
-            uint32_t _size129;
-            ::apache::thrift::protocol::TType _etype132;
-            xfer += iprot->readListBegin(_etype132, _size129);
-            this->lanes.resize(_size129);
-            uint32_t _i133;
-            for (_i133 = 0; _i133 < _size129; ++_i133)
+            uint32_t _size108;
+            ::apache::thrift::protocol::TType _etype111;
+            xfer += iprot->readListBegin(_etype111, _size108);
+            this->lanes.resize(_size108);
+            uint32_t _i112;
+            for (_i112 = 0; _i112 < _size108; ++_i112)
             {
-              xfer += this->lanes[_i133].read(iprot);
+              xfer += this->lanes[_i112].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -3607,10 +3607,10 @@
   xfer += oprot->writeFieldBegin("lanes", ::apache::thrift::protocol::T_LIST, 5);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->lanes.size()));
-    std::vector<OwnedLane> ::const_iterator _iter134;
-    for (_iter134 = this->lanes.begin(); _iter134 != this->lanes.end(); ++_iter134)
+    std::vector<OwnedLane> ::const_iterator _iter113;
+    for (_iter113 = this->lanes.begin(); _iter113 != this->lanes.end(); ++_iter113)
     {
-      xfer += (*_iter134).write(oprot);
+      xfer += (*_iter113).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -3651,29 +3651,29 @@
   swap(a.__isset, b.__isset);
 }
 
-Heartbeat::Heartbeat(const Heartbeat& other135) {
-  daemon = other135.daemon;
-  address = other135.address;
-  data_centre = other135.data_centre;
-  draining = other135.draining;
-  lanes = other135.lanes;
-  contracts_revision = other135.contracts_revision;
-  clock = other135.clock;
-  incarnation = other135.incarnation;
-  spool = other135.spool;
-  __isset = other135.__isset;
-}
-Heartbeat& Heartbeat::operator=(const Heartbeat& other136) {
-  daemon = other136.daemon;
-  address = other136.address;
-  data_centre = other136.data_centre;
-  draining = other136.draining;
-  lanes = other136.lanes;
-  contracts_revision = other136.contracts_revision;
-  clock = other136.clock;
-  incarnation = other136.incarnation;
-  spool = other136.spool;
-  __isset = other136.__isset;
+Heartbeat::Heartbeat(const Heartbeat& other114) {
+  daemon = other114.daemon;
+  address = other114.address;
+  data_centre = other114.data_centre;
+  draining = other114.draining;
+  lanes = other114.lanes;
+  contracts_revision = other114.contracts_revision;
+  clock = other114.clock;
+  incarnation = other114.incarnation;
+  spool = other114.spool;
+  __isset = other114.__isset;
+}
+Heartbeat& Heartbeat::operator=(const Heartbeat& other115) {
+  daemon = other115.daemon;
+  address = other115.address;
+  data_centre = other115.data_centre;
+  draining = other115.draining;
+  lanes = other115.lanes;
+  contracts_revision = other115.contracts_revision;
+  clock = other115.clock;
+  incarnation = other115.incarnation;
+  spool = other115.spool;
+  __isset = other115.__isset;
   return *this;
 }
 void Heartbeat::printTo(std::ostream& out) const {
@@ -3784,15 +3784,15 @@
   swap(a.__isset, b.__isset);
 }
 
-DeadMember::DeadMember(const DeadMember& other102) {
-  daemon = other102.daemon;
-  incarnation = other102.incarnation;
-  __isset = other102.__isset;
+DeadMember::DeadMember(const DeadMember& other116) {
+  daemon = other116.daemon;
+  incarnation = other116.incarnation;
+  __isset = other116.__isset;
 }
-DeadMember& DeadMember::operator=(const DeadMember& other103) {
-  daemon = other103.daemon;
-  incarnation = other103.incarnation;
-  __isset = other103.__isset;
+DeadMember& DeadMember::operator=(const DeadMember& other117) {
+  daemon = other117.daemon;
+  incarnation = other117.incarnation;
+  __isset = other117.__isset;
   return *this;
 }
 void DeadMember::printTo(std::ostream& out) const {
@@ -3859,14 +3859,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->news.clear();
-            uint32_t _size104;
-            ::apache::thrift::protocol::TType _etype107;
-            xfer += iprot->readListBegin(_etype107, _size104);
-            this->news.resize(_size104);
-            uint32_t _i108;
-            for (_i108 = 0; _i108 < _size104; ++_i108)
+            uint32_t _size118;
+            ::apache::thrift::protocol::TType _etype121;
+            xfer += iprot->readListBegin(_etype121, _size118);
+            this->news.resize(_size118);
+            uint32_t _i122;
+            for (_i122 = 0; _i122 < _size118; ++_i122)
             {
-              xfer += this->news[_i108].read(iprot);
+              xfer += this->news[_i122].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -3879,14 +3879,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->dead.clear();
-            uint32_t _size109;
-            ::apache::thrift::protocol::TType _etype112;
-            xfer += iprot->readListBegin(_etype112, _size109);
-            this->dead.resize(_size109);
-            uint32_t _i113;
-            for (_i113 = 0; _i113 < _size109; ++_i113)
+            uint32_t _size123;
+            ::apache::thrift::protocol::TType _etype126;
+            xfer += iprot->readListBegin(_etype126, _size123);
+            this->dead.resize(_size123);
+            uint32_t _i127;
+            for (_i127 = 0; _i127 < _size123; ++_i127)
             {
-              xfer += this->dead[_i113].read(iprot);
+              xfer += this->dead[_i127].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -3919,10 +3919,10 @@
   xfer += oprot->writeFieldBegin("news", ::apache::thrift::protocol::T_LIST, 2);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->news.size()));
-    std::vector<Heartbeat> ::const_iterator _iter114;
-    for (_iter114 = this->news.begin(); _iter114 != this->news.end(); ++_iter114)
+    std::vector<Heartbeat> ::const_iterator _iter128;
+    for (_iter128 = this->news.begin(); _iter128 != this->news.end(); ++_iter128)
     {
-      xfer += (*_iter114).write(oprot);
+      xfer += (*_iter128).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -3931,10 +3931,10 @@
   xfer += oprot->writeFieldBegin("dead", ::apache::thrift::protocol::T_LIST, 3);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->dead.size()));
-    std::vector<DeadMember> ::const_iterator _iter115;
-    for (_iter115 = this->dead.begin(); _iter115 != this->dead.end(); ++_iter115)
+    std::vector<DeadMember> ::const_iterator _iter129;
+    for (_iter129 = this->dead.begin(); _iter129 != this->dead.end(); ++_iter129)
     {
-      xfer += (*_iter115).write(oprot);
+      xfer += (*_iter129).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -3953,17 +3953,17 @@
   swap(a.__isset, b.__isset);
 }
 
-MemberMessage::MemberMessage(const MemberMessage& other116) {
-  sender = other116.sender;
-  news = other116.news;
-  dead = other116.dead;
-  __isset = other116.__isset;
+MemberMessage::MemberMessage(const MemberMessage& other130) {
+  sender = other130.sender;
+  news = other130.news;
+  dead = other130.dead;
+  __isset = other130.__isset;
 }
-MemberMessage& MemberMessage::operator=(const MemberMessage& other117) {
-  sender = other117.sender;
-  news = other117.news;
-  dead = other117.dead;
-  __isset = other117.__isset;
+MemberMessage& MemberMessage::operator=(const MemberMessage& other131) {
+  sender = other131.sender;
+  news = other131.news;
+  dead = other131.dead;
+  __isset = other131.__isset;
   return *this;
 }
 void MemberMessage::printTo(std::ostream& out) const {
@@ -4119,21 +4119,21 @@
   swap(a.__isset, b.__isset);
 }
 
-SpoolRequest::SpoolRequest(const SpoolRequest& other139) {
-  spool = other139.spool;
-  lane = other139.lane;
-  epoch = other139.epoch;
-  number = other139.number;
-  block = other139.block;
-  __isset = other139.__isset;
-}
-SpoolRequest& SpoolRequest::operator=(const SpoolRequest& other140) {
-  spool = other140.spool;
-  lane = other140.lane;
-  epoch = other140.epoch;
-  number = other140.number;
-  block = other140.block;
-  __isset = other140.__isset;
+SpoolRequest::SpoolRequest(const SpoolRequest& other132) {
+  spool = other132.spool;
+  lane = other132.lane;
+  epoch = other132.epoch;
+  number = other132.number;
+  block = other132.block;
+  __isset = other132.__isset;
+}
+SpoolRequest& SpoolRequest::operator=(const SpoolRequest& other133) {
+  spool = other133.spool;
+  lane = other133.lane;
+  epoch = other133.epoch;
+  number = other133.number;
+  block = other133.block;
+  __isset = other133.__isset;
   return *this;
 }
 void SpoolRequest::printTo(std::ostream& out) const {
@@ -4199,14 +4199,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->blocks.clear();
-            uint32_t _size141;
-            ::apache::thrift::protocol::TType _etype144;
-            xfer += iprot->readListBegin(_etype144, _size141);
-            this->blocks.resize(_size141);
-            uint32_t _i145;
-            for (_i145 = 0; _i145 < _size141; ++_i145)
+            uint32_t _size134;
+            ::apache::thrift::protocol::TType _etype137;
+            xfer += iprot->readListBegin(_etype137, _size134);
+            this->blocks.resize(_size134);
+            uint32_t _i138;
+            for (_i138 = 0; _i138 < _size134; ++_i138)
             {
-              xfer += iprot->readBinary(this->blocks[_i145]);
+              xfer += iprot->readBinary(this->blocks[_i138]);
             }
             xfer += iprot->readListEnd();
           }
@@ -4239,10 +4239,10 @@
   xfer += oprot->writeFieldBegin("blocks", ::apache::thrift::protocol::T_LIST, 2);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->blocks.size()));
-    std::vector<std::string> ::const_iterator _iter146;
-    for (_iter146 = this->blocks.begin(); _iter146 != this->blocks.end(); ++_iter146)
+    std::vector<std::string> ::const_iterator _iter139;
+    for (_iter139 = this->blocks.begin(); _iter139 != this->blocks.end(); ++_iter139)
     {
-      xfer += oprot->writeBinary((*_iter146));
+      xfer += oprot->writeBinary((*_iter139));
     }
     xfer += oprot->writeListEnd();
   }
@@ -4260,15 +4260,15 @@
   swap(a.__isset, b.__isset);
 }
 
-SpoolAnswer::SpoolAnswer(const SpoolAnswer& other147) {
-  status = other147.status;
-  blocks = other147.blocks;
-  __isset = other147.__isset;
+SpoolAnswer::SpoolAnswer(const SpoolAnswer& other140) {
+  status = other140.status;
+  blocks = other140.blocks;
+  __isset = other140.__isset;
 }
-SpoolAnswer& SpoolAnswer::operator=(const SpoolAnswer& other148) {
-  status = other148.status;
-  blocks = other148.blocks;
-  __isset = other148.__isset;
+SpoolAnswer& SpoolAnswer::operator=(const SpoolAnswer& other141) {
+  status = other141.status;
+  blocks = other141.blocks;
+  __isset = other141.__isset;
   return *this;
 }
 void SpoolAnswer::printTo(std::ostream& out) const {
@@ -4279,4 +4279,268 @@
   out << ")";
 }
 
+
+ServerState::~ServerState() noexcept {
+}
+
+
+void ServerState::__set_server(const std::string& val) {
+  this->server = val;
+}
+
+void ServerState::__set_condition(const int32_t val) {
+  this->condition = val;
+}
+
+void ServerState::__set_clock(const int64_t val) {
+  this->clock = val;
+}
+
+void ServerState::__set_slots(const int64_t val) {
+  this->slots = val;
+}
+std::ostream& operator<<(std::ostream& out, const ServerState& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t ServerState::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->server);
+          this->__isset.server = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->condition);
+          this->__isset.condition = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->clock);
+          this->__isset.clock = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->slots);
+          this->__isset.slots = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t ServerState::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("ServerState");
+
+  xfer += oprot->writeFieldBegin("server", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->server);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("condition", ::apache::thrift::protocol::T_I32, 2);
+  xfer += oprot->writeI32(this->condition);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("clock", ::apache::thrift::protocol::T_I64, 3);
+  xfer += oprot->writeI64(this->clock);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("slots", ::apache::thrift::protocol::T_I64, 4);
+  xfer += oprot->writeI64(this->slots);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(ServerState &a, ServerState &b) {
+  using ::std::swap;
+  swap(a.server, b.server);
+  swap(a.condition, b.condition);
+  swap(a.clock, b.clock);
+  swap(a.slots, b.slots);
+  swap(a.__isset, b.__isset);
+}
+
+ServerState::ServerState(const ServerState& other142) {
+  server = other142.server;
+  condition = other142.condition;
+  clock = other142.clock;
+  slots = other142.slots;
+  __isset = other142.__isset;
+}
+ServerState& ServerState::operator=(const ServerState& other143) {
+  server = other143.server;
+  condition = other143.condition;
+  clock = other143.clock;
+  slots = other143.slots;
+  __isset = other143.__isset;
+  return *this;
+}
+void ServerState::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "ServerState(";
+  out << "server=" << to_string(server);
+  out << ", " << "condition=" << to_string(condition);
+  out << ", " << "clock=" << to_string(clock);
+  out << ", " << "slots=" << to_string(slots);
+  out << ")";
+}
+
+
+ServerNews::~ServerNews() noexcept {
+}
+
+
+void ServerNews::__set_servers(const std::vector<ServerState> & val) {
+  this->servers = val;
+}
+std::ostream& operator<<(std::ostream& out, const ServerNews& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t ServerNews::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->servers.clear();
+            uint32_t _size144;
+            ::apache::thrift::protocol::TType _etype147;
+            xfer += iprot->readListBegin(_etype147, _size144);
+            this->servers.resize(_size144);
+            uint32_t _i148;
+            for (_i148 = 0; _i148 < _size144; ++_i148)
+            {
+              xfer += this->servers[_i148].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.servers = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t ServerNews::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("ServerNews");
+
+  xfer += oprot->writeFieldBegin("servers", ::apache::thrift::protocol::T_LIST, 1);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->servers.size()));
+    std::vector<ServerState> ::const_iterator _iter149;
+    for (_iter149 = this->servers.begin(); _iter149 != this->servers.end(); ++_iter149)
+    {
+      xfer += (*_iter149).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(ServerNews &a, ServerNews &b) {
+  using ::std::swap;
+  swap(a.servers, b.servers);
+  swap(a.__isset, b.__isset);
+}
+
+ServerNews::ServerNews(const ServerNews& other150) {
+  servers = other150.servers;
+  __isset = other150.__isset;
+}
+ServerNews& ServerNews::operator=(const ServerNews& other151) {
+  servers = other151.servers;
+  __isset = other151.__isset;
+  return *this;
+}
+void ServerNews::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "ServerNews(";
+  out << "servers=" << to_string(servers);
+  out << ")";
+}
+
 }} // namespace
--- a/source/wire/gen/comfreyfold_types.h
+++ b/source/wire/gen/comfreyfold_types.h
@@ -65,6 +65,10 @@
 
 class SpoolAnswer;
 
+class ServerState;
+
+class ServerNews;
+
 typedef struct _SpoolHolder__isset {
   _SpoolHolder__isset() : daemon(false), spool(false) {}
   bool daemon :1;
@@ -1664,6 +1668,112 @@
 
 std::ostream& operator<<(std::ostream& out, const SpoolAnswer& obj);
 
+typedef struct _ServerState__isset {
+  _ServerState__isset() : server(false), condition(false), clock(false), slots(false) {}
+  bool server :1;
+  bool condition :1;
+  bool clock :1;
+  bool slots :1;
+} _ServerState__isset;
+
+class ServerState : public virtual ::apache::thrift::TBase {
+ public:
+
+  ServerState(const ServerState&);
+  ServerState& operator=(const ServerState&);
+  ServerState() noexcept
+              : server(),
+                condition(0),
+                clock(0),
+                slots(0) {
+  }
+
+  virtual ~ServerState() noexcept;
+  std::string server;
+  int32_t condition;
+  int64_t clock;
+  int64_t slots;
+
+  _ServerState__isset __isset;
+
+  void __set_server(const std::string& val);
+
+  void __set_condition(const int32_t val);
+
+  void __set_clock(const int64_t val);
+
+  void __set_slots(const int64_t val);
+
+  bool operator == (const ServerState & rhs) const
+  {
+    if (!(server == rhs.server))
+      return false;
+    if (!(condition == rhs.condition))
+      return false;
+    if (!(clock == rhs.clock))
+      return false;
+    if (!(slots == rhs.slots))
+      return false;
+    return true;
+  }
+  bool operator != (const ServerState &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const ServerState & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(ServerState &a, ServerState &b);
+
+std::ostream& operator<<(std::ostream& out, const ServerState& obj);
+
+typedef struct _ServerNews__isset {
+  _ServerNews__isset() : servers(false) {}
+  bool servers :1;
+} _ServerNews__isset;
+
+class ServerNews : public virtual ::apache::thrift::TBase {
+ public:
+
+  ServerNews(const ServerNews&);
+  ServerNews& operator=(const ServerNews&);
+  ServerNews() noexcept {
+  }
+
+  virtual ~ServerNews() noexcept;
+  std::vector<ServerState>  servers;
+
+  _ServerNews__isset __isset;
+
+  void __set_servers(const std::vector<ServerState> & val);
+
+  bool operator == (const ServerNews & rhs) const
+  {
+    if (!(servers == rhs.servers))
+      return false;
+    return true;
+  }
+  bool operator != (const ServerNews &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const ServerNews & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(ServerNews &a, ServerNews &b);
+
+std::ostream& operator<<(std::ostream& out, const ServerNews& obj);
+
 }} // namespace
 
 #endif
