--- a/source/server/lane_manager.cc
+++ b/source/server/lane_manager.cc
@@ -131,7 +131,8 @@
   const bool patient = since == without_holders_.end() ||
                        now - since->second < settings_.holder_patience;
   try {
-    owner.Open(fiber, patient ? Without::kRefuse : Without::kTakeOver);
+    owner.Open(fiber, still_owns_,
+               patient ? Without::kRefuse : Without::kTakeOver);
   } catch (const HoldersUnreachable& e) {
     if (e.all_gone()) {
       without_holders_.emplace(owner.lane(), now);
--- a/source/server/lane_owner.cc
+++ b/source/server/lane_owner.cc
@@ -143,25 +143,37 @@
   }
 }
 
-void LaneOwner::Open(Fiber& fiber, WithoutHolders without_holders) {
+LaneBlock LaneOwner::MakeTakeover() const {
+  std::vector<LaneEntry> entries(1);
+  entries.front().kind = EntryKind::kTakeover;
+  LaneEntry named;
+  named.kind = EntryKind::kHolders;
+  if (holders_ != nullptr) {
+    named.holders = holders_->Choose(lane_);
+  }
+  if (!named.holders.empty()) {
+    entries.push_back(std::move(named));
+  }
+  return MakeBlock(std::move(entries), state_.epoch() + 1);
+}
+
+void LaneOwner::Open(Fiber& fiber,
+                     const OwnerCheck& still_owns,
+                     WithoutHolders without_holders) {
   auto replay = journal_.Replay(fiber);
   state_ = std::move(replay.state);
   snapshot_block_ = replay.snapshot_block;
   snapshot_bytes_ = replay.snapshot_bytes;
   block_bytes_ = replay.block_bytes;
+  const auto& former = state_.owner();
+  if (still_owns && !former.empty() && former != log_.daemon() &&
+      still_owns(fiber, former, {lane_, state_.epoch()})) {
+    throw LaneLost(former + " holds lane " + std::to_string(lane_) +
+                   " and lives");
+  }
   RecoverFromHolders(fiber, without_holders);
   const auto former_holders = state_.holders();
-  std::vector<LaneEntry> entries(1);
-  entries.front().kind = EntryKind::kTakeover;
-  if (holders_ != nullptr) {
-    auto& named = entries.emplace_back();
-    named.kind = EntryKind::kHolders;
-    named.holders = holders_->Choose(lane_);
-    if (named.holders.empty()) {
-      entries.pop_back();
-    }
-  }
-  const auto block = MakeBlock(std::move(entries), state_.epoch() + 1);
+  const auto block = MakeTakeover();
   // One try: a lost answer is settled by the read in TryCommit, and when
   // the service is silent the next round starts from a fresh replay.
   if (!journal_.TryCommit(fiber, block)) {
--- a/source/server/lane_owner.h
+++ b/source/server/lane_owner.h
@@ -58,13 +58,19 @@
             HolderLinks* holders = nullptr);
   ~LaneOwner();
 
+  // True when the daemon still holds the lane in that epoch, as it says.
+  using OwnerCheck = std::function<
+      bool(Fiber& fiber, const std::string& daemon, const OwnedLane& lane)>;
+
   // What Open does when no holder of the lane can be reached.
   enum class WithoutHolders { kRefuse, kTakeOver };
 
   // Replays, puts into the service what the lane's holders have, and appends
-  // the takeover. Throws LaneLost when another daemon was quicker,
-  // KvUnavailable when the service does not answer, and HoldersUnreachable.
+  // the takeover. Throws LaneLost when another daemon was quicker, or holds
+  // the lane by the journal and by `still_owns`, KvUnavailable when the service
+  // does not answer, and HoldersUnreachable.
   void Open(Fiber& fiber,
+            const OwnerCheck& still_owns = {},
             WithoutHolders without_holders = WithoutHolders::kRefuse);
 
   // Names other holders when one has been gone for a while.
@@ -139,6 +145,7 @@
   void ForgetAt(const std::vector<SpoolHolder>& holders, std::int64_t number);
   void NameHolders(Fiber& fiber);
   bool HoldersAreThere() const;
+  LaneBlock MakeTakeover() const;
   LaneBlock MakeBlock(std::vector<LaneEntry> entries, std::int64_t epoch) const;
   bool ReadNextBlock(Fiber& fiber);
   void LoseTo(const std::optional<LaneBlock>& next);
--- a/source/server/model_runner.cc
+++ b/source/server/model_runner.cc
@@ -15,7 +15,6 @@
 
 using nlohmann::json;
 
-constexpr std::chrono::milliseconds kRetrySoon{500};
 constexpr std::int64_t kDefaultAnswerTokens = 16;
 constexpr int kBeginRounds = 3;
 constexpr std::size_t kBytesPerToken = 4;  // About, for the choice alone.
@@ -161,7 +160,7 @@
   const std::string address = backend->vm.address;
   context.budget.MarkDispatched();
   turn.dispatched_to.insert(slot.server());
-  holds_.BeforeTurn(fiber, context, slot);
+  const auto imported = holds_.BeforeTurn(fiber, context, slot);
   turn.call.idle_timeout = context.left();
   turn.call.on_text = [&context, &turn](std::string_view text) {
     turn.streamed = true;
@@ -172,7 +171,7 @@
   try {
     auto result = engines_.Complete(fiber, address, turn.call);
     const auto tokens = result.prompt_tokens + result.completion_tokens;
-    slot.Ran(tokens, result.cached_tokens);
+    slot.Ran(tokens, result.cached_tokens - imported);
     holds_.TurnEnded(context, slot.server(), tokens);
     return result;
   } catch (const BackendFailure& e) {
--- a/tests/lane/lane_spool_test.cc
+++ b/tests/lane/lane_spool_test.cc
@@ -244,7 +244,7 @@
     world.SetOut(false);
     for (const auto without : {Without::kRefuse, Without::kTakeOver}) {
       const auto taker = world.MakeOwner("b");
-      BOOST_CHECK_THROW(taker->Open(fiber, without), HoldersUnreachable);
+      BOOST_CHECK_THROW(taker->Open(fiber, {}, without), HoldersUnreachable);
     }
     // One has left, the other has lost its disk: nothing can come back.
     holders.SetListed("h1", false);
@@ -253,7 +253,7 @@
     const auto patient = world.MakeOwner("b");
     BOOST_CHECK_THROW(patient->Open(fiber), HoldersUnreachable);
     const auto taker = world.MakeOwner("b");
-    taker->Open(fiber, Without::kTakeOver);
+    taker->Open(fiber, {}, Without::kTakeOver);
     BOOST_TEST(taker->state().Find({"c", "p"}) == nullptr);
     BOOST_TEST((taker->state().Snapshot() == world.NaiveState().Snapshot()));
   });
@@ -335,7 +335,7 @@
     world.CutOff("a");
     world.SetOut(false);
     const auto taker = world.MakeOwner("b");
-    taker->Open(fiber, Without::kTakeOver);
+    taker->Open(fiber, {}, Without::kTakeOver);
     BOOST_TEST(former->waiting_blocks() > 0);
     BOOST_TEST(!former->Confirm(fiber));
   });
