No handover is begun while the service is out

A handover begun just before or in an outage is in doubt, may not wait at holders, and keeps the lane's calls waiting. One that is in flight when the service goes still keeps its lane waiting.

--- a/source/server/lane_manager.cc
+++ b/source/server/lane_manager.cc
@@ -99,7 +99,15 @@
 
 void LaneManager::GiveUp(Fiber& fiber,
                          const std::shared_ptr<LaneOwner>& owner) {
-  owner->Handover(fiber, kHandoverTime);
+  try {
+    // In doubt, a handover would keep the lane's calls waiting: it is begun
+    // only when the service has just answered.
+    if (owner->Confirm(fiber)) {
+      owner->Handover(fiber, kHandoverTime);
+    }
+  } catch (const KvUnavailable&) {
+    // Nobody could take the lane now.
+  }
   giving_up_ = false;
   DropLost();
 }
