--- a/source/server/lane_manager.cc
+++ b/source/server/lane_manager.cc
@@ -99,7 +99,15 @@
 
 void LaneManager::GiveUp(Fiber& fiber,
                          const std::shared_ptr<LaneOwner>& owner) {
-  owner->Handover(fiber, kHandoverTime);
+  try {
+    // In doubt, a handover would keep the lane's calls waiting: it is begun
+    // only when the service has just answered.
+    if (owner->Confirm(fiber)) {
+      owner->Handover(fiber, kHandoverTime);
+    }
+  } catch (const KvUnavailable&) {
+    // Nobody could take the lane now.
+  }
   giving_up_ = false;
   DropLost();
 }
@@ -131,8 +139,8 @@
   const bool patient = since == without_holders_.end() ||
                        now - since->second < settings_.holder_patience;
   try {
-    owner.Open(fiber, patient ? Without::kRefuse : Without::kTakeOver,
-               still_owns_);
+    owner.Open(fiber, still_owns_,
+               patient ? Without::kRefuse : Without::kTakeOver);
   } catch (const HoldersUnreachable& e) {
     if (e.all_gone()) {
       without_holders_.emplace(owner.lane(), now);
--- a/source/server/lane_owner.cc
+++ b/source/server/lane_owner.cc
@@ -146,27 +146,29 @@
 LaneBlock LaneOwner::MakeTakeover() const {
   std::vector<LaneEntry> entries(1);
   entries.front().kind = EntryKind::kTakeover;
-  auto named = holders_ == nullptr ? std::vector<SpoolHolder>()
-                                   : holders_->Choose(lane_);
-  if (!named.empty()) {
-    entries.emplace_back().kind = EntryKind::kHolders;
-    entries.back().holders = std::move(named);
+  LaneEntry named;
+  named.kind = EntryKind::kHolders;
+  if (holders_ != nullptr) {
+    named.holders = holders_->Choose(lane_);
   }
-  return MakeBlock(std::move(entries), epoch() + 1);
+  if (!named.holders.empty()) {
+    entries.push_back(std::move(named));
+  }
+  return MakeBlock(std::move(entries), state_.epoch() + 1);
 }
 
 void LaneOwner::Open(Fiber& fiber,
-                     WithoutHolders without_holders,
-                     const OwnerCheck& still_owns) {
+                     const OwnerCheck& still_owns,
+                     WithoutHolders without_holders) {
   auto replay = journal_.Replay(fiber);
   state_ = std::move(replay.state);
   snapshot_block_ = replay.snapshot_block;
   snapshot_bytes_ = replay.snapshot_bytes;
   block_bytes_ = replay.block_bytes;
-  const auto& holder = state_.owner();
-  if (still_owns && !holder.empty() && holder != log_.daemon() &&
-      still_owns(fiber, holder, {lane_, state_.epoch()})) {
-    throw LaneLost(holder + " holds lane " + std::to_string(lane_) +
+  const auto& former = state_.owner();
+  if (still_owns && !former.empty() && former != log_.daemon() &&
+      still_owns(fiber, former, {lane_, state_.epoch()})) {
+    throw LaneLost(former + " holds lane " + std::to_string(lane_) +
                    " and lives");
   }
   RecoverFromHolders(fiber, without_holders);
