--- a/bench/main.cc
+++ b/bench/main.cc
@@ -25,8 +25,10 @@
   if (name == "levers") {
     return Levers();
   }
-  if (name == "ours") {
-    return {AllPolicies().front()};
+  for (const auto& it : Levers()) {
+    if (it.name == name) {
+      return {it};
+    }
   }
   return name == "trade" ? Trade() : AllPolicies();
 }
@@ -95,7 +97,8 @@
 int main(int argc, char** argv) {
   cxxopts::Options options("comfreyfold_bench",
                            "Measures the decisions on generated programs");
-  options.add_options()("policies", "all, ours, levers or trade",
+  options.add_options()("policies",
+                        "all, levers, trade, or ours or a lever by name",
                         cxxopts::value<std::string>()->default_value("all"))(
       "workload", "all, quote or kiosk",
       cxxopts::value<std::string>()->default_value("all"))(
--- a/source/core/engine_chooser.cc
+++ b/source/core/engine_chooser.cc
@@ -336,7 +336,8 @@
 
 bool EngineChooser::MemoryShort(const std::string& id) const {
   const auto it = servers_.find(id);
-  if (it == servers_.end() || it->second.load.memory_tokens == 0) {
+  if (it == servers_.end() || it->second.load.memory_tokens == 0 ||
+      settings_.hold_memory_share <= 0) {
     return false;
   }
   const auto& load = it->second.load;
--- a/tests/decisions/engine_chooser_test.cc
+++ b/tests/decisions/engine_chooser_test.cc
@@ -101,6 +101,8 @@
   BOOST_TEST(!chooser.MemoryShort("e0"));
   chooser.ObserveLoad("e0", {.memory_tokens = 1000, .held_tokens = 501});
   BOOST_TEST(chooser.MemoryShort("e0"));
+  settings.hold_memory_share = 0;  // No bound.
+  BOOST_TEST(!chooser.MemoryShort("e0"));
 }
 
 BOOST_FIXTURE_TEST_CASE(ServerThatFailedTheCallIsLast, Fixture) {
