--- a/tests/unit/load_followers_test.cc
+++ b/tests/unit/load_followers_test.cc
@@ -20,6 +20,7 @@
 
 std::vector<std::string> Names(const char* stem, int n) {
   std::vector<std::string> out;
+  out.reserve(static_cast<std::size_t>(n));
   for (int i = 0; i < n; ++i) {
     out.push_back(stem + std::to_string(i));
   }
--- a/tests/unit/stream_pacer_test.cc
+++ b/tests/unit/stream_pacer_test.cc
@@ -20,7 +20,8 @@
 
 // An engine that streams what `answer` writes, and what a client saw.
 struct World {
-  explicit World(std::function<void(World&, Fiber&, HttpExchange&)> answer)
+  explicit World(
+      const std::function<void(World&, Fiber&, HttpExchange&)>& answer)
       : seen(loop),
         server(
             loop,
