--- a/source/server/daemon.cc
+++ b/source/server/daemon.cc
@@ -218,13 +218,13 @@
   membership_.self().address = address;
   log_.Write({.name = "daemon_started", .detail = address});
   contracts_.Start(
-      [this](Fiber& fiber) { return contract_peers_.Fetch(fiber); });
+      [this](Fiber& fiber) { return contract_peers_.Fetch(fiber); },
+      [this](Fiber& fiber) { peers_.AwaitTurn(fiber); });
   budgets_.OnShort([this](Fiber& fiber, const std::string& customer,
                           const std::vector<std::string>& daemons) {
     recall_.Ask(fiber, customer, daemons);
   });
   budgets_.Start();
-  reclaimer_.Start();
   reaper_.Start();
   tidier_.Start();
   backends_.OnChange(
@@ -254,8 +254,12 @@
     RefreshDecisions();
   });
   releaser_.Start();
-  steward_.Start();
   loop_.Spawn([this](Fiber& fiber) { AgreeOnLanes(fiber); });
+  loop_.Spawn([this](Fiber& fiber) {
+    peers_.AwaitTurn(fiber);
+    reclaimer_.Start();
+    steward_.Start();
+  });
   return address;
 }
 
