Completions in the published form; the tool says that an address is missing

Both mended; the second ends with 2 and the next step. answers/a_completion_has_the_published_form: 35 checks failed before, passes. tool/faults_are_told*: 4 checks (get, diff, apply, remove) failed before, passes. answers, tool and bad_input passed whole after.

--- a/source/server/caller_api.cc
+++ b/source/server/caller_api.cc
@@ -10,6 +10,7 @@
 #include "net/error_reply.h"
 #include "platform/base64.h"
 #include "server/call_checks.h"
+#include "server/call_context.h"
 
 namespace comfreyfold {
 
@@ -299,17 +300,27 @@
                                         {"Comfreyfold-Verdict", "ran"}};
   const std::vector<HttpHeader> early{{"Comfreyfold-Program", call.program},
                                       {"Idempotency-Key", call.key}};
+  const auto created =
+      std::chrono::duration_cast<std::chrono::seconds>(WallClock()).count();
   json chunk = {{"id", call.key},
                 {"object", "chat.completion.chunk"},
+                {"created", created},
                 {"model", call.target},
-                {"choices", {{{"index", 0}, {"delta", json::object()}}}}};
+                {"choices",
+                 {{{"index", 0},
+                   {"delta", json::object()},
+                   {"finish_reason", nullptr}}}}};
   std::size_t streamed = 0;
   PieceTimes times(metrics_);
   const auto write = [&](const std::string& text) {
     if (!exchange.begun()) {
       exchange.Begin(200, "text/event-stream", early);
     }
-    chunk["choices"][0]["delta"] = {{"content", text}};
+    auto& delta = chunk["choices"][0]["delta"];
+    delta = {{"content", text}};
+    if (streamed == 0) {
+      delta["role"] = "assistant";
+    }
     exchange.Write(StreamEvent(Dump(chunk)));
     streamed += text.size();
   };
@@ -333,6 +344,7 @@
     const json body = {
         {"id", call.key},
         {"object", "chat.completion"},
+        {"created", created},
         {"model", call.target},
         {"choices",
          {{{"index", 0},
--- a/source/tool/apply_command.cc
+++ b/source/tool/apply_command.cc
@@ -19,7 +19,7 @@
   // Faults in the files are told before anything is asked.
   ReadContractFiles(context.arguments, {});
   HttpClient http(context.fiber.loop());
-  KvClient kv(http, context.key_value, kKvTimeout);
+  KvClient kv(http, KeyValueOf(context), kKvTimeout);
   const auto stored = ReadContracts(context.fiber, kv);
   auto edit = ReadContractFiles(context.arguments, stored);
   return RunChange(context, http, kv, stored, std::move(edit));
--- a/source/tool/command.h
+++ b/source/tool/command.h
@@ -3,6 +3,7 @@
 
 #include <chrono>
 #include <functional>
+#include <stdexcept>
 #include <string>
 #include <vector>
 
@@ -32,6 +33,15 @@
 inline constexpr int kExitNotConfirmed =
     5;  // Written, not in force everywhere.
 
+// The command line is wrong: ends the tool with kExitUsage.
+class UsageError : public std::runtime_error {
+ public:
+  using std::runtime_error::runtime_error;
+};
+
+// The address of the key-value service. Throws UsageError when none is named.
+const std::string& KeyValueOf(const CommandContext& context);
+
 // One line of a help page: an option, or an exit code, and what it means.
 struct HelpLine {
   std::string term;
--- a/source/tool/contract_commands.cc
+++ b/source/tool/contract_commands.cc
@@ -66,7 +66,7 @@
     return kExitUsage;
   }
   HttpClient http(context.fiber.loop());
-  KvClient kv(http, context.key_value, kKvTimeout);
+  KvClient kv(http, KeyValueOf(context), kKvTimeout);
   const auto stored = ReadContracts(context.fiber, kv);
   const auto lines =
       DiffEdit(stored, ReadContractFiles(context.arguments, stored));
@@ -88,7 +88,7 @@
 
 int Get(CommandContext& context) {
   HttpClient http(context.fiber.loop());
-  KvClient kv(http, context.key_value, kKvTimeout);
+  KvClient kv(http, KeyValueOf(context), kKvTimeout);
   const auto stored = ReadContracts(context.fiber, kv);
   json contracts = json::object();
   for (const auto& it : context.arguments) {
@@ -124,7 +124,7 @@
     return kExitUsage;
   }
   HttpClient http(context.fiber.loop());
-  KvClient kv(http, context.key_value, kKvTimeout);
+  KvClient kv(http, KeyValueOf(context), kKvTimeout);
   const auto stored = ReadContracts(context.fiber, kv);
   ContractEdit edit;
   for (const auto& it : context.arguments) {
--- a/source/tool/main.cc
+++ b/source/tool/main.cc
@@ -71,6 +71,9 @@
     context.dry_run = args.count("dry-run") > 0;
     try {
       code = command.run(context);
+    } catch (const UsageError& e) {
+      std::cerr << e.what() << "\n";
+      code = kExitUsage;
     } catch (const std::exception& e) {
       std::cerr << e.what() << "\n";
       code = kExitFailed;
--- a/tests/process/answers_test.cc
+++ b/tests/process/answers_test.cc
@@ -1,4 +1,5 @@
 #include <memory>
+#include <sstream>
 
 #include <boost/test/unit_test.hpp>
 
@@ -109,6 +110,48 @@
 
 BOOST_AUTO_TEST_SUITE(answers)
 
+// What an ordinary client library reads of a completion.
+BOOST_AUTO_TEST_CASE(a_completion_has_the_published_form) {
+  InCluster({}, [](Fiber& fiber, Cluster& cluster) {
+    const auto ask = [&](bool stream) {
+      const nlohmann::json body{
+          {"model", "quote-large"},
+          {"stream", stream},
+          {"messages", {{{"role", "user"}, {"content", "hello"}}}}};
+      return cluster.http()
+          .Send(
+              fiber, cluster.daemon(0).address(),
+              {"POST",
+               "/v1/chat/completions",
+               {{"Authorization", std::string("Bearer ") + harness::kQuoteKey},
+                {"Content-Type", "application/json"}},
+               body.dump()})
+          .body;
+    };
+    const auto whole = nlohmann::json::parse(ask(false));
+    BOOST_TEST(whole["object"] == "chat.completion");
+    BOOST_TEST(whole["created"].is_number_integer());
+    BOOST_TEST(whole["choices"][0]["message"]["role"] == "assistant");
+    BOOST_TEST(whole["usage"]["total_tokens"].is_number_integer());
+    std::istringstream events(ask(true));
+    int chunks = 0;
+    for (std::string line; std::getline(events, line);) {
+      if (line.empty() || line == "data: [DONE]") {
+        continue;
+      }
+      const auto chunk =
+          nlohmann::json::parse(line.substr(std::string("data: ").size()));
+      const auto& choice = chunk["choices"][0];
+      BOOST_TEST(chunk["object"] == "chat.completion.chunk");
+      BOOST_TEST(chunk["created"].is_number_integer());
+      BOOST_TEST(choice.contains("finish_reason"));
+      BOOST_TEST(choice["delta"].contains("role") == (chunks == 0));
+      ++chunks;
+    }
+    BOOST_TEST(chunks > 1);
+  });
+}
+
 BOOST_AUTO_TEST_CASE(late_answers_that_overtake_each_other_stay_apart) {
   InCluster({}, [](Fiber&, Cluster& cluster) {
     FaultEngines(cluster, "late", 2, milliseconds(500));
--- a/tests/process/tool_test.cc
+++ b/tests/process/tool_test.cc
@@ -134,6 +134,11 @@
                1);
     BOOST_TEST(Run(cluster, {"apply"}).code == 2);
     BOOST_TEST(Run(cluster, {"aply", one}).code == 2);
+    // Without an address of the key-value service.
+    for (const char* command : {"get", "diff", "apply", "remove"}) {
+      const auto tool = cluster.RunToolAlone({command, one});
+      BOOST_TEST(tool->Wait(seconds(20)) == 2, command);
+    }
   });
 }
 
