--- a/bench/process/bench_run.cc
+++ b/bench/process/bench_run.cc
@@ -57,12 +57,25 @@
 }
 
 LaneMap::LaneMap(Cluster& cluster) {
+  std::vector<std::string> ids;
   for (int i = 0; i < cluster.daemons(); ++i) {
-    const auto status = cluster.Status(i);
-    for (const auto& it : status["lanes"]) {
-      owners_[it["lane"].get<int>()] = i;
-    }
+    ids.push_back("d" + std::to_string(i));
   }
+  // Until then lanes move, and a call may enter at its owner.
+  cluster.WaitFor("each lane to be at the daemon that it prefers", [&] {
+    owners_.clear();
+    for (int i = 0; i < cluster.daemons(); ++i) {
+      const auto status = cluster.Status(i);
+      for (const auto& it : status["lanes"]) {
+        const int lane = it["lane"].get<int>();
+        const auto order = RendezvousOrder("lane/" + std::to_string(lane), ids);
+        if (order.front() == ids[static_cast<std::size_t>(i)]) {
+          owners_[lane] = i;
+        }
+      }
+    }
+    return owners_.size() == Cluster::kLanes;
+  });
 }
 
 int LaneMap::OwnerOf(const std::string& program) const {
