--- a/bench/process/bench_run.cc
+++ b/bench/process/bench_run.cc
@@ -58,6 +58,7 @@
 
 LaneMap::LaneMap(Cluster& cluster) {
   std::vector<std::string> ids;
+  ids.reserve(static_cast<std::size_t>(cluster.daemons()));
   for (int i = 0; i < cluster.daemons(); ++i) {
     ids.push_back("d" + std::to_string(i));
   }
