--- a/source/server/caller_api.cc
+++ b/source/server/caller_api.cc
@@ -10,6 +10,7 @@
 #include "net/error_reply.h"
 #include "platform/base64.h"
 #include "server/call_checks.h"
+#include "server/call_context.h"
 
 namespace comfreyfold {
 
@@ -322,10 +323,16 @@
                                         {"Comfreyfold-Verdict", "ran"}};
   const std::vector<HttpHeader> early{{"Comfreyfold-Program", call.program},
                                       {"Idempotency-Key", call.key}};
+  const auto created =
+      std::chrono::duration_cast<std::chrono::seconds>(WallClock()).count();
   json chunk = {{"id", call.key},
                 {"object", "chat.completion.chunk"},
+                {"created", created},
                 {"model", call.target},
-                {"choices", {{{"index", 0}, {"delta", json::object()}}}}};
+                {"choices",
+                 {{{"index", 0},
+                   {"delta", json::object()},
+                   {"finish_reason", nullptr}}}}};
   std::size_t streamed = 0;
   PieceTimes times(metrics_);
   const DeltaEvent delta(chunk);
@@ -333,7 +340,13 @@
     if (!exchange.begun()) {
       exchange.Begin(200, "text/event-stream", early);
     }
-    exchange.Write(delta.With(text));
+    if (streamed == 0) {
+      auto first = chunk;
+      first["choices"][0]["delta"] = {{"role", "assistant"}, {"content", text}};
+      exchange.Write(StreamEvent(Dump(first)));
+    } else {
+      exchange.Write(delta.With(text));
+    }
     streamed += text.size();
   };
   AnswerFrame done;
@@ -356,6 +369,7 @@
     const json body = {
         {"id", call.key},
         {"object", "chat.completion"},
+        {"created", created},
         {"model", call.target},
         {"choices",
          {{{"index", 0},
