--- a/source/server/lane_owner.cc
+++ b/source/server/lane_owner.cc
@@ -12,6 +12,8 @@
 namespace {
 
 constexpr std::chrono::milliseconds kFirstBackoff{50};
+// Nobody waits for an upload, and every lane has one.
+constexpr std::chrono::milliseconds kFirstUploadBackoff{200};
 // Under a storm of refusals the fleet reads so often for each lane.
 constexpr std::chrono::milliseconds kConfirmInterval{200};
 constexpr std::chrono::milliseconds kMostBackoff{2000};
@@ -414,7 +416,7 @@
 }
 
 void LaneOwner::UploadLoop(Fiber& fiber) {
-  auto backoff = kFirstBackoff;
+  auto backoff = kFirstUploadBackoff;
   int blocks = 0;
   while (!lost_ && !spool_.empty()) {
     fiber.Sleep(pacer_.Reserve(std::chrono::steady_clock::now()));
@@ -427,7 +429,7 @@
       ++blocks;
       ++uploads_since_commit_;
       service_answers_ = true;
-      backoff = kFirstBackoff;
+      backoff = kFirstUploadBackoff;
     } catch (const KvUnavailable&) {
       service_answers_ = false;
       fiber.Sleep(Jittered(backoff, log_.daemon() + std::to_string(lane_)));
