A retry that waits behind its own first try is not told "not run"

Found by reading: a call whose turn did not come in time was refused as "not run", also when the call ahead of it in the program's queue was an earlier try of itself. The queue keeps the keys now, and such a retry hears "may have run". at_most_once/a_retry_while_the_first_try_runs_is_not_told_not_run (a daemon with a shorter deadline retries while the tool runs): failed before with not_run, passed twice after.

--- a/source/server/call_runner.cc
+++ b/source/server/call_runner.cc
@@ -99,12 +99,14 @@
                         "' has no contract here yet; apply one or retry",
                     Verdict::kNotRun, kRetrySoon);
   }
-  auto pass = gate_.Enter(context.program);
+  auto pass = gate_.Enter(context.program, call.key);
   if (!pass.Wait(fiber, context.left())) {
-    throw CallError(503, "earlier_call_running",
-                    "an earlier call of the program did not end in time; "
-                    "retry with the same Idempotency-Key",
-                    Verdict::kNotRun, kRetrySoon);
+    throw CallError(
+        503, "earlier_call_running",
+        "an earlier call of the program did not end in time; "
+        "retry with the same Idempotency-Key",
+        pass.FollowsSameCall() ? Verdict::kMayHaveRun : Verdict::kNotRun,
+        kRetrySoon);
   }
   // Looked up after the wait: the lane may have moved meanwhile.
   context.lane = lanes_.Find(lane);
--- a/source/server/program_gate.h
+++ b/source/server/program_gate.h
@@ -5,6 +5,8 @@
 #include <cstdint>
 #include <deque>
 #include <map>
+#include <string>
+#include <utility>
 
 #include "core/lane_state.h"
 #include "net/loop.h"
@@ -28,19 +30,27 @@
     // Waits for the turn; false when `timeout` passed first.
     bool Wait(Fiber& fiber, std::chrono::milliseconds timeout);
 
+    // True when another try of the same call is ahead, or has its turn.
+    bool FollowsSameCall() const;
+
    private:
     ProgramGate& gate_;
     ProgramKey program_;
     std::uint64_t ticket_;
   };
 
-  // Queues for `program`'s turn.
-  Pass Enter(const ProgramKey& program);
+  // Queues the call of that key for `program`'s turn.
+  Pass Enter(const ProgramKey& program, const std::string& key);
 
  private:
+  struct Place {
+    std::uint64_t ticket = 0;
+    std::string key;
+  };
+
   void Leave(const ProgramKey& program, std::uint64_t ticket);
 
-  std::map<ProgramKey, std::deque<std::uint64_t>> queues_;
+  std::map<ProgramKey, std::deque<Place>> queues_;
   std::uint64_t next_ticket_ = 1;
   Condition changed_;
 };
--- a/tests/process/at_most_once_test.cc
+++ b/tests/process/at_most_once_test.cc
@@ -97,6 +97,30 @@
   });
 }
 
+// The retry comes through a daemon that waits for a shorter time than the first
+// try runs.
+BOOST_AUTO_TEST_CASE(a_retry_while_the_first_try_runs_is_not_told_not_run) {
+  InCluster({}, [](Fiber&, Cluster& cluster) {
+    constexpr int kImpatient = 2;
+    cluster.daemon(kImpatient).Kill();
+    cluster.SetSettings("calls", "deadline = 1s\n");
+    cluster.StartDaemon(kImpatient);
+    cluster.WaitReady();
+    cluster.WaitSettled();
+    auto program = cluster.SettledProgram(kCustomer, "retried");
+    for (int n = 0; OwnerOf(cluster, program) == kImpatient; ++n) {
+      program = cluster.SettledProgram(kCustomer, "again-" + std::to_string(n));
+    }
+    Booking booking(cluster, program, "order");
+    HangTools(cluster, 1, milliseconds(2500));
+    booking.Start(OwnerOf(cluster, program));
+    WaitForRun(cluster, booking);
+    BOOST_TEST(booking.Try(kImpatient).verdict == "may_have_run");
+    BOOST_TEST(booking.Wait().status == 200);
+    BOOST_TEST(booking.Runs() == 1);
+  });
+}
+
 BOOST_AUTO_TEST_CASE(owner_frozen_while_the_call_runs_wakes_after_takeover) {
   InCluster({}, [](Fiber&, Cluster& cluster) {
     Booking booking(cluster, cluster.SettledProgram(kCustomer, "owner-frozen"),
--- a/tests/process/outage_test.cc
+++ b/tests/process/outage_test.cc
@@ -246,6 +246,7 @@
     constexpr int kPrograms = 6;
     // Of lanes that no handover moves just when the service goes.
     std::vector<std::string> programs;
+    programs.reserve(kPrograms);
     for (int i = 0; i < kPrograms; ++i) {
       programs.push_back(
           cluster.SettledProgram(kCustomer, "quote-" + std::to_string(i)));
