--- a/tests/process/outage_test.cc
+++ b/tests/process/outage_test.cc
@@ -4,6 +4,7 @@
 #include <boost/test/unit_test.hpp>
 
 #include "process/in_cluster.h"
+#include "process/spools.h"
 
 namespace comfreyfold::process {
 namespace {
@@ -101,15 +102,6 @@
   return out;
 }
 
-std::int64_t SpoolCount(Cluster& cluster, const char* which) {
-  std::int64_t out = 0;
-  for (int i = 0; i < cluster.daemons(); ++i) {
-    const auto status = cluster.Status(i);
-    out += status.is_object() ? status["spool"][which].get<std::int64_t>() : 0;
-  }
-  return out;
-}
-
 // Settled as well: a lane that is handed over while the service goes out waits
 // for it.
 void AwaitHolders(Cluster& cluster) {
@@ -129,13 +121,6 @@
   });
 }
 
-void AwaitEmptySpools(Cluster& cluster) {
-  cluster.WaitFor("empty spools", [&] {
-    return SpoolCount(cluster, "held") == 0 &&
-           SpoolCount(cluster, "waiting") == 0;
-  });
-}
-
 // One lookup and one turn of a program named after the round, by `daemon`.
 void LookUpAndAsk(Fiber& fiber,
                   Cluster& cluster,
--- a/tests/process/spool_test.cc
+++ b/tests/process/spool_test.cc
@@ -12,6 +12,7 @@
 #include "net/http_server.h"
 #include "process/booking.h"
 #include "process/in_cluster.h"
+#include "process/spools.h"
 
 namespace comfreyfold::process {
 namespace {
@@ -41,22 +42,6 @@
   return out;
 }
 
-std::int64_t SpoolCount(Cluster& cluster, const char* which) {
-  std::int64_t out = 0;
-  for (int i = 0; i < cluster.daemons(); ++i) {
-    const auto status = cluster.Status(i);
-    out += status.is_object() ? status["spool"][which].get<std::int64_t>() : 0;
-  }
-  return out;
-}
-
-void AwaitEmptySpools(Cluster& cluster) {
-  cluster.WaitFor("empty spools", [&] {
-    return SpoolCount(cluster, "held") == 0 &&
-           SpoolCount(cluster, "waiting") == 0;
-  });
-}
-
 // One program, its calls so far, and who keeps its lane.
 class Program {
  public:
