--- a/source/core/lane_entry.h
+++ b/source/core/lane_entry.h
@@ -2,6 +2,7 @@
 #define CORE_LANE_ENTRY_H_
 
 #include <chrono>
+#include <cstddef>
 #include <cstdint>
 #include <string>
 #include <vector>
@@ -66,6 +67,15 @@
   bool operator==(const LaneBlock&) const = default;
 };
 
+// About what the entries take in a block.
+std::size_t BytesOf(const std::vector<LaneEntry>& entries);
+
+bool HasIntent(const std::vector<LaneEntry>& entries);
+// An intent of a call that must not run twice.
+bool HasUnsafeIntent(const std::vector<LaneEntry>& entries);
+// Entries that change who answers for the lane, or keeps its blocks.
+bool DecideOwnership(const std::vector<LaneEntry>& entries);
+
 }  // namespace comfreyfold
 
 #endif  // CORE_LANE_ENTRY_H_
--- a/source/server/lane_owner.cc
+++ b/source/server/lane_owner.cc
@@ -28,18 +28,6 @@
 constexpr std::chrono::milliseconds kForgetInterval{1000};
 constexpr int kForgetTries = 60;
 constexpr int kUnavailable = 503;  // HTTP status.
-// The fields of an entry beside its texts, and a block's own.
-constexpr std::size_t kEntryOverheadBytes = 128;
-
-std::size_t BytesOf(const std::vector<LaneEntry>& entries) {
-  std::size_t out = 0;
-  for (const auto& it : entries) {
-    out += kEntryOverheadBytes + it.customer.size() + it.program.size() +
-           it.key.size() + it.target.size() + it.backend.size() +
-           it.request.size() + it.answer.size();
-  }
-  return out;
-}
 
 // All owners that wait for the service must not come back at one moment.
 std::chrono::milliseconds Jittered(std::chrono::milliseconds backoff,
@@ -49,26 +37,10 @@
   return backoff - backoff * percent / 100;
 }
 
-bool HasIntent(const std::vector<LaneEntry>& entries) {
-  return std::any_of(entries.begin(), entries.end(), [](const auto& it) {
-    return it.kind == EntryKind::kCallBegun;
-  });
-}
-
-bool HasUnsafeIntent(const std::vector<LaneEntry>& entries) {
-  return std::any_of(entries.begin(), entries.end(), [](const auto& it) {
-    return it.kind == EntryKind::kCallBegun && !it.idempotent;
-  });
-}
-
 // Only the service may take these: they decide who answers for the lane, or
 // what is dispatched on their strength must not run twice.
 bool NeedsService(const std::vector<LaneEntry>& entries) {
-  return HasUnsafeIntent(entries) ||
-         std::any_of(entries.begin(), entries.end(), [](const auto& it) {
-           return it.kind == EntryKind::kHandover ||
-                  it.kind == EntryKind::kHolders;
-         });
+  return HasUnsafeIntent(entries) || DecideOwnership(entries);
 }
 
 // Of an intent that is not dispatched: earlier dispatches decide its verdict.
--- a/source/server/lane_spool.cc
+++ b/source/server/lane_spool.cc
@@ -5,26 +5,12 @@
 
 namespace comfreyfold {
 
-namespace {
-
-// A takeover names new holders, and these entries change who answers for the
-// lane: a daemon that takes over must find them in the service itself.
-bool MayWaitAtHolders(const LaneBlock& block) {
-  return std::none_of(block.entries.begin(), block.entries.end(),
-                      [](const auto& it) {
-                        return it.kind == EntryKind::kHolders ||
-                               it.kind == EntryKind::kTakeover ||
-                               it.kind == EntryKind::kHandover;
-                      });
-}
-
-}  // namespace
-
 bool LaneSpool::Commit(Fiber& fiber,
                        const std::vector<SpoolHolder>& holders,
                        const LaneBlock& block) {
+  // A daemon that takes over must find those in the service itself.
   if (links_ == nullptr || holders.size() < kHoldersOfLane ||
-      !MayWaitAtHolders(block)) {
+      DecideOwnership(block.entries)) {
     return false;
   }
   for (const auto& it : holders) {
