--- a/source/server/lane_owner.cc
+++ b/source/server/lane_owner.cc
@@ -117,14 +117,19 @@
   }
 }
 
+LaneEntry LaneOwner::MakeHolders() const {
+  LaneEntry out;
+  out.kind = EntryKind::kHolders;
+  if (holders_ != nullptr) {
+    out.holders = holders_->Choose(lane_);
+  }
+  return out;
+}
+
 LaneBlock LaneOwner::MakeTakeover() const {
   std::vector<LaneEntry> entries(1);
   entries.front().kind = EntryKind::kTakeover;
-  LaneEntry named;
-  named.kind = EntryKind::kHolders;
-  if (holders_ != nullptr) {
-    named.holders = holders_->Choose(lane_);
-  }
+  auto named = MakeHolders();
   if (!named.holders.empty()) {
     entries.push_back(std::move(named));
   }
@@ -531,9 +536,7 @@
   if (!ServiceAnswers(fiber)) {
     return;
   }
-  LaneEntry entry;
-  entry.kind = EntryKind::kHolders;
-  entry.holders = holders_->Choose(lane_);
+  const auto entry = MakeHolders();
   if (entry.holders.empty()) {
     return;
   }
--- a/source/server/lane_owner.h
+++ b/source/server/lane_owner.h
@@ -148,6 +148,8 @@
   void ForgetAt(const std::vector<SpoolHolder>& holders, std::int64_t number);
   void NameHolders(Fiber& fiber);
   bool HoldersAreThere() const;
+  // Names the holders that should be; with none when there are too few.
+  LaneEntry MakeHolders() const;
   LaneBlock MakeTakeover() const;
   LaneBlock MakeBlock(std::vector<LaneEntry> entries, std::int64_t epoch) const;
   bool ReadNextBlock(Fiber& fiber);
--- a/tests/lane/lane_journal_test.cc
+++ b/tests/lane/lane_journal_test.cc
@@ -10,7 +10,6 @@
 using std::chrono::milliseconds;
 
 constexpr milliseconds kSoon{150};
-constexpr milliseconds kPatience{10000};
 
 void RunCall(Fiber& fiber,
              LaneOwner& owner,
@@ -20,22 +19,6 @@
   owner.Append(fiber, {Ran(program, key, "answer " + key)}, kPatience);
 }
 
-std::shared_ptr<LaneOwner> Take(Fiber& fiber,
-                                LaneWorld& world,
-                                const std::string& daemon) {
-  auto owner = world.MakeOwner(daemon);
-  owner->Open(fiber);
-  return owner;
-}
-
-void WaitFor(Fiber& fiber, const std::function<bool()>& ready) {
-  const auto until = std::chrono::steady_clock::now() + kPatience;
-  while (!ready() && std::chrono::steady_clock::now() < until) {
-    fiber.Sleep(milliseconds(5));
-  }
-  BOOST_REQUIRE(ready());
-}
-
 BOOST_AUTO_TEST_SUITE(lane_journal)
 
 BOOST_AUTO_TEST_CASE(a_snapshot_stands_for_the_blocks_before_it) {
--- a/tests/lane/lane_manager_test.cc
+++ b/tests/lane/lane_manager_test.cc
@@ -12,8 +12,6 @@
 
 constexpr int kLanes = 4;
 constexpr milliseconds kTimeout{1500};
-constexpr milliseconds kPatience{10000};
-constexpr milliseconds kStep{5};
 
 Heartbeat Named(const std::string& daemon) {
   Heartbeat out;
@@ -44,14 +42,6 @@
   LaneManager lanes;
 };
 
-void WaitFor(Fiber& fiber, const std::function<bool()>& ready) {
-  const auto until = steady_clock::now() + kPatience;
-  while (!ready() && steady_clock::now() < until) {
-    fiber.Sleep(kStep);
-  }
-  BOOST_REQUIRE(ready());
-}
-
 // Lanes of `first`, which holds all, that `second` takes when it has heard
 // of `first` before that took any. `answer` says whether `first` still owns.
 int TakenFromTheLiving(Fiber& fiber,
--- a/tests/lane/lane_spool_test.cc
+++ b/tests/lane/lane_spool_test.cc
@@ -12,7 +12,6 @@
 using Without = LaneOwner::WithoutHolders;
 
 constexpr milliseconds kSoon{150};
-constexpr milliseconds kPatience{10000};
 
 LaneEntry Lookup(const std::string& program, const std::string& key) {
   auto out = Entry(EntryKind::kCallBegun, program, key);
@@ -33,22 +32,6 @@
   owner.Append(fiber, {Ran(program, key, "answer " + key)}, kPatience);
 }
 
-std::shared_ptr<LaneOwner> Take(Fiber& fiber,
-                                LaneWorld& world,
-                                const std::string& daemon) {
-  auto owner = world.MakeOwner(daemon);
-  owner->Open(fiber);
-  return owner;
-}
-
-void WaitFor(Fiber& fiber, const std::function<bool()>& ready) {
-  const auto until = std::chrono::steady_clock::now() + kPatience;
-  while (!ready() && std::chrono::steady_clock::now() < until) {
-    fiber.Sleep(milliseconds(5));
-  }
-  BOOST_REQUIRE(ready());
-}
-
 const CallRecord* FindCall(const LaneOwner& owner, const std::string& key) {
   const auto* program = owner.state().Find({"c", "p"});
   return program == nullptr ? nullptr : program->FindCall(key);
--- a/tests/lane/lane_world.cc
+++ b/tests/lane/lane_world.cc
@@ -1,6 +1,7 @@
 #include "lane/lane_world.h"
 
 #include <exception>
+#include <stdexcept>
 
 #include <nlohmann/json.hpp>
 
@@ -13,6 +14,7 @@
 
 using nlohmann::json;
 
+constexpr std::chrono::milliseconds kStep{5};
 constexpr std::chrono::milliseconds kKvTimeout{2000};
 
 // Keeps an answer instead of sending it.
@@ -152,6 +154,24 @@
   return out;
 }
 
+void WaitFor(Fiber& fiber, const std::function<bool()>& ready) {
+  const auto until = std::chrono::steady_clock::now() + kPatience;
+  while (!ready() && std::chrono::steady_clock::now() < until) {
+    fiber.Sleep(kStep);
+  }
+  if (!ready()) {
+    throw std::runtime_error("waited in vain");
+  }
+}
+
+std::shared_ptr<LaneOwner> Take(Fiber& fiber,
+                                LaneWorld& world,
+                                const std::string& daemon) {
+  auto owner = world.MakeOwner(daemon);
+  owner->Open(fiber);
+  return owner;
+}
+
 void InLane(const LaneSettings& settings,
             const std::function<void(Fiber&, LaneWorld&)>& body) {
   std::exception_ptr error;
--- a/tests/lane/lane_world.h
+++ b/tests/lane/lane_world.h
@@ -1,6 +1,7 @@
 #ifndef LANE_LANE_WORLD_H_
 #define LANE_LANE_WORLD_H_
 
+#include <chrono>
 #include <deque>
 #include <functional>
 #include <map>
@@ -82,6 +83,17 @@
   std::int64_t repeated_block_ = 0;
 };
 
+// How long a test waits for what is sure to come.
+inline constexpr std::chrono::milliseconds kPatience{10000};
+
+// Waits until `ready`, asking again after each pause; fails past kPatience.
+void WaitFor(Fiber& fiber, const std::function<bool()>& ready);
+
+// An owner on `daemon` that has taken the lane.
+std::shared_ptr<LaneOwner> Take(Fiber& fiber,
+                                LaneWorld& world,
+                                const std::string& daemon);
+
 // Runs `body` in a coroutine of a loop of its own; an exception that leaves
 // it leaves this function too.
 void InLane(const LaneSettings& settings,
