--- a/source/wire/gen/comfreyfold_types.h
+++ b/source/wire/gen/comfreyfold_types.h
@@ -69,6 +69,24 @@
 
 class ServerNews;
 
+class TurnRecord;
+
+class TokenUse;
+
+class StorageMember;
+
+class StorageList;
+
+class StorageRequest;
+
+class StorageReply;
+
+class RegisteredServer;
+
+class FleetQuestion;
+
+class FleetNews;
+
 typedef struct _SpoolHolder__isset {
   _SpoolHolder__isset() : daemon(false), spool(false) {}
   bool daemon :1;
@@ -1774,6 +1792,682 @@
 
 std::ostream& operator<<(std::ostream& out, const ServerNews& obj);
 
+typedef struct _TurnRecord__isset {
+  _TurnRecord__isset() : id(false), parent(false), input(false), output(false), expires_at_ms(false) {}
+  bool id :1;
+  bool parent :1;
+  bool input :1;
+  bool output :1;
+  bool expires_at_ms :1;
+} _TurnRecord__isset;
+
+class TurnRecord : public virtual ::apache::thrift::TBase {
+ public:
+
+  TurnRecord(const TurnRecord&);
+  TurnRecord& operator=(const TurnRecord&);
+  TurnRecord() noexcept
+             : id(),
+               parent(),
+               input(),
+               output(),
+               expires_at_ms(0) {
+  }
+
+  virtual ~TurnRecord() noexcept;
+  std::string id;
+  std::string parent;
+  std::string input;
+  std::string output;
+  int64_t expires_at_ms;
+
+  _TurnRecord__isset __isset;
+
+  void __set_id(const std::string& val);
+
+  void __set_parent(const std::string& val);
+
+  void __set_input(const std::string& val);
+
+  void __set_output(const std::string& val);
+
+  void __set_expires_at_ms(const int64_t val);
+
+  bool operator == (const TurnRecord & rhs) const
+  {
+    if (!(id == rhs.id))
+      return false;
+    if (!(parent == rhs.parent))
+      return false;
+    if (!(input == rhs.input))
+      return false;
+    if (!(output == rhs.output))
+      return false;
+    if (!(expires_at_ms == rhs.expires_at_ms))
+      return false;
+    return true;
+  }
+  bool operator != (const TurnRecord &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const TurnRecord & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(TurnRecord &a, TurnRecord &b);
+
+std::ostream& operator<<(std::ostream& out, const TurnRecord& obj);
+
+typedef struct _TokenUse__isset {
+  _TokenUse__isset() : program(false), request(false), tokens(false), settled(false), expires_at_ms(false) {}
+  bool program :1;
+  bool request :1;
+  bool tokens :1;
+  bool settled :1;
+  bool expires_at_ms :1;
+} _TokenUse__isset;
+
+class TokenUse : public virtual ::apache::thrift::TBase {
+ public:
+
+  TokenUse(const TokenUse&);
+  TokenUse& operator=(const TokenUse&);
+  TokenUse() noexcept
+           : program(),
+             request(),
+             tokens(0),
+             settled(0),
+             expires_at_ms(0) {
+  }
+
+  virtual ~TokenUse() noexcept;
+  std::string program;
+  std::string request;
+  int64_t tokens;
+  bool settled;
+  int64_t expires_at_ms;
+
+  _TokenUse__isset __isset;
+
+  void __set_program(const std::string& val);
+
+  void __set_request(const std::string& val);
+
+  void __set_tokens(const int64_t val);
+
+  void __set_settled(const bool val);
+
+  void __set_expires_at_ms(const int64_t val);
+
+  bool operator == (const TokenUse & rhs) const
+  {
+    if (!(program == rhs.program))
+      return false;
+    if (!(request == rhs.request))
+      return false;
+    if (!(tokens == rhs.tokens))
+      return false;
+    if (!(settled == rhs.settled))
+      return false;
+    if (!(expires_at_ms == rhs.expires_at_ms))
+      return false;
+    return true;
+  }
+  bool operator != (const TokenUse &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const TokenUse & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(TokenUse &a, TokenUse &b);
+
+std::ostream& operator<<(std::ostream& out, const TokenUse& obj);
+
+typedef struct _StorageMember__isset {
+  _StorageMember__isset() : disk(false), vm(false), address(false), data_centre(false) {}
+  bool disk :1;
+  bool vm :1;
+  bool address :1;
+  bool data_centre :1;
+} _StorageMember__isset;
+
+class StorageMember : public virtual ::apache::thrift::TBase {
+ public:
+
+  StorageMember(const StorageMember&);
+  StorageMember& operator=(const StorageMember&);
+  StorageMember() noexcept
+                : disk(),
+                  vm(),
+                  address(),
+                  data_centre() {
+  }
+
+  virtual ~StorageMember() noexcept;
+  std::string disk;
+  std::string vm;
+  std::string address;
+  std::string data_centre;
+
+  _StorageMember__isset __isset;
+
+  void __set_disk(const std::string& val);
+
+  void __set_vm(const std::string& val);
+
+  void __set_address(const std::string& val);
+
+  void __set_data_centre(const std::string& val);
+
+  bool operator == (const StorageMember & rhs) const
+  {
+    if (!(disk == rhs.disk))
+      return false;
+    if (!(vm == rhs.vm))
+      return false;
+    if (!(address == rhs.address))
+      return false;
+    if (!(data_centre == rhs.data_centre))
+      return false;
+    return true;
+  }
+  bool operator != (const StorageMember &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const StorageMember & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(StorageMember &a, StorageMember &b);
+
+std::ostream& operator<<(std::ostream& out, const StorageMember& obj);
+
+typedef struct _StorageList__isset {
+  _StorageList__isset() : version(false), epoch(false), members(false), incoming(false), synced(false) {}
+  bool version :1;
+  bool epoch :1;
+  bool members :1;
+  bool incoming :1;
+  bool synced :1;
+} _StorageList__isset;
+
+class StorageList : public virtual ::apache::thrift::TBase {
+ public:
+
+  StorageList(const StorageList&);
+  StorageList& operator=(const StorageList&);
+  StorageList() noexcept
+              : version(0),
+                epoch(0) {
+  }
+
+  virtual ~StorageList() noexcept;
+  int64_t version;
+  int64_t epoch;
+  std::vector<StorageMember>  members;
+  std::vector<StorageMember>  incoming;
+  std::vector<std::string>  synced;
+
+  _StorageList__isset __isset;
+
+  void __set_version(const int64_t val);
+
+  void __set_epoch(const int64_t val);
+
+  void __set_members(const std::vector<StorageMember> & val);
+
+  void __set_incoming(const std::vector<StorageMember> & val);
+
+  void __set_synced(const std::vector<std::string> & val);
+
+  bool operator == (const StorageList & rhs) const
+  {
+    if (!(version == rhs.version))
+      return false;
+    if (!(epoch == rhs.epoch))
+      return false;
+    if (!(members == rhs.members))
+      return false;
+    if (!(incoming == rhs.incoming))
+      return false;
+    if (!(synced == rhs.synced))
+      return false;
+    return true;
+  }
+  bool operator != (const StorageList &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const StorageList & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(StorageList &a, StorageList &b);
+
+std::ostream& operator<<(std::ostream& out, const StorageList& obj);
+
+typedef struct _StorageRequest__isset {
+  _StorageRequest__isset() : operation(false), epoch(false), turns(false), uses(false), ids(false), keep_until_ms(false), program(false), members(false) {}
+  bool operation :1;
+  bool epoch :1;
+  bool turns :1;
+  bool uses :1;
+  bool ids :1;
+  bool keep_until_ms :1;
+  bool program :1;
+  bool members :1;
+} _StorageRequest__isset;
+
+class StorageRequest : public virtual ::apache::thrift::TBase {
+ public:
+
+  StorageRequest(const StorageRequest&);
+  StorageRequest& operator=(const StorageRequest&);
+  StorageRequest() noexcept
+                 : operation(0),
+                   epoch(0),
+                   keep_until_ms(0),
+                   program() {
+  }
+
+  virtual ~StorageRequest() noexcept;
+  int32_t operation;
+  int64_t epoch;
+  std::vector<TurnRecord>  turns;
+  std::vector<TokenUse>  uses;
+  std::vector<std::string>  ids;
+  int64_t keep_until_ms;
+  std::string program;
+  StorageList members;
+
+  _StorageRequest__isset __isset;
+
+  void __set_operation(const int32_t val);
+
+  void __set_epoch(const int64_t val);
+
+  void __set_turns(const std::vector<TurnRecord> & val);
+
+  void __set_uses(const std::vector<TokenUse> & val);
+
+  void __set_ids(const std::vector<std::string> & val);
+
+  void __set_keep_until_ms(const int64_t val);
+
+  void __set_program(const std::string& val);
+
+  void __set_members(const StorageList& val);
+
+  bool operator == (const StorageRequest & rhs) const
+  {
+    if (!(operation == rhs.operation))
+      return false;
+    if (!(epoch == rhs.epoch))
+      return false;
+    if (!(turns == rhs.turns))
+      return false;
+    if (!(uses == rhs.uses))
+      return false;
+    if (!(ids == rhs.ids))
+      return false;
+    if (!(keep_until_ms == rhs.keep_until_ms))
+      return false;
+    if (!(program == rhs.program))
+      return false;
+    if (__isset.members != rhs.__isset.members)
+      return false;
+    else if (__isset.members && !(members == rhs.members))
+      return false;
+    return true;
+  }
+  bool operator != (const StorageRequest &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const StorageRequest & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(StorageRequest &a, StorageRequest &b);
+
+std::ostream& operator<<(std::ostream& out, const StorageRequest& obj);
+
+typedef struct _StorageReply__isset {
+  _StorageReply__isset() : status(false), whole(false), turns(false), uses(false), ids(false), members(false) {}
+  bool status :1;
+  bool whole :1;
+  bool turns :1;
+  bool uses :1;
+  bool ids :1;
+  bool members :1;
+} _StorageReply__isset;
+
+class StorageReply : public virtual ::apache::thrift::TBase {
+ public:
+
+  StorageReply(const StorageReply&);
+  StorageReply& operator=(const StorageReply&);
+  StorageReply() noexcept
+               : status(0),
+                 whole(0) {
+  }
+
+  virtual ~StorageReply() noexcept;
+  int32_t status;
+  bool whole;
+  std::vector<TurnRecord>  turns;
+  std::vector<TokenUse>  uses;
+  std::vector<std::string>  ids;
+  StorageList members;
+
+  _StorageReply__isset __isset;
+
+  void __set_status(const int32_t val);
+
+  void __set_whole(const bool val);
+
+  void __set_turns(const std::vector<TurnRecord> & val);
+
+  void __set_uses(const std::vector<TokenUse> & val);
+
+  void __set_ids(const std::vector<std::string> & val);
+
+  void __set_members(const StorageList& val);
+
+  bool operator == (const StorageReply & rhs) const
+  {
+    if (!(status == rhs.status))
+      return false;
+    if (!(whole == rhs.whole))
+      return false;
+    if (!(turns == rhs.turns))
+      return false;
+    if (!(uses == rhs.uses))
+      return false;
+    if (!(ids == rhs.ids))
+      return false;
+    if (__isset.members != rhs.__isset.members)
+      return false;
+    else if (__isset.members && !(members == rhs.members))
+      return false;
+    return true;
+  }
+  bool operator != (const StorageReply &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const StorageReply & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(StorageReply &a, StorageReply &b);
+
+std::ostream& operator<<(std::ostream& out, const StorageReply& obj);
+
+typedef struct _RegisteredServer__isset {
+  _RegisteredServer__isset() : id(false), service_name(false), address(false), data_centre(false), slots(false), leaving(false), cold_left_ms(false), started_ms(false) {}
+  bool id :1;
+  bool service_name :1;
+  bool address :1;
+  bool data_centre :1;
+  bool slots :1;
+  bool leaving :1;
+  bool cold_left_ms :1;
+  bool started_ms :1;
+} _RegisteredServer__isset;
+
+class RegisteredServer : public virtual ::apache::thrift::TBase {
+ public:
+
+  RegisteredServer(const RegisteredServer&);
+  RegisteredServer& operator=(const RegisteredServer&);
+  RegisteredServer() noexcept
+                   : id(),
+                     service_name(),
+                     address(),
+                     data_centre(),
+                     slots(0),
+                     leaving(0),
+                     cold_left_ms(0),
+                     started_ms(0) {
+  }
+
+  virtual ~RegisteredServer() noexcept;
+  std::string id;
+  std::string service_name;
+  std::string address;
+  std::string data_centre;
+  int32_t slots;
+  bool leaving;
+  int64_t cold_left_ms;
+  int64_t started_ms;
+
+  _RegisteredServer__isset __isset;
+
+  void __set_id(const std::string& val);
+
+  void __set_service_name(const std::string& val);
+
+  void __set_address(const std::string& val);
+
+  void __set_data_centre(const std::string& val);
+
+  void __set_slots(const int32_t val);
+
+  void __set_leaving(const bool val);
+
+  void __set_cold_left_ms(const int64_t val);
+
+  void __set_started_ms(const int64_t val);
+
+  bool operator == (const RegisteredServer & rhs) const
+  {
+    if (!(id == rhs.id))
+      return false;
+    if (!(service_name == rhs.service_name))
+      return false;
+    if (!(address == rhs.address))
+      return false;
+    if (!(data_centre == rhs.data_centre))
+      return false;
+    if (!(slots == rhs.slots))
+      return false;
+    if (!(leaving == rhs.leaving))
+      return false;
+    if (!(cold_left_ms == rhs.cold_left_ms))
+      return false;
+    if (!(started_ms == rhs.started_ms))
+      return false;
+    return true;
+  }
+  bool operator != (const RegisteredServer &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const RegisteredServer & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(RegisteredServer &a, RegisteredServer &b);
+
+std::ostream& operator<<(std::ostream& out, const RegisteredServer& obj);
+
+typedef struct _FleetQuestion__isset {
+  _FleetQuestion__isset() : config_version(false), list_version(false), servers_hash(false) {}
+  bool config_version :1;
+  bool list_version :1;
+  bool servers_hash :1;
+} _FleetQuestion__isset;
+
+class FleetQuestion : public virtual ::apache::thrift::TBase {
+ public:
+
+  FleetQuestion(const FleetQuestion&) noexcept;
+  FleetQuestion& operator=(const FleetQuestion&) noexcept;
+  FleetQuestion() noexcept
+                : config_version(0),
+                  list_version(0),
+                  servers_hash(0) {
+  }
+
+  virtual ~FleetQuestion() noexcept;
+  int64_t config_version;
+  int64_t list_version;
+  int64_t servers_hash;
+
+  _FleetQuestion__isset __isset;
+
+  void __set_config_version(const int64_t val);
+
+  void __set_list_version(const int64_t val);
+
+  void __set_servers_hash(const int64_t val);
+
+  bool operator == (const FleetQuestion & rhs) const
+  {
+    if (!(config_version == rhs.config_version))
+      return false;
+    if (!(list_version == rhs.list_version))
+      return false;
+    if (!(servers_hash == rhs.servers_hash))
+      return false;
+    return true;
+  }
+  bool operator != (const FleetQuestion &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const FleetQuestion & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(FleetQuestion &a, FleetQuestion &b);
+
+std::ostream& operator<<(std::ostream& out, const FleetQuestion& obj);
+
+typedef struct _FleetNews__isset {
+  _FleetNews__isset() : config_version(false), config_age_ms(false), config_text(false), servers_age_ms(false), servers_hash(false), servers(false), members(false) {}
+  bool config_version :1;
+  bool config_age_ms :1;
+  bool config_text :1;
+  bool servers_age_ms :1;
+  bool servers_hash :1;
+  bool servers :1;
+  bool members :1;
+} _FleetNews__isset;
+
+class FleetNews : public virtual ::apache::thrift::TBase {
+ public:
+
+  FleetNews(const FleetNews&);
+  FleetNews& operator=(const FleetNews&);
+  FleetNews() noexcept
+            : config_version(0),
+              config_age_ms(0),
+              config_text(),
+              servers_age_ms(0),
+              servers_hash(0) {
+  }
+
+  virtual ~FleetNews() noexcept;
+  int64_t config_version;
+  int64_t config_age_ms;
+  std::string config_text;
+  int64_t servers_age_ms;
+  int64_t servers_hash;
+  std::vector<RegisteredServer>  servers;
+  StorageList members;
+
+  _FleetNews__isset __isset;
+
+  void __set_config_version(const int64_t val);
+
+  void __set_config_age_ms(const int64_t val);
+
+  void __set_config_text(const std::string& val);
+
+  void __set_servers_age_ms(const int64_t val);
+
+  void __set_servers_hash(const int64_t val);
+
+  void __set_servers(const std::vector<RegisteredServer> & val);
+
+  void __set_members(const StorageList& val);
+
+  bool operator == (const FleetNews & rhs) const
+  {
+    if (!(config_version == rhs.config_version))
+      return false;
+    if (!(config_age_ms == rhs.config_age_ms))
+      return false;
+    if (!(config_text == rhs.config_text))
+      return false;
+    if (!(servers_age_ms == rhs.servers_age_ms))
+      return false;
+    if (!(servers_hash == rhs.servers_hash))
+      return false;
+    if (__isset.servers != rhs.__isset.servers)
+      return false;
+    else if (__isset.servers && !(servers == rhs.servers))
+      return false;
+    if (__isset.members != rhs.__isset.members)
+      return false;
+    else if (__isset.members && !(members == rhs.members))
+      return false;
+    return true;
+  }
+  bool operator != (const FleetNews &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const FleetNews & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(FleetNews &a, FleetNews &b);
+
+std::ostream& operator<<(std::ostream& out, const FleetNews& obj);
+
 }} // namespace
 
 #endif
--- /dev/null
+++ b/source/wire/storage_codec.cc
@@ -0,0 +1,163 @@
+#include "wire/compact.h"
+#include "wire/gen/comfreyfold_types.h"
+#include "wire/storage_messages.h"
+#include "wire/storage_wire.h"
+
+namespace comfreyfold {
+
+namespace {
+
+using detail::Read;
+using detail::ToEnum;
+using detail::Write;
+
+wire::TurnRecord ToWire(const TurnRecord& turn) {
+  wire::TurnRecord out;
+  out.id = turn.id;
+  out.parent = turn.parent;
+  out.input = turn.input;
+  out.output = turn.output;
+  out.expires_at_ms = turn.expires_at.count();
+  return out;
+}
+
+TurnRecord FromWire(const wire::TurnRecord& turn) {
+  return {turn.id, turn.parent, turn.input, turn.output,
+          std::chrono::milliseconds(turn.expires_at_ms)};
+}
+
+wire::TokenUse ToWire(const TokenUse& use) {
+  wire::TokenUse out;
+  out.program = use.program;
+  out.request = use.request;
+  out.tokens = use.tokens;
+  out.settled = use.settled;
+  out.expires_at_ms = use.expires_at.count();
+  return out;
+}
+
+TokenUse FromWire(const wire::TokenUse& use) {
+  return {use.program, use.request, use.tokens, use.settled,
+          std::chrono::milliseconds(use.expires_at_ms)};
+}
+
+wire::StorageMember ToWire(const StorageMember& member) {
+  wire::StorageMember out;
+  out.disk = member.disk;
+  out.vm = member.vm;
+  out.address = member.address;
+  out.data_centre = member.data_centre;
+  return out;
+}
+
+StorageMember FromWire(const wire::StorageMember& member) {
+  return {member.disk, member.vm, member.address, member.data_centre};
+}
+
+template <typename Out, typename In>
+std::vector<Out> Convert(const std::vector<In>& in, Out (*convert)(const In&)) {
+  std::vector<Out> out;
+  out.reserve(in.size());
+  for (const auto& it : in) {
+    out.push_back(convert(it));
+  }
+  return out;
+}
+
+}  // namespace
+
+namespace detail {
+
+wire::StorageList ToWire(const StorageList& list) {
+  wire::StorageList out;
+  out.version = list.version;
+  out.epoch = list.epoch;
+  out.members = Convert<wire::StorageMember, StorageMember>(
+      list.members, comfreyfold::ToWire);
+  out.incoming = Convert<wire::StorageMember, StorageMember>(
+      list.next, comfreyfold::ToWire);
+  out.synced = list.synced;
+  return out;
+}
+
+StorageList FromWire(const wire::StorageList& list) {
+  StorageList out;
+  out.version = list.version;
+  out.epoch = list.epoch;
+  out.members = Convert<StorageMember, wire::StorageMember>(
+      list.members, comfreyfold::FromWire);
+  out.next = Convert<StorageMember, wire::StorageMember>(list.incoming,
+                                                         comfreyfold::FromWire);
+  out.synced = list.synced;
+  return out;
+}
+
+}  // namespace detail
+
+std::string Encode(const StorageRequest& request) {
+  wire::StorageRequest out;
+  out.operation = static_cast<int>(request.operation);
+  out.epoch = request.epoch;
+  out.turns = Convert<wire::TurnRecord, TurnRecord>(request.turns, ToWire);
+  out.uses = Convert<wire::TokenUse, TokenUse>(request.uses, ToWire);
+  out.ids = request.ids;
+  out.keep_until_ms = request.keep_until.count();
+  out.program = request.program;
+  if (request.members) {
+    out.__set_members(detail::ToWire(*request.members));
+  }
+  return Write(out);
+}
+
+StorageRequest DecodeStorageRequest(const std::string& buf) {
+  const auto in = Read<wire::StorageRequest>(buf);
+  StorageRequest out;
+  out.operation = ToEnum(in.operation, kLastStorageOperation);
+  out.epoch = in.epoch;
+  out.turns = Convert<TurnRecord, wire::TurnRecord>(in.turns, FromWire);
+  out.uses = Convert<TokenUse, wire::TokenUse>(in.uses, FromWire);
+  out.ids = in.ids;
+  out.keep_until = std::chrono::milliseconds(in.keep_until_ms);
+  out.program = in.program;
+  if (in.__isset.members) {
+    out.members = detail::FromWire(in.members);
+  }
+  return out;
+}
+
+std::string Encode(const StorageReply& reply) {
+  wire::StorageReply out;
+  out.status = static_cast<int>(reply.status);
+  out.whole = reply.whole;
+  out.turns = Convert<wire::TurnRecord, TurnRecord>(reply.turns, ToWire);
+  out.uses = Convert<wire::TokenUse, TokenUse>(reply.uses, ToWire);
+  out.ids = reply.ids;
+  if (reply.members) {
+    out.__set_members(detail::ToWire(*reply.members));
+  }
+  return Write(out);
+}
+
+StorageReply DecodeStorageReply(const std::string& buf) {
+  const auto in = Read<wire::StorageReply>(buf);
+  StorageReply out;
+  out.status = ToEnum(in.status, kLastStorageStatus);
+  out.whole = in.whole;
+  out.turns = Convert<TurnRecord, wire::TurnRecord>(in.turns, FromWire);
+  out.uses = Convert<TokenUse, wire::TokenUse>(in.uses, FromWire);
+  out.ids = in.ids;
+  if (in.__isset.members) {
+    out.members = detail::FromWire(in.members);
+  }
+  return out;
+}
+
+std::string Encode(const StorageList& list) {
+  return Write(detail::ToWire(list));
+}
+
+StorageList DecodeStorageList(const std::string& buf) {
+  return detail::FromWire(Read<wire::StorageList>(buf));
+}
+
+}  // namespace comfreyfold
--- /dev/null
+++ b/source/wire/storage_wire.h
@@ -0,0 +1,16 @@
+#ifndef WIRE_STORAGE_WIRE_H_
+#define WIRE_STORAGE_WIRE_H_
+
+// Only the sources of wire/ include this header.
+
+#include "core/storage_list.h"
+#include "wire/gen/comfreyfold_types.h"
+
+namespace comfreyfold::detail {
+
+wire::StorageList ToWire(const StorageList& list);
+StorageList FromWire(const wire::StorageList& list);
+
+}  // namespace comfreyfold::detail
+
+#endif  // WIRE_STORAGE_WIRE_H_
--- a/tests/harness/cluster.cc
+++ b/tests/harness/cluster.cc
@@ -8,8 +8,8 @@
 #include <sstream>
 #include <stdexcept>
 
+#include "clients/base64.h"
 #include "core/hash.h"
-#include "platform/base64.h"
 
 namespace comfreyfold::harness {
 
--- a/tests/lane/lane_world.cc
+++ b/tests/lane/lane_world.cc
@@ -5,7 +5,7 @@
 
 #include <nlohmann/json.hpp>
 
-#include "platform/base64.h"
+#include "clients/base64.h"
 #include "wire/codec.h"
 
 namespace comfreyfold::lane {
@@ -34,6 +34,7 @@
   void Abort() override {}
   bool begun() const override { return true; }
   bool broken() const override { return false; }
+  bool PeerGone() override { return false; }
   const std::string& body() const { return body_; }
 
  private:
--- a/tests/process/budget_test.cc
+++ b/tests/process/budget_test.cc
@@ -3,8 +3,8 @@
 
 #include <boost/test/unit_test.hpp>
 
-#include "platform/budget_codec.h"
-#include "platform/kv_client.h"
+#include "clients/budget_codec.h"
+#include "clients/kv_client.h"
 #include "process/chat.h"
 #include "process/in_cluster.h"
 #include "server/peer_protocol.h"
--- a/tests/standins/kv_service.cc
+++ b/tests/standins/kv_service.cc
@@ -2,7 +2,7 @@
 
 #include <nlohmann/json.hpp>
 
-#include "platform/base64.h"
+#include "clients/base64.h"
 
 namespace comfreyfold::standins {
 
