One reader of the store; session homes; queue by slack of the program

Change: the first storage daemon reads the store for all; a program has a home engine that all daemons agree on; a full engine that has a session cached may be waited for; the queue serves programs that can still be in time first.

--- a/source/core/server_pool.cc
+++ b/source/core/server_pool.cc
@@ -3,24 +3,34 @@
 #include <algorithm>
 #include <cmath>
 
+#include "core/hash.h"
+
 namespace comfreyfold {
 
 namespace {
 
-// A load that a server told loses half its weight in this time: about the
-// length of a request.
-constexpr std::chrono::milliseconds kLoadHalfLife{300};
+// A load that a server told loses half its weight in this time: some lengths
+// of a request, since others go on sending.
+constexpr std::chrono::milliseconds kLoadHalfLife{1500};
 // Costs are in milliseconds of a caller's time.
 // An engine reads about 110 prompt tokens a millisecond (deployment sheet).
 constexpr double kCostPerUncachedToken = 1.0 / 110;
 // Each request in a batch lengthens the steps of all others by some 0.04 ms
-// over some 35 steps, and its prompt interrupts them.
-constexpr double kCostPerEngineRequest = 4;
+// over some 35 steps, and theirs its own.
+constexpr double kCostPerEngineRequest = 3;
+// Tokens that a turn adds to its session (deployment sheet: 500 to 1,000).
+constexpr std::int64_t kTokensOfOneTurn = 700;
+// Draws the first turn of a session to the server where daemons that know
+// nothing of it will look for it.
+constexpr std::int64_t kTokensOfHome = 200;
 // Another data centre costs transfer rather than time.
 constexpr double kCostOfDistance = 25;
 constexpr double kCostOfColdServer = 50;
 // A server that failed this very request is the last resort.
 constexpr double kCostOfFailure = 100000;
+// A request waits no longer than that for a server that has its session
+// cached while others are free.
+constexpr std::chrono::milliseconds kLongestWaitForCached{150};
 constexpr double kLatencyWeight = 0.1;  // Of the newest, in the mean.
 // A server this much slower than the typical one is avoided.
 constexpr double kSlowFactor = 2.5;
@@ -40,12 +50,18 @@
                    : mean * (1 - kLatencyWeight) + newest * kLatencyWeight;
 }
 
+// Programs that can still finish in time go before those that cannot, the
+// tightest first: under more load than the servers carry, serving the latest
+// first would make all of them late.
 bool MoreUrgent(const PlaceAsk& a, const PlaceAsk& b) {
   if (a.priority != b.priority) {
     return a.priority < b.priority;
   }
-  if (a.finish_by != b.finish_by) {
-    return a.finish_by < b.finish_by;
+  if (a.hopeless() != b.hopeless()) {
+    return b.hopeless();
+  }
+  if (a.must_start_by != b.must_start_by && !a.hopeless()) {
+    return a.must_start_by < b.must_start_by;
   }
   return a.arrived < b.arrived;
 }
@@ -114,8 +130,49 @@
   return *middle;
 }
 
+// Other daemons may have served the session before. Where they and this one
+// would put it, its earlier turns are likely to be cached.
+std::int64_t ServerPool::LikelyUncached(const Server& server,
+                                        const PlaceAsk& ask,
+                                        bool is_home) const {
+  const auto uncached = server.cache.Uncached(ask.prompt);
+  if (ask.prompt.empty()) {
+    return uncached;
+  }
+  const auto session_tokens = ask.prompt.back().tokens;
+  if (!is_home) {
+    return uncached + kTokensOfHome;
+  }
+  return uncached < session_tokens
+             ? uncached
+             : uncached -
+                   std::max<std::int64_t>(0, session_tokens - kTokensOfOneTurn);
+}
+
+const ServerPool::Server* ServerPool::Home(const PlaceAsk& ask,
+                                           TimePoint now) const {
+  const Server* out = nullptr;
+  std::uint64_t highest = 0;
+  if (ask.session.empty()) {
+    return nullptr;
+  }
+  const auto seed = Hash64(ask.session);
+  for (const auto& [id, it] : servers_) {
+    if (it.info.data_centre != data_centre_ || !Usable(it, now)) {
+      continue;
+    }
+    const auto weight = Hash64(id, seed);
+    if (out == nullptr || weight > highest) {
+      out = &it;
+      highest = weight;
+    }
+  }
+  return out;
+}
+
 double ServerPool::Cost(const Server& server,
                         const PlaceAsk& ask,
+                        bool is_home,
                         TimePoint now) const {
   const double load = Load(server, now);
   double out = server.info.data_centre == data_centre_ ? 0 : kCostOfDistance;
@@ -123,8 +180,9 @@
     out += kCostOfColdServer;
   }
   if (is_engine_) {
-    out += static_cast<double>(server.cache.Uncached(ask.prompt)) *
-               kCostPerUncachedToken +
+    // Reading a prompt holds up all requests of the batch.
+    out += static_cast<double>(LikelyUncached(server, ask, is_home)) *
+               kCostPerUncachedToken * (1 + load) +
            load * kCostPerEngineRequest;
   } else {
     // A plain service slows down as its slots fill up.
@@ -137,21 +195,35 @@
   return out;
 }
 
+// Time until a full server has a place for one more request.
+double ServerPool::WaitAt(const Server& server, TimePoint now) const {
+  const double excess = Load(server, now) - Limit(server) + 1;
+  const double held = held_ms_ > 0 ? held_ms_ : kFirstHeldMs;
+  return excess <= 0 ? 0 : excess * held / Limit(server) * sharers_;
+}
+
+// Full servers compete as well: under load it is better to wait for the one
+// that has a session cached than to let others read it anew, which takes
+// capacity from all. Null when waiting is best.
 ServerPool::Server* ServerPool::Cheapest(const PlaceAsk& ask, TimePoint now) {
   Server* best = nullptr;
   double best_cost = 0;
+  const auto* home = is_engine_ ? Home(ask, now) : nullptr;
+  const bool impatient = now - ask.arrived > kLongestWaitForCached;
   for (auto& [id, it] : servers_) {
-    if (!Usable(it, now) || !HasRoom(it, now)) {
+    const bool has_room = HasRoom(it, now);
+    if (!Usable(it, now) || (!has_room && (impatient || !is_engine_))) {
       continue;
     }
-    const double cost =
-        Cost(it, ask, now) + (ask.excluded.count(id) > 0 ? kCostOfFailure : 0);
+    const double cost = Cost(it, ask, &it == home, now) +
+                        (ask.excluded.count(id) > 0 ? kCostOfFailure : 0) +
+                        WaitAt(it, now);
     if (best == nullptr || cost < best_cost) {
       best = &it;
       best_cost = cost;
     }
   }
-  return best;
+  return best != nullptr && HasRoom(*best, now) ? best : nullptr;
 }
 
 Place ServerPool::Take(Server& server, const PlaceAsk& ask, TimePoint now) {
--- a/source/core/server_pool.h
+++ b/source/core/server_pool.h
@@ -22,11 +22,15 @@
   std::uint64_t ticket = 0;  // Unique in the pool.
   int priority = 0;          // 0 is the most urgent.
   TimePoint arrived{};
-  TimePoint latest{};     // Serving it later is of no use.
-  TimePoint finish_by{};  // When its program should be finished.
+  TimePoint latest{};  // Serving it later is of no use.
+  // When the delay is used up that its program can take and finish in time.
+  TimePoint must_start_by = TimePoint::max();
+  bool late = false;  // It is used up already.
   std::vector<PromptPart> prompt;
-  std::string session;             // Empty when none.
+  std::string session;  // Requests of one share much of their prompt.
   std::set<std::string> excluded;  // Servers that failed this request.
+
+  bool hopeless() const { return late; }
 };
 
 struct Place {
@@ -105,7 +109,15 @@
   double Load(const Server& server, TimePoint now) const;
   int Limit(const Server& server) const;
   bool HasRoom(const Server& server, TimePoint now) const;
-  double Cost(const Server& server, const PlaceAsk& ask, TimePoint now) const;
+  std::int64_t LikelyUncached(const Server& server,
+                              const PlaceAsk& ask,
+                              bool is_home) const;
+  const Server* Home(const PlaceAsk& ask, TimePoint now) const;
+  double Cost(const Server& server,
+              const PlaceAsk& ask,
+              bool is_home,
+              TimePoint now) const;
+  double WaitAt(const Server& server, TimePoint now) const;
   Server* Cheapest(const PlaceAsk& ask, TimePoint now);
   Place Take(Server& server, const PlaceAsk& ask, TimePoint now);
   void Told(Server& server, const ServerLoad& load, TimePoint now);
--- a/source/fleet/fleet_sync.cc
+++ b/source/fleet/fleet_sync.cc
@@ -13,7 +13,7 @@
 constexpr int kBadRequest = 400;
 // With a reading a second at the source this keeps every daemon well within
 // the two seconds that the deployments grant.
-constexpr std::chrono::milliseconds kAskEvery{400};
+constexpr std::chrono::milliseconds kAskEvery{250};
 constexpr std::chrono::milliseconds kAskTimeout{400};
 // Older than that, a daemon reads the service itself.
 constexpr std::chrono::milliseconds kStale{1500};
@@ -38,8 +38,12 @@
       decode_config_(std::move(decode_config)) {}
 
 bool FleetSync::Fresh() const {
-  return view_.config() && AgeOf(view_.config_confirmed_at()) < kStale &&
-         AgeOf(view_.listed_at()) < kStale && view_.storage().version > 0;
+  return FresherThan(kStale);
+}
+
+bool FleetSync::FresherThan(std::chrono::milliseconds age) const {
+  return view_.config() && AgeOf(view_.config_confirmed_at()) < age &&
+         AgeOf(view_.listed_at()) < age && view_.storage().version > 0;
 }
 
 void FleetSync::Run(Fiber& fiber) {
@@ -111,6 +115,9 @@
   if (news.members) {
     view_.ApplyStorage(*news.members);
   }
+  if (news.config_age < kStale) {
+    view_.ApplyRetiring(news.retiring);
+  }
 }
 
 void FleetSync::Handle(const HttpRequest& request, HttpExchange& exchange) {
@@ -139,6 +146,7 @@
   if (view_.storage().version > question.list_version) {
     news.members = view_.storage();
   }
+  news.retiring = view_.retiring();
   exchange.Reply(kOk, "", Encode(news));
 }
 
--- a/source/fleet/fleet_sync.h
+++ b/source/fleet/fleet_sync.h
@@ -38,6 +38,7 @@
 
   // Whether what is known was confirmed by the service lately, by whoever.
   bool Fresh() const;
+  bool FresherThan(std::chrono::milliseconds age) const;
 
  private:
   bool AskOne(Fiber& fiber, const std::string& address);
--- a/source/fleet/fleet_view.cc
+++ b/source/fleet/fleet_view.cc
@@ -56,6 +56,13 @@
   return true;
 }
 
+void FleetView::ApplyRetiring(std::set<std::string> vms) {
+  if (vms != retiring_) {
+    retiring_ = std::move(vms);
+    Changed();
+  }
+}
+
 void FleetView::Changed() const {
   for (const auto& it : on_change_) {
     it();
--- a/source/fleet/fleet_view.h
+++ b/source/fleet/fleet_view.h
@@ -4,6 +4,7 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -43,6 +44,10 @@
   void RegistryLost() { servers_.RegistryLost(); }
   bool ApplyStorage(StorageList list);
 
+  // VMs whose disks the operators want emptied.
+  const std::set<std::string>& retiring() const { return retiring_; }
+  void ApplyRetiring(std::set<std::string> vms);
+
   // Called after each change.
   void OnChange(std::function<void()> hook) { on_change_.push_back(hook); }
 
@@ -56,6 +61,7 @@
   std::vector<BackendServer> listed_;
   TimePoint listed_at_{};
   StorageList storage_;
+  std::set<std::string> retiring_;
   std::vector<std::function<void()>> on_change_;
 };
 
--- a/source/fleet/store_follower.cc
+++ b/source/fleet/store_follower.cc
@@ -10,6 +10,7 @@
 // A watch is asked anew this often: one that has gone silent, without a
 // reset, must not hide a change for longer.
 constexpr std::chrono::milliseconds kWatchFor{1000};
+constexpr std::chrono::milliseconds kListWatchFor{20000};
 constexpr std::chrono::milliseconds kFirstBackoff{100};
 // While the service is out each call is paid for all the same.
 constexpr std::chrono::milliseconds kLongestBackoff{700};
@@ -51,6 +52,7 @@
 
 void StoreFollower::Follow(Fiber& fiber,
                            const std::string& prefix,
+                           std::chrono::milliseconds watch_for,
                            const std::function<std::int64_t()>& read,
                            const std::function<void(TimePoint)>& confirmed) {
   int failures = 0;
@@ -67,7 +69,7 @@
       }
       const auto asked_at = std::chrono::steady_clock::now();
       bool changed = false;
-      store_.Watch(fiber, prefix, revision + 1, kWatchFor,
+      store_.Watch(fiber, prefix, revision + 1, watch_for,
                    [&changed](std::int64_t) { changed = true; });
       if (changed) {
         revision = 0;
@@ -89,7 +91,7 @@
 
 void StoreFollower::FollowOperators(Fiber& fiber) {
   Follow(
-      fiber, layout_.operators_prefix,
+      fiber, layout_.operators_prefix, kWatchFor,
       [this, &fiber] { return ReadOperators(fiber); },
       [this](TimePoint at) { view_.ConfirmConfig(at); });
 }
@@ -122,9 +124,10 @@
 }
 
 void StoreFollower::FollowList(Fiber& fiber) {
+  // A silent watch does no harm here: storage daemons tell of a newer list.
   Follow(
-      fiber, layout_.list_key, [this, &fiber] { return ReadList(fiber); },
-      [](TimePoint) {});
+      fiber, layout_.list_key, kListWatchFor,
+      [this, &fiber] { return ReadList(fiber); }, [](TimePoint) {});
 }
 
 std::int64_t StoreFollower::ReadList(Fiber& fiber) {
--- a/source/fleet/store_follower.h
+++ b/source/fleet/store_follower.h
@@ -39,7 +39,7 @@
                 std::chrono::milliseconds read_every);
 
   // Asked before each call: false lets the service alone, because another
-  // daemon passes on what it reads.
+  // daemon reads it and passes on what it learns.
   void OnlyIf(std::function<bool()> needed) { needed_ = std::move(needed); }
   // Told all that the operators wrote, at each reading.
   void OnOperators(std::function<void(const KvRange&)> hook) {
@@ -57,6 +57,7 @@
   std::int64_t ReadList(Fiber& fiber);
   void Follow(Fiber& fiber,
               const std::string& prefix,
+              std::chrono::milliseconds watch_for,
               const std::function<std::int64_t()>& read,
               const std::function<void(TimePoint)>& confirmed);
   void Reached(bool reached, const std::string& reason);
--- a/source/front/call_handler.cc
+++ b/source/front/call_handler.cc
@@ -70,7 +70,6 @@
   std::string service;
   TimePoint arrived = std::chrono::steady_clock::now();
   TimePoint deadline{};
-  TimePoint finish_by = TimePoint::max();
   std::optional<std::string> body;  // With the chain before it.
   std::vector<std::string> chain;
   std::optional<TokenUse> reserved;
@@ -109,6 +108,13 @@
   if (call.reserved) {
     storage_.Settle(Settlement(call));
   }
+  if (call.info.finish_in && call.progress.events > 0) {
+    slack_.Ended(call.info.program,
+                 std::chrono::duration_cast<std::chrono::milliseconds>(
+                     std::chrono::steady_clock::now() - call.arrived),
+                 call.progress.first_event, call.progress.events);
+    slack_.Expire(call.arrived);
+  }
   if (error) {
     Refuse(call, *error);
   }
@@ -136,8 +142,8 @@
     time = std::min(time, call.route->timeout);
   }
   call.deadline = call.arrived + time;
-  if (call.info.finish_in) {
-    call.finish_by = call.arrived + *call.info.finish_in;
+  if (call.info.finish_in && call.route->kind == RequestKind::kStream) {
+    slack_.Began(call.info.program, *call.info.finish_in, call.arrived);
   }
   call.service = call.route->Choose(draw_());
   if (call.route->keeps_context) {
@@ -214,9 +220,14 @@
   ask.priority = call.route->priority;
   ask.arrived = call.arrived;
   ask.latest = call.deadline - kReturnTime;
-  ask.finish_by = call.finish_by;
+  if (call.route->kind == RequestKind::kStream && call.info.finish_in) {
+    const auto slack = slack_.Left(call.info.program);
+    ask.must_start_by = call.arrived + slack;
+    ask.late = slack.count() < 0;
+  }
   ask.prompt = call.info.prompt;
-  ask.session = call.info.session;
+  // Sub-agents begin with the prompt of the program that started them.
+  ask.session = call.info.program;
   ask.excluded = call.excluded;
   placed = gate_.Enter(fiber, call.service, std::move(ask),
                        [&call] { return call.client.PeerGone(); });
@@ -268,6 +279,7 @@
               {"address", place.address},
               {"uncached_tokens", place.uncached_tokens},
               {"waited_ms", placed.waited},
+              {"slack_ms", slack_.Left(call.info.program)},
               {"verdict", ToString(result.verdict)},
               {"status", result.said.status},
               {"events", call.progress.events},
--- a/source/front/call_handler.h
+++ b/source/front/call_handler.h
@@ -10,6 +10,7 @@
 #include <vector>
 
 #include "core/call_error.h"
+#include "core/program_slack.h"
 #include "fleet/decision_log.h"
 #include "fleet/fleet_view.h"
 #include "front/dialect.h"
@@ -63,6 +64,7 @@
   DecisionLog& log_;
   Metrics& metrics_;
   Dialect dialect_;
+  ProgramSlack slack_;
   std::mt19937_64 draw_;
 };
 
--- a/source/vm/vm_daemon.cc
+++ b/source/vm/vm_daemon.cc
@@ -19,6 +19,12 @@
 // Of the time until it is killed, left for the end of a planned stop.
 constexpr std::chrono::milliseconds kStopMargin{300};
 constexpr std::chrono::milliseconds kExpireEvery{2000};
+constexpr std::chrono::milliseconds kReportAgain{300};
+// News of that age let the second reader step in, then one after the other;
+// all have to learn of a leaving server within two seconds.
+constexpr std::chrono::milliseconds kSecondReads{1250};
+constexpr std::chrono::milliseconds kNextReads{100};
+constexpr std::chrono::milliseconds kClientReads{1600};
 // Of the descriptors: connections of clients; servers and peers need others.
 constexpr int kClientShare = 2;
 // Of the memory: cached chains.
@@ -91,11 +97,9 @@
   }
   StartMetrics();
   follower_.OnOperators(
-      [this](const KvRange& operators) { WatchRetirement(operators); });
-  if (!storage_node_) {
-    // Storage daemons read the service for all.
-    follower_.OnlyIf([this] { return !sync_.Fresh(); });
-  }
+      [this](const KvRange& operators) { NoteOperators(operators); });
+  view_.OnChange([this] { WatchRetirement(); });
+  follower_.OnlyIf([this] { return ShouldReadStore(); });
   sync_.AskFrom([this] { return NewsSources(); });
   loop_.Spawn([this](Fiber& fiber) { sync_.Run(fiber); });
   follower_.Start();
@@ -209,15 +213,13 @@
 }
 
 std::vector<std::string> VmDaemon::NewsSources() const {
-  std::vector<std::string> near;
   std::vector<std::string> out;
+  // In the order of the list: its first reads the service for all.
   for (const auto& it : view_.storage().All()) {
     if (it.address != settings_.internal_address) {
-      (it.data_centre == settings_.data_centre ? near : out)
-          .push_back(it.address);
+      out.push_back(it.address);
     }
   }
-  out.insert(out.begin(), near.begin(), near.end());
   if (out.empty()) {
     for (const auto& it : settings_.seeds) {
       if (it != settings_.control_address) {
@@ -228,25 +230,61 @@
   return out;
 }
 
-void VmDaemon::WatchRetirement(const KvRange& operators) {
-  const auto wanted = platform_.retire.request_prefix + settings_.vm;
-  const bool asked =
-      std::any_of(operators.items.begin(), operators.items.end(),
-                  [&wanted](const auto& it) { return it.key == wanted; });
-  if (!asked || retiring_ || !storage_keeper_) {
+void VmDaemon::NoteOperators(const KvRange& operators) {
+  std::set<std::string> vms;
+  const auto& prefix = platform_.retire.request_prefix;
+  for (const auto& it : operators.items) {
+    if (it.key.rfind(prefix, 0) == 0) {
+      vms.insert(it.key.substr(prefix.size()));
+    }
+  }
+  view_.ApplyRetiring(std::move(vms));
+}
+
+void VmDaemon::WatchRetirement() {
+  if (retiring_ || !storage_keeper_ ||
+      view_.retiring().count(settings_.vm) == 0) {
     return;
   }
   retiring_ = true;
   log_.Write("retirement_asked", "", {{"vm", settings_.vm}});
-  const auto report = [this](Fiber& fiber, bool done) {
-    KvTxn txn;
-    txn.puts = {{platform_.retire.status_prefix + settings_.vm,
-                 platform_.retire.encode_status(done)}};
-    platform_.store.Commit(fiber, txn);
-    log_.Write("retirement", "", {{"outcome", done ? "empty" : "running"}});
-  };
-  loop_.Spawn([report](Fiber& fiber) { report(fiber, false); });
-  storage_keeper_->Leave([report](Fiber& fiber) { report(fiber, true); });
+  loop_.Spawn([this](Fiber& fiber) { ReportRetirement(fiber, false); });
+  storage_keeper_->Leave(
+      [this](Fiber& fiber) { ReportRetirement(fiber, true); });
+}
+
+// The operators wait for this: it is written until the service has it.
+void VmDaemon::ReportRetirement(Fiber& fiber, bool done) {
+  KvTxn txn;
+  txn.puts = {{platform_.retire.status_prefix + settings_.vm,
+               platform_.retire.encode_status(done)}};
+  for (;;) {
+    try {
+      platform_.store.Commit(fiber, txn);
+      log_.Write("retirement", "", {{"outcome", done ? "empty" : "running"}});
+      return;
+    } catch (const KvUnavailable& e) {
+      log_.Write("retirement_delayed", "", {{"reason", e.what()}});
+      fiber.Sleep(kReportAgain);
+    }
+  }
+}
+
+// Storage daemons read the service, the first of the list for all; the others
+// and the daemons that serve clients step in when news get old.
+bool VmDaemon::ShouldReadStore() const {
+  if (!storage_node_) {
+    return !sync_.FresherThan(kClientReads);
+  }
+  const auto members = view_.storage().All();
+  std::int64_t rank = 0;
+  for (const auto& it : members) {
+    if (it.disk == storage_node_->disk()) {
+      break;
+    }
+    ++rank;
+  }
+  return rank == 0 || !sync_.FresherThan(kSecondReads + rank * kNextReads);
 }
 
 void VmDaemon::Reload(const VmSettings& settings) {
--- a/source/vm/vm_daemon.h
+++ b/source/vm/vm_daemon.h
@@ -73,7 +73,10 @@
   void ApplyLimits();
   HttpLimits ClientBounds() const;
   std::vector<std::string> NewsSources() const;
-  void WatchRetirement(const KvRange& operators);
+  bool ShouldReadStore() const;
+  void NoteOperators(const KvRange& operators);
+  void WatchRetirement();
+  void ReportRetirement(Fiber& fiber, bool done);
   void AwaitIdle(Fiber& fiber, const std::function<void()>& done);
 
   Loop& loop_;
--- a/source/wire/comfreyfold.thrift
+++ b/source/wire/comfreyfold.thrift
@@ -284,4 +284,5 @@
   5: i64 servers_hash,
   6: optional list<RegisteredServer> servers,
   7: optional StorageList members,
+  8: set<string> retiring,
 }
--- a/source/wire/fleet_codec.cc
+++ b/source/wire/fleet_codec.cc
@@ -70,6 +70,7 @@
   if (news.members) {
     out.__set_members(detail::ToWire(*news.members));
   }
+  out.retiring = news.retiring;
   return Write(out);
 }
 
@@ -90,6 +91,7 @@
   if (in.__isset.members) {
     out.members = detail::FromWire(in.members);
   }
+  out.retiring = in.retiring;
   return out;
 }
 
--- a/source/wire/fleet_messages.h
+++ b/source/wire/fleet_messages.h
@@ -4,6 +4,7 @@
 #include <chrono>
 #include <cstdint>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -28,6 +29,7 @@
   std::uint64_t servers_hash = 0;
   std::optional<std::vector<BackendServer>> servers;
   std::optional<StorageList> members;
+  std::set<std::string> retiring;  // VMs whose disks are to be emptied.
 };
 
 // Thrift compact encoding; Decode throws WireError.
--- a/source/wire/gen/comfreyfold_types.cpp
+++ b/source/wire/gen/comfreyfold_types.cpp
@@ -6217,6 +6217,10 @@
   this->members = val;
 __isset.members = true;
 }
+
+void FleetNews::__set_retiring(const std::set<std::string> & val) {
+  this->retiring = val;
+}
 std::ostream& operator<<(std::ostream& out, const FleetNews& obj)
 {
   obj.printTo(out);
@@ -6313,6 +6317,27 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 8:
+        if (ftype == ::apache::thrift::protocol::T_SET) {
+          {
+            this->retiring.clear();
+            uint32_t _size227;
+            ::apache::thrift::protocol::TType _etype230;
+            xfer += iprot->readSetBegin(_etype230, _size227);
+            uint32_t _i231;
+            for (_i231 = 0; _i231 < _size227; ++_i231)
+            {
+              std::string _elem232;
+              xfer += iprot->readString(_elem232);
+              this->retiring.insert(_elem232);
+            }
+            xfer += iprot->readSetEnd();
+          }
+          this->__isset.retiring = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -6354,10 +6379,10 @@
     xfer += oprot->writeFieldBegin("servers", ::apache::thrift::protocol::T_LIST, 6);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->servers.size()));
-      std::vector<RegisteredServer> ::const_iterator _iter227;
-      for (_iter227 = this->servers.begin(); _iter227 != this->servers.end(); ++_iter227)
+      std::vector<RegisteredServer> ::const_iterator _iter233;
+      for (_iter233 = this->servers.begin(); _iter233 != this->servers.end(); ++_iter233)
       {
-        xfer += (*_iter227).write(oprot);
+        xfer += (*_iter233).write(oprot);
       }
       xfer += oprot->writeListEnd();
     }
@@ -6368,6 +6393,18 @@
     xfer += this->members.write(oprot);
     xfer += oprot->writeFieldEnd();
   }
+  xfer += oprot->writeFieldBegin("retiring", ::apache::thrift::protocol::T_SET, 8);
+  {
+    xfer += oprot->writeSetBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->retiring.size()));
+    std::set<std::string> ::const_iterator _iter234;
+    for (_iter234 = this->retiring.begin(); _iter234 != this->retiring.end(); ++_iter234)
+    {
+      xfer += oprot->writeString((*_iter234));
+    }
+    xfer += oprot->writeSetEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -6382,28 +6419,31 @@
   swap(a.servers_hash, b.servers_hash);
   swap(a.servers, b.servers);
   swap(a.members, b.members);
+  swap(a.retiring, b.retiring);
   swap(a.__isset, b.__isset);
 }
 
-FleetNews::FleetNews(const FleetNews& other228) {
-  config_version = other228.config_version;
-  config_age_ms = other228.config_age_ms;
-  config_text = other228.config_text;
-  servers_age_ms = other228.servers_age_ms;
-  servers_hash = other228.servers_hash;
-  servers = other228.servers;
-  members = other228.members;
-  __isset = other228.__isset;
-}
-FleetNews& FleetNews::operator=(const FleetNews& other229) {
-  config_version = other229.config_version;
-  config_age_ms = other229.config_age_ms;
-  config_text = other229.config_text;
-  servers_age_ms = other229.servers_age_ms;
-  servers_hash = other229.servers_hash;
-  servers = other229.servers;
-  members = other229.members;
-  __isset = other229.__isset;
+FleetNews::FleetNews(const FleetNews& other235) {
+  config_version = other235.config_version;
+  config_age_ms = other235.config_age_ms;
+  config_text = other235.config_text;
+  servers_age_ms = other235.servers_age_ms;
+  servers_hash = other235.servers_hash;
+  servers = other235.servers;
+  members = other235.members;
+  retiring = other235.retiring;
+  __isset = other235.__isset;
+}
+FleetNews& FleetNews::operator=(const FleetNews& other236) {
+  config_version = other236.config_version;
+  config_age_ms = other236.config_age_ms;
+  config_text = other236.config_text;
+  servers_age_ms = other236.servers_age_ms;
+  servers_hash = other236.servers_hash;
+  servers = other236.servers;
+  members = other236.members;
+  retiring = other236.retiring;
+  __isset = other236.__isset;
   return *this;
 }
 void FleetNews::printTo(std::ostream& out) const {
@@ -6416,6 +6456,7 @@
   out << ", " << "servers_hash=" << to_string(servers_hash);
   out << ", " << "servers="; (__isset.servers ? (out << to_string(servers)) : (out << "<null>"));
   out << ", " << "members="; (__isset.members ? (out << to_string(members)) : (out << "<null>"));
+  out << ", " << "retiring=" << to_string(retiring);
   out << ")";
 }
 
--- a/source/wire/gen/comfreyfold_types.h
+++ b/source/wire/gen/comfreyfold_types.h
@@ -2382,7 +2382,7 @@
 std::ostream& operator<<(std::ostream& out, const FleetQuestion& obj);
 
 typedef struct _FleetNews__isset {
-  _FleetNews__isset() : config_version(false), config_age_ms(false), config_text(false), servers_age_ms(false), servers_hash(false), servers(false), members(false) {}
+  _FleetNews__isset() : config_version(false), config_age_ms(false), config_text(false), servers_age_ms(false), servers_hash(false), servers(false), members(false), retiring(false) {}
   bool config_version :1;
   bool config_age_ms :1;
   bool config_text :1;
@@ -2390,6 +2390,7 @@
   bool servers_hash :1;
   bool servers :1;
   bool members :1;
+  bool retiring :1;
 } _FleetNews__isset;
 
 class FleetNews : public virtual ::apache::thrift::TBase {
@@ -2413,6 +2414,7 @@
   int64_t servers_hash;
   std::vector<RegisteredServer>  servers;
   StorageList members;
+  std::set<std::string>  retiring;
 
   _FleetNews__isset __isset;
 
@@ -2430,6 +2432,8 @@
 
   void __set_members(const StorageList& val);
 
+  void __set_retiring(const std::set<std::string> & val);
+
   bool operator == (const FleetNews & rhs) const
   {
     if (!(config_version == rhs.config_version))
@@ -2450,6 +2454,8 @@
       return false;
     else if (__isset.members && !(members == rhs.members))
       return false;
+    if (!(retiring == rhs.retiring))
+      return false;
     return true;
   }
   bool operator != (const FleetNews &rhs) const {
