Disks join together; the list is told, not watched; nearer servers

Change: disks that start together join by one change; daemons that serve clients hear of the list from others; distance and fresh connections cost more in the choice of a server.

--- a/source/core/server_pool.cc
+++ b/source/core/server_pool.cc
@@ -24,8 +24,13 @@
 // nothing of it will look for it.
 constexpr std::int64_t kTokensOfHome = 200;
 // Another data centre costs transfer rather than time.
-constexpr double kCostOfDistance = 25;
+constexpr double kCostOfDistance = 60;
+// A server that this daemon has no connection to any more.
+constexpr double kCostOfConnection = 3;
+constexpr std::chrono::milliseconds kConnectionKept{4000};
 constexpr double kCostOfColdServer = 50;
+// A plain service that is full against one that is idle.
+constexpr double kCostOfPlainRequest = 60;
 // A server that failed this very request is the last resort.
 constexpr double kCostOfFailure = 100000;
 // A request waits no longer than that for a server that has its session
@@ -176,6 +181,9 @@
                         TimePoint now) const {
   const double load = Load(server, now);
   double out = server.info.data_centre == data_centre_ ? 0 : kCostOfDistance;
+  if (now - server.used_at > kConnectionKept) {
+    out += kCostOfConnection;
+  }
   if (server.info.cold_left.count() > 0) {
     out += kCostOfColdServer;
   }
@@ -186,7 +194,7 @@
            load * kCostPerEngineRequest;
   } else {
     // A plain service slows down as its slots fill up.
-    out += load * kCostOfDistance / server.info.slots;
+    out += load * kCostOfPlainRequest / server.info.slots;
   }
   const double typical = TypicalLatency();
   if (typical > 0 && server.latency_ms > typical * kSlowFactor) {
@@ -227,7 +235,7 @@
 }
 
 Place ServerPool::Take(Server& server, const PlaceAsk& ask, TimePoint now) {
-  (void)now;
+  server.used_at = now;
   Place out;
   out.server_id = server.info.id;
   out.address = server.info.address;
--- a/source/core/server_pool.h
+++ b/source/core/server_pool.h
@@ -98,6 +98,7 @@
     int mine = 0;         // Requests of this daemon that it has.
     double others = 0;    // Requests of others, as last told.
     TimePoint told_at{};  // When `others` was told.
+    TimePoint used_at{};  // When this daemon last sent it a request.
     int failures = 0;     // In a row.
     TimePoint suspended_until{};
     bool probing = false;   // One request tries whether it works again.
--- a/source/core/storage_list.cc
+++ b/source/core/storage_list.cc
@@ -82,21 +82,21 @@
 }
 
 StorageList StorageList::WithChange(
-    const StorageMember* joiner,
+    const std::vector<StorageMember>& joiners,
     const std::vector<std::string>& gone) const {
   StorageList out;
   out.version = version + 1;
   out.epoch = epoch + 1;
   out.members = members;
   for (const auto& it : members) {
-    const bool leaves =
-        std::find(gone.begin(), gone.end(), it.disk) != gone.end();
-    if (!leaves && (joiner == nullptr || joiner->disk != it.disk)) {
+    if (std::find(gone.begin(), gone.end(), it.disk) == gone.end()) {
       out.next.push_back(it);
     }
   }
-  if (joiner != nullptr) {
-    out.next.push_back(*joiner);
+  for (const auto& it : joiners) {
+    if (!Contains(out.next, it.disk)) {
+      out.next.push_back(it);
+    }
   }
   return out;
 }
--- a/source/core/storage_list.h
+++ b/source/core/storage_list.h
@@ -59,8 +59,8 @@
   // they leave too few disks for a record that was kept.
   std::size_t AnswersForAbsence(int losses) const;
 
-  // The list that replaces this one when `joiner` comes in and `gone` leave.
-  StorageList WithChange(const StorageMember* joiner,
+  // The list that replaces this one when `joiners` come in and `gone` leave.
+  StorageList WithChange(const std::vector<StorageMember>& joiners,
                          const std::vector<std::string>& gone) const;
   // The list once `disk` has copied what it lacked.
   StorageList WithSynced(const std::string& disk) const;
--- a/source/fleet/store_follower.cc
+++ b/source/fleet/store_follower.cc
@@ -53,12 +53,13 @@
 void StoreFollower::Follow(Fiber& fiber,
                            const std::string& prefix,
                            std::chrono::milliseconds watch_for,
+                           const std::function<bool()>& needed,
                            const std::function<std::int64_t()>& read,
                            const std::function<void(TimePoint)>& confirmed) {
   int failures = 0;
   std::int64_t revision = 0;  // 0: read before watching.
   for (;;) {
-    if (needed_ && !needed_()) {
+    if (needed && !needed()) {
       revision = 0;
       fiber.Sleep(kAskAgain);
       continue;
@@ -91,7 +92,7 @@
 
 void StoreFollower::FollowOperators(Fiber& fiber) {
   Follow(
-      fiber, layout_.operators_prefix, kWatchFor,
+      fiber, layout_.operators_prefix, kWatchFor, needed_,
       [this, &fiber] { return ReadOperators(fiber); },
       [this](TimePoint at) { view_.ConfirmConfig(at); });
 }
@@ -126,7 +127,7 @@
 void StoreFollower::FollowList(Fiber& fiber) {
   // A silent watch does no harm here: storage daemons tell of a newer list.
   Follow(
-      fiber, layout_.list_key, kListWatchFor,
+      fiber, layout_.list_key, kListWatchFor, list_needed_,
       [this, &fiber] { return ReadList(fiber); }, [](TimePoint) {});
 }
 
--- a/source/fleet/store_follower.h
+++ b/source/fleet/store_follower.h
@@ -41,6 +41,10 @@
   // Asked before each call: false lets the service alone, because another
   // daemon reads it and passes on what it learns.
   void OnlyIf(std::function<bool()> needed) { needed_ = std::move(needed); }
+  // The same for the list of storage members, which others tell of anyway.
+  void FollowListIf(std::function<bool()> needed) {
+    list_needed_ = std::move(needed);
+  }
   // Told all that the operators wrote, at each reading.
   void OnOperators(std::function<void(const KvRange&)> hook) {
     on_operators_ = std::move(hook);
@@ -58,6 +62,7 @@
   void Follow(Fiber& fiber,
               const std::string& prefix,
               std::chrono::milliseconds watch_for,
+              const std::function<bool()>& needed,
               const std::function<std::int64_t()>& read,
               const std::function<void(TimePoint)>& confirmed);
   void Reached(bool reached, const std::string& reason);
@@ -70,6 +75,7 @@
   StoreLayout layout_;
   std::chrono::milliseconds read_every_;
   std::function<bool()> needed_;
+  std::function<bool()> list_needed_;
   std::function<void(const KvRange&)> on_operators_;
   bool reached_ = true;
   std::vector<std::string> unreadable_;  // Keys, as last logged.
--- a/source/storage/storage_keeper.cc
+++ b/source/storage/storage_keeper.cc
@@ -12,6 +12,8 @@
 namespace {
 
 constexpr std::chrono::milliseconds kStepEvery{250};
+// Disks that start together come within some tenths of a second.
+constexpr std::chrono::milliseconds kGather{400};
 constexpr std::chrono::milliseconds kProbeTimeout{700};
 constexpr std::chrono::milliseconds kCopyTimeout{2000};
 // A change whose disks do not all copy in this time may wait for a dead one.
@@ -95,6 +97,10 @@
     }
     return;
   }
+  if (announced_ && list.IsMember(self_.disk)) {
+    Withdraw(fiber);
+    announced_ = false;
+  }
   if (leaving_) {
     LeaveList(fiber);
   } else if (!list.IsMember(self_.disk)) {
@@ -184,7 +190,15 @@
          members.size();
 }
 
+// Disks that join at the same moment come in by one change: each leaves its
+// name first, and whoever proposes takes all names along.
 void StorageKeeper::Join(Fiber& fiber) {
+  if (!announced_) {
+    Announce(fiber);
+    announced_ = true;
+    fiber.Sleep(kGather);
+    return;
+  }
   const auto list = view_.storage();
   const auto reachable = Reachable(fiber, list.members);
   if (!EnoughOf(list.members, reachable)) {
@@ -194,10 +208,38 @@
     fiber.Sleep(kStepEvery);
     return;
   }
-  Propose(fiber, list.WithChange(&self_, Missing(list.members, reachable)),
+  Propose(fiber,
+          list.WithChange(Reachable(fiber, Announced(fiber)),
+                          Missing(list.members, reachable)),
           "join");
 }
 
+void StorageKeeper::Announce(Fiber& fiber) {
+  StorageList name;
+  name.members = {self_};
+  KvTxn txn;
+  txn.puts = {{kJoiningPrefix + self_.disk, Encode(name)}};
+  store_.Commit(fiber, txn);
+}
+
+std::vector<StorageMember> StorageKeeper::Announced(Fiber& fiber) {
+  std::vector<StorageMember> out{self_};
+  for (const auto& it : store_.Prefix(fiber, kJoiningPrefix).items) {
+    const auto name = DecodeStorageList(it.value);
+    if (!name.members.empty() && name.members.front().disk != self_.disk) {
+      out.push_back(name.members.front());
+    }
+  }
+  return out;
+}
+
+// Its name is not needed any more, and must not bring it back later.
+void StorageKeeper::Withdraw(Fiber& fiber) {
+  KvTxn txn;
+  txn.deletes = {{kJoiningPrefix + self_.disk, ""}};
+  store_.Commit(fiber, txn);
+}
+
 void StorageKeeper::LeaveList(Fiber& fiber) {
   const auto list = view_.storage();
   if (!list.IsMember(self_.disk)) {
@@ -219,7 +261,7 @@
     fiber.Sleep(kStepEvery);
     return;
   }
-  Propose(fiber, list.WithChange(nullptr, gone), "leave");
+  Propose(fiber, list.WithChange({}, gone), "leave");
 }
 
 // Starts the change over without the disks that do not answer.
--- a/source/storage/storage_keeper.h
+++ b/source/storage/storage_keeper.h
@@ -15,6 +15,8 @@
 
 // Key of the list of storage members in the key-value service.
 inline constexpr const char* kStorageListKey = "comfreyfold/storage";
+// Keys of disks that want to join, by their ids.
+inline constexpr const char* kJoiningPrefix = "comfreyfold/joining/";
 
 // Keeps the list of storage members true: joins with this VM's disk, copies
 // what it lacks, lets go of disks that are gone, and leaves when its VM is to
@@ -41,6 +43,9 @@
   void Step(Fiber& fiber);
   void Found(Fiber& fiber);
   void Join(Fiber& fiber);
+  void Announce(Fiber& fiber);
+  std::vector<StorageMember> Announced(Fiber& fiber);
+  void Withdraw(Fiber& fiber);
   void LeaveList(Fiber& fiber);
   void Synchronize(Fiber& fiber);
   void DropDead(Fiber& fiber);
@@ -69,6 +74,7 @@
   Condition wake_;
   std::int64_t changing_version_ = 0;
   std::chrono::steady_clock::time_point changing_since_{};
+  bool announced_ = false;
   bool leaving_ = false;
   std::function<void(Fiber&)> on_empty_;
 };
--- a/source/vm/vm_daemon.cc
+++ b/source/vm/vm_daemon.cc
@@ -100,6 +100,8 @@
       [this](const KvRange& operators) { NoteOperators(operators); });
   view_.OnChange([this] { WatchRetirement(); });
   follower_.OnlyIf([this] { return ShouldReadStore(); });
+  follower_.FollowListIf(
+      [this] { return storage_node_ || view_.storage().version == 0; });
   sync_.AskFrom([this] { return NewsSources(); });
   loop_.Spawn([this](Fiber& fiber) { sync_.Run(fiber); });
   follower_.Start();
