--- a/source/fleet/store_follower.cc
+++ b/source/fleet/store_follower.cc
@@ -75,8 +75,8 @@
       if (changed) {
         revision = 0;
       } else {
-        // Nothing changed up to some moment after the question.
-        confirmed(asked_at);
+        // The service answers "nothing" only when the wait is over.
+        confirmed(asked_at + watch_for);
       }
       failures = 0;
       Reached(true, "");
--- a/source/storage/storage_keeper.cc
+++ b/source/storage/storage_keeper.cc
@@ -65,7 +65,7 @@
 }
 
 void StorageKeeper::Run(Fiber& fiber) {
-  for (;;) {
+  while (!stopped_) {
     try {
       Step(fiber);
     } catch (const KvUnavailable& e) {
--- a/source/storage/storage_keeper.h
+++ b/source/storage/storage_keeper.h
@@ -34,6 +34,8 @@
                 bool may_found);
 
   void Run(Fiber& fiber);
+  // Proposes nothing any more.
+  void Stop() { stopped_ = true; }
 
   // The operators want this VM's disk emptied; `on_empty` is told once
   // others have all that it holds.
@@ -75,6 +77,7 @@
   std::int64_t changing_version_ = 0;
   std::chrono::steady_clock::time_point changing_since_{};
   bool announced_ = false;
+  bool stopped_ = false;
   bool leaving_ = false;
   std::function<void(Fiber&)> on_empty_;
 };
--- a/source/vm/vm_daemon.cc
+++ b/source/vm/vm_daemon.cc
@@ -22,9 +22,9 @@
 constexpr std::chrono::milliseconds kReportAgain{300};
 // News of that age let the second reader step in, then one after the other;
 // all have to learn of a leaving server within two seconds.
-constexpr std::chrono::milliseconds kSecondReads{1250};
+constexpr std::chrono::milliseconds kSecondReads{1400};
 constexpr std::chrono::milliseconds kNextReads{100};
-constexpr std::chrono::milliseconds kClientReads{1600};
+constexpr std::chrono::milliseconds kClientReads{1700};
 // Of the descriptors: connections of clients; servers and peers need others.
 constexpr int kClientShare = 2;
 // Of the memory: cached chains.
@@ -306,6 +306,9 @@
   if (client_server_) {
     client_server_->CloseAfterReplies();
   }
+  if (storage_keeper_) {
+    storage_keeper_->Stop();
+  }
   loop_.Spawn(
       [this, done = std::move(done)](Fiber& fiber) { AwaitIdle(fiber, done); });
 }
@@ -325,6 +328,10 @@
   while (busy() && std::chrono::steady_clock::now() < last) {
     fiber.Sleep(kIdleLook);
   }
+  internal_server_->Drain();
+  if (control_server_) {
+    control_server_->Drain();
+  }
   log_.Write("stopped", "", {{"idle", busy() ? 0 : 1}});
   done();
 }
--- a/tests/standins/faults.h
+++ b/tests/standins/faults.h
@@ -37,6 +37,13 @@
   // True if `name` is due now; uses up one of its count.
   bool Due(const std::string& name);
   std::chrono::milliseconds Delay(const std::string& name) const;
+  // The same as POST /fault, for tests in one process.
+  void Set(const std::string& name,
+           int count,
+           std::chrono::milliseconds delay = {}) {
+    faults_[name] = {count, delay};
+  }
+
   // Times each fault was shown.
   const std::map<std::string, int>& shown() const { return shown_; }
 
--- /dev/null
+++ b/tests/unit/program_slack_test.cc
@@ -0,0 +1,54 @@
+#include <boost/test/unit_test.hpp>
+
+#include "core/program_slack.h"
+
+namespace comfreyfold {
+namespace {
+
+using std::chrono::milliseconds;
+
+BOOST_AUTO_TEST_SUITE(program_slack)
+
+BOOST_AUTO_TEST_CASE(only_what_goes_beyond_an_idle_server_is_lost) {
+  ProgramSlack slack;
+  const TimePoint now{milliseconds(1000)};
+  slack.Began("fast", milliseconds(3000), now);
+  slack.Ended("fast", milliseconds(240), milliseconds(40), 8);
+  const auto full = slack.Left("fast");
+  BOOST_TEST(full.count() > 0);
+  slack.Began("slow", milliseconds(3000), now);
+  slack.Ended("slow", milliseconds(840), milliseconds(340), 8);
+  BOOST_TEST((full - slack.Left("slow")).count() >= 590);
+  BOOST_TEST((full - slack.Left("slow")).count() <= 610);
+}
+
+BOOST_AUTO_TEST_CASE(a_program_that_lost_too_much_has_none_left) {
+  ProgramSlack slack;
+  const TimePoint now{milliseconds(1000)};
+  slack.Began("first", milliseconds(1000), now);
+  slack.Ended("first", milliseconds(240), milliseconds(40), 8);
+  slack.Ended("first", milliseconds(1240), milliseconds(40), 8);
+  BOOST_TEST(slack.Left("first").count() < 0);
+}
+
+BOOST_AUTO_TEST_CASE(a_later_turn_does_not_renew_the_allowance) {
+  ProgramSlack slack;
+  const TimePoint now{milliseconds(1000)};
+  slack.Began("p", milliseconds(3000), now);
+  const auto before = slack.Left("p");
+  slack.Began("p", milliseconds(9000), now + milliseconds(500));
+  BOOST_TEST(slack.Left("p").count() == before.count());
+}
+
+BOOST_AUTO_TEST_CASE(programs_that_are_long_over_are_forgotten) {
+  ProgramSlack slack;
+  const TimePoint now{milliseconds(1000)};
+  slack.Began("p", milliseconds(3000), now);
+  slack.Expire(now + std::chrono::minutes(5));
+  BOOST_TEST(slack.size() == 0U);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace
+}  // namespace comfreyfold
--- /dev/null
+++ b/tests/unit/server_directory_test.cc
@@ -0,0 +1,68 @@
+#include <boost/test/unit_test.hpp>
+
+#include "core/server_directory.h"
+
+namespace comfreyfold {
+namespace {
+
+using std::chrono::milliseconds;
+
+BackendServer MakeServer(const std::string& id, const std::string& address) {
+  BackendServer out;
+  out.id = id;
+  out.service = "model";
+  out.address = address;
+  return out;
+}
+
+BOOST_AUTO_TEST_SUITE(server_directory)
+
+BOOST_AUTO_TEST_CASE(an_entry_that_vanishes_at_rest_is_gone) {
+  ServerDirectory directory;
+  TimePoint now{milliseconds(10000)};
+  directory.Apply({MakeServer("a", "1:1"), MakeServer("b", "1:2")}, now);
+  directory.Apply({MakeServer("a", "1:1")}, now + milliseconds(1));
+  BOOST_TEST(directory.servers().count("a") == 1U);
+  BOOST_TEST(directory.servers().count("b") == 0U);
+}
+
+BOOST_AUTO_TEST_CASE(an_entry_that_vanishes_in_an_outage_waits_to_be_back) {
+  ServerDirectory directory;
+  TimePoint now{milliseconds(10000)};
+  directory.Apply({MakeServer("a", "1:1"), MakeServer("b", "1:2")}, now);
+  directory.RegistryLost();
+  now += milliseconds(9000);
+  directory.Apply({MakeServer("a", "1:1")}, now);
+  BOOST_TEST(directory.servers().count("b") == 1U);
+  now += ServerDirectory::kRegistrySettles - milliseconds(1);
+  directory.Apply({MakeServer("a", "1:1")}, now);
+  BOOST_TEST(directory.servers().count("b") == 1U);
+  directory.Apply({MakeServer("a", "1:1")}, now + milliseconds(1));
+  BOOST_TEST(directory.servers().count("b") == 0U);
+}
+
+BOOST_AUTO_TEST_CASE(a_leaving_server_is_known_at_once_also_after_an_outage) {
+  ServerDirectory directory;
+  const TimePoint now{milliseconds(10000)};
+  directory.Apply({MakeServer("a", "1:1")}, now);
+  directory.RegistryLost();
+  auto leaving = MakeServer("a", "1:1");
+  leaving.leaving = true;
+  directory.Apply({leaving}, now + milliseconds(1));
+  BOOST_TEST(directory.servers().at("a").leaving);
+}
+
+BOOST_AUTO_TEST_CASE(an_address_belongs_to_its_newest_server) {
+  ServerDirectory directory;
+  const TimePoint now{milliseconds(10000)};
+  directory.Apply({MakeServer("a", "1:1")}, now);
+  directory.RegistryLost();
+  directory.Apply({MakeServer("c", "1:1")}, now + milliseconds(1));
+  BOOST_TEST(directory.servers().count("a") == 0U);
+  BOOST_TEST(directory.servers().count("c") == 1U);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace
+}  // namespace comfreyfold
--- /dev/null
+++ b/tests/unit/server_pool_test.cc
@@ -0,0 +1,226 @@
+#include <map>
+
+#include <boost/test/unit_test.hpp>
+
+#include "core/server_pool.h"
+
+namespace comfreyfold {
+namespace {
+
+using std::chrono::milliseconds;
+
+BackendServer MakeServer(const std::string& id,
+                         const std::string& data_centre,
+                         int slots = 2) {
+  BackendServer out;
+  out.id = id;
+  out.service = "model";
+  out.address = "10.0.0.1:" + id;
+  out.data_centre = data_centre;
+  out.slots = slots;
+  return out;
+}
+
+PlaceAsk MakeAsk(std::uint64_t ticket, TimePoint now, int priority = 0) {
+  PlaceAsk out;
+  out.ticket = ticket;
+  out.priority = priority;
+  out.arrived = now;
+  out.latest = now + milliseconds(4000);
+  return out;
+}
+
+struct Fixture {
+  TimePoint now{milliseconds(100000)};
+  ServerPool pool{"north", false};
+  ServerPool engines{"north", true};
+};
+
+BOOST_FIXTURE_TEST_SUITE(server_pool, Fixture)
+
+BOOST_AUTO_TEST_CASE(a_leaving_server_gets_nothing) {
+  auto leaving = MakeServer("a", "north");
+  leaving.leaving = true;
+  pool.Update({leaving}, now);
+  BOOST_TEST(!pool.TryTake(MakeAsk(1, now), now).has_value());
+  pool.Update({leaving, MakeServer("b", "south")}, now);
+  BOOST_TEST(pool.TryTake(MakeAsk(2, now), now)->server_id == "b");
+}
+
+BOOST_AUTO_TEST_CASE(no_server_gets_more_than_its_slots) {
+  pool.Update({MakeServer("a", "north"), MakeServer("b", "north")}, now);
+  std::map<std::string, int> got;
+  for (std::uint64_t n = 0; n < 4; ++n) {
+    ++got[pool.TryTake(MakeAsk(n, now), now)->server_id];
+  }
+  BOOST_TEST(got["a"] == 2);
+  BOOST_TEST(got["b"] == 2);
+  BOOST_TEST(!pool.TryTake(MakeAsk(9, now), now).has_value());
+}
+
+BOOST_AUTO_TEST_CASE(what_others_send_counts_as_well) {
+  pool.Update({MakeServer("a", "north"), MakeServer("b", "north")}, now);
+  const auto place = pool.TryTake(MakeAsk(1, now), now);
+  const auto& told = place->server_id;
+  pool.Answered(told, ServerLoad{2, 3, 2}, milliseconds(20), now);
+  pool.Finish(told, ExchangeResult::kAnswered, {}, milliseconds(20), now);
+  for (std::uint64_t n = 2; n < 4; ++n) {
+    BOOST_TEST(pool.TryTake(MakeAsk(n, now), now)->server_id != told);
+  }
+}
+
+BOOST_AUTO_TEST_CASE(a_free_place_goes_to_the_most_urgent_that_waits) {
+  pool.Update({MakeServer("a", "north", 1)}, now);
+  BOOST_TEST(pool.TryTake(MakeAsk(1, now), now).has_value());
+  pool.Wait(MakeAsk(2, now, 1));
+  pool.Wait(MakeAsk(3, now + milliseconds(1), 0));
+  BOOST_TEST(pool.Assign(now).empty());
+  pool.Finish("a", ExchangeResult::kAnswered, {}, milliseconds(50), now);
+  const auto assigned = pool.Assign(now);
+  BOOST_REQUIRE(assigned.size() == 1U);
+  BOOST_TEST(assigned[0].ticket == 3U);
+}
+
+BOOST_AUTO_TEST_CASE(programs_that_can_be_in_time_go_first_tightest_first) {
+  pool.Update({MakeServer("a", "north", 3)}, now);
+  for (std::uint64_t n = 1; n <= 3; ++n) {
+    pool.TryTake(MakeAsk(n, now), now);
+  }
+  auto late = MakeAsk(10, now);
+  late.late = true;
+  auto tight = MakeAsk(11, now);
+  tight.must_start_by = now + milliseconds(50);
+  auto relaxed = MakeAsk(12, now);
+  relaxed.must_start_by = now + milliseconds(900);
+  pool.Wait(late);
+  pool.Wait(relaxed);
+  pool.Wait(tight);
+  for (int n = 0; n < 3; ++n) {
+    pool.Finish("a", ExchangeResult::kAnswered, {}, milliseconds(50), now);
+  }
+  const auto assigned = pool.Assign(now);
+  BOOST_REQUIRE(assigned.size() == 3U);
+  BOOST_TEST(assigned[0].ticket == 11U);
+  BOOST_TEST(assigned[1].ticket == 12U);
+  BOOST_TEST(assigned[2].ticket == 10U);
+}
+
+BOOST_AUTO_TEST_CASE(nobody_overtakes_equals_that_wait) {
+  pool.Update({MakeServer("a", "north", 1)}, now);
+  pool.TryTake(MakeAsk(1, now), now);
+  pool.Wait(MakeAsk(2, now));
+  pool.Finish("a", ExchangeResult::kAnswered, {}, milliseconds(50), now);
+  BOOST_TEST(!pool.TryTake(MakeAsk(3, now), now).has_value());
+  BOOST_TEST(pool.Assign(now).at(0).ticket == 2U);
+}
+
+BOOST_AUTO_TEST_CASE(a_failing_server_is_left_alone_and_tried_gently) {
+  pool.Update({MakeServer("a", "north", 4), MakeServer("b", "south", 4)}, now);
+  for (int n = 0; n < 2; ++n) {
+    BOOST_TEST(pool.TryTake(MakeAsk(1, now), now)->server_id == "a");
+    pool.Finish("a", ExchangeResult::kFailed, {}, milliseconds(5), now);
+  }
+  BOOST_TEST(pool.TryTake(MakeAsk(2, now), now)->server_id == "b");
+  now += milliseconds(2100);
+  // One request tries it; the next ones wait for how that goes.
+  BOOST_TEST(pool.TryTake(MakeAsk(3, now), now)->server_id == "a");
+  BOOST_TEST(pool.TryTake(MakeAsk(4, now), now)->server_id == "b");
+  pool.Answered("a", {}, milliseconds(20), now);
+  BOOST_TEST(pool.TryTake(MakeAsk(5, now), now)->server_id == "a");
+}
+
+BOOST_AUTO_TEST_CASE(a_slow_server_is_avoided) {
+  pool.Update({MakeServer("a", "north", 4), MakeServer("b", "north", 4),
+               MakeServer("c", "north", 4)},
+              now);
+  for (const auto* id : {"a", "b", "c"}) {
+    const auto slow = std::string(id) == "b";
+    pool.Answered(id, {}, milliseconds(slow ? 400 : 20), now);
+  }
+  for (std::uint64_t n = 0; n < 6; ++n) {
+    BOOST_TEST(pool.TryTake(MakeAsk(n, now), now)->server_id != "b");
+  }
+}
+
+BOOST_AUTO_TEST_CASE(a_session_returns_to_the_engine_that_has_it) {
+  engines.Update({MakeServer("a", "north", 8), MakeServer("b", "north", 8),
+                  MakeServer("c", "north", 8)},
+                 now);
+  auto ask = MakeAsk(1, now);
+  ask.session = "program";
+  ask.prompt = {{"shared", 2500}, {"session", 900}};
+  const auto first = engines.TryTake(ask, now);
+  BOOST_TEST(first->uncached_tokens == 3400);
+  ask.prompt = {{"shared", 2500}, {"session", 1900}};
+  const auto second = engines.TryTake(ask, now);
+  BOOST_TEST(second->server_id == first->server_id);
+  BOOST_TEST(second->uncached_tokens == 1000);
+}
+
+BOOST_AUTO_TEST_CASE(daemons_that_share_nothing_agree_on_a_home) {
+  ServerPool other("north", true);
+  const std::vector<BackendServer> servers = {MakeServer("a", "north", 8),
+                                              MakeServer("b", "north", 8),
+                                              MakeServer("c", "north", 8)};
+  engines.Update(servers, now);
+  other.Update(servers, now);
+  for (std::uint64_t n = 0; n < 20; ++n) {
+    auto ask = MakeAsk(n, now);
+    ask.session = "program" + std::to_string(n);
+    ask.prompt = {{"shared" + ask.session, 2500}, {"part" + ask.session, 900}};
+    const auto here = engines.TryTake(ask, now);
+    const auto there = other.TryTake(ask, now);
+    BOOST_TEST(here->server_id == there->server_id);
+    engines.Finish(here->server_id, ExchangeResult::kAnswered, {},
+                   milliseconds(100), now);
+    other.Finish(there->server_id, ExchangeResult::kAnswered, {},
+                 milliseconds(100), now);
+  }
+}
+
+// Twice the load that the servers carry for two seconds: those that are
+// served are served early, the rest are told at once.
+BOOST_AUTO_TEST_CASE(an_overload_is_refused_early_and_does_not_collapse) {
+  pool.Update({MakeServer("a", "north", 10)}, now);
+  constexpr milliseconds kWork{100};
+  std::multimap<TimePoint, int> ends;
+  int served = 0;
+  int refused = 0;
+  std::uint64_t ticket = 1;
+  const auto finish_until = [&](TimePoint time) {
+    while (!ends.empty() && ends.begin()->first <= time) {
+      const auto at = ends.begin()->first;
+      ends.erase(ends.begin());
+      pool.Finish("a", ExchangeResult::kAnswered, {}, kWork, at);
+      ++served;
+      for (const auto& it : pool.Assign(at)) {
+        (void)it;
+        ends.emplace(at + kWork, 0);
+      }
+    }
+  };
+  // 200 a second for servers that do 100 a second.
+  for (int n = 0; n < 400; ++n) {
+    now += milliseconds(5);
+    finish_until(now);
+    auto ask = MakeAsk(ticket++, now);
+    ask.latest = now + milliseconds(300);
+    if (pool.TryTake(ask, now)) {
+      ends.emplace(now + kWork, 0);
+    } else if (pool.ExpectedWait(0, now) > milliseconds(300)) {
+      ++refused;
+    } else {
+      pool.Wait(ask);
+    }
+  }
+  finish_until(now + milliseconds(1000));
+  BOOST_TEST(served + refused == 400);
+  BOOST_TEST(served >= 190);
+  // Never more waits than can be served in time.
+  BOOST_TEST(pool.waiting() == 0U);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace
+}  // namespace comfreyfold
--- /dev/null
+++ b/tests/unit/turn_index_test.cc
@@ -0,0 +1,73 @@
+#include <boost/test/unit_test.hpp>
+
+#include "core/turn_index.h"
+
+namespace comfreyfold {
+namespace {
+
+using std::chrono::milliseconds;
+
+TurnRecord MakeTurn(const std::string& id,
+                    const std::string& parent,
+                    milliseconds expires_at) {
+  return {id, parent, "in-" + id, "out-" + id, expires_at};
+}
+
+BOOST_AUTO_TEST_SUITE(turn_index)
+
+BOOST_AUTO_TEST_CASE(a_chain_runs_back_as_far_as_it_is_held) {
+  TurnIndex index;
+  index.Put(MakeTurn("c", "b", milliseconds(100)));
+  index.Put(MakeTurn("b", "a", milliseconds(100)));
+  BOOST_TEST(index.Chain("c").size() == 2U);
+  index.Put(MakeTurn("a", "", milliseconds(100)));
+  const auto chain = index.Chain("c");
+  BOOST_REQUIRE(chain.size() == 3U);
+  BOOST_TEST(chain.back()->id == "a");
+  BOOST_TEST(index.Chain("x").empty());
+}
+
+BOOST_AUTO_TEST_CASE(a_later_turn_keeps_its_chain) {
+  TurnIndex index;
+  index.Put(MakeTurn("a", "", milliseconds(100)));
+  index.Put(MakeTurn("b", "a", milliseconds(200)));
+  index.Keep({"a", "unknown"}, milliseconds(200));
+  index.Expire(milliseconds(150));
+  BOOST_TEST(index.Chain("b").size() == 2U);
+  index.Expire(milliseconds(201));
+  BOOST_TEST(index.size() == 0U);
+  BOOST_TEST(index.bytes() == 0U);
+}
+
+BOOST_AUTO_TEST_CASE(a_segment_is_needed_while_one_turn_of_it_lives) {
+  TurnIndex index;
+  index.Put(MakeTurn("a", "", milliseconds(100)), 7);
+  index.Put(MakeTurn("b", "", milliseconds(200)), 7);
+  index.Expire(milliseconds(150));
+  BOOST_TEST(index.UsesSegment(7));
+  index.Expire(milliseconds(250));
+  BOOST_TEST(!index.UsesSegment(7));
+}
+
+BOOST_AUTO_TEST_CASE(a_turn_never_changes_once_it_is_held) {
+  TurnIndex index;
+  index.Put(MakeTurn("a", "", milliseconds(100)));
+  auto other = MakeTurn("a", "", milliseconds(300));
+  other.output = "different";
+  BOOST_TEST(!index.Put(other));
+  BOOST_TEST(index.Find("a")->output == "out-a");
+}
+
+BOOST_AUTO_TEST_CASE(a_bound_of_bytes_drops_what_expires_first) {
+  TurnIndex index;
+  index.Put(MakeTurn("a", "", milliseconds(100)));
+  index.Put(MakeTurn("b", "", milliseconds(200)));
+  index.Expire(milliseconds(0), index.bytes() - 1);
+  BOOST_TEST(index.Find("a") == nullptr);
+  BOOST_TEST(index.Find("b") != nullptr);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace
+}  // namespace comfreyfold
--- /dev/null
+++ b/tests/vm/turns_test.cc
@@ -0,0 +1,215 @@
+// Turns and token budgets over three disks, one of which may be lost.
+
+#include <boost/test/unit_test.hpp>
+
+#include "vm/vm_world.h"
+
+namespace comfreyfold {
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr const char* kOutput = "event-1\nevent-2\nevent-3\nevent-4\n";
+
+using Body = std::function<void(Fiber&, VmWorld&)>;
+
+void WithTwoFronts(const Body& body) {
+  InVmWorld([&](Fiber& fiber, VmWorld& world) {
+    world.StartAll(fiber, 2);
+    world.AddServer("s1");
+    for (const auto* name : {"front-1", "front-2"}) {
+      BOOST_REQUIRE(world.WaitFor(fiber, [&] {
+        return world.Send(fiber, world.vm(name), {"/plain/x", "probe", "", {}})
+                   .status == 200;
+      }));
+    }
+    body(fiber, world);
+  });
+}
+
+HttpReply Turn(Fiber& fiber,
+               VmWorld& world,
+               const std::string& front,
+               const std::string& id,
+               const std::string& input,
+               const std::string& previous = {}) {
+  VmWorld::Ask ask{"/talk/stream/x", id, input, {}};
+  if (!previous.empty()) {
+    ask.headers.push_back({"Previous-Turn", previous});
+  }
+  return world.Send(fiber, world.vm(front), ask);
+}
+
+std::string LastBody(VmWorld& world) {
+  return world.server("s1").service->runs().back().request.body;
+}
+
+BOOST_AUTO_TEST_SUITE(turns)
+
+BOOST_AUTO_TEST_CASE(a_turn_gets_all_before_it_through_any_daemon) {
+  WithTwoFronts([](Fiber& fiber, VmWorld& world) {
+    BOOST_TEST(Turn(fiber, world, "front-1", "t1", "one;").status == 200);
+    BOOST_TEST(Turn(fiber, world, "front-2", "t2", "two;", "t1").status == 200);
+    BOOST_TEST(LastBody(world) == std::string("one;") + kOutput + "two;");
+    BOOST_TEST(Turn(fiber, world, "front-1", "t3", "three;", "t2").status ==
+               200);
+    BOOST_TEST(LastBody(world) ==
+               std::string("one;") + kOutput + "two;" + kOutput + "three;");
+    // A second turn after the same one.
+    BOOST_TEST(Turn(fiber, world, "front-2", "t2b", "other;", "t1").status ==
+               200);
+    BOOST_TEST(LastBody(world) == std::string("one;") + kOutput + "other;");
+  });
+}
+
+BOOST_AUTO_TEST_CASE(a_turn_that_never_was_is_not_found) {
+  WithTwoFronts([](Fiber& fiber, VmWorld& world) {
+    const auto before = world.server("s1").service->runs().size();
+    BOOST_TEST(Turn(fiber, world, "front-1", "t1", "x", "none").status == 404);
+    BOOST_TEST(world.server("s1").service->runs().size() == before);
+  });
+}
+
+BOOST_AUTO_TEST_CASE(not_found_needs_enough_disks_to_say_so) {
+  WithTwoFronts([](Fiber& fiber, VmWorld& world) {
+    Turn(fiber, world, "front-1", "t1", "one;");
+    world.Cut(world.vm("disk-1"));
+    world.Cut(world.vm("disk-2"));
+    const auto reply = Turn(fiber, world, "front-2", "t2", "x", "none");
+    BOOST_TEST(reply.status == 503);
+  });
+}
+
+BOOST_AUTO_TEST_CASE(turns_outlive_any_one_disk) {
+  for (const auto* lost : {"disk-1", "disk-2", "disk-3"}) {
+    WithTwoFronts([lost](Fiber& fiber, VmWorld& world) {
+      BOOST_TEST(Turn(fiber, world, "front-1", "t1", "one;").status == 200);
+      world.Cut(world.vm(lost));
+      BOOST_TEST(Turn(fiber, world, "front-2", "t2", "two;", "t1").status ==
+                 200);
+      BOOST_TEST(LastBody(world) == std::string("one;") + kOutput + "two;");
+    });
+  }
+}
+
+BOOST_AUTO_TEST_CASE(an_emptied_disk_copies_before_the_next_may_be_lost) {
+  WithTwoFronts([](Fiber& fiber, VmWorld& world) {
+    for (int n = 0; n < 20; ++n) {
+      BOOST_TEST(Turn(fiber, world, "front-1", "t" + std::to_string(n), "in;")
+                     .status == 200);
+    }
+    world.Cut(world.vm("disk-1"));
+    world.AddVm("disk-4", true, false);
+    BOOST_REQUIRE(world.WaitFor(fiber, [&] {
+      return world.Members() == 3 &&
+             world.store().Value("comfreyfold/storage").find("disk-4") !=
+                 std::string::npos;
+    }));
+    world.Cut(world.vm("disk-2"));
+    for (int n = 0; n < 20; ++n) {
+      BOOST_TEST(Turn(fiber, world, "front-2", "n" + std::to_string(n), "new;",
+                      "t" + std::to_string(n))
+                     .status == 200);
+      BOOST_TEST(LastBody(world) == std::string("in;") + kOutput + "new;");
+    }
+  });
+}
+
+BOOST_AUTO_TEST_CASE(an_empty_disk_that_is_no_member_does_not_found_anew) {
+  InVmWorld([](Fiber& fiber, VmWorld& world) {
+    world.WriteConfig(1);
+    world.AddVm("disk-1", true, false);
+    fiber.Sleep(milliseconds(1500));
+    BOOST_TEST(world.store().Value("comfreyfold/storage").empty());
+  });
+}
+
+BOOST_AUTO_TEST_CASE(a_retired_disk_is_reported_empty_once_others_have_all) {
+  WithTwoFronts([](Fiber& fiber, VmWorld& world) {
+    for (int n = 0; n < 10; ++n) {
+      Turn(fiber, world, "front-1", "t" + std::to_string(n), "in;");
+    }
+    world.store().Put("op/retire/disk-1", R"({"duration_s":10})");
+    BOOST_REQUIRE(world.WaitFor(fiber, [&] {
+      return world.store().Value("status/retire/disk-1").find("succeeded") !=
+             std::string::npos;
+    }));
+    BOOST_TEST(world.Members() == 2U);
+    world.Cut(world.vm("disk-1"));
+    for (int n = 0; n < 10; ++n) {
+      BOOST_TEST(Turn(fiber, world, "front-2", "n" + std::to_string(n), "new;",
+                      "t" + std::to_string(n))
+                     .status == 200);
+    }
+  });
+}
+
+BOOST_AUTO_TEST_CASE(the_store_is_not_needed_to_serve_turns) {
+  WithTwoFronts([](Fiber& fiber, VmWorld& world) {
+    world.store().faults().Set("out", -1);
+    BOOST_TEST(Turn(fiber, world, "front-1", "t1", "one;").status == 200);
+    BOOST_TEST(Turn(fiber, world, "front-2", "t2", "two;", "t1").status == 200);
+  });
+}
+
+HttpReply Budgeted(Fiber& fiber,
+                   VmWorld& world,
+                   const std::string& front,
+                   const std::string& id) {
+  return world.Send(fiber, world.vm(front),
+                    {"/talk/stream/x",
+                     id,
+                     "",
+                     {{"Program-Id", "p"},
+                      {"Token-Budget", "64"},
+                      {"Token-Usage", "10,32"}}});
+}
+
+// A turn makes four events of four tokens and may make 32 tokens.
+BOOST_AUTO_TEST_CASE(a_budget_holds_over_daemons_and_a_lost_disk) {
+  WithTwoFronts([](Fiber& fiber, VmWorld& world) {
+    int served = 0;
+    std::string front = "front-1";
+    for (int n = 0; n < 8; ++n) {
+      if (n == 2) {
+        world.Cut(world.vm("disk-2"));
+      }
+      const auto reply = Budgeted(fiber, world, front, "t" + std::to_string(n));
+      if (reply.status == 200) {
+        ++served;
+      } else {
+        BOOST_TEST(reply.status == 402);
+      }
+      front = front == "front-1" ? "front-2" : "front-1";
+    }
+    // Three turns use 48 tokens; a fourth could use 32 more.
+    BOOST_TEST(served == 3);
+  });
+}
+
+BOOST_AUTO_TEST_CASE(a_refused_turn_has_not_run_and_frees_what_it_reserved) {
+  WithTwoFronts([](Fiber& fiber, VmWorld& world) {
+    world.server("s1").service->faults().Set("refuse", -1);
+    for (int n = 0; n < 5; ++n) {
+      BOOST_TEST(
+          Budgeted(fiber, world, "front-1", "r" + std::to_string(n)).status ==
+          503);
+      fiber.Sleep(milliseconds(250));  // Within the deployment's settle time.
+    }
+    world.server("s1").service->faults().Set("refuse", 0);
+    BOOST_TEST(Budgeted(fiber, world, "front-2", "t").status == 200);
+  });
+}
+
+BOOST_AUTO_TEST_CASE(a_budget_is_not_guessed_without_a_quorum) {
+  WithTwoFronts([](Fiber& fiber, VmWorld& world) {
+    world.Cut(world.vm("disk-1"));
+    world.Cut(world.vm("disk-2"));
+    BOOST_TEST(Budgeted(fiber, world, "front-1", "t").status == 503);
+  });
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace
+}  // namespace comfreyfold
--- /dev/null
+++ b/tests/vm/vm_world.cc
@@ -0,0 +1,241 @@
+#include "vm/vm_world.h"
+
+#include <stdlib.h>
+
+#include <nlohmann/json.hpp>
+
+#include "platform/registry_decoder.h"
+#include "platform/request_headers.h"
+#include "wire/storage_messages.h"
+
+namespace comfreyfold {
+
+namespace {
+
+using nlohmann::json;
+using std::chrono::milliseconds;
+
+constexpr milliseconds kPatience{20000};
+constexpr milliseconds kLook{10};
+constexpr int kOk = 200;
+
+json RouteEntry(const char* prefix,
+                const char* type,
+                bool context,
+                bool resumable) {
+  return {{"name", prefix},         {"host", "shop"},
+          {"prefix", prefix},       {"type", type},
+          {"timeout_ms", 4000},     {"target_latency_ms", 250},
+          {"priority", 0},          {"service", "app"},
+          {"max_attempts", 2},      {"retain_context", context},
+          {"retention_s", 60.0},    {"cache_affinity", false},
+          {"resumable", resumable}, {"target_gap_ms", 200}};
+}
+
+// A port that is free now: a daemon is told its address before it starts.
+std::string FreeAddress(Loop& loop) {
+  HttpServer probe(loop, [](Fiber&, const HttpRequest&, HttpExchange&) {});
+  auto out = probe.Listen("127.0.0.1:0");
+  probe.Drain();
+  return out;
+}
+
+}  // namespace
+
+VmWorld::VmWorld(Loop& loop)
+    : loop_(loop),
+      http_(loop),
+      store_(loop),
+      store_server_(loop,
+                    [this](Fiber& fiber,
+                           const HttpRequest& request,
+                           HttpExchange& exchange) {
+                      store_.Handle(fiber, request, exchange);
+                    }) {
+  store_address_ = store_server_.Listen("127.0.0.1:0");
+  std::string name =
+      (std::filesystem::temp_directory_path() / "comfreyfold-XXXXXX").string();
+  folder_ = mkdtemp(name.data());
+}
+
+VmWorld::~VmWorld() {
+  std::error_code ec;
+  std::filesystem::remove_all(folder_, ec);
+}
+
+void VmWorld::WriteConfig(std::int64_t version, int retention_seconds) {
+  json talk = RouteEntry("/talk/stream/", "streaming", true, false);
+  talk["retention_s"] = retention_seconds;
+  const json service = {{"name", "app"},
+                        {"health_check_path", "/health"},
+                        {"max_connections", 100},
+                        {"engine", {{"slots", 8}, {"event_stride", 4}}}};
+  json config;
+  config["version"] = version;
+  config["routes"] =
+      json::array({RouteEntry("/plain/", "safe", false, false),
+                   RouteEntry("/once/", "unsafe", false, false),
+                   RouteEntry("/stream/", "streaming", false, true), talk});
+  config["services"] = json::array({service});
+  config["limits"] = {{"max_header_bytes", 16384},
+                      {"max_body_bytes", 100000},
+                      {"header_timeout_ms", 3000},
+                      {"idle_timeout_ms", 15000}};
+  store_.Put("op/config", config.dump());
+}
+
+VmWorld::Server& VmWorld::AddServer(const std::string& id, milliseconds work) {
+  auto& out = servers_[id];
+  out.service = std::make_unique<standins::PlatformServer>(loop_, id, work);
+  out.http = std::make_unique<HttpServer>(
+      loop_,
+      [service = out.service.get()](Fiber& fiber, const HttpRequest& request,
+                                    HttpExchange& exchange) {
+        service->Handle(fiber, request, exchange);
+      });
+  out.address = out.http->Listen("127.0.0.1:0");
+  Register(id);
+  return out;
+}
+
+void VmWorld::Register(const std::string& id, const std::string& state) {
+  const json entry = {{"service", "app"},
+                      {"address", servers_.at(id).address},
+                      {"zone", "north"},
+                      {"version", "v1"},
+                      {"slots", 8},
+                      {"state", state},
+                      {"cold_remaining_ms", 0},
+                      {"seq", 1},
+                      {"born", 1}};
+  store_.Put("servers/" + id, entry.dump());
+}
+
+VmWorld::Vm& VmWorld::AddVm(const std::string& name,
+                            bool disk,
+                            bool first_start) {
+  auto vm = std::make_unique<Vm>();
+  auto& settings = vm->settings;
+  settings.vm = name;
+  settings.data_centre = "north";
+  settings.internal_address = FreeAddress(loop_);
+  settings.store_address = store_address_;
+  settings.first_start = first_start;
+  settings.tolerated_losses = 1;
+  settings.memory_bytes = 100L * 1024 * 1024;
+  if (disk) {
+    settings.data_folder = (folder_ / name).string();
+    std::filesystem::remove_all(settings.data_folder);
+    std::filesystem::create_directories(settings.data_folder);
+  } else {
+    settings.client_address = FreeAddress(loop_);
+    settings.ready_address = FreeAddress(loop_);
+  }
+  vm->http = std::make_unique<HttpClient>(loop_);
+  vm->store = std::make_unique<platform::StoreClient>(*vm->http, store_address_,
+                                                      milliseconds(700));
+  vm->daemon = std::make_unique<VmDaemon>(
+      loop_, *vm->http, settings,
+      VmPlatform{*vm->store,
+                 {"op/", platform::kConfigKey, platform::kServersPrefix,
+                  kStorageListKey, platform::DecodeRouting,
+                  platform::DecodeServer, DecodeStorageList},
+                 {platform::kRetirePrefix, platform::kRetireStatusPrefix,
+                  platform::EncodeRetireStatus},
+                 platform::PlatformDialect()},
+      0);
+  vm->daemon->Start();
+  auto& out = vms_[name];
+  out = std::move(vm);
+  return *out;
+}
+
+void VmWorld::Cut(Vm& vm) {
+  vm.daemon->Stop([] {});
+}
+
+bool VmWorld::WaitFor(Fiber& fiber, const std::function<bool()>& what) {
+  const auto until = std::chrono::steady_clock::now() + kPatience;
+  while (!what()) {
+    if (std::chrono::steady_clock::now() > until) {
+      return false;
+    }
+    fiber.Sleep(kLook);
+  }
+  return true;
+}
+
+bool VmWorld::Ready(Fiber& fiber, const Vm& vm) {
+  try {
+    return http_
+               .Send(fiber, vm.settings.ready_address,
+                     {"GET", "/api/readiness", {}, ""})
+               .status == kOk;
+  } catch (const HttpFailure&) {
+    return false;
+  }
+}
+
+std::size_t VmWorld::Members() const {
+  const auto text = store_.Value(kStorageListKey);
+  if (text.empty()) {
+    return 0;
+  }
+  const auto list = DecodeStorageList(text);
+  return list.changing() ? 0 : list.members.size();
+}
+
+void VmWorld::StartAll(Fiber& fiber, int clients) {
+  WriteConfig(1);
+  for (const auto* name : {"disk-1", "disk-2", "disk-3"}) {
+    AddVm(name, true);
+  }
+  for (int n = 1; n <= clients; ++n) {
+    AddVm("front-" + std::to_string(n), false);
+  }
+  const bool started =
+      WaitFor(fiber, [this] { return Members() == 3; }) &&
+      WaitFor(fiber, [this, &fiber, clients] {
+        return Ready(fiber, vm("front-" + std::to_string(clients)));
+      });
+  if (!started) {
+    throw std::runtime_error("the deployment did not start");
+  }
+}
+
+HttpReply VmWorld::Send(Fiber& fiber, const Vm& vm, const Ask& ask) {
+  HttpRequest request{"POST", ask.path, ask.headers, ask.body};
+  request.headers.push_back({"Host", "shop"});
+  request.headers.push_back({"Request-Id", ask.id});
+  request.headers.push_back(
+      {"Request-Deadline-Ms", std::to_string(ask.time.count())});
+  HttpOptions options;
+  options.idle_timeout = ask.time + milliseconds(2000);
+  try {
+    return http_.Send(fiber, vm.settings.client_address, request, options);
+  } catch (const HttpFailure&) {
+    return {};
+  }
+}
+
+void InVmWorld(const std::function<void(Fiber&, VmWorld&)>& body) {
+  // The daemons' coroutines never end: the world outlives the loop's run, and
+  // neither is taken apart.
+  auto* loop = new Loop;
+  auto* world = new VmWorld(*loop);
+  std::exception_ptr failure;
+  loop->Spawn([&](Fiber& fiber) {
+    try {
+      body(fiber, *world);
+    } catch (...) {
+      failure = std::current_exception();
+    }
+    loop->Stop();
+  });
+  loop->Run();
+  if (failure) {
+    std::rethrow_exception(failure);
+  }
+}
+
+}  // namespace comfreyfold
