--- /dev/null
+++ b/source/core/load_board.cc
@@ -0,0 +1,33 @@
+#include "core/load_board.h"
+
+namespace comfreyfold {
+
+namespace {
+// Some lengths of a request: later the load is another.
+constexpr std::chrono::milliseconds kOfUse{2000};
+}  // namespace
+
+bool LoadBoard::Note(const LoadNote& note, TimePoint now) {
+  auto& entry = entries_[note.server_id];
+  const auto told_at = now - note.age;
+  if (told_at <= entry.told_at) {
+    return false;
+  }
+  entry = {note.requests, told_at};
+  return true;
+}
+
+std::vector<LoadNote> LoadBoard::NewerThan(TimePoint since,
+                                           TimePoint now) const {
+  std::vector<LoadNote> out;
+  for (const auto& [id, it] : entries_) {
+    if (it.told_at > since && now - it.told_at < kOfUse) {
+      out.push_back({id, it.requests,
+                     std::chrono::duration_cast<std::chrono::milliseconds>(
+                         now - it.told_at)});
+    }
+  }
+  return out;
+}
+
+}  // namespace comfreyfold
--- /dev/null
+++ b/source/core/load_board.h
@@ -0,0 +1,42 @@
+#ifndef CORE_LOAD_BOARD_H_
+#define CORE_LOAD_BOARD_H_
+
+#include <chrono>
+#include <map>
+#include <string>
+#include <vector>
+
+#include "core/time_point.h"
+
+namespace comfreyfold {
+
+// Requests that a server has from all daemons, as it told one of them.
+struct LoadNote {
+  std::string server_id;
+  int requests = 0;
+  std::chrono::milliseconds age{0};  // Since the server told it.
+};
+
+// The newest load that any daemon was told by each server. In a large fleet a
+// daemon hears from a server every few seconds only; all together hear from
+// each many times a second.
+class LoadBoard {
+ public:
+  // False when something newer is known.
+  bool Note(const LoadNote& note, TimePoint now);
+
+  // What was told since `since`, and is not older than it is of use.
+  std::vector<LoadNote> NewerThan(TimePoint since, TimePoint now) const;
+
+ private:
+  struct Entry {
+    int requests = 0;
+    TimePoint told_at{};
+  };
+
+  std::map<std::string, Entry> entries_;
+};
+
+}  // namespace comfreyfold
+
+#endif  // CORE_LOAD_BOARD_H_
--- a/source/core/server_pool.cc
+++ b/source/core/server_pool.cc
@@ -285,6 +285,15 @@
   server.told_at = now;
 }
 
+void ServerPool::Heard(const LoadNote& note, TimePoint now) {
+  const auto it = servers_.find(note.server_id);
+  if (it == servers_.end() || now - note.age <= it->second.told_at) {
+    return;
+  }
+  it->second.others = std::max(0, note.requests - it->second.mine);
+  it->second.told_at = now - note.age;
+}
+
 void ServerPool::Answered(const std::string& server_id,
                           const std::optional<ServerLoad>& load,
                           std::chrono::milliseconds first_byte,
--- a/source/core/server_pool.h
+++ b/source/core/server_pool.h
@@ -12,6 +12,7 @@
 
 #include "core/backend_server.h"
 #include "core/client_call.h"
+#include "core/load_board.h"
 #include "core/prompt_cache_view.h"
 #include "core/time_point.h"
 
@@ -86,6 +87,9 @@
                 std::chrono::milliseconds first_byte,
                 TimePoint now);
 
+  // A server told another daemon how many requests it has.
+  void Heard(const LoadNote& note, TimePoint now);
+
   // How long a request that arrives now is likely to wait for a place.
   std::chrono::milliseconds ExpectedWait(int priority, TimePoint now) const;
   bool empty() const { return servers_.empty(); }
--- a/source/fleet/fleet_sync.cc
+++ b/source/fleet/fleet_sync.cc
@@ -15,6 +15,8 @@
 // the two seconds that the deployments grant.
 constexpr std::chrono::milliseconds kAskEvery{250};
 constexpr std::chrono::milliseconds kAskTimeout{400};
+// What was told since the question before, with some room.
+constexpr std::chrono::milliseconds kLoadsWithin{350};
 // Older than that, a daemon reads the service itself.
 constexpr std::chrono::milliseconds kStale{1500};
 
@@ -62,6 +64,11 @@
   question.config_version = view_.config() ? view_.config()->version : 0;
   question.list_version = view_.storage().version;
   question.servers_hash = HashOf(view_.listed());
+  const auto asked_at = std::chrono::steady_clock::now();
+  if (heard_) {
+    question.loads = view_.loads().NewerThan(told_until_, asked_at);
+    question.loads_within = kLoadsWithin;
+  }
   HttpOptions options;
   options.connect_timeout = kAskTimeout;
   options.idle_timeout = kAskTimeout;
@@ -72,6 +79,7 @@
       return false;
     }
     Apply(DecodeFleetNews(reply.body), address);
+    told_until_ = asked_at;
     return true;
   } catch (const HttpFailure&) {
     return false;  // The next source is asked; the caller logs staleness.
@@ -112,6 +120,11 @@
       view_.ApplyServers(view_.listed(), read_at, now);
     }
   }
+  for (const auto& it : news.loads) {
+    if (view_.loads().Note(it, now) && heard_) {
+      heard_(it);
+    }
+  }
   if (news.members) {
     view_.ApplyStorage(*news.members);
   }
@@ -147,6 +160,13 @@
     news.members = view_.storage();
   }
   news.retiring = view_.retiring();
+  const auto now = std::chrono::steady_clock::now();
+  for (const auto& it : question.loads) {
+    view_.loads().Note(it, now);
+  }
+  if (question.loads_within.count() > 0) {
+    news.loads = view_.loads().NewerThan(now - question.loads_within, now);
+  }
   exchange.Reply(kOk, "", Encode(news));
 }
 
--- a/source/fleet/fleet_sync.h
+++ b/source/fleet/fleet_sync.h
@@ -28,6 +28,12 @@
             DecisionLog& log,
             std::function<RoutingConfig(const std::string&)> decode_config);
 
+  // This daemon sends requests to servers: it tells what they say of their
+  // load, and `heard` is told what they said to others.
+  void ShareLoads(std::function<void(const LoadNote&)> heard) {
+    heard_ = std::move(heard);
+  }
+
   // Daemons to ask, the preferred first; asked anew each time.
   void AskFrom(std::function<std::vector<std::string>()> sources) {
     sources_ = std::move(sources);
@@ -50,7 +56,8 @@
   DecisionLog& log_;
   std::function<RoutingConfig(const std::string&)> decode_config_;
   std::function<std::vector<std::string>()> sources_;
-  std::string last_source_;
+  std::function<void(const LoadNote&)> heard_;
+  TimePoint told_until_{};
 };
 
 }  // namespace comfreyfold
--- a/source/fleet/fleet_view.h
+++ b/source/fleet/fleet_view.h
@@ -8,6 +8,7 @@
 #include <string>
 #include <vector>
 
+#include "core/load_board.h"
 #include "core/routing.h"
 #include "core/server_directory.h"
 #include "core/storage_list.h"
@@ -44,6 +45,9 @@
   void RegistryLost() { servers_.RegistryLost(); }
   bool ApplyStorage(StorageList list);
 
+  // Loads that servers told this daemon or others.
+  LoadBoard& loads() { return loads_; }
+
   // VMs whose disks the operators want emptied.
   const std::set<std::string>& retiring() const { return retiring_; }
   void ApplyRetiring(std::set<std::string> vms);
@@ -61,6 +65,7 @@
   std::vector<BackendServer> listed_;
   TimePoint listed_at_{};
   StorageList storage_;
+  LoadBoard loads_;
   std::set<std::string> retiring_;
   std::vector<std::function<void()>> on_change_;
 };
--- a/source/front/server_gate.cc
+++ b/source/front/server_gate.cc
@@ -111,8 +111,21 @@
                           const Place& place,
                           const std::optional<ServerLoad>& load,
                           std::chrono::milliseconds first_byte) {
-  At(service).pool.Answered(place.server_id, load, first_byte,
-                            std::chrono::steady_clock::now());
+  const auto now = std::chrono::steady_clock::now();
+  At(service).pool.Answered(place.server_id, load, first_byte, now);
+  if (load) {
+    view_.loads().Note({place.server_id, load->running + load->waiting, {}},
+                       now);
+  }
+}
+
+void ServerGate::Heard(const LoadNote& note) {
+  const auto now = std::chrono::steady_clock::now();
+  for (auto& [service, entrance] : entrances_) {
+    if (entrance) {
+      entrance->pool.Heard(note, now);
+    }
+  }
 }
 
 void ServerGate::Leave(const std::string& service,
--- a/source/front/server_gate.h
+++ b/source/front/server_gate.h
@@ -50,6 +50,9 @@
              const std::optional<ServerLoad>& load,
              std::chrono::milliseconds held);
 
+  // A server told another daemon of its load.
+  void Heard(const LoadNote& note);
+
   std::size_t waiting() const;
 
  private:
--- a/source/net/http_client.cc
+++ b/source/net/http_client.cc
@@ -20,7 +20,8 @@
 
 namespace {
 
-constexpr std::size_t kIdleConnectionsPerAddress = 64;
+// A connection that was idle for so long is closed when another is kept.
+constexpr std::chrono::seconds kIdleTooLong{10};
 constexpr std::uint64_t kBodyLimitBytes = 256ULL * 1024 * 1024;
 constexpr std::size_t kPieceBytes = 16 * 1024;
 constexpr std::size_t kReadBytes = 4096;
@@ -201,9 +202,10 @@
 }  // namespace
 
 struct HttpClient::Impl {
-  explicit Impl(Loop& owner) : loop(owner) {}
+  Impl(Loop& owner, std::size_t most) : loop(owner), idle_per_address(most) {}
 
   Loop& loop;
+  std::size_t idle_per_address;
   std::vector<std::pair<std::string, HttpHeader>> added_headers;
   std::function<void(const HttpRequest&, std::size_t)> on_sent;
   std::int64_t connections_opened = 0;
@@ -266,10 +268,14 @@
             std::unique_ptr<Connection> connection,
             const HttpReply& reply) {
     auto& pool = idle[address];
+    const auto now = std::chrono::steady_clock::now();
+    // The last one that was used is taken first: the others age in front.
+    while (!pool.empty() && now - pool.front()->idle_since > kIdleTooLong) {
+      pool.erase(pool.begin());
+    }
     // Bytes beyond the reply belong to no request.
-    if (connection->buf.size() == 0 &&
-        pool.size() < kIdleConnectionsPerAddress) {
-      connection->idle_since = std::chrono::steady_clock::now();
+    if (connection->buf.size() == 0 && pool.size() < idle_per_address) {
+      connection->idle_since = now;
       connection->usable_until = UsableUntil(reply);
       connection->stream.expires_never();
       pool.push_back(std::move(connection));
@@ -277,7 +283,8 @@
   }
 };
 
-HttpClient::HttpClient(Loop& loop) : impl_(std::make_shared<Impl>(loop)) {}
+HttpClient::HttpClient(Loop& loop, std::size_t idle_per_address)
+    : impl_(std::make_shared<Impl>(loop, idle_per_address)) {}
 HttpClient::~HttpClient() = default;
 
 void HttpClient::AddHeader(std::string prefix, HttpHeader header) {
--- a/source/net/http_client.h
+++ b/source/net/http_client.h
@@ -56,7 +56,11 @@
 // HTTP/1.1 client (Boost.Beast) with idle connections kept per address.
 class HttpClient {
  public:
-  explicit HttpClient(Loop& loop);
+  static constexpr std::size_t kIdlePerAddress = 64;
+
+  // Keeps at most `idle_per_address` connections that nothing uses.
+  explicit HttpClient(Loop& loop,
+                      std::size_t idle_per_address = kIdlePerAddress);
   ~HttpClient();
 
   // Sends `request` to `address` ("ip:port") and waits for the reply.
--- a/source/vm/vm_daemon.cc
+++ b/source/vm/vm_daemon.cc
@@ -32,10 +32,17 @@
 // Chunks of a body that is forwarded between daemons.
 constexpr std::uint64_t kInternalBody = 64UL * 1024 * 1024;
 // An idle connection between daemons is kept much longer than it is unused.
-constexpr std::chrono::milliseconds kInternalIdle{60000};
+constexpr std::chrono::milliseconds kInternalIdle{15000};
+// Of the memory: connections of other daemons, each with its coroutine.
+constexpr std::int64_t kPeerShare = 2;
+constexpr std::int64_t kConnectionBytes = 48 * 1024;
 
-HttpLimits InternalBounds() {
+HttpLimits InternalBounds(std::int64_t memory_bytes) {
   HttpLimits out;
+  if (memory_bytes > 0) {
+    out.connections =
+        static_cast<int>(memory_bytes / kPeerShare / kConnectionBytes);
+  }
   out.body_bytes = kInternalBody;
   out.idle_time = kInternalIdle;
   return out;
@@ -82,7 +89,7 @@
       [this](Fiber& fiber, const HttpRequest& request, HttpExchange& exchange) {
         HandleInternal(fiber, request, exchange);
       },
-      InternalBounds());
+      InternalBounds(settings_.memory_bytes));
   internal_server_->Listen(settings_.internal_address);
   if (!settings_.control_address.empty()) {
     control_server_ = std::make_unique<HttpServer>(
@@ -131,6 +138,7 @@
       settings_.tolerated_losses,
       static_cast<std::size_t>(settings_.memory_bytes / kCacheShare));
   gate_ = std::make_unique<ServerGate>(loop_, view_, settings_.data_centre);
+  sync_.ShareLoads([this](const LoadNote& note) { gate_->Heard(note); });
   calls_ = std::make_unique<CallHandler>(http_, view_, *gate_, *storage_, log_,
                                          metrics_, platform_.dialect);
   loop_.Spawn([this](Fiber& fiber) { storage_->Run(fiber); });
--- a/source/wire/comfreyfold.thrift
+++ b/source/wire/comfreyfold.thrift
@@ -268,12 +268,20 @@
   8: i64 started_ms,
 }
 
+struct LoadNote {
+  1: string server,
+  2: i32 requests,
+  3: i64 age_ms,
+}
+
 // What a daemon knows of the deployment, asked by others; the question says
 // what the asker has.
 struct FleetQuestion {
   1: i64 config_version,
   2: i64 list_version,
   3: i64 servers_hash,
+  4: list<LoadNote> loads,
+  5: i64 loads_within_ms,
 }
 
 struct FleetNews {
@@ -285,4 +293,5 @@
   6: optional list<RegisteredServer> servers,
   7: optional StorageList members,
   8: set<string> retiring,
+  9: list<LoadNote> loads,
 }
--- a/source/wire/fleet_codec.cc
+++ b/source/wire/fleet_codec.cc
@@ -37,6 +37,27 @@
   return out;
 }
 
+std::vector<wire::LoadNote> ToWire(const std::vector<LoadNote>& notes) {
+  std::vector<wire::LoadNote> out;
+  for (const auto& it : notes) {
+    wire::LoadNote note;
+    note.server = it.server_id;
+    note.requests = it.requests;
+    note.age_ms = it.age.count();
+    out.push_back(note);
+  }
+  return out;
+}
+
+std::vector<LoadNote> FromWire(const std::vector<wire::LoadNote>& notes) {
+  std::vector<LoadNote> out;
+  for (const auto& it : notes) {
+    out.push_back(
+        {it.server, it.requests, std::chrono::milliseconds(it.age_ms)});
+  }
+  return out;
+}
+
 }  // namespace
 
 std::string Encode(const FleetQuestion& question) {
@@ -44,13 +65,16 @@
   out.config_version = question.config_version;
   out.list_version = question.list_version;
   out.servers_hash = static_cast<std::int64_t>(question.servers_hash);
+  out.loads = ToWire(question.loads);
+  out.loads_within_ms = question.loads_within.count();
   return Write(out);
 }
 
 FleetQuestion DecodeFleetQuestion(const std::string& buf) {
   const auto in = Read<wire::FleetQuestion>(buf);
   return {in.config_version, in.list_version,
-          static_cast<std::uint64_t>(in.servers_hash)};
+          static_cast<std::uint64_t>(in.servers_hash), FromWire(in.loads),
+          std::chrono::milliseconds(in.loads_within_ms)};
 }
 
 std::string Encode(const FleetNews& news) {
@@ -71,6 +95,7 @@
     out.__set_members(detail::ToWire(*news.members));
   }
   out.retiring = news.retiring;
+  out.loads = ToWire(news.loads);
   return Write(out);
 }
 
@@ -92,6 +117,7 @@
     out.members = detail::FromWire(in.members);
   }
   out.retiring = in.retiring;
+  out.loads = FromWire(in.loads);
   return out;
 }
 
--- a/source/wire/fleet_messages.h
+++ b/source/wire/fleet_messages.h
@@ -9,6 +9,7 @@
 #include <vector>
 
 #include "core/backend_server.h"
+#include "core/load_board.h"
 #include "core/storage_list.h"
 
 namespace comfreyfold {
@@ -18,6 +19,8 @@
   std::int64_t config_version = 0;
   std::int64_t list_version = 0;
   std::uint64_t servers_hash = 0;
+  std::vector<LoadNote> loads;  // That servers told the asker lately.
+  std::chrono::milliseconds loads_within{0};  // Those it wants; 0: none.
 };
 
 // What a daemon knows of the deployment; what the asker has is left out.
@@ -30,6 +33,7 @@
   std::optional<std::vector<BackendServer>> servers;
   std::optional<StorageList> members;
   std::set<std::string> retiring;  // VMs whose disks are to be emptied.
+  std::vector<LoadNote> loads;
 };
 
 // Thrift compact encoding; Decode throws WireError.
--- a/source/wire/gen/comfreyfold_types.cpp
+++ b/source/wire/gen/comfreyfold_types.cpp
@@ -6052,6 +6052,138 @@
 }
 
 
+LoadNote::~LoadNote() noexcept {
+}
+
+
+void LoadNote::__set_server(const std::string& val) {
+  this->server = val;
+}
+
+void LoadNote::__set_requests(const int32_t val) {
+  this->requests = val;
+}
+
+void LoadNote::__set_age_ms(const int64_t val) {
+  this->age_ms = val;
+}
+std::ostream& operator<<(std::ostream& out, const LoadNote& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t LoadNote::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->server);
+          this->__isset.server = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->requests);
+          this->__isset.requests = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->age_ms);
+          this->__isset.age_ms = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t LoadNote::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("LoadNote");
+
+  xfer += oprot->writeFieldBegin("server", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->server);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("requests", ::apache::thrift::protocol::T_I32, 2);
+  xfer += oprot->writeI32(this->requests);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("age_ms", ::apache::thrift::protocol::T_I64, 3);
+  xfer += oprot->writeI64(this->age_ms);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(LoadNote &a, LoadNote &b) {
+  using ::std::swap;
+  swap(a.server, b.server);
+  swap(a.requests, b.requests);
+  swap(a.age_ms, b.age_ms);
+  swap(a.__isset, b.__isset);
+}
+
+LoadNote::LoadNote(const LoadNote& other220) {
+  server = other220.server;
+  requests = other220.requests;
+  age_ms = other220.age_ms;
+  __isset = other220.__isset;
+}
+LoadNote& LoadNote::operator=(const LoadNote& other221) {
+  server = other221.server;
+  requests = other221.requests;
+  age_ms = other221.age_ms;
+  __isset = other221.__isset;
+  return *this;
+}
+void LoadNote::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "LoadNote(";
+  out << "server=" << to_string(server);
+  out << ", " << "requests=" << to_string(requests);
+  out << ", " << "age_ms=" << to_string(age_ms);
+  out << ")";
+}
+
+
 FleetQuestion::~FleetQuestion() noexcept {
 }
 
@@ -6067,6 +6199,14 @@
 void FleetQuestion::__set_servers_hash(const int64_t val) {
   this->servers_hash = val;
 }
+
+void FleetQuestion::__set_loads(const std::vector<LoadNote> & val) {
+  this->loads = val;
+}
+
+void FleetQuestion::__set_loads_within_ms(const int64_t val) {
+  this->loads_within_ms = val;
+}
 std::ostream& operator<<(std::ostream& out, const FleetQuestion& obj)
 {
   obj.printTo(out);
@@ -6119,6 +6259,34 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->loads.clear();
+            uint32_t _size222;
+            ::apache::thrift::protocol::TType _etype225;
+            xfer += iprot->readListBegin(_etype225, _size222);
+            this->loads.resize(_size222);
+            uint32_t _i226;
+            for (_i226 = 0; _i226 < _size222; ++_i226)
+            {
+              xfer += this->loads[_i226].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.loads = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->loads_within_ms);
+          this->__isset.loads_within_ms = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -6148,6 +6316,22 @@
   xfer += oprot->writeI64(this->servers_hash);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("loads", ::apache::thrift::protocol::T_LIST, 4);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->loads.size()));
+    std::vector<LoadNote> ::const_iterator _iter227;
+    for (_iter227 = this->loads.begin(); _iter227 != this->loads.end(); ++_iter227)
+    {
+      xfer += (*_iter227).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("loads_within_ms", ::apache::thrift::protocol::T_I64, 5);
+  xfer += oprot->writeI64(this->loads_within_ms);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -6158,20 +6342,26 @@
   swap(a.config_version, b.config_version);
   swap(a.list_version, b.list_version);
   swap(a.servers_hash, b.servers_hash);
+  swap(a.loads, b.loads);
+  swap(a.loads_within_ms, b.loads_within_ms);
   swap(a.__isset, b.__isset);
 }
 
-FleetQuestion::FleetQuestion(const FleetQuestion& other220) noexcept {
-  config_version = other220.config_version;
-  list_version = other220.list_version;
-  servers_hash = other220.servers_hash;
-  __isset = other220.__isset;
-}
-FleetQuestion& FleetQuestion::operator=(const FleetQuestion& other221) noexcept {
-  config_version = other221.config_version;
-  list_version = other221.list_version;
-  servers_hash = other221.servers_hash;
-  __isset = other221.__isset;
+FleetQuestion::FleetQuestion(const FleetQuestion& other228) {
+  config_version = other228.config_version;
+  list_version = other228.list_version;
+  servers_hash = other228.servers_hash;
+  loads = other228.loads;
+  loads_within_ms = other228.loads_within_ms;
+  __isset = other228.__isset;
+}
+FleetQuestion& FleetQuestion::operator=(const FleetQuestion& other229) {
+  config_version = other229.config_version;
+  list_version = other229.list_version;
+  servers_hash = other229.servers_hash;
+  loads = other229.loads;
+  loads_within_ms = other229.loads_within_ms;
+  __isset = other229.__isset;
   return *this;
 }
 void FleetQuestion::printTo(std::ostream& out) const {
@@ -6180,6 +6370,8 @@
   out << "config_version=" << to_string(config_version);
   out << ", " << "list_version=" << to_string(list_version);
   out << ", " << "servers_hash=" << to_string(servers_hash);
+  out << ", " << "loads=" << to_string(loads);
+  out << ", " << "loads_within_ms=" << to_string(loads_within_ms);
   out << ")";
 }
 
@@ -6221,6 +6413,10 @@
 void FleetNews::__set_retiring(const std::set<std::string> & val) {
   this->retiring = val;
 }
+
+void FleetNews::__set_loads(const std::vector<LoadNote> & val) {
+  this->loads = val;
+}
 std::ostream& operator<<(std::ostream& out, const FleetNews& obj)
 {
   obj.printTo(out);
@@ -6293,14 +6489,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->servers.clear();
-            uint32_t _size222;
-            ::apache::thrift::protocol::TType _etype225;
-            xfer += iprot->readListBegin(_etype225, _size222);
-            this->servers.resize(_size222);
-            uint32_t _i226;
-            for (_i226 = 0; _i226 < _size222; ++_i226)
+            uint32_t _size230;
+            ::apache::thrift::protocol::TType _etype233;
+            xfer += iprot->readListBegin(_etype233, _size230);
+            this->servers.resize(_size230);
+            uint32_t _i234;
+            for (_i234 = 0; _i234 < _size230; ++_i234)
             {
-              xfer += this->servers[_i226].read(iprot);
+              xfer += this->servers[_i234].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -6321,15 +6517,15 @@
         if (ftype == ::apache::thrift::protocol::T_SET) {
           {
             this->retiring.clear();
-            uint32_t _size227;
-            ::apache::thrift::protocol::TType _etype230;
-            xfer += iprot->readSetBegin(_etype230, _size227);
-            uint32_t _i231;
-            for (_i231 = 0; _i231 < _size227; ++_i231)
+            uint32_t _size235;
+            ::apache::thrift::protocol::TType _etype238;
+            xfer += iprot->readSetBegin(_etype238, _size235);
+            uint32_t _i239;
+            for (_i239 = 0; _i239 < _size235; ++_i239)
             {
-              std::string _elem232;
-              xfer += iprot->readString(_elem232);
-              this->retiring.insert(_elem232);
+              std::string _elem240;
+              xfer += iprot->readString(_elem240);
+              this->retiring.insert(_elem240);
             }
             xfer += iprot->readSetEnd();
           }
@@ -6338,6 +6534,26 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 9:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->loads.clear();
+            uint32_t _size241;
+            ::apache::thrift::protocol::TType _etype244;
+            xfer += iprot->readListBegin(_etype244, _size241);
+            this->loads.resize(_size241);
+            uint32_t _i245;
+            for (_i245 = 0; _i245 < _size241; ++_i245)
+            {
+              xfer += this->loads[_i245].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.loads = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -6379,10 +6595,10 @@
     xfer += oprot->writeFieldBegin("servers", ::apache::thrift::protocol::T_LIST, 6);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->servers.size()));
-      std::vector<RegisteredServer> ::const_iterator _iter233;
-      for (_iter233 = this->servers.begin(); _iter233 != this->servers.end(); ++_iter233)
+      std::vector<RegisteredServer> ::const_iterator _iter246;
+      for (_iter246 = this->servers.begin(); _iter246 != this->servers.end(); ++_iter246)
       {
-        xfer += (*_iter233).write(oprot);
+        xfer += (*_iter246).write(oprot);
       }
       xfer += oprot->writeListEnd();
     }
@@ -6396,15 +6612,27 @@
   xfer += oprot->writeFieldBegin("retiring", ::apache::thrift::protocol::T_SET, 8);
   {
     xfer += oprot->writeSetBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->retiring.size()));
-    std::set<std::string> ::const_iterator _iter234;
-    for (_iter234 = this->retiring.begin(); _iter234 != this->retiring.end(); ++_iter234)
+    std::set<std::string> ::const_iterator _iter247;
+    for (_iter247 = this->retiring.begin(); _iter247 != this->retiring.end(); ++_iter247)
     {
-      xfer += oprot->writeString((*_iter234));
+      xfer += oprot->writeString((*_iter247));
     }
     xfer += oprot->writeSetEnd();
   }
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("loads", ::apache::thrift::protocol::T_LIST, 9);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->loads.size()));
+    std::vector<LoadNote> ::const_iterator _iter248;
+    for (_iter248 = this->loads.begin(); _iter248 != this->loads.end(); ++_iter248)
+    {
+      xfer += (*_iter248).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -6420,30 +6648,33 @@
   swap(a.servers, b.servers);
   swap(a.members, b.members);
   swap(a.retiring, b.retiring);
+  swap(a.loads, b.loads);
   swap(a.__isset, b.__isset);
 }
 
-FleetNews::FleetNews(const FleetNews& other235) {
-  config_version = other235.config_version;
-  config_age_ms = other235.config_age_ms;
-  config_text = other235.config_text;
-  servers_age_ms = other235.servers_age_ms;
-  servers_hash = other235.servers_hash;
-  servers = other235.servers;
-  members = other235.members;
-  retiring = other235.retiring;
-  __isset = other235.__isset;
-}
-FleetNews& FleetNews::operator=(const FleetNews& other236) {
-  config_version = other236.config_version;
-  config_age_ms = other236.config_age_ms;
-  config_text = other236.config_text;
-  servers_age_ms = other236.servers_age_ms;
-  servers_hash = other236.servers_hash;
-  servers = other236.servers;
-  members = other236.members;
-  retiring = other236.retiring;
-  __isset = other236.__isset;
+FleetNews::FleetNews(const FleetNews& other249) {
+  config_version = other249.config_version;
+  config_age_ms = other249.config_age_ms;
+  config_text = other249.config_text;
+  servers_age_ms = other249.servers_age_ms;
+  servers_hash = other249.servers_hash;
+  servers = other249.servers;
+  members = other249.members;
+  retiring = other249.retiring;
+  loads = other249.loads;
+  __isset = other249.__isset;
+}
+FleetNews& FleetNews::operator=(const FleetNews& other250) {
+  config_version = other250.config_version;
+  config_age_ms = other250.config_age_ms;
+  config_text = other250.config_text;
+  servers_age_ms = other250.servers_age_ms;
+  servers_hash = other250.servers_hash;
+  servers = other250.servers;
+  members = other250.members;
+  retiring = other250.retiring;
+  loads = other250.loads;
+  __isset = other250.__isset;
   return *this;
 }
 void FleetNews::printTo(std::ostream& out) const {
@@ -6457,6 +6688,7 @@
   out << ", " << "servers="; (__isset.servers ? (out << to_string(servers)) : (out << "<null>"));
   out << ", " << "members="; (__isset.members ? (out << to_string(members)) : (out << "<null>"));
   out << ", " << "retiring=" << to_string(retiring);
+  out << ", " << "loads=" << to_string(loads);
   out << ")";
 }
 
--- a/source/wire/gen/comfreyfold_types.h
+++ b/source/wire/gen/comfreyfold_types.h
@@ -83,6 +83,8 @@
 
 class RegisteredServer;
 
+class LoadNote;
+
 class FleetQuestion;
 
 class FleetNews;
@@ -2324,28 +2326,90 @@
 
 std::ostream& operator<<(std::ostream& out, const RegisteredServer& obj);
 
+typedef struct _LoadNote__isset {
+  _LoadNote__isset() : server(false), requests(false), age_ms(false) {}
+  bool server :1;
+  bool requests :1;
+  bool age_ms :1;
+} _LoadNote__isset;
+
+class LoadNote : public virtual ::apache::thrift::TBase {
+ public:
+
+  LoadNote(const LoadNote&);
+  LoadNote& operator=(const LoadNote&);
+  LoadNote() noexcept
+           : server(),
+             requests(0),
+             age_ms(0) {
+  }
+
+  virtual ~LoadNote() noexcept;
+  std::string server;
+  int32_t requests;
+  int64_t age_ms;
+
+  _LoadNote__isset __isset;
+
+  void __set_server(const std::string& val);
+
+  void __set_requests(const int32_t val);
+
+  void __set_age_ms(const int64_t val);
+
+  bool operator == (const LoadNote & rhs) const
+  {
+    if (!(server == rhs.server))
+      return false;
+    if (!(requests == rhs.requests))
+      return false;
+    if (!(age_ms == rhs.age_ms))
+      return false;
+    return true;
+  }
+  bool operator != (const LoadNote &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const LoadNote & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(LoadNote &a, LoadNote &b);
+
+std::ostream& operator<<(std::ostream& out, const LoadNote& obj);
+
 typedef struct _FleetQuestion__isset {
-  _FleetQuestion__isset() : config_version(false), list_version(false), servers_hash(false) {}
+  _FleetQuestion__isset() : config_version(false), list_version(false), servers_hash(false), loads(false), loads_within_ms(false) {}
   bool config_version :1;
   bool list_version :1;
   bool servers_hash :1;
+  bool loads :1;
+  bool loads_within_ms :1;
 } _FleetQuestion__isset;
 
 class FleetQuestion : public virtual ::apache::thrift::TBase {
  public:
 
-  FleetQuestion(const FleetQuestion&) noexcept;
-  FleetQuestion& operator=(const FleetQuestion&) noexcept;
+  FleetQuestion(const FleetQuestion&);
+  FleetQuestion& operator=(const FleetQuestion&);
   FleetQuestion() noexcept
                 : config_version(0),
                   list_version(0),
-                  servers_hash(0) {
+                  servers_hash(0),
+                  loads_within_ms(0) {
   }
 
   virtual ~FleetQuestion() noexcept;
   int64_t config_version;
   int64_t list_version;
   int64_t servers_hash;
+  std::vector<LoadNote>  loads;
+  int64_t loads_within_ms;
 
   _FleetQuestion__isset __isset;
 
@@ -2355,6 +2419,10 @@
 
   void __set_servers_hash(const int64_t val);
 
+  void __set_loads(const std::vector<LoadNote> & val);
+
+  void __set_loads_within_ms(const int64_t val);
+
   bool operator == (const FleetQuestion & rhs) const
   {
     if (!(config_version == rhs.config_version))
@@ -2363,6 +2431,10 @@
       return false;
     if (!(servers_hash == rhs.servers_hash))
       return false;
+    if (!(loads == rhs.loads))
+      return false;
+    if (!(loads_within_ms == rhs.loads_within_ms))
+      return false;
     return true;
   }
   bool operator != (const FleetQuestion &rhs) const {
@@ -2382,7 +2454,7 @@
 std::ostream& operator<<(std::ostream& out, const FleetQuestion& obj);
 
 typedef struct _FleetNews__isset {
-  _FleetNews__isset() : config_version(false), config_age_ms(false), config_text(false), servers_age_ms(false), servers_hash(false), servers(false), members(false), retiring(false) {}
+  _FleetNews__isset() : config_version(false), config_age_ms(false), config_text(false), servers_age_ms(false), servers_hash(false), servers(false), members(false), retiring(false), loads(false) {}
   bool config_version :1;
   bool config_age_ms :1;
   bool config_text :1;
@@ -2391,6 +2463,7 @@
   bool servers :1;
   bool members :1;
   bool retiring :1;
+  bool loads :1;
 } _FleetNews__isset;
 
 class FleetNews : public virtual ::apache::thrift::TBase {
@@ -2415,6 +2488,7 @@
   std::vector<RegisteredServer>  servers;
   StorageList members;
   std::set<std::string>  retiring;
+  std::vector<LoadNote>  loads;
 
   _FleetNews__isset __isset;
 
@@ -2434,6 +2508,8 @@
 
   void __set_retiring(const std::set<std::string> & val);
 
+  void __set_loads(const std::vector<LoadNote> & val);
+
   bool operator == (const FleetNews & rhs) const
   {
     if (!(config_version == rhs.config_version))
@@ -2456,6 +2532,8 @@
       return false;
     if (!(retiring == rhs.retiring))
       return false;
+    if (!(loads == rhs.loads))
+      return false;
     return true;
   }
   bool operator != (const FleetNews &rhs) const {
