Relay round a cut; a window of requests for each daemon

Change: storage requests go through another daemon when the direct way is cut; additive increase, multiplicative decrease of what a daemon has at engines, by the waiting that they tell.

--- a/source/core/server_pool.cc
+++ b/source/core/server_pool.cc
@@ -97,6 +97,11 @@
   std::erase_if(servers_, [&present](const auto& it) {
     return present.count(it.first) == 0;
   });
+  int places = 0;
+  for (const auto& [id, it] : servers_) {
+    places += it.info.leaving ? 0 : it.info.slots;
+  }
+  window_.SetPlaces(places);
 }
 
 bool ServerPool::Usable(const Server& server, TimePoint now) const {
@@ -214,6 +219,9 @@
 // that has a session cached than to let others read it anew, which takes
 // capacity from all. Null when waiting is best.
 ServerPool::Server* ServerPool::Cheapest(const PlaceAsk& ask, TimePoint now) {
+  if (is_engine_ && !window_.HasRoom(in_use())) {
+    return nullptr;
+  }
   Server* best = nullptr;
   double best_cost = 0;
   const auto* home = is_engine_ ? Home(ask, now) : nullptr;
@@ -283,6 +291,11 @@
 void ServerPool::Told(Server& server, const ServerLoad& load, TimePoint now) {
   server.others = std::max(0, load.running + load.waiting - server.mine);
   server.told_at = now;
+  if (load.waiting > 0) {
+    window_.Congested(now);
+  } else {
+    window_.Served();
+  }
 }
 
 void ServerPool::Heard(const LoadNote& note, TimePoint now) {
@@ -330,6 +343,7 @@
       server.failures = 0;
       break;
     case ExchangeResult::kRefused:
+      window_.Congested(now);
       if (load) {
         Told(server, *load, now);
       } else {
@@ -371,7 +385,7 @@
       mine += std::max(1, it.mine);
     }
   }
-  if (room) {
+  if (room && (!is_engine_ || window_.HasRoom(in_use()))) {
     return std::chrono::milliseconds(0);
   }
   const auto ahead = std::count_if(
--- a/source/core/server_pool.h
+++ b/source/core/server_pool.h
@@ -14,6 +14,7 @@
 #include "core/client_call.h"
 #include "core/load_board.h"
 #include "core/prompt_cache_view.h"
+#include "core/request_window.h"
 #include "core/time_point.h"
 
 namespace comfreyfold {
@@ -133,7 +134,8 @@
   int sharers_ = 1;
   std::map<std::string, Server> servers_;
   std::list<PlaceAsk> waiting_;
-  double held_ms_ = 0;  // Smoothed time that a place is held.
+  RequestWindow window_;  // Of engines.
+  double held_ms_ = 0;    // Smoothed time that a place is held.
 };
 
 }  // namespace comfreyfold
--- a/source/fleet/fleet_sync.cc
+++ b/source/fleet/fleet_sync.cc
@@ -15,6 +15,8 @@
 // the two seconds that the deployments grant.
 constexpr std::chrono::milliseconds kAskEvery{250};
 constexpr std::chrono::milliseconds kAskTimeout{400};
+constexpr std::chrono::milliseconds kAskerForgotten{5000};
+constexpr std::size_t kAskersTold = 6;
 // What was told since the question before, with some room.
 constexpr std::chrono::milliseconds kLoadsWithin{350};
 // Older than that, a daemon reads the service itself.
@@ -68,6 +70,7 @@
   if (heard_) {
     question.loads = view_.loads().NewerThan(told_until_, asked_at);
     question.loads_within = kLoadsWithin;
+    question.address = address_;
   }
   HttpOptions options;
   options.connect_timeout = kAskTimeout;
@@ -125,6 +128,9 @@
       heard_(it);
     }
   }
+  if (!news.daemons.empty()) {
+    view_.NoteDaemons(news.daemons);
+  }
   if (news.members) {
     view_.ApplyStorage(*news.members);
   }
@@ -133,6 +139,25 @@
   }
 }
 
+// A few at a time, others each time: enough to find a way round a cut.
+std::vector<std::string> FleetSync::SomeAskers(const std::string& but) {
+  std::erase_if(askers_, [](const auto& it) {
+    return AgeOf(it.second) > kAskerForgotten;
+  });
+  std::vector<std::string> all;
+  for (const auto& [address, at] : askers_) {
+    if (address != but) {
+      all.push_back(address);
+    }
+  }
+  std::vector<std::string> out;
+  for (std::size_t n = 0; n < std::min(kAskersTold, all.size()); ++n) {
+    out.push_back(all[(next_asker_ + n) % all.size()]);
+  }
+  ++next_asker_;
+  return out;
+}
+
 void FleetSync::Handle(const HttpRequest& request, HttpExchange& exchange) {
   FleetQuestion question;
   try {
@@ -164,6 +189,10 @@
   for (const auto& it : question.loads) {
     view_.loads().Note(it, now);
   }
+  if (!question.address.empty()) {
+    askers_[question.address] = now;
+    news.daemons = SomeAskers(question.address);
+  }
   if (question.loads_within.count() > 0) {
     news.loads = view_.loads().NewerThan(now - question.loads_within, now);
   }
--- a/source/fleet/fleet_sync.h
+++ b/source/fleet/fleet_sync.h
@@ -3,6 +3,7 @@
 
 #include <chrono>
 #include <functional>
+#include <map>
 #include <string>
 #include <vector>
 
@@ -30,7 +31,10 @@
 
   // This daemon sends requests to servers: it tells what they say of their
   // load, and `heard` is told what they said to others.
-  void ShareLoads(std::function<void(const LoadNote&)> heard) {
+  // `address` is where others reach it.
+  void ShareLoads(std::string address,
+                  std::function<void(const LoadNote&)> heard) {
+    address_ = std::move(address);
     heard_ = std::move(heard);
   }
 
@@ -48,6 +52,7 @@
 
  private:
   bool AskOne(Fiber& fiber, const std::string& address);
+  std::vector<std::string> SomeAskers(const std::string& but);
   void Apply(const FleetNews& news, const std::string& address);
 
   Loop& loop_;
@@ -58,6 +63,9 @@
   std::function<std::vector<std::string>()> sources_;
   std::function<void(const LoadNote&)> heard_;
   TimePoint told_until_{};
+  std::string address_;
+  std::map<std::string, TimePoint> askers_;  // By address, when they asked.
+  std::size_t next_asker_ = 0;
 };
 
 }  // namespace comfreyfold
--- a/source/fleet/fleet_view.h
+++ b/source/fleet/fleet_view.h
@@ -6,6 +6,7 @@
 #include <memory>
 #include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "core/load_board.h"
@@ -48,6 +49,12 @@
   // Loads that servers told this daemon or others.
   LoadBoard& loads() { return loads_; }
 
+  // Other daemons that serve clients, by address: some, not all.
+  const std::vector<std::string>& daemons() const { return daemons_; }
+  void NoteDaemons(std::vector<std::string> addresses) {
+    daemons_ = std::move(addresses);
+  }
+
   // VMs whose disks the operators want emptied.
   const std::set<std::string>& retiring() const { return retiring_; }
   void ApplyRetiring(std::set<std::string> vms);
@@ -66,6 +73,7 @@
   TimePoint listed_at_{};
   StorageList storage_;
   LoadBoard loads_;
+  std::vector<std::string> daemons_;
   std::set<std::string> retiring_;
   std::vector<std::function<void()>> on_change_;
 };
--- a/source/storage/replica_calls.cc
+++ b/source/storage/replica_calls.cc
@@ -14,6 +14,8 @@
 // syncs of a disk and round trips between data centres.
 constexpr std::chrono::milliseconds kHedgeAfter{40};
 constexpr std::chrono::milliseconds kConnectTimeout{300};
+// A relay answers within two round trips and a sync, or is cut off itself.
+constexpr std::chrono::milliseconds kRelayTimeout{250};
 // A replica that failed is asked last for so long.
 constexpr std::chrono::milliseconds kSuspicion{1000};
 
@@ -83,27 +85,97 @@
   return true;
 }
 
+bool ReplicaCalls::SendTo(Fiber& fiber,
+                          const std::string& address,
+                          const std::string& disk,
+                          const std::string& body,
+                          bool relayed,
+                          std::chrono::milliseconds timeout,
+                          StorageReply& reply) {
+  HttpOptions options;
+  options.connect_timeout = std::min(kConnectTimeout, timeout);
+  options.idle_timeout = timeout;
+  HttpRequest request{"POST", kStoragePath + disk, {}, body};
+  if (relayed) {
+    request.headers.push_back({kRelayHeader, "1"});
+  }
+  try {
+    const auto http_reply = http_.Send(fiber, address, request, options);
+    if (http_reply.status != kOk) {
+      return false;
+    }
+    reply = DecodeStorageReply(http_reply.body);
+    return true;
+  } catch (const HttpFailure&) {
+    return false;  // The caller notes it and tells what changes.
+  } catch (const WireError&) {
+    return false;
+  }
+}
+
+// The relay that worked last, then the others.
+bool ReplicaCalls::SendByRelay(Fiber& fiber,
+                               const Round& round,
+                               std::size_t n,
+                               StorageReply& reply) {
+  auto relays = relays_ ? relays_() : std::vector<std::string>{};
+  if (!good_relay_.empty()) {
+    relays.insert(relays.begin(), good_relay_);
+  }
+  const auto until = std::chrono::steady_clock::now() + round.plan.timeout;
+  const auto& disk = round.plan.targets[n].disk;
+  for (const auto& it : relays) {
+    const auto left = std::chrono::duration_cast<std::chrono::milliseconds>(
+        until - std::chrono::steady_clock::now());
+    if (left.count() <= 0) {
+      return false;
+    }
+    if (SendTo(fiber, it, disk, round.body, true, std::min(left, kRelayTimeout),
+               reply)) {
+      good_relay_ = it;
+      return true;
+    }
+    if (it == good_relay_) {
+      good_relay_.clear();
+    }
+  }
+  return false;
+}
+
+// Looks whether the direct way is open again, beside the requests.
+void ReplicaCalls::Probe(const StorageMember& member) {
+  const auto now = std::chrono::steady_clock::now();
+  auto& probed_at = probed_at_[member.address];
+  if (now - probed_at < kSuspicion) {
+    return;
+  }
+  probed_at = now;
+  loop_.Spawn([this, member](Fiber& fiber) {
+    StorageRequest question;
+    question.operation = StorageOperation::kAdopt;
+    StorageReply reply;
+    Note(member, SendTo(fiber, member.address, member.disk, Encode(question),
+                        false, kConnectTimeout, reply));
+  });
+}
+
 void ReplicaCalls::Start(const std::shared_ptr<Round>& round, std::size_t n) {
   ++round->started;
   loop_.Spawn([this, round, n](Fiber& fiber) {
     const auto& target = round->plan.targets[n];
-    HttpOptions options;
-    options.connect_timeout = std::min(kConnectTimeout, round->plan.timeout);
-    options.idle_timeout = round->plan.timeout;
+    StorageReply reply;
     bool answered = false;
-    try {
-      const auto http_reply = http_.Send(
-          fiber, target.address,
-          {"POST", kStoragePath + target.disk, {}, round->body}, options);
-      if (http_reply.status == kOk) {
-        round->replies[target.disk] = DecodeStorageReply(http_reply.body);
-        answered = true;
-      }
-    } catch (const HttpFailure&) {
-      // Counted below, and told when it changes what is known.
-    } catch (const WireError&) {
+    if (failed_at_.count(target.address) == 0 || !relays_) {
+      answered = SendTo(fiber, target.address, target.disk, round->body, false,
+                        round->plan.timeout, reply);
+      Note(target, answered);
+    } else {
+      Probe(target);
+    }
+    answered = answered || SendByRelay(fiber, *round, n, reply);
+    if (answered) {
+      round->replies[target.disk] = std::move(reply);
     }
-    Note(target, answered);
     ++round->ended;
     round->failed += answered ? 0 : 1;
     round->changed.NotifyAll();
--- a/source/storage/replica_calls.h
+++ b/source/storage/replica_calls.h
@@ -17,6 +17,8 @@
 
 // Path of storage requests on a storage daemon; the disk's id follows.
 inline constexpr const char* kStoragePath = "/storage/";
+// Marks a request that the daemon asked is to pass on.
+inline constexpr const char* kRelayHeader = "Comfreyfold-Relay";
 
 using StorageReplies = std::map<std::string, StorageReply>;  // By disk.
 
@@ -50,6 +52,12 @@
   // Near before far, those that answered lately before those that did not.
   std::vector<StorageMember> InOrder(std::vector<StorageMember> members) const;
 
+  // Other daemons that can pass a request on when the way to a storage daemon
+  // is cut.
+  void RelayBy(std::function<std::vector<std::string>()> relays) {
+    relays_ = std::move(relays);
+  }
+
   // Told of each storage daemon that stops or starts to answer.
   void OnReachable(std::function<void(const StorageMember&, bool)> hook) {
     on_reachable_ = std::move(hook);
@@ -59,6 +67,18 @@
   struct Round;
 
   void Start(const std::shared_ptr<Round>& round, std::size_t n);
+  bool SendTo(Fiber& fiber,
+              const std::string& address,
+              const std::string& disk,
+              const std::string& body,
+              bool relayed,
+              std::chrono::milliseconds timeout,
+              StorageReply& reply);
+  bool SendByRelay(Fiber& fiber,
+                   const Round& round,
+                   std::size_t n,
+                   StorageReply& reply);
+  void Probe(const StorageMember& member);
   bool Suspected(const StorageMember& member) const;
   void Note(const StorageMember& member, bool answered);
 
@@ -66,6 +86,9 @@
   HttpClient& http_;
   std::string data_centre_;
   std::map<std::string, TimePoint> failed_at_;  // By address.
+  std::map<std::string, TimePoint> probed_at_;  // By address.
+  std::function<std::vector<std::string>()> relays_;
+  std::string good_relay_;
   std::function<void(const StorageMember&, bool)> on_reachable_;
 };
 
--- a/source/storage/storage_client.cc
+++ b/source/storage/storage_client.cc
@@ -83,6 +83,7 @@
       tolerated_losses_(tolerated_losses),
       cache_bytes_(cache_bytes),
       settle_soon_(loop) {
+  replicas_.RelayBy([this] { return view_.daemons(); });
   replicas_.OnReachable([this](const StorageMember& member, bool answered) {
     log_.Write(answered ? "storage_regained" : "storage_lost", "",
                {{"peer", member.vm}, {"address", member.address}});
--- a/source/vm/vm_daemon.cc
+++ b/source/vm/vm_daemon.cc
@@ -33,6 +33,7 @@
 constexpr std::uint64_t kInternalBody = 64UL * 1024 * 1024;
 // An idle connection between daemons is kept much longer than it is unused.
 constexpr std::chrono::milliseconds kInternalIdle{15000};
+constexpr std::chrono::milliseconds kRelayTimeout{200};
 // Of the memory: connections of other daemons, each with its coroutine.
 constexpr std::int64_t kPeerShare = 2;
 constexpr std::int64_t kConnectionBytes = 48 * 1024;
@@ -138,7 +139,8 @@
       settings_.tolerated_losses,
       static_cast<std::size_t>(settings_.memory_bytes / kCacheShare));
   gate_ = std::make_unique<ServerGate>(loop_, view_, settings_.data_centre);
-  sync_.ShareLoads([this](const LoadNote& note) { gate_->Heard(note); });
+  sync_.ShareLoads(settings_.internal_address,
+                   [this](const LoadNote& note) { gate_->Heard(note); });
   calls_ = std::make_unique<CallHandler>(http_, view_, *gate_, *storage_, log_,
                                          metrics_, platform_.dialect);
   loop_.Spawn([this](Fiber& fiber) { storage_->Run(fiber); });
@@ -188,6 +190,8 @@
                               HttpExchange& exchange) {
   if (request.Path() == kFleetPath) {
     sync_.Handle(request, exchange);
+  } else if (!request.Header(kRelayHeader).empty()) {
+    Relay(fiber, request, exchange);
   } else if (storage_node_ && request.target.rfind(kStoragePath, 0) == 0) {
     storage_node_->Handle(fiber, request, exchange);
   } else {
@@ -195,6 +199,29 @@
   }
 }
 
+// Passes a storage request on for a daemon that cannot reach the disk.
+void VmDaemon::Relay(Fiber& fiber,
+                     const HttpRequest& request,
+                     HttpExchange& exchange) {
+  const auto disk = request.Path().substr(std::string(kStoragePath).size());
+  const auto* member = view_.storage().Find(disk);
+  if (member == nullptr) {
+    exchange.Reply(kNotFound, "text/plain", "no such disk\n");
+    return;
+  }
+  HttpOptions options;
+  options.connect_timeout = kRelayTimeout;
+  options.idle_timeout = kRelayTimeout;
+  try {
+    const auto reply =
+        http_.Send(fiber, member->address,
+                   {"POST", request.Path(), {}, request.body}, options);
+    exchange.Reply(reply.status, "", reply.body);
+  } catch (const HttpFailure& e) {
+    exchange.Reply(kUnavailable, "text/plain", e.what());
+  }
+}
+
 bool VmDaemon::Ready() const {
   return !stopping_ && view_.config() && view_.servers().known();
 }
@@ -230,6 +257,8 @@
       out.push_back(it.address);
     }
   }
+  // Round a cut, from whoever still hears of it.
+  out.insert(out.end(), view_.daemons().begin(), view_.daemons().end());
   if (out.empty()) {
     for (const auto& it : settings_.seeds) {
       if (it != settings_.control_address) {
--- a/source/vm/vm_daemon.h
+++ b/source/vm/vm_daemon.h
@@ -68,6 +68,7 @@
   void HandleInternal(Fiber& fiber,
                       const HttpRequest& request,
                       HttpExchange& exchange);
+  void Relay(Fiber& fiber, const HttpRequest& request, HttpExchange& exchange);
   void HandleReady(HttpExchange& exchange) const;
   bool Ready() const;
   void ApplyLimits();
--- a/source/wire/comfreyfold.thrift
+++ b/source/wire/comfreyfold.thrift
@@ -282,6 +282,7 @@
   3: i64 servers_hash,
   4: list<LoadNote> loads,
   5: i64 loads_within_ms,
+  6: string address,
 }
 
 struct FleetNews {
@@ -294,4 +295,5 @@
   7: optional StorageList members,
   8: set<string> retiring,
   9: list<LoadNote> loads,
+  10: list<string> daemons,
 }
--- a/source/wire/fleet_codec.cc
+++ b/source/wire/fleet_codec.cc
@@ -67,14 +67,18 @@
   out.servers_hash = static_cast<std::int64_t>(question.servers_hash);
   out.loads = ToWire(question.loads);
   out.loads_within_ms = question.loads_within.count();
+  out.address = question.address;
   return Write(out);
 }
 
 FleetQuestion DecodeFleetQuestion(const std::string& buf) {
   const auto in = Read<wire::FleetQuestion>(buf);
-  return {in.config_version, in.list_version,
-          static_cast<std::uint64_t>(in.servers_hash), FromWire(in.loads),
-          std::chrono::milliseconds(in.loads_within_ms)};
+  return {in.config_version,
+          in.list_version,
+          static_cast<std::uint64_t>(in.servers_hash),
+          FromWire(in.loads),
+          std::chrono::milliseconds(in.loads_within_ms),
+          in.address};
 }
 
 std::string Encode(const FleetNews& news) {
@@ -96,6 +100,7 @@
   }
   out.retiring = news.retiring;
   out.loads = ToWire(news.loads);
+  out.daemons = news.daemons;
   return Write(out);
 }
 
@@ -118,6 +123,7 @@
   }
   out.retiring = in.retiring;
   out.loads = FromWire(in.loads);
+  out.daemons = in.daemons;
   return out;
 }
 
--- a/source/wire/fleet_messages.h
+++ b/source/wire/fleet_messages.h
@@ -21,6 +21,7 @@
   std::uint64_t servers_hash = 0;
   std::vector<LoadNote> loads;  // That servers told the asker lately.
   std::chrono::milliseconds loads_within{0};  // Those it wants; 0: none.
+  std::string address;                        // Where other daemons reach it.
 };
 
 // What a daemon knows of the deployment; what the asker has is left out.
@@ -34,6 +35,7 @@
   std::optional<StorageList> members;
   std::set<std::string> retiring;  // VMs whose disks are to be emptied.
   std::vector<LoadNote> loads;
+  std::vector<std::string> daemons;  // Addresses of some that serve clients.
 };
 
 // Thrift compact encoding; Decode throws WireError.
--- a/source/wire/gen/comfreyfold_types.cpp
+++ b/source/wire/gen/comfreyfold_types.cpp
@@ -6207,6 +6207,10 @@
 void FleetQuestion::__set_loads_within_ms(const int64_t val) {
   this->loads_within_ms = val;
 }
+
+void FleetQuestion::__set_address(const std::string& val) {
+  this->address = val;
+}
 std::ostream& operator<<(std::ostream& out, const FleetQuestion& obj)
 {
   obj.printTo(out);
@@ -6287,6 +6291,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->address);
+          this->__isset.address = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -6332,6 +6344,10 @@
   xfer += oprot->writeI64(this->loads_within_ms);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("address", ::apache::thrift::protocol::T_STRING, 6);
+  xfer += oprot->writeString(this->address);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -6344,6 +6360,7 @@
   swap(a.servers_hash, b.servers_hash);
   swap(a.loads, b.loads);
   swap(a.loads_within_ms, b.loads_within_ms);
+  swap(a.address, b.address);
   swap(a.__isset, b.__isset);
 }
 
@@ -6353,6 +6370,7 @@
   servers_hash = other228.servers_hash;
   loads = other228.loads;
   loads_within_ms = other228.loads_within_ms;
+  address = other228.address;
   __isset = other228.__isset;
 }
 FleetQuestion& FleetQuestion::operator=(const FleetQuestion& other229) {
@@ -6361,6 +6379,7 @@
   servers_hash = other229.servers_hash;
   loads = other229.loads;
   loads_within_ms = other229.loads_within_ms;
+  address = other229.address;
   __isset = other229.__isset;
   return *this;
 }
@@ -6372,6 +6391,7 @@
   out << ", " << "servers_hash=" << to_string(servers_hash);
   out << ", " << "loads=" << to_string(loads);
   out << ", " << "loads_within_ms=" << to_string(loads_within_ms);
+  out << ", " << "address=" << to_string(address);
   out << ")";
 }
 
@@ -6417,6 +6437,10 @@
 void FleetNews::__set_loads(const std::vector<LoadNote> & val) {
   this->loads = val;
 }
+
+void FleetNews::__set_daemons(const std::vector<std::string> & val) {
+  this->daemons = val;
+}
 std::ostream& operator<<(std::ostream& out, const FleetNews& obj)
 {
   obj.printTo(out);
@@ -6554,6 +6578,26 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 10:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->daemons.clear();
+            uint32_t _size246;
+            ::apache::thrift::protocol::TType _etype249;
+            xfer += iprot->readListBegin(_etype249, _size246);
+            this->daemons.resize(_size246);
+            uint32_t _i250;
+            for (_i250 = 0; _i250 < _size246; ++_i250)
+            {
+              xfer += iprot->readString(this->daemons[_i250]);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.daemons = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -6595,10 +6639,10 @@
     xfer += oprot->writeFieldBegin("servers", ::apache::thrift::protocol::T_LIST, 6);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->servers.size()));
-      std::vector<RegisteredServer> ::const_iterator _iter246;
-      for (_iter246 = this->servers.begin(); _iter246 != this->servers.end(); ++_iter246)
+      std::vector<RegisteredServer> ::const_iterator _iter251;
+      for (_iter251 = this->servers.begin(); _iter251 != this->servers.end(); ++_iter251)
       {
-        xfer += (*_iter246).write(oprot);
+        xfer += (*_iter251).write(oprot);
       }
       xfer += oprot->writeListEnd();
     }
@@ -6612,10 +6656,10 @@
   xfer += oprot->writeFieldBegin("retiring", ::apache::thrift::protocol::T_SET, 8);
   {
     xfer += oprot->writeSetBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->retiring.size()));
-    std::set<std::string> ::const_iterator _iter247;
-    for (_iter247 = this->retiring.begin(); _iter247 != this->retiring.end(); ++_iter247)
+    std::set<std::string> ::const_iterator _iter252;
+    for (_iter252 = this->retiring.begin(); _iter252 != this->retiring.end(); ++_iter252)
     {
-      xfer += oprot->writeString((*_iter247));
+      xfer += oprot->writeString((*_iter252));
     }
     xfer += oprot->writeSetEnd();
   }
@@ -6624,10 +6668,22 @@
   xfer += oprot->writeFieldBegin("loads", ::apache::thrift::protocol::T_LIST, 9);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->loads.size()));
-    std::vector<LoadNote> ::const_iterator _iter248;
-    for (_iter248 = this->loads.begin(); _iter248 != this->loads.end(); ++_iter248)
+    std::vector<LoadNote> ::const_iterator _iter253;
+    for (_iter253 = this->loads.begin(); _iter253 != this->loads.end(); ++_iter253)
+    {
+      xfer += (*_iter253).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("daemons", ::apache::thrift::protocol::T_LIST, 10);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->daemons.size()));
+    std::vector<std::string> ::const_iterator _iter254;
+    for (_iter254 = this->daemons.begin(); _iter254 != this->daemons.end(); ++_iter254)
     {
-      xfer += (*_iter248).write(oprot);
+      xfer += oprot->writeString((*_iter254));
     }
     xfer += oprot->writeListEnd();
   }
@@ -6649,32 +6705,35 @@
   swap(a.members, b.members);
   swap(a.retiring, b.retiring);
   swap(a.loads, b.loads);
+  swap(a.daemons, b.daemons);
   swap(a.__isset, b.__isset);
 }
 
-FleetNews::FleetNews(const FleetNews& other249) {
-  config_version = other249.config_version;
-  config_age_ms = other249.config_age_ms;
-  config_text = other249.config_text;
-  servers_age_ms = other249.servers_age_ms;
-  servers_hash = other249.servers_hash;
-  servers = other249.servers;
-  members = other249.members;
-  retiring = other249.retiring;
-  loads = other249.loads;
-  __isset = other249.__isset;
-}
-FleetNews& FleetNews::operator=(const FleetNews& other250) {
-  config_version = other250.config_version;
-  config_age_ms = other250.config_age_ms;
-  config_text = other250.config_text;
-  servers_age_ms = other250.servers_age_ms;
-  servers_hash = other250.servers_hash;
-  servers = other250.servers;
-  members = other250.members;
-  retiring = other250.retiring;
-  loads = other250.loads;
-  __isset = other250.__isset;
+FleetNews::FleetNews(const FleetNews& other255) {
+  config_version = other255.config_version;
+  config_age_ms = other255.config_age_ms;
+  config_text = other255.config_text;
+  servers_age_ms = other255.servers_age_ms;
+  servers_hash = other255.servers_hash;
+  servers = other255.servers;
+  members = other255.members;
+  retiring = other255.retiring;
+  loads = other255.loads;
+  daemons = other255.daemons;
+  __isset = other255.__isset;
+}
+FleetNews& FleetNews::operator=(const FleetNews& other256) {
+  config_version = other256.config_version;
+  config_age_ms = other256.config_age_ms;
+  config_text = other256.config_text;
+  servers_age_ms = other256.servers_age_ms;
+  servers_hash = other256.servers_hash;
+  servers = other256.servers;
+  members = other256.members;
+  retiring = other256.retiring;
+  loads = other256.loads;
+  daemons = other256.daemons;
+  __isset = other256.__isset;
   return *this;
 }
 void FleetNews::printTo(std::ostream& out) const {
@@ -6689,6 +6748,7 @@
   out << ", " << "members="; (__isset.members ? (out << to_string(members)) : (out << "<null>"));
   out << ", " << "retiring=" << to_string(retiring);
   out << ", " << "loads=" << to_string(loads);
+  out << ", " << "daemons=" << to_string(daemons);
   out << ")";
 }
 
--- a/source/wire/gen/comfreyfold_types.h
+++ b/source/wire/gen/comfreyfold_types.h
@@ -2384,12 +2384,13 @@
 std::ostream& operator<<(std::ostream& out, const LoadNote& obj);
 
 typedef struct _FleetQuestion__isset {
-  _FleetQuestion__isset() : config_version(false), list_version(false), servers_hash(false), loads(false), loads_within_ms(false) {}
+  _FleetQuestion__isset() : config_version(false), list_version(false), servers_hash(false), loads(false), loads_within_ms(false), address(false) {}
   bool config_version :1;
   bool list_version :1;
   bool servers_hash :1;
   bool loads :1;
   bool loads_within_ms :1;
+  bool address :1;
 } _FleetQuestion__isset;
 
 class FleetQuestion : public virtual ::apache::thrift::TBase {
@@ -2401,7 +2402,8 @@
                 : config_version(0),
                   list_version(0),
                   servers_hash(0),
-                  loads_within_ms(0) {
+                  loads_within_ms(0),
+                  address() {
   }
 
   virtual ~FleetQuestion() noexcept;
@@ -2410,6 +2412,7 @@
   int64_t servers_hash;
   std::vector<LoadNote>  loads;
   int64_t loads_within_ms;
+  std::string address;
 
   _FleetQuestion__isset __isset;
 
@@ -2423,6 +2426,8 @@
 
   void __set_loads_within_ms(const int64_t val);
 
+  void __set_address(const std::string& val);
+
   bool operator == (const FleetQuestion & rhs) const
   {
     if (!(config_version == rhs.config_version))
@@ -2435,6 +2440,8 @@
       return false;
     if (!(loads_within_ms == rhs.loads_within_ms))
       return false;
+    if (!(address == rhs.address))
+      return false;
     return true;
   }
   bool operator != (const FleetQuestion &rhs) const {
@@ -2454,7 +2461,7 @@
 std::ostream& operator<<(std::ostream& out, const FleetQuestion& obj);
 
 typedef struct _FleetNews__isset {
-  _FleetNews__isset() : config_version(false), config_age_ms(false), config_text(false), servers_age_ms(false), servers_hash(false), servers(false), members(false), retiring(false), loads(false) {}
+  _FleetNews__isset() : config_version(false), config_age_ms(false), config_text(false), servers_age_ms(false), servers_hash(false), servers(false), members(false), retiring(false), loads(false), daemons(false) {}
   bool config_version :1;
   bool config_age_ms :1;
   bool config_text :1;
@@ -2464,6 +2471,7 @@
   bool members :1;
   bool retiring :1;
   bool loads :1;
+  bool daemons :1;
 } _FleetNews__isset;
 
 class FleetNews : public virtual ::apache::thrift::TBase {
@@ -2489,6 +2497,7 @@
   StorageList members;
   std::set<std::string>  retiring;
   std::vector<LoadNote>  loads;
+  std::vector<std::string>  daemons;
 
   _FleetNews__isset __isset;
 
@@ -2510,6 +2519,8 @@
 
   void __set_loads(const std::vector<LoadNote> & val);
 
+  void __set_daemons(const std::vector<std::string> & val);
+
   bool operator == (const FleetNews & rhs) const
   {
     if (!(config_version == rhs.config_version))
@@ -2534,6 +2545,8 @@
       return false;
     if (!(loads == rhs.loads))
       return false;
+    if (!(daemons == rhs.daemons))
+      return false;
     return true;
   }
   bool operator != (const FleetNews &rhs) const {
