--- a/source/core/server_pool.cc
+++ b/source/core/server_pool.cc
@@ -43,6 +43,8 @@
 constexpr std::chrono::milliseconds kLongestSuspension{2000};
 constexpr int kFailuresToSuspend = 2;
 constexpr int kRefusalLoadMargin = 1;
+// Congested: more than one waits for each so many slots.
+constexpr int kSlotsPerWaiting = 4;
 // Held places before the mean is known: a guess on the short side.
 constexpr double kFirstHeldMs = 100;
 
@@ -291,7 +293,7 @@
 void ServerPool::Told(Server& server, const ServerLoad& load, TimePoint now) {
   server.others = std::max(0, load.running + load.waiting - server.mine);
   server.told_at = now;
-  if (load.waiting > 0) {
+  if (load.waiting * kSlotsPerWaiting > load.slots) {
     window_.Congested(now);
   } else {
     window_.Served();
--- a/source/front/call_handler.cc
+++ b/source/front/call_handler.cc
@@ -24,6 +24,8 @@
 constexpr std::chrono::milliseconds kDefaultTime{60000};
 // Left for the answer to reach the client before its time is up.
 constexpr std::chrono::milliseconds kReturnTime{10};
+// Of its time left, what a request waits for a place at most.
+constexpr int kWaitPercent = 40;
 constexpr std::chrono::milliseconds kChainTimeout{1200};
 constexpr std::chrono::milliseconds kReserveTimeout{1200};
 constexpr std::chrono::milliseconds kKeepTimeout{1500};
@@ -219,7 +221,10 @@
   PlaceAsk ask;
   ask.priority = call.route->priority;
   ask.arrived = call.arrived;
-  ask.latest = call.deadline - kReturnTime;
+  // Longer than that it would be held in vain: told at once, its client can
+  // come back or give up.
+  ask.latest = std::chrono::steady_clock::now() +
+               Left(call.deadline) * kWaitPercent / 100;
   if (call.route->kind == RequestKind::kStream && call.info.finish_in) {
     const auto slack = slack_.Left(call.info.program);
     ask.must_start_by = call.arrived + slack;
