--- a/source/core/storage_list.cc
+++ b/source/core/storage_list.cc
@@ -24,7 +24,7 @@
   }
   ReplicaSet out;
   out.disks = RendezvousOrder(program, std::move(disks));
-  const auto wanted = static_cast<std::size_t>(2 * losses + 1);
+  const auto wanted = 2 * static_cast<std::size_t>(losses) + 1;
   if (out.disks.size() > wanted) {
     out.disks.resize(wanted);
   }
--- a/source/vm/vm_daemon.cc
+++ b/source/vm/vm_daemon.cc
@@ -209,13 +209,14 @@
     exchange.Reply(kNotFound, "text/plain", "no such disk\n");
     return;
   }
+  // The list may be replaced while the answer is awaited.
+  const auto address = member->address;
   HttpOptions options;
   options.connect_timeout = kRelayTimeout;
   options.idle_timeout = kRelayTimeout;
   try {
-    const auto reply =
-        http_.Send(fiber, member->address,
-                   {"POST", request.Path(), {}, request.body}, options);
+    const auto reply = http_.Send(
+        fiber, address, {"POST", request.Path(), {}, request.body}, options);
     exchange.Reply(reply.status, "", reply.body);
   } catch (const HttpFailure& e) {
     exchange.Reply(kUnavailable, "text/plain", e.what());
--- a/tests/vm/turns_test.cc
+++ b/tests/vm/turns_test.cc
@@ -2,7 +2,9 @@
 
 #include <boost/test/unit_test.hpp>
 
+#include "storage/replica_calls.h"
 #include "vm/vm_world.h"
+#include "wire/storage_messages.h"
 
 namespace comfreyfold {
 namespace {
@@ -209,6 +211,35 @@
   });
 }
 
+BOOST_AUTO_TEST_CASE(a_daemon_passes_storage_requests_on) {
+  WithTwoFronts([](Fiber& fiber, VmWorld& world) {
+    Turn(fiber, world, "front-1", "t1", "one;");
+    const auto list =
+        DecodeStorageList(world.store().Value("comfreyfold/storage"));
+    StorageRequest request;
+    request.operation = StorageOperation::kDigest;
+    std::size_t copies = 0;
+    for (const auto& it : list.members) {
+      const auto reply = world.http().Send(
+          fiber, world.vm("front-2").settings.internal_address,
+          {"POST",
+           kStoragePath + it.disk,
+           {{kRelayHeader, "1"}},
+           Encode(request)});
+      BOOST_TEST(reply.status == 200);
+      copies += DecodeStorageReply(reply.body).ids.size();
+    }
+    BOOST_TEST(copies >= 2U);
+    const auto unknown =
+        world.http().Send(fiber, world.vm("front-2").settings.internal_address,
+                          {"POST",
+                           std::string(kStoragePath) + "none",
+                           {{kRelayHeader, "1"}},
+                           Encode(request)});
+    BOOST_TEST(unknown.status == 404);
+  });
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace
