--- a/source/net/loop.cc
+++ b/source/net/loop.cc
@@ -74,7 +74,7 @@
 
 }  // namespace
 
-void Loop::OnReload(std::function<void()> hook) {
+void Loop::OnReload(const std::function<void()>& hook) {
   impl_->reload_signals.add(SIGHUP);
   AwaitReload(impl_->reload_signals, hook);
 }
--- a/source/net/loop.h
+++ b/source/net/loop.h
@@ -29,7 +29,7 @@
   void OnTermination(std::function<void()> hook);
 
   // Runs `hook` on each SIGHUP.
-  void OnReload(std::function<void()> hook);
+  void OnReload(const std::function<void()>& hook);
 
   // Runs `task` on the loop's thread; the only call that other threads make.
   void Post(std::function<void()> task);
--- a/source/storage/disk_log.cc
+++ b/source/storage/disk_log.cc
@@ -265,7 +265,7 @@
   SyncFolder(impl_->folder);
 }
 
-std::int64_t DiskLog::Append(std::string entry,
+std::int64_t DiskLog::Append(const std::string& entry,
                              std::function<void(bool)> done) {
   auto bytes = Framed(entry);
   if (impl_->current_bytes > 0 &&
--- a/source/storage/disk_log.h
+++ b/source/storage/disk_log.h
@@ -27,7 +27,7 @@
 
   // Appends; `done` is told on the loop whether the entry is on disk.
   // Returns the number of the segment it goes to.
-  std::int64_t Append(std::string entry, std::function<void(bool)> done);
+  std::int64_t Append(const std::string& entry, std::function<void(bool)> done);
 
   // Removes an earlier segment.
   void Remove(std::int64_t segment);
--- a/source/wire/fleet_codec.cc
+++ b/source/wire/fleet_codec.cc
@@ -39,6 +39,7 @@
 
 std::vector<wire::LoadNote> ToWire(const std::vector<LoadNote>& notes) {
   std::vector<wire::LoadNote> out;
+  out.reserve(notes.size());
   for (const auto& it : notes) {
     wire::LoadNote note;
     note.server = it.server_id;
@@ -51,6 +52,7 @@
 
 std::vector<LoadNote> FromWire(const std::vector<wire::LoadNote>& notes) {
   std::vector<LoadNote> out;
+  out.reserve(notes.size());
   for (const auto& it : notes) {
     out.push_back(
         {it.server, it.requests, std::chrono::milliseconds(it.age_ms)});
--- /dev/null
+++ b/tests/vm/decoders_test.cc
@@ -0,0 +1,126 @@
+// What the platform writes, well-formed and not.
+
+#include <boost/test/unit_test.hpp>
+
+#include "platform/json_fields.h"
+#include "platform/registry_decoder.h"
+#include "platform/request_headers.h"
+#include "platform/settings_file.h"
+
+namespace comfreyfold::platform {
+namespace {
+
+constexpr const char* kSettings = R"({
+  "node_name": "vm-1", "zone": "north", "ip": "10.0.0.1",
+  "listen": {"front": "10.0.0.1:80", "ready": "10.0.0.1:81"},
+  "internal_ports": [7000, 7015], "bootstrap": true, "data_dir": null,
+  "limits": {"memory_mb": 110, "max_fds": 4100},
+  "fault_tolerance": {"machines": 2},
+  "bounds": {"grace_s": 8, "drain_ms": 3000},
+  "platform": {"address": "10.9.9.9:1"}, "something_new": [1, 2]})";
+
+std::string Without(const std::string& text, const std::string& part) {
+  auto out = text;
+  out.erase(out.find(part), part.size());
+  return out;
+}
+
+BOOST_AUTO_TEST_SUITE(decoders)
+
+BOOST_AUTO_TEST_CASE(settings_are_read_and_unknown_fields_ignored) {
+  const auto settings = DecodeSettings(kSettings);
+  BOOST_TEST(settings.vm == "vm-1");
+  BOOST_TEST(settings.internal_address == "10.0.0.1:7000");
+  BOOST_TEST(settings.data_folder.empty());
+  BOOST_TEST(settings.first_start);
+  BOOST_TEST(settings.tolerated_losses == 2);
+  BOOST_TEST(settings.stop_grace.count() == 8000);
+  BOOST_TEST(settings.server_drain.count() == 3000);
+  BOOST_TEST(settings.memory_bytes == 110L * 1024 * 1024);
+}
+
+BOOST_AUTO_TEST_CASE(a_bad_setting_is_named) {
+  const auto names = [](const char* field) {
+    return [field](const DecodeError& e) {
+      return std::string(e.what()).find(field) != std::string::npos;
+    };
+  };
+  BOOST_CHECK_EXCEPTION(
+      DecodeSettings(Without(kSettings, R"("zone": "north",)")), DecodeError,
+      names("zone"));
+  BOOST_CHECK_EXCEPTION(DecodeSettings(Without(kSettings, "7000, 7015")),
+                        DecodeError, names("internal_ports"));
+  BOOST_CHECK_THROW(DecodeSettings("[]"), DecodeError);
+  BOOST_CHECK_EXCEPTION(ReadSettingsFile("/nowhere/x.json"), DecodeError,
+                        names("/nowhere/x.json"));
+}
+
+BOOST_AUTO_TEST_CASE(a_route_is_split_only_where_it_says_so) {
+  const auto config = DecodeRouting(R"({"version": 7, "services": [
+      {"name": "a", "max_connections": 3,
+       "engine": {"slots": 4, "event_stride": 2}}, {"name": "b"}],
+    "routes": [{"name": "r", "host": "h", "prefix": "/x/",
+      "type": "streaming", "timeout_ms": 10, "resumable": true,
+      "traffic_split": [{"service": "a", "weight": 9},
+                        {"service": "b", "weight": 1}]},
+      {"name": "s", "host": "h", "prefix": "/y/", "type": "unsafe",
+       "service": "b"}], "limits": {"max_body_bytes": 5}})");
+  BOOST_TEST(config.version == 7);
+  BOOST_TEST(config.routes[0].services.size() == 2U);
+  BOOST_TEST(config.routes[0].Repeatable());
+  BOOST_TEST(config.routes[1].services[0].service == "b");
+  BOOST_TEST(!config.routes[1].Repeatable());
+  BOOST_TEST(config.services.at("a").engine->tokens_per_event == 2);
+  BOOST_TEST(!config.services.at("b").engine.has_value());
+  BOOST_TEST(config.limits.body_bytes == 5U);
+  BOOST_CHECK_THROW(DecodeRouting(R"({"version": 1, "services": [],
+      "routes": [{"name": "r", "host": "h", "prefix": "/", "type": "odd",
+                  "service": "a"}]})"),
+                    DecodeError);
+}
+
+BOOST_AUTO_TEST_CASE(a_registration_of_another_writer_names_no_server) {
+  const std::string good = R"({"service":"a","address":"1.1.1.1:2",)"
+                           R"("zone":"north","slots":4,"state":"ready"})";
+  BOOST_TEST(DecodeServer("servers/i-1", good).id == "i-1");
+  for (const auto* part : {R"("service":"a",)", R"("slots":4,)",
+                           R"("address":"1.1.1.1:2",)", "{"}) {
+    BOOST_CHECK_THROW(DecodeServer("servers/i-1", Without(good, part)),
+                      DecodeError);
+  }
+}
+
+BOOST_AUTO_TEST_CASE(headers_of_a_turn_are_read) {
+  HttpRequest request;
+  request.headers = {{"Request-Id", "r"},
+                     {"Token-Usage", "1840,136"},
+                     {"Token-Budget", "1088"},
+                     {"Previous-Turn", "p"},
+                     {"Finish-Deadline-Ms", "5200"},
+                     {"Prompt-Prefix", "a:800,b:410"}};
+  const auto call = DecodeCall(request);
+  BOOST_TEST(call.prompt_tokens == 1840);
+  BOOST_TEST(call.most_output_tokens == 136);
+  BOOST_TEST(*call.token_budget == 1088);
+  BOOST_TEST(call.finish_in->count() == 5200);
+  BOOST_TEST(!call.time_left.has_value());
+  BOOST_TEST(call.prompt.size() == 2U);
+  BOOST_TEST(call.prompt[1].tokens == 410);
+}
+
+BOOST_AUTO_TEST_CASE(a_server_that_did_not_run_a_request_says_so) {
+  HttpReply reply;
+  reply.status = 503;
+  BOOST_TEST(!DecodeAnswer(reply).not_run);
+  reply.headers = {{"Not-Executed", "1"}, {"Server-Load", "3,1,8"}};
+  BOOST_TEST(DecodeAnswer(reply).not_run);
+  BOOST_TEST(DecodeAnswer(reply).load->waiting == 1);
+  HttpReply other;
+  other.status = 421;
+  BOOST_TEST(DecodeAnswer(other).not_run);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace
+}  // namespace comfreyfold::platform
