--- a/source/storage/storage_client.cc
+++ b/source/storage/storage_client.cc
@@ -32,6 +32,15 @@
       [](const auto& it) { return it.second.status == StorageStatus::kDone; }));
 }
 
+// A replica has another list: no use to wait for the others, of which one may
+// be dead.
+bool OtherEpoch(const StorageReplies& replies) {
+  return std::any_of(replies.begin(), replies.end(), [](const auto& it) {
+    return it.second.status == StorageStatus::kOldEpoch ||
+           it.second.status == StorageStatus::kNewEpoch;
+  });
+}
+
 std::vector<StorageMember> MembersOf(const StorageList& list,
                                      const std::vector<ReplicaSet>& sets) {
   std::vector<StorageMember> out;
@@ -127,12 +136,16 @@
     auto asked = plan(list);
     asked.timeout = std::chrono::ceil<std::chrono::milliseconds>(
         until - std::chrono::steady_clock::now());
-    auto replies = replicas_.Ask(
-        fiber, asked, request,
-        [&](const StorageReplies& it) { return enough(list, it); });
+    auto replies =
+        replicas_.Ask(fiber, asked, request, [&](const StorageReplies& it) {
+          return enough(list, it) || OtherEpoch(it);
+        });
     if (enough(list, replies) || n == kMostListChanges ||
-        std::chrono::steady_clock::now() >= until ||
-        !Outdated(fiber, replies)) {
+        std::chrono::steady_clock::now() >= until) {
+      return replies;
+    }
+    // Another request may have brought the newer list meanwhile.
+    if (!Outdated(fiber, replies) && view_.storage().epoch == list.epoch) {
       return replies;
     }
   }
--- a/tests/vm/turns_test.cc
+++ b/tests/vm/turns_test.cc
@@ -117,6 +117,30 @@
   });
 }
 
+// Incident inc-1c3d: requests with an old list waited for the dead disk.
+BOOST_AUTO_TEST_CASE(turns_go_on_while_a_dead_disk_is_replaced) {
+  WithTwoFronts([](Fiber& fiber, VmWorld& world) {
+    world.Cut(world.vm("disk-1"));
+    world.AddVm("disk-4", true, false);
+    const auto replaced = [&world] {
+      return world.Members() == 3 &&
+             world.store().Value("comfreyfold/storage").find("disk-4") !=
+                 std::string::npos;
+    };
+    int n = 0;
+    for (bool done = false; !done;) {
+      done = replaced();
+      for (int after = 0; after < 10; ++after) {
+        const auto id = "t" + std::to_string(++n);
+        const auto* front = n % 2 == 0 ? "front-1" : "front-2";
+        VmWorld::Ask ask{"/talk/stream/x", id, "in;", {}};
+        ask.time = milliseconds(700);
+        BOOST_TEST(world.Send(fiber, world.vm(front), ask).status == 200);
+      }
+    }
+  });
+}
+
 BOOST_AUTO_TEST_CASE(an_empty_disk_that_is_no_member_does_not_found_anew) {
   InVmWorld([](Fiber& fiber, VmWorld& world) {
     world.WriteConfig(1);
