--- a/tests/storage_property/reservations_test.cc
+++ b/tests/storage_property/reservations_test.cc
@@ -103,6 +103,7 @@
 
 std::vector<int> AnyOrder() {
   std::vector<int> order;
+  order.reserve(kReplicas);
   for (int n = 0; n < kReplicas; ++n) {
     order.push_back(n);
   }
@@ -116,6 +117,7 @@
   World world;
   const int count = *rc::gen::inRange(2, 10);
   std::vector<Request> requests;
+  requests.reserve(static_cast<std::size_t>(count));
   for (int n = 0; n < count; ++n) {
     requests.push_back(
         world.Begin(n, *rc::gen::inRange(10, 60), AnyOrder(), AnyOrder()));
