Take out what the platform's code carried for nothing

Found by reading the change again: a predicate that repeated a field, a factor and a setting that nothing set or read, a header that is not sent any more, a rule of absence that stood twice, the tokens of an event worked out twice, one setup in three tests. A request without a route logged a time limit of minus 68 million milliseconds; it logs 0.

--- a/source/core/server_pool.cc
+++ b/source/core/server_pool.cc
@@ -64,10 +64,10 @@
   if (a.priority != b.priority) {
     return a.priority < b.priority;
   }
-  if (a.hopeless() != b.hopeless()) {
-    return b.hopeless();
+  if (a.late != b.late) {
+    return b.late;
   }
-  if (a.must_start_by != b.must_start_by && !a.hopeless()) {
+  if (a.must_start_by != b.must_start_by && !a.late) {
     return a.must_start_by < b.must_start_by;
   }
   return a.arrived < b.arrived;
@@ -214,7 +214,7 @@
 double ServerPool::WaitAt(const Server& server, TimePoint now) const {
   const double excess = Load(server, now) - Limit(server) + 1;
   const double held = held_ms_ > 0 ? held_ms_ : kFirstHeldMs;
-  return excess <= 0 ? 0 : excess * held / Limit(server) * sharers_;
+  return excess <= 0 ? 0 : excess * held / Limit(server);
 }
 
 // Full servers compete as well: under load it is better to wait for the one
--- a/source/core/server_pool.h
+++ b/source/core/server_pool.h
@@ -31,8 +31,6 @@
   std::vector<PromptPart> prompt;
   std::string session;  // Requests of one share much of their prompt.
   std::set<std::string> excluded;  // Servers that failed this request.
-
-  bool hopeless() const { return late; }
 };
 
 struct Place {
@@ -60,8 +58,6 @@
 
   // Takes over the servers that are registered now.
   void Update(const std::vector<BackendServer>& servers, TimePoint now);
-  // Daemons that send to the same servers, this one included.
-  void SetSharers(int daemons) { sharers_ = daemons > 0 ? daemons : 1; }
 
   // Takes a place if one is free and nobody more urgent waits for it.
   std::optional<Place> TryTake(const PlaceAsk& ask, TimePoint now);
@@ -131,7 +127,6 @@
 
   std::string data_centre_;
   bool is_engine_;
-  int sharers_ = 1;
   std::map<std::string, Server> servers_;
   std::list<PlaceAsk> waiting_;
   RequestWindow window_;  // Of engines.
--- a/source/core/storage_list.cc
+++ b/source/core/storage_list.cc
@@ -76,6 +76,12 @@
 }
 
 std::size_t StorageList::AnswersForAbsence(int losses) const {
+  return AnswersForAbsence(members, losses);
+}
+
+std::size_t StorageList::AnswersForAbsence(
+    const std::vector<StorageMember>& members,
+    int losses) {
   const auto n = members.size();
   const auto lost = static_cast<std::size_t>(losses);
   return n > lost ? n - lost : n;
--- a/source/core/storage_list.h
+++ b/source/core/storage_list.h
@@ -58,6 +58,10 @@
   // Answers "no such record" that are needed for certainty, of `members`:
   // they leave too few disks for a record that was kept.
   std::size_t AnswersForAbsence(int losses) const;
+  // The same of any set, e.g. `next`.
+  static std::size_t AnswersForAbsence(
+      const std::vector<StorageMember>& members,
+      int losses);
 
   // The list that replaces this one when `joiners` come in and `gone` leave.
   StorageList WithChange(const std::vector<StorageMember>& joiners,
--- a/source/fleet/vm_settings.h
+++ b/source/fleet/vm_settings.h
@@ -27,7 +27,6 @@
   std::chrono::milliseconds stop_grace{8000};    // From SIGTERM to SIGKILL.
   std::chrono::milliseconds server_drain{2000};  // To leave a server alone.
   std::chrono::milliseconds config_apply{2000};  // To follow a new version.
-  std::chrono::milliseconds settle{1000};        // To free unused token budget.
 };
 
 }  // namespace comfreyfold
--- a/source/front/call_handler.cc
+++ b/source/front/call_handler.cc
@@ -71,7 +71,7 @@
   const Route* route = nullptr;
   std::string service;
   TimePoint arrived = std::chrono::steady_clock::now();
-  TimePoint deadline{};
+  TimePoint deadline = arrived;
   std::optional<std::string> body;  // With the chain before it.
   std::vector<std::string> chain;
   std::optional<TokenUse> reserved;
@@ -179,12 +179,15 @@
   return std::nullopt;
 }
 
+std::int64_t CallHandler::TokensPerEvent(const Call& call) {
+  const auto it = call.config->services.find(call.service);
+  return it != call.config->services.end() && it->second.engine
+             ? std::max(1, it->second.engine->tokens_per_event)
+             : 1;
+}
+
 std::optional<CallError> CallHandler::ReserveTokens(Fiber& fiber, Call& call) {
-  const auto engine = call.config->services.find(call.service);
-  const std::int64_t stride =
-      engine != call.config->services.end() && engine->second.engine
-          ? std::max(1, engine->second.engine->tokens_per_event)
-          : 1;
+  const auto stride = TokensPerEvent(call);
   TokenUse use;
   use.program = call.info.program;
   use.request = call.info.request_id;
@@ -344,11 +347,7 @@
 
 TokenUse CallHandler::Settlement(const Call& call) const {
   auto use = *call.reserved;
-  const auto engine = call.config->services.find(call.service);
-  const std::int64_t stride =
-      engine != call.config->services.end() && engine->second.engine
-          ? engine->second.engine->tokens_per_event
-          : 1;
+  const auto stride = TokensPerEvent(call);
   use.tokens = call.progress.events * stride;
   use.settled = true;
   return use;
--- a/source/front/call_handler.h
+++ b/source/front/call_handler.h
@@ -50,6 +50,7 @@
   bool MayRepeat(const Call& call, const ServerCallResult& result) const;
   void Finish(Fiber& fiber, Call& call, const HttpReply& answer);
   bool KeepTurn(Fiber& fiber, Call& call);
+  static std::int64_t TokensPerEvent(const Call& call);
   TokenUse Settlement(const Call& call) const;
   void Refuse(Call& call, const CallError& error);
   void Log(const Call& call,
--- a/source/front/dialect.h
+++ b/source/front/dialect.h
@@ -16,7 +16,6 @@
 struct Dispatch {
   std::string server_id;  // A server with another id refuses the request.
   std::chrono::milliseconds time_left{0};
-  std::optional<int> engine_priority;        // 0 is first, 9 last.
   std::optional<std::string> last_event_id;  // Resume a stream after it.
   std::optional<std::string> body;           // Instead of the client's.
 };
--- a/source/storage/storage_client.cc
+++ b/source/storage/storage_client.cc
@@ -90,8 +90,7 @@
       log_(log),
       replicas_(loop, http, std::move(data_centre)),
       tolerated_losses_(tolerated_losses),
-      cache_bytes_(cache_bytes),
-      settle_soon_(loop) {
+      cache_bytes_(cache_bytes) {
   replicas_.RelayBy([this] { return view_.daemons(); });
   replicas_.OnReachable([this](const StorageMember& member, bool answered) {
     log_.Write(answered ? "storage_regained" : "storage_lost", "",
@@ -153,15 +152,12 @@
 
 bool StorageClient::Absent(const StorageList& list,
                            const StorageReplies& replies) const {
-  const auto needed = [this](const std::vector<StorageMember>& members) {
-    const auto n = members.size();
-    const auto losses = static_cast<std::size_t>(tolerated_losses_);
-    return n > losses ? n - losses : n;
+  const auto certain = [&](const std::vector<StorageMember>& members) {
+    return AbsentAnswers(members, replies) >=
+           StorageList::AnswersForAbsence(members, tolerated_losses_);
   };
-  return !list.members.empty() &&
-         AbsentAnswers(list.members, replies) >= needed(list.members) &&
-         (!list.changing() ||
-          AbsentAnswers(list.next, replies) >= needed(list.next));
+  return !list.members.empty() && certain(list.members) &&
+         (!list.changing() || certain(list.next));
 }
 
 LoadedChain StorageClient::LoadChain(Fiber& fiber,
@@ -308,12 +304,12 @@
   for (;;) {
     fiber.Sleep(kSettleEvery);
     if (!settling_.empty()) {
-      SendSettlements(fiber);
+      SendSettlements();
     }
   }
 }
 
-void StorageClient::SendSettlements(Fiber& fiber) {
+void StorageClient::SendSettlements() {
   const auto list = view_.storage();
   std::map<std::string, StorageRequest> by_disk;
   for (const auto& use : settling_) {
@@ -338,7 +334,6 @@
       }
     });
   }
-  (void)fiber;
 }
 
 bool StorageClient::StoreTurn(Fiber& fiber,
--- a/source/storage/storage_client.h
+++ b/source/storage/storage_client.h
@@ -89,7 +89,7 @@
                  const StorageRequest& request,
                  std::chrono::milliseconds timeout,
                  TokenLedger& ledger);
-  void SendSettlements(Fiber& fiber);
+  void SendSettlements();
 
   Loop& loop_;
   FleetView& view_;
@@ -99,7 +99,6 @@
   std::size_t cache_bytes_;
   TurnIndex cache_;
   std::vector<TokenUse> settling_;
-  Condition settle_soon_;
 };
 
 }  // namespace comfreyfold
--- a/source/storage/storage_node.h
+++ b/source/storage/storage_node.h
@@ -21,8 +21,7 @@
 // has heard of. Answers other daemons' storage requests.
 class StorageNode {
  public:
-  // Reads what the disk has. `may_found` is true only when the whole system
-  // starts for the first time. Throws std::runtime_error.
+  // Reads what the disk has. Throws std::runtime_error.
   StorageNode(Loop& loop,
               FleetView& view,
               DecisionLog& log,
--- a/tests/vm/fleet_test.cc
+++ b/tests/vm/fleet_test.cc
@@ -9,6 +9,17 @@
 
 using std::chrono::milliseconds;
 
+// A daemon for clients that serves requests at the server "s1".
+VmWorld::Vm& Serving(Fiber& fiber, VmWorld& world) {
+  world.StartAll(fiber);
+  world.AddServer("s1");
+  auto& front = world.vm("front-1");
+  BOOST_REQUIRE(world.WaitFor(fiber, [&] {
+    return world.Send(fiber, front, {"/plain/x", "r", "", {}}).status == 200;
+  }));
+  return front;
+}
+
 BOOST_AUTO_TEST_SUITE(fleet)
 
 BOOST_AUTO_TEST_CASE(a_daemon_is_not_ready_without_a_configuration) {
@@ -25,12 +36,7 @@
 
 BOOST_AUTO_TEST_CASE(a_change_is_in_force_in_time_and_never_reverts) {
   InVmWorld([](Fiber& fiber, VmWorld& world) {
-    world.StartAll(fiber);
-    world.AddServer("s1");
-    const auto& front = world.vm("front-1");
-    BOOST_REQUIRE(world.WaitFor(fiber, [&] {
-      return world.Send(fiber, front, {"/plain/x", "r", "", {}}).status == 200;
-    }));
+    const auto& front = Serving(fiber, world);
     world.store().Put("op/config",
                       R"({"version":5,"routes":[],"services":[]})");
     fiber.Sleep(front.settings.config_apply);
@@ -46,12 +52,7 @@
 
 BOOST_AUTO_TEST_CASE(a_configuration_nobody_can_read_changes_nothing) {
   InVmWorld([](Fiber& fiber, VmWorld& world) {
-    world.StartAll(fiber);
-    world.AddServer("s1");
-    const auto& front = world.vm("front-1");
-    BOOST_REQUIRE(world.WaitFor(fiber, [&] {
-      return world.Send(fiber, front, {"/plain/x", "r", "", {}}).status == 200;
-    }));
+    const auto& front = Serving(fiber, world);
     world.store().Put("op/config", R"({"version":9,"routes":[{"name":1}]})");
     fiber.Sleep(front.settings.config_apply);
     BOOST_TEST(world.Send(fiber, front, {"/plain/x", "r", "", {}}).status ==
@@ -61,12 +62,7 @@
 
 BOOST_AUTO_TEST_CASE(servers_stay_in_use_while_the_store_is_out) {
   InVmWorld([](Fiber& fiber, VmWorld& world) {
-    world.StartAll(fiber);
-    world.AddServer("s1");
-    const auto& front = world.vm("front-1");
-    BOOST_REQUIRE(world.WaitFor(fiber, [&] {
-      return world.Send(fiber, front, {"/plain/x", "r", "", {}}).status == 200;
-    }));
+    const auto& front = Serving(fiber, world);
     world.store().faults().Set("out", -1);
     world.store().Delete("servers/s1");
     fiber.Sleep(milliseconds(3000));
