Copy token uses in parts, and only to disks that gain a program

The log shows 4 to 5 s for a change, a disk that was killed for half a second dropped from the list meanwhile, and a further change right after the final fault: RECOVER broken, and a storage daemon over its memory (120 MB) with answers of several MB for each of ten askers.

Change: a use is copied by disks that are new to its program's replica set alone, in answers of 1,000 uses; a change that only adds disks copies no turns; failed copies are tried again with a growing pause.

--- a/source/core/storage_list.cc
+++ b/source/core/storage_list.cc
@@ -75,6 +75,25 @@
   return out;
 }
 
+// The others of the next set keep what they have. Of the disks that a quorum
+// stored a use on, each that leaves the program's set is replaced by one that
+// copies from all but the tolerated losses and so has the use: as many disks
+// have it as before, and quorums of the next set meet one of them.
+bool StorageList::Gains(const std::string& disk,
+                        std::string_view program,
+                        int losses) const {
+  const auto has = [&](const std::vector<StorageMember>& set) {
+    const auto disks = ReplicasAmong(set, program, losses).disks;
+    return std::find(disks.begin(), disks.end(), disk) != disks.end();
+  };
+  return changing() && has(next) && !has(members);
+}
+
+bool StorageList::OnlyJoins() const {
+  return std::all_of(members.begin(), members.end(),
+                     [this](const auto& it) { return IsNext(it.disk); });
+}
+
 std::size_t StorageList::AnswersForAbsence(int losses) const {
   return AnswersForAbsence(members, losses);
 }
--- a/source/core/storage_list.h
+++ b/source/core/storage_list.h
@@ -50,6 +50,14 @@
   std::vector<ReplicaSet> ReplicasOf(std::string_view program,
                                      int losses) const;
 
+  // Whether `disk` is one of these in the next set and was not before, so that
+  // it has to copy what the program used.
+  bool Gains(const std::string& disk,
+             std::string_view program,
+             int losses) const;
+  // Whether the change takes no disk away: then only the new ones copy.
+  bool OnlyJoins() const;
+
   // The set that a new record is written to.
   const std::vector<StorageMember>& Writable() const {
     return changing() ? next : members;
--- a/source/core/token_ledger.cc
+++ b/source/core/token_ledger.cc
@@ -62,14 +62,16 @@
   return out;
 }
 
-std::vector<TokenUse> TokenLedgers::All() const {
-  std::vector<TokenUse> out;
-  for (const auto& [program, ledger] : programs_) {
-    for (const auto& [request, it] : ledger.uses()) {
-      out.push_back(it);
+std::string TokenLedgers::ForEachAfter(
+    const std::string& program,
+    const std::function<bool(const std::string&, const TokenLedger&)>& more)
+    const {
+  for (auto it = programs_.upper_bound(program); it != programs_.end(); ++it) {
+    if (!more(it->first, it->second)) {
+      return std::next(it) == programs_.end() ? "" : it->first;
     }
   }
-  return out;
+  return "";
 }
 
 void TokenLedgers::Expire(std::chrono::milliseconds now) {
--- a/source/storage/storage_keeper.cc
+++ b/source/storage/storage_keeper.cc
@@ -21,6 +21,14 @@
 // Turns asked for at once; the reply is cut by bytes as well.
 constexpr std::size_t kFetchIds = 500;
 
+// Copying is work for all members: after failures it is tried less often.
+constexpr std::chrono::milliseconds kLongestCopyPause{1000};
+
+std::chrono::milliseconds CopyPause(int failures) {
+  return std::min(kLongestCopyPause,
+                  kStepEvery * (1 << std::min(failures, 3)) / 2);
+}
+
 std::vector<std::string> Missing(const std::vector<StorageMember>& members,
                                  const std::vector<StorageMember>& present) {
   std::vector<std::string> out;
@@ -287,10 +295,17 @@
 void StorageKeeper::Synchronize(Fiber& fiber) {
   const auto list = view_.storage();
   const auto start = std::chrono::steady_clock::now();
-  if (!CopyUses(fiber, list) || !CopyTurns(fiber, list)) {
-    log_.Write("copy_delayed", "", {{"list_version", list.version}});
+  const bool nothing_to_copy = list.IsMember(self_.disk) && list.OnlyJoins();
+  if (!nothing_to_copy && (!CopyUses(fiber, list) ||
+                           (!list.OnlyJoins() && !CopyTurns(fiber, list)))) {
+    ++copies_failed_;
+    const auto pause = CopyPause(copies_failed_);
+    log_.Write("copy_delayed", "",
+               {{"list_version", list.version}, {"pause_ms", pause}});
+    fiber.Sleep(pause);
     return;
   }
+  copies_failed_ = 0;
   log_.Write("copied", "",
              {{"epoch", list.epoch},
               {"turns", static_cast<int>(node_.turns().size())},
@@ -304,33 +319,40 @@
 }
 
 bool StorageKeeper::CopyUses(Fiber& fiber, const StorageList& list) {
-  StorageRequest request;
-  request.operation = StorageOperation::kAllUses;
-  request.epoch = list.epoch;
   std::size_t answered = list.IsMember(self_.disk) ? 1 : 0;
   for (const auto& member : Reachable(fiber, list.All())) {
+    if (member.disk == self_.disk) {
+      continue;
+    }
+    if (CopyUsesOf(fiber, list, member)) {
+      answered += list.IsMember(member.disk) ? 1 : 0;
+    }
+  }
+  return answered >= list.AnswersForAbsence(tolerated_losses_);
+}
+
+// A part after the other: neither side has to hold all at once.
+bool StorageKeeper::CopyUsesOf(Fiber& fiber,
+                               const StorageList& list,
+                               const StorageMember& member) {
+  StorageRequest request;
+  request.operation = StorageOperation::kSomeUses;
+  request.epoch = list.epoch;
+  request.ids = {self_.disk};
+  do {
     StorageReply reply;
-    if (member.disk == self_.disk ||
-        !replicas_.AskOne(fiber, member, request, kCopyTimeout, reply) ||
+    if (!replicas_.AskOne(fiber, member, request, kCopyTimeout, reply) ||
         reply.status != StorageStatus::kDone) {
-      continue;
+      return false;
     }
-    answered += list.IsMember(member.disk) ? 1 : 0;
     StorageRequest keep;
-    for (auto& use : reply.uses) {
-      for (const auto& set : list.ReplicasOf(use.program, tolerated_losses_)) {
-        if (std::find(set.disks.begin(), set.disks.end(), self_.disk) !=
-            set.disks.end()) {
-          keep.uses.push_back(use);
-          break;
-        }
-      }
-    }
+    keep.uses = std::move(reply.uses);
     if (!keep.uses.empty() && !node_.Keep(fiber, std::move(keep))) {
       return false;
     }
-  }
-  return answered >= list.AnswersForAbsence(tolerated_losses_);
+    request.program = reply.ids.empty() ? "" : reply.ids.front();
+  } while (!request.program.empty());
+  return true;
 }
 
 // Copies the turns of which the next set holds too few, each on as many of
--- a/source/storage/storage_keeper.h
+++ b/source/storage/storage_keeper.h
@@ -60,6 +60,9 @@
                 const std::vector<StorageMember>& reachable) const;
   bool CopyTurns(Fiber& fiber, const StorageList& list);
   bool CopyUses(Fiber& fiber, const StorageList& list);
+  bool CopyUsesOf(Fiber& fiber,
+                  const StorageList& list,
+                  const StorageMember& member);
   bool Fetch(Fiber& fiber,
              const StorageMember& from,
              std::vector<std::string> ids);
@@ -76,6 +79,7 @@
   Condition wake_;
   std::int64_t changing_version_ = 0;
   std::chrono::steady_clock::time_point changing_since_{};
+  int copies_failed_ = 0;  // In a row.
   bool announced_ = false;
   bool stopped_ = false;
   bool leaving_ = false;
--- a/source/storage/storage_node.cc
+++ b/source/storage/storage_node.cc
@@ -25,8 +25,10 @@
 constexpr int kDiskShare = 3;
 // Entries that wait for a stalled disk.
 constexpr std::size_t kMostBacklog = 4096;
-// An answer with turns is cut there; the rest is asked for again.
-constexpr std::size_t kReplyBytes = 1024 * 1024;
+// An answer with turns or uses is cut there, and the rest is asked for again:
+// many disks may copy from this one at the same time.
+constexpr std::size_t kReplyBytes = 256 * 1024;
+constexpr std::size_t kReplyUses = 1000;
 
 std::string DiskOf(const std::string& folder) {
   auto disk = ReadWholeFile(folder + "/" + kDiskFile);
@@ -43,12 +45,14 @@
                          FleetView& view,
                          DecisionLog& log,
                          const std::string& folder,
+                         int tolerated_losses,
                          std::int64_t disk_bytes,
                          std::int64_t memory_bytes)
     : loop_(loop),
       view_(view),
       log_(log),
       folder_(folder),
+      tolerated_losses_(tolerated_losses),
       disk_bytes_(disk_bytes),
       memory_bytes_(memory_bytes),
       disk_(DiskOf(folder)),
@@ -143,8 +147,8 @@
     case StorageOperation::kFetch:
       reply = AnswerFetch(request);
       break;
-    case StorageOperation::kAllUses:
-      reply.uses = tokens_.All();
+    case StorageOperation::kSomeUses:
+      reply = AnswerSomeUses(request);
       break;
     case StorageOperation::kAdopt:
       break;
@@ -221,6 +225,25 @@
   return reply;
 }
 
+StorageReply StorageNode::AnswerSomeUses(const StorageRequest& request) const {
+  StorageReply reply;
+  const auto& list = view_.storage();
+  const auto disk = request.ids.empty() ? "" : request.ids.front();
+  const auto last = tokens_.ForEachAfter(
+      request.program, [&](const std::string& program, const TokenLedger& it) {
+        if (list.Gains(disk, program, tolerated_losses_)) {
+          for (const auto& [id, use] : it.uses()) {
+            reply.uses.push_back(use);
+          }
+        }
+        return reply.uses.size() < kReplyUses;
+      });
+  if (!last.empty()) {
+    reply.ids = {last};
+  }
+  return reply;
+}
+
 StorageReply StorageNode::AnswerDigest() const {
   StorageReply reply;
   reply.ids = turns_.Ids();
--- a/source/storage/storage_node.h
+++ b/source/storage/storage_node.h
@@ -26,6 +26,7 @@
               FleetView& view,
               DecisionLog& log,
               const std::string& folder,
+              int tolerated_losses,
               std::int64_t disk_bytes,
               std::int64_t memory_bytes);
 
@@ -51,6 +52,7 @@
   StorageReply Answer(Fiber& fiber, const StorageRequest& request);
   StorageReply Store(Fiber& fiber, const StorageRequest& request);
   StorageReply AnswerChain(const StorageRequest& request) const;
+  StorageReply AnswerSomeUses(const StorageRequest& request) const;
   StorageReply AnswerDigest() const;
   StorageReply AnswerFetch(const StorageRequest& request) const;
   bool HasRoom() const;
@@ -61,6 +63,7 @@
   FleetView& view_;
   DecisionLog& log_;
   std::string folder_;
+  int tolerated_losses_;
   std::int64_t disk_bytes_;
   std::int64_t memory_bytes_;
   std::string disk_;
--- a/source/wire/storage_messages.h
+++ b/source/wire/storage_messages.h
@@ -14,13 +14,16 @@
 namespace comfreyfold {
 
 enum class StorageOperation {
-  kStore = 0,    // Keep turns, uses and `keep_until`; answers when on disk.
-  kChain = 1,    // The turn ids[0] and those before it that are held.
-  kUses = 2,     // What `program` has used.
-  kDigest = 3,   // The ids of all turns held.
-  kFetch = 4,    // The turns `ids`.
-  kAllUses = 5,  // What every program has used.
-  kAdopt = 6,    // Take over `members` if it is newer.
+  kStore = 0,   // Keep turns, uses and `keep_until`; answers when on disk.
+  kChain = 1,   // The turn ids[0] and those before it that are held.
+  kUses = 2,    // What `program` has used.
+  kDigest = 3,  // The ids of all turns held.
+  kFetch = 4,   // The turns `ids`.
+  // What the programs after `program` have used that the disk ids[0] has to
+  // copy, a part of them: the last one's name is ids[0] of the reply while
+  // there are more.
+  kSomeUses = 5,
+  kAdopt = 6,  // Take over `members` if it is newer.
 };
 inline constexpr StorageOperation kLastStorageOperation =
     StorageOperation::kAdopt;
