News over a storage daemon of each data centre; a fault soak of real daemons

All daemons asked the same storage daemon, across data centres, four times a second.

Change: those ages follow the time between readings; daemons that serve clients ask a storage daemon of their own data centre, which passes loads on as well.

tests/soak runs three storage and three entry daemons as processes and injects signals, emptied and torn disks, and proxies that delay, reset, cut one way and silence, between all of them; callers check the promises.

--- a/source/fleet/fleet_sync.cc
+++ b/source/fleet/fleet_sync.cc
@@ -19,8 +19,6 @@
 constexpr std::size_t kAskersTold = 6;
 // What was told since the question before, with some room.
 constexpr std::chrono::milliseconds kLoadsWithin{350};
-// Older than that, a daemon reads the service itself.
-constexpr std::chrono::milliseconds kStale{1500};
 
 std::chrono::milliseconds AgeOf(TimePoint at) {
   return std::chrono::duration_cast<std::chrono::milliseconds>(
@@ -42,7 +40,7 @@
       decode_config_(std::move(decode_config)) {}
 
 bool FleetSync::Fresh() const {
-  return FresherThan(kStale);
+  return FresherThan(stale_after_);
 }
 
 bool FleetSync::FresherThan(std::chrono::milliseconds age) const {
@@ -134,7 +132,7 @@
   if (news.members) {
     view_.ApplyStorage(*news.members);
   }
-  if (news.config_age < kStale) {
+  if (news.config_age < stale_after_) {
     view_.ApplyRetiring(news.retiring);
   }
 }
--- a/source/fleet/fleet_sync.h
+++ b/source/fleet/fleet_sync.h
@@ -38,6 +38,9 @@
     heard_ = std::move(heard);
   }
 
+  // News older than that are asked for at further daemons.
+  void StaleAfter(std::chrono::milliseconds age) { stale_after_ = age; }
+
   // Daemons to ask, the preferred first; asked anew each time.
   void AskFrom(std::function<std::vector<std::string>()> sources) {
     sources_ = std::move(sources);
@@ -62,6 +65,7 @@
   std::function<RoutingConfig(const std::string&)> decode_config_;
   std::function<std::vector<std::string>()> sources_;
   std::function<void(const LoadNote&)> heard_;
+  std::chrono::milliseconds stale_after_{0};
   TimePoint told_until_{};
   std::string address_;
   std::map<std::string, TimePoint> askers_;  // By address, when they asked.
--- a/source/fleet/vm_settings.h
+++ b/source/fleet/vm_settings.h
@@ -13,6 +13,7 @@
   std::string vm;
   std::string data_centre;
   std::string internal_address;  // ip:port for the other daemons.
+  std::string peer_address;      // Where these reach it, if elsewhere.
   std::string client_address;    // Empty on a VM that serves no clients.
   std::string ready_address;     // Empty likewise.
   std::string control_address;   // Where `seeds` of other VMs point; or empty.
--- a/source/vm/vm_daemon.cc
+++ b/source/vm/vm_daemon.cc
@@ -20,11 +20,14 @@
 constexpr std::chrono::milliseconds kStopMargin{300};
 constexpr std::chrono::milliseconds kExpireEvery{2000};
 constexpr std::chrono::milliseconds kReportAgain{300};
-// News of that age let the second reader step in, then one after the other;
-// all have to learn of a leaving server within two seconds.
-constexpr std::chrono::milliseconds kSecondReads{1400};
+// News pass from the reader over a storage daemon of each data centre to those
+// that serve clients, each step asking four times a second. News that are older
+// than the time between readings by this much are late; the second reader
+// steps in at the first figure, then one after the other.
+constexpr std::chrono::milliseconds kSecondReads{400};
 constexpr std::chrono::milliseconds kNextReads{100};
-constexpr std::chrono::milliseconds kClientReads{1700};
+constexpr std::chrono::milliseconds kNewsLate{700};
+constexpr std::chrono::milliseconds kClientReads{800};
 // Of the descriptors: connections of clients; servers and peers need others.
 constexpr int kClientShare = 2;
 // Of the memory: cached chains.
@@ -71,7 +74,7 @@
                 view_,
                 log_,
                 platform_.layout,
-                settings_.server_drain / kReadsPerDrain),
+                ReadEvery()),
       sync_(loop, http, view_, log_, platform_.layout.decode_config) {}
 
 VmDaemon::~VmDaemon() = default;
@@ -110,19 +113,22 @@
   follower_.OnlyIf([this] { return ShouldReadStore(); });
   follower_.FollowListIf(
       [this] { return storage_node_ || view_.storage().version == 0; });
+  sync_.StaleAfter(ReadEvery() + kNewsLate);
   sync_.AskFrom([this] { return NewsSources(); });
   loop_.Spawn([this](Fiber& fiber) { sync_.Run(fiber); });
   follower_.Start();
 }
 
 void VmDaemon::StartStorage() {
+  // Passes on what the daemons that serve clients tell of servers.
+  sync_.ShareLoads(PeerAddress(), [](const LoadNote&) {});
   storage_node_ = std::make_unique<StorageNode>(
-      loop_, view_, log_, settings_.data_folder, settings_.disk_bytes,
-      settings_.memory_bytes);
+      loop_, view_, log_, settings_.data_folder, settings_.tolerated_losses,
+      settings_.disk_bytes, settings_.memory_bytes);
   storage_keeper_ = std::make_unique<StorageKeeper>(
       loop_, http_, platform_.store, view_, *storage_node_, log_,
-      StorageMember{storage_node_->disk(), settings_.vm,
-                    settings_.internal_address, settings_.data_centre},
+      StorageMember{storage_node_->disk(), settings_.vm, PeerAddress(),
+                    settings_.data_centre},
       settings_.tolerated_losses, settings_.first_start);
   loop_.Spawn([this](Fiber& fiber) { storage_keeper_->Run(fiber); });
   loop_.Spawn([this](Fiber& fiber) {
@@ -139,7 +145,7 @@
       settings_.tolerated_losses,
       static_cast<std::size_t>(settings_.memory_bytes / kCacheShare));
   gate_ = std::make_unique<ServerGate>(loop_, view_, settings_.data_centre);
-  sync_.ShareLoads(settings_.internal_address,
+  sync_.ShareLoads(PeerAddress(),
                    [this](const LoadNote& note) { gate_->Heard(note); });
   calls_ = std::make_unique<CallHandler>(http_, view_, *gate_, *storage_, log_,
                                          metrics_, platform_.dialect);
@@ -250,11 +256,28 @@
   client_server_->SetLimits(ClientBounds());
 }
 
+const std::string& VmDaemon::PeerAddress() const {
+  return settings_.peer_address.empty() ? settings_.internal_address
+                                        : settings_.peer_address;
+}
+
+std::chrono::milliseconds VmDaemon::ReadEvery() const {
+  return settings_.server_drain / kReadsPerDrain;
+}
+
 std::vector<std::string> VmDaemon::NewsSources() const {
   std::vector<std::string> out;
-  // In the order of the list: its first reads the service for all.
-  for (const auto& it : view_.storage().All()) {
-    if (it.address != settings_.internal_address) {
+  auto members = view_.storage().All();
+  // In the order of the list: its first reads the service for all. Those that
+  // serve clients ask one near them, all of a data centre the same.
+  if (!storage_node_) {
+    std::stable_partition(members.begin(), members.end(),
+                          [this](const auto& it) {
+                            return it.data_centre == settings_.data_centre;
+                          });
+  }
+  for (const auto& it : members) {
+    if (it.address != PeerAddress()) {
       out.push_back(it.address);
     }
   }
@@ -314,7 +337,7 @@
 // and the daemons that serve clients step in when news get old.
 bool VmDaemon::ShouldReadStore() const {
   if (!storage_node_) {
-    return !sync_.FresherThan(kClientReads);
+    return !sync_.FresherThan(ReadEvery() + kClientReads);
   }
   const auto members = view_.storage().All();
   std::int64_t rank = 0;
@@ -324,7 +347,8 @@
     }
     ++rank;
   }
-  return rank == 0 || !sync_.FresherThan(kSecondReads + rank * kNextReads);
+  return rank == 0 ||
+         !sync_.FresherThan(ReadEvery() + kSecondReads + rank * kNextReads);
 }
 
 void VmDaemon::Reload(const VmSettings& settings) {
--- a/source/vm/vm_daemon.h
+++ b/source/vm/vm_daemon.h
@@ -73,6 +73,9 @@
   bool Ready() const;
   void ApplyLimits();
   HttpLimits ClientBounds() const;
+  const std::string& PeerAddress() const;
+  // Between two readings of the registrations.
+  std::chrono::milliseconds ReadEvery() const;
   std::vector<std::string> NewsSources() const;
   bool ShouldReadStore() const;
   void NoteOperators(const KvRange& operators);
--- a/tests/harness/process.cc
+++ b/tests/harness/process.cc
@@ -24,7 +24,8 @@
 
 Process::Process(const std::vector<std::string>& arguments,
                  bool wait_for_address,
-                 const std::string& error_file) {
+                 const std::string& error_file,
+                 const std::string& output_file) {
   std::array<int, 2> ends{};
   if (pipe2(ends.data(), O_CLOEXEC) != 0) {
     throw std::runtime_error(std::strerror(errno));
@@ -32,11 +33,14 @@
   posix_spawn_file_actions_t actions;
   posix_spawn_file_actions_init(&actions);
   posix_spawn_file_actions_adddup2(&actions, ends[1], STDOUT_FILENO);
-  if (!error_file.empty()) {
-    posix_spawn_file_actions_addopen(&actions, STDERR_FILENO,
-                                     error_file.c_str(),
-                                     O_WRONLY | O_CREAT | O_APPEND, 0644);
-  }
+  const auto append = [&actions](int stream, const std::string& file) {
+    if (!file.empty()) {
+      posix_spawn_file_actions_addopen(&actions, stream, file.c_str(),
+                                       O_WRONLY | O_CREAT | O_APPEND, 0644);
+    }
+  };
+  append(STDERR_FILENO, error_file);
+  append(STDOUT_FILENO, output_file);
   std::vector<char*> argv;
   argv.reserve(arguments.size() + 1);
   for (const auto& it : arguments) {
--- a/tests/harness/process.h
+++ b/tests/harness/process.h
@@ -14,7 +14,8 @@
   // has printed {"listening":"ip:port"}. Throws std::runtime_error.
   Process(const std::vector<std::string>& arguments,
           bool wait_for_address,
-          const std::string& error_file = {});
+          const std::string& error_file = {},
+          const std::string& output_file = {});
   ~Process();
   Process(const Process&) = delete;
   Process& operator=(const Process&) = delete;
--- /dev/null
+++ b/tests/soak/soak_faults.h
@@ -0,0 +1,67 @@
+#ifndef SOAK_SOAK_FAULTS_H_
+#define SOAK_SOAK_FAULTS_H_
+
+#include <chrono>
+#include <cstdint>
+#include <functional>
+#include <random>
+#include <string>
+#include <vector>
+
+#include "net/loop.h"
+#include "soak/soak_clients.h"
+#include "soak/soak_fleet.h"
+
+namespace comfreyfold::soak {
+
+// Draws faults from a seed and injects them from outside the daemons, in
+// series and overlapping: signals, restarts, emptied and torn disks, proxies
+// that delay, reset, cut and silence, servers that fail, new configurations.
+// No more disks are lost at a time than the deployment tolerates.
+class SoakFaults {
+ public:
+  SoakFaults(Loop& loop,
+             SoakFleet& fleet,
+             SoakClients& clients,
+             std::uint64_t seed);
+
+  // Injects faults for `time`, then waits until all of them have ended.
+  void Run(Fiber& fiber, std::chrono::milliseconds time);
+
+  // One line a fault, in order.
+  const std::vector<std::string>& done() const { return done_; }
+
+ private:
+  void InjectOne(Fiber& fiber);
+  // Runs `body` beside the others.
+  void Beside(const std::string& name, const std::function<void(Fiber&)>& body);
+  std::chrono::milliseconds Draw(int from_ms, int to_ms);
+  SoakFleet::Vm& AnyVm();
+
+  void KillOne();
+  void KillDisks();
+  void FreezeOne();
+  void StopOne();
+  void ReloadOne();
+  void WipeOne();
+  void DisturbProxy();
+  void DisturbStore();
+  void DisturbServer();
+  void WriteConfig();
+  void Restart(Fiber& fiber, SoakFleet::Vm& vm);
+
+  Loop& loop_;
+  SoakFleet& fleet_;
+  SoakClients& clients_;
+  std::mt19937_64 draw_;
+  std::chrono::steady_clock::time_point start_;
+  int under_way_ = 0;
+  int config_ = 1;
+  bool disk_lost_ = false;
+  std::vector<std::string> busy_;  // VMs that a fault holds.
+  std::vector<std::string> done_;
+};
+
+}  // namespace comfreyfold::soak
+
+#endif  // SOAK_SOAK_FAULTS_H_
--- /dev/null
+++ b/tests/soak/soak_fleet.cc
@@ -0,0 +1,256 @@
+#include "soak/soak_fleet.h"
+
+#include <algorithm>
+#include <fstream>
+#include <utility>
+
+#include <nlohmann/json.hpp>
+
+#include "storage/storage_keeper.h"
+#include "wire/storage_messages.h"
+
+namespace comfreyfold::soak {
+
+namespace {
+
+namespace fs = std::filesystem;
+using nlohmann::json;
+
+constexpr int kDisks = 3;
+constexpr int kFronts = 3;
+constexpr int kServers = 4;
+constexpr std::uint64_t kNetworks = 250;
+constexpr int kTornBytes = 37;
+constexpr std::chrono::milliseconds kWork{8};
+
+json Route(const std::string& prefix, const char* type, bool context) {
+  return {{"name", prefix},       {"host", "shop"},
+          {"prefix", prefix},     {"type", type},
+          {"timeout_ms", 3000},   {"target_latency_ms", 250},
+          {"priority", 0},        {"service", "app"},
+          {"max_attempts", 2},    {"retain_context", context},
+          {"retention_s", 120.0}, {"cache_affinity", false},
+          {"resumable", false},   {"target_gap_ms", 200}};
+}
+
+// A port that is free now: a daemon is told its address before it starts. Ports
+// of connections are those of 127.0.0.1 and do not take it meanwhile.
+std::string FreeAddress(Loop& loop, const std::string& ip) {
+  HttpServer probe(loop, [](Fiber&, const HttpRequest&, HttpExchange&) {});
+  auto out = probe.Listen(ip + ":0");
+  probe.Drain();
+  return out;
+}
+
+int PortOf(const std::string& address) {
+  return std::stoi(address.substr(address.rfind(':') + 1));
+}
+
+}  // namespace
+
+SoakFleet::SoakFleet(Loop& loop,
+                     std::string folder,
+                     std::string daemon,
+                     std::uint64_t seed)
+    : loop_(loop),
+      network_("127.0." + std::to_string(1 + seed % kNetworks) + "."),
+      folder_(std::move(folder)),
+      daemon_(std::move(daemon)),
+      store_(loop),
+      store_server_(loop,
+                    [this](Fiber& fiber,
+                           const HttpRequest& request,
+                           HttpExchange& exchange) {
+                      store_.Handle(fiber, request, exchange);
+                    }) {
+  store_address_ = store_server_.Listen("127.0.0.1:0");
+  for (int n = 1; n <= kDisks; ++n) {
+    AddVm("disk-" + std::to_string(n), true);
+  }
+  for (int n = 1; n <= kFronts; ++n) {
+    AddVm("front-" + std::to_string(n), false);
+  }
+  for (int n = 1; n <= kServers; ++n) {
+    AddServer("s" + std::to_string(n));
+  }
+}
+
+void SoakFleet::AddVm(const std::string& name, bool disk) {
+  auto vm = std::make_unique<Vm>();
+  vm->name = name;
+  vm->ip = network_ + std::to_string(vms_.size() + 1);
+  vm->internal_address = FreeAddress(loop_, vm->ip);
+  if (disk) {
+    vm->data_folder = folder_ + "/" + name;
+    fs::create_directories(vm->data_folder);
+  } else {
+    vm->client_address = FreeAddress(loop_, vm->ip);
+    vm->ready_address = FreeAddress(loop_, vm->ip);
+  }
+  vm->store = std::make_unique<FaultProxy>(store_address_);
+  vm->peers = std::make_unique<FaultProxy>(vm->internal_address);
+  vms_.push_back(std::move(vm));
+}
+
+void SoakFleet::AddServer(const std::string& id) {
+  auto out = std::make_unique<Server>();
+  out->id = id;
+  out->service = std::make_unique<standins::PlatformServer>(loop_, id, kWork);
+  out->http = std::make_unique<HttpServer>(
+      loop_,
+      [service = out->service.get()](Fiber& fiber, const HttpRequest& request,
+                                     HttpExchange& exchange) {
+        service->Handle(fiber, request, exchange);
+      });
+  out->proxy = std::make_unique<FaultProxy>(out->http->Listen("127.0.0.1:0"));
+  Register(*out);
+  servers_.push_back(std::move(out));
+}
+
+void SoakFleet::Register(const Server& server) {
+  const json entry = {{"service", "app"},
+                      {"address", server.proxy->address()},
+                      {"zone", "north"},
+                      {"version", "v1"},
+                      {"slots", 8},
+                      {"state", "ready"},
+                      {"cold_remaining_ms", 0},
+                      {"seq", 1},
+                      {"born", 1}};
+  store_.Put("servers/" + server.id, entry.dump());
+}
+
+void SoakFleet::WriteConfig(int version) {
+  const auto added = "/new-" + std::to_string(version) + "/";
+  json config;
+  config["version"] = version;
+  config["routes"] = json::array({Route("/plain/", "safe", false),
+                                  Route("/once/", "unsafe", false),
+                                  Route("/talk/stream/", "streaming", true)});
+  for (int n = 2; n <= version; ++n) {
+    config["routes"].push_back(
+        Route("/new-" + std::to_string(n) + "/", "safe", false));
+  }
+  config["services"] =
+      json::array({{{"name", "app"},
+                    {"health_check_path", "/health"},
+                    {"max_connections", 100},
+                    {"engine", {{"slots", 8}, {"event_stride", 4}}}}});
+  config["limits"] = {{"max_header_bytes", 16384},
+                      {"max_body_bytes", 100000},
+                      {"header_timeout_ms", 3000},
+                      {"idle_timeout_ms", 15000}};
+  store_.Put("op/config", config.dump());
+}
+
+void SoakFleet::WriteSettings(const Vm& vm) const {
+  json listen = json::object();
+  if (!vm.client_address.empty()) {
+    listen["front"] = vm.client_address;
+    listen["ready"] = vm.ready_address;
+  }
+  const int port = PortOf(vm.internal_address);
+  json file = {{"node_name", vm.name},
+               {"zone", "north"},
+               {"ip", vm.ip},
+               {"listen", listen},
+               {"internal_ports", {port, port}},
+               {"bootstrap", !vm.started_before},
+               {"limits", {{"memory_mb", 100}, {"max_fds", 1000}}},
+               {"fault_tolerance", {{"machines", 1}}},
+               {"bounds", {{"grace_s", 4}, {"drain_ms", 2000}}},
+               {"platform", {{"address", vm.store->address()}}}};
+  if (!vm.data_folder.empty()) {
+    file["data_dir"] = vm.data_folder;
+  }
+  std::ofstream(folder_ + "/" + vm.name + ".json") << file.dump();
+}
+
+void SoakFleet::Start(Vm& vm) {
+  WriteSettings(vm);
+  vm.started_before = true;
+  ++vm.boots;
+  const auto file = folder_ + "/" + vm.name;
+  vm.process = std::make_unique<harness::Process>(
+      std::vector<std::string>{daemon_, "--settings", file + ".json",
+                               "--peer-address", vm.peers->address()},
+      false, file + ".err", file + ".log");
+}
+
+void SoakFleet::Kill(Vm& vm) {
+  if (vm.process) {
+    vm.process->Kill();
+  }
+}
+
+void SoakFleet::Wipe(const Vm& vm) {
+  fs::remove_all(vm.data_folder);
+  fs::create_directories(vm.data_folder);
+}
+
+void SoakFleet::Tear(const Vm& vm) {
+  std::vector<std::string> segments;
+  for (const auto& it : fs::directory_iterator(vm.data_folder)) {
+    if (it.path().filename().string().rfind("segment-", 0) == 0) {
+      segments.push_back(it.path().string());
+    }
+  }
+  if (!segments.empty()) {
+    const auto last = *std::max_element(
+        segments.begin(), segments.end(), [](const auto& a, const auto& b) {
+          return a.size() != b.size() ? a.size() < b.size() : a < b;
+        });
+    std::ofstream(last, std::ios::app | std::ios::binary)
+        << std::string(kTornBytes, '\x5a');
+  }
+}
+
+std::size_t SoakFleet::Members() const {
+  const auto text = store_.Value(kStorageListKey);
+  if (text.empty()) {
+    return 0;
+  }
+  const auto list = DecodeStorageList(text);
+  return list.changing() ? 0 : list.members.size();
+}
+
+std::vector<SoakFleet::Vm*> SoakFleet::Fronts() {
+  std::vector<Vm*> out;
+  for (const auto& it : vms_) {
+    if (it->data_folder.empty()) {
+      out.push_back(it.get());
+    }
+  }
+  return out;
+}
+
+std::vector<SoakFleet::Vm*> SoakFleet::Disks() {
+  std::vector<Vm*> out;
+  for (const auto& it : vms_) {
+    if (!it->data_folder.empty()) {
+      out.push_back(it.get());
+    }
+  }
+  return out;
+}
+
+int SoakFleet::RunsOf(const std::string& request_id) const {
+  int out = 0;
+  for (const auto& it : servers_) {
+    out += it->service->RunsOf(request_id);
+  }
+  return out;
+}
+
+std::string SoakFleet::BodyOf(const std::string& request_id) const {
+  for (const auto& server : servers_) {
+    for (const auto& it : server->service->runs()) {
+      if (it.request_id == request_id) {
+        return it.request.body;
+      }
+    }
+  }
+  return {};
+}
+
+}  // namespace comfreyfold::soak
--- /dev/null
+++ b/tests/soak/soak_fleet.h
@@ -0,0 +1,97 @@
+#ifndef SOAK_SOAK_FLEET_H_
+#define SOAK_SOAK_FLEET_H_
+
+#include <cstdint>
+#include <filesystem>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "harness/process.h"
+#include "net/http_server.h"
+#include "net/loop.h"
+#include "soak/fault_proxy.h"
+#include "standins/platform_server.h"
+#include "standins/platform_store.h"
+
+namespace comfreyfold::soak {
+
+// A deployment of real daemons behind proxies, with stand-ins of the
+// platform's store and its servers: three VMs with disks, three that serve
+// clients, four servers.
+class SoakFleet {
+ public:
+  // Files go to `folder`; `daemon` is the path of comfreyfold-vm. The seed
+  // chooses the loopback addresses, so that soaks side by side do not meet.
+  SoakFleet(Loop& loop,
+            std::string folder,
+            std::string daemon,
+            std::uint64_t seed);
+
+  struct Vm {
+    std::string name;
+    std::string ip;
+    std::string data_folder;  // Empty: it serves clients.
+    std::string client_address;
+    std::string ready_address;
+    std::string internal_address;
+    std::unique_ptr<FaultProxy> store;  // Its way to the store.
+    std::unique_ptr<FaultProxy> peers;  // The others' way to it.
+    std::unique_ptr<harness::Process> process;
+    bool started_before = false;
+    int boots = 0;
+  };
+  struct Server {
+    std::string id;
+    std::unique_ptr<standins::PlatformServer> service;
+    std::unique_ptr<HttpServer> http;
+    std::unique_ptr<FaultProxy> proxy;
+  };
+
+  void Start(Vm& vm);
+  // SIGKILL.
+  static void Kill(Vm& vm);
+  // Empties the disk of a VM that does not run.
+  static void Wipe(const Vm& vm);
+  // What a crash may leave of a write that was not synced: bytes after the
+  // last whole entry.
+  static void Tear(const Vm& vm);
+
+  // Operators' version `version`: adds the route /new-VERSION/.
+  void WriteConfig(int version);
+  void Register(const Server& server);
+
+  // Members of the storage list, 0 while it changes.
+  std::size_t Members() const;
+
+  std::vector<std::unique_ptr<Vm>>& vms() { return vms_; }
+  std::vector<Vm*> Fronts();
+  std::vector<Vm*> Disks();
+  std::vector<std::unique_ptr<Server>>& servers() { return servers_; }
+  standins::PlatformStore& store() { return store_; }
+
+  // Over all servers.
+  int RunsOf(const std::string& request_id) const;
+  // The body that a server got with a request; empty when none did.
+  std::string BodyOf(const std::string& request_id) const;
+
+ private:
+  void AddVm(const std::string& name, bool disk);
+  void AddServer(const std::string& id);
+  void WriteSettings(const Vm& vm) const;
+
+  Loop& loop_;
+  std::string network_;  // The first three numbers of its addresses.
+  std::string folder_;
+  std::string daemon_;
+  standins::PlatformStore store_;
+  HttpServer store_server_;
+  std::string store_address_;
+  std::vector<std::unique_ptr<Vm>> vms_;
+  std::vector<std::unique_ptr<Server>> servers_;
+};
+
+}  // namespace comfreyfold::soak
+
+#endif  // SOAK_SOAK_FLEET_H_
