Daemons that serve clients step in late to read the store

Cause: while the store is out news get old at all daemons at the same moment, and each of 61 to 73 asked it again and again; refused calls are paid for too.

Change: they wait to be told by a storage daemon, and step in over four seconds, by a hash of their name; storage daemons 300 ms after one another.

--- a/source/vm/vm_daemon.cc
+++ b/source/vm/vm_daemon.cc
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <utility>
 
+#include "core/hash.h"
+
 namespace comfreyfold {
 
 namespace {
@@ -25,9 +27,16 @@
 // than the time between readings by this much are late; the second reader
 // steps in at the first figure, then one after the other.
 constexpr std::chrono::milliseconds kSecondReads{400};
-constexpr std::chrono::milliseconds kNextReads{100};
+constexpr std::chrono::milliseconds kNextReads{300};
 constexpr std::chrono::milliseconds kNewsLate{700};
+// Those that serve clients step in over some seconds, a few at first: what one
+// of them reads reaches the others, and while the service is out each of their
+// calls is paid for in vain.
 constexpr std::chrono::milliseconds kClientReads{800};
+constexpr std::chrono::milliseconds kClientReadsSpread{4000};
+// After their start they wait that long to be told by a storage daemon.
+constexpr std::chrono::milliseconds kFirstReads{400};
+constexpr std::chrono::milliseconds kFirstReadsSpread{1500};
 // Of the descriptors: connections of clients; servers and peers need others.
 constexpr int kClientShare = 2;
 // Of the memory: cached chains.
@@ -111,8 +120,9 @@
       [this](const KvRange& operators) { NoteOperators(operators); });
   view_.OnChange([this] { WatchRetirement(); });
   follower_.OnlyIf([this] { return ShouldReadStore(); });
-  follower_.FollowListIf(
-      [this] { return storage_node_ || view_.storage().version == 0; });
+  follower_.FollowListIf([this] {
+    return storage_node_ || (view_.storage().version == 0 && ShouldReadStore());
+  });
   sync_.StaleAfter(ReadEvery() + kNewsLate);
   sync_.AskFrom([this] { return NewsSources(); });
   loop_.Spawn([this](Fiber& fiber) { sync_.Run(fiber); });
@@ -333,11 +343,22 @@
   }
 }
 
+// Between none and all of `time`, by the VM's name.
+std::chrono::milliseconds VmDaemon::OwnShareOf(
+    std::chrono::milliseconds time) const {
+  return std::chrono::milliseconds(Hash64(settings_.vm) %
+                                   static_cast<std::uint64_t>(time.count()));
+}
+
 // Storage daemons read the service, the first of the list for all; the others
 // and the daemons that serve clients step in when news get old.
 bool VmDaemon::ShouldReadStore() const {
   if (!storage_node_) {
-    return !sync_.FresherThan(ReadEvery() + kClientReads);
+    const bool knows_nothing = !view_.config();
+    return knows_nothing ? std::chrono::steady_clock::now() - started_at_ >
+                               kFirstReads + OwnShareOf(kFirstReadsSpread)
+                         : !sync_.FresherThan(ReadEvery() + kClientReads +
+                                              OwnShareOf(kClientReadsSpread));
   }
   const auto members = view_.storage().All();
   std::int64_t rank = 0;
--- a/source/vm/vm_daemon.h
+++ b/source/vm/vm_daemon.h
@@ -78,6 +78,7 @@
   std::chrono::milliseconds ReadEvery() const;
   std::vector<std::string> NewsSources() const;
   bool ShouldReadStore() const;
+  std::chrono::milliseconds OwnShareOf(std::chrono::milliseconds time) const;
   void NoteOperators(const KvRange& operators);
   void WatchRetirement();
   void ReportRetirement(Fiber& fiber, bool done);
@@ -103,6 +104,7 @@
   std::unique_ptr<HttpServer> ready_server_;
   std::unique_ptr<HttpServer> client_server_;
   std::unique_ptr<HttpServer> metrics_server_;
+  const TimePoint started_at_ = std::chrono::steady_clock::now();
   bool stopping_ = false;
   bool retiring_ = false;
 };
--- a/tests/vm/fleet_test.cc
+++ b/tests/vm/fleet_test.cc
@@ -108,6 +108,27 @@
   });
 }
 
+// Each call to a service that is out is paid for in vain: those that serve
+// clients leave it to the storage daemons at first, then step in one by one.
+BOOST_AUTO_TEST_CASE(few_daemons_ask_a_store_that_is_out) {
+  InVmWorld([](Fiber& fiber, VmWorld& world) {
+    constexpr int kClients = 10;
+    constexpr int kDisks = 3;
+    world.StartAll(fiber, kClients);
+    fiber.Sleep(milliseconds(1500));
+    world.store().faults().Set("out", -1);
+    const auto before = world.store().calls();
+    constexpr std::chrono::seconds kOut{3};
+    fiber.Sleep(kOut);
+    // Two calls under way a daemon, each tried again after 0.7 s at the most;
+    // of those that serve clients a third at the most has stepped in.
+    const auto most = (kDisks + kClients / 3) * 2 * kOut.count() * 2;
+    BOOST_TEST(world.store().calls() - before <= most);
+    world.store().faults().Set("out", 0);
+    world.WriteConfig(2);
+  });
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace
