Programs under way go before new ones; new ones are refused by the queues

Queues formed at the engines: a daemon's window of requests began at the places of all servers and closed over seconds.

--- a/source/core/request_window.cc
+++ b/source/core/request_window.cc
@@ -23,10 +23,11 @@
   size_ = std::min(most_, size_ + 1 / size_);
 }
 
-void RequestWindow::Congested(TimePoint now) {
+// What is not in use of a wide window would let a burst through first.
+void RequestWindow::Congested(int in_use, TimePoint now) {
   if (now - decreased_at_ >= kOneCongestion) {
     decreased_at_ = now;
-    size_ = std::max(kLeast, size_ * kDecrease);
+    size_ = std::max(kLeast, std::min<double>(size_, in_use) * kDecrease);
   }
 }
 
--- a/source/core/request_window.h
+++ b/source/core/request_window.h
@@ -19,7 +19,8 @@
   bool HasRoom(int in_use) const { return in_use < static_cast<int>(size_); }
 
   void Served();
-  void Congested(TimePoint now);
+  // `in_use` requests are at the servers.
+  void Congested(int in_use, TimePoint now);
   double size() const { return size_; }
 
  private:
--- a/source/core/server_pool.cc
+++ b/source/core/server_pool.cc
@@ -43,10 +43,16 @@
 constexpr std::chrono::milliseconds kLongestSuspension{2000};
 constexpr int kFailuresToSuspend = 2;
 constexpr int kRefusalLoadMargin = 1;
+// Of the places of a data centre's servers.
+constexpr double kCrowdedShare = 0.85;
 // Congested: more than one waits for each so many slots.
 constexpr int kSlotsPerWaiting = 4;
 // Held places before the mean is known: a guess on the short side.
 constexpr double kFirstHeldMs = 100;
+// Requests that queue at servers, for each of their slots, up to which programs
+// of the most urgent kind begin: half a turn's time in queues is about what
+// deployments grant a program beyond its time on idle servers.
+constexpr double kBeginPressure = 0.5;
 
 double Halved(double value, std::chrono::duration<double, std::milli> age) {
   return value * std::exp2(-age.count() / kLoadHalfLife.count());
@@ -57,13 +63,21 @@
                    : mean * (1 - kLatencyWeight) + newest * kLatencyWeight;
 }
 
-// Programs that can still finish in time go before those that cannot, the
-// tightest first: under more load than the servers carry, serving the latest
-// first would make all of them late.
+// Programs under way go before new ones: under more load than the servers
+// carry, beginning them all would make all of them late, and what was done for
+// those that then fail is lost. Of each, programs that can still finish in
+// time go before those that cannot, the tightest first.
 bool MoreUrgent(const PlaceAsk& a, const PlaceAsk& b) {
+  const bool a_started = a.stage == ProgramStage::kStarted;
+  if (a_started != (b.stage == ProgramStage::kStarted)) {
+    return a_started;
+  }
   if (a.priority != b.priority) {
     return a.priority < b.priority;
   }
+  if (a.stage != b.stage) {
+    return a.stage < b.stage;
+  }
   if (a.late != b.late) {
     return b.late;
   }
@@ -126,6 +140,37 @@
   return Load(server, now) < Limit(server);
 }
 
+// Whether a program may begin now. Turns of those under way queue at servers
+// whenever more programs are admitted than these can carry; the more urgent
+// kind is turned away last.
+bool ServerPool::MayBegin(const PlaceAsk& ask, TimePoint now) const {
+  if (!is_engine_ || ask.stage == ProgramStage::kStarted) {
+    return true;
+  }
+  const double most = kBeginPressure / (1 + ask.priority) *
+                      (ask.stage == ProgramStage::kReturning ? 2 : 1);
+  // Between half and one and a half times that, some begin: daemons hear the
+  // same loads, and must not all open and close at the same moment.
+  const auto draw = Hash64(
+      ask.session, static_cast<std::uint64_t>(now.time_since_epoch().count()));
+  const double share = static_cast<double>(draw % 1000) / 1000;
+  return pressure_.At(now) < most * (0.5 + share);
+}
+
+// Whether the servers of this data centre are taken as a whole: that one of
+// them has a queue is the choice of a server, not the load.
+bool ServerPool::Crowded(TimePoint now) const {
+  double taken = 0;
+  double places = 0;
+  for (const auto& [id, it] : servers_) {
+    if (it.info.data_centre == data_centre_ && Usable(it, now)) {
+      taken += std::min<double>(Load(it, now), Limit(it));
+      places += Limit(it);
+    }
+  }
+  return taken >= places * kCrowdedShare;
+}
+
 double ServerPool::TypicalLatency() const {
   std::vector<double> known;
   for (const auto& [id, it] : servers_) {
@@ -220,7 +265,8 @@
   Server* best = nullptr;
   double best_cost = 0;
   const auto* home = is_engine_ ? Home(ask, now) : nullptr;
-  const bool impatient = now - ask.arrived > kLongestWaitForCached;
+  const bool impatient = ask.stage != ProgramStage::kStarted ||
+                         now - ask.arrived > kLongestWaitForCached;
   for (auto& [id, it] : servers_) {
     const bool has_room = HasRoom(it, now);
     if (!Usable(it, now) || (!has_room && (impatient || !is_engine_))) {
@@ -254,10 +300,14 @@
 }
 
 std::optional<Place> ServerPool::TryTake(const PlaceAsk& ask, TimePoint now) {
-  for (const auto& it : waiting_) {
-    if (it.priority <= ask.priority) {
-      return std::nullopt;
-    }
+  if (!MayBegin(ask, now)) {
+    return std::nullopt;
+  }
+  const bool is_first =
+      std::all_of(waiting_.begin(), waiting_.end(),
+                  [&ask](const auto& it) { return MoreUrgent(ask, it); });
+  if (!is_first) {
+    return std::nullopt;
   }
   auto* server = Cheapest(ask, now);
   return server == nullptr ? std::nullopt
@@ -273,7 +323,7 @@
   std::vector<Assignment> out;
   waiting_.sort(MoreUrgent);
   for (auto it = waiting_.begin(); it != waiting_.end();) {
-    auto* server = Cheapest(*it, now);
+    auto* server = MayBegin(*it, now) ? Cheapest(*it, now) : nullptr;
     if (server == nullptr) {
       ++it;
       continue;
@@ -287,8 +337,9 @@
 void ServerPool::Told(Server& server, const ServerLoad& load, TimePoint now) {
   server.others = std::max(0, load.running + load.waiting - server.mine);
   server.told_at = now;
-  if (load.waiting * kSlotsPerWaiting > load.slots) {
-    window_.Congested(now);
+  pressure_.Note(load.running + load.waiting, load.slots, now);
+  if (load.waiting * kSlotsPerWaiting > load.slots && Crowded(now)) {
+    window_.Congested(in_use(), now);
   } else {
     window_.Served();
   }
@@ -299,6 +350,7 @@
   if (it == servers_.end() || now - note.age <= it->second.told_at) {
     return;
   }
+  pressure_.Note(note.requests, it->second.info.slots, now);
   it->second.others = std::max(0, note.requests - it->second.mine);
   it->second.told_at = now - note.age;
 }
@@ -339,7 +391,9 @@
       server.failures = 0;
       break;
     case ExchangeResult::kRefused:
-      window_.Congested(now);
+      if (Crowded(now)) {
+        window_.Congested(in_use(), now);
+      }
       if (load) {
         Told(server, *load, now);
       } else {
@@ -371,7 +425,7 @@
   return out;
 }
 
-std::chrono::milliseconds ServerPool::ExpectedWait(int priority,
+std::chrono::milliseconds ServerPool::ExpectedWait(const PlaceAsk& ask,
                                                    TimePoint now) const {
   double mine = 0;
   bool room = false;
@@ -381,12 +435,13 @@
       mine += std::max(1, it.mine);
     }
   }
-  if (room && (!is_engine_ || window_.HasRoom(in_use()))) {
+  if (room && MayBegin(ask, now) &&
+      (!is_engine_ || window_.HasRoom(in_use()))) {
     return std::chrono::milliseconds(0);
   }
   const auto ahead = std::count_if(
       waiting_.begin(), waiting_.end(),
-      [priority](const PlaceAsk& it) { return it.priority <= priority; });
+      [&ask](const PlaceAsk& it) { return !MoreUrgent(ask, it); });
   const double held = held_ms_ > 0 ? held_ms_ : kFirstHeldMs;
   // Places of this daemon end at an even pace.
   return std::chrono::milliseconds(static_cast<std::int64_t>(
--- a/source/core/server_pool.h
+++ b/source/core/server_pool.h
@@ -14,16 +14,25 @@
 #include "core/client_call.h"
 #include "core/load_board.h"
 #include "core/prompt_cache_view.h"
+#include "core/queue_pressure.h"
 #include "core/request_window.h"
 #include "core/shared_parts.h"
 #include "core/time_point.h"
 
 namespace comfreyfold {
 
+// How far the program of a request has come.
+enum class ProgramStage {
+  kStarted,    // Servers have worked for it; so do calls without a program.
+  kReturning,  // Turned away before, and back.
+  kNew,
+};
+
 // A request that needs a place at a server.
 struct PlaceAsk {
   std::uint64_t ticket = 0;  // Unique in the pool.
   int priority = 0;          // 0 is the most urgent.
+  ProgramStage stage = ProgramStage::kStarted;
   TimePoint arrived{};
   TimePoint latest{};  // Serving it later is of no use.
   // When the delay is used up that its program can take and finish in time.
@@ -88,8 +97,9 @@
   // A server told another daemon how many requests it has.
   void Heard(const LoadNote& note, TimePoint now);
 
-  // How long a request that arrives now is likely to wait for a place.
-  std::chrono::milliseconds ExpectedWait(int priority, TimePoint now) const;
+  // How long a request is likely to wait for a place from now on.
+  std::chrono::milliseconds ExpectedWait(const PlaceAsk& ask,
+                                         TimePoint now) const;
   bool empty() const { return servers_.empty(); }
   std::size_t waiting() const { return waiting_.size(); }
   int in_use() const;
@@ -124,6 +134,8 @@
   Server* Cheapest(const PlaceAsk& ask, TimePoint now);
   Place Take(Server& server, const PlaceAsk& ask, TimePoint now);
   void Told(Server& server, const ServerLoad& load, TimePoint now);
+  bool MayBegin(const PlaceAsk& ask, TimePoint now) const;
+  bool Crowded(TimePoint now) const;
   double TypicalLatency() const;
 
   std::string data_centre_;
@@ -132,7 +144,8 @@
   SharedParts shared_;  // Of prompts.
   std::list<PlaceAsk> waiting_;
   RequestWindow window_;  // Of engines.
-  double held_ms_ = 0;    // Smoothed time that a place is held.
+  QueuePressure pressure_;
+  double held_ms_ = 0;  // Smoothed time that a place is held.
 };
 
 }  // namespace comfreyfold
--- a/source/front/call_handler.cc
+++ b/source/front/call_handler.cc
@@ -26,6 +26,12 @@
 constexpr std::chrono::milliseconds kReturnTime{10};
 // Of its time left, what a request waits for a place at most.
 constexpr int kWaitPercent = 40;
+// Of its route's target latency, what a program waits to begin at most. Told
+// that early it loses little by coming back.
+constexpr int kBeginPercent = 25;
+// Some lengths of a turn, in which programs under way make room.
+constexpr std::chrono::milliseconds kLeastReturn{400};
+constexpr std::chrono::milliseconds kReturnSpread{400};
 constexpr std::chrono::milliseconds kChainTimeout{1200};
 constexpr std::chrono::milliseconds kReserveTimeout{1200};
 constexpr std::chrono::milliseconds kKeepTimeout{1500};
@@ -50,6 +56,18 @@
   return {status, code, message, Verdict::kNotRun, retry_after};
 }
 
+const char* ToString(ProgramStage stage) {
+  switch (stage) {
+    case ProgramStage::kStarted:
+      return "started";
+    case ProgramStage::kReturning:
+      return "returning";
+    case ProgramStage::kNew:
+      return "new";
+  }
+  return "";
+}
+
 // Seconds with fractions, as callers of this interface take them.
 std::string RetryAfterText(std::chrono::milliseconds time) {
   char buf[32];
@@ -75,6 +93,7 @@
   std::optional<std::string> body;  // With the chain before it.
   std::vector<std::string> chain;
   std::optional<TokenUse> reserved;
+  ProgramStage stage = ProgramStage::kStarted;
   StreamProgress progress;
   int runs = 0;      // Servers that may have run it.
   int refusals = 0;  // Servers that said they did not.
@@ -197,6 +216,10 @@
   const auto reservation =
       storage_.Reserve(fiber, use, *call.info.token_budget,
                        std::min(kReserveTimeout, Left(call.deadline)));
+  if (call.info.previous_turn.empty() && reservation.used == 0) {
+    call.stage =
+        reservation.is_first ? ProgramStage::kNew : ProgramStage::kReturning;
+  }
   if (reservation.granted == Certainty::kYes) {
     call.reserved = use;
     return std::nullopt;
@@ -223,11 +246,18 @@
                                             PlaceResult& placed) {
   PlaceAsk ask;
   ask.priority = call.route->priority;
+  ask.stage = call.stage;
   ask.arrived = call.arrived;
   // Longer than that it would be held in vain: told at once, its client can
   // come back or give up.
   ask.latest = std::chrono::steady_clock::now() +
                Left(call.deadline) * kWaitPercent / 100;
+  const bool begins = call.stage != ProgramStage::kStarted;
+  if (begins && call.route->latency_objective.count() > 0) {
+    ask.latest =
+        std::min(ask.latest, call.arrived + call.route->latency_objective *
+                                                kBeginPercent / 100);
+  }
   if (call.route->kind == RequestKind::kStream && call.info.finish_in) {
     const auto slack = slack_.Left(call.info.program);
     ask.must_start_by = call.arrived + slack;
@@ -243,7 +273,12 @@
   if (placed.place) {
     return std::nullopt;
   }
-  const auto retry = std::max(kLeastRetry, placed.expected_wait);
+  auto retry = std::max(kLeastRetry, placed.expected_wait);
+  if (begins) {
+    // Programs that have to wait for others to end come back spread out.
+    retry = std::max(retry, kLeastReturn) +
+            std::chrono::milliseconds(draw_() % kReturnSpread.count());
+  }
   if (placed.reason == NoPlace::kNoServers) {
     return NotRun(kUnavailable, "no_server",
                   "no server of the service can be used now; retry",
@@ -289,6 +324,7 @@
               {"far", place.far ? 1 : 0},
               {"waited_ms", placed.waited},
               {"slack_ms", slack_.Left(call.info.program)},
+              {"stage", ToString(call.stage)},
               {"verdict", ToString(result.verdict)},
               {"status", result.said.status},
               {"events", call.progress.events},
@@ -432,6 +468,7 @@
        {"events", call.progress.events},
        {"first_event_ms", call.progress.first_event},
        {"waited_ms", call.waited},
+       {"stage", ToString(call.stage)},
        {"took_ms", std::chrono::duration_cast<std::chrono::milliseconds>(took)},
        {"limit_ms", std::chrono::duration_cast<std::chrono::milliseconds>(
                         call.deadline - call.arrived)}});
--- a/source/front/server_gate.cc
+++ b/source/front/server_gate.cc
@@ -76,7 +76,7 @@
   if (out.place) {
     return out;
   }
-  out.expected_wait = entrance.pool.ExpectedWait(ask.priority, start);
+  out.expected_wait = entrance.pool.ExpectedWait(ask, start);
   if (entrance.pool.empty()) {
     out.reason = NoPlace::kNoServers;
     return out;
@@ -88,6 +88,8 @@
   auto waiter = std::make_shared<Waiter>(loop_);
   entrance.waiters.emplace(ask.ticket, waiter);
   entrance.pool.Wait(ask);
+  // Those ahead may wait for servers that this request does not need.
+  Serve(entrance);
   auto now = start;
   while (!waiter->place && now < ask.latest) {
     waiter->changed.Wait(
--- a/source/storage/storage_client.cc
+++ b/source/storage/storage_client.cc
@@ -267,10 +267,8 @@
   store.operation = StorageOperation::kStore;
   store.program = use.program;
   store.uses = {use};
-  const bool stored = AskQuorum(fiber, store, timeout, ledger);
-  out.used = ledger.total_without(use.request);
-  bool certain = stored;
-  if (stored && out.used + use.tokens <= budget) {
+  bool certain = AskQuorum(fiber, store, timeout, ledger);
+  if (certain) {
     StorageRequest read;
     read.operation = StorageOperation::kUses;
     read.program = use.program;
@@ -284,6 +282,9 @@
     out.granted =
         out.used + use.tokens <= budget ? Certainty::kYes : Certainty::kNo;
   }
+  out.is_first =
+      std::all_of(ledger.uses().begin(), ledger.uses().end(),
+                  [&use](const auto& it) { return it.first == use.request; });
   if (out.granted != Certainty::kYes) {
     auto unused = use;
     unused.tokens = 0;
--- a/source/storage/storage_node.cc
+++ b/source/storage/storage_node.cc
@@ -204,9 +204,6 @@
     reply.status = StorageStatus::kFailed;
     return reply;
   }
-  if (!request.program.empty()) {
-    reply.uses = tokens_.Of(request.program);
-  }
   return reply;
 }
 
--- a/tests/unit/request_window_test.cc
+++ b/tests/unit/request_window_test.cc
@@ -15,12 +15,12 @@
   RequestWindow window;
   window.SetPlaces(100);
   TimePoint now{milliseconds(1000)};
-  window.Congested(now);
+  window.Congested(100, now);
   const auto once = window.size();
   BOOST_TEST(once < 100);
-  window.Congested(now + milliseconds(10));
+  window.Congested(100, now + milliseconds(10));
   BOOST_TEST(window.size() == once);
-  window.Congested(now + milliseconds(200));
+  window.Congested(100, now + milliseconds(200));
   BOOST_TEST(window.size() < once);
 }
 
@@ -29,7 +29,7 @@
   window.SetPlaces(10);
   TimePoint now{milliseconds(1000)};
   for (int n = 0; n < 100; ++n) {
-    window.Congested(now += milliseconds(200));
+    window.Congested(10, now += milliseconds(200));
   }
   BOOST_TEST(window.HasRoom(1));
   for (int n = 0; n < 1000; ++n) {
@@ -39,6 +39,16 @@
   BOOST_TEST(!window.HasRoom(10));
 }
 
+// A daemon that had little to do has a wide window: the first sign of a burst
+// has to bind.
+BOOST_AUTO_TEST_CASE(what_is_not_in_use_is_lost_at_once) {
+  RequestWindow window;
+  window.SetPlaces(350);
+  window.Congested(8, TimePoint(milliseconds(1000)));
+  BOOST_TEST(window.HasRoom(5));
+  BOOST_TEST(!window.HasRoom(8));
+}
+
 // Sixty daemons press twice what 100 places hold: what lies at the servers
 // settles near the places, and nobody is shut out.
 BOOST_AUTO_TEST_CASE(many_daemons_share_places_without_knowing_each_other) {
@@ -58,7 +68,7 @@
     }
     for (auto& it : windows) {
       if (at_servers > kPlaces) {
-        it.Congested(now);
+        it.Congested(static_cast<int>(it.size()), now);
       } else {
         it.Served();
       }
--- a/tests/unit/server_pool_test.cc
+++ b/tests/unit/server_pool_test.cc
@@ -228,6 +228,111 @@
   BOOST_TEST(moved * 10 <= turns);
 }
 
+// Servers tell of queues: new programs are told to come back, the less urgent
+// kind first, those under way go on, and all begin again once queues are gone.
+BOOST_AUTO_TEST_CASE(new_programs_wait_for_the_queues_at_servers_to_end) {
+  engines.Update({MakeServer("a", "north", 8), MakeServer("b", "north", 8),
+                  MakeServer("c", "north", 8)},
+                 now);
+  const auto served = [&](ProgramStage stage, int priority) {
+    int out = 0;
+    for (std::uint64_t n = 0; n < 100; ++n) {
+      auto ask = MakeAsk(n, now, priority);
+      ask.session = "program" + std::to_string(n);
+      ask.prompt = {{ask.session, 1000}};
+      ask.stage = stage;
+      const auto place = engines.TryTake(ask, now);
+      if (place) {
+        ++out;
+        engines.Finish(place->server_id, ExchangeResult::kLeft, {},
+                       milliseconds(0), now);
+      }
+    }
+    return out;
+  };
+  BOOST_TEST(served(ProgramStage::kNew, 1) == 100);
+  // A third of the servers have a queue of twelve, the others none.
+  for (int n = 0; n < 90; ++n) {
+    now += milliseconds(5);
+    engines.Heard({"a", 20, {}}, now);
+    engines.Heard({"b", 6, {}}, now + milliseconds(1));
+    engines.Heard({"c", 6, {}}, now + milliseconds(2));
+  }
+  now += milliseconds(10);
+  BOOST_TEST(served(ProgramStage::kStarted, 1) == 100);
+  BOOST_TEST(served(ProgramStage::kNew, 1) == 0);
+  const int urgent = served(ProgramStage::kNew, 0);
+  BOOST_TEST(urgent >= served(ProgramStage::kNew, 1));
+  BOOST_TEST(served(ProgramStage::kReturning, 0) >= urgent);
+  now += milliseconds(3000);
+  BOOST_TEST(served(ProgramStage::kNew, 1) == 100);
+}
+
+// Programs of five turns come twice as often as the servers can serve them:
+// those that begin end in time, and the servers stay busy with them.
+BOOST_AUTO_TEST_CASE(programs_under_way_end_while_new_ones_wait_outside) {
+  constexpr milliseconds kTurn{100};
+  constexpr int kTurns = 5;
+  pool.Update({MakeServer("a", "north", 10)}, now);
+  struct Program {
+    int turns = 0;
+    TimePoint began{};
+  };
+  std::map<std::uint64_t, Program> programs;            // By ticket.
+  std::multimap<TimePoint, std::uint64_t> ends;         // Of turns.
+  std::map<std::uint64_t, TimePoint> waiting_to_begin;  // Until when.
+  int begun = 0;
+  int in_time = 0;
+  int busy_turns = 0;
+  const auto serve = [&](TimePoint time) {
+    for (const auto& it : pool.Assign(time)) {
+      waiting_to_begin.erase(it.ticket);
+      auto& program = programs[it.ticket];
+      if (program.turns == 0) {
+        ++begun;
+        program.began = time;
+      }
+      ends.emplace(time + kTurn, it.ticket);
+    }
+  };
+  for (std::uint64_t n = 1; n <= 1600; ++n) {
+    // 40 programs a second, for servers that do 20.
+    now += milliseconds(5);
+    while (!ends.empty() && ends.begin()->first <= now) {
+      const auto [at, ticket] = *ends.begin();
+      ends.erase(ends.begin());
+      ++busy_turns;
+      pool.Finish("a", ExchangeResult::kAnswered, {}, kTurn, at);
+      auto& program = programs[ticket];
+      if (++program.turns == kTurns) {
+        in_time += at - program.began <= kTurn * kTurns * 6 / 5 ? 1 : 0;
+      } else {
+        pool.Wait(MakeAsk(ticket, at, 1));
+      }
+      serve(at);
+    }
+    if (n % 5 == 0) {
+      auto ask = MakeAsk(n, now, n % 2 == 0 ? 0 : 1);
+      ask.stage = ProgramStage::kNew;
+      waiting_to_begin[n] = now + milliseconds(60);
+      pool.Wait(ask);
+    }
+    std::erase_if(waiting_to_begin, [&](const auto& it) {
+      if (it.second > now) {
+        return false;
+      }
+      pool.Forget(it.first);
+      return true;
+    });
+    serve(now);
+  }
+  // Eight seconds of ten places.
+  BOOST_TEST(busy_turns >= 700);
+  BOOST_TEST(begun >= 140);
+  // Those still under way at the end are no more than the places.
+  BOOST_TEST(in_time >= begun - 10);
+}
+
 // Twice the load that the servers carry for two seconds: those that are
 // served are served early, the rest are told at once.
 BOOST_AUTO_TEST_CASE(an_overload_is_refused_early_and_does_not_collapse) {
@@ -257,7 +362,7 @@
     ask.latest = now + milliseconds(300);
     if (pool.TryTake(ask, now)) {
       ends.emplace(now + kWork, 0);
-    } else if (pool.ExpectedWait(0, now) > milliseconds(300)) {
+    } else if (pool.ExpectedWait(ask, now) > milliseconds(300)) {
       ++refused;
     } else {
       pool.Wait(ask);
