Sessions return to the server that had them last, through any data centre

Cause: 18% of the turns of a session come through another data centre than the turn before (log of 15,656 dispatches), where its rendezvous home is another engine and the whole session is read again.

Change: a settled token use names the server that generated the tokens, and the answer to a reservation tells the last one: the engine where the session is cached, whichever daemon asks. No message more; about 12 bytes a use.

--- a/source/core/server_pool.cc
+++ b/source/core/server_pool.cc
@@ -201,6 +201,10 @@
 
 const ServerPool::Server* ServerPool::Home(const PlaceAsk& ask,
                                            TimePoint now) const {
+  const auto known = servers_.find(ask.cached_at);
+  if (known != servers_.end() && Usable(known->second, now)) {
+    return &known->second;
+  }
   const Server* out = nullptr;
   std::uint64_t highest = 0;
   if (ask.session.empty()) {
--- a/source/core/server_pool.h
+++ b/source/core/server_pool.h
@@ -39,7 +39,8 @@
   TimePoint must_start_by = TimePoint::max();
   bool late = false;  // It is used up already.
   std::vector<PromptPart> prompt;
-  std::string session;  // Requests of one share much of their prompt.
+  std::string session;    // Requests of one share much of their prompt.
+  std::string cached_at;  // The server that served it last; or empty.
   std::set<std::string> excluded;  // Servers that failed this request.
 };
 
--- a/source/core/token_ledger.cc
+++ b/source/core/token_ledger.cc
@@ -15,9 +15,11 @@
   if (use.settled && !known.settled) {
     known.settled = true;
     known.tokens = use.tokens;
+    known.server = use.server;
   } else if (use.settled == known.settled) {
     // Two accounts of the same: the higher one is safe.
     known.tokens = std::max(known.tokens, use.tokens);
+    known.server = std::max(known.server, use.server);
   }
   return known != before;
 }
@@ -35,6 +37,18 @@
   return total() - (it == uses_.end() ? 0 : it->second.tokens);
 }
 
+// Uses are kept for the same time, so the one that expires last began last.
+std::string TokenLedger::LastServer() const {
+  const TokenUse* last = nullptr;
+  for (const auto& [request, it] : uses_) {
+    if (!it.server.empty() &&
+        (last == nullptr || it.expires_at > last->expires_at)) {
+      last = &it;
+    }
+  }
+  return last == nullptr ? std::string() : last->server;
+}
+
 bool TokenLedger::Expired(std::chrono::milliseconds now) const {
   return std::all_of(uses_.begin(), uses_.end(), [now](const auto& it) {
     return it.second.expires_at < now;
--- a/source/core/token_ledger.h
+++ b/source/core/token_ledger.h
@@ -18,6 +18,7 @@
   std::int64_t tokens = 0;
   bool settled = false;
   std::chrono::milliseconds expires_at{0};  // Since the Unix epoch.
+  std::string server;  // That generated them; empty until it is settled.
 
   friend bool operator==(const TokenUse&, const TokenUse&) = default;
 };
@@ -30,6 +31,9 @@
   std::int64_t total() const;
   std::int64_t total_without(const std::string& request) const;
   const std::map<std::string, TokenUse>& uses() const { return uses_; }
+  // The server that last generated any: it is likely to have the program's
+  // prompt cached. Empty when it is not known.
+  std::string LastServer() const;
   bool Expired(std::chrono::milliseconds now) const;
 
  private:
--- a/source/front/call_handler.cc
+++ b/source/front/call_handler.cc
@@ -94,6 +94,7 @@
   std::vector<std::string> chain;
   std::optional<TokenUse> reserved;
   ProgramStage stage = ProgramStage::kStarted;
+  std::string cached_at;  // The server that served the program last.
   StreamProgress progress;
   int runs = 0;      // Servers that may have run it.
   int refusals = 0;  // Servers that said they did not.
@@ -216,6 +217,7 @@
   const auto reservation =
       storage_.Reserve(fiber, use, *call.info.token_budget,
                        std::min(kReserveTimeout, Left(call.deadline)));
+  call.cached_at = reservation.last_server;
   if (call.info.previous_turn.empty() && reservation.used == 0) {
     call.stage =
         reservation.is_first ? ProgramStage::kNew : ProgramStage::kReturning;
@@ -266,6 +268,7 @@
   ask.prompt = call.info.prompt;
   // Sub-agents begin with the prompt of the program that started them.
   ask.session = call.info.program;
+  ask.cached_at = call.cached_at;
   ask.excluded = call.excluded;
   placed = gate_.Enter(fiber, call.service, std::move(ask),
                        [&call] { return call.client.PeerGone(); });
@@ -325,6 +328,7 @@
               {"waited_ms", placed.waited},
               {"slack_ms", slack_.Left(call.info.program)},
               {"stage", ToString(call.stage)},
+              {"cached_at", call.cached_at},
               {"verdict", ToString(result.verdict)},
               {"status", result.said.status},
               {"events", call.progress.events},
@@ -386,6 +390,9 @@
   const auto stride = TokensPerEvent(call);
   use.tokens = call.progress.events * stride;
   use.settled = true;
+  if (call.progress.events > 0) {
+    use.server = call.server;
+  }
   return use;
 }
 
--- a/source/storage/storage_client.cc
+++ b/source/storage/storage_client.cc
@@ -282,6 +282,7 @@
     out.granted =
         out.used + use.tokens <= budget ? Certainty::kYes : Certainty::kNo;
   }
+  out.last_server = ledger.LastServer();
   out.is_first =
       std::all_of(ledger.uses().begin(), ledger.uses().end(),
                   [&use](const auto& it) { return it.first == use.request; });
--- a/source/storage/storage_client.h
+++ b/source/storage/storage_client.h
@@ -45,8 +45,9 @@
 
   struct Reservation {
     Certainty granted = Certainty::kUnknown;
-    std::int64_t used = 0;  // By other requests, as far as is known.
-    bool is_first = true;   // Of the program's requests, as far as is known.
+    std::int64_t used = 0;    // By other requests, as far as is known.
+    bool is_first = true;     // Of the program's requests, as far as is known.
+    std::string last_server;  // That worked for the program; or empty.
   };
   // Reserves the tokens that `use` names if they and all that others have
   // reserved or used fit into `budget`. What was granted counts against the
--- a/source/wire/comfreyfold.thrift
+++ b/source/wire/comfreyfold.thrift
@@ -219,6 +219,7 @@
   3: i64 tokens,
   4: bool settled,
   5: i64 expires_at_ms,
+  6: string server,
 }
 
 struct StorageMember {
--- a/source/wire/gen/comfreyfold_types.cpp
+++ b/source/wire/gen/comfreyfold_types.cpp
@@ -4739,6 +4739,10 @@
 void TokenUse::__set_expires_at_ms(const int64_t val) {
   this->expires_at_ms = val;
 }
+
+void TokenUse::__set_server(const std::string& val) {
+  this->server = val;
+}
 std::ostream& operator<<(std::ostream& out, const TokenUse& obj)
 {
   obj.printTo(out);
@@ -4807,6 +4811,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->server);
+          this->__isset.server = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -4844,6 +4856,10 @@
   xfer += oprot->writeI64(this->expires_at_ms);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("server", ::apache::thrift::protocol::T_STRING, 6);
+  xfer += oprot->writeString(this->server);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -4856,6 +4872,7 @@
   swap(a.tokens, b.tokens);
   swap(a.settled, b.settled);
   swap(a.expires_at_ms, b.expires_at_ms);
+  swap(a.server, b.server);
   swap(a.__isset, b.__isset);
 }
 
@@ -4865,6 +4882,7 @@
   tokens = other154.tokens;
   settled = other154.settled;
   expires_at_ms = other154.expires_at_ms;
+  server = other154.server;
   __isset = other154.__isset;
 }
 TokenUse& TokenUse::operator=(const TokenUse& other155) {
@@ -4873,6 +4891,7 @@
   tokens = other155.tokens;
   settled = other155.settled;
   expires_at_ms = other155.expires_at_ms;
+  server = other155.server;
   __isset = other155.__isset;
   return *this;
 }
@@ -4884,6 +4903,7 @@
   out << ", " << "tokens=" << to_string(tokens);
   out << ", " << "settled=" << to_string(settled);
   out << ", " << "expires_at_ms=" << to_string(expires_at_ms);
+  out << ", " << "server=" << to_string(server);
   out << ")";
 }
 
--- a/source/wire/gen/comfreyfold_types.h
+++ b/source/wire/gen/comfreyfold_types.h
@@ -1866,12 +1866,13 @@
 std::ostream& operator<<(std::ostream& out, const TurnRecord& obj);
 
 typedef struct _TokenUse__isset {
-  _TokenUse__isset() : program(false), request(false), tokens(false), settled(false), expires_at_ms(false) {}
+  _TokenUse__isset() : program(false), request(false), tokens(false), settled(false), expires_at_ms(false), server(false) {}
   bool program :1;
   bool request :1;
   bool tokens :1;
   bool settled :1;
   bool expires_at_ms :1;
+  bool server :1;
 } _TokenUse__isset;
 
 class TokenUse : public virtual ::apache::thrift::TBase {
@@ -1884,7 +1885,8 @@
              request(),
              tokens(0),
              settled(0),
-             expires_at_ms(0) {
+             expires_at_ms(0),
+             server() {
   }
 
   virtual ~TokenUse() noexcept;
@@ -1893,6 +1895,7 @@
   int64_t tokens;
   bool settled;
   int64_t expires_at_ms;
+  std::string server;
 
   _TokenUse__isset __isset;
 
@@ -1906,6 +1909,8 @@
 
   void __set_expires_at_ms(const int64_t val);
 
+  void __set_server(const std::string& val);
+
   bool operator == (const TokenUse & rhs) const
   {
     if (!(program == rhs.program))
@@ -1918,6 +1923,8 @@
       return false;
     if (!(expires_at_ms == rhs.expires_at_ms))
       return false;
+    if (!(server == rhs.server))
+      return false;
     return true;
   }
   bool operator != (const TokenUse &rhs) const {
--- a/source/wire/storage_codec.cc
+++ b/source/wire/storage_codec.cc
@@ -33,12 +33,17 @@
   out.tokens = use.tokens;
   out.settled = use.settled;
   out.expires_at_ms = use.expires_at.count();
+  out.server = use.server;
   return out;
 }
 
 TokenUse FromWire(const wire::TokenUse& use) {
-  return {use.program, use.request, use.tokens, use.settled,
-          std::chrono::milliseconds(use.expires_at_ms)};
+  return {use.program,
+          use.request,
+          use.tokens,
+          use.settled,
+          std::chrono::milliseconds(use.expires_at_ms),
+          use.server};
 }
 
 wire::StorageMember ToWire(const StorageMember& member) {
--- a/tests/unit/server_pool_test.cc
+++ b/tests/unit/server_pool_test.cc
@@ -178,6 +178,26 @@
   }
 }
 
+// A session that comes through another data centre returns to the engine that
+// is known to have it, unless that has too much to do.
+BOOST_AUTO_TEST_CASE(a_session_is_served_where_its_last_turn_was) {
+  engines.Update({MakeServer("a", "north", 8), MakeServer("b", "north", 8),
+                  MakeServer("far", "south", 8)},
+                 now);
+  auto ask = MakeAsk(1, now);
+  ask.session = "program";
+  ask.prompt = {{"shared", 2500}, {"session", 6000}};
+  ask.cached_at = "far";
+  engines.Heard({"a", 4, {}}, now);
+  engines.Heard({"b", 4, {}}, now);
+  BOOST_TEST(engines.TryTake(ask, now)->server_id == "far");
+  engines.Heard({"far", 20, {}}, now + milliseconds(1));
+  now += milliseconds(200);
+  BOOST_TEST(engines.TryTake(ask, now)->server_id != "far");
+  ask.cached_at = "gone";
+  BOOST_TEST(engines.TryTake(ask, now)->server_id != "far");
+}
+
 // Several daemons serve the turns of many sessions by turns, each seeing only
 // its own part of the load: the later turns find the earlier ones cached.
 BOOST_AUTO_TEST_CASE(sessions_stay_where_they_are_cached_across_daemons) {
