Bound what is sent again to slow storage; settlements five times a second

Storage daemons there use two thirds of their 0.17 cores in the mean; when they are slow, every request was sent to further ones after 40 ms, which makes all of them slower.

Change: requests sent again for slowness are a fifth of all at most, one target at a time; settlements go out every 200 ms instead of 100, fewer messages.

--- a/source/storage/replica_calls.cc
+++ b/source/storage/replica_calls.cc
@@ -193,17 +193,24 @@
   const auto until = start + plan.timeout;
   auto hedge_at = start + kHedgeAfter;
   for (std::size_t n = 0; n < std::min(plan.first_wave, count); ++n) {
+    hedges_.Sent();
     Start(round, n);
   }
   std::size_t replaced = 0;
   while (!enough(round->replies)) {
     const auto now = std::chrono::steady_clock::now();
-    // Each failure brings in a further target at once, slowness all of them.
-    while (round->started < count &&
-           (replaced < round->failed || now >= hedge_at)) {
+    // Each failure brings in a further target at once, slowness one after the
+    // other as far as the budget goes.
+    while (round->started < count && replaced < round->failed) {
       ++replaced;
       Start(round, round->started);
     }
+    if (round->started < count && now >= hedge_at) {
+      hedge_at = now + kHedgeAfter;
+      if (hedges_.Take()) {
+        Start(round, round->started);
+      }
+    }
     if (now >= until ||
         (round->ended == round->started && round->started == count)) {
       break;
--- a/source/storage/replica_calls.h
+++ b/source/storage/replica_calls.h
@@ -7,6 +7,7 @@
 #include <string>
 #include <vector>
 
+#include "core/retry_budget.h"
 #include "core/storage_list.h"
 #include "core/time_point.h"
 #include "net/http_client.h"
@@ -89,6 +90,7 @@
   std::map<std::string, TimePoint> probed_at_;  // By address.
   std::function<std::vector<std::string>()> relays_;
   std::string good_relay_;
+  RetryBudget hedges_;
   std::function<void(const StorageMember&, bool)> on_reachable_;
 };
 
--- a/source/storage/storage_client.cc
+++ b/source/storage/storage_client.cc
@@ -11,7 +11,7 @@
 
 // Settlements go out together this often: well within the time in which
 // unused budget has to be free again, and few messages.
-constexpr std::chrono::milliseconds kSettleEvery{100};
+constexpr std::chrono::milliseconds kSettleEvery{200};
 constexpr std::chrono::milliseconds kSettleTimeout{1000};
 constexpr std::size_t kMostUnsettled = 20000;
 // The list may change while a request is on its way, rarely twice.
