Reserve tokens in one round where a program's turns follow each other

A turn cost 14 messages to storage daemons: two rounds at 3 of 5 replicas, the turn on 3, its settlement on 5. Change: a replica answers a store with what it knew at that moment. If all that is seen was settled at every replica of the quorum, the reservation is decided (core/token_quorum has the argument). A settlement goes along with the program's next reservation, or after two fifths of the deployment's settle time to one quorum. Weights of a rendezvous are computed once a node, not in each compare.

--- a/source/core/hash.cc
+++ b/source/core/hash.cc
@@ -1,6 +1,7 @@
 #include "core/hash.h"
 
 #include <algorithm>
+#include <utility>
 
 #define XXH_INLINE_ALL
 #include <xxhash.h>
@@ -18,13 +19,20 @@
 
 std::vector<std::string> RendezvousOrder(std::string_view key,
                                          std::vector<std::string> nodes) {
-  const auto weight = [key](const std::string& node) {
-    return Hash64(node, Hash64(key));
-  };
-  std::sort(nodes.begin(), nodes.end(),
-            [&weight](const std::string& a, const std::string& b) {
-              return weight(a) != weight(b) ? weight(a) > weight(b) : a < b;
-            });
+  // Weights first: a sort compares each node several times.
+  const auto seed = Hash64(key);
+  std::vector<std::pair<std::uint64_t, std::string>> weighed;
+  weighed.reserve(nodes.size());
+  for (auto& it : nodes) {
+    const auto weight = Hash64(it, seed);
+    weighed.emplace_back(weight, std::move(it));
+  }
+  std::sort(weighed.begin(), weighed.end(), [](const auto& a, const auto& b) {
+    return a.first != b.first ? a.first > b.first : a.second < b.second;
+  });
+  for (std::size_t n = 0; n < nodes.size(); ++n) {
+    nodes[n] = std::move(weighed[n].second);
+  }
   return nodes;
 }
 
--- a/source/fleet/vm_settings.h
+++ b/source/fleet/vm_settings.h
@@ -28,6 +28,8 @@
   std::chrono::milliseconds stop_grace{8000};    // From SIGTERM to SIGKILL.
   std::chrono::milliseconds server_drain{2000};  // To leave a server alone.
   std::chrono::milliseconds config_apply{2000};  // To follow a new version.
+  // Until tokens that were reserved and not used can be reserved again.
+  std::chrono::milliseconds settle_within{1000};
 };
 
 }  // namespace comfreyfold
--- a/source/storage/storage_client.cc
+++ b/source/storage/storage_client.cc
@@ -9,10 +9,12 @@
 
 namespace {
 
-// Settlements go out together this often: well within the time in which
-// unused budget has to be free again, and few messages.
-constexpr std::chrono::milliseconds kSettleEvery{200};
+// How often due settlements are looked for.
+constexpr std::chrono::milliseconds kSettleEvery{100};
 constexpr std::chrono::milliseconds kSettleTimeout{1000};
+// Of the time in which unused budget has to be free again, what a settlement
+// waits for the program's next reservation: most follow within half a second.
+constexpr int kSettleWaitPercent = 40;
 constexpr std::size_t kMostUnsettled = 20000;
 // The list may change while a request is on its way, rarely twice.
 constexpr int kMostListChanges = 4;
@@ -84,13 +86,15 @@
                              DecisionLog& log,
                              std::string data_centre,
                              int tolerated_losses,
-                             std::size_t cache_bytes)
+                             std::size_t cache_bytes,
+                             std::chrono::milliseconds settle_within)
     : loop_(loop),
       view_(view),
       log_(log),
       replicas_(loop, http, std::move(data_centre)),
       tolerated_losses_(tolerated_losses),
-      cache_bytes_(cache_bytes) {
+      cache_bytes_(cache_bytes),
+      settle_after_(settle_within * kSettleWaitPercent / 100) {
   replicas_.RelayBy([this] { return view_.daemons(); });
   replicas_.OnReachable([this](const StorageMember& member, bool answered) {
     log_.Write(answered ? "storage_regained" : "storage_lost", "",
@@ -226,7 +230,7 @@
 bool StorageClient::AskQuorum(Fiber& fiber,
                               const StorageRequest& request,
                               std::chrono::milliseconds timeout,
-                              TokenLedger& ledger) {
+                              TokenQuorum& quorum) {
   bool complete = false;
   const auto replies = AskCurrent(
       fiber, request, timeout,
@@ -245,8 +249,8 @@
         return complete;
       });
   for (const auto& [disk, reply] : replies) {
-    for (const auto& use : reply.uses) {
-      ledger.Merge(use);
+    if (reply.status == StorageStatus::kDone) {
+      quorum.Heard(reply.uses);
     }
   }
   return complete;
@@ -254,7 +258,9 @@
 
 // Two rounds make this safe without a leader. A reservation is granted only
 // by what a quorum says after a quorum has it on disk: of all reservations
-// that are granted, the one that was stored last sees every other.
+// that are granted, the one that was stored last sees every other. One round
+// is enough where TokenQuorum says so: for a program whose turns follow each
+// other.
 StorageClient::Reservation StorageClient::Reserve(
     Fiber& fiber,
     const TokenUse& use,
@@ -262,23 +268,30 @@
     std::chrono::milliseconds timeout) {
   const auto until = std::chrono::steady_clock::now() + timeout;
   Reservation out;
-  TokenLedger ledger;
+  TokenQuorum quorum;
   StorageRequest store;
   store.operation = StorageOperation::kStore;
   store.program = use.program;
-  store.uses = {use};
-  bool certain = AskQuorum(fiber, store, timeout, ledger);
+  const auto told = SettlementsOf(use.program);
+  store.uses = told;
+  store.uses.push_back(use);
+  bool certain = AskQuorum(fiber, store, timeout, quorum);
   if (certain) {
+    ForgetSettlements(told);
+  }
+  if (certain && !quorum.Decides(use.request)) {
+    out.rounds = 2;
     StorageRequest read;
     read.operation = StorageOperation::kUses;
     read.program = use.program;
     certain = AskQuorum(fiber, read,
                         std::chrono::ceil<std::chrono::milliseconds>(
                             until - std::chrono::steady_clock::now()),
-                        ledger);
-    out.used = ledger.total_without(use.request);
+                        quorum);
   }
+  const auto& ledger = quorum.ledger();
   if (certain) {
+    out.used = ledger.total_without(use.request);
     out.granted =
         out.used + use.tokens <= budget ? Certainty::kYes : Certainty::kNo;
   }
@@ -298,41 +311,80 @@
 void StorageClient::Settle(TokenUse use) {
   use.settled = true;
   if (settling_.size() < kMostUnsettled) {
-    settling_.push_back(std::move(use));
+    settling_.push_back(
+        {std::move(use), std::chrono::steady_clock::now() + settle_after_});
   }
 }
 
+std::vector<TokenUse> StorageClient::SettlementsOf(
+    const std::string& program) const {
+  std::vector<TokenUse> out;
+  for (const auto& it : settling_) {
+    if (it.use.program == program) {
+      out.push_back(it.use);
+    }
+  }
+  return out;
+}
+
+void StorageClient::ForgetSettlements(const std::vector<TokenUse>& told) {
+  std::erase_if(settling_, [&told](const Settlement& it) {
+    return std::any_of(told.begin(), told.end(), [&it](const TokenUse& use) {
+      return use.request == it.use.request;
+    });
+  });
+}
+
 void StorageClient::Run(Fiber& fiber) {
   for (;;) {
     fiber.Sleep(kSettleEvery);
-    if (!settling_.empty()) {
-      SendSettlements();
+    SendDueSettlements();
+  }
+}
+
+void StorageClient::SendDueSettlements() {
+  const auto now = std::chrono::steady_clock::now();
+  std::vector<TokenUse> due;
+  for (const auto& it : settling_) {
+    if (it.due <= now) {
+      due.push_back(it.use);
     }
   }
+  if (!due.empty()) {
+    ForgetSettlements(due);
+    SendSettlements(due, false);
+  }
 }
 
-void StorageClient::SendSettlements() {
+void StorageClient::SendSettlements(const std::vector<TokenUse>& uses,
+                                    bool to_all) {
   const auto list = view_.storage();
   std::map<std::string, StorageRequest> by_disk;
-  for (const auto& use : settling_) {
+  for (const auto& use : uses) {
     for (const auto& set : list.ReplicasOf(use.program, tolerated_losses_)) {
-      for (const auto& disk : set.disks) {
-        by_disk[disk].uses.push_back(use);
+      // A quorum that knows it is met by every reader.
+      auto members = replicas_.InOrder(MembersOf(list, {set}));
+      members.resize(to_all ? members.size() : set.quorum);
+      for (const auto& it : members) {
+        by_disk[it.disk].uses.push_back(use);
       }
     }
   }
-  // A settlement that is lost leaves tokens reserved, which is safe; most
-  // reach at least one replica, and one is enough for all readers.
-  settling_.clear();
   for (auto& [disk, request] : by_disk) {
     const auto* member = list.Find(disk);
-    loop_.Spawn([this, request = std::move(request),
-                 target = *member](Fiber& child) mutable {
+    loop_.Spawn([this, request = std::move(request), target = *member,
+                 to_all](Fiber& child) mutable {
       StorageReply reply;
-      if (!replicas_.AskOne(child, target, request, kSettleTimeout, reply)) {
-        log_.Write("settlement_lost", "",
-                   {{"peer", target.vm},
-                    {"uses", static_cast<int>(request.uses.size())}});
+      if (replicas_.AskOne(child, target, request, kSettleTimeout, reply)) {
+        return;
+      }
+      // What is lost leaves tokens reserved, which is safe.
+      log_.Write("settlement_lost", "",
+                 {{"peer", target.vm},
+                  {"uses", static_cast<int>(request.uses.size())},
+                  {"outcome", to_all ? "given up" : "sent to all replicas"}});
+      if (!to_all) {
+        SendSettlements(request.uses, true);
       }
     });
   }
--- a/source/storage/storage_client.h
+++ b/source/storage/storage_client.h
@@ -7,6 +7,8 @@
 #include <string>
 #include <vector>
 
+#include "core/time_point.h"
+#include "core/token_quorum.h"
 #include "core/turn_index.h"
 #include "fleet/decision_log.h"
 #include "fleet/fleet_view.h"
@@ -37,7 +39,8 @@
                 DecisionLog& log,
                 std::string data_centre,
                 int tolerated_losses,
-                std::size_t cache_bytes);
+                std::size_t cache_bytes,
+                std::chrono::milliseconds settle_within);
 
   LoadedChain LoadChain(Fiber& fiber,
                         const std::string& turn,
@@ -48,6 +51,7 @@
     std::int64_t used = 0;    // By other requests, as far as is known.
     bool is_first = true;     // Of the program's requests, as far as is known.
     std::string last_server;  // That worked for the program; or empty.
+    int rounds = 1;           // Round trips to a quorum.
   };
   // Reserves the tokens that `use` names if they and all that others have
   // reserved or used fit into `budget`. What was granted counts against the
@@ -56,7 +60,8 @@
                       const TokenUse& use,
                       std::int64_t budget,
                       std::chrono::milliseconds timeout);
-  // Says what a reservation came to; sent soon, without waiting.
+  // Says what a reservation came to. Goes with the program's next reservation
+  // through this daemon, or by itself in good time.
   void Settle(TokenUse use);
 
   // Keeps `turn` and `use` on disks enough to survive the tolerated losses,
@@ -86,12 +91,21 @@
           enough);
   bool Outdated(Fiber& fiber, const StorageReplies& replies);
   bool Absent(const StorageList& list, const StorageReplies& replies) const;
+  struct Settlement {
+    TokenUse use;
+    TimePoint due;  // When it goes by itself.
+  };
+
   // Uses that a quorum of each replica set knows; false without a quorum.
   bool AskQuorum(Fiber& fiber,
                  const StorageRequest& request,
                  std::chrono::milliseconds timeout,
-                 TokenLedger& ledger);
-  void SendSettlements();
+                 TokenQuorum& quorum);
+  std::vector<TokenUse> SettlementsOf(const std::string& program) const;
+  void ForgetSettlements(const std::vector<TokenUse>& told);
+  void SendDueSettlements();
+  // Tells the disks of each program's quorum, or all of its replicas.
+  void SendSettlements(const std::vector<TokenUse>& uses, bool to_all);
 
   Loop& loop_;
   FleetView& view_;
@@ -100,7 +114,8 @@
   int tolerated_losses_;
   std::size_t cache_bytes_;
   TurnIndex cache_;
-  std::vector<TokenUse> settling_;
+  std::chrono::milliseconds settle_after_;
+  std::vector<Settlement> settling_;
 };
 
 }  // namespace comfreyfold
--- a/source/storage/storage_node.cc
+++ b/source/storage/storage_node.cc
@@ -111,12 +111,14 @@
     reply.status = StorageStatus::kOtherDisk;
     reply.members = view_.storage();
   } else {
-    reply = Answer(fiber, asked);
+    reply = Answer(fiber, asked, request.body);
   }
   exchange.Reply(kOk, "", Encode(reply));
 }
 
-StorageReply StorageNode::Answer(Fiber& fiber, const StorageRequest& request) {
+StorageReply StorageNode::Answer(Fiber& fiber,
+                                 const StorageRequest& request,
+                                 const std::string& encoded) {
   if (request.members) {
     Adopt(*request.members);
   }
@@ -133,7 +135,7 @@
   }
   switch (request.operation) {
     case StorageOperation::kStore:
-      reply = Store(fiber, request);
+      reply = Store(fiber, request, encoded);
       break;
     case StorageOperation::kChain:
       reply = AnswerChain(request);
@@ -166,30 +168,36 @@
          (disk_bytes_ == 0 || used < disk_bytes_ / kDiskShare);
 }
 
-bool StorageNode::Append(Fiber& fiber, const StorageRequest& request) {
-  struct Outcome {
-    explicit Outcome(Loop& loop) : known(loop) {}
-    Condition known;
-    bool ended = false;
-    bool kept = false;
-  };
-  auto outcome = std::make_shared<Outcome>(loop_);
-  auto logged = request;
-  logged.members.reset();
-  const auto segment =
-      disk_log_.Append(Encode(logged), [outcome](bool written) {
-        outcome->ended = true;
-        outcome->kept = written;
-        outcome->known.NotifyAll();
-      });
+struct StorageNode::Write {
+  explicit Write(Loop& loop) : known(loop) {}
+  Condition known;
+  bool ended = false;
+  bool kept = false;
+};
+
+std::shared_ptr<StorageNode::Write> StorageNode::BeginWrite(
+    const StorageRequest& request,
+    const std::string& encoded) {
+  auto write = std::make_shared<Write>(loop_);
+  const auto segment = disk_log_.Append(encoded, [write](bool written) {
+    write->ended = true;
+    write->kept = written;
+    write->known.NotifyAll();
+  });
   // Others may see it before it is on disk: that is on the safe side.
-  Apply(segment, logged);
-  outcome->known.WaitUntil(fiber, kDiskTimeout,
-                           [outcome] { return outcome->ended; });
-  return outcome->kept;
+  Apply(segment, request);
+  return write;
+}
+
+bool StorageNode::AwaitWrite(Fiber& fiber,
+                             const std::shared_ptr<Write>& write) {
+  write->known.WaitUntil(fiber, kDiskTimeout, [write] { return write->ended; });
+  return write->kept;
 }
 
-StorageReply StorageNode::Store(Fiber& fiber, const StorageRequest& request) {
+StorageReply StorageNode::Store(Fiber& fiber,
+                                const StorageRequest& request,
+                                const std::string& encoded) {
   StorageReply reply;
   if (!HasRoom()) {
     log_.Write("store_refused", "",
@@ -199,17 +207,22 @@
     reply.status = StorageStatus::kFailed;
     return reply;
   }
-  if (!Append(fiber, request)) {
+  const auto write = BeginWrite(request, encoded);
+  if (!request.program.empty()) {
+    // As of the moment of the store, which TokenQuorum relies on: what comes
+    // while the disk is awaited sees this reservation instead.
+    reply.uses = tokens_.Of(request.program);
+  }
+  if (!AwaitWrite(fiber, write)) {
     log_.Write("store_failed", "", {{"reason", "disk slow or broken"}});
     reply.status = StorageStatus::kFailed;
-    return reply;
   }
   return reply;
 }
 
 bool StorageNode::Keep(Fiber& fiber, StorageRequest request) {
   request.operation = StorageOperation::kStore;
-  return Append(fiber, request);
+  return AwaitWrite(fiber, BeginWrite(request, Encode(request)));
 }
 
 StorageReply StorageNode::AnswerChain(const StorageRequest& request) const {
--- a/source/storage/storage_node.h
+++ b/source/storage/storage_node.h
@@ -49,15 +49,24 @@
   void Expire();
 
  private:
-  StorageReply Answer(Fiber& fiber, const StorageRequest& request);
-  StorageReply Store(Fiber& fiber, const StorageRequest& request);
+  StorageReply Answer(Fiber& fiber,
+                      const StorageRequest& request,
+                      const std::string& encoded);
+  StorageReply Store(Fiber& fiber,
+                     const StorageRequest& request,
+                     const std::string& encoded);
   StorageReply AnswerChain(const StorageRequest& request) const;
   StorageReply AnswerSomeUses(const StorageRequest& request) const;
   StorageReply AnswerDigest() const;
   StorageReply AnswerFetch(const StorageRequest& request) const;
   bool HasRoom() const;
   void Apply(std::int64_t segment, const StorageRequest& request);
-  bool Append(Fiber& fiber, const StorageRequest& request);
+  struct Write;
+  // Applies `request` and begins to write it; `encoded` is the same in bytes.
+  std::shared_ptr<Write> BeginWrite(const StorageRequest& request,
+                                    const std::string& encoded);
+  // Waits until it is on disk; false when it did not get there.
+  static bool AwaitWrite(Fiber& fiber, const std::shared_ptr<Write>& write);
 
   Loop& loop_;
   FleetView& view_;
--- a/source/vm/vm_daemon.cc
+++ b/source/vm/vm_daemon.cc
@@ -153,7 +153,8 @@
   storage_ = std::make_unique<StorageClient>(
       loop_, http_, view_, log_, settings_.data_centre,
       settings_.tolerated_losses,
-      static_cast<std::size_t>(settings_.memory_bytes / kCacheShare));
+      static_cast<std::size_t>(settings_.memory_bytes / kCacheShare),
+      settings_.settle_within);
   gate_ = std::make_unique<ServerGate>(loop_, view_, settings_.data_centre);
   sync_.ShareLoads(PeerAddress(),
                    [this](const LoadNote& note) { gate_->Heard(note); });
