Disks copy side by side, and less; relays only round a cut

Each of nine disks asked the others one after the other, each of these looked through all its programs for each asker, and answers later than 0.7 s counted as dead disks, which began the change anew. Change: what a disk gains is looked up once a change; members are asked side by side, and those that have told stay counted while the change lasts; all but the tolerated losses are enough. A change that only adds disks names its members as done at once. Disks that proposed in vain wait up to 0.1 s. A disk counts as dead after 2 s. A request is relayed only where no connection came about, and relays that are tried in vain use up the budget of repeats. Test: what a change that only adds needs (unit); the property of quorums across a change asks the new look-up.

--- a/source/core/storage_list.cc
+++ b/source/core/storage_list.cc
@@ -79,14 +79,17 @@
 // stored a use on, each that leaves the program's set is replaced by one that
 // copies from all but the tolerated losses and so has the use: as many disks
 // have it as before, and quorums of the next set meet one of them.
-bool StorageList::Gains(const std::string& disk,
-                        std::string_view program,
-                        int losses) const {
-  const auto has = [&](const std::vector<StorageMember>& set) {
-    const auto disks = ReplicasAmong(set, program, losses).disks;
-    return std::find(disks.begin(), disks.end(), disk) != disks.end();
-  };
-  return changing() && has(next) && !has(members);
+std::vector<std::string> StorageList::GainersOf(std::string_view program,
+                                                int losses) const {
+  if (!changing()) {
+    return {};
+  }
+  const auto before = ReplicasAmong(members, program, losses).disks;
+  auto out = ReplicasAmong(next, program, losses).disks;
+  std::erase_if(out, [&before](const auto& disk) {
+    return std::find(before.begin(), before.end(), disk) != before.end();
+  });
+  return out;
 }
 
 bool StorageList::OnlyJoins() const {
@@ -123,6 +126,11 @@
       out.next.push_back(it);
     }
   }
+  if (out.OnlyJoins() && out.next.size() > members.size()) {
+    for (const auto& it : members) {
+      out.synced.push_back(it.disk);
+    }
+  }
   return out;
 }
 
--- a/source/core/storage_list.h
+++ b/source/core/storage_list.h
@@ -50,11 +50,10 @@
   std::vector<ReplicaSet> ReplicasOf(std::string_view program,
                                      int losses) const;
 
-  // Whether `disk` is one of these in the next set and was not before, so that
-  // it has to copy what the program used.
-  bool Gains(const std::string& disk,
-             std::string_view program,
-             int losses) const;
+  // Disks that are among these in the next set and were not before, so that
+  // they have to copy what the program used.
+  std::vector<std::string> GainersOf(std::string_view program,
+                                     int losses) const;
   // Whether the change takes no disk away: then only the new ones copy.
   bool OnlyJoins() const;
 
@@ -72,6 +71,7 @@
       int losses);
 
   // The list that replaces this one when `joiners` come in and `gone` leave.
+  // Where none leaves, its members have nothing to copy.
   StorageList WithChange(const std::vector<StorageMember>& joiners,
                          const std::vector<std::string>& gone) const;
   // The list once `disk` has copied what it lacked.
--- a/source/core/token_ledger.cc
+++ b/source/core/token_ledger.cc
@@ -76,16 +76,13 @@
   return out;
 }
 
-std::string TokenLedgers::ForEachAfter(
-    const std::string& program,
-    const std::function<bool(const std::string&, const TokenLedger&)>& more)
-    const {
-  for (auto it = programs_.upper_bound(program); it != programs_.end(); ++it) {
-    if (!more(it->first, it->second)) {
-      return std::next(it) == programs_.end() ? "" : it->first;
-    }
+std::vector<std::string> TokenLedgers::Programs() const {
+  std::vector<std::string> out;
+  out.reserve(programs_.size());
+  for (const auto& [program, ledger] : programs_) {
+    out.push_back(program);
   }
-  return "";
+  return out;
 }
 
 void TokenLedgers::Expire(std::chrono::milliseconds now) {
--- a/source/core/token_ledger.h
+++ b/source/core/token_ledger.h
@@ -3,7 +3,6 @@
 
 #include <chrono>
 #include <cstdint>
-#include <functional>
 #include <map>
 #include <string>
 #include <vector>
@@ -46,12 +45,8 @@
   // The uses among `uses` that said something new.
   std::vector<TokenUse> Merge(const std::vector<TokenUse>& uses);
   std::vector<TokenUse> Of(const std::string& program) const;
-  // Tells of the programs after `program`, by name, until `more` is false for
-  // one of them. That one's name, or "" when there are no more after it.
-  std::string ForEachAfter(
-      const std::string& program,
-      const std::function<bool(const std::string&, const TokenLedger&)>& more)
-      const;
+  // The names of all programs, in order.
+  std::vector<std::string> Programs() const;
   void Expire(std::chrono::milliseconds now);
   std::size_t size() const { return programs_.size(); }
 
--- a/source/storage/replica_calls.cc
+++ b/source/storage/replica_calls.cc
@@ -40,17 +40,24 @@
     : loop_(loop), http_(http), data_centre_(std::move(data_centre)) {}
 
 bool ReplicaCalls::Suspected(const StorageMember& member) const {
-  const auto it = failed_at_.find(member.address);
-  return it != failed_at_.end() &&
-         std::chrono::steady_clock::now() - it->second < kSuspicion;
+  const auto it = failed_.find(member.address);
+  return it != failed_.end() &&
+         std::chrono::steady_clock::now() - it->second.at < kSuspicion;
 }
 
-void ReplicaCalls::Note(const StorageMember& member, bool answered) {
-  const bool was_failing = failed_at_.count(member.address) > 0;
+bool ReplicaCalls::Cut(const StorageMember& member) const {
+  const auto it = failed_.find(member.address);
+  return relays_ && it != failed_.end() &&
+         it->second.how == Sent::kNoConnection;
+}
+
+void ReplicaCalls::Note(const StorageMember& member, Sent sent) {
+  const bool answered = sent == Sent::kAnswered;
+  const bool was_failing = failed_.count(member.address) > 0;
   if (answered) {
-    failed_at_.erase(member.address);
+    failed_.erase(member.address);
   } else {
-    failed_at_[member.address] = std::chrono::steady_clock::now();
+    failed_[member.address] = {std::chrono::steady_clock::now(), sent};
   }
   if (on_reachable_ && was_failing == answered) {
     on_reachable_(member, answered);
@@ -85,16 +92,18 @@
   return true;
 }
 
-bool ReplicaCalls::SendTo(Fiber& fiber,
-                          const std::string& address,
-                          const std::string& disk,
-                          const std::string& body,
-                          bool relayed,
-                          std::chrono::milliseconds timeout,
-                          StorageReply& reply) {
+ReplicaCalls::Sent ReplicaCalls::SendTo(Fiber& fiber,
+                                        const std::string& address,
+                                        const std::string& disk,
+                                        const std::string& body,
+                                        bool relayed,
+                                        std::chrono::milliseconds timeout,
+                                        StorageReply& reply) {
   HttpOptions options;
   options.connect_timeout = std::min(kConnectTimeout, timeout);
   options.idle_timeout = timeout;
+  // A connection may have gone silent for good while new ones work.
+  options.fresh_connection = failed_.count(address) > 0;
   HttpRequest request{"POST", kStoragePath + disk, {}, body};
   if (relayed) {
     request.headers.push_back({kRelayHeader, "1"});
@@ -102,18 +111,20 @@
   try {
     const auto http_reply = http_.Send(fiber, address, request, options);
     if (http_reply.status != kOk) {
-      return false;
+      return Sent::kNoAnswer;
     }
     reply = DecodeStorageReply(http_reply.body);
-    return true;
-  } catch (const HttpFailure&) {
-    return false;  // The caller notes it and tells what changes.
+    return Sent::kAnswered;
+  } catch (const HttpFailure& e) {
+    // The caller notes it and tells what changes.
+    return e.sent() ? Sent::kNoAnswer : Sent::kNoConnection;
   } catch (const WireError&) {
-    return false;
+    return Sent::kNoAnswer;
   }
 }
 
-// The relay that worked last, then the others.
+// The relay that worked last, then others as far as the budget goes: the way
+// may be free and the storage daemon itself be gone.
 bool ReplicaCalls::SendByRelay(Fiber& fiber,
                                const Round& round,
                                std::size_t n,
@@ -127,11 +138,11 @@
   for (const auto& it : relays) {
     const auto left = std::chrono::duration_cast<std::chrono::milliseconds>(
         until - std::chrono::steady_clock::now());
-    if (left.count() <= 0) {
+    if (left.count() <= 0 || (it != good_relay_ && !hedges_.Take())) {
       return false;
     }
     if (SendTo(fiber, it, disk, round.body, true, std::min(left, kRelayTimeout),
-               reply)) {
+               reply) == Sent::kAnswered) {
       good_relay_ = it;
       return true;
     }
@@ -159,20 +170,24 @@
   });
 }
 
+// Through others only where no connection came about: a daemon that is slow
+// for want of processor time would be made slower by hearing all of it twice.
 void ReplicaCalls::Start(const std::shared_ptr<Round>& round, std::size_t n) {
   ++round->started;
   loop_.Spawn([this, round, n](Fiber& fiber) {
     const auto& target = round->plan.targets[n];
     StorageReply reply;
     bool answered = false;
-    if (failed_at_.count(target.address) == 0 || !relays_) {
-      answered = SendTo(fiber, target.address, target.disk, round->body, false,
-                        round->plan.timeout, reply);
-      Note(target, answered);
-    } else {
+    if (Cut(target)) {
       Probe(target);
+    } else {
+      const auto sent = SendTo(fiber, target.address, target.disk, round->body,
+                               false, round->plan.timeout, reply);
+      Note(target, sent);
+      answered = sent == Sent::kAnswered;
     }
-    answered = answered || SendByRelay(fiber, *round, n, reply);
+    answered =
+        answered || (Cut(target) && SendByRelay(fiber, *round, n, reply));
     if (answered) {
       round->replies[target.disk] = std::move(reply);
     }
--- a/source/storage/replica_calls.h
+++ b/source/storage/replica_calls.h
@@ -53,6 +53,9 @@
   // Near before far, those that answered lately before those that did not.
   std::vector<StorageMember> InOrder(std::vector<StorageMember> members) const;
 
+  // Whether something may be sent once more; uses up a part of the budget.
+  bool MayRepeat() { return hedges_.Take(); }
+
   // Other daemons that can pass a request on when the way to a storage daemon
   // is cut.
   void RelayBy(std::function<std::vector<std::string>()> relays) {
@@ -66,9 +69,18 @@
 
  private:
   struct Round;
+  enum class Sent {
+    kAnswered,
+    kNoConnection,  // The way may be cut: others may still reach it.
+    kNoAnswer,      // It has the request, and is slow, frozen or dead.
+  };
+  struct Failure {
+    TimePoint at;
+    Sent how = Sent::kNoAnswer;
+  };
 
   void Start(const std::shared_ptr<Round>& round, std::size_t n);
-  bool SendTo(Fiber& fiber,
+  Sent SendTo(Fiber& fiber,
               const std::string& address,
               const std::string& disk,
               const std::string& body,
@@ -81,12 +93,13 @@
                    StorageReply& reply);
   void Probe(const StorageMember& member);
   bool Suspected(const StorageMember& member) const;
-  void Note(const StorageMember& member, bool answered);
+  bool Cut(const StorageMember& member) const;
+  void Note(const StorageMember& member, Sent sent);
 
   Loop& loop_;
   HttpClient& http_;
   std::string data_centre_;
-  std::map<std::string, TimePoint> failed_at_;  // By address.
+  std::map<std::string, Failure> failed_;       // The last one, by address.
   std::map<std::string, TimePoint> probed_at_;  // By address.
   std::function<std::vector<std::string>()> relays_;
   std::string good_relay_;
--- a/source/storage/storage_client.cc
+++ b/source/storage/storage_client.cc
@@ -379,11 +379,12 @@
         return;
       }
       // What is lost leaves tokens reserved, which is safe.
+      const bool again = !to_all && replicas_.MayRepeat();
       log_.Write("settlement_lost", "",
                  {{"peer", target.vm},
                   {"uses", static_cast<int>(request.uses.size())},
-                  {"outcome", to_all ? "given up" : "sent to all replicas"}});
-      if (!to_all) {
+                  {"outcome", again ? "sent to all replicas" : "given up"}});
+      if (again) {
         SendSettlements(request.uses, true);
       }
     });
--- a/source/storage/storage_keeper.cc
+++ b/source/storage/storage_keeper.cc
@@ -2,7 +2,7 @@
 
 #include <algorithm>
 #include <map>
-#include <set>
+#include <memory>
 #include <utility>
 
 #include "core/hash.h"
@@ -16,6 +16,8 @@
 constexpr std::chrono::milliseconds kGather{400};
 constexpr std::chrono::milliseconds kProbeTimeout{700};
 constexpr std::chrono::milliseconds kCopyTimeout{2000};
+// All parts of what a disk copies, from a member that answers slowly.
+constexpr std::chrono::milliseconds kLongestCopy{10000};
 // A change whose disks do not all copy in this time may wait for a dead one.
 constexpr std::chrono::milliseconds kChangeStalls{2500};
 // Turns asked for at once; the reply is cut by bytes as well.
@@ -24,6 +26,9 @@
 // Copying is work for all members: after failures it is tried less often.
 constexpr std::chrono::milliseconds kLongestCopyPause{1000};
 
+// Disks that have copied at the same moment propose one after the other.
+constexpr std::chrono::milliseconds kProposeSpread{100};
+
 std::chrono::milliseconds CopyPause(int failures) {
   return std::min(kLongestCopyPause,
                   kStepEvery * (1 << std::min(failures, 3)) / 2);
@@ -62,7 +67,8 @@
       tolerated_losses_(tolerated_losses),
       may_found_(may_found),
       replicas_(loop, http, self_.data_centre),
-      wake_(loop) {
+      wake_(loop),
+      draw_(std::random_device{}()) {
   view_.OnChange([this] { wake_.NotifyAll(); });
 }
 
@@ -163,7 +169,8 @@
 
 std::vector<StorageMember> StorageKeeper::Reachable(
     Fiber& fiber,
-    const std::vector<StorageMember>& members) {
+    const std::vector<StorageMember>& members,
+    std::chrono::milliseconds timeout) {
   StorageRequest request;
   request.operation = StorageOperation::kAdopt;
   request.members = view_.storage();
@@ -174,7 +181,7 @@
     }
   }
   plan.first_wave = plan.targets.size();
-  plan.timeout = kProbeTimeout;
+  plan.timeout = timeout;
   const auto replies =
       replicas_.Ask(fiber, plan, request, [&plan](const StorageReplies& it) {
         return it.size() == plan.targets.size();
@@ -208,7 +215,7 @@
     return;
   }
   const auto list = view_.storage();
-  const auto reachable = Reachable(fiber, list.members);
+  const auto reachable = Reachable(fiber, list.members, kProbeTimeout);
   if (!EnoughOf(list.members, reachable)) {
     log_.Write("join_delayed", "",
                {{"members", static_cast<int>(list.members.size())},
@@ -217,7 +224,7 @@
     return;
   }
   Propose(fiber,
-          list.WithChange(Reachable(fiber, Announced(fiber)),
+          list.WithChange(Reachable(fiber, Announced(fiber), kProbeTimeout),
                           Missing(list.members, reachable)),
           "join");
 }
@@ -257,7 +264,7 @@
     }
     return;
   }
-  const auto reachable = Reachable(fiber, list.members);
+  const auto reachable = Reachable(fiber, list.members, kProbeTimeout);
   auto gone = Missing(list.members, reachable);
   gone.push_back(self_.disk);
   const auto left = list.members.size() - gone.size();
@@ -278,7 +285,8 @@
   if (!list.IsMember(self_.disk) && !list.IsNext(self_.disk)) {
     return;
   }
-  const auto alive = Reachable(fiber, list.next);
+  // One that is only slow must not make all others begin anew.
+  const auto alive = Reachable(fiber, list.next, kCopyTimeout);
   changing_since_ = std::chrono::steady_clock::now();
   if (alive.size() == list.next.size() ||
       alive.size() < static_cast<std::size_t>(tolerated_losses_) + 1) {
@@ -295,9 +303,8 @@
 void StorageKeeper::Synchronize(Fiber& fiber) {
   const auto list = view_.storage();
   const auto start = std::chrono::steady_clock::now();
-  const bool nothing_to_copy = list.IsMember(self_.disk) && list.OnlyJoins();
-  if (!nothing_to_copy && (!CopyUses(fiber, list) ||
-                           (!list.OnlyJoins() && !CopyTurns(fiber, list)))) {
+  if (!CopyUses(fiber, list) ||
+      (!list.OnlyJoins() && !CopyTurns(fiber, list))) {
     ++copies_failed_;
     const auto pause = CopyPause(copies_failed_);
     log_.Write("copy_delayed", "",
@@ -315,20 +322,70 @@
   // Others do the same at this moment: the list may have moved on.
   while (view_.storage().epoch == list.epoch &&
          !Propose(fiber, view_.storage().WithSynced(self_.disk), "copied")) {
+    fiber.Sleep(std::chrono::milliseconds(draw_() % kProposeSpread.count()));
+  }
+}
+
+// Asks a member of the list, which is told of the list first if need be.
+bool StorageKeeper::AskWithEpoch(Fiber& fiber,
+                                 const StorageList& list,
+                                 const StorageMember& member,
+                                 const StorageRequest& request,
+                                 StorageReply& reply) {
+  if (!replicas_.AskOne(fiber, member, request, kCopyTimeout, reply)) {
+    return false;
+  }
+  if (reply.status == StorageStatus::kNewEpoch) {
+    auto again = request;
+    again.members = list;
+    if (!replicas_.AskOne(fiber, member, again, kCopyTimeout, reply)) {
+      return false;
+    }
   }
+  return reply.status == StorageStatus::kDone;
 }
 
+// From all members side by side: with some of them dead or slow, the others
+// are enough. What one has told once counts for as long as the list stays.
 bool StorageKeeper::CopyUses(Fiber& fiber, const StorageList& list) {
-  std::size_t answered = list.IsMember(self_.disk) ? 1 : 0;
-  for (const auto& member : Reachable(fiber, list.All())) {
-    if (member.disk == self_.disk) {
+  if (uses_copied_epoch_ != list.epoch) {
+    uses_copied_epoch_ = list.epoch;
+    uses_copied_from_ = {self_.disk};
+  }
+  struct Copies {
+    explicit Copies(Loop& loop) : changed(loop) {}
+    Condition changed;
+    std::size_t under_way = 0;
+  };
+  auto copies = std::make_shared<Copies>(loop_);
+  for (const auto& member : list.members) {
+    if (uses_copied_from_.count(member.disk) > 0) {
       continue;
     }
-    if (CopyUsesOf(fiber, list, member)) {
-      answered += list.IsMember(member.disk) ? 1 : 0;
-    }
+    ++copies->under_way;
+    loop_.Spawn([this, copies, list, member](Fiber& child) {
+      if (CopyUsesOf(child, list, member) && uses_copied_epoch_ == list.epoch) {
+        uses_copied_from_.insert(member.disk);
+      }
+      --copies->under_way;
+      copies->changed.NotifyAll();
+    });
   }
-  return answered >= list.AnswersForAbsence(tolerated_losses_);
+  const auto enough = [this, &list] {
+    const auto answered =
+        std::count_if(list.members.begin(), list.members.end(),
+                      [this](const StorageMember& it) {
+                        return uses_copied_from_.count(it.disk) > 0;
+                      });
+    return static_cast<std::size_t>(answered) >=
+           list.AnswersForAbsence(tolerated_losses_);
+  };
+  copies->changed.WaitUntil(fiber, kLongestCopy,
+                            [this, &list, &copies, &enough] {
+                              return enough() || copies->under_way == 0 ||
+                                     view_.storage().epoch != list.epoch;
+                            });
+  return uses_copied_epoch_ == list.epoch && enough();
 }
 
 // A part after the other: neither side has to hold all at once.
@@ -341,8 +398,7 @@
   request.ids = {self_.disk};
   do {
     StorageReply reply;
-    if (!replicas_.AskOne(fiber, member, request, kCopyTimeout, reply) ||
-        reply.status != StorageStatus::kDone) {
+    if (!AskWithEpoch(fiber, list, member, request, reply)) {
       return false;
     }
     StorageRequest keep;
@@ -355,54 +411,85 @@
   return true;
 }
 
-// Copies the turns of which the next set holds too few, each on as many of
-// its disks as are lacking, drawn by the turn's id.
-bool StorageKeeper::CopyTurns(Fiber& fiber, const StorageList& list) {
+bool StorageKeeper::AskHolders(Fiber& fiber,
+                               const StorageList& list,
+                               Holders& holders) {
   StorageRequest request;
   request.operation = StorageOperation::kDigest;
   request.epoch = list.epoch;
-  std::map<std::string, std::set<std::string>> holders;  // Disks, by turn.
-  for (const auto& id : node_.turns().Ids()) {
-    holders[id].insert(self_.disk);
-  }
-  std::size_t answered = list.IsMember(self_.disk) ? 1 : 0;
-  for (const auto& member : list.All()) {
-    StorageReply reply;
-    if (member.disk == self_.disk ||
-        !replicas_.AskOne(fiber, member, request, kCopyTimeout, reply) ||
-        reply.status != StorageStatus::kDone) {
-      continue;
+  const auto all = list.All();
+  ReplicaCalls::Plan plan;
+  for (const auto& it : all) {
+    if (it.disk != self_.disk) {
+      plan.targets.push_back(it);
     }
-    answered += list.IsMember(member.disk) ? 1 : 0;
-    for (const auto& id : reply.ids) {
-      holders[id].insert(member.disk);
+  }
+  plan.first_wave = plan.targets.size();
+  plan.timeout = kCopyTimeout;
+  const auto enough = [this, &list](const StorageReplies& replies) {
+    const auto answered =
+        std::count_if(list.members.begin(), list.members.end(),
+                      [this, &replies](const StorageMember& it) {
+                        const auto reply = replies.find(it.disk);
+                        return it.disk == self_.disk ||
+                               (reply != replies.end() &&
+                                reply->second.status == StorageStatus::kDone);
+                      });
+    return static_cast<std::size_t>(answered) >=
+           list.AnswersForAbsence(tolerated_losses_);
+  };
+  const auto replies = replicas_.Ask(fiber, plan, request, enough);
+  for (std::size_t n = 0; n < all.size(); ++n) {
+    const auto reply = replies.find(all[n].disk);
+    if (all[n].disk == self_.disk) {
+      for (const auto& id : node_.turns().Ids()) {
+        holders[id].push_back(n);
+      }
+    } else if (reply != replies.end() &&
+               reply->second.status == StorageStatus::kDone) {
+      for (const auto& id : reply->second.ids) {
+        holders[id].push_back(n);
+      }
     }
   }
-  if (answered < list.AnswersForAbsence(tolerated_losses_)) {
+  return enough(replies);
+}
+
+// Copies the turns of which the next set holds too few, each on as many of
+// its disks as are lacking, drawn by the turn's id.
+bool StorageKeeper::CopyTurns(Fiber& fiber, const StorageList& list) {
+  Holders holders;
+  if (!AskHolders(fiber, list, holders)) {
     return false;
   }
+  const auto all = list.All();
   const auto copies = static_cast<std::size_t>(tolerated_losses_) + 1;
-  std::map<std::string, std::vector<std::string>> wanted;  // Ids, by source.
+  std::map<std::size_t, std::vector<std::string>> wanted;  // Ids, by source.
   for (const auto& [id, disks] : holders) {
     std::vector<std::string> lacking;
     std::size_t held = 0;
-    for (const auto& member : list.next) {
-      if (disks.count(member.disk) > 0) {
+    for (std::size_t n = 0; n < all.size(); ++n) {
+      if (!list.IsNext(all[n].disk)) {
+        continue;
+      }
+      if (std::find(disks.begin(), disks.end(), n) != disks.end()) {
         ++held;
       } else {
-        lacking.push_back(member.disk);
+        lacking.push_back(all[n].disk);
       }
     }
+    if (held >= copies) {
+      continue;
+    }
     const auto order = RendezvousOrder(id, std::move(lacking));
     for (std::size_t n = 0; held + n < copies && n < order.size(); ++n) {
       if (order[n] == self_.disk) {
-        wanted[*disks.begin()].push_back(id);
+        wanted[disks.front()].push_back(id);
       }
     }
   }
-  for (auto& [disk, ids] : wanted) {
-    const auto* source = list.Find(disk);
-    if (source == nullptr || !Fetch(fiber, *source, std::move(ids))) {
+  for (auto& [source, ids] : wanted) {
+    if (!Fetch(fiber, all[source], std::move(ids))) {
       return false;
     }
   }
--- a/source/storage/storage_node.cc
+++ b/source/storage/storage_node.cc
@@ -235,21 +235,34 @@
   return reply;
 }
 
-StorageReply StorageNode::AnswerSomeUses(const StorageRequest& request) const {
-  StorageReply reply;
+// Looked up once for all disks that copy. Programs that come later are stored
+// by quorums of the next set as well, and need no copying.
+const std::vector<std::string>& StorageNode::GainedBy(const std::string& disk) {
   const auto& list = view_.storage();
-  const auto disk = request.ids.empty() ? "" : request.ids.front();
-  const auto last = tokens_.ForEachAfter(
-      request.program, [&](const std::string& program, const TokenLedger& it) {
-        if (list.Gains(disk, program, tolerated_losses_)) {
-          for (const auto& [id, use] : it.uses()) {
-            reply.uses.push_back(use);
-          }
-        }
-        return reply.uses.size() < kReplyUses;
-      });
-  if (!last.empty()) {
-    reply.ids = {last};
+  if (gained_epoch_ != list.epoch) {
+    gained_epoch_ = list.epoch;
+    gained_.clear();
+    for (const auto& program : tokens_.Programs()) {
+      for (const auto& it : list.GainersOf(program, tolerated_losses_)) {
+        gained_[it].push_back(program);
+      }
+    }
+  }
+  return gained_[disk];
+}
+
+StorageReply StorageNode::AnswerSomeUses(const StorageRequest& request) {
+  StorageReply reply;
+  const auto& programs =
+      GainedBy(request.ids.empty() ? "" : request.ids.front());
+  auto it = std::upper_bound(programs.begin(), programs.end(), request.program);
+  for (; it != programs.end() && reply.uses.size() < kReplyUses; ++it) {
+    for (auto& use : tokens_.Of(*it)) {
+      reply.uses.push_back(std::move(use));
+    }
+  }
+  if (it != programs.end()) {
+    reply.ids = {*std::prev(it)};
   }
   return reply;
 }
--- a/source/storage/storage_node.h
+++ b/source/storage/storage_node.h
@@ -6,6 +6,7 @@
 #include <map>
 #include <memory>
 #include <string>
+#include <vector>
 
 #include "core/token_ledger.h"
 #include "core/turn_index.h"
@@ -56,7 +57,8 @@
                      const StorageRequest& request,
                      const std::string& encoded);
   StorageReply AnswerChain(const StorageRequest& request) const;
-  StorageReply AnswerSomeUses(const StorageRequest& request) const;
+  StorageReply AnswerSomeUses(const StorageRequest& request);
+  const std::vector<std::string>& GainedBy(const std::string& disk);
   StorageReply AnswerDigest() const;
   StorageReply AnswerFetch(const StorageRequest& request) const;
   bool HasRoom() const;
@@ -79,6 +81,9 @@
   DiskLog disk_log_;
   TurnIndex turns_;
   TokenLedgers tokens_;
+  // Programs that each disk gains by the change of the list's epoch, in order.
+  std::map<std::string, std::vector<std::string>> gained_;
+  std::int64_t gained_epoch_ = 0;
   // Until when each segment is needed for other things than turns.
   std::map<std::int64_t, std::chrono::milliseconds> needed_until_;
 };
--- a/tests/storage_property/members_test.cc
+++ b/tests/storage_property/members_test.cc
@@ -63,11 +63,14 @@
         return std::find(lost.begin(), lost.end(), disk) == lost.end();
       });
   RC_ASSERT(can_copy);
+  const auto gainers = change.GainersOf(kProgram, losses);
   std::size_t have = 0;
   for (const auto& disk : after.disks) {
     const bool had =
         std::find(stored.begin(), stored.end(), disk) != stored.end();
-    have += had || change.Gains(disk, kProgram, losses) ? 1 : 0;
+    const bool gains =
+        std::find(gainers.begin(), gainers.end(), disk) != gainers.end();
+    have += had || gains ? 1 : 0;
   }
   RC_ASSERT(have + after.quorum > after.disks.size());
 }
--- a/tests/unit/storage_list_test.cc
+++ b/tests/unit/storage_list_test.cc
@@ -69,6 +69,17 @@
   BOOST_TEST(list.IsNext("a2"));
 }
 
+BOOST_AUTO_TEST_CASE(where_none_leaves_only_those_that_join_copy) {
+  auto list = Founded({"a", "b", "c"}).WithChange({Disk("d")}, {});
+  BOOST_TEST(list.synced.size() == 3U);
+  BOOST_TEST(list.changing());
+  list = list.WithSynced("d");
+  BOOST_TEST(!list.changing());
+  BOOST_TEST(list.IsMember("d"));
+  const auto replaced = Founded({"a", "b", "c"}).WithChange({Disk("d")}, {"a"});
+  BOOST_TEST(replaced.synced.empty());
+}
+
 BOOST_AUTO_TEST_CASE(absence_needs_all_but_the_losses) {
   BOOST_TEST(Founded({"a", "b", "c"}).AnswersForAbsence(1) == 2U);
   BOOST_TEST(Founded({"a"}).AnswersForAbsence(1) == 1U);
