Programs begin up to three quarters of the engines' slots, late ones last

Load: a burst beyond what the engines carry. New programs were refused by the queues that servers tell of, which stay short while daemons queue, and those that came back went before new ones though they could only be late. Change: core/load_level is the mean of requests for each slot, not of queues; new programs begin up to 0.75 (the most urgent kind 0.78) and some up to 0.15 more. The ledger tells how long ago a program first came; one that lost a third of its time before it began is late and begins only below 0.65 to 0.8.

--- a/source/core/program_slack.cc
+++ b/source/core/program_slack.cc
@@ -19,6 +19,11 @@
   low = low == 0 || value < low ? value : low + (value - low) * kRise;
 }
 
+std::chrono::milliseconds AllowanceOf(std::chrono::milliseconds time) {
+  return std::chrono::milliseconds(static_cast<std::int64_t>(
+      static_cast<double>(time.count()) * kAllowanceShare));
+}
+
 }  // namespace
 
 void ProgramSlack::Began(const std::string& program,
@@ -26,12 +31,21 @@
                          TimePoint now) {
   const auto [it, is_new] = programs_.try_emplace(program);
   if (is_new) {
-    it->second.allowance = std::chrono::milliseconds(static_cast<std::int64_t>(
-        static_cast<double>(finish_in.count()) * kAllowanceShare));
+    it->second.allowance = AllowanceOf(finish_in);
     it->second.finish_by = now + finish_in;
   }
 }
 
+void ProgramSlack::TurnedAway(const std::string& program,
+                              std::chrono::milliseconds finish_in,
+                              std::chrono::milliseconds age) {
+  const auto it = programs_.find(program);
+  if (it != programs_.end()) {
+    it->second.allowance = AllowanceOf(finish_in + age);
+    it->second.lost = age;
+  }
+}
+
 void ProgramSlack::Ended(const std::string& program,
                          std::chrono::milliseconds took,
                          std::chrono::milliseconds first_event,
--- a/source/core/program_slack.h
+++ b/source/core/program_slack.h
@@ -23,6 +23,12 @@
              std::chrono::milliseconds finish_in,
              TimePoint now);
 
+  // The program has existed for `age` without a turn served: it lost all of
+  // that to waiting.
+  void TurnedAway(const std::string& program,
+                  std::chrono::milliseconds finish_in,
+                  std::chrono::milliseconds age);
+
   // A turn of `events` events took `took`, waits included.
   void Ended(const std::string& program,
              std::chrono::milliseconds took,
--- a/source/core/server_pool.cc
+++ b/source/core/server_pool.cc
@@ -49,10 +49,17 @@
 constexpr int kSlotsPerWaiting = 4;
 // Held places before the mean is known: a guess on the short side.
 constexpr double kFirstHeldMs = 100;
-// Requests that queue at servers, for each of their slots, up to which programs
-// of the most urgent kind begin: half a turn's time in queues is about what
-// deployments grant a program beyond its time on idle servers.
-constexpr double kBeginPressure = 0.5;
+// Requests at servers for each of their slots, up to which all programs begin,
+// and beyond that up to which some do. Above nine tenths each further program
+// slows all others by about what deployments grant a program beyond its time
+// on idle servers. The most urgent kind is turned away last.
+constexpr double kBeginLevel = 0.72;
+constexpr double kBeginLevelUrgent = 0.06;
+constexpr double kBeginLevelReturning = 0.05;
+// One that was turned away for so long that it can only be late takes the place
+// of others only while there is room for all.
+constexpr double kBeginLevelLate = -0.1;
+constexpr double kBeginSpread = 0.15;
 
 double Halved(double value, std::chrono::duration<double, std::milli> age) {
   return value * std::exp2(-age.count() / kLoadHalfLife.count());
@@ -140,21 +147,23 @@
   return Load(server, now) < Limit(server);
 }
 
-// Whether a program may begin now. Turns of those under way queue at servers
-// whenever more programs are admitted than these can carry; the more urgent
-// kind is turned away last.
+// Whether a program may begin now. Every program that begins adds its turns to
+// those of all others for seconds: admitting more than the servers carry makes
+// all of them late, and the load stays for long after a burst has gone.
 bool ServerPool::MayBegin(const PlaceAsk& ask, TimePoint now) const {
   if (!is_engine_ || ask.stage == ProgramStage::kStarted) {
     return true;
   }
-  const double most = kBeginPressure / (1 + ask.priority) *
-                      (ask.stage == ProgramStage::kReturning ? 2 : 1);
-  // Between half and one and a half times that, some begin: daemons hear the
-  // same loads, and must not all open and close at the same moment.
+  const double returning = ask.late ? kBeginLevelLate : kBeginLevelReturning;
+  const double all_begin =
+      kBeginLevel + kBeginLevelUrgent / (1 + ask.priority) +
+      (ask.stage == ProgramStage::kReturning ? returning : 0);
+  // Daemons hear the same loads, and must not all open and close at the same
+  // moment.
   const auto draw = Hash64(
       ask.session, static_cast<std::uint64_t>(now.time_since_epoch().count()));
   const double share = static_cast<double>(draw % 1000) / 1000;
-  return pressure_.At(now) < most * (0.5 + share);
+  return level_.At(now) < all_begin + kBeginSpread * share;
 }
 
 // Whether the servers of this data centre are taken as a whole: that one of
@@ -341,7 +350,7 @@
 void ServerPool::Told(Server& server, const ServerLoad& load, TimePoint now) {
   server.others = std::max(0, load.running + load.waiting - server.mine);
   server.told_at = now;
-  pressure_.Note(load.running + load.waiting, load.slots, now);
+  level_.Note(load.running + load.waiting, load.slots, now);
   if (load.waiting * kSlotsPerWaiting > load.slots && Crowded(now)) {
     window_.Congested(in_use(), now);
   } else {
@@ -354,7 +363,7 @@
   if (it == servers_.end() || now - note.age <= it->second.told_at) {
     return;
   }
-  pressure_.Note(note.requests, it->second.info.slots, now);
+  level_.Note(note.requests, it->second.info.slots, now);
   it->second.others = std::max(0, note.requests - it->second.mine);
   it->second.told_at = now - note.age;
 }
--- a/source/core/server_pool.h
+++ b/source/core/server_pool.h
@@ -13,8 +13,8 @@
 #include "core/backend_server.h"
 #include "core/client_call.h"
 #include "core/load_board.h"
+#include "core/load_level.h"
 #include "core/prompt_cache_view.h"
-#include "core/queue_pressure.h"
 #include "core/request_window.h"
 #include "core/shared_parts.h"
 #include "core/time_point.h"
@@ -145,7 +145,7 @@
   SharedParts shared_;  // Of prompts.
   std::list<PlaceAsk> waiting_;
   RequestWindow window_;  // Of engines.
-  QueuePressure pressure_;
+  LoadLevel level_;
   double held_ms_ = 0;  // Smoothed time that a place is held.
 };
 
--- a/source/core/token_ledger.cc
+++ b/source/core/token_ledger.cc
@@ -49,6 +49,14 @@
   return out;
 }
 
+std::chrono::milliseconds TokenLedger::AgeAt(const TokenUse& use) const {
+  auto first = use.expires_at;
+  for (const auto& [request, it] : uses_) {
+    first = std::min(first, it.expires_at);
+  }
+  return use.expires_at - first;
+}
+
 // Uses are kept for the same time, so the one that expires last began last.
 std::string TokenLedger::LastServer() const {
   const TokenUse* last = nullptr;
--- a/source/core/token_ledger.h
+++ b/source/core/token_ledger.h
@@ -34,6 +34,8 @@
   std::int64_t HeldBeside(const TokenUse& use,
                           std::chrono::milliseconds age) const;
   const std::map<std::string, TokenUse>& uses() const { return uses_; }
+  // How long before `use` the program's first request began.
+  std::chrono::milliseconds AgeAt(const TokenUse& use) const;
   // The server that last generated any: it is likely to have the program's
   // prompt cached. Empty when it is not known.
   std::string LastServer() const;
--- a/source/front/call_handler.cc
+++ b/source/front/call_handler.cc
@@ -237,6 +237,10 @@
   if (call.info.previous_turn.empty() && reservation.used == 0) {
     call.stage =
         reservation.is_first ? ProgramStage::kNew : ProgramStage::kReturning;
+    if (!reservation.is_first && call.info.finish_in) {
+      slack_.TurnedAway(call.info.program, *call.info.finish_in,
+                        reservation.program_age);
+    }
   }
   using Outcome = StorageClient::ReserveOutcome;
   if (reservation.outcome == Outcome::kGranted) {
--- a/source/storage/storage_client.cc
+++ b/source/storage/storage_client.cc
@@ -305,6 +305,7 @@
     }
   }
   out.last_server = ledger.LastServer();
+  out.program_age = ledger.AgeAt(use);
   out.is_first =
       std::all_of(ledger.uses().begin(), ledger.uses().end(),
                   [&use](const auto& it) { return it.first == use.request; });
--- a/source/storage/storage_client.h
+++ b/source/storage/storage_client.h
@@ -54,8 +54,10 @@
   };
   struct Reservation {
     ReserveOutcome outcome = ReserveOutcome::kUnknown;
-    std::int64_t used = 0;    // By other requests, as far as is known.
-    bool is_first = true;     // Of the program's requests, as far as is known.
+    std::int64_t used = 0;  // By other requests, as far as is known.
+    bool is_first = true;   // Of the program's requests, as far as is known.
+    // Since the program's first request, as far as is known.
+    std::chrono::milliseconds program_age{0};
     std::string last_server;  // That worked for the program; or empty.
     int rounds = 1;           // Round trips to a quorum.
   };
--- a/tests/unit/program_slack_test.cc
+++ b/tests/unit/program_slack_test.cc
@@ -40,6 +40,18 @@
   BOOST_TEST(slack.Left("p").count() == before.count());
 }
 
+// Of 3 s that it had when it first came 1 s is left.
+BOOST_AUTO_TEST_CASE(a_program_turned_away_for_too_long_has_none_left) {
+  ProgramSlack slack;
+  const TimePoint now{milliseconds(1000)};
+  slack.Began("p", milliseconds(1000), now);
+  BOOST_TEST(slack.Left("p").count() > 0);
+  slack.TurnedAway("p", milliseconds(1000), milliseconds(2000));
+  BOOST_TEST(slack.Left("p").count() < 0);
+  slack.TurnedAway("p", milliseconds(2700), milliseconds(300));
+  BOOST_TEST(slack.Left("p").count() > 0);
+}
+
 BOOST_AUTO_TEST_CASE(programs_that_are_long_over_are_forgotten) {
   ProgramSlack slack;
   const TimePoint now{milliseconds(1000)};
