--- a/source/front/call_handler.h
+++ b/source/front/call_handler.h
@@ -13,8 +13,9 @@
 #include "core/program_slack.h"
 #include "fleet/decision_log.h"
 #include "fleet/fleet_view.h"
+#include "front/call.h"
+#include "front/call_dispatcher.h"
 #include "front/dialect.h"
-#include "front/server_call.h"
 #include "front/server_gate.h"
 #include "log/metrics.h"
 #include "net/http_client.h"
@@ -39,15 +40,9 @@
   void Handle(Fiber& fiber, const HttpRequest& request, HttpExchange& client);
 
  private:
-  struct Call;
-
   std::optional<CallError> Prepare(Fiber& fiber, Call& call);
   std::optional<CallError> LoadContext(Fiber& fiber, Call& call);
   std::optional<CallError> ReserveTokens(Fiber& fiber, Call& call);
-  std::optional<CallError> Dispatch(Fiber& fiber, Call& call);
-  std::optional<CallError> Place(Fiber& fiber, Call& call, PlaceResult& placed);
-  ServerCallResult Send(Fiber& fiber, Call& call, const PlaceResult& placed);
-  bool MayRepeat(const Call& call, const ServerCallResult& result) const;
   void Finish(Fiber& fiber, Call& call, const HttpReply& answer);
   bool KeepTurn(Fiber& fiber, Call& call);
   static std::int64_t TokensPerEvent(const Call& call);
@@ -58,14 +53,13 @@
            const std::string& reason,
            int status);
 
-  HttpClient& http_;
   FleetView& view_;
-  ServerGate& gate_;
   StorageClient& storage_;
   DecisionLog& log_;
   Metrics& metrics_;
   Dialect dialect_;
   ProgramSlack slack_;
+  CallDispatcher dispatcher_;
   std::mt19937_64 draw_;
 };
 
