--- a/source/core/server_pool.h
+++ b/source/core/server_pool.h
@@ -101,6 +101,8 @@
   // How long a request is likely to wait for a place from now on.
   std::chrono::milliseconds ExpectedWait(const PlaceAsk& ask,
                                          TimePoint now) const;
+  // Requests at servers for each of their slots, as these told of late.
+  double LevelAt(TimePoint now) const { return level_.At(now); }
   bool empty() const { return servers_.empty(); }
   std::size_t waiting() const { return waiting_.size(); }
   int in_use() const;
--- a/source/front/call.h
+++ b/source/front/call.h
@@ -43,6 +43,8 @@
   std::set<std::string> excluded;
   std::string server;  // The last one.
   std::chrono::milliseconds waited{0};
+  double level = 0;   // Of the service's servers, when it asked for a place.
+  bool late = false;  // Its program cannot finish in time.
 };
 
 // Time until `deadline`; negative when it has passed.
--- a/source/front/call_dispatcher.cc
+++ b/source/front/call_dispatcher.cc
@@ -62,6 +62,7 @@
     const auto slack = slack_.Left(call.info.program);
     ask.must_start_by = call.arrived + slack;
     ask.late = slack.count() < 0;
+    call.late = ask.late;
   }
   ask.prompt = call.info.prompt;
   // Sub-agents begin with the prompt of the program that started them.
@@ -71,6 +72,7 @@
   placed = gate_.Enter(fiber, call.service, std::move(ask),
                        [&call] { return call.client.PeerGone(); });
   call.waited += placed.waited;
+  call.level = placed.level;
   if (placed.place) {
     return std::nullopt;
   }
--- a/source/front/call_handler.cc
+++ b/source/front/call_handler.cc
@@ -298,6 +298,8 @@
        {"first_event_ms", call.progress.first_event},
        {"waited_ms", call.waited},
        {"stage", ToString(call.stage)},
+       {"late", call.late ? 1 : 0},
+       {"level_percent", static_cast<int>(call.level * 100)},
        {"took_ms", std::chrono::duration_cast<std::chrono::milliseconds>(took)},
        {"limit_ms", std::chrono::duration_cast<std::chrono::milliseconds>(
                         call.deadline - call.arrived)}});
--- a/source/front/server_gate.cc
+++ b/source/front/server_gate.cc
@@ -72,6 +72,7 @@
   const auto start = std::chrono::steady_clock::now();
   ask.ticket = next_ticket_++;
   PlaceResult out;
+  out.level = entrance.pool.LevelAt(start);
   out.place = entrance.pool.TryTake(ask, start);
   if (out.place) {
     return out;
--- a/source/front/server_gate.h
+++ b/source/front/server_gate.h
@@ -26,6 +26,7 @@
   NoPlace reason = NoPlace::kNoServers;
   std::chrono::milliseconds expected_wait{0};
   std::chrono::milliseconds waited{0};
+  double level = 0;  // Requests at servers for each slot, when it came.
 };
 
 // The pools of all services, with the coroutines that wait for a place.
