A whole turn is settled at a quorum before its client has its end

Its settlement was on the disks that kept the turn, which need not be those that decide on the program's budget, and waited in the daemon for the next reservation. After the fault its whole reservation counted, and the budget was called spent. Change: where the disks that keep a turn are not a quorum of those that decide, the others are told at the same time, and the end of the stream waits for both.

--- /dev/null
+++ b/source/core/settlement_queue.cc
@@ -0,0 +1,50 @@
+#include "core/settlement_queue.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace comfreyfold {
+
+namespace {
+// Some minutes of a daemon's turns, while no replica answers.
+constexpr std::size_t kMost = 20000;
+}  // namespace
+
+bool SettlementQueue::Add(TokenUse use, TimePoint now) {
+  if (settlements_.size() >= kMost) {
+    return false;
+  }
+  settlements_.push_back({std::move(use), now + wait_});
+  return true;
+}
+
+std::vector<TokenUse> SettlementQueue::Of(const std::string& program) const {
+  std::vector<TokenUse> out;
+  for (const auto& it : settlements_) {
+    if (it.use.program == program) {
+      out.push_back(it.use);
+    }
+  }
+  return out;
+}
+
+void SettlementQueue::Forget(const std::vector<TokenUse>& told) {
+  std::erase_if(settlements_, [&told](const Settlement& it) {
+    return std::any_of(told.begin(), told.end(), [&it](const TokenUse& use) {
+      return use.request == it.use.request;
+    });
+  });
+}
+
+std::vector<TokenUse> SettlementQueue::TakeDue(TimePoint now) {
+  std::vector<TokenUse> out;
+  for (const auto& it : settlements_) {
+    if (it.due <= now) {
+      out.push_back(it.use);
+    }
+  }
+  Forget(out);
+  return out;
+}
+
+}  // namespace comfreyfold
--- a/source/front/call_handler.cc
+++ b/source/front/call_handler.cc
@@ -225,9 +225,13 @@
   turn.input = call.request.body;
   turn.output = std::move(call.progress.output);
   turn.expires_at = WallNow() + call.route->retention + kRetentionMargin;
-  return storage_.StoreTurn(
+  const auto stored = storage_.StoreTurn(
       fiber, turn, call.reserved ? Settlement(call) : TokenUse{}, call.chain,
       std::clamp(Left(call.deadline), kLeastRetry, kKeepTimeout));
+  if (stored.settled) {
+    call.reserved.reset();
+  }
+  return stored.kept;
 }
 
 void CallHandler::Finish(Fiber& fiber, Call& call, const HttpReply& answer) {
--- a/source/storage/storage_client.cc
+++ b/source/storage/storage_client.cc
@@ -15,7 +15,6 @@
 // Of the time in which unused budget has to be free again, what a settlement
 // waits for the program's next reservation: most follow within half a second.
 constexpr int kSettleWaitPercent = 40;
-constexpr std::size_t kMostUnsettled = 20000;
 // A reservation that is older and not settled may be a dead daemon's: it counts
 // as spent. Longer than most turns, shorter than their time limits.
 constexpr std::chrono::milliseconds kLongestHeld{2000};
@@ -97,7 +96,7 @@
       replicas_(loop, http, std::move(data_centre)),
       tolerated_losses_(tolerated_losses),
       cache_bytes_(cache_bytes),
-      settle_after_(settle_within * kSettleWaitPercent / 100) {
+      settling_(settle_within * kSettleWaitPercent / 100) {
   replicas_.RelayBy([this] { return view_.daemons(); });
   replicas_.OnReachable([this](const StorageMember& member, bool answered) {
     log_.Write(answered ? "storage_regained" : "storage_lost", "",
@@ -231,24 +230,24 @@
 }
 
 bool StorageClient::AskQuorum(Fiber& fiber,
+                              const std::string& program,
                               const StorageRequest& request,
                               std::chrono::milliseconds timeout,
                               TokenQuorum& quorum) {
   bool complete = false;
   const auto replies = AskCurrent(
       fiber, request, timeout,
-      [this, &request](const StorageList& list) {
-        const auto sets = list.ReplicasOf(request.program, tolerated_losses_);
+      [this, &program](const StorageList& list) {
+        const auto sets = list.ReplicasOf(program, tolerated_losses_);
         ReplicaCalls::Plan plan;
         plan.targets = replicas_.InOrder(MembersOf(list, sets));
         plan.first_wave =
             list.changing() ? plan.targets.size() : sets.front().quorum;
         return plan;
       },
-      [this, &request, &complete](const StorageList& list,
+      [this, &program, &complete](const StorageList& list,
                                   const StorageReplies& it) {
-        complete =
-            HasQuorums(list.ReplicasOf(request.program, tolerated_losses_), it);
+        complete = HasQuorums(list.ReplicasOf(program, tolerated_losses_), it);
         return complete;
       });
   for (const auto& [disk, reply] : replies) {
@@ -275,19 +274,19 @@
   StorageRequest store;
   store.operation = StorageOperation::kStore;
   store.program = use.program;
-  const auto told = SettlementsOf(use.program);
+  const auto told = settling_.Of(use.program);
   store.uses = told;
   store.uses.push_back(use);
-  bool certain = AskQuorum(fiber, store, timeout, quorum);
+  bool certain = AskQuorum(fiber, use.program, store, timeout, quorum);
   if (certain) {
-    ForgetSettlements(told);
+    settling_.Forget(told);
   }
   if (certain && !quorum.Decides(use.request)) {
     out.rounds = 2;
     StorageRequest read;
     read.operation = StorageOperation::kUses;
     read.program = use.program;
-    certain = AskQuorum(fiber, read,
+    certain = AskQuorum(fiber, use.program, read,
                         std::chrono::ceil<std::chrono::milliseconds>(
                             until - std::chrono::steady_clock::now()),
                         quorum);
@@ -324,50 +323,22 @@
   use.settled = true;
   if (use.tokens == 0) {
     SendSettlements({use}, false);
-  } else if (settling_.size() < kMostUnsettled) {
-    settling_.push_back(
-        {std::move(use), std::chrono::steady_clock::now() + settle_after_});
+    return;
   }
-}
-
-std::vector<TokenUse> StorageClient::SettlementsOf(
-    const std::string& program) const {
-  std::vector<TokenUse> out;
-  for (const auto& it : settling_) {
-    if (it.use.program == program) {
-      out.push_back(it.use);
-    }
+  const auto request = use.request;
+  if (!settling_.Add(std::move(use), std::chrono::steady_clock::now())) {
+    log_.Write("settlement_lost", request, {{"outcome", "queue is full"}});
   }
-  return out;
-}
-
-void StorageClient::ForgetSettlements(const std::vector<TokenUse>& told) {
-  std::erase_if(settling_, [&told](const Settlement& it) {
-    return std::any_of(told.begin(), told.end(), [&it](const TokenUse& use) {
-      return use.request == it.use.request;
-    });
-  });
 }
 
 void StorageClient::Run(Fiber& fiber) {
   for (;;) {
     fiber.Sleep(kSettleEvery);
-    SendDueSettlements();
-  }
-}
-
-void StorageClient::SendDueSettlements() {
-  const auto now = std::chrono::steady_clock::now();
-  std::vector<TokenUse> due;
-  for (const auto& it : settling_) {
-    if (it.due <= now) {
-      due.push_back(it.use);
+    const auto due = settling_.TakeDue(std::chrono::steady_clock::now());
+    if (!due.empty()) {
+      SendSettlements(due, false);
     }
   }
-  if (!due.empty()) {
-    ForgetSettlements(due);
-    SendSettlements(due, false);
-  }
 }
 
 void StorageClient::SendSettlements(const std::vector<TokenUse>& uses,
@@ -405,11 +376,72 @@
   }
 }
 
-bool StorageClient::StoreTurn(Fiber& fiber,
-                              const TurnRecord& turn,
-                              const TokenUse& use,
-                              const std::vector<std::string>& chain,
-                              std::chrono::milliseconds timeout) {
+// Spread by key, but the nearest first, and of these the ones that decide on
+// the program's budget.
+ReplicaCalls::Plan StorageClient::PlanOfTurn(const StorageList& list,
+                                             const TurnRecord& turn,
+                                             const TokenUse& use) const {
+  const auto deciding =
+      list.ReplicasOf(use.program, tolerated_losses_).back().disks;
+  auto members = list.Writable();
+  const auto seed = Hash64(turn.id);
+  std::sort(members.begin(), members.end(),
+            [seed](const auto& a, const auto& b) {
+              return Hash64(a.disk, seed) > Hash64(b.disk, seed);
+            });
+  std::stable_partition(
+      members.begin(), members.end(), [&deciding](const auto& it) {
+        return std::find(deciding.begin(), deciding.end(), it.disk) !=
+               deciding.end();
+      });
+  ReplicaCalls::Plan plan;
+  plan.targets = replicas_.InOrder(std::move(members));
+  plan.first_wave = static_cast<std::size_t>(tolerated_losses_) + 1;
+  return plan;
+}
+
+struct StorageClient::Settling {
+  explicit Settling(Loop& loop) : changed(loop) {}
+  Condition changed;
+  bool ended = false;
+  bool certain = false;
+};
+
+std::shared_ptr<StorageClient::Settling> StorageClient::BeginSettling(
+    const TokenUse& use,
+    const ReplicaCalls::Plan& plan,
+    std::chrono::milliseconds timeout) {
+  StorageReplies expected;
+  for (std::size_t n = 0; n < std::min(plan.first_wave, plan.targets.size());
+       ++n) {
+    expected[plan.targets[n].disk] = {};
+  }
+  const auto sets = view_.storage().ReplicasOf(use.program, tolerated_losses_);
+  if (use.request.empty() || HasQuorums(sets, expected)) {
+    return nullptr;
+  }
+  auto settling = std::make_shared<Settling>(loop_);
+  loop_.Spawn([this, settling, use, timeout](Fiber& child) {
+    StorageRequest request;
+    request.operation = StorageOperation::kStore;
+    request.uses = {use};
+    TokenQuorum ignored;
+    settling->certain =
+        AskQuorum(child, use.program, request, timeout, ignored);
+    settling->ended = true;
+    settling->changed.NotifyAll();
+  });
+  return settling;
+}
+
+// The client may have all of the turn once this returns: from then on its
+// tokens are known whatever dies, and what it did not use is free.
+StorageClient::KeptTurn StorageClient::StoreTurn(
+    Fiber& fiber,
+    const TurnRecord& turn,
+    const TokenUse& use,
+    const std::vector<std::string>& chain,
+    std::chrono::milliseconds timeout) {
   StorageRequest request;
   request.operation = StorageOperation::kStore;
   request.turns = {turn};
@@ -419,38 +451,31 @@
   request.ids = chain;
   request.keep_until = turn.expires_at;
   const auto copies = static_cast<std::size_t>(tolerated_losses_) + 1;
+  const auto settling =
+      BeginSettling(use, PlanOfTurn(view_.storage(), turn, use), timeout);
   const auto replies = AskCurrent(
       fiber, request, timeout,
-      [this, copies, &turn, &use](const StorageList& list) {
-        // Spread by key, but the nearest first, and of these the ones that
-        // decide on the program's budget: they need no settlement besides.
-        const auto deciding =
-            list.ReplicasOf(use.program, tolerated_losses_).back().disks;
-        auto members = list.Writable();
-        std::sort(members.begin(), members.end(),
-                  [&turn](const auto& a, const auto& b) {
-                    return Hash64(a.disk, Hash64(turn.id)) >
-                           Hash64(b.disk, Hash64(turn.id));
-                  });
-        std::stable_partition(
-            members.begin(), members.end(), [&deciding](const auto& it) {
-              return std::find(deciding.begin(), deciding.end(), it.disk) !=
-                     deciding.end();
-            });
-        ReplicaCalls::Plan plan;
-        plan.targets = replicas_.InOrder(std::move(members));
-        plan.first_wave = copies;
-        return plan;
+      [this, &turn, &use](const StorageList& list) {
+        return PlanOfTurn(list, turn, use);
       },
       [copies](const StorageList& list, const StorageReplies& it) {
         return !list.members.empty() && DoneOverall(it) >= copies;
       });
-  const bool kept = DoneOverall(replies) >= copies;
-  if (kept) {
+  KeptTurn out;
+  out.kept = DoneOverall(replies) >= copies;
+  if (settling) {
+    settling->changed.WaitUntil(fiber, timeout,
+                                [&settling] { return settling->ended; });
+    out.settled = settling->certain;
+  } else {
+    out.settled = HasQuorums(
+        view_.storage().ReplicasOf(use.program, tolerated_losses_), replies);
+  }
+  if (out.kept) {
     cache_.Put(turn);
     cache_.Expire(std::chrono::milliseconds(0), cache_bytes_);
   }
-  return kept;
+  return out;
 }
 
 }  // namespace comfreyfold
--- a/source/storage/storage_client.h
+++ b/source/storage/storage_client.h
@@ -4,10 +4,11 @@
 #include <chrono>
 #include <cstdint>
 #include <functional>
+#include <memory>
 #include <string>
 #include <vector>
 
-#include "core/time_point.h"
+#include "core/settlement_queue.h"
 #include "core/token_quorum.h"
 #include "core/turn_index.h"
 #include "fleet/decision_log.h"
@@ -72,13 +73,18 @@
   // through this daemon, or by itself in good time.
   void Settle(TokenUse use);
 
-  // Keeps `turn` and `use` on disks enough to survive the tolerated losses,
-  // and the turns of its chain for as long. False: nothing is certain.
-  bool StoreTurn(Fiber& fiber,
-                 const TurnRecord& turn,
-                 const TokenUse& use,
-                 const std::vector<std::string>& chain,
-                 std::chrono::milliseconds timeout);
+  struct KeptTurn {
+    bool kept = false;  // False: nothing is certain.
+    // A quorum of the disks that decide on the budget knows what it used.
+    bool settled = false;
+  };
+  // Keeps `turn` on disks enough to survive the tolerated losses, and the
+  // turns of its chain for as long, and settles `use` on disk.
+  KeptTurn StoreTurn(Fiber& fiber,
+                     const TurnRecord& turn,
+                     const TokenUse& use,
+                     const std::vector<std::string>& chain,
+                     std::chrono::milliseconds timeout);
 
   // Sends what waits to be settled, again and again.
   void Run(Fiber& fiber);
@@ -99,19 +105,20 @@
           enough);
   bool Outdated(Fiber& fiber, const StorageReplies& replies);
   bool Absent(const StorageList& list, const StorageReplies& replies) const;
-  struct Settlement {
-    TokenUse use;
-    TimePoint due;  // When it goes by itself.
-  };
-
   // Uses that a quorum of each replica set knows; false without a quorum.
   bool AskQuorum(Fiber& fiber,
+                 const std::string& program,
                  const StorageRequest& request,
                  std::chrono::milliseconds timeout,
                  TokenQuorum& quorum);
-  std::vector<TokenUse> SettlementsOf(const std::string& program) const;
-  void ForgetSettlements(const std::vector<TokenUse>& told);
-  void SendDueSettlements();
+  ReplicaCalls::Plan PlanOfTurn(const StorageList& list,
+                                const TurnRecord& turn,
+                                const TokenUse& use) const;
+  // Settles `use` beside other work; null when the disks of `plan` do that.
+  struct Settling;
+  std::shared_ptr<Settling> BeginSettling(const TokenUse& use,
+                                          const ReplicaCalls::Plan& plan,
+                                          std::chrono::milliseconds timeout);
   // Tells the disks of each program's quorum, or all of its replicas.
   void SendSettlements(const std::vector<TokenUse>& uses, bool to_all);
 
@@ -122,8 +129,7 @@
   int tolerated_losses_;
   std::size_t cache_bytes_;
   TurnIndex cache_;
-  std::chrono::milliseconds settle_after_;
-  std::vector<Settlement> settling_;
+  SettlementQueue settling_;
 };
 
 }  // namespace comfreyfold
--- a/tests/vm/turns_test.cc
+++ b/tests/vm/turns_test.cc
@@ -1,5 +1,7 @@
 // Turns and token budgets over three disks, one of which may be lost.
 
+#include <algorithm>
+
 #include <boost/test/unit_test.hpp>
 
 #include "storage/replica_calls.h"
@@ -182,12 +184,13 @@
                    VmWorld& world,
                    const std::string& front,
                    const std::string& id,
-                   const std::string& budget = "64") {
+                   const std::string& budget = "64",
+                   const std::string& program = "p") {
   return world.Send(fiber, world.vm(front),
                     {"/talk/stream/x",
                      id,
                      "",
-                     {{"Program-Id", "p"},
+                     {{"Program-Id", program},
                       {"Token-Budget", budget},
                       {"Token-Usage", "10,32"}}});
 }
@@ -268,6 +271,43 @@
   });
 }
 
+// Disks of another data centre decide on these programs' budgets too. When the
+// client has its whole answer, so many of them know what it used that no quorum
+// misses it: everything may lose power at that moment.
+BOOST_AUTO_TEST_CASE(what_a_whole_turn_used_is_known_wherever_budgets_are) {
+  WithTwoFronts([](Fiber& fiber, VmWorld& world) {
+    world.AddVm("disk-4", true, false, "south");
+    world.AddVm("disk-5", true, false, "south");
+    BOOST_REQUIRE(
+        world.WaitFor(fiber, [&world] { return world.Members() == 5U; }));
+    const auto list =
+        DecodeStorageList(world.store().Value("comfreyfold/storage"));
+    for (int n = 0; n < 12; ++n) {
+      const auto program = "p" + std::to_string(n);
+      const auto id = "t" + std::to_string(n);
+      BOOST_TEST(Budgeted(fiber, world, "front-1", id, "64", program).status ==
+                 200);
+      StorageRequest request;
+      request.operation = StorageOperation::kUses;
+      request.program = program;
+      std::size_t know = 0;
+      const auto replicas = list.ReplicasOf(program, 1).front();
+      for (const auto& disk : replicas.disks) {
+        const auto reply = DecodeStorageReply(
+            world.http()
+                .Send(fiber, list.Find(disk)->address,
+                      {"POST", kStoragePath + disk, {}, Encode(request)})
+                .body);
+        know += std::count_if(
+            reply.uses.begin(), reply.uses.end(), [&id](const auto& use) {
+              return use.request == id && use.settled && use.tokens == 16;
+            });
+      }
+      BOOST_TEST(know >= replicas.quorum);
+    }
+  });
+}
+
 BOOST_AUTO_TEST_CASE(a_budget_is_not_guessed_without_a_quorum) {
   WithTwoFronts([](Fiber& fiber, VmWorld& world) {
     world.Cut(world.vm("disk-1"));
--- a/tests/vm/vm_world.cc
+++ b/tests/vm/vm_world.cc
@@ -113,11 +113,12 @@
 
 VmWorld::Vm& VmWorld::AddVm(const std::string& name,
                             bool disk,
-                            bool first_start) {
+                            bool first_start,
+                            const std::string& data_centre) {
   auto vm = std::make_unique<Vm>();
   auto& settings = vm->settings;
   settings.vm = name;
-  settings.data_centre = "north";
+  settings.data_centre = data_centre;
   settings.internal_address = FreeAddress(loop_);
   settings.store_address = store_address_;
   settings.first_start = first_start;
--- a/tests/vm/vm_world.h
+++ b/tests/vm/vm_world.h
@@ -43,7 +43,10 @@
   void WriteConfig(std::int64_t version, int retention_seconds = 60);
   Server& AddServer(const std::string& id, std::chrono::milliseconds work = {});
   void Register(const std::string& id, const std::string& state = "ready");
-  Vm& AddVm(const std::string& name, bool disk, bool first_start = true);
+  Vm& AddVm(const std::string& name,
+            bool disk,
+            bool first_start = true,
+            const std::string& data_centre = "north");
   // The VM takes part in nothing any more.
   void Cut(Vm& vm);
 
