--- a/source/storage/storage_keeper.h
+++ b/source/storage/storage_keeper.h
@@ -4,14 +4,13 @@
 #include <chrono>
 #include <functional>
 #include <random>
-#include <set>
 #include <string>
-#include <unordered_map>
 #include <vector>
 
 #include "clients/kv_store.h"
 #include "fleet/decision_log.h"
 #include "fleet/fleet_view.h"
+#include "storage/disk_copier.h"
 #include "storage/replica_calls.h"
 #include "storage/storage_node.h"
 
@@ -63,23 +62,6 @@
       std::chrono::milliseconds timeout);
   bool EnoughOf(const std::vector<StorageMember>& members,
                 const std::vector<StorageMember>& reachable) const;
-  // From all members but the tolerated losses; false when fewer answered.
-  bool CopyUses(Fiber& fiber, const StorageList& list);
-  bool CopyUsesOf(Fiber& fiber,
-                  const StorageList& list,
-                  const StorageMember& member);
-  bool CopyTurns(Fiber& fiber, const StorageList& list);
-  // Which disks hold each turn, as indexes into `list.All()`.
-  using Holders = std::unordered_map<std::string, std::vector<std::size_t>>;
-  bool AskHolders(Fiber& fiber, const StorageList& list, Holders& holders);
-  bool AskWithEpoch(Fiber& fiber,
-                    const StorageList& list,
-                    const StorageMember& member,
-                    const StorageRequest& request,
-                    StorageReply& reply);
-  bool Fetch(Fiber& fiber,
-             const StorageMember& from,
-             std::vector<std::string> ids);
 
   Loop& loop_;
   KvStore& store_;
@@ -90,13 +72,11 @@
   int tolerated_losses_;
   bool may_found_;
   ReplicaCalls replicas_;
+  DiskCopier copier_;
   Condition wake_;
   std::int64_t changing_version_ = 0;
   std::chrono::steady_clock::time_point changing_since_{};
   int copies_failed_ = 0;  // In a row.
-  // Disks from which all uses were copied since the list has this epoch.
-  std::set<std::string> uses_copied_from_;
-  std::int64_t uses_copied_epoch_ = 0;
   bool announced_ = false;
   bool stopped_ = false;
   bool leaving_ = false;
