--- a/tests/soak/soak_fleet.cc
+++ b/tests/soak/soak_fleet.cc
@@ -6,6 +6,7 @@
 
 #include <nlohmann/json.hpp>
 
+#include "harness/deployment.h"
 #include "storage/storage_keeper.h"
 #include "wire/storage_messages.h"
 
@@ -24,21 +25,9 @@
 constexpr std::chrono::milliseconds kWork{8};
 
 json Route(const std::string& prefix, const char* type, bool context) {
-  return {{"name", prefix},       {"host", "shop"},
-          {"prefix", prefix},     {"type", type},
-          {"timeout_ms", 3000},   {"target_latency_ms", 250},
-          {"priority", 0},        {"service", "app"},
-          {"max_attempts", 2},    {"retain_context", context},
-          {"retention_s", 120.0}, {"cache_affinity", false},
-          {"resumable", false},   {"target_gap_ms", 200}};
-}
-
-// A port that is free now: a daemon is told its address before it starts. Ports
-// of connections are those of 127.0.0.1 and do not take it meanwhile.
-std::string FreeAddress(Loop& loop, const std::string& ip) {
-  HttpServer probe(loop, [](Fiber&, const HttpRequest&, HttpExchange&) {});
-  auto out = probe.Listen(ip + ":0");
-  probe.Drain();
+  auto out = harness::RouteEntry(prefix, type, context, false);
+  out["timeout_ms"] = 3000;
+  out["retention_s"] = 120.0;
   return out;
 }
 
@@ -79,13 +68,13 @@
   auto vm = std::make_unique<Vm>();
   vm->name = name;
   vm->ip = network_ + std::to_string(vms_.size() + 1);
-  vm->internal_address = FreeAddress(loop_, vm->ip);
+  vm->internal_address = harness::FreeAddress(loop_, vm->ip);
   if (disk) {
     vm->data_folder = folder_ + "/" + name;
     fs::create_directories(vm->data_folder);
   } else {
-    vm->client_address = FreeAddress(loop_, vm->ip);
-    vm->ready_address = FreeAddress(loop_, vm->ip);
+    vm->client_address = harness::FreeAddress(loop_, vm->ip);
+    vm->ready_address = harness::FreeAddress(loop_, vm->ip);
   }
   vm->store = std::make_unique<FaultProxy>(store_address_);
   vm->peers = std::make_unique<FaultProxy>(vm->internal_address);
--- a/tests/vm/vm_world.cc
+++ b/tests/vm/vm_world.cc
@@ -4,6 +4,7 @@
 
 #include <nlohmann/json.hpp>
 
+#include "harness/deployment.h"
 #include "platform/registry_decoder.h"
 #include "platform/request_headers.h"
 #include "wire/storage_messages.h"
@@ -12,6 +13,8 @@
 
 namespace {
 
+using harness::FreeAddress;
+using harness::RouteEntry;
 using nlohmann::json;
 using std::chrono::milliseconds;
 
@@ -19,27 +22,6 @@
 constexpr milliseconds kLook{10};
 constexpr int kOk = 200;
 
-json RouteEntry(const char* prefix,
-                const char* type,
-                bool context,
-                bool resumable) {
-  return {{"name", prefix},         {"host", "shop"},
-          {"prefix", prefix},       {"type", type},
-          {"timeout_ms", 4000},     {"target_latency_ms", 250},
-          {"priority", 0},          {"service", "app"},
-          {"max_attempts", 2},      {"retain_context", context},
-          {"retention_s", 60.0},    {"cache_affinity", false},
-          {"resumable", resumable}, {"target_gap_ms", 200}};
-}
-
-// A port that is free now: a daemon is told its address before it starts.
-std::string FreeAddress(Loop& loop) {
-  HttpServer probe(loop, [](Fiber&, const HttpRequest&, HttpExchange&) {});
-  auto out = probe.Listen("127.0.0.1:0");
-  probe.Drain();
-  return out;
-}
-
 }  // namespace
 
 VmWorld::VmWorld(Loop& loop)
