Settling with fewer disks than a quorum no longer ends the daemon

Cause, found on reading the change again: with fewer members than a quorum (a deployment that begins to start, or whose list is not known yet) the list of disks to tell was lengthened by empty ones, and the first of these was looked up and dereferenced. Test: vm_turns/a_deployment_with_too_few_disks_refuses_and_lives_on (memory access violation without the change).

--- a/source/storage/storage_client.cc
+++ b/source/storage/storage_client.cc
@@ -349,9 +349,10 @@
     for (const auto& set : list.ReplicasOf(use.program, tolerated_losses_)) {
       // A quorum that knows it is met by every reader.
       auto members = replicas_.InOrder(MembersOf(list, {set}));
-      members.resize(to_all ? members.size() : set.quorum);
-      for (const auto& it : members) {
-        by_disk[it.disk].uses.push_back(use);
+      const auto count =
+          to_all ? members.size() : std::min(set.quorum, members.size());
+      for (std::size_t n = 0; n < count; ++n) {
+        by_disk[members[n].disk].uses.push_back(use);
       }
     }
   }
--- a/tests/vm/turns_test.cc
+++ b/tests/vm/turns_test.cc
@@ -316,6 +316,25 @@
   });
 }
 
+// One disk where two are needed: a deployment that has just begun to start.
+BOOST_AUTO_TEST_CASE(a_deployment_with_too_few_disks_refuses_and_lives_on) {
+  InVmWorld([](Fiber& fiber, VmWorld& world) {
+    world.WriteConfig(1);
+    world.AddVm("disk-1", true);
+    world.AddVm("front-1", false);
+    world.AddServer("s1");
+    BOOST_REQUIRE(world.WaitFor(fiber, [&] {
+      return world.Members() == 1U && world.Ready(fiber, world.vm("front-1"));
+    }));
+    for (int n = 0; n < 3; ++n) {
+      BOOST_TEST(
+          Budgeted(fiber, world, "front-1", "t" + std::to_string(n)).status ==
+          503);
+    }
+    BOOST_TEST(world.Ready(fiber, world.vm("front-1")));
+  });
+}
+
 BOOST_AUTO_TEST_CASE(a_daemon_passes_storage_requests_on) {
   WithTwoFronts([](Fiber& fiber, VmWorld& world) {
     Turn(fiber, world, "front-1", "t1", "one;");
