--- a/source/storage/storage_client.h
+++ b/source/storage/storage_client.h
@@ -89,9 +89,6 @@
   // Sends what waits to be settled, again and again.
   void Run(Fiber& fiber);
 
-  // Settlements that no replica has confirmed yet.
-  std::size_t unsettled() const { return settling_.size(); }
-
  private:
   using Enough = std::function<bool(const StorageReplies&)>;
 
