--- a/source/front/call_dispatcher.cc
+++ b/source/front/call_dispatcher.cc
@@ -29,6 +29,18 @@
 constexpr std::chrono::milliseconds kNoServerRetryAfter{200};
 constexpr std::chrono::milliseconds kMinRetryAfter{50};
 
+const char* ToString(BodyFraming framing) {
+  switch (framing) {
+    case BodyFraming::kLength:
+      return "length";
+    case BodyFraming::kChunks:
+      return "chunks";
+    case BodyFraming::kConnectionEnd:
+      return "connection_end";
+  }
+  return "";
+}
+
 }  // namespace
 
 CallDispatcher::CallDispatcher(HttpClient& http,
@@ -140,6 +152,8 @@
               {"cached_at", call.cached_server_id},
               {"verdict", ToString(result.verdict)},
               {"status", result.metadata.status},
+              {"framing", ToString(result.framing)},
+              {"unfinished_event_bytes", result.unfinished_event_bytes},
               {"events", call.progress.events},
               {"failure", result.failure}});
   return result;
--- a/source/front/server_call.cc
+++ b/source/front/server_call.cc
@@ -44,6 +44,7 @@
 
 ReplyAction ServerCall::HandleHead(const HttpReply& reply, const Input& input) {
   metadata_ = codec_.decode_answer(reply);
+  framing_ = reply.framing;
   // This is a late answer to an earlier request on the same connection. The
   // answer to this request follows.
   if (!metadata_.request_id.empty() &&
@@ -144,6 +145,9 @@
     }
   }
   result.metadata = metadata_;
+  result.framing = framing_;
+  result.unfinished_event_bytes =
+      static_cast<std::int64_t>(events_.rest().size());
   return result;
 }
 
--- a/source/front/server_call.h
+++ b/source/front/server_call.h
@@ -26,6 +26,8 @@
   // already been sent to the client.
   std::optional<HttpReply> answer;
   ServerAnswer metadata;
+  BodyFraming framing = BodyFraming::kLength;
+  std::int64_t unfinished_event_bytes = 0;  // After the last complete event.
   std::string failure;  // Why there is no answer; written to the log.
   ExchangeResult exchange = ExchangeResult::kAbandoned;
 };
@@ -84,6 +86,7 @@
   StreamProgress& progress_;
   std::function<void(const ServerAnswer&)> on_head_;
   ServerAnswer metadata_;
+  BodyFraming framing_ = BodyFraming::kLength;
   EventStreamParser events_;
   std::string
       excess_;  // How the stream exceeds its limits; empty if it does not.
--- a/source/net/http.h
+++ b/source/net/http.h
@@ -33,8 +33,12 @@
   std::string Query(std::string_view name) const;
 };
 
+// What marks the end of a reply's body.
+enum class BodyFraming { kLength, kChunks, kConnectionEnd };
+
 struct HttpReply {
   int status = 0;
+  BodyFraming framing = BodyFraming::kLength;
   std::vector<HttpHeader> headers;
   std::string body;
 
--- a/source/net/http_client.cc
+++ b/source/net/http_client.cc
@@ -93,6 +93,14 @@
   return out;
 }
 
+template <typename Parser>
+BodyFraming FramingOf(const Parser& parser) {
+  if (parser.chunked()) {
+    return BodyFraming::kChunks;
+  }
+  return parser.need_eof() ? BodyFraming::kConnectionEnd : BodyFraming::kLength;
+}
+
 template <typename Fields>
 void CopyHeaders(const Fields& fields, std::vector<HttpHeader>& out) {
   for (const auto& it : fields) {
@@ -379,6 +387,7 @@
     }
     reply = {};
     reply.status = parser.get().result_int();
+    reply.framing = FramingOf(parser);
     CopyHeaders(parser.get(), reply.headers);
     const bool accepted =
         !IsInterim(reply.status) &&
