--- a/tests/standins/raw_server.cc
+++ b/tests/standins/raw_server.cc
@@ -49,6 +49,13 @@
     return !ec;
   }
 
+  void Reset() override {
+    boost::system::error_code ec;
+    // Closing a socket that lingers for no time resets its connection.
+    socket_.set_option(boost::asio::socket_base::linger(true, 0), ec);
+    socket_.close(ec);
+  }
+
  private:
   Fiber& fiber_;
   tcp::socket& socket_;
--- a/tests/standins/raw_server.h
+++ b/tests/standins/raw_server.h
@@ -23,6 +23,8 @@
     virtual std::string ReadHead() = 0;
     // Returns false once the client has closed the connection.
     virtual bool Write(const std::string& bytes) = 0;
+    // Resets the connection; bytes that the client has not read are lost.
+    virtual void Reset() = 0;
   };
 
   // `serve` runs in a coroutine of its own for each connection.
