Take a stream for broken off if its connection ends inside an event

Cause: an answer without a length or chunks ends with its connection, and a server that fails closes it too. The HTTP client can only report such an answer as complete; ServerCall, which knows events, passed on its end and kept the turn, although the bytes after the last event began another one.

A stream that ends inside an event, or without framing before its first event, is now a failed attempt: it is resumed where the route allows it, and broken off at the client otherwise; the turn is not kept. Comments after the last event still count as complete.

Looked for elsewhere: EngineClient goes by [DONE], the store's and the daemons' bodies fail to parse when cut, tools' answers have no inner end to go by.

--- a/source/core/event_stream_parser.cc
+++ b/source/core/event_stream_parser.cc
@@ -72,4 +72,16 @@
   buf_.erase(0, used);
 }
 
+bool EventStreamParser::InsideEvent() const {
+  std::size_t start = 0;
+  while (start < buf_.size()) {
+    const auto end = buf_.find('\n', start);
+    if (buf_[start] != ':' || end == std::string::npos) {
+      return true;
+    }
+    start = end + 1;
+  }
+  return false;
+}
+
 }  // namespace comfreyfold
--- a/source/core/event_stream_parser.h
+++ b/source/core/event_stream_parser.h
@@ -24,6 +24,8 @@
 
   // The bytes received after the last complete event.
   const std::string& rest() const { return buf_; }
+  // Whether the rest begins another event. Comment lines alone do not.
+  bool InsideEvent() const;
 
  private:
   std::string buf_;
--- a/source/front/server_call.cc
+++ b/source/front/server_call.cc
@@ -102,6 +102,13 @@
   }
 }
 
+// An answer without a length or chunks ends with its connection, also when its
+// server fails.
+bool ServerCall::IsCutShort() const {
+  return events_.InsideEvent() ||
+         (framing_ == BodyFraming::kConnectionEnd && progress_.events == 0);
+}
+
 ServerCallResult ServerCall::Run(Fiber& fiber, const Input& input) {
   ServerCallResult result;
   HttpOptions options;
@@ -133,6 +140,9 @@
   };
   try {
     auto reply = http_.Send(fiber, input.slot.address, input.request, options);
+    if (streaming_ && IsCutShort()) {
+      throw HttpFailure("the stream ended before an event was complete", true);
+    }
     ClassifyReply(std::move(reply), input, result);
   } catch (const HttpFailure& e) {
     result.failure = e.what();
--- a/source/front/server_call.h
+++ b/source/front/server_call.h
@@ -76,6 +76,8 @@
  private:
   ReplyAction HandleHead(const HttpReply& reply, const Input& input);
   void HandleData(std::string_view data, const Input& input);
+  // Whether the stream that has ended lacks a part.
+  bool IsCutShort() const;
   void ClassifyReply(HttpReply reply,
                      const Input& input,
                      ServerCallResult& result);
--- a/tests/unit/event_stream_parser_test.cc
+++ b/tests/unit/event_stream_parser_test.cc
@@ -34,6 +34,21 @@
   }
 }
 
+BOOST_AUTO_TEST_CASE(rest_is_inside_event_unless_it_holds_only_comments) {
+  const auto is_inside = [](std::string_view bytes) {
+    EventStreamParser parser;
+    parser.Feed(bytes, [](const StreamEvent&) {});
+    return parser.InsideEvent();
+  };
+  BOOST_TEST(!is_inside(""));
+  BOOST_TEST(!is_inside("data: one\n\n"));
+  BOOST_TEST(!is_inside("data: one\n\n: comment\n:\n"));
+  BOOST_TEST(is_inside("data: one\n\ni"));
+  BOOST_TEST(is_inside("data: one\n\nid: 2\ndata: two\n"));
+  BOOST_TEST(is_inside("data: one\n\n: comment\nid: 2\n"));
+  BOOST_TEST(is_inside("data: one\n\n: comm"));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace
--- a/tests/vm/broken_answers_test.cc
+++ b/tests/vm/broken_answers_test.cc
@@ -96,6 +96,15 @@
       });
 }
 
+BOOST_AUTO_TEST_CASE(unframed_stream_without_event_is_not_complete) {
+  WithRawServer(AnswerWith("\r\n", {}), [](Fiber& fiber,
+                                           VmDeployment& deployment,
+                                           const VmDeployment::Vm& front) {
+    BOOST_TEST(deployment.Send(fiber, front, {"/talk/stream/x", "r1", "", {}})
+                   .status == 0);
+  });
+}
+
 BOOST_AUTO_TEST_CASE(unframed_stream_that_ends_after_event_is_complete) {
   WithRawServer(AnswerWith("\r\n", {Event(1), Event(2)}),
                 [](Fiber& fiber, VmDeployment& deployment,
