Log which requests are the same, and which servers have ended

server_call has request_hash: host, method, target and body. server_ended is logged where the answers of a server break off and a connection to it is refused.

--- a/source/front/call.cc
+++ b/source/front/call.cc
@@ -1,5 +1,9 @@
 #include "front/call.h"
 
+#include <algorithm>
+
+#include "core/hash.h"
+
 namespace comfreyfold {
 
 std::chrono::milliseconds TimeLeft(TimePoint deadline) {
@@ -7,6 +11,15 @@
       deadline - std::chrono::steady_clock::now());
 }
 
+std::uint64_t FingerprintOf(const HttpRequest& request,
+                            const std::string& host) {
+  auto out = Hash64(host);
+  for (const auto* it : {&request.method, &request.target, &request.body}) {
+    out = Hash64(*it, out);
+  }
+  return std::max<std::uint64_t>(out, 1);
+}
+
 CallError NotRunError(int status,
                       const char* code,
                       const std::string& message,
--- a/source/front/call.h
+++ b/source/front/call.h
@@ -2,6 +2,7 @@
 #define FRONT_CALL_H_
 
 #include <chrono>
+#include <cstdint>
 #include <memory>
 #include <optional>
 #include <set>
@@ -30,6 +31,8 @@
   std::shared_ptr<const RoutingConfig> config;  // Keeps `route` alive.
   const Route* route = nullptr;
   std::string service;
+  // The same for all attempts of a client, unlike the request's id.
+  std::uint64_t fingerprint = 0;
   TimePoint arrived = std::chrono::steady_clock::now();
   TimePoint deadline = arrived;
   // Body to send to servers: the earlier turns of the chain, then the client's
@@ -55,6 +58,11 @@
 // Time until `deadline`; negative when it has passed.
 std::chrono::milliseconds TimeLeft(TimePoint deadline);
 
+// Returns a hash of what a server is asked to do: the host, method, target and
+// body of a client's request. A hash of 0 is never returned.
+std::uint64_t FingerprintOf(const HttpRequest& request,
+                            const std::string& host);
+
 // Error for a request that no server has run.
 CallError NotRunError(int status,
                       const char* code,
--- a/source/front/call_dispatcher.cc
+++ b/source/front/call_dispatcher.cc
@@ -1,6 +1,8 @@
 #include "front/call_dispatcher.h"
 
 #include <algorithm>
+#include <cinttypes>
+#include <cstdio>
 #include <utility>
 
 namespace comfreyfold {
@@ -29,6 +31,12 @@
 constexpr std::chrono::milliseconds kNoServerRetryAfter{200};
 constexpr std::chrono::milliseconds kMinRetryAfter{50};
 
+std::string ToHex(std::uint64_t n) {
+  char buf[17];
+  std::snprintf(buf, sizeof buf, "%016" PRIx64, n);
+  return buf;
+}
+
 const char* ToString(BodyFraming framing) {
   switch (framing) {
     case BodyFraming::kLength:
@@ -47,12 +55,14 @@
                                ServerAdmission& admission,
                                DecisionLog& log,
                                const RequestCodec& codec,
-                               const ProgramSlack& slack)
+                               const ProgramSlack& slack,
+                               ServerEndMonitor& server_ends)
     : http_(http),
       admission_(admission),
       log_(log),
       codec_(codec),
       slack_(slack),
+      server_ends_(server_ends),
       random_(std::random_device{}()) {}
 
 std::optional<CallError> CallDispatcher::AcquireSlot(Fiber& fiber,
@@ -141,8 +151,13 @@
   admission_.Release(call.service, slot, result.exchange, result.metadata.load,
                      std::chrono::duration_cast<std::chrono::milliseconds>(
                          std::chrono::steady_clock::now() - start));
+  if (result.exchange == ExchangeResult::kFailed &&
+      result.verdict == Verdict::kMayHaveRun) {
+    server_ends_.OnBrokenAnswer(slot, call.fingerprint);
+  }
   log_.Write("server_call", call.params.request_id,
-             {{"server", slot.server_id},
+             {{"request_hash", ToHex(call.fingerprint)},
+              {"server", slot.server_id},
               {"address", slot.address},
               {"uncached_tokens", slot.uncached_tokens},
               {"far", slot.in_other_data_centre ? 1 : 0},
--- a/source/front/call_dispatcher.h
+++ b/source/front/call_dispatcher.h
@@ -11,6 +11,7 @@
 #include "front/request_codec.h"
 #include "front/server_admission.h"
 #include "front/server_call.h"
+#include "front/server_end_monitor.h"
 #include "net/http_client.h"
 
 namespace comfreyfold {
@@ -24,7 +25,8 @@
                  ServerAdmission& admission,
                  DecisionLog& log,
                  const RequestCodec& codec,
-                 const ProgramSlack& slack);
+                 const ProgramSlack& slack,
+                 ServerEndMonitor& server_ends);
 
   // Either the server's answer or the reason why there is none.
   struct Outcome {
@@ -47,6 +49,7 @@
   DecisionLog& log_;
   const RequestCodec& codec_;
   const ProgramSlack& slack_;
+  ServerEndMonitor& server_ends_;
   std::mt19937_64 random_;
 };
 
--- a/source/front/call_handler.cc
+++ b/source/front/call_handler.cc
@@ -57,6 +57,7 @@
 CallHandler::CallHandler(HttpClient& http,
                          FleetView& view,
                          ServerAdmission& admission,
+                         ServerEndMonitor& server_ends,
                          StorageClient& storage,
                          DecisionLog& log,
                          Metrics& metrics,
@@ -66,7 +67,7 @@
       log_(log),
       metrics_(metrics),
       codec_(std::move(codec)),
-      dispatcher_(http, admission, log, codec_, slack_),
+      dispatcher_(http, admission, log, codec_, slack_, server_ends),
       random_(std::random_device{}()) {}
 
 void CallHandler::Handle(Fiber& fiber,
@@ -102,6 +103,7 @@
   } catch (const std::runtime_error& e) {
     return NotRunError(kBadRequest, "bad_header", e.what());
   }
+  call.fingerprint = FingerprintOf(call.request, call.params.host);
   call.config = view_.config();
   if (!call.config) {
     return NotRunError(kUnavailable, "no_config",
--- a/source/front/call_handler.h
+++ b/source/front/call_handler.h
@@ -32,6 +32,7 @@
   CallHandler(HttpClient& http,
               FleetView& view,
               ServerAdmission& admission,
+              ServerEndMonitor& server_ends,
               StorageClient& storage,
               DecisionLog& log,
               Metrics& metrics,
--- a/source/net/http_client.cc
+++ b/source/net/http_client.cc
@@ -280,23 +280,23 @@
 
   std::unique_ptr<Connection> Connect(Fiber& fiber,
                                       const std::string& address,
-                                      std::chrono::milliseconds timeout) {
+                                      std::chrono::milliseconds timeout,
+                                      boost::system::error_code& ec) {
     auto connection = std::make_unique<Connection>(loop.impl().io);
     connection->stream.expires_after(timeout);
     ++connections_opened;
-    boost::system::error_code ec;
     connection->stream.async_connect(ParseEndpoint(address),
                                      YieldToken(fiber)[ec]);
-    if (ec) {
-      throw HttpFailure("connect to " + address + ": " + ec.message(), false);
+    if (!ec) {
+      boost::system::error_code ignored;
+      connection->stream.socket().set_option(tcp::no_delay(true), ignored);
     }
-    connection->stream.socket().set_option(tcp::no_delay(true), ec);
     return connection;
   }
 
   void ReturnToPool(const std::string& address,
                     std::unique_ptr<Connection> connection,
-                    const HttpReply& reply) {
+                    std::chrono::steady_clock::time_point usable_until) {
     auto& pool = idle[address];
     const auto now = std::chrono::steady_clock::now();
     // TakeIdle takes from the back, so the longest idle connections are in
@@ -309,7 +309,7 @@
     // that data belongs to no request.
     if (connection->buf.size() == 0 && pool.size() < idle_per_address) {
       connection->idle_since = now;
-      connection->usable_until = UsableUntil(reply);
+      connection->usable_until = usable_until;
       connection->stream.expires_never();
       pool.push_back(std::move(connection));
     }
@@ -461,14 +461,17 @@
   auto connection = options.fresh_connection
                         ? nullptr
                         : impl_->TakeIdle(address, options.max_idle_time);
+  boost::system::error_code ec;
   if (!connection) {
-    connection = impl_->Connect(fiber, address, options.connect_timeout);
+    connection = impl_->Connect(fiber, address, options.connect_timeout, ec);
+  }
+  if (ec) {
+    throw HttpFailure("connect to " + address + ": " + ec.message(), false);
   }
   if (options.cancelled && options.cancelled()) {
     throw HttpFailure("cancelled", false);
   }
   auto& stream = connection->stream;
-  boost::system::error_code ec;
 
   ExchangeWatchdog watchdog(impl_->loop.impl().io, stream, options.cancelled,
                             options.total_timeout);
@@ -489,9 +492,24 @@
   ReplyReader reader(fiber, address, *connection, watchdog, options);
   reader.Read(reply);
   if (reader.keep_alive()) {
-    impl_->ReturnToPool(address, std::move(connection), reply);
+    impl_->ReturnToPool(address, std::move(connection), UsableUntil(reply));
   }
   return reply;
 }
 
+ConnectResult HttpClient::TryConnect(Fiber& fiber,
+                                     const std::string& address,
+                                     std::chrono::milliseconds timeout) {
+  boost::system::error_code ec;
+  auto connection = impl_->Connect(fiber, address, timeout, ec);
+  if (ec) {
+    return ec == boost::asio::error::connection_refused
+               ? ConnectResult::kRefused
+               : ConnectResult::kUnreachable;
+  }
+  impl_->ReturnToPool(address, std::move(connection),
+                      std::chrono::steady_clock::time_point::max());
+  return ConnectResult::kAccepted;
+}
+
 }  // namespace comfreyfold
--- a/source/net/http_client.h
+++ b/source/net/http_client.h
@@ -60,6 +60,13 @@
   std::function<bool()> cancelled;
 };
 
+// Outcome of opening a connection.
+enum class ConnectResult {
+  kAccepted,
+  kRefused,      // Nothing listens at the address.
+  kUnreachable,  // No answer in time, or another error.
+};
+
 // HTTP/1.1 client (Boost.Beast) with a pool of idle connections per address.
 class HttpClient {
  public:
@@ -77,6 +84,12 @@
                  const HttpRequest& request,
                  const HttpOptions& options = {});
 
+  // Opens a connection without sending a request, and keeps it for the next
+  // one.
+  ConnectResult TryConnect(Fiber& fiber,
+                           const std::string& address,
+                           std::chrono::milliseconds timeout);
+
   // Adds `header` to each request whose target starts with `prefix`.
   void AddHeader(std::string prefix, HttpHeader header);
 
--- a/source/vm/vm_daemon.cc
+++ b/source/vm/vm_daemon.cc
@@ -188,9 +188,10 @@
   fleet_sync_.OnFault(
       [this](const ServerFault& fault) { admission_->ObserveFault(fault); });
   fleet_sync_.UseKept(settings_.tolerated_losses);
-  call_handler_ =
-      std::make_unique<CallHandler>(http_, view_, *admission_, *storage_client_,
-                                    log_, metrics_, platform_.request_codec);
+  server_ends_ = std::make_unique<ServerEndMonitor>(loop_, http_, log_);
+  call_handler_ = std::make_unique<CallHandler>(
+      http_, view_, *admission_, *server_ends_, *storage_client_, log_,
+      metrics_, platform_.request_codec);
   loop_.Spawn([this](Fiber& fiber) { storage_client_->Run(fiber); });
   client_server_ = std::make_unique<HttpServer>(
       loop_,
