--- a/tests/standins/platform_server.cc
+++ b/tests/standins/platform_server.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <cstdlib>
 
+#include <boost/algorithm/string/predicate.hpp>
 #include <nlohmann/json.hpp>
 
 namespace comfreyfold::standins {
@@ -46,14 +47,25 @@
                                   HttpExchange& exchange,
                                   Run& run) const {
   const auto deadline = std::chrono::steady_clock::now() + work_time_;
-  while (std::chrono::steady_clock::now() < deadline) {
+  while (!crashed_ && std::chrono::steady_clock::now() < deadline) {
     fiber.Sleep(std::min(kPollInterval, work_time_));
     if (exchange.PeerGone()) {
       run.client_disconnected = true;
       return false;
     }
   }
-  return true;
+  if (crashed_) {
+    exchange.Abort();
+  }
+  return !crashed_;
+}
+
+void PlatformServer::CrashIfDeadly(const HttpRequest& request) {
+  if (!deadly_body_.empty() &&
+      boost::algorithm::ends_with(request.body, deadly_body_)) {
+    crashed_ = true;
+    stop_listening_();
+  }
 }
 
 void PlatformServer::Handle(Fiber& fiber,
@@ -79,6 +91,7 @@
   }
   runs_.push_back({request_id, request, false});
   const auto n = runs_.size() - 1;
+  CrashIfDeadly(request);
   if (!SimulateWork(fiber, exchange, runs_[n])) {
     return;
   }
--- a/tests/standins/platform_server.h
+++ b/tests/standins/platform_server.h
@@ -2,8 +2,10 @@
 #define STANDINS_PLATFORM_SERVER_H_
 
 #include <chrono>
+#include <functional>
 #include <map>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "standins/faults.h"
@@ -36,6 +38,13 @@
     work_time_ = work_time;
   }
   int RunsOf(const std::string& request_id) const;
+  // Makes the server crash when it begins to run a request whose body ends with
+  // `body`: it breaks off all answers and calls `stop_listening`.
+  void CrashOn(std::string body, std::function<void()> stop_listening) {
+    deadly_body_ = std::move(body);
+    stop_listening_ = std::move(stop_listening);
+  }
+  bool crashed() const { return crashed_; }
   Faults& faults() { return faults_; }
   static constexpr int kEvents = 4;  // Events per stream.
 
@@ -44,7 +53,9 @@
                   const HttpRequest& request,
                   HttpExchange& exchange);
   std::vector<HttpHeader> ResponseHeaders(const std::string& request_id) const;
-  // Waits for the work time; returns false if the client disconnects meanwhile.
+  void CrashIfDeadly(const HttpRequest& request);
+  // Waits for the work time; returns false if the client disconnects or the
+  // server crashes meanwhile.
   bool SimulateWork(Fiber& fiber, HttpExchange& exchange, Run& run) const;
   void ReplyAudit(HttpExchange& exchange) const;
 
@@ -53,6 +64,9 @@
   std::chrono::milliseconds work_time_;
   Faults faults_;
   std::vector<Run> runs_;
+  std::string deadly_body_;  // Empty: no request crashes the server.
+  std::function<void()> stop_listening_;
+  bool crashed_ = false;
 };
 
 }  // namespace comfreyfold::standins
