--- a/source/core/kept_fleet.h
+++ b/source/core/kept_fleet.h
@@ -9,6 +9,7 @@
 #include <vector>
 
 #include "core/backend_server.h"
+#include "core/request_quarantine.h"
 #include "core/storage_list.h"
 
 namespace comfreyfold {
@@ -20,6 +21,8 @@
   std::string config_text;
   std::vector<BackendServer> servers;
   std::chrono::milliseconds kept_at{0};  // Time of day.
+  // Of the quarantined requests; their ages are from `kept_at`.
+  std::vector<SuspectRun> suspect_runs;
 };
 
 // Chooses the state to serve with after such a start from what the disks keep.
--- /dev/null
+++ b/source/core/request_quarantine.cc
@@ -0,0 +1,234 @@
+#include "core/request_quarantine.h"
+
+#include <algorithm>
+#include <set>
+
+namespace comfreyfold {
+
+namespace {
+constexpr std::chrono::milliseconds kFirstQuarantine{60000};
+constexpr std::chrono::milliseconds kLongestQuarantine{3600000};
+// Must outlast the quarantine, so that the next crash lengthens it.
+constexpr std::chrono::milliseconds kRetention{2 * kLongestQuarantine};
+constexpr std::chrono::milliseconds kExpiryInterval{1000};
+// Bounds the memory and the bytes between daemons when many servers crash at
+// the same time.
+constexpr std::size_t kMaxRuns = 2048;
+
+std::chrono::milliseconds QuarantineAfter(std::size_t crashes) {
+  auto out = kFirstQuarantine;
+  for (auto n = RequestQuarantine::kMaxCrashes;
+       n < crashes && out < kLongestQuarantine; ++n) {
+    out *= 2;
+  }
+  return std::min(out, kLongestQuarantine);
+}
+
+}  // namespace
+
+bool RequestQuarantine::Record(const SuspectRun& run,
+                               TimePoint now,
+                               ReportSource source) {
+  if (now - expired_at_ > kExpiryInterval) {
+    expired_at_ = now;
+    Expire(now);
+  }
+  if (run.age > kRetention || run.fingerprint == 0 || run.server.empty()) {
+    return false;
+  }
+  if (run_count_ >= kMaxRuns) {
+    MakeRoom();
+  }
+  auto& request = requests_[run.fingerprint];
+  const auto crashes_before = request.crashes.size();
+  const Run recorded{now - run.age, now, source};
+  const bool is_new = run.crashed ? RecordCrash(request, run.server, recorded)
+                                  : RecordAnswer(request, run.server, recorded);
+  // Requests at fewer crashes cannot be to blame.
+  if (is_new &&
+      std::max(crashes_before, request.crashes.size()) >= kMaxCrashes) {
+    AssignBlame();
+  }
+  return is_new;
+}
+
+bool RequestQuarantine::RecordCrash(Request& request,
+                                    const std::string& server,
+                                    const Run& run) {
+  if (run.ended_at <= request.answer.ended_at ||
+      !request.crashes.try_emplace(server, run).second) {
+    return false;
+  }
+  ++run_count_;
+  return true;
+}
+
+bool RequestQuarantine::RecordAnswer(Request& request,
+                                     const std::string& server,
+                                     const Run& run) {
+  // The age of one answer differs by some milliseconds if it was reported by
+  // several ways.
+  const bool is_known =
+      request.answered_by == server && request.crashes.empty();
+  if (is_known || run.ended_at <= request.answer.ended_at) {
+    return false;
+  }
+  run_count_ += request.answered_by.empty() ? 1 : 0;
+  request.answered_by = server;
+  request.answer = run;
+  run_count_ -= std::erase_if(request.crashes, [&run](const auto& it) {
+    return it.second.ended_at <= run.ended_at;
+  });
+  return true;
+}
+
+void RequestQuarantine::Expire(TimePoint now) {
+  const auto before = requests_.size();
+  std::erase_if(requests_, [this, now](const auto& it) {
+    auto latest = it.second.answer.ended_at;
+    for (const auto& [server, run] : it.second.crashes) {
+      latest = std::max(latest, run.ended_at);
+    }
+    if (now - latest <= kRetention) {
+      return false;
+    }
+    run_count_ -= it.second.crashes.size();
+    run_count_ -= it.second.answered_by.empty() ? 0 : 1;
+    return true;
+  });
+  if (requests_.size() != before) {
+    AssignBlame();
+  }
+}
+
+void RequestQuarantine::MakeRoom() {
+  const auto rank = [](const Request& request) {
+    auto first = request.answer.recorded_at;
+    for (const auto& [server, run] : request.crashes) {
+      first = std::max(first, run.recorded_at);
+    }
+    return std::pair(request.crashes.size(), first);
+  };
+  const auto it = std::min_element(requests_.begin(), requests_.end(),
+                                   [&rank](const auto& a, const auto& b) {
+                                     return rank(a.second) < rank(b.second);
+                                   });
+  run_count_ -= it->second.crashes.size();
+  run_count_ -= it->second.answered_by.empty() ? 0 : 1;
+  requests_.erase(it);
+  AssignBlame();
+}
+
+// Takes the requests at most of the crashes that are not explained yet, until
+// none is left at enough of them.
+void RequestQuarantine::AssignBlame() {
+  blamed_.clear();
+  std::set<std::string> explained;
+  for (;;) {
+    std::map<std::uint64_t, Blame> candidates;
+    std::size_t most = 0;
+    for (const auto& [fingerprint, request] : requests_) {
+      if (request.crashes.size() < kMaxCrashes) {
+        continue;
+      }
+      Blame blame;
+      for (const auto& [server, run] : request.crashes) {
+        if (explained.count(server) == 0) {
+          ++blame.crashes;
+          blame.latest = std::max(blame.latest, run.ended_at);
+        }
+      }
+      most = std::max(most, blame.crashes);
+      candidates[fingerprint] = blame;
+    }
+    if (most < kMaxCrashes) {
+      return;
+    }
+    for (const auto& [fingerprint, blame] : candidates) {
+      if (blame.crashes == most) {
+        blamed_[fingerprint] = blame;
+        for (const auto& [server, run] : requests_.at(fingerprint).crashes) {
+          explained.insert(server);
+        }
+      }
+    }
+  }
+}
+
+bool RequestQuarantine::IsSuspect(std::uint64_t fingerprint) const {
+  const auto it = requests_.find(fingerprint);
+  return it != requests_.end() && !it->second.crashes.empty();
+}
+
+std::chrono::milliseconds RequestQuarantine::TimeLeft(std::uint64_t fingerprint,
+                                                      TimePoint now) const {
+  const auto it = blamed_.find(fingerprint);
+  if (it == blamed_.end()) {
+    return std::chrono::milliseconds(0);
+  }
+  const auto& blame = it->second;
+  const auto left = blame.latest + QuarantineAfter(blame.crashes) - now;
+  return std::max(std::chrono::milliseconds(0),
+                  std::chrono::ceil<std::chrono::milliseconds>(left));
+}
+
+std::vector<SuspectRun> RequestQuarantine::Select(
+    TimePoint now,
+    const RunFilter& filter) const {
+  std::vector<SuspectRun> out;
+  const auto add = [&](std::uint64_t fingerprint, const std::string& server,
+                       bool crashed, const Run& run) {
+    if (filter(fingerprint, run)) {
+      out.push_back({fingerprint, server, crashed,
+                     std::chrono::duration_cast<std::chrono::milliseconds>(
+                         now - run.ended_at)});
+    }
+  };
+  for (const auto& [fingerprint, request] : requests_) {
+    for (const auto& [server, run] : request.crashes) {
+      add(fingerprint, server, true, run);
+    }
+    if (!request.answered_by.empty()) {
+      add(fingerprint, request.answered_by, false, request.answer);
+    }
+  }
+  return out;
+}
+
+std::vector<SuspectRun> RequestQuarantine::RecordedSince(TimePoint since,
+                                                         TimePoint now) const {
+  return Select(now, [since](std::uint64_t, const Run& run) {
+    return run.recorded_at > since;
+  });
+}
+
+std::vector<SuspectRun> RequestQuarantine::LocalSince(TimePoint since,
+                                                      TimePoint now) const {
+  return Select(now, [since](std::uint64_t, const Run& run) {
+    return run.recorded_at > since && run.source == ReportSource::kLocal;
+  });
+}
+
+std::vector<SuspectRun> RequestQuarantine::BlamedRuns(TimePoint now) const {
+  return Select(now, [this](std::uint64_t fingerprint, const Run&) {
+    return blamed_.count(fingerprint) > 0;
+  });
+}
+
+std::vector<std::uint64_t> RequestQuarantine::BlamedRequests() const {
+  std::vector<std::uint64_t> out;
+  for (const auto& [fingerprint, blame] : blamed_) {
+    out.push_back(fingerprint);
+  }
+  return out;
+}
+
+std::uint64_t RequestQuarantine::HashOfBlamed() const {
+  std::uint64_t out = 0;
+  for (const auto& [fingerprint, blame] : blamed_) {
+    out ^= fingerprint;
+  }
+  return out;
+}
+
+}  // namespace comfreyfold
--- /dev/null
+++ b/source/core/request_quarantine.h
@@ -0,0 +1,101 @@
+#ifndef CORE_REQUEST_QUARANTINE_H_
+#define CORE_REQUEST_QUARANTINE_H_
+
+#include <chrono>
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <string>
+#include <vector>
+
+#include "core/load_report_table.h"
+#include "core/time_point.h"
+
+namespace comfreyfold {
+
+// How a run of a request ended that may be one that crashes backend servers.
+struct SuspectRun {
+  std::uint64_t fingerprint = 0;  // The same for all attempts at the request.
+  std::string server;             // Names one start of a server.
+  bool crashed = false;           // Otherwise the server answered.
+  std::chrono::milliseconds age{0};
+};
+
+// The requests that crash the servers which run them, as all daemons together
+// have seen. Each further server that runs such a request crashes too, and
+// breaks off the other requests that it runs.
+//
+// A request is quarantined once kMaxCrashes crashes are blamed on it, for a
+// time that doubles with each further one. A crash is blamed on the request
+// that was running at most crashes, because the others happened to run at the
+// same servers. An answer to a request clears it of the crashes before.
+class RequestQuarantine {
+ public:
+  static constexpr std::size_t kMaxCrashes = 3;
+
+  // Returns false if the run is known or has expired.
+  bool Record(const SuspectRun& run,
+              TimePoint now,
+              ReportSource source = ReportSource::kLocal);
+
+  // Whether the request was running at a server that crashed and has not been
+  // answered since.
+  bool IsSuspect(std::uint64_t fingerprint) const;
+  // Returns the time for which no server may be sent the request; 0: none.
+  std::chrono::milliseconds TimeLeft(std::uint64_t fingerprint,
+                                     TimePoint now) const;
+
+  // The runs that this daemon has recorded after `since`.
+  std::vector<SuspectRun> RecordedSince(TimePoint since, TimePoint now) const;
+  // The same without those from answers.
+  std::vector<SuspectRun> LocalSince(TimePoint since, TimePoint now) const;
+  // The runs of the requests on which enough crashes are blamed, for daemons
+  // that have missed some of them.
+  std::vector<SuspectRun> BlamedRuns(TimePoint now) const;
+  // Fingerprints of these requests, in ascending order.
+  std::vector<std::uint64_t> BlamedRequests() const;
+  // Returns a hash of the requests on which enough crashes are blamed; 0: none.
+  std::uint64_t HashOfBlamed() const;
+
+  std::size_t blamed() const { return blamed_.size(); }
+  std::size_t size() const { return run_count_; }
+
+ private:
+  struct Run {
+    TimePoint ended_at = kDistantPast;
+    TimePoint recorded_at = kDistantPast;
+    ReportSource source = ReportSource::kLocal;
+  };
+  struct Request {
+    std::map<std::string, Run> crashes;  // By server.
+    std::string answered_by;             // Empty if there was no answer.
+    Run answer;                          // The latest.
+  };
+  struct Blame {
+    std::size_t crashes = 0;
+    TimePoint latest = kDistantPast;
+  };
+  using Requests = std::map<std::uint64_t, Request>;
+  using RunFilter = std::function<bool(std::uint64_t, const Run&)>;
+
+  bool RecordCrash(Request& request, const std::string& server, const Run& run);
+  bool RecordAnswer(Request& request,
+                    const std::string& server,
+                    const Run& run);
+  // Drops requests whose last run has expired.
+  void Expire(TimePoint now);
+  // Drops the request with the fewest crashes; of several, the oldest.
+  void MakeRoom();
+  // Decides which requests are to blame for which crashes.
+  void AssignBlame();
+  std::vector<SuspectRun> Select(TimePoint now, const RunFilter& filter) const;
+
+  Requests requests_;  // By fingerprint.
+  std::size_t run_count_ = 0;
+  std::map<std::uint64_t, Blame> blamed_;  // By fingerprint.
+  TimePoint expired_at_ = kDistantPast;
+};
+
+}  // namespace comfreyfold
+
+#endif  // CORE_REQUEST_QUARANTINE_H_
--- a/source/fleet/fleet_sync.cc
+++ b/source/fleet/fleet_sync.cc
@@ -30,6 +30,10 @@
       std::chrono::steady_clock::now() - at);
 }
 
+void Append(std::vector<SuspectRun> runs, std::vector<SuspectRun>& out) {
+  out.insert(out.end(), runs.begin(), runs.end());
+}
+
 }  // namespace
 
 FleetSync::FleetSync(
@@ -144,9 +148,15 @@
   if (on_load_) {
     question.loads = view_.loads().LocalSince(loads_sent_until_, queried_at);
     question.faults = view_.faults().LocalSince(loads_sent_until_, queried_at);
+    question.suspect_runs =
+        view_.quarantine().LocalSince(loads_sent_until_, queried_at);
+    if (quarantine_differs_) {
+      Append(view_.quarantine().BlamedRuns(queried_at), question.suspect_runs);
+    }
     question.loads_within = ReportWindow(address, queried_at);
     question.address = address_;
   }
+  question.blamed_hash = view_.quarantine().HashOfBlamed();
   HttpOptions options;
   options.connect_timeout = kQueryTimeout;
   options.idle_timeout = kQueryTimeout;
@@ -242,6 +252,13 @@
   }
 }
 
+void FleetSync::ApplySuspectRuns(const FleetNews& news) {
+  for (const auto& it : news.suspect_runs) {
+    view_.RecordSuspectRun(it, ReportSource::kAnswer);
+  }
+  quarantine_differs_ = news.blamed_hash != view_.quarantine().HashOfBlamed();
+}
+
 void FleetSync::Apply(const FleetNews& news, const std::string& address) {
   const auto now = std::chrono::steady_clock::now();
   if (news.config_version > 0) {
@@ -256,6 +273,7 @@
     }
   }
   ApplyReports(news);
+  ApplySuspectRuns(news);
   if (!news.daemons.empty()) {
     view_.SetClientDaemons(news.daemons);
   }
@@ -328,6 +346,9 @@
   for (const auto& it : question.faults) {
     view_.faults().Record(it, now);
   }
+  for (const auto& it : question.suspect_runs) {
+    view_.RecordSuspectRun(it, ReportSource::kLocal);
+  }
   if (!question.address.empty()) {
     recent_peers_[question.address] = now;
     news.daemons = RecentPeers(question.address);
@@ -336,6 +357,11 @@
     const auto since = now - question.loads_within;
     news.loads = view_.loads().RecordedSince(since, now);
     news.faults = view_.faults().RecordedSince(since, now);
+    news.suspect_runs = view_.quarantine().RecordedSince(since, now);
+  }
+  news.blamed_hash = view_.quarantine().HashOfBlamed();
+  if (news.blamed_hash != question.blamed_hash) {
+    Append(view_.quarantine().BlamedRuns(now), news.suspect_runs);
   }
   exchange.Reply(kOk, "", Encode(news));
 }
--- a/source/fleet/fleet_sync.h
+++ b/source/fleet/fleet_sync.h
@@ -98,6 +98,7 @@
   void Apply(const FleetNews& news, const std::string& address);
   void ApplyConfig(const FleetNews& news, const std::string& address);
   void ApplyReports(const FleetNews& news);
+  void ApplySuspectRuns(const FleetNews& news);
   // Takes over what enough disks keep, if this daemon has no configuration.
   void ApplyKept();
 
@@ -111,6 +112,8 @@
   std::chrono::milliseconds max_age_{0};
   std::function<std::chrono::milliseconds()> interval_;
   TimePoint loads_sent_until_{};
+  // The daemon that answered last has quarantined other requests.
+  bool quarantine_differs_ = false;
   // The source that answered last, and when it was queried.
   std::string last_source_;
   TimePoint last_queried_at_{};
--- a/source/fleet/fleet_view.cc
+++ b/source/fleet/fleet_view.cc
@@ -72,6 +72,14 @@
   }
 }
 
+void FleetView::RecordSuspectRun(const SuspectRun& run, ReportSource source) {
+  const auto before = quarantine_.HashOfBlamed();
+  quarantine_.Record(run, std::chrono::steady_clock::now(), source);
+  if (quarantine_.HashOfBlamed() != before) {
+    NotifyListeners();
+  }
+}
+
 void FleetView::NotifyListeners() const {
   for (const auto& it : on_change_) {
     it();
--- a/source/fleet/fleet_view.h
+++ b/source/fleet/fleet_view.h
@@ -10,6 +10,7 @@
 #include <vector>
 
 #include "core/load_report_table.h"
+#include "core/request_quarantine.h"
 #include "core/routing.h"
 #include "core/server_directory.h"
 #include "core/server_fault_table.h"
@@ -66,6 +67,10 @@
   LoadReportTable& loads() { return loads_; }
   ServerFaultTable& faults() { return faults_; }
 
+  // Requests that crash servers, as this daemon and others have seen.
+  const RequestQuarantine& quarantine() const { return quarantine_; }
+  void RecordSuspectRun(const SuspectRun& run, ReportSource source);
+
   // Addresses of some of the other daemons that serve clients.
   const std::vector<std::string>& client_daemons() const {
     return client_daemons_;
@@ -94,6 +99,7 @@
   std::function<void(const StorageList&)> store_list_;
   LoadReportTable loads_;
   ServerFaultTable faults_;
+  RequestQuarantine quarantine_;
   std::vector<std::string> client_daemons_;
   std::set<std::string> retiring_;
   std::vector<std::function<void()>> on_change_;
--- a/source/front/call.cc
+++ b/source/front/call.cc
@@ -27,6 +27,14 @@
   return {status, code, message, Verdict::kNotRun, retry_after};
 }
 
+CallError QuarantinedError(std::chrono::milliseconds left) {
+  constexpr int kUnavailable = 503;
+  return NotRunError(kUnavailable, "quarantined",
+                     "servers crashed each time they ran this request; change "
+                     "it, or retry after the given time",
+                     left);
+}
+
 const char* ToString(ProgramStage stage) {
   switch (stage) {
     case ProgramStage::kStarted:
--- a/source/front/call.h
+++ b/source/front/call.h
@@ -69,6 +69,9 @@
                       const std::string& message,
                       std::chrono::milliseconds retry_after = {});
 
+// Error for a request that crashes the servers which run it.
+CallError QuarantinedError(std::chrono::milliseconds left);
+
 // Returns the name used in log lines.
 const char* ToString(ProgramStage stage);
 
--- a/source/front/call_dispatcher.cc
+++ b/source/front/call_dispatcher.cc
@@ -1,8 +1,6 @@
 #include "front/call_dispatcher.h"
 
 #include <algorithm>
-#include <cinttypes>
-#include <cstdio>
 #include <utility>
 
 namespace comfreyfold {
@@ -31,12 +29,6 @@
 constexpr std::chrono::milliseconds kNoServerRetryAfter{200};
 constexpr std::chrono::milliseconds kMinRetryAfter{50};
 
-std::string ToHex(std::uint64_t n) {
-  char buf[17];
-  std::snprintf(buf, sizeof buf, "%016" PRIx64, n);
-  return buf;
-}
-
 const char* ToString(BodyFraming framing) {
   switch (framing) {
     case BodyFraming::kLength:
@@ -56,13 +48,13 @@
                                DecisionLog& log,
                                const RequestCodec& codec,
                                const ProgramSlack& slack,
-                               ServerEndMonitor& server_ends)
+                               CrashGuard& crash_guard)
     : http_(http),
       admission_(admission),
       log_(log),
       codec_(codec),
       slack_(slack),
-      server_ends_(server_ends),
+      crash_guard_(crash_guard),
       random_(std::random_device{}()) {}
 
 std::optional<CallError> CallDispatcher::AcquireSlot(Fiber& fiber,
@@ -119,6 +111,19 @@
                      retry);
 }
 
+// Crashes may have been reported while the request waited for the slot.
+std::optional<CallError> CallDispatcher::CheckQuarantine(
+    const Call& call,
+    const SlotResult& slot_result) {
+  const auto left = crash_guard_.QuarantineLeft(call.fingerprint);
+  if (left.count() == 0) {
+    return std::nullopt;
+  }
+  admission_.Release(call.service, *slot_result.slot,
+                     ExchangeResult::kAbandoned, {}, {});
+  return QuarantinedError(left);
+}
+
 ServerCallResult CallDispatcher::Send(Fiber& fiber,
                                       Call& call,
                                       const SlotResult& slot_result) {
@@ -153,10 +158,12 @@
                          std::chrono::steady_clock::now() - start));
   if (result.exchange == ExchangeResult::kFailed &&
       result.verdict == Verdict::kMayHaveRun) {
-    server_ends_.OnBrokenAnswer(slot, call.fingerprint);
+    crash_guard_.OnBrokenAnswer(slot, call.fingerprint);
+  } else if (result.exchange == ExchangeResult::kAnswered) {
+    crash_guard_.OnAnswer(slot, call.fingerprint);
   }
   log_.Write("server_call", call.params.request_id,
-             {{"request_hash", ToHex(call.fingerprint)},
+             {{"request_hash", FingerprintText(call.fingerprint)},
               {"server", slot.server_id},
               {"address", slot.address},
               {"uncached_tokens", slot.uncached_tokens},
@@ -189,7 +196,11 @@
 CallDispatcher::Outcome CallDispatcher::Dispatch(Fiber& fiber, Call& call) {
   for (;;) {
     SlotResult slot_result;
-    if (auto error = AcquireSlot(fiber, call, slot_result)) {
+    auto error = AcquireSlot(fiber, call, slot_result);
+    if (!error) {
+      error = CheckQuarantine(call, slot_result);
+    }
+    if (error) {
       if (call.possible_runs > 0) {
         error = CallError(kBadGateway, "server_failed",
                           "the server failed and no other server was free",
--- a/source/front/call_dispatcher.h
+++ b/source/front/call_dispatcher.h
@@ -8,10 +8,10 @@
 #include "core/program_slack.h"
 #include "fleet/decision_log.h"
 #include "front/call.h"
+#include "front/crash_guard.h"
 #include "front/request_codec.h"
 #include "front/server_admission.h"
 #include "front/server_call.h"
-#include "front/server_end_monitor.h"
 #include "net/http_client.h"
 
 namespace comfreyfold {
@@ -26,7 +26,7 @@
                  DecisionLog& log,
                  const RequestCodec& codec,
                  const ProgramSlack& slack,
-                 ServerEndMonitor& server_ends);
+                 CrashGuard& crash_guard);
 
   // Either the server's answer or the reason why there is none.
   struct Outcome {
@@ -39,6 +39,9 @@
   std::optional<CallError> AcquireSlot(Fiber& fiber,
                                        Call& call,
                                        SlotResult& slot_result);
+  // Gives the slot back if the request is quarantined.
+  std::optional<CallError> CheckQuarantine(const Call& call,
+                                           const SlotResult& slot_result);
   ServerCallResult Send(Fiber& fiber,
                         Call& call,
                         const SlotResult& slot_result);
@@ -49,7 +52,7 @@
   DecisionLog& log_;
   const RequestCodec& codec_;
   const ProgramSlack& slack_;
-  ServerEndMonitor& server_ends_;
+  CrashGuard& crash_guard_;
   std::mt19937_64 random_;
 };
 
--- a/source/front/call_handler.cc
+++ b/source/front/call_handler.cc
@@ -57,17 +57,18 @@
 CallHandler::CallHandler(HttpClient& http,
                          FleetView& view,
                          ServerAdmission& admission,
-                         ServerEndMonitor& server_ends,
+                         CrashGuard& crash_guard,
                          StorageClient& storage,
                          DecisionLog& log,
                          Metrics& metrics,
                          RequestCodec codec)
     : view_(view),
+      crash_guard_(crash_guard),
       storage_(storage),
       log_(log),
       metrics_(metrics),
       codec_(std::move(codec)),
-      dispatcher_(http, admission, log, codec_, slack_, server_ends),
+      dispatcher_(http, admission, log, codec_, slack_, crash_guard),
       random_(std::random_device{}()) {}
 
 void CallHandler::Handle(Fiber& fiber,
@@ -115,6 +116,10 @@
     return NotRunError(kNotFound, "no_route",
                        "no route for this host and path; check the address");
   }
+  const auto quarantine_left = crash_guard_.QuarantineLeft(call.fingerprint);
+  if (quarantine_left.count() > 0) {
+    return QuarantinedError(quarantine_left);
+  }
   auto time = call.params.time_left.value_or(kDefaultTimeout);
   if (call.route->timeout.count() > 0) {
     time = std::min(time, call.route->timeout);
--- a/source/front/call_handler.h
+++ b/source/front/call_handler.h
@@ -32,7 +32,7 @@
   CallHandler(HttpClient& http,
               FleetView& view,
               ServerAdmission& admission,
-              ServerEndMonitor& server_ends,
+              CrashGuard& crash_guard,
               StorageClient& storage,
               DecisionLog& log,
               Metrics& metrics,
@@ -59,6 +59,7 @@
                   int status);
 
   FleetView& view_;
+  CrashGuard& crash_guard_;
   StorageClient& storage_;
   DecisionLog& log_;
   Metrics& metrics_;
--- a/source/storage/fleet_state_file.cc
+++ b/source/storage/fleet_state_file.cc
@@ -1,5 +1,7 @@
 #include "storage/fleet_state_file.h"
 
+#include <algorithm>
+#include <chrono>
 #include <cstring>
 #include <utility>
 
@@ -56,40 +58,57 @@
   try {
     kept_ = DecodeFile(bytes);
     kept_servers_hash_ = HashOf(kept_.servers);
+    RestoreQuarantine();
   } catch (const WireError& e) {
     log_.Write("kept_fleet_refused", "", {{"reason", e.what()}});
   }
 }
 
+void FleetStateFile::RestoreQuarantine() {
+  const auto age =
+      std::max(std::chrono::milliseconds(0), WallNow() - kept_.kept_at);
+  for (auto it : kept_.suspect_runs) {
+    it.age += age;
+    view_.RecordSuspectRun(it, ReportSource::kLocal);
+  }
+  kept_blamed_hash_ = view_.quarantine().HashOfBlamed();
+}
+
 // One write at a time: while a disk is slow, only the newest state waits.
 void FleetStateFile::SaveIfChanged() {
   if (saving_ || !view_.config()) {
     return;
   }
   const auto servers_hash = HashOf(view_.registered_servers());
+  const auto blamed_hash = view_.quarantine().HashOfBlamed();
   if (view_.config()->version == kept_.config_version &&
-      servers_hash == kept_servers_hash_) {
+      servers_hash == kept_servers_hash_ && blamed_hash == kept_blamed_hash_) {
     return;
   }
   saving_ = true;
-  KeptFleet kept{view_.config()->version, view_.config_text(),
-                 view_.registered_servers(), WallNow()};
+  KeptFleet kept{
+      view_.config()->version, view_.config_text(), view_.registered_servers(),
+      WallNow(),
+      view_.quarantine().BlamedRuns(std::chrono::steady_clock::now())};
   const auto content = WithChecksum(Encode(kept));
-  disk_log_.ReplaceFile(
-      kStateFile, content,
-      [this, servers_hash, kept = std::move(kept)](bool replaced) mutable {
-        saving_ = false;
-        if (!replaced) {
-          // The next change of the view starts another attempt.
-          log_.Write("fleet_not_kept", "",
-                     {{"version", kept.config_version},
-                      {"reason", "the disk refused the write"}});
-          return;
-        }
-        kept_ = std::move(kept);
-        kept_servers_hash_ = servers_hash;
-        SaveIfChanged();
-      });
+  disk_log_.ReplaceFile(kStateFile, content,
+                        [this, servers_hash, blamed_hash,
+                         kept = std::move(kept)](bool replaced) mutable {
+                          saving_ = false;
+                          if (!replaced) {
+                            // The next change of the view starts another
+                            // attempt.
+                            log_.Write(
+                                "fleet_not_kept", "",
+                                {{"version", kept.config_version},
+                                 {"reason", "the disk refused the write"}});
+                            return;
+                          }
+                          kept_ = std::move(kept);
+                          kept_servers_hash_ = servers_hash;
+                          kept_blamed_hash_ = blamed_hash;
+                          SaveIfChanged();
+                        });
 }
 
 }  // namespace comfreyfold
--- a/source/storage/fleet_state_file.h
+++ b/source/storage/fleet_state_file.h
@@ -11,9 +11,9 @@
 
 namespace comfreyfold {
 
-// Keeps the newest configuration and registrations of a daemon's view on its
-// disk. After all daemons have lost power, they can serve by it while the
-// key-value service does not answer.
+// Keeps the newest configuration, registrations and quarantined requests of a
+// daemon's view on its disk. After all daemons have lost power, they can serve
+// by it while the key-value service does not answer.
 class FleetStateFile {
  public:
   // Reads the file in `folder`. `disk_log` writes to the same folder.
@@ -27,6 +27,7 @@
 
  private:
   void Load(const std::string& folder);
+  void RestoreQuarantine();
   void SaveIfChanged();
 
   FleetView& view_;
@@ -34,6 +35,7 @@
   DiskLog& disk_log_;
   KeptFleet kept_;
   std::uint64_t kept_servers_hash_ = 0;
+  std::uint64_t kept_blamed_hash_ = 0;
   bool saving_ = false;
 };
 
--- a/source/vm/vm_daemon.cc
+++ b/source/vm/vm_daemon.cc
@@ -188,9 +188,9 @@
   fleet_sync_.OnFault(
       [this](const ServerFault& fault) { admission_->ObserveFault(fault); });
   fleet_sync_.UseKept(settings_.tolerated_losses);
-  server_ends_ = std::make_unique<ServerEndMonitor>(loop_, http_, log_);
+  crash_guard_ = std::make_unique<CrashGuard>(loop_, http_, view_, log_);
   call_handler_ = std::make_unique<CallHandler>(
-      http_, view_, *admission_, *server_ends_, *storage_client_, log_,
+      http_, view_, *admission_, *crash_guard_, *storage_client_, log_,
       metrics_, platform_.request_codec);
   loop_.Spawn([this](Fiber& fiber) { storage_client_->Run(fiber); });
   client_server_ = std::make_unique<HttpServer>(
@@ -206,6 +206,10 @@
         HandleReadiness(exchange);
       });
   ready_server_->Listen(settings_.ready_address);
+  metrics_.AddGauge(
+      "comfreyfold_quarantined_requests",
+      "Requests that crashed servers and are kept from them",
+      [this] { return static_cast<double>(view_.quarantine().blamed()); });
   metrics_.AddGauge("comfreyfold_waiting_requests",
                     "Requests that wait for a place at a server", [this] {
                       return static_cast<double>(admission_->waiting());
--- a/source/vm/vm_daemon.h
+++ b/source/vm/vm_daemon.h
@@ -110,7 +110,7 @@
   std::unique_ptr<StorageMembershipManager> membership_manager_;
   std::unique_ptr<StorageClient> storage_client_;
   std::unique_ptr<ServerAdmission> admission_;
-  std::unique_ptr<ServerEndMonitor> server_ends_;
+  std::unique_ptr<CrashGuard> crash_guard_;
   std::unique_ptr<CallHandler> call_handler_;
   std::unique_ptr<HttpServer> internal_server_;
   std::unique_ptr<HttpServer> control_server_;
--- a/source/wire/comfreyfold.thrift
+++ b/source/wire/comfreyfold.thrift
@@ -287,6 +287,14 @@
   4: i64 age_ms,
 }
 
+// How a run of a request ended that may be one that crashes backend servers.
+struct SuspectRun {
+  1: i64 fingerprint, // Of the request.
+  2: string server,
+  3: bool crashed,
+  4: i64 age_ms,
+}
+
 // A daemon's request for the state of the deployment. It says what the sender
 // already has, so that FleetNews can leave that out.
 struct FleetQuestion {
@@ -297,6 +305,8 @@
   5: i64 loads_within_ms,
   6: string address,
   7: list<ServerFault> faults,
+  8: list<SuspectRun> suspect_runs,
+  9: i64 blamed_hash, // Of the requests that the sender has quarantined.
 }
 
 // What a storage daemon keeps on its disk for starts at which the key-value
@@ -306,6 +316,7 @@
   2: binary config_text,
   3: list<RegisteredServer> servers,
   4: i64 kept_at_ms, // Time of day.
+  5: list<SuspectRun> suspect_runs,
 }
 
 struct FleetNews {
@@ -322,4 +333,6 @@
   11: list<ServerFault> faults,
   12: optional KeptFleet kept,
   13: string disk, // Of the replying daemon, if it has one.
+  14: list<SuspectRun> suspect_runs,
+  15: i64 blamed_hash,
 }
--- a/source/wire/fleet_codec.cc
+++ b/source/wire/fleet_codec.cc
@@ -85,6 +85,30 @@
   return out;
 }
 
+std::vector<wire::SuspectRun> ToWire(const std::vector<SuspectRun>& runs) {
+  std::vector<wire::SuspectRun> out;
+  out.reserve(runs.size());
+  for (const auto& it : runs) {
+    wire::SuspectRun run;
+    run.fingerprint = static_cast<std::int64_t>(it.fingerprint);
+    run.server = it.server;
+    run.crashed = it.crashed;
+    run.age_ms = it.age.count();
+    out.push_back(run);
+  }
+  return out;
+}
+
+std::vector<SuspectRun> FromWire(const std::vector<wire::SuspectRun>& runs) {
+  std::vector<SuspectRun> out;
+  out.reserve(runs.size());
+  for (const auto& it : runs) {
+    out.push_back({static_cast<std::uint64_t>(it.fingerprint), it.server,
+                   it.crashed, std::chrono::milliseconds(it.age_ms)});
+  }
+  return out;
+}
+
 wire::KeptFleet ToWire(const KeptFleet& kept) {
   wire::KeptFleet out;
   out.config_version = kept.config_version;
@@ -93,6 +117,7 @@
     out.servers.push_back(ToWire(it));
   }
   out.kept_at_ms = kept.kept_at.count();
+  out.suspect_runs = ToWire(kept.suspect_runs);
   return out;
 }
 
@@ -104,6 +129,7 @@
     out.servers.push_back(FromWire(it));
   }
   out.kept_at = std::chrono::milliseconds(kept.kept_at_ms);
+  out.suspect_runs = FromWire(kept.suspect_runs);
   return out;
 }
 
@@ -126,6 +152,8 @@
   out.loads_within_ms = question.loads_within.count();
   out.address = question.address;
   out.faults = ToWire(question.faults);
+  out.suspect_runs = ToWire(question.suspect_runs);
+  out.blamed_hash = static_cast<std::int64_t>(question.blamed_hash);
   return Write(out);
 }
 
@@ -137,7 +165,9 @@
           FromWire(in.loads),
           std::chrono::milliseconds(in.loads_within_ms),
           in.address,
-          FromWire(in.faults)};
+          FromWire(in.faults),
+          FromWire(in.suspect_runs),
+          static_cast<std::uint64_t>(in.blamed_hash)};
 }
 
 std::string Encode(const FleetNews& news) {
@@ -161,6 +191,8 @@
   out.loads = ToWire(news.loads);
   out.daemons = news.daemons;
   out.faults = ToWire(news.faults);
+  out.suspect_runs = ToWire(news.suspect_runs);
+  out.blamed_hash = static_cast<std::int64_t>(news.blamed_hash);
   if (news.kept) {
     out.__set_kept(ToWire(*news.kept));
   }
@@ -189,6 +221,8 @@
   out.loads = FromWire(in.loads);
   out.daemons = in.daemons;
   out.faults = FromWire(in.faults);
+  out.suspect_runs = FromWire(in.suspect_runs);
+  out.blamed_hash = static_cast<std::uint64_t>(in.blamed_hash);
   if (in.__isset.kept) {
     out.kept = FromWire(in.kept);
   }
--- a/source/wire/fleet_messages.h
+++ b/source/wire/fleet_messages.h
@@ -11,6 +11,7 @@
 #include "core/backend_server.h"
 #include "core/kept_fleet.h"
 #include "core/load_report_table.h"
+#include "core/request_quarantine.h"
 #include "core/server_fault_table.h"
 #include "core/storage_list.h"
 
@@ -28,6 +29,10 @@
   std::string address;  // Of the sender; empty if it serves no clients.
   std::vector<ServerFault>
       faults;  // Recorded by the sender since it last asked.
+  std::vector<SuspectRun> suspect_runs;  // The same.
+  // Hash of the requests that the sender has quarantined. If the receiver has
+  // quarantined others, they tell each other all runs of these requests.
+  std::uint64_t blamed_hash = 0;
 };
 
 // The state of the deployment as far as the replying daemon knows it, without
@@ -50,6 +55,8 @@
   // configuration, by one that has none from the key-value service either.
   std::optional<KeptFleet> kept;
   std::string disk;  // Id of the replying daemon's disk; empty if it has none.
+  std::vector<SuspectRun> suspect_runs;
+  std::uint64_t blamed_hash = 0;
 };
 
 // Thrift compact encoding. The Decode functions throw WireError.
--- a/source/wire/gen/comfreyfold_types.cpp
+++ b/source/wire/gen/comfreyfold_types.cpp
@@ -6356,6 +6356,158 @@
 }
 
 
+SuspectRun::~SuspectRun() noexcept {
+}
+
+
+void SuspectRun::__set_fingerprint(const int64_t val) {
+  this->fingerprint = val;
+}
+
+void SuspectRun::__set_server(const std::string& val) {
+  this->server = val;
+}
+
+void SuspectRun::__set_crashed(const bool val) {
+  this->crashed = val;
+}
+
+void SuspectRun::__set_age_ms(const int64_t val) {
+  this->age_ms = val;
+}
+std::ostream& operator<<(std::ostream& out, const SuspectRun& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t SuspectRun::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->fingerprint);
+          this->__isset.fingerprint = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->server);
+          this->__isset.server = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->crashed);
+          this->__isset.crashed = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->age_ms);
+          this->__isset.age_ms = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t SuspectRun::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("SuspectRun");
+
+  xfer += oprot->writeFieldBegin("fingerprint", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->fingerprint);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("server", ::apache::thrift::protocol::T_STRING, 2);
+  xfer += oprot->writeString(this->server);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("crashed", ::apache::thrift::protocol::T_BOOL, 3);
+  xfer += oprot->writeBool(this->crashed);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("age_ms", ::apache::thrift::protocol::T_I64, 4);
+  xfer += oprot->writeI64(this->age_ms);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(SuspectRun &a, SuspectRun &b) {
+  using ::std::swap;
+  swap(a.fingerprint, b.fingerprint);
+  swap(a.server, b.server);
+  swap(a.crashed, b.crashed);
+  swap(a.age_ms, b.age_ms);
+  swap(a.__isset, b.__isset);
+}
+
+SuspectRun::SuspectRun(const SuspectRun& other224) {
+  fingerprint = other224.fingerprint;
+  server = other224.server;
+  crashed = other224.crashed;
+  age_ms = other224.age_ms;
+  __isset = other224.__isset;
+}
+SuspectRun& SuspectRun::operator=(const SuspectRun& other225) {
+  fingerprint = other225.fingerprint;
+  server = other225.server;
+  crashed = other225.crashed;
+  age_ms = other225.age_ms;
+  __isset = other225.__isset;
+  return *this;
+}
+void SuspectRun::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "SuspectRun(";
+  out << "fingerprint=" << to_string(fingerprint);
+  out << ", " << "server=" << to_string(server);
+  out << ", " << "crashed=" << to_string(crashed);
+  out << ", " << "age_ms=" << to_string(age_ms);
+  out << ")";
+}
+
+
 FleetQuestion::~FleetQuestion() noexcept {
 }
 
@@ -6387,6 +6539,14 @@
 void FleetQuestion::__set_faults(const std::vector<ServerFault> & val) {
   this->faults = val;
 }
+
+void FleetQuestion::__set_suspect_runs(const std::vector<SuspectRun> & val) {
+  this->suspect_runs = val;
+}
+
+void FleetQuestion::__set_blamed_hash(const int64_t val) {
+  this->blamed_hash = val;
+}
 std::ostream& operator<<(std::ostream& out, const FleetQuestion& obj)
 {
   obj.printTo(out);
@@ -6443,14 +6603,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->loads.clear();
-            uint32_t _size224;
-            ::apache::thrift::protocol::TType _etype227;
-            xfer += iprot->readListBegin(_etype227, _size224);
-            this->loads.resize(_size224);
-            uint32_t _i228;
-            for (_i228 = 0; _i228 < _size224; ++_i228)
+            uint32_t _size226;
+            ::apache::thrift::protocol::TType _etype229;
+            xfer += iprot->readListBegin(_etype229, _size226);
+            this->loads.resize(_size226);
+            uint32_t _i230;
+            for (_i230 = 0; _i230 < _size226; ++_i230)
             {
-              xfer += this->loads[_i228].read(iprot);
+              xfer += this->loads[_i230].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -6479,14 +6639,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->faults.clear();
-            uint32_t _size229;
-            ::apache::thrift::protocol::TType _etype232;
-            xfer += iprot->readListBegin(_etype232, _size229);
-            this->faults.resize(_size229);
-            uint32_t _i233;
-            for (_i233 = 0; _i233 < _size229; ++_i233)
+            uint32_t _size231;
+            ::apache::thrift::protocol::TType _etype234;
+            xfer += iprot->readListBegin(_etype234, _size231);
+            this->faults.resize(_size231);
+            uint32_t _i235;
+            for (_i235 = 0; _i235 < _size231; ++_i235)
             {
-              xfer += this->faults[_i233].read(iprot);
+              xfer += this->faults[_i235].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -6495,6 +6655,34 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 8:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->suspect_runs.clear();
+            uint32_t _size236;
+            ::apache::thrift::protocol::TType _etype239;
+            xfer += iprot->readListBegin(_etype239, _size236);
+            this->suspect_runs.resize(_size236);
+            uint32_t _i240;
+            for (_i240 = 0; _i240 < _size236; ++_i240)
+            {
+              xfer += this->suspect_runs[_i240].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.suspect_runs = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 9:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->blamed_hash);
+          this->__isset.blamed_hash = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -6527,10 +6715,10 @@
   xfer += oprot->writeFieldBegin("loads", ::apache::thrift::protocol::T_LIST, 4);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->loads.size()));
-    std::vector<LoadNote> ::const_iterator _iter234;
-    for (_iter234 = this->loads.begin(); _iter234 != this->loads.end(); ++_iter234)
+    std::vector<LoadNote> ::const_iterator _iter241;
+    for (_iter241 = this->loads.begin(); _iter241 != this->loads.end(); ++_iter241)
     {
-      xfer += (*_iter234).write(oprot);
+      xfer += (*_iter241).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -6547,15 +6735,31 @@
   xfer += oprot->writeFieldBegin("faults", ::apache::thrift::protocol::T_LIST, 7);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->faults.size()));
-    std::vector<ServerFault> ::const_iterator _iter235;
-    for (_iter235 = this->faults.begin(); _iter235 != this->faults.end(); ++_iter235)
+    std::vector<ServerFault> ::const_iterator _iter242;
+    for (_iter242 = this->faults.begin(); _iter242 != this->faults.end(); ++_iter242)
+    {
+      xfer += (*_iter242).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("suspect_runs", ::apache::thrift::protocol::T_LIST, 8);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->suspect_runs.size()));
+    std::vector<SuspectRun> ::const_iterator _iter243;
+    for (_iter243 = this->suspect_runs.begin(); _iter243 != this->suspect_runs.end(); ++_iter243)
     {
-      xfer += (*_iter235).write(oprot);
+      xfer += (*_iter243).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("blamed_hash", ::apache::thrift::protocol::T_I64, 9);
+  xfer += oprot->writeI64(this->blamed_hash);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -6570,28 +6774,34 @@
   swap(a.loads_within_ms, b.loads_within_ms);
   swap(a.address, b.address);
   swap(a.faults, b.faults);
+  swap(a.suspect_runs, b.suspect_runs);
+  swap(a.blamed_hash, b.blamed_hash);
   swap(a.__isset, b.__isset);
 }
 
-FleetQuestion::FleetQuestion(const FleetQuestion& other236) {
-  config_version = other236.config_version;
-  list_version = other236.list_version;
-  servers_hash = other236.servers_hash;
-  loads = other236.loads;
-  loads_within_ms = other236.loads_within_ms;
-  address = other236.address;
-  faults = other236.faults;
-  __isset = other236.__isset;
-}
-FleetQuestion& FleetQuestion::operator=(const FleetQuestion& other237) {
-  config_version = other237.config_version;
-  list_version = other237.list_version;
-  servers_hash = other237.servers_hash;
-  loads = other237.loads;
-  loads_within_ms = other237.loads_within_ms;
-  address = other237.address;
-  faults = other237.faults;
-  __isset = other237.__isset;
+FleetQuestion::FleetQuestion(const FleetQuestion& other244) {
+  config_version = other244.config_version;
+  list_version = other244.list_version;
+  servers_hash = other244.servers_hash;
+  loads = other244.loads;
+  loads_within_ms = other244.loads_within_ms;
+  address = other244.address;
+  faults = other244.faults;
+  suspect_runs = other244.suspect_runs;
+  blamed_hash = other244.blamed_hash;
+  __isset = other244.__isset;
+}
+FleetQuestion& FleetQuestion::operator=(const FleetQuestion& other245) {
+  config_version = other245.config_version;
+  list_version = other245.list_version;
+  servers_hash = other245.servers_hash;
+  loads = other245.loads;
+  loads_within_ms = other245.loads_within_ms;
+  address = other245.address;
+  faults = other245.faults;
+  suspect_runs = other245.suspect_runs;
+  blamed_hash = other245.blamed_hash;
+  __isset = other245.__isset;
   return *this;
 }
 void FleetQuestion::printTo(std::ostream& out) const {
@@ -6604,6 +6814,8 @@
   out << ", " << "loads_within_ms=" << to_string(loads_within_ms);
   out << ", " << "address=" << to_string(address);
   out << ", " << "faults=" << to_string(faults);
+  out << ", " << "suspect_runs=" << to_string(suspect_runs);
+  out << ", " << "blamed_hash=" << to_string(blamed_hash);
   out << ")";
 }
 
@@ -6627,6 +6839,10 @@
 void KeptFleet::__set_kept_at_ms(const int64_t val) {
   this->kept_at_ms = val;
 }
+
+void KeptFleet::__set_suspect_runs(const std::vector<SuspectRun> & val) {
+  this->suspect_runs = val;
+}
 std::ostream& operator<<(std::ostream& out, const KeptFleet& obj)
 {
   obj.printTo(out);
@@ -6675,14 +6891,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->servers.clear();
-            uint32_t _size238;
-            ::apache::thrift::protocol::TType _etype241;
-            xfer += iprot->readListBegin(_etype241, _size238);
-            this->servers.resize(_size238);
-            uint32_t _i242;
-            for (_i242 = 0; _i242 < _size238; ++_i242)
+            uint32_t _size246;
+            ::apache::thrift::protocol::TType _etype249;
+            xfer += iprot->readListBegin(_etype249, _size246);
+            this->servers.resize(_size246);
+            uint32_t _i250;
+            for (_i250 = 0; _i250 < _size246; ++_i250)
             {
-              xfer += this->servers[_i242].read(iprot);
+              xfer += this->servers[_i250].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -6699,6 +6915,26 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->suspect_runs.clear();
+            uint32_t _size251;
+            ::apache::thrift::protocol::TType _etype254;
+            xfer += iprot->readListBegin(_etype254, _size251);
+            this->suspect_runs.resize(_size251);
+            uint32_t _i255;
+            for (_i255 = 0; _i255 < _size251; ++_i255)
+            {
+              xfer += this->suspect_runs[_i255].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.suspect_runs = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -6727,10 +6963,10 @@
   xfer += oprot->writeFieldBegin("servers", ::apache::thrift::protocol::T_LIST, 3);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->servers.size()));
-    std::vector<RegisteredServer> ::const_iterator _iter243;
-    for (_iter243 = this->servers.begin(); _iter243 != this->servers.end(); ++_iter243)
+    std::vector<RegisteredServer> ::const_iterator _iter256;
+    for (_iter256 = this->servers.begin(); _iter256 != this->servers.end(); ++_iter256)
     {
-      xfer += (*_iter243).write(oprot);
+      xfer += (*_iter256).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -6740,6 +6976,18 @@
   xfer += oprot->writeI64(this->kept_at_ms);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("suspect_runs", ::apache::thrift::protocol::T_LIST, 5);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->suspect_runs.size()));
+    std::vector<SuspectRun> ::const_iterator _iter257;
+    for (_iter257 = this->suspect_runs.begin(); _iter257 != this->suspect_runs.end(); ++_iter257)
+    {
+      xfer += (*_iter257).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -6751,22 +6999,25 @@
   swap(a.config_text, b.config_text);
   swap(a.servers, b.servers);
   swap(a.kept_at_ms, b.kept_at_ms);
+  swap(a.suspect_runs, b.suspect_runs);
   swap(a.__isset, b.__isset);
 }
 
-KeptFleet::KeptFleet(const KeptFleet& other244) {
-  config_version = other244.config_version;
-  config_text = other244.config_text;
-  servers = other244.servers;
-  kept_at_ms = other244.kept_at_ms;
-  __isset = other244.__isset;
-}
-KeptFleet& KeptFleet::operator=(const KeptFleet& other245) {
-  config_version = other245.config_version;
-  config_text = other245.config_text;
-  servers = other245.servers;
-  kept_at_ms = other245.kept_at_ms;
-  __isset = other245.__isset;
+KeptFleet::KeptFleet(const KeptFleet& other258) {
+  config_version = other258.config_version;
+  config_text = other258.config_text;
+  servers = other258.servers;
+  kept_at_ms = other258.kept_at_ms;
+  suspect_runs = other258.suspect_runs;
+  __isset = other258.__isset;
+}
+KeptFleet& KeptFleet::operator=(const KeptFleet& other259) {
+  config_version = other259.config_version;
+  config_text = other259.config_text;
+  servers = other259.servers;
+  kept_at_ms = other259.kept_at_ms;
+  suspect_runs = other259.suspect_runs;
+  __isset = other259.__isset;
   return *this;
 }
 void KeptFleet::printTo(std::ostream& out) const {
@@ -6776,6 +7027,7 @@
   out << ", " << "config_text=" << to_string(config_text);
   out << ", " << "servers=" << to_string(servers);
   out << ", " << "kept_at_ms=" << to_string(kept_at_ms);
+  out << ", " << "suspect_runs=" << to_string(suspect_runs);
   out << ")";
 }
 
@@ -6838,6 +7090,14 @@
 void FleetNews::__set_disk(const std::string& val) {
   this->disk = val;
 }
+
+void FleetNews::__set_suspect_runs(const std::vector<SuspectRun> & val) {
+  this->suspect_runs = val;
+}
+
+void FleetNews::__set_blamed_hash(const int64_t val) {
+  this->blamed_hash = val;
+}
 std::ostream& operator<<(std::ostream& out, const FleetNews& obj)
 {
   obj.printTo(out);
@@ -6910,14 +7170,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->servers.clear();
-            uint32_t _size246;
-            ::apache::thrift::protocol::TType _etype249;
-            xfer += iprot->readListBegin(_etype249, _size246);
-            this->servers.resize(_size246);
-            uint32_t _i250;
-            for (_i250 = 0; _i250 < _size246; ++_i250)
+            uint32_t _size260;
+            ::apache::thrift::protocol::TType _etype263;
+            xfer += iprot->readListBegin(_etype263, _size260);
+            this->servers.resize(_size260);
+            uint32_t _i264;
+            for (_i264 = 0; _i264 < _size260; ++_i264)
             {
-              xfer += this->servers[_i250].read(iprot);
+              xfer += this->servers[_i264].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -6938,15 +7198,15 @@
         if (ftype == ::apache::thrift::protocol::T_SET) {
           {
             this->retiring.clear();
-            uint32_t _size251;
-            ::apache::thrift::protocol::TType _etype254;
-            xfer += iprot->readSetBegin(_etype254, _size251);
-            uint32_t _i255;
-            for (_i255 = 0; _i255 < _size251; ++_i255)
+            uint32_t _size265;
+            ::apache::thrift::protocol::TType _etype268;
+            xfer += iprot->readSetBegin(_etype268, _size265);
+            uint32_t _i269;
+            for (_i269 = 0; _i269 < _size265; ++_i269)
             {
-              std::string _elem256;
-              xfer += iprot->readString(_elem256);
-              this->retiring.insert(_elem256);
+              std::string _elem270;
+              xfer += iprot->readString(_elem270);
+              this->retiring.insert(_elem270);
             }
             xfer += iprot->readSetEnd();
           }
@@ -6959,14 +7219,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->loads.clear();
-            uint32_t _size257;
-            ::apache::thrift::protocol::TType _etype260;
-            xfer += iprot->readListBegin(_etype260, _size257);
-            this->loads.resize(_size257);
-            uint32_t _i261;
-            for (_i261 = 0; _i261 < _size257; ++_i261)
+            uint32_t _size271;
+            ::apache::thrift::protocol::TType _etype274;
+            xfer += iprot->readListBegin(_etype274, _size271);
+            this->loads.resize(_size271);
+            uint32_t _i275;
+            for (_i275 = 0; _i275 < _size271; ++_i275)
             {
-              xfer += this->loads[_i261].read(iprot);
+              xfer += this->loads[_i275].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -6979,14 +7239,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->daemons.clear();
-            uint32_t _size262;
-            ::apache::thrift::protocol::TType _etype265;
-            xfer += iprot->readListBegin(_etype265, _size262);
-            this->daemons.resize(_size262);
-            uint32_t _i266;
-            for (_i266 = 0; _i266 < _size262; ++_i266)
+            uint32_t _size276;
+            ::apache::thrift::protocol::TType _etype279;
+            xfer += iprot->readListBegin(_etype279, _size276);
+            this->daemons.resize(_size276);
+            uint32_t _i280;
+            for (_i280 = 0; _i280 < _size276; ++_i280)
             {
-              xfer += iprot->readString(this->daemons[_i266]);
+              xfer += iprot->readString(this->daemons[_i280]);
             }
             xfer += iprot->readListEnd();
           }
@@ -6999,14 +7259,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->faults.clear();
-            uint32_t _size267;
-            ::apache::thrift::protocol::TType _etype270;
-            xfer += iprot->readListBegin(_etype270, _size267);
-            this->faults.resize(_size267);
-            uint32_t _i271;
-            for (_i271 = 0; _i271 < _size267; ++_i271)
+            uint32_t _size281;
+            ::apache::thrift::protocol::TType _etype284;
+            xfer += iprot->readListBegin(_etype284, _size281);
+            this->faults.resize(_size281);
+            uint32_t _i285;
+            for (_i285 = 0; _i285 < _size281; ++_i285)
             {
-              xfer += this->faults[_i271].read(iprot);
+              xfer += this->faults[_i285].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -7031,6 +7291,34 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 14:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->suspect_runs.clear();
+            uint32_t _size286;
+            ::apache::thrift::protocol::TType _etype289;
+            xfer += iprot->readListBegin(_etype289, _size286);
+            this->suspect_runs.resize(_size286);
+            uint32_t _i290;
+            for (_i290 = 0; _i290 < _size286; ++_i290)
+            {
+              xfer += this->suspect_runs[_i290].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.suspect_runs = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 15:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->blamed_hash);
+          this->__isset.blamed_hash = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -7072,10 +7360,10 @@
     xfer += oprot->writeFieldBegin("servers", ::apache::thrift::protocol::T_LIST, 6);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->servers.size()));
-      std::vector<RegisteredServer> ::const_iterator _iter272;
-      for (_iter272 = this->servers.begin(); _iter272 != this->servers.end(); ++_iter272)
+      std::vector<RegisteredServer> ::const_iterator _iter291;
+      for (_iter291 = this->servers.begin(); _iter291 != this->servers.end(); ++_iter291)
       {
-        xfer += (*_iter272).write(oprot);
+        xfer += (*_iter291).write(oprot);
       }
       xfer += oprot->writeListEnd();
     }
@@ -7089,10 +7377,10 @@
   xfer += oprot->writeFieldBegin("retiring", ::apache::thrift::protocol::T_SET, 8);
   {
     xfer += oprot->writeSetBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->retiring.size()));
-    std::set<std::string> ::const_iterator _iter273;
-    for (_iter273 = this->retiring.begin(); _iter273 != this->retiring.end(); ++_iter273)
+    std::set<std::string> ::const_iterator _iter292;
+    for (_iter292 = this->retiring.begin(); _iter292 != this->retiring.end(); ++_iter292)
     {
-      xfer += oprot->writeString((*_iter273));
+      xfer += oprot->writeString((*_iter292));
     }
     xfer += oprot->writeSetEnd();
   }
@@ -7101,10 +7389,10 @@
   xfer += oprot->writeFieldBegin("loads", ::apache::thrift::protocol::T_LIST, 9);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->loads.size()));
-    std::vector<LoadNote> ::const_iterator _iter274;
-    for (_iter274 = this->loads.begin(); _iter274 != this->loads.end(); ++_iter274)
+    std::vector<LoadNote> ::const_iterator _iter293;
+    for (_iter293 = this->loads.begin(); _iter293 != this->loads.end(); ++_iter293)
     {
-      xfer += (*_iter274).write(oprot);
+      xfer += (*_iter293).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -7113,10 +7401,10 @@
   xfer += oprot->writeFieldBegin("daemons", ::apache::thrift::protocol::T_LIST, 10);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->daemons.size()));
-    std::vector<std::string> ::const_iterator _iter275;
-    for (_iter275 = this->daemons.begin(); _iter275 != this->daemons.end(); ++_iter275)
+    std::vector<std::string> ::const_iterator _iter294;
+    for (_iter294 = this->daemons.begin(); _iter294 != this->daemons.end(); ++_iter294)
     {
-      xfer += oprot->writeString((*_iter275));
+      xfer += oprot->writeString((*_iter294));
     }
     xfer += oprot->writeListEnd();
   }
@@ -7125,10 +7413,10 @@
   xfer += oprot->writeFieldBegin("faults", ::apache::thrift::protocol::T_LIST, 11);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->faults.size()));
-    std::vector<ServerFault> ::const_iterator _iter276;
-    for (_iter276 = this->faults.begin(); _iter276 != this->faults.end(); ++_iter276)
+    std::vector<ServerFault> ::const_iterator _iter295;
+    for (_iter295 = this->faults.begin(); _iter295 != this->faults.end(); ++_iter295)
     {
-      xfer += (*_iter276).write(oprot);
+      xfer += (*_iter295).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -7143,6 +7431,22 @@
   xfer += oprot->writeString(this->disk);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("suspect_runs", ::apache::thrift::protocol::T_LIST, 14);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->suspect_runs.size()));
+    std::vector<SuspectRun> ::const_iterator _iter296;
+    for (_iter296 = this->suspect_runs.begin(); _iter296 != this->suspect_runs.end(); ++_iter296)
+    {
+      xfer += (*_iter296).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("blamed_hash", ::apache::thrift::protocol::T_I64, 15);
+  xfer += oprot->writeI64(this->blamed_hash);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -7163,40 +7467,46 @@
   swap(a.faults, b.faults);
   swap(a.kept, b.kept);
   swap(a.disk, b.disk);
+  swap(a.suspect_runs, b.suspect_runs);
+  swap(a.blamed_hash, b.blamed_hash);
   swap(a.__isset, b.__isset);
 }
 
-FleetNews::FleetNews(const FleetNews& other277) {
-  config_version = other277.config_version;
-  config_age_ms = other277.config_age_ms;
-  config_text = other277.config_text;
-  servers_age_ms = other277.servers_age_ms;
-  servers_hash = other277.servers_hash;
-  servers = other277.servers;
-  members = other277.members;
-  retiring = other277.retiring;
-  loads = other277.loads;
-  daemons = other277.daemons;
-  faults = other277.faults;
-  kept = other277.kept;
-  disk = other277.disk;
-  __isset = other277.__isset;
-}
-FleetNews& FleetNews::operator=(const FleetNews& other278) {
-  config_version = other278.config_version;
-  config_age_ms = other278.config_age_ms;
-  config_text = other278.config_text;
-  servers_age_ms = other278.servers_age_ms;
-  servers_hash = other278.servers_hash;
-  servers = other278.servers;
-  members = other278.members;
-  retiring = other278.retiring;
-  loads = other278.loads;
-  daemons = other278.daemons;
-  faults = other278.faults;
-  kept = other278.kept;
-  disk = other278.disk;
-  __isset = other278.__isset;
+FleetNews::FleetNews(const FleetNews& other297) {
+  config_version = other297.config_version;
+  config_age_ms = other297.config_age_ms;
+  config_text = other297.config_text;
+  servers_age_ms = other297.servers_age_ms;
+  servers_hash = other297.servers_hash;
+  servers = other297.servers;
+  members = other297.members;
+  retiring = other297.retiring;
+  loads = other297.loads;
+  daemons = other297.daemons;
+  faults = other297.faults;
+  kept = other297.kept;
+  disk = other297.disk;
+  suspect_runs = other297.suspect_runs;
+  blamed_hash = other297.blamed_hash;
+  __isset = other297.__isset;
+}
+FleetNews& FleetNews::operator=(const FleetNews& other298) {
+  config_version = other298.config_version;
+  config_age_ms = other298.config_age_ms;
+  config_text = other298.config_text;
+  servers_age_ms = other298.servers_age_ms;
+  servers_hash = other298.servers_hash;
+  servers = other298.servers;
+  members = other298.members;
+  retiring = other298.retiring;
+  loads = other298.loads;
+  daemons = other298.daemons;
+  faults = other298.faults;
+  kept = other298.kept;
+  disk = other298.disk;
+  suspect_runs = other298.suspect_runs;
+  blamed_hash = other298.blamed_hash;
+  __isset = other298.__isset;
   return *this;
 }
 void FleetNews::printTo(std::ostream& out) const {
@@ -7215,6 +7525,8 @@
   out << ", " << "faults=" << to_string(faults);
   out << ", " << "kept="; (__isset.kept ? (out << to_string(kept)) : (out << "<null>"));
   out << ", " << "disk=" << to_string(disk);
+  out << ", " << "suspect_runs=" << to_string(suspect_runs);
+  out << ", " << "blamed_hash=" << to_string(blamed_hash);
   out << ")";
 }
 
--- a/source/wire/gen/comfreyfold_types.h
+++ b/source/wire/gen/comfreyfold_types.h
@@ -87,6 +87,8 @@
 
 class ServerFault;
 
+class SuspectRun;
+
 class FleetQuestion;
 
 class KeptFleet;
@@ -2458,8 +2460,72 @@
 
 std::ostream& operator<<(std::ostream& out, const ServerFault& obj);
 
+typedef struct _SuspectRun__isset {
+  _SuspectRun__isset() : fingerprint(false), server(false), crashed(false), age_ms(false) {}
+  bool fingerprint :1;
+  bool server :1;
+  bool crashed :1;
+  bool age_ms :1;
+} _SuspectRun__isset;
+
+class SuspectRun : public virtual ::apache::thrift::TBase {
+ public:
+
+  SuspectRun(const SuspectRun&);
+  SuspectRun& operator=(const SuspectRun&);
+  SuspectRun() noexcept
+             : fingerprint(0),
+               server(),
+               crashed(0),
+               age_ms(0) {
+  }
+
+  virtual ~SuspectRun() noexcept;
+  int64_t fingerprint;
+  std::string server;
+  bool crashed;
+  int64_t age_ms;
+
+  _SuspectRun__isset __isset;
+
+  void __set_fingerprint(const int64_t val);
+
+  void __set_server(const std::string& val);
+
+  void __set_crashed(const bool val);
+
+  void __set_age_ms(const int64_t val);
+
+  bool operator == (const SuspectRun & rhs) const
+  {
+    if (!(fingerprint == rhs.fingerprint))
+      return false;
+    if (!(server == rhs.server))
+      return false;
+    if (!(crashed == rhs.crashed))
+      return false;
+    if (!(age_ms == rhs.age_ms))
+      return false;
+    return true;
+  }
+  bool operator != (const SuspectRun &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const SuspectRun & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(SuspectRun &a, SuspectRun &b);
+
+std::ostream& operator<<(std::ostream& out, const SuspectRun& obj);
+
 typedef struct _FleetQuestion__isset {
-  _FleetQuestion__isset() : config_version(false), list_version(false), servers_hash(false), loads(false), loads_within_ms(false), address(false), faults(false) {}
+  _FleetQuestion__isset() : config_version(false), list_version(false), servers_hash(false), loads(false), loads_within_ms(false), address(false), faults(false), suspect_runs(false), blamed_hash(false) {}
   bool config_version :1;
   bool list_version :1;
   bool servers_hash :1;
@@ -2467,6 +2533,8 @@
   bool loads_within_ms :1;
   bool address :1;
   bool faults :1;
+  bool suspect_runs :1;
+  bool blamed_hash :1;
 } _FleetQuestion__isset;
 
 class FleetQuestion : public virtual ::apache::thrift::TBase {
@@ -2479,7 +2547,8 @@
                   list_version(0),
                   servers_hash(0),
                   loads_within_ms(0),
-                  address() {
+                  address(),
+                  blamed_hash(0) {
   }
 
   virtual ~FleetQuestion() noexcept;
@@ -2490,6 +2559,8 @@
   int64_t loads_within_ms;
   std::string address;
   std::vector<ServerFault>  faults;
+  std::vector<SuspectRun>  suspect_runs;
+  int64_t blamed_hash;
 
   _FleetQuestion__isset __isset;
 
@@ -2507,6 +2578,10 @@
 
   void __set_faults(const std::vector<ServerFault> & val);
 
+  void __set_suspect_runs(const std::vector<SuspectRun> & val);
+
+  void __set_blamed_hash(const int64_t val);
+
   bool operator == (const FleetQuestion & rhs) const
   {
     if (!(config_version == rhs.config_version))
@@ -2523,6 +2598,10 @@
       return false;
     if (!(faults == rhs.faults))
       return false;
+    if (!(suspect_runs == rhs.suspect_runs))
+      return false;
+    if (!(blamed_hash == rhs.blamed_hash))
+      return false;
     return true;
   }
   bool operator != (const FleetQuestion &rhs) const {
@@ -2542,11 +2621,12 @@
 std::ostream& operator<<(std::ostream& out, const FleetQuestion& obj);
 
 typedef struct _KeptFleet__isset {
-  _KeptFleet__isset() : config_version(false), config_text(false), servers(false), kept_at_ms(false) {}
+  _KeptFleet__isset() : config_version(false), config_text(false), servers(false), kept_at_ms(false), suspect_runs(false) {}
   bool config_version :1;
   bool config_text :1;
   bool servers :1;
   bool kept_at_ms :1;
+  bool suspect_runs :1;
 } _KeptFleet__isset;
 
 class KeptFleet : public virtual ::apache::thrift::TBase {
@@ -2565,6 +2645,7 @@
   std::string config_text;
   std::vector<RegisteredServer>  servers;
   int64_t kept_at_ms;
+  std::vector<SuspectRun>  suspect_runs;
 
   _KeptFleet__isset __isset;
 
@@ -2576,6 +2657,8 @@
 
   void __set_kept_at_ms(const int64_t val);
 
+  void __set_suspect_runs(const std::vector<SuspectRun> & val);
+
   bool operator == (const KeptFleet & rhs) const
   {
     if (!(config_version == rhs.config_version))
@@ -2586,6 +2669,8 @@
       return false;
     if (!(kept_at_ms == rhs.kept_at_ms))
       return false;
+    if (!(suspect_runs == rhs.suspect_runs))
+      return false;
     return true;
   }
   bool operator != (const KeptFleet &rhs) const {
@@ -2605,7 +2690,7 @@
 std::ostream& operator<<(std::ostream& out, const KeptFleet& obj);
 
 typedef struct _FleetNews__isset {
-  _FleetNews__isset() : config_version(false), config_age_ms(false), config_text(false), servers_age_ms(false), servers_hash(false), servers(false), members(false), retiring(false), loads(false), daemons(false), faults(false), kept(false), disk(false) {}
+  _FleetNews__isset() : config_version(false), config_age_ms(false), config_text(false), servers_age_ms(false), servers_hash(false), servers(false), members(false), retiring(false), loads(false), daemons(false), faults(false), kept(false), disk(false), suspect_runs(false), blamed_hash(false) {}
   bool config_version :1;
   bool config_age_ms :1;
   bool config_text :1;
@@ -2619,6 +2704,8 @@
   bool faults :1;
   bool kept :1;
   bool disk :1;
+  bool suspect_runs :1;
+  bool blamed_hash :1;
 } _FleetNews__isset;
 
 class FleetNews : public virtual ::apache::thrift::TBase {
@@ -2632,7 +2719,8 @@
               config_text(),
               servers_age_ms(0),
               servers_hash(0),
-              disk() {
+              disk(),
+              blamed_hash(0) {
   }
 
   virtual ~FleetNews() noexcept;
@@ -2649,6 +2737,8 @@
   std::vector<ServerFault>  faults;
   KeptFleet kept;
   std::string disk;
+  std::vector<SuspectRun>  suspect_runs;
+  int64_t blamed_hash;
 
   _FleetNews__isset __isset;
 
@@ -2678,6 +2768,10 @@
 
   void __set_disk(const std::string& val);
 
+  void __set_suspect_runs(const std::vector<SuspectRun> & val);
+
+  void __set_blamed_hash(const int64_t val);
+
   bool operator == (const FleetNews & rhs) const
   {
     if (!(config_version == rhs.config_version))
@@ -2712,6 +2806,10 @@
       return false;
     if (!(disk == rhs.disk))
       return false;
+    if (!(suspect_runs == rhs.suspect_runs))
+      return false;
+    if (!(blamed_hash == rhs.blamed_hash))
+      return false;
     return true;
   }
   bool operator != (const FleetNews &rhs) const {
--- /dev/null
+++ b/tests/unit/request_quarantine_test.cc
@@ -0,0 +1,152 @@
+#include <string>
+
+#include <boost/test/unit_test.hpp>
+
+#include "core/request_quarantine.h"
+#include "wire/fleet_messages.h"
+
+namespace comfreyfold {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::minutes;
+
+const TimePoint kNow{milliseconds(100000000)};
+constexpr std::uint64_t kDeadly = 11;
+constexpr std::uint64_t kOther = 12;
+
+SuspectRun Crash(std::uint64_t fingerprint, const std::string& server) {
+  return {fingerprint, server, true, {}};
+}
+
+SuspectRun Answer(std::uint64_t fingerprint, const std::string& server) {
+  return {fingerprint, server, false, {}};
+}
+
+bool IsQuarantined(const RequestQuarantine& quarantine,
+                   std::uint64_t fingerprint,
+                   TimePoint now = kNow) {
+  return quarantine.TimeLeft(fingerprint, now).count() > 0;
+}
+
+RequestQuarantine AfterCrashes(int count) {
+  RequestQuarantine out;
+  for (int n = 1; n <= count; ++n) {
+    out.Record(Crash(kDeadly, "s" + std::to_string(n)), kNow);
+  }
+  return out;
+}
+
+BOOST_AUTO_TEST_SUITE(request_quarantine)
+
+BOOST_AUTO_TEST_CASE(third_crash_quarantines) {
+  BOOST_TEST(!IsQuarantined(AfterCrashes(2), kDeadly));
+  BOOST_TEST(IsQuarantined(AfterCrashes(3), kDeadly));
+  BOOST_TEST(!IsQuarantined(AfterCrashes(3), kOther));
+}
+
+BOOST_AUTO_TEST_CASE(crash_that_two_daemons_report_counts_once) {
+  auto quarantine = AfterCrashes(2);
+  BOOST_TEST(!quarantine.Record({kDeadly, "s2", true, milliseconds(70)},
+                                kNow + milliseconds(80)));
+  BOOST_TEST(!IsQuarantined(quarantine, kDeadly));
+}
+
+BOOST_AUTO_TEST_CASE(request_that_ran_at_explained_crashes_is_not_blamed) {
+  auto quarantine = AfterCrashes(4);
+  for (const auto* it : {"s1", "s2", "s4"}) {
+    quarantine.Record(Crash(kOther, it), kNow);
+  }
+  BOOST_TEST(IsQuarantined(quarantine, kDeadly));
+  BOOST_TEST(!IsQuarantined(quarantine, kOther));
+  BOOST_TEST(quarantine.blamed() == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(second_deadly_request_is_blamed_for_other_crashes) {
+  auto quarantine = AfterCrashes(4);
+  for (const auto* it : {"s4", "t1", "t2"}) {
+    quarantine.Record(Crash(kOther, it), kNow);
+  }
+  BOOST_TEST(!IsQuarantined(quarantine, kOther));
+  quarantine.Record(Crash(kOther, "t3"), kNow);
+  BOOST_TEST(IsQuarantined(quarantine, kOther));
+}
+
+// The same request of many clients runs at most servers, also at crashing ones.
+BOOST_AUTO_TEST_CASE(answer_clears_request_of_earlier_crashes) {
+  auto quarantine = AfterCrashes(2);
+  const auto later = kNow + milliseconds(10);
+  BOOST_TEST(quarantine.IsSuspect(kDeadly));
+  BOOST_TEST(quarantine.Record(Answer(kDeadly, "s9"), later));
+  BOOST_TEST(!quarantine.IsSuspect(kDeadly));
+  // A report of an earlier crash that arrives late.
+  BOOST_TEST(!quarantine.Record({kDeadly, "s3", true, milliseconds(40)},
+                                later + milliseconds(20)));
+  quarantine.Record(Crash(kDeadly, "s4"), later + milliseconds(20));
+  BOOST_TEST(!IsQuarantined(quarantine, kDeadly, later));
+  // The same server answers again.
+  BOOST_TEST(
+      quarantine.Record(Answer(kDeadly, "s9"), later + milliseconds(30)));
+  BOOST_TEST(!quarantine.IsSuspect(kDeadly));
+}
+
+BOOST_AUTO_TEST_CASE(answer_of_another_daemon_ends_quarantine) {
+  auto quarantine = AfterCrashes(3);
+  quarantine.Record(Answer(kDeadly, "s9"), kNow + milliseconds(10),
+                    ReportSource::kAnswer);
+  BOOST_TEST(!IsQuarantined(quarantine, kDeadly));
+  BOOST_TEST(quarantine.HashOfBlamed() == 0U);
+}
+
+BOOST_AUTO_TEST_CASE(each_further_crash_doubles_the_quarantine) {
+  auto quarantine = AfterCrashes(3);
+  BOOST_TEST((quarantine.TimeLeft(kDeadly, kNow) == minutes(1)));
+  const auto trial = kNow + minutes(1);
+  BOOST_TEST(!IsQuarantined(quarantine, kDeadly, trial));
+  quarantine.Record(Crash(kDeadly, "s4"), trial);
+  BOOST_TEST((quarantine.TimeLeft(kDeadly, trial) == minutes(2)));
+  for (int n = 5; n < 20; ++n) {
+    quarantine.Record(Crash(kDeadly, "s" + std::to_string(n)), trial);
+  }
+  BOOST_TEST((quarantine.TimeLeft(kDeadly, trial) == minutes(60)));
+}
+
+BOOST_AUTO_TEST_CASE(crashes_of_many_requests_stay_within_bounds) {
+  RequestQuarantine quarantine = AfterCrashes(3);
+  for (std::uint64_t n = 100; n < 5000; ++n) {
+    quarantine.Record(Crash(n, "s" + std::to_string(n / 16)), kNow);
+  }
+  BOOST_TEST(quarantine.size() <= 2048U);
+  BOOST_TEST(IsQuarantined(quarantine, kDeadly));
+}
+
+BOOST_AUTO_TEST_CASE(old_crashes_expire) {
+  auto quarantine = AfterCrashes(3);
+  quarantine.Record(Crash(kOther, "t"), kNow + minutes(121));
+  BOOST_TEST(quarantine.size() == 1U);
+  BOOST_TEST(quarantine.blamed() == 0U);
+}
+
+BOOST_AUTO_TEST_CASE(daemon_that_missed_crashes_gets_those_of_quarantined) {
+  auto quarantine = AfterCrashes(3);
+  quarantine.Record(Crash(kOther, "t"), kNow);
+  const auto later = kNow + minutes(1) - milliseconds(1);
+  BOOST_TEST(quarantine.RecordedSince(kNow, later).empty());
+  FleetNews news;
+  news.suspect_runs = quarantine.BlamedRuns(later);
+  news.blamed_hash = quarantine.HashOfBlamed();
+  const auto received = DecodeFleetNews(Encode(news));
+  RequestQuarantine other;
+  for (const auto& it : received.suspect_runs) {
+    other.Record(it, later, ReportSource::kAnswer);
+  }
+  BOOST_TEST(other.HashOfBlamed() == received.blamed_hash);
+  BOOST_TEST(other.TimeLeft(kDeadly, later).count() == 1);
+  BOOST_TEST(!other.IsSuspect(kOther));
+  BOOST_TEST(other.LocalSince(kNow, later).empty());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace
+}  // namespace comfreyfold
