Blame a crash on the request that had no output yet

A request that crashes its server as it begins to run has no output there. Of requests at the same number of crashes, the one with output at the fewest of them is blamed, then the one whose last crash is the earliest, and the others only for what it leaves unexplained.

request_quarantine/request_with_output_before_the_crashes_is_not_blamed and request_at_one_crash_of_the_deadly_one_is_not_blamed are new.

--- a/source/core/request_quarantine.cc
+++ b/source/core/request_quarantine.cc
@@ -1,7 +1,8 @@
 #include "core/request_quarantine.h"
 
 #include <algorithm>
-#include <set>
+#include <tuple>
+#include <utility>
 
 namespace comfreyfold {
 
@@ -41,7 +42,7 @@
   }
   auto& request = requests_[run.fingerprint];
   const auto crashes_before = request.crashes.size();
-  const Run recorded{now - run.age, now, source};
+  const Run recorded{now - run.age, now, source, run.had_output};
   const bool is_new = run.crashed ? RecordCrash(request, run.server, recorded)
                                   : RecordAnswer(request, run.server, recorded);
   // Requests at fewer crashes cannot be to blame.
@@ -119,39 +120,54 @@
   AssignBlame();
 }
 
-// Takes the requests at most of the crashes that are not explained yet, until
-// none is left at enough of them.
-void RequestQuarantine::AssignBlame() {
-  blamed_.clear();
-  std::set<std::string> explained;
-  for (;;) {
-    std::map<std::uint64_t, Blame> candidates;
-    std::size_t most = 0;
-    for (const auto& [fingerprint, request] : requests_) {
-      if (request.crashes.size() < kMaxCrashes) {
-        continue;
-      }
-      Blame blame;
-      for (const auto& [server, run] : request.crashes) {
-        if (explained.count(server) == 0) {
-          ++blame.crashes;
-          blame.latest = std::max(blame.latest, run.ended_at);
-        }
+// Of two requests that explain equally much, the later one may owe a crash to
+// the earlier one.
+bool RequestQuarantine::Candidate::IsLikelierThan(
+    const Candidate& other) const {
+  return std::make_tuple(servers.size(), without_output, other.latest) >
+         std::make_tuple(other.servers.size(), other.without_output, latest);
+}
+
+std::vector<RequestQuarantine::Candidate> RequestQuarantine::Candidates(
+    const std::set<std::string>& explained) const {
+  std::vector<Candidate> out;
+  for (const auto& [fingerprint, request] : requests_) {
+    if (request.crashes.size() < kMaxCrashes) {
+      continue;
+    }
+    Candidate candidate;
+    candidate.fingerprint = fingerprint;
+    for (const auto& [server, run] : request.crashes) {
+      if (explained.count(server) == 0) {
+        candidate.servers.insert(server);
+        candidate.without_output += run.had_output ? 0 : 1;
+        candidate.latest = std::max(candidate.latest, run.ended_at);
       }
-      most = std::max(most, blame.crashes);
-      candidates[fingerprint] = blame;
     }
-    if (most < kMaxCrashes) {
-      return;
+    if (candidate.servers.size() >= kMaxCrashes) {
+      out.push_back(std::move(candidate));
     }
-    for (const auto& [fingerprint, blame] : candidates) {
-      if (blame.crashes == most) {
-        blamed_[fingerprint] = blame;
-        for (const auto& [server, run] : requests_.at(fingerprint).crashes) {
-          explained.insert(server);
-        }
+  }
+  return out;
+}
+
+// Takes the likeliest request first, and leaves to the others only what it does
+// not explain. Requests that do not differ are all blamed.
+void RequestQuarantine::AssignBlame() {
+  blamed_.clear();
+  std::set<std::string> explained;
+  for (auto candidates = Candidates(explained); !candidates.empty();
+       candidates = Candidates(explained)) {
+    const auto best = std::min_element(
+        candidates.begin(), candidates.end(),
+        [](const auto& a, const auto& b) { return a.IsLikelierThan(b); });
+    for (const auto& it : candidates) {
+      if (it.servers == best->servers &&
+          it.without_output == best->without_output) {
+        blamed_[it.fingerprint] = {it.servers.size(), it.latest};
       }
     }
+    explained.insert(best->servers.begin(), best->servers.end());
   }
 }
 
@@ -181,7 +197,8 @@
     if (filter(fingerprint, run)) {
       out.push_back({fingerprint, server, crashed,
                      std::chrono::duration_cast<std::chrono::milliseconds>(
-                         now - run.ended_at)});
+                         now - run.ended_at),
+                     run.had_output});
     }
   };
   for (const auto& [fingerprint, request] : requests_) {
--- a/source/core/request_quarantine.h
+++ b/source/core/request_quarantine.h
@@ -5,6 +5,7 @@
 #include <cstdint>
 #include <functional>
 #include <map>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -19,6 +20,7 @@
   std::string server;             // Names one start of a server.
   bool crashed = false;           // Otherwise the server answered.
   std::chrono::milliseconds age{0};
+  bool had_output = false;  // A part of the answer arrived before the crash.
 };
 
 // The requests that crash the servers which run them, as all daemons together
@@ -28,7 +30,8 @@
 // A request is quarantined once kMaxCrashes crashes are blamed on it, for a
 // time that doubles with each further one. A crash is blamed on the request
 // that was running at most crashes, because the others happened to run at the
-// same servers. An answer to a request clears it of the crashes before.
+// same servers; of several, on the one that had no output yet at most of them.
+// An answer to a request clears it of the crashes before.
 class RequestQuarantine {
  public:
   static constexpr std::size_t kMaxCrashes = 3;
@@ -65,6 +68,7 @@
     TimePoint ended_at = kDistantPast;
     TimePoint recorded_at = kDistantPast;
     ReportSource source = ReportSource::kLocal;
+    bool had_output = false;
   };
   struct Request {
     std::map<std::string, Run> crashes;  // By server.
@@ -75,6 +79,14 @@
     std::size_t crashes = 0;
     TimePoint latest = kDistantPast;
   };
+  struct Candidate {
+    std::uint64_t fingerprint = 0;
+    std::set<std::string> servers;  // Whose crashes it may explain.
+    std::size_t without_output = 0;
+    TimePoint latest = kDistantPast;
+
+    bool IsLikelierThan(const Candidate& other) const;
+  };
   using Requests = std::map<std::uint64_t, Request>;
   using RunFilter = std::function<bool(std::uint64_t, const Run&)>;
 
@@ -88,6 +100,9 @@
   void MakeRoom();
   // Decides which requests are to blame for which crashes.
   void AssignBlame();
+  // Returns the requests at enough crashes other than those at `explained`.
+  std::vector<Candidate> Candidates(
+      const std::set<std::string>& explained) const;
   std::vector<SuspectRun> Select(TimePoint now, const RunFilter& filter) const;
 
   Requests requests_;  // By fingerprint.
--- a/source/front/call_dispatcher.cc
+++ b/source/front/call_dispatcher.cc
@@ -140,6 +140,7 @@
   const auto request =
       codec_.encode_server_request(call.request, server_params);
   const auto start = std::chrono::steady_clock::now();
+  const auto events_before = call.progress.events;
   ServerCall server_call(http_, codec_, call.client, call.progress);
   server_call.OnHead([this, &call, &slot, start](const ServerAnswer& metadata) {
     if (!metadata.not_run) {
@@ -158,7 +159,8 @@
                          std::chrono::steady_clock::now() - start));
   if (result.exchange == ExchangeResult::kFailed &&
       result.verdict == Verdict::kMayHaveRun) {
-    crash_guard_.OnBrokenAnswer(slot, call.fingerprint);
+    crash_guard_.OnBrokenAnswer(slot, call.fingerprint,
+                                call.progress.events > events_before);
   } else if (result.exchange == ExchangeResult::kAnswered) {
     crash_guard_.OnAnswer(slot, call.fingerprint);
   }
--- a/source/front/crash_guard.cc
+++ b/source/front/crash_guard.cc
@@ -35,16 +35,17 @@
 
 // The end of a server that is leaving is not a crash.
 void CrashGuard::OnBrokenAnswer(const AcquiredSlot& slot,
-                                std::uint64_t fingerprint) {
+                                std::uint64_t fingerprint,
+                                bool had_output) {
   const auto& servers = view_.servers().servers();
   const auto it = servers.find(slot.server_id);
   if (it == servers.end() || it->second.leaving) {
     return;
   }
   auto& broken = broken_[slot.server_id];
-  broken.fingerprints.push_back(fingerprint);
-  if (broken.fingerprints.size() == 1) {
-    broken.server = NameOfStart(it->second);
+  broken.runs.push_back(
+      {fingerprint, NameOfStart(it->second), true, {}, had_output});
+  if (broken.runs.size() == 1) {
     broken.address = slot.address;
     loop_.Spawn([this, server_id = slot.server_id](Fiber& fiber) {
       CheckServer(fiber, server_id);
@@ -60,13 +61,12 @@
   if (connected != ConnectResult::kRefused) {
     return;
   }
-  log_.Write(
-      "server_ended", "",
-      {{"server", server_id},
-       {"address", address},
-       {"broken_answers", static_cast<int>(broken.fingerprints.size())}});
-  for (const auto it : broken.fingerprints) {
-    view_.RecordSuspectRun({it, broken.server, true, {}}, ReportSource::kLocal);
+  log_.Write("server_ended", "",
+             {{"server", server_id},
+              {"address", address},
+              {"broken_answers", static_cast<int>(broken.runs.size())}});
+  for (const auto& it : broken.runs) {
+    view_.RecordSuspectRun(it, ReportSource::kLocal);
   }
 }
 
--- a/source/front/crash_guard.h
+++ b/source/front/crash_guard.h
@@ -25,7 +25,10 @@
   CrashGuard(Loop& loop, HttpClient& http, FleetView& view, DecisionLog& log);
 
   // Records that the answer to the request with this fingerprint broke off.
-  void OnBrokenAnswer(const AcquiredSlot& slot, std::uint64_t fingerprint);
+  // `had_output` says whether a part of it had arrived.
+  void OnBrokenAnswer(const AcquiredSlot& slot,
+                      std::uint64_t fingerprint,
+                      bool had_output);
   // Records that the server answered the request.
   void OnAnswer(const AcquiredSlot& slot, std::uint64_t fingerprint);
 
@@ -34,9 +37,8 @@
 
  private:
   struct BrokenAnswers {
-    std::string server;  // Names this start of the server.
     std::string address;
-    std::vector<std::uint64_t> fingerprints;
+    std::vector<SuspectRun> runs;
   };
 
   void CheckServer(Fiber& fiber, const std::string& server_id);
--- a/source/wire/comfreyfold.thrift
+++ b/source/wire/comfreyfold.thrift
@@ -293,6 +293,7 @@
   2: string server,
   3: bool crashed,
   4: i64 age_ms,
+  5: bool had_output,
 }
 
 // A daemon's request for the state of the deployment. It says what the sender
--- a/source/wire/fleet_codec.cc
+++ b/source/wire/fleet_codec.cc
@@ -94,6 +94,7 @@
     run.server = it.server;
     run.crashed = it.crashed;
     run.age_ms = it.age.count();
+    run.had_output = it.had_output;
     out.push_back(run);
   }
   return out;
@@ -104,7 +105,8 @@
   out.reserve(runs.size());
   for (const auto& it : runs) {
     out.push_back({static_cast<std::uint64_t>(it.fingerprint), it.server,
-                   it.crashed, std::chrono::milliseconds(it.age_ms)});
+                   it.crashed, std::chrono::milliseconds(it.age_ms),
+                   it.had_output});
   }
   return out;
 }
--- a/source/wire/gen/comfreyfold_types.cpp
+++ b/source/wire/gen/comfreyfold_types.cpp
@@ -6375,6 +6375,10 @@
 void SuspectRun::__set_age_ms(const int64_t val) {
   this->age_ms = val;
 }
+
+void SuspectRun::__set_had_output(const bool val) {
+  this->had_output = val;
+}
 std::ostream& operator<<(std::ostream& out, const SuspectRun& obj)
 {
   obj.printTo(out);
@@ -6435,6 +6439,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->had_output);
+          this->__isset.had_output = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -6468,6 +6480,10 @@
   xfer += oprot->writeI64(this->age_ms);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("had_output", ::apache::thrift::protocol::T_BOOL, 5);
+  xfer += oprot->writeBool(this->had_output);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -6479,6 +6495,7 @@
   swap(a.server, b.server);
   swap(a.crashed, b.crashed);
   swap(a.age_ms, b.age_ms);
+  swap(a.had_output, b.had_output);
   swap(a.__isset, b.__isset);
 }
 
@@ -6487,6 +6504,7 @@
   server = other224.server;
   crashed = other224.crashed;
   age_ms = other224.age_ms;
+  had_output = other224.had_output;
   __isset = other224.__isset;
 }
 SuspectRun& SuspectRun::operator=(const SuspectRun& other225) {
@@ -6494,6 +6512,7 @@
   server = other225.server;
   crashed = other225.crashed;
   age_ms = other225.age_ms;
+  had_output = other225.had_output;
   __isset = other225.__isset;
   return *this;
 }
@@ -6504,6 +6523,7 @@
   out << ", " << "server=" << to_string(server);
   out << ", " << "crashed=" << to_string(crashed);
   out << ", " << "age_ms=" << to_string(age_ms);
+  out << ", " << "had_output=" << to_string(had_output);
   out << ")";
 }
 
--- a/source/wire/gen/comfreyfold_types.h
+++ b/source/wire/gen/comfreyfold_types.h
@@ -2461,11 +2461,12 @@
 std::ostream& operator<<(std::ostream& out, const ServerFault& obj);
 
 typedef struct _SuspectRun__isset {
-  _SuspectRun__isset() : fingerprint(false), server(false), crashed(false), age_ms(false) {}
+  _SuspectRun__isset() : fingerprint(false), server(false), crashed(false), age_ms(false), had_output(false) {}
   bool fingerprint :1;
   bool server :1;
   bool crashed :1;
   bool age_ms :1;
+  bool had_output :1;
 } _SuspectRun__isset;
 
 class SuspectRun : public virtual ::apache::thrift::TBase {
@@ -2477,7 +2478,8 @@
              : fingerprint(0),
                server(),
                crashed(0),
-               age_ms(0) {
+               age_ms(0),
+               had_output(0) {
   }
 
   virtual ~SuspectRun() noexcept;
@@ -2485,6 +2487,7 @@
   std::string server;
   bool crashed;
   int64_t age_ms;
+  bool had_output;
 
   _SuspectRun__isset __isset;
 
@@ -2496,6 +2499,8 @@
 
   void __set_age_ms(const int64_t val);
 
+  void __set_had_output(const bool val);
+
   bool operator == (const SuspectRun & rhs) const
   {
     if (!(fingerprint == rhs.fingerprint))
@@ -2506,6 +2511,8 @@
       return false;
     if (!(age_ms == rhs.age_ms))
       return false;
+    if (!(had_output == rhs.had_output))
+      return false;
     return true;
   }
   bool operator != (const SuspectRun &rhs) const {
--- a/tests/unit/request_quarantine_test.cc
+++ b/tests/unit/request_quarantine_test.cc
@@ -72,6 +72,33 @@
   BOOST_TEST(IsQuarantined(quarantine, kOther));
 }
 
+BOOST_AUTO_TEST_CASE(request_with_output_before_the_crashes_is_not_blamed) {
+  auto quarantine = AfterCrashes(3);
+  for (const auto* it : {"s1", "s2", "s3"}) {
+    quarantine.Record({kOther, it, true, {}, true}, kNow);
+  }
+  BOOST_TEST(IsQuarantined(quarantine, kDeadly));
+  BOOST_TEST(!IsQuarantined(quarantine, kOther));
+}
+
+BOOST_AUTO_TEST_CASE(request_at_one_crash_of_the_deadly_one_is_not_blamed) {
+  auto quarantine = AfterCrashes(3);
+  const auto later = kNow + milliseconds(900);
+  quarantine.Record(Crash(kOther, "s2"), kNow);
+  quarantine.Record(Crash(kOther, "t1"), later);
+  quarantine.Record(Crash(kOther, "t2"), later);
+  BOOST_TEST(IsQuarantined(quarantine, kDeadly));
+  BOOST_TEST(!IsQuarantined(quarantine, kOther));
+}
+
+BOOST_AUTO_TEST_CASE(requests_that_do_not_differ_are_all_blamed) {
+  auto quarantine = AfterCrashes(3);
+  for (const auto* it : {"s1", "s2", "s3"}) {
+    quarantine.Record(Crash(kOther, it), kNow);
+  }
+  BOOST_TEST(quarantine.blamed() == 2U);
+}
+
 // The same request of many clients runs at most servers, also at crashing ones.
 BOOST_AUTO_TEST_CASE(answer_clears_request_of_earlier_crashes) {
   auto quarantine = AfterCrashes(2);
