--- a/tests/vm/turns_test.cc
+++ b/tests/vm/turns_test.cc
@@ -76,6 +76,24 @@
   });
 }
 
+// A request that comes again may continue from another turn each time.
+BOOST_AUTO_TEST_CASE(same_input_behind_other_chains_is_sent_after_each_chain) {
+  WithTwoFrontDaemons([](Fiber& fiber, VmDeployment& deployment) {
+    const std::string input(2648, 'x');
+    for (const std::string first : {"one;", "two;", "three;"}) {
+      const auto id = "after-" + first;
+      SendTurn(fiber, deployment, "front-1", first, first);
+      BOOST_TEST(
+          SendTurn(fiber, deployment, "front-2", id, input, first).status ==
+          200);
+      BOOST_TEST(LastServerRequestBody(deployment) ==
+                 first + kTurnOutput + input);
+    }
+    SendTurn(fiber, deployment, "front-1", "alone", input);
+    BOOST_TEST(LastServerRequestBody(deployment) == input);
+  });
+}
+
 BOOST_AUTO_TEST_CASE(unknown_previous_turn_is_not_found) {
   WithTwoFrontDaemons([](Fiber& fiber, VmDeployment& deployment) {
     const auto before = deployment.server("s1").service->runs().size();
