Send no more requests to servers whose answers say that they are leaving

Nothing read that header, and some servers never tell the registry, or it is lost in an outage.

The first answer with it, an interim reply, a 421 or one to another request included, marks each server at that address as leaving in the server directory. The mark holds for this start of the server, also when its registration is missing and comes back.

--- a/source/core/client_call.h
+++ b/source/core/client_call.h
@@ -42,6 +42,7 @@
   std::string request_id;
   bool is_signed = false;
   bool not_run = false;  // The server says that it did not run the request.
+  bool leaving = false;  // The server takes no new requests from now on.
   std::optional<ServerLoad> load;
 };
 
--- a/source/core/server_directory.cc
+++ b/source/core/server_directory.cc
@@ -4,6 +4,11 @@
 
 namespace comfreyfold {
 
+namespace {
+// Longer than a server takes to leave.
+constexpr std::chrono::hours kLeavingRetention{1};
+}  // namespace
+
 void ServerDirectory::Apply(const std::vector<BackendServer>& listed,
                             TimePoint now) {
   if (registry_lost_) {
@@ -11,10 +16,13 @@
     reregistered_by_ = now + kReregistrationTime;
   }
   RemoveReusedAddresses(listed);
+  std::erase_if(leaving_starts_, [now](const auto& it) {
+    return now - it.second.marked_at > kLeavingRetention;
+  });
   std::set<std::string> listed_ids;
   for (const auto& it : listed) {
     listed_ids.insert(it.id);
-    servers_[it.id] = it;
+    Add(it);
   }
   // Live servers may be missing until they have had time to register again.
   if (known_ && now < reregistered_by_) {
@@ -26,6 +34,32 @@
   known_ = true;
 }
 
+void ServerDirectory::Add(const BackendServer& listed) {
+  auto& server = servers_[listed.id];
+  server = listed;
+  const auto it = leaving_starts_.find(listed.id);
+  if (it == leaving_starts_.end()) {
+    return;
+  }
+  if (it->second.started == listed.started) {
+    server.leaving = true;
+  } else {
+    leaving_starts_.erase(it);
+  }
+}
+
+bool ServerDirectory::MarkLeaving(const std::string& address, TimePoint now) {
+  bool out = false;
+  for (auto& [id, it] : servers_) {
+    if (it.address == address && !it.leaving) {
+      it.leaving = true;
+      leaving_starts_[id] = {it.started, now};
+      out = true;
+    }
+  }
+  return out;
+}
+
 void ServerDirectory::RemoveReusedAddresses(
     const std::vector<BackendServer>& listed) {
   for (const auto& entry : listed) {
--- a/source/fleet/fleet_view.cc
+++ b/source/fleet/fleet_view.cc
@@ -48,6 +48,14 @@
   return true;
 }
 
+bool FleetView::MarkServerLeaving(const std::string& address) {
+  if (!servers_.MarkLeaving(address, std::chrono::steady_clock::now())) {
+    return false;
+  }
+  NotifyListeners();
+  return true;
+}
+
 bool FleetView::ApplyStorageList(StorageList list) {
   if (list.version <= storage_list_.version) {
     return false;
--- a/source/fleet/fleet_view.h
+++ b/source/fleet/fleet_view.h
@@ -50,6 +50,9 @@
   bool ApplyServers(std::vector<BackendServer> registered_servers,
                     TimePoint read_at,
                     TimePoint now);
+  // Records that the server at `address` says that it is leaving. Returns false
+  // if this is known.
+  bool MarkServerLeaving(const std::string& address);
   // Records that the registrations could not be read.
   void RegistryLost() { servers_.RegistryLost(); }
   // Returns false if the current version of the list is equal or newer.
--- a/source/front/call_dispatcher.cc
+++ b/source/front/call_dispatcher.cc
@@ -150,6 +150,7 @@
               std::chrono::steady_clock::now() - start));
     }
   });
+  server_call.OnLeaving([this, &slot] { admission_.ObserveLeaving(slot); });
   auto result = server_call.Run(
       fiber, {*call.route, call.params.request_id, request, slot, call.arrived,
               call.deadline, call.max_events,
--- a/source/front/server_admission.cc
+++ b/source/front/server_admission.cc
@@ -170,6 +170,14 @@
   }
 }
 
+// The answer may come from a server that has taken over the address.
+void ServerAdmission::ObserveLeaving(const AcquiredSlot& slot) {
+  if (view_.MarkServerLeaving(slot.address)) {
+    log_.Write("server_leaving", "",
+               {{"server", slot.server_id}, {"address", slot.address}});
+  }
+}
+
 void ServerAdmission::ObserveLoadReport(const LoadReport& report) {
   const auto now = std::chrono::steady_clock::now();
   for (auto& [service, queue] : queues_) {
--- a/source/front/server_admission.h
+++ b/source/front/server_admission.h
@@ -53,6 +53,8 @@
                             const AcquiredSlot& slot,
                             const std::optional<ServerLoad>& load,
                             std::chrono::milliseconds first_byte);
+  // Records that the server at the slot's address says that it is leaving.
+  void ObserveLeaving(const AcquiredSlot& slot);
   // Gives a slot back after the exchange with its server has ended.
   void Release(const std::string& service,
                const AcquiredSlot& slot,
--- a/source/front/server_call.cc
+++ b/source/front/server_call.cc
@@ -42,8 +42,15 @@
                        StreamProgress& progress)
     : http_(http), codec_(codec), client_(client), progress_(progress) {}
 
+void ServerCall::CheckLeaving(const ServerAnswer& metadata) const {
+  if (metadata.leaving && on_leaving_) {
+    on_leaving_();
+  }
+}
+
 ReplyAction ServerCall::HandleHead(const HttpReply& reply, const Input& input) {
   metadata_ = codec_.decode_answer(reply);
+  CheckLeaving(metadata_);
   framing_ = reply.framing;
   // This is a late answer to an earlier request on the same connection. The
   // answer to this request follows.
@@ -129,6 +136,9 @@
   options.on_head = [this, &input](const HttpReply& reply) {
     return HandleHead(reply, input);
   };
+  options.on_interim = [this](const HttpReply& reply) {
+    CheckLeaving(codec_.decode_answer(reply));
+  };
   if (input.route.kind == RequestKind::kStream) {
     options.on_data = [this, &input](std::string_view data) {
       HandleData(data, input);
--- a/source/front/server_call.h
+++ b/source/front/server_call.h
@@ -71,9 +71,14 @@
     on_head_ = std::move(hook);
   }
 
+  // Sets the hook that is called when the server says that it is leaving, also
+  // in an interim answer or in one to another request.
+  void OnLeaving(std::function<void()> hook) { on_leaving_ = std::move(hook); }
+
   ServerCallResult Run(Fiber& fiber, const Input& input);
 
  private:
+  void CheckLeaving(const ServerAnswer& metadata) const;
   ReplyAction HandleHead(const HttpReply& reply, const Input& input);
   void HandleData(std::string_view data, const Input& input);
   // Whether the stream that has ended lacks a part.
@@ -87,6 +92,7 @@
   HttpExchange& client_;
   StreamProgress& progress_;
   std::function<void(const ServerAnswer&)> on_head_;
+  std::function<void()> on_leaving_;
   ServerAnswer metadata_;
   BodyFraming framing_ = BodyFraming::kLength;
   EventStreamParser events_;
--- a/source/net/http_client.cc
+++ b/source/net/http_client.cc
@@ -389,6 +389,9 @@
     reply.status = parser.get().result_int();
     reply.framing = FramingOf(parser);
     CopyHeaders(parser.get(), reply.headers);
+    if (IsInterim(reply.status) && options_.on_interim) {
+      options_.on_interim(reply);
+    }
     const bool accepted =
         !IsInterim(reply.status) &&
         (!options_.on_head || options_.on_head(reply) == ReplyAction::kAccept);
--- a/source/net/http_client.h
+++ b/source/net/http_client.h
@@ -49,6 +49,8 @@
   std::chrono::milliseconds max_idle_time{30000};
   // Called with the status and headers of each reply before its body is read.
   std::function<ReplyAction(const HttpReply&)> on_head;
+  // Called with each interim (1xx) reply, which is then skipped.
+  std::function<void(const HttpReply&)> on_interim;
   // Called once, just before the request is written to the connection.
   std::function<void()> on_sending;
   // Receives the body of a 2xx reply in pieces; HttpReply::body stays empty.
--- a/tests/standins/platform_server.cc
+++ b/tests/standins/platform_server.cc
@@ -26,6 +26,9 @@
     const std::string& request_id) const {
   std::vector<HttpHeader> out{{"Request-Id", request_id},
                               {"Server-Load", "1,0,8"}};
+  if (leaving_) {
+    out.push_back({"Server-Leaving", "1"});
+  }
   return out;
 }
 
--- a/tests/standins/platform_server.h
+++ b/tests/standins/platform_server.h
@@ -44,6 +44,8 @@
     deadly_body_ = std::move(body);
     stop_listening_ = std::move(stop_listening);
   }
+  // Makes the server say in its answers that it is leaving.
+  void SetLeaving(bool leaving) { leaving_ = leaving; }
   bool crashed() const { return crashed_; }
   Faults& faults() { return faults_; }
   static constexpr int kEvents = 4;  // Events per stream.
@@ -67,6 +69,7 @@
   std::string deadly_body_;  // Empty: no request crashes the server.
   std::function<void()> stop_listening_;
   bool crashed_ = false;
+  bool leaving_ = false;
 };
 
 }  // namespace comfreyfold::standins
--- a/tests/unit/server_directory_test.cc
+++ b/tests/unit/server_directory_test.cc
@@ -53,6 +53,23 @@
   BOOST_TEST(directory.servers().at("a").leaving);
 }
 
+BOOST_AUTO_TEST_CASE(leaving_server_stays_so_when_its_entry_comes_back) {
+  ServerDirectory directory;
+  const TimePoint now{milliseconds(10000)};
+  directory.Apply({MakeServer("a", "1:1"), MakeServer("b", "1:2")}, now);
+  BOOST_TEST(directory.MarkLeaving("1:1", now));
+  BOOST_TEST(!directory.MarkLeaving("1:1", now));
+  BOOST_TEST(directory.servers().at("a").leaving);
+  BOOST_TEST(!directory.servers().at("b").leaving);
+  directory.Apply({}, now + milliseconds(1));
+  directory.Apply({MakeServer("a", "1:1")}, now + milliseconds(2));
+  BOOST_TEST(directory.servers().at("a").leaving);
+  auto restarted = MakeServer("a", "1:1");
+  restarted.started = milliseconds(5);
+  directory.Apply({restarted}, now + milliseconds(3));
+  BOOST_TEST(!directory.servers().at("a").leaving);
+}
+
 BOOST_AUTO_TEST_CASE(address_belongs_to_its_newest_server) {
   ServerDirectory directory;
   const TimePoint now{milliseconds(10000)};
--- /dev/null
+++ b/tests/vm/leaving_test.cc
@@ -0,0 +1,102 @@
+// Backend servers whose answers say that they are leaving.
+
+#include <set>
+
+#include <boost/test/unit_test.hpp>
+
+#include "vm/raw_answers.h"
+
+namespace comfreyfold {
+namespace {
+
+using standins::RawServer;
+
+constexpr const char* kLeaving = "Server-Leaving: 1\r\n";
+
+// Sends `path` to a server that answers with `answer`, then other requests,
+// which the server must not get.
+void ServerIsAvoidedAfter(
+    const std::string& path,
+    const std::function<std::string(const std::string& id)>& answer) {
+  std::multiset<std::string> received;
+  WithRawServer(
+      [&](Fiber&, RawServer::Peer& peer) {
+        for (auto head = peer.ReadHead(); !head.empty();
+             head = peer.ReadHead()) {
+          const auto id = RequestIdOf(head);
+          if (id == "probe") {
+            peer.Write(Answer(id, ""));
+            continue;
+          }
+          received.insert(id);
+          peer.Write(answer(id));
+        }
+      },
+      [&](Fiber& fiber, VmDeployment& deployment,
+          const VmDeployment::Vm& front) {
+        deployment.Send(fiber, front, {path, "r1", "", {}});
+        BOOST_REQUIRE(received.count("r1") > 0);
+        for (const auto* id : {"r2", "r3"}) {
+          BOOST_TEST(
+              deployment.Send(fiber, front, {"/once/x", id, "", {}}).status ==
+              503);
+          BOOST_TEST(received.count(id) == 0U);
+        }
+      });
+}
+
+BOOST_AUTO_TEST_SUITE(leaving)
+
+BOOST_AUTO_TEST_CASE(server_that_leaves_by_plain_answer_gets_no_more) {
+  ServerIsAvoidedAfter("/once/x", [](const std::string& id) {
+    return SignedHead(id,
+                      kLeaving + std::string("Content-Length: 2\r\n\r\nok"));
+  });
+}
+
+BOOST_AUTO_TEST_CASE(server_that_leaves_by_stream_gets_no_more) {
+  ServerIsAvoidedAfter("/talk/stream/x", [](const std::string& id) {
+    return SignedHead(id, kLeaving + std::string("Content-Length: 23\r\n\r\n"
+                                                 "id: 1\ndata: event-one\n\n"));
+  });
+}
+
+BOOST_AUTO_TEST_CASE(server_that_leaves_by_421_gets_no_more) {
+  ServerIsAvoidedAfter("/once/x", [](const std::string& id) {
+    return "HTTP/1.1 421 Misdirected\r\nRequest-Id: " + id + "\r\n" + kLeaving +
+           "Content-Length: 0\r\n\r\n";
+  });
+}
+
+BOOST_AUTO_TEST_CASE(server_that_leaves_by_interim_reply_gets_no_more) {
+  ServerIsAvoidedAfter("/once/x", [](const std::string& id) {
+    return std::string("HTTP/1.1 103 Early Hints\r\n") + kLeaving + "\r\n" +
+           Answer(id, "ok");
+  });
+}
+
+BOOST_AUTO_TEST_CASE(server_that_left_and_started_again_is_used) {
+  RunWithDeployment([](Fiber& fiber, VmDeployment& deployment) {
+    auto& server = deployment.AddServer("app-1");
+    deployment.StartAll(fiber);
+    const auto& front = deployment.vm("front-1");
+    int number = 0;
+    const auto send = [&] {
+      return deployment
+          .Send(fiber, front, {"/once/x", std::to_string(++number), "", {}})
+          .status;
+    };
+    BOOST_REQUIRE(deployment.WaitFor(fiber, [&] { return send() == 200; }));
+    server.service->SetLeaving(true);
+    BOOST_TEST(send() == 200);
+    BOOST_TEST(send() == 503);
+    server.service->SetLeaving(false);
+    deployment.RegisterServer("app-1", "ready", 2);
+    BOOST_TEST(deployment.WaitFor(fiber, [&] { return send() == 200; }));
+  });
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace
+}  // namespace comfreyfold
--- a/tests/vm/vm_deployment.cc
+++ b/tests/vm/vm_deployment.cc
@@ -82,7 +82,8 @@
 }
 
 void VmDeployment::RegisterServer(const std::string& id,
-                                  const std::string& state) {
+                                  const std::string& state,
+                                  int started_ms) {
   const json entry = {{"service", "app"},
                       {"address", servers_.at(id).address},
                       {"zone", "north"},
@@ -91,7 +92,7 @@
                       {"state", state},
                       {"cold_remaining_ms", 0},
                       {"seq", 1},
-                      {"born", 1}};
+                      {"born", started_ms}};
   store_.Put("servers/" + id, entry.dump());
 }
 
--- a/tests/vm/vm_deployment.h
+++ b/tests/vm/vm_deployment.h
@@ -44,7 +44,8 @@
   void WriteConfig(std::int64_t version, int retention_seconds = 60);
   Server& AddServer(const std::string& id, std::chrono::milliseconds work = {});
   void RegisterServer(const std::string& id,
-                      const std::string& state = "ready");
+                      const std::string& state = "ready",
+                      int started_ms = 1);
   Vm& AddVm(const std::string& name,
             bool has_disk,
             bool first_start = true,
