Read what has arrived before a planned stop gives up a connection

And a connection that was opened just before was given up at once if its request had not arrived yet.

Such connections are now checked 30 times, 10 ms apart, so that a delay of the process counts as one check. Older connections without a request are closed as before.

--- a/source/net/http_server.cc
+++ b/source/net/http_server.cc
@@ -23,9 +23,13 @@
 constexpr std::chrono::milliseconds kAcceptRetryDelay{50};
 constexpr std::chrono::seconds kDiscardTimeout{1};
 constexpr std::chrono::milliseconds kConnectionLimitRetryAfter{1000};
-// Time in which the request on a connection that was accepted at the end of a
-// planned stop has to begin. Clients send it as soon as they are connected.
-constexpr std::chrono::milliseconds kDrainIdleTime{300};
+// How often a connection without a request is checked for one at the end of a
+// planned stop, and the time between two checks. Clients send the request as
+// soon as they are connected. A timeout would not do: if the process gets no
+// processor for that long, it expires before the request that has arrived is
+// read.
+constexpr int kDrainChecks = 30;
+constexpr std::chrono::milliseconds kDrainCheckInterval{10};
 constexpr std::size_t kReadBytes = 1024;
 // Limit on the data of a refused request that is read and discarded before its
 // connection is closed.
@@ -162,19 +166,36 @@
 
   // Waits for the first bytes of a request. Returns false if none arrived.
   bool AwaitData(Fiber& fiber, Session& session) const {
-    boost::system::error_code ec;
-    session.stream.expires_after(draining ? kDrainIdleTime : limits.idle_time);
-    auto n = session.stream.async_read_some(session.buf.prepare(kReadBytes),
-                                            YieldToken(fiber)[ec]);
+    boost::system::error_code ec = boost::asio::error::operation_aborted;
+    if (!draining) {
+      session.stream.expires_after(limits.idle_time);
+      session.buf.commit(session.stream.async_read_some(
+          session.buf.prepare(kReadBytes), YieldToken(fiber)[ec]));
+      session.stream.expires_never();
+    }
     if (ec == boost::asio::error::operation_aborted && draining) {
-      // Bytes may have arrived between the end of the wait and now.
-      n = session.stream.socket().receive(session.buf.prepare(kReadBytes), 0,
-                                          ec);
+      return AwaitLastRequest(fiber, session);
     }
-    session.buf.commit(n);
     return !ec;
   }
 
+  // Waits for the request on a connection that was opened at the end of a
+  // planned stop. Older connections without a request are of no more use.
+  static bool AwaitLastRequest(Fiber& fiber, Session& session) {
+    for (int n = 0;; ++n) {
+      boost::system::error_code ec;
+      session.buf.commit(session.stream.socket().receive(
+          session.buf.prepare(kReadBytes), 0, ec));
+      if (ec != boost::asio::error::would_block) {
+        return !ec;
+      }
+      if (session.had_request || n == kDrainChecks) {
+        return false;
+      }
+      fiber.Sleep(kDrainCheckInterval);
+    }
+  }
+
   // Reads one request into `parser`. Returns false if the connection ended or
   // the request was bad; a bad request has then been answered.
   bool ReadRequest(Fiber& fiber,
@@ -316,6 +337,7 @@
       session.stream.expires_never();
       session.reading = false;
       session.busy = true;
+      session.had_request = true;
       ++in_flight;
       HandleRequest(fiber, FromBeast(parser.get()), exchange);
       --in_flight;
--- a/source/net/server_exchange.h
+++ b/source/net/server_exchange.h
@@ -35,6 +35,7 @@
   boost::beast::flat_buffer buf{kMaxUnparsedBytes};
   bool busy = false;     // A request is being handled.
   bool reading = false;  // A part of a request has arrived.
+  bool had_request = false;
 
   // Headers are parsed as a whole, so this exceeds the limits on headers of all
   // deployments (16 KiB).
