Retry quarantined requests one after the other, three times at most

Found by reading: when the minute of a quarantine was up, every daemon let the request through at the same moment, and any number of times each.

Each daemon now adds a share of its own of up to four times the quarantine, sends one retry at a time, and quarantines it eight times as long after each crash. An answer still clears a request at once.

--- a/source/core/request_quarantine.cc
+++ b/source/core/request_quarantine.cc
@@ -8,21 +8,31 @@
 
 namespace {
 constexpr std::chrono::milliseconds kFirstQuarantine{60000};
-constexpr std::chrono::milliseconds kLongestQuarantine{3600000};
+constexpr int kQuarantineGrowth = 8;
+// Multiple of the quarantine over which the retries of the daemons are spread.
+constexpr double kRetrySpread = 4;
+// Time after which a retry that had no outcome is repeated.
+constexpr std::chrono::milliseconds kRetryTimeout{30000};
 // Must outlast the quarantine, so that the next crash lengthens it.
-constexpr std::chrono::milliseconds kRetention{2 * kLongestQuarantine};
+constexpr std::chrono::milliseconds kRetention{24 * 3600000};
 constexpr std::chrono::milliseconds kExpiryInterval{1000};
 // Bounds the memory and the bytes between daemons when many servers crash at
 // the same time.
 constexpr std::size_t kMaxRuns = 2048;
 
-std::chrono::milliseconds QuarantineAfter(std::size_t crashes) {
+std::chrono::milliseconds QuarantineAfter(std::size_t crashes,
+                                          double delay_share) {
+  constexpr auto kCrashesInAll =
+      RequestQuarantine::kMaxCrashes + RequestQuarantine::kMaxRetries;
+  if (crashes >= kCrashesInAll) {
+    return kRetention;
+  }
   auto out = kFirstQuarantine;
-  for (auto n = RequestQuarantine::kMaxCrashes;
-       n < crashes && out < kLongestQuarantine; ++n) {
-    out *= 2;
+  for (auto n = RequestQuarantine::kMaxCrashes; n < crashes; ++n) {
+    out *= kQuarantineGrowth;
   }
-  return std::min(out, kLongestQuarantine);
+  return std::chrono::duration_cast<std::chrono::milliseconds>(
+      out * (1 + kRetrySpread * delay_share));
 }
 
 }  // namespace
@@ -154,7 +164,7 @@
 // Takes the likeliest request first, and leaves to the others only what it does
 // not explain. Requests that do not differ are all blamed.
 void RequestQuarantine::AssignBlame() {
-  blamed_.clear();
+  const auto before = std::exchange(blamed_, {});
   std::set<std::string> explained;
   for (auto candidates = Candidates(explained); !candidates.empty();
        candidates = Candidates(explained)) {
@@ -164,7 +174,10 @@
     for (const auto& it : candidates) {
       if (it.servers == best->servers &&
           it.without_output == best->without_output) {
-        blamed_[it.fingerprint] = {it.servers.size(), it.latest};
+        const auto known = before.find(it.fingerprint);
+        blamed_[it.fingerprint] = {
+            it.servers.size(), it.latest,
+            known == before.end() ? kDistantPast : known->second.retried_at};
       }
     }
     explained.insert(best->servers.begin(), best->servers.end());
@@ -183,9 +196,20 @@
     return std::chrono::milliseconds(0);
   }
   const auto& blame = it->second;
-  const auto left = blame.latest + QuarantineAfter(blame.crashes) - now;
+  const auto until =
+      std::max(blame.latest + QuarantineAfter(blame.crashes, delay_share_),
+               blame.retried_at + kRetryTimeout);
   return std::max(std::chrono::milliseconds(0),
-                  std::chrono::ceil<std::chrono::milliseconds>(left));
+                  std::chrono::ceil<std::chrono::milliseconds>(until - now));
+}
+
+bool RequestQuarantine::RecordSend(std::uint64_t fingerprint, TimePoint now) {
+  const auto it = blamed_.find(fingerprint);
+  if (it == blamed_.end()) {
+    return false;
+  }
+  it->second.retried_at = now;
+  return true;
 }
 
 std::vector<SuspectRun> RequestQuarantine::Select(
--- a/source/core/request_quarantine.h
+++ b/source/core/request_quarantine.h
@@ -27,14 +27,22 @@
 // have seen. Each further server that runs such a request crashes too, and
 // breaks off the other requests that it runs.
 //
-// A request is quarantined once kMaxCrashes crashes are blamed on it, for a
-// time that doubles with each further one. A crash is blamed on the request
-// that was running at most crashes, because the others happened to run at the
-// same servers; of several, on the one that had no output yet at most of them.
-// An answer to a request clears it of the crashes before.
+// A request is quarantined once kMaxCrashes crashes are blamed on it. Then the
+// daemons retry it one after the other, after a time that grows with each
+// further crash, until kMaxRetries of them have crashed servers too. A crash is
+// blamed on the request that was running at most crashes, because the others
+// happened to run at the same servers; of several, on the one that had no
+// output yet at most of them. An answer to a request clears it of the crashes
+// before.
 class RequestQuarantine {
  public:
   static constexpr std::size_t kMaxCrashes = 3;
+  static constexpr std::size_t kMaxRetries = 3;
+
+  // `delay_share`, from 0 to 1, differs between daemons and says how much later
+  // than the first of them this one retries a request.
+  explicit RequestQuarantine(double delay_share = 0)
+      : delay_share_(delay_share) {}
 
   // Returns false if the run is known or has expired.
   bool Record(const SuspectRun& run,
@@ -47,6 +55,10 @@
   // Returns the time for which no server may be sent the request; 0: none.
   std::chrono::milliseconds TimeLeft(std::uint64_t fingerprint,
                                      TimePoint now) const;
+  // Records that this daemon sends the request to a server. Returns true if it
+  // is a retry after a quarantine. The request is then quarantined here until
+  // the retry has had time to end.
+  bool RecordSend(std::uint64_t fingerprint, TimePoint now);
 
   // The runs that this daemon has recorded after `since`.
   std::vector<SuspectRun> RecordedSince(TimePoint since, TimePoint now) const;
@@ -78,6 +90,7 @@
   struct Blame {
     std::size_t crashes = 0;
     TimePoint latest = kDistantPast;
+    TimePoint retried_at = kDistantPast;  // By this daemon.
   };
   struct Candidate {
     std::uint64_t fingerprint = 0;
@@ -105,6 +118,7 @@
       const std::set<std::string>& explained) const;
   std::vector<SuspectRun> Select(TimePoint now, const RunFilter& filter) const;
 
+  const double delay_share_;
   Requests requests_;  // By fingerprint.
   std::size_t run_count_ = 0;
   std::map<std::uint64_t, Blame> blamed_;  // By fingerprint.
--- a/source/fleet/fleet_view.cc
+++ b/source/fleet/fleet_view.cc
@@ -1,6 +1,7 @@
 #include "fleet/fleet_view.h"
 
 #include <algorithm>
+#include <random>
 #include <utility>
 
 namespace comfreyfold {
@@ -11,6 +12,10 @@
 constexpr std::chrono::milliseconds kRegistryGap{2500};
 }  // namespace
 
+FleetView::FleetView()
+    : quarantine_(static_cast<double>(std::random_device{}()) /
+                  std::random_device::max()) {}
+
 void FleetView::ConfirmConfig(TimePoint read_at) {
   config_confirmed_at_ = std::max(config_confirmed_at_, read_at);
 }
--- a/source/fleet/fleet_view.h
+++ b/source/fleet/fleet_view.h
@@ -24,6 +24,8 @@
 // newer ones.
 class FleetView {
  public:
+  FleetView();
+
   // Null until the first configuration has been applied.
   std::shared_ptr<const RoutingConfig> config() const { return config_; }
   const ServerDirectory& servers() const { return servers_; }
@@ -73,6 +75,11 @@
   // Requests that crash servers, as this daemon and others have seen.
   const RequestQuarantine& quarantine() const { return quarantine_; }
   void RecordSuspectRun(const SuspectRun& run, ReportSource source);
+  // See RequestQuarantine::RecordSend.
+  bool RecordSend(std::uint64_t fingerprint) {
+    return quarantine_.RecordSend(fingerprint,
+                                  std::chrono::steady_clock::now());
+  }
 
   // Addresses of some of the other daemons that serve clients.
   const std::vector<std::string>& client_daemons() const {
--- a/source/front/call_dispatcher.cc
+++ b/source/front/call_dispatcher.cc
@@ -117,6 +117,7 @@
     const SlotResult& slot_result) {
   const auto left = crash_guard_.QuarantineLeft(call.fingerprint);
   if (left.count() == 0) {
+    crash_guard_.OnSend(*slot_result.slot, call.fingerprint);
     return std::nullopt;
   }
   admission_.Release(call.service, *slot_result.slot,
--- a/source/front/crash_guard.cc
+++ b/source/front/crash_guard.cc
@@ -83,6 +83,14 @@
                                      std::chrono::steady_clock::now());
 }
 
+void CrashGuard::OnSend(const AcquiredSlot& slot, std::uint64_t fingerprint) {
+  if (view_.RecordSend(fingerprint)) {
+    log_.Write("quarantined_request_retried", "",
+               {{"request_hash", FingerprintText(fingerprint)},
+                {"server", slot.server_id}});
+  }
+}
+
 void CrashGuard::LogQuarantined() {
   auto blamed = view_.quarantine().BlamedRequests();
   for (const auto it : blamed) {
--- a/source/front/crash_guard.h
+++ b/source/front/crash_guard.h
@@ -34,6 +34,8 @@
 
   // Returns the time for which no server may be sent the request; 0: none.
   std::chrono::milliseconds QuarantineLeft(std::uint64_t fingerprint) const;
+  // Records that a server is sent the request.
+  void OnSend(const AcquiredSlot& slot, std::uint64_t fingerprint);
 
  private:
   struct BrokenAnswers {
--- a/tests/unit/request_quarantine_test.cc
+++ b/tests/unit/request_quarantine_test.cc
@@ -1,4 +1,6 @@
 #include <string>
+#include <utility>
+#include <vector>
 
 #include <boost/test/unit_test.hpp>
 
@@ -8,6 +10,7 @@
 namespace comfreyfold {
 namespace {
 
+using std::chrono::hours;
 using std::chrono::milliseconds;
 using std::chrono::minutes;
 
@@ -29,14 +32,41 @@
   return quarantine.TimeLeft(fingerprint, now).count() > 0;
 }
 
-RequestQuarantine AfterCrashes(int count) {
-  RequestQuarantine out;
+RequestQuarantine AfterCrashes(int count, double delay_share = 0) {
+  RequestQuarantine out(delay_share);
   for (int n = 1; n <= count; ++n) {
     out.Record(Crash(kDeadly, "s" + std::to_string(n)), kNow);
   }
   return out;
 }
 
+// Plays `time` in which clients send the deadly request to each of the daemons
+// all the while. Returns how many of them reach a server after the third crash.
+int PlayRetries(std::vector<RequestQuarantine>& daemons, minutes time) {
+  constexpr milliseconds kStep{100};
+  // Until all daemons know of a crash.
+  constexpr milliseconds kReportTime{400};
+  std::vector<std::pair<TimePoint, SuspectRun>> reports;
+  int out = 0;
+  for (auto now = kNow; now < kNow + time; now += kStep) {
+    while (!reports.empty() && reports.front().first <= now) {
+      for (auto& it : daemons) {
+        it.Record(reports.front().second, now, ReportSource::kAnswer);
+      }
+      reports.erase(reports.begin());
+    }
+    for (auto& it : daemons) {
+      if (!IsQuarantined(it, kDeadly, now)) {
+        it.RecordSend(kDeadly, now);
+        auto run = Crash(kDeadly, "retry-" + std::to_string(++out));
+        run.age = kReportTime;
+        reports.emplace_back(now + kReportTime, run);
+      }
+    }
+  }
+  return out;
+}
+
 BOOST_AUTO_TEST_SUITE(request_quarantine)
 
 BOOST_AUTO_TEST_CASE(third_crash_quarantines) {
@@ -125,17 +155,48 @@
   BOOST_TEST(quarantine.HashOfBlamed() == 0U);
 }
 
-BOOST_AUTO_TEST_CASE(each_further_crash_doubles_the_quarantine) {
+BOOST_AUTO_TEST_CASE(daemon_retries_quarantined_request_once_at_a_time) {
+  auto quarantine = AfterCrashes(3);
+  BOOST_TEST(!quarantine.RecordSend(kOther, kNow));
+  const auto retry = kNow + minutes(1);
+  BOOST_TEST(!IsQuarantined(quarantine, kDeadly, retry));
+  BOOST_TEST(quarantine.RecordSend(kDeadly, retry));
+  BOOST_TEST(IsQuarantined(quarantine, kDeadly, retry));
+  // The crash of another request does not end the retry.
+  for (const auto* it : {"t1", "t2", "t3"}) {
+    quarantine.Record(Crash(kOther, it), retry);
+  }
+  BOOST_TEST(IsQuarantined(quarantine, kDeadly, retry));
+  // The retry had no outcome, as if its client had gone.
+  BOOST_TEST(!IsQuarantined(quarantine, kDeadly, retry + minutes(1)));
+  quarantine.Record(Answer(kDeadly, "s9"), retry + milliseconds(1));
+  BOOST_TEST(!IsQuarantined(quarantine, kDeadly, retry + milliseconds(1)));
+}
+
+BOOST_AUTO_TEST_CASE(each_further_crash_lengthens_the_quarantine) {
   auto quarantine = AfterCrashes(3);
   BOOST_TEST((quarantine.TimeLeft(kDeadly, kNow) == minutes(1)));
   const auto trial = kNow + minutes(1);
   BOOST_TEST(!IsQuarantined(quarantine, kDeadly, trial));
   quarantine.Record(Crash(kDeadly, "s4"), trial);
-  BOOST_TEST((quarantine.TimeLeft(kDeadly, trial) == minutes(2)));
-  for (int n = 5; n < 20; ++n) {
+  BOOST_TEST((quarantine.TimeLeft(kDeadly, trial) == minutes(8)));
+  quarantine.Record(Crash(kDeadly, "s5"), trial);
+  BOOST_TEST((quarantine.TimeLeft(kDeadly, trial) == minutes(64)));
+  for (int n = 6; n < 20; ++n) {
     quarantine.Record(Crash(kDeadly, "s" + std::to_string(n)), trial);
+    BOOST_TEST((quarantine.TimeLeft(kDeadly, trial) == hours(24)));
+  }
+}
+
+BOOST_AUTO_TEST_CASE(daemons_do_not_retry_quarantined_request_together) {
+  constexpr int kDaemons = 80;
+  std::vector<RequestQuarantine> daemons;
+  for (int n = 0; n < kDaemons; ++n) {
+    daemons.push_back(AfterCrashes(3, static_cast<double>(n) / kDaemons));
   }
-  BOOST_TEST((quarantine.TimeLeft(kDeadly, trial) == minutes(60)));
+  const auto retries = PlayRetries(daemons, minutes(20));
+  BOOST_TEST(retries >= 1);
+  BOOST_TEST(retries <= 3);
 }
 
 BOOST_AUTO_TEST_CASE(crashes_of_many_requests_stay_within_bounds) {
@@ -149,8 +210,10 @@
 
 BOOST_AUTO_TEST_CASE(old_crashes_expire) {
   auto quarantine = AfterCrashes(3);
-  quarantine.Record(Crash(kOther, "t"), kNow + minutes(121));
-  BOOST_TEST(quarantine.size() == 1U);
+  quarantine.Record(Crash(kOther, "t"), kNow + hours(24));
+  BOOST_TEST(quarantine.blamed() == 1U);
+  quarantine.Record(Crash(kOther, "u"), kNow + hours(24) + minutes(1));
+  BOOST_TEST(quarantine.size() == 2U);
   BOOST_TEST(quarantine.blamed() == 0U);
 }
 
