Blame the target if requests with different bodies crash servers

Cause: the clients of these kinds keep the conversation themselves and send it before each new turn.

Runs are now recorded for the target (host, method, target) as well. It is blamed if it explains more crashes than any one request for it, and an answer to any request for it clears it, so that a target which serves others is not refused. A body that explains all crashes is blamed alone, as before.

The table of runs holds 4,096 instead of 2,048, since each crash has two.

--- a/source/core/request_quarantine.cc
+++ b/source/core/request_quarantine.cc
@@ -18,7 +18,7 @@
 constexpr std::chrono::milliseconds kExpiryInterval{1000};
 // Bounds the memory and the bytes between daemons when many servers crash at
 // the same time.
-constexpr std::size_t kMaxRuns = 2048;
+constexpr std::size_t kMaxRuns = 4096;
 
 std::chrono::milliseconds QuarantineAfter(std::size_t crashes,
                                           double delay_share) {
@@ -51,6 +51,7 @@
     MakeRoom();
   }
   auto& request = requests_[run.fingerprint];
+  request.any_body = run.any_body;
   const auto crashes_before = request.crashes.size();
   const Run recorded{now - run.age, now, source, run.had_output};
   const bool is_new = run.crashed ? RecordCrash(request, run.server, recorded)
@@ -66,12 +67,20 @@
 bool RequestQuarantine::RecordCrash(Request& request,
                                     const std::string& server,
                                     const Run& run) {
-  if (run.ended_at <= request.answer.ended_at ||
-      !request.crashes.try_emplace(server, run).second) {
+  if (run.ended_at <= request.answer.ended_at) {
     return false;
   }
-  ++run_count_;
-  return true;
+  const auto [it, is_new] = request.crashes.try_emplace(server, run);
+  if (is_new) {
+    ++run_count_;
+    return true;
+  }
+  // Of several runs at one server, the one without output may have crashed it.
+  if (it->second.had_output && !run.had_output) {
+    it->second = run;
+    return true;
+  }
+  return false;
 }
 
 bool RequestQuarantine::RecordAnswer(Request& request,
@@ -134,8 +143,16 @@
 // the earlier one.
 bool RequestQuarantine::Candidate::IsLikelierThan(
     const Candidate& other) const {
-  return std::make_tuple(servers.size(), without_output, other.latest) >
-         std::make_tuple(other.servers.size(), other.without_output, latest);
+  return std::make_tuple(servers.size(), without_output, other.any_body,
+                         other.latest) > std::make_tuple(other.servers.size(),
+                                                         other.without_output,
+                                                         any_body, latest);
+}
+
+bool RequestQuarantine::Candidate::ExplainsSameAs(
+    const Candidate& other) const {
+  return any_body == other.any_body && servers == other.servers &&
+         without_output == other.without_output;
 }
 
 std::vector<RequestQuarantine::Candidate> RequestQuarantine::Candidates(
@@ -147,6 +164,7 @@
     }
     Candidate candidate;
     candidate.fingerprint = fingerprint;
+    candidate.any_body = request.any_body;
     for (const auto& [server, run] : request.crashes) {
       if (explained.count(server) == 0) {
         candidate.servers.insert(server);
@@ -172,8 +190,7 @@
         candidates.begin(), candidates.end(),
         [](const auto& a, const auto& b) { return a.IsLikelierThan(b); });
     for (const auto& it : candidates) {
-      if (it.servers == best->servers &&
-          it.without_output == best->without_output) {
+      if (it.ExplainsSameAs(*best)) {
         const auto known = before.find(it.fingerprint);
         blamed_[it.fingerprint] = {
             it.servers.size(), it.latest,
@@ -189,8 +206,16 @@
   return it != requests_.end() && !it->second.crashes.empty();
 }
 
-std::chrono::milliseconds RequestQuarantine::TimeLeft(std::uint64_t fingerprint,
-                                                      TimePoint now) const {
+std::chrono::milliseconds RequestQuarantine::TimeLeft(
+    const RequestFingerprint& fingerprint,
+    TimePoint now) const {
+  return std::max(TimeLeftOf(fingerprint.request, now),
+                  TimeLeftOf(fingerprint.target, now));
+}
+
+std::chrono::milliseconds RequestQuarantine::TimeLeftOf(
+    std::uint64_t fingerprint,
+    TimePoint now) const {
   const auto it = blamed_.find(fingerprint);
   if (it == blamed_.end()) {
     return std::chrono::milliseconds(0);
@@ -203,34 +228,38 @@
                   std::chrono::ceil<std::chrono::milliseconds>(until - now));
 }
 
-bool RequestQuarantine::RecordSend(std::uint64_t fingerprint, TimePoint now) {
-  const auto it = blamed_.find(fingerprint);
-  if (it == blamed_.end()) {
-    return false;
+bool RequestQuarantine::RecordSend(const RequestFingerprint& fingerprint,
+                                   TimePoint now) {
+  bool out = false;
+  for (const auto part : {fingerprint.request, fingerprint.target}) {
+    const auto it = blamed_.find(part);
+    if (it != blamed_.end()) {
+      it->second.retried_at = now;
+      out = true;
+    }
   }
-  it->second.retried_at = now;
-  return true;
+  return out;
 }
 
 std::vector<SuspectRun> RequestQuarantine::Select(
     TimePoint now,
     const RunFilter& filter) const {
   std::vector<SuspectRun> out;
-  const auto add = [&](std::uint64_t fingerprint, const std::string& server,
+  const auto add = [&](const auto& entry, const std::string& server,
                        bool crashed, const Run& run) {
-    if (filter(fingerprint, run)) {
-      out.push_back({fingerprint, server, crashed,
+    if (filter(entry.first, run)) {
+      out.push_back({entry.first, server, crashed,
                      std::chrono::duration_cast<std::chrono::milliseconds>(
                          now - run.ended_at),
-                     run.had_output});
+                     run.had_output, entry.second.any_body});
     }
   };
-  for (const auto& [fingerprint, request] : requests_) {
-    for (const auto& [server, run] : request.crashes) {
-      add(fingerprint, server, true, run);
+  for (const auto& it : requests_) {
+    for (const auto& [server, run] : it.second.crashes) {
+      add(it, server, true, run);
     }
-    if (!request.answered_by.empty()) {
-      add(fingerprint, request.answered_by, false, request.answer);
+    if (!it.second.answered_by.empty()) {
+      add(it, it.second.answered_by, false, it.second.answer);
     }
   }
   return out;
--- a/source/core/request_quarantine.h
+++ b/source/core/request_quarantine.h
@@ -14,13 +14,21 @@
 
 namespace comfreyfold {
 
+// Hashes that are the same for all attempts of clients at a request, unlike its
+// id. 0 stands for no request.
+struct RequestFingerprint {
+  std::uint64_t request = 0;  // Of host, method, target and body.
+  std::uint64_t target = 0;   // The same for all bodies.
+};
+
 // How a run of a request ended that may be one that crashes backend servers.
 struct SuspectRun {
-  std::uint64_t fingerprint = 0;  // The same for all attempts at the request.
+  std::uint64_t fingerprint = 0;  // Of the request or of its target.
   std::string server;             // Names one start of a server.
   bool crashed = false;           // Otherwise the server answered.
   std::chrono::milliseconds age{0};
   bool had_output = false;  // A part of the answer arrived before the crash.
+  bool any_body = false;    // The fingerprint is that of the target.
 };
 
 // The requests that crash the servers which run them, as all daemons together
@@ -34,6 +42,10 @@
 // happened to run at the same servers; of several, on the one that had no
 // output yet at most of them. An answer to a request clears it of the crashes
 // before.
+//
+// All requests for one target count as a request too, because clients may send
+// the turn that crashes servers behind other earlier turns each time. They are
+// blamed if they explain more than any one of them, and none was answered.
 class RequestQuarantine {
  public:
   static constexpr std::size_t kMaxCrashes = 3;
@@ -53,12 +65,12 @@
   // answered since.
   bool IsSuspect(std::uint64_t fingerprint) const;
   // Returns the time for which no server may be sent the request; 0: none.
-  std::chrono::milliseconds TimeLeft(std::uint64_t fingerprint,
+  std::chrono::milliseconds TimeLeft(const RequestFingerprint& fingerprint,
                                      TimePoint now) const;
   // Records that this daemon sends the request to a server. Returns true if it
   // is a retry after a quarantine. The request is then quarantined here until
   // the retry has had time to end.
-  bool RecordSend(std::uint64_t fingerprint, TimePoint now);
+  bool RecordSend(const RequestFingerprint& fingerprint, TimePoint now);
 
   // The runs that this daemon has recorded after `since`.
   std::vector<SuspectRun> RecordedSince(TimePoint since, TimePoint now) const;
@@ -83,6 +95,7 @@
     bool had_output = false;
   };
   struct Request {
+    bool any_body = false;
     std::map<std::string, Run> crashes;  // By server.
     std::string answered_by;             // Empty if there was no answer.
     Run answer;                          // The latest.
@@ -94,15 +107,19 @@
   };
   struct Candidate {
     std::uint64_t fingerprint = 0;
+    bool any_body = false;
     std::set<std::string> servers;  // Whose crashes it may explain.
     std::size_t without_output = 0;
     TimePoint latest = kDistantPast;
 
     bool IsLikelierThan(const Candidate& other) const;
+    bool ExplainsSameAs(const Candidate& other) const;
   };
   using Requests = std::map<std::uint64_t, Request>;
   using RunFilter = std::function<bool(std::uint64_t, const Run&)>;
 
+  std::chrono::milliseconds TimeLeftOf(std::uint64_t fingerprint,
+                                       TimePoint now) const;
   bool RecordCrash(Request& request, const std::string& server, const Run& run);
   bool RecordAnswer(Request& request,
                     const std::string& server,
--- a/source/fleet/fleet_view.h
+++ b/source/fleet/fleet_view.h
@@ -76,7 +76,7 @@
   const RequestQuarantine& quarantine() const { return quarantine_; }
   void RecordSuspectRun(const SuspectRun& run, ReportSource source);
   // See RequestQuarantine::RecordSend.
-  bool RecordSend(std::uint64_t fingerprint) {
+  bool RecordSend(const RequestFingerprint& fingerprint) {
     return quarantine_.RecordSend(fingerprint,
                                   std::chrono::steady_clock::now());
   }
--- a/source/front/call.cc
+++ b/source/front/call.cc
@@ -11,13 +11,12 @@
       deadline - std::chrono::steady_clock::now());
 }
 
-std::uint64_t FingerprintOf(const HttpRequest& request,
-                            const std::string& host) {
-  auto out = Hash64(host);
-  for (const auto* it : {&request.method, &request.target, &request.body}) {
-    out = Hash64(*it, out);
-  }
-  return std::max<std::uint64_t>(out, 1);
+RequestFingerprint FingerprintOf(const HttpRequest& request,
+                                 const std::string& host) {
+  const auto target =
+      Hash64(request.target, Hash64(request.method, Hash64(host)));
+  return {std::max<std::uint64_t>(Hash64(request.body, target), 1),
+          std::max<std::uint64_t>(target, 1)};
 }
 
 CallError NotRunError(int status,
--- a/source/front/call.h
+++ b/source/front/call.h
@@ -11,6 +11,7 @@
 
 #include "core/call_error.h"
 #include "core/client_call.h"
+#include "core/request_quarantine.h"
 #include "core/routing.h"
 #include "core/server_pool.h"
 #include "core/time_point.h"
@@ -31,8 +32,7 @@
   std::shared_ptr<const RoutingConfig> config;  // Keeps `route` alive.
   const Route* route = nullptr;
   std::string service;
-  // The same for all attempts of a client, unlike the request's id.
-  std::uint64_t fingerprint = 0;
+  RequestFingerprint fingerprint;
   TimePoint arrived = std::chrono::steady_clock::now();
   TimePoint deadline = arrived;
   // Body to send to servers: the earlier turns of the chain, then the client's
@@ -58,10 +58,8 @@
 // Time until `deadline`; negative when it has passed.
 std::chrono::milliseconds TimeLeft(TimePoint deadline);
 
-// Returns a hash of what a server is asked to do: the host, method, target and
-// body of a client's request. A hash of 0 is never returned.
-std::uint64_t FingerprintOf(const HttpRequest& request,
-                            const std::string& host);
+RequestFingerprint FingerprintOf(const HttpRequest& request,
+                                 const std::string& host);
 
 // Error for a request that no server has run.
 CallError NotRunError(int status,
--- a/source/front/call_dispatcher.cc
+++ b/source/front/call_dispatcher.cc
@@ -167,7 +167,8 @@
     crash_guard_.OnAnswer(slot, call.fingerprint);
   }
   log_.Write("server_call", call.params.request_id,
-             {{"request_hash", FingerprintText(call.fingerprint)},
+             {{"request_hash", FingerprintText(call.fingerprint.request)},
+              {"target_hash", FingerprintText(call.fingerprint.target)},
               {"server", slot.server_id},
               {"address", slot.address},
               {"uncached_tokens", slot.uncached_tokens},
--- a/source/front/crash_guard.cc
+++ b/source/front/crash_guard.cc
@@ -35,7 +35,7 @@
 
 // The end of a server that is leaving is not a crash.
 void CrashGuard::OnBrokenAnswer(const AcquiredSlot& slot,
-                                std::uint64_t fingerprint,
+                                const RequestFingerprint& fingerprint,
                                 bool had_output) {
   const auto& servers = view_.servers().servers();
   const auto it = servers.find(slot.server_id);
@@ -43,9 +43,11 @@
     return;
   }
   auto& broken = broken_[slot.server_id];
+  const auto start = NameOfStart(it->second);
+  broken.runs.push_back({fingerprint.request, start, true, {}, had_output});
   broken.runs.push_back(
-      {fingerprint, NameOfStart(it->second), true, {}, had_output});
-  if (broken.runs.size() == 1) {
+      {fingerprint.target, start, true, {}, had_output, true});
+  if (++broken.answers == 1) {
     broken.address = slot.address;
     loop_.Spawn([this, server_id = slot.server_id](Fiber& fiber) {
       CheckServer(fiber, server_id);
@@ -64,29 +66,36 @@
   log_.Write("server_ended", "",
              {{"server", server_id},
               {"address", address},
-              {"broken_answers", static_cast<int>(broken.runs.size())}});
+              {"broken_answers", broken.answers}});
   for (const auto& it : broken.runs) {
     view_.RecordSuspectRun(it, ReportSource::kLocal);
   }
 }
 
-void CrashGuard::OnAnswer(const AcquiredSlot& slot, std::uint64_t fingerprint) {
-  if (view_.quarantine().IsSuspect(fingerprint)) {
-    view_.RecordSuspectRun({fingerprint, slot.server_id, false, {}},
-                           ReportSource::kLocal);
-  }
+void CrashGuard::OnAnswer(const AcquiredSlot& slot,
+                          const RequestFingerprint& fingerprint) {
+  const auto record = [&](std::uint64_t part, bool any_body) {
+    if (view_.quarantine().IsSuspect(part)) {
+      view_.RecordSuspectRun({part, slot.server_id, false, {}, false, any_body},
+                             ReportSource::kLocal);
+    }
+  };
+  record(fingerprint.request, false);
+  record(fingerprint.target, true);
 }
 
 std::chrono::milliseconds CrashGuard::QuarantineLeft(
-    std::uint64_t fingerprint) const {
+    const RequestFingerprint& fingerprint) const {
   return view_.quarantine().TimeLeft(fingerprint,
                                      std::chrono::steady_clock::now());
 }
 
-void CrashGuard::OnSend(const AcquiredSlot& slot, std::uint64_t fingerprint) {
+void CrashGuard::OnSend(const AcquiredSlot& slot,
+                        const RequestFingerprint& fingerprint) {
   if (view_.RecordSend(fingerprint)) {
     log_.Write("quarantined_request_retried", "",
-               {{"request_hash", FingerprintText(fingerprint)},
+               {{"request_hash", FingerprintText(fingerprint.request)},
+                {"target_hash", FingerprintText(fingerprint.target)},
                 {"server", slot.server_id}});
   }
 }
@@ -97,7 +106,7 @@
     if (std::find(logged_.begin(), logged_.end(), it) == logged_.end()) {
       log_.Write("request_quarantined", "",
                  {{"request_hash", FingerprintText(it)},
-                  {"time_ms_left", QuarantineLeft(it)}});
+                  {"time_ms_left", QuarantineLeft({it, it})}});
     }
   }
   logged_ = std::move(blamed);
--- a/source/front/crash_guard.h
+++ b/source/front/crash_guard.h
@@ -27,19 +27,22 @@
   // Records that the answer to the request with this fingerprint broke off.
   // `had_output` says whether a part of it had arrived.
   void OnBrokenAnswer(const AcquiredSlot& slot,
-                      std::uint64_t fingerprint,
+                      const RequestFingerprint& fingerprint,
                       bool had_output);
   // Records that the server answered the request.
-  void OnAnswer(const AcquiredSlot& slot, std::uint64_t fingerprint);
+  void OnAnswer(const AcquiredSlot& slot,
+                const RequestFingerprint& fingerprint);
 
   // Returns the time for which no server may be sent the request; 0: none.
-  std::chrono::milliseconds QuarantineLeft(std::uint64_t fingerprint) const;
+  std::chrono::milliseconds QuarantineLeft(
+      const RequestFingerprint& fingerprint) const;
   // Records that a server is sent the request.
-  void OnSend(const AcquiredSlot& slot, std::uint64_t fingerprint);
+  void OnSend(const AcquiredSlot& slot, const RequestFingerprint& fingerprint);
 
  private:
   struct BrokenAnswers {
     std::string address;
+    int answers = 0;
     std::vector<SuspectRun> runs;
   };
 
--- a/source/wire/comfreyfold.thrift
+++ b/source/wire/comfreyfold.thrift
@@ -294,6 +294,7 @@
   3: bool crashed,
   4: i64 age_ms,
   5: bool had_output,
+  6: bool any_body, // The fingerprint is that of the target.
 }
 
 // A daemon's request for the state of the deployment. It says what the sender
--- a/source/wire/fleet_codec.cc
+++ b/source/wire/fleet_codec.cc
@@ -95,6 +95,7 @@
     run.crashed = it.crashed;
     run.age_ms = it.age.count();
     run.had_output = it.had_output;
+    run.any_body = it.any_body;
     out.push_back(run);
   }
   return out;
@@ -106,7 +107,7 @@
   for (const auto& it : runs) {
     out.push_back({static_cast<std::uint64_t>(it.fingerprint), it.server,
                    it.crashed, std::chrono::milliseconds(it.age_ms),
-                   it.had_output});
+                   it.had_output, it.any_body});
   }
   return out;
 }
--- a/source/wire/gen/comfreyfold_types.cpp
+++ b/source/wire/gen/comfreyfold_types.cpp
@@ -6379,6 +6379,10 @@
 void SuspectRun::__set_had_output(const bool val) {
   this->had_output = val;
 }
+
+void SuspectRun::__set_any_body(const bool val) {
+  this->any_body = val;
+}
 std::ostream& operator<<(std::ostream& out, const SuspectRun& obj)
 {
   obj.printTo(out);
@@ -6447,6 +6451,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->any_body);
+          this->__isset.any_body = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -6484,6 +6496,10 @@
   xfer += oprot->writeBool(this->had_output);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("any_body", ::apache::thrift::protocol::T_BOOL, 6);
+  xfer += oprot->writeBool(this->any_body);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -6496,6 +6512,7 @@
   swap(a.crashed, b.crashed);
   swap(a.age_ms, b.age_ms);
   swap(a.had_output, b.had_output);
+  swap(a.any_body, b.any_body);
   swap(a.__isset, b.__isset);
 }
 
@@ -6505,6 +6522,7 @@
   crashed = other224.crashed;
   age_ms = other224.age_ms;
   had_output = other224.had_output;
+  any_body = other224.any_body;
   __isset = other224.__isset;
 }
 SuspectRun& SuspectRun::operator=(const SuspectRun& other225) {
@@ -6513,6 +6531,7 @@
   crashed = other225.crashed;
   age_ms = other225.age_ms;
   had_output = other225.had_output;
+  any_body = other225.any_body;
   __isset = other225.__isset;
   return *this;
 }
@@ -6524,6 +6543,7 @@
   out << ", " << "crashed=" << to_string(crashed);
   out << ", " << "age_ms=" << to_string(age_ms);
   out << ", " << "had_output=" << to_string(had_output);
+  out << ", " << "any_body=" << to_string(any_body);
   out << ")";
 }
 
--- a/source/wire/gen/comfreyfold_types.h
+++ b/source/wire/gen/comfreyfold_types.h
@@ -2461,12 +2461,13 @@
 std::ostream& operator<<(std::ostream& out, const ServerFault& obj);
 
 typedef struct _SuspectRun__isset {
-  _SuspectRun__isset() : fingerprint(false), server(false), crashed(false), age_ms(false), had_output(false) {}
+  _SuspectRun__isset() : fingerprint(false), server(false), crashed(false), age_ms(false), had_output(false), any_body(false) {}
   bool fingerprint :1;
   bool server :1;
   bool crashed :1;
   bool age_ms :1;
   bool had_output :1;
+  bool any_body :1;
 } _SuspectRun__isset;
 
 class SuspectRun : public virtual ::apache::thrift::TBase {
@@ -2479,7 +2480,8 @@
                server(),
                crashed(0),
                age_ms(0),
-               had_output(0) {
+               had_output(0),
+               any_body(0) {
   }
 
   virtual ~SuspectRun() noexcept;
@@ -2488,6 +2490,7 @@
   bool crashed;
   int64_t age_ms;
   bool had_output;
+  bool any_body;
 
   _SuspectRun__isset __isset;
 
@@ -2501,6 +2504,8 @@
 
   void __set_had_output(const bool val);
 
+  void __set_any_body(const bool val);
+
   bool operator == (const SuspectRun & rhs) const
   {
     if (!(fingerprint == rhs.fingerprint))
@@ -2513,6 +2518,8 @@
       return false;
     if (!(had_output == rhs.had_output))
       return false;
+    if (!(any_body == rhs.any_body))
+      return false;
     return true;
   }
   bool operator != (const SuspectRun &rhs) const {
--- a/tests/unit/request_quarantine_test.cc
+++ b/tests/unit/request_quarantine_test.cc
@@ -1,3 +1,4 @@
+#include <algorithm>
 #include <string>
 #include <utility>
 #include <vector>
@@ -17,6 +18,7 @@
 const TimePoint kNow{milliseconds(100000000)};
 constexpr std::uint64_t kDeadly = 11;
 constexpr std::uint64_t kOther = 12;
+constexpr std::uint64_t kTarget = 13;
 
 SuspectRun Crash(std::uint64_t fingerprint, const std::string& server) {
   return {fingerprint, server, true, {}};
@@ -29,7 +31,7 @@
 bool IsQuarantined(const RequestQuarantine& quarantine,
                    std::uint64_t fingerprint,
                    TimePoint now = kNow) {
-  return quarantine.TimeLeft(fingerprint, now).count() > 0;
+  return quarantine.TimeLeft({fingerprint, 0}, now).count() > 0;
 }
 
 RequestQuarantine AfterCrashes(int count, double delay_share = 0) {
@@ -57,7 +59,7 @@
     }
     for (auto& it : daemons) {
       if (!IsQuarantined(it, kDeadly, now)) {
-        it.RecordSend(kDeadly, now);
+        it.RecordSend({kDeadly, 0}, now);
         auto run = Crash(kDeadly, "retry-" + std::to_string(++out));
         run.age = kReportTime;
         reports.emplace_back(now + kReportTime, run);
@@ -129,6 +131,61 @@
   BOOST_TEST(quarantine.blamed() == 2U);
 }
 
+// The same turn behind other earlier turns each time.
+BOOST_AUTO_TEST_CASE(bodies_for_one_target_are_blamed_together) {
+  RequestQuarantine quarantine;
+  for (std::uint64_t n = 1; n <= 3; ++n) {
+    const auto server = "s" + std::to_string(n);
+    quarantine.Record(Crash(100 + n, server), kNow);
+    quarantine.Record({kTarget, server, true, {}, false, true}, kNow);
+  }
+  BOOST_TEST((quarantine.TimeLeft({104, kTarget}, kNow) == minutes(1)));
+  BOOST_TEST(!IsQuarantined(quarantine, 101));
+  BOOST_TEST(quarantine.blamed() == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(one_body_is_blamed_rather_than_its_target) {
+  auto quarantine = AfterCrashes(3);
+  for (const auto* it : {"s1", "s2", "s3"}) {
+    quarantine.Record({kTarget, it, true, {}, false, true}, kNow);
+  }
+  BOOST_TEST(IsQuarantined(quarantine, kDeadly));
+  BOOST_TEST(!IsQuarantined(quarantine, kTarget));
+}
+
+BOOST_AUTO_TEST_CASE(target_that_is_answered_is_not_blamed) {
+  RequestQuarantine quarantine;
+  const auto crash = [&](const std::string& server, int ms) {
+    quarantine.Record({kTarget, server, true, {}, false, true},
+                      kNow + milliseconds(ms));
+  };
+  crash("s1", 0);
+  crash("s2", 1);
+  quarantine.Record({kTarget, "s9", false, {}, false, true},
+                    kNow + milliseconds(2));
+  crash("s3", 3);
+  crash("s4", 4);
+  BOOST_TEST(!IsQuarantined(quarantine, kTarget));
+  crash("s5", 5);
+  BOOST_TEST(IsQuarantined(quarantine, kTarget));
+}
+
+BOOST_AUTO_TEST_CASE(run_without_output_counts_for_target) {
+  RequestQuarantine quarantine;
+  for (const auto* it : {"s1", "s2", "s3"}) {
+    quarantine.Record(Crash(kOther, it), kNow + milliseconds(1));
+    quarantine.Record({kTarget, it, true, {}, true, true}, kNow);
+  }
+  BOOST_TEST(!IsQuarantined(quarantine, kTarget));
+  quarantine.Record({kTarget, "s4", true, {}, true, true}, kNow);
+  BOOST_TEST(IsQuarantined(quarantine, kTarget));
+  quarantine.Record({kTarget, "s4", true, {}, false, true}, kNow);
+  const auto runs = quarantine.RecordedSince(kNow - milliseconds(1), kNow);
+  BOOST_TEST(std::any_of(runs.begin(), runs.end(), [](const auto& it) {
+    return it.server == "s4" && it.any_body && !it.had_output;
+  }));
+}
+
 // The same request of many clients runs at most servers, also at crashing ones.
 BOOST_AUTO_TEST_CASE(answer_clears_request_of_earlier_crashes) {
   auto quarantine = AfterCrashes(2);
@@ -157,10 +214,10 @@
 
 BOOST_AUTO_TEST_CASE(daemon_retries_quarantined_request_once_at_a_time) {
   auto quarantine = AfterCrashes(3);
-  BOOST_TEST(!quarantine.RecordSend(kOther, kNow));
+  BOOST_TEST(!quarantine.RecordSend({kOther, 0}, kNow));
   const auto retry = kNow + minutes(1);
   BOOST_TEST(!IsQuarantined(quarantine, kDeadly, retry));
-  BOOST_TEST(quarantine.RecordSend(kDeadly, retry));
+  BOOST_TEST(quarantine.RecordSend({kDeadly, 0}, retry));
   BOOST_TEST(IsQuarantined(quarantine, kDeadly, retry));
   // The crash of another request does not end the retry.
   for (const auto* it : {"t1", "t2", "t3"}) {
@@ -175,16 +232,16 @@
 
 BOOST_AUTO_TEST_CASE(each_further_crash_lengthens_the_quarantine) {
   auto quarantine = AfterCrashes(3);
-  BOOST_TEST((quarantine.TimeLeft(kDeadly, kNow) == minutes(1)));
+  BOOST_TEST((quarantine.TimeLeft({kDeadly, 0}, kNow) == minutes(1)));
   const auto trial = kNow + minutes(1);
   BOOST_TEST(!IsQuarantined(quarantine, kDeadly, trial));
   quarantine.Record(Crash(kDeadly, "s4"), trial);
-  BOOST_TEST((quarantine.TimeLeft(kDeadly, trial) == minutes(8)));
+  BOOST_TEST((quarantine.TimeLeft({kDeadly, 0}, trial) == minutes(8)));
   quarantine.Record(Crash(kDeadly, "s5"), trial);
-  BOOST_TEST((quarantine.TimeLeft(kDeadly, trial) == minutes(64)));
+  BOOST_TEST((quarantine.TimeLeft({kDeadly, 0}, trial) == minutes(64)));
   for (int n = 6; n < 20; ++n) {
     quarantine.Record(Crash(kDeadly, "s" + std::to_string(n)), trial);
-    BOOST_TEST((quarantine.TimeLeft(kDeadly, trial) == hours(24)));
+    BOOST_TEST((quarantine.TimeLeft({kDeadly, 0}, trial) == hours(24)));
   }
 }
 
@@ -201,10 +258,10 @@
 
 BOOST_AUTO_TEST_CASE(crashes_of_many_requests_stay_within_bounds) {
   RequestQuarantine quarantine = AfterCrashes(3);
-  for (std::uint64_t n = 100; n < 5000; ++n) {
+  for (std::uint64_t n = 100; n < 10000; ++n) {
     quarantine.Record(Crash(n, "s" + std::to_string(n / 16)), kNow);
   }
-  BOOST_TEST(quarantine.size() <= 2048U);
+  BOOST_TEST(quarantine.size() <= 4096U);
   BOOST_TEST(IsQuarantined(quarantine, kDeadly));
 }
 
@@ -231,7 +288,7 @@
     other.Record(it, later, ReportSource::kAnswer);
   }
   BOOST_TEST(other.HashOfBlamed() == received.blamed_hash);
-  BOOST_TEST(other.TimeLeft(kDeadly, later).count() == 1);
+  BOOST_TEST(other.TimeLeft({kDeadly, 0}, later).count() == 1);
   BOOST_TEST(!other.IsSuspect(kOther));
   BOOST_TEST(other.LocalSince(kNow, later).empty());
 }
--- a/tests/vm/deadly_request_test.cc
+++ b/tests/vm/deadly_request_test.cc
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <cstdlib>
 #include <set>
+#include <string>
+#include <vector>
 
 #include <boost/test/unit_test.hpp>
 
@@ -14,6 +16,7 @@
 using std::chrono::milliseconds;
 
 constexpr const char* kDeadlyBody = "deadly";
+constexpr int kBadGateway = 502;
 constexpr int kUnavailable = 503;
 // Crashes from which it is known that a request is deadly, and runs that may
 // follow while the daemons tell each other.
@@ -132,6 +135,54 @@
   });
 }
 
+// Clients that keep the conversation themselves send it before each new turn.
+BOOST_AUTO_TEST_CASE(deadly_request_behind_other_conversations_is_refused) {
+  RunWithDeployment([](Fiber& fiber, VmDeployment& deployment) {
+    CrashingServers servers(deployment, 12);
+    deployment.StartAll(fiber, 2);
+    const std::vector<std::string> fronts{"front-1", "front-2"};
+    int number = 0;
+    const auto send = [&] {
+      const auto id = "conversation-" + std::to_string(++number);
+      return deployment
+          .Send(fiber, deployment.vm(fronts[number % fronts.size()]),
+                {"/once/deadly", id, id + kDeadlyBody, {}})
+          .status;
+    };
+    int refused = 0;
+    BOOST_TEST(deployment.WaitFor(fiber, [&] {
+      refused = send() == kUnavailable ? refused + 1 : 0;
+      return refused == 4;
+    }));
+    BOOST_TEST(servers.crashed() >= kCrashesToTell);
+    BOOST_TEST(servers.crashed() <= kCrashesToTell + kRunsAfter);
+    for (const auto& it : fronts) {
+      BOOST_TEST(Serves(fiber, deployment, deployment.vm(it)));
+    }
+  });
+}
+
+BOOST_AUTO_TEST_CASE(request_with_target_of_answered_ones_is_served) {
+  RunWithDeployment([](Fiber& fiber, VmDeployment& deployment) {
+    CrashingServers servers(deployment, 12);
+    deployment.StartAll(fiber);
+    const auto& front = deployment.vm("front-1");
+    int number = 0;
+    const auto send = [&](const std::string& body) {
+      const auto id = "request-" + std::to_string(++number);
+      return deployment.Send(fiber, front, {"/once/x", id, id + body, {}})
+          .status;
+    };
+    BOOST_REQUIRE(
+        deployment.WaitFor(fiber, [&] { return send("sound") == 200; }));
+    for (int n = 1; n <= 2 * kCrashesToTell; ++n) {
+      BOOST_TEST(send(kDeadlyBody) == kBadGateway);
+      BOOST_TEST(
+          deployment.WaitFor(fiber, [&] { return send("sound") == 200; }));
+    }
+  });
+}
+
 BOOST_AUTO_TEST_CASE(restarted_daemons_still_refuse_deadly_request) {
   RunWithDeployment([](Fiber& fiber, VmDeployment& deployment) {
     CrashingServers servers(deployment, 12);
