Keep a failed server to one probe until that probe ends

Only the request that probes ends the probe now; an answer that begins still does too. server_pool/end_of_earlier_request_does_not_end_probe failed before.

--- a/source/core/server_pool.cc
+++ b/source/core/server_pool.cc
@@ -454,6 +454,7 @@
   ++server.own_requests;
   if (IsFailing(server) || IsFaulty(server)) {
     server.probing = true;
+    out.is_probe = true;
     Avoid(server, now);
   }
   return out;
@@ -554,7 +555,7 @@
   auto& server = it->second;
   EraseOne(server.unanswered, slot.acquired_at);
   server.own_requests = std::max(0, server.own_requests - 1);
-  server.probing = false;
+  server.probing = server.probing && !slot.is_probe;
   switch (result) {
     case ExchangeResult::kAnswered:
       ObserveAnswer(server, now);
--- a/source/core/server_pool.h
+++ b/source/core/server_pool.h
@@ -58,6 +58,7 @@
   std::int64_t uncached_tokens = 0;  // Estimate of the prompt's uncached part.
   bool in_other_data_centre = false;
   TimePoint acquired_at{};
+  bool is_probe = false;  // Tests a server that has failed.
 };
 
 // The outcome of an exchange with a server.
--- a/tests/unit/server_pool_test.cc
+++ b/tests/unit/server_pool_test.cc
@@ -117,6 +117,22 @@
   BOOST_TEST(pool.AssignSlots(now).at(0).ticket == 2U);
 }
 
+BOOST_AUTO_TEST_CASE(end_of_earlier_request_does_not_end_probe) {
+  pool.Update({MakeServer("a", "north", 8)}, now);
+  const auto earlier = *pool.TryAcquire(MakeRequest(1, now), now);
+  for (std::uint64_t n = 2; n <= 3; ++n) {
+    const auto slot = *pool.TryAcquire(MakeRequest(n, now), now);
+    pool.Release(slot, ExchangeResult::kFailed, {}, milliseconds(10), now);
+  }
+  now += milliseconds(3000);
+  const auto probe = *pool.TryAcquire(MakeRequest(4, now), now);
+  BOOST_TEST(!pool.TryAcquire(MakeRequest(5, now), now).has_value());
+  pool.Release(earlier, ExchangeResult::kAbandoned, {}, milliseconds(10), now);
+  BOOST_TEST(!pool.TryAcquire(MakeRequest(6, now), now).has_value());
+  pool.Release(probe, ExchangeResult::kAnswered, {}, milliseconds(10), now);
+  BOOST_TEST(pool.TryAcquire(MakeRequest(7, now), now).has_value());
+}
+
 BOOST_AUTO_TEST_CASE(failing_server_is_suspended_and_probed) {
   pool.Update({MakeServer("a", "north", 4), MakeServer("b", "south", 4)}, now);
   for (int n = 0; n < 2; ++n) {
