Count retries after a quarantine, not crashes of attempts under way

Crashes after the third count as retries only if they come ten seconds after the one before. A target is retried after one to eight minutes, without end. Runs that arrive together are recorded together, so that a state between them is neither logged nor kept.

--- a/source/core/request_quarantine.cc
+++ b/source/core/request_quarantine.cc
@@ -11,6 +11,9 @@
 constexpr int kQuarantineGrowth = 8;
 // Multiple of the quarantine over which the retries of the daemons are spread.
 constexpr double kRetrySpread = 4;
+constexpr std::chrono::milliseconds kLongestTargetQuarantine{8 * 60000};
+// Until all daemons know of a quarantine, and what they sent before has ended.
+constexpr std::chrono::milliseconds kReportTime{10000};
 // Time after which a retry that had no outcome is repeated.
 constexpr std::chrono::milliseconds kRetryTimeout{30000};
 // Must outlast the quarantine, so that the next crash lengthens it.
@@ -20,19 +23,32 @@
 // the same time.
 constexpr std::size_t kMaxRuns = 4096;
 
-std::chrono::milliseconds QuarantineAfter(std::size_t crashes,
-                                          double delay_share) {
-  constexpr auto kCrashesInAll =
-      RequestQuarantine::kMaxCrashes + RequestQuarantine::kMaxRetries;
-  if (crashes >= kCrashesInAll) {
+// Returns how many retries after a quarantine the crashes come from. Crashes of
+// attempts that were sent before all daemons knew of the quarantine are none.
+std::size_t RetriesAmong(std::vector<TimePoint> crash_times) {
+  std::sort(crash_times.begin(), crash_times.end());
+  std::size_t out = 0;
+  for (auto n = RequestQuarantine::kMaxCrashes; n < crash_times.size(); ++n) {
+    out += crash_times[n] - crash_times[n - 1] > kReportTime ? 1 : 0;
+  }
+  return out;
+}
+
+std::chrono::milliseconds QuarantineAfter(std::size_t retries, bool any_body) {
+  if (any_body) {
+    return std::min<std::chrono::milliseconds>(
+        kFirstQuarantine *
+            (std::size_t{1} << std::min<std::size_t>(retries, 8)),
+        kLongestTargetQuarantine);
+  }
+  if (retries >= RequestQuarantine::kMaxRetries) {
     return kRetention;
   }
   auto out = kFirstQuarantine;
-  for (auto n = RequestQuarantine::kMaxCrashes; n < crashes; ++n) {
+  for (std::size_t n = 0; n < retries; ++n) {
     out *= kQuarantineGrowth;
   }
-  return std::chrono::duration_cast<std::chrono::milliseconds>(
-      out * (1 + kRetrySpread * delay_share));
+  return out;
 }
 
 }  // namespace
@@ -168,6 +184,7 @@
     for (const auto& [server, run] : request.crashes) {
       if (explained.count(server) == 0) {
         candidate.servers.insert(server);
+        candidate.crash_times.push_back(run.ended_at);
         candidate.without_output += run.had_output ? 0 : 1;
         candidate.latest = std::max(candidate.latest, run.ended_at);
       }
@@ -193,7 +210,8 @@
       if (it.ExplainsSameAs(*best)) {
         const auto known = before.find(it.fingerprint);
         blamed_[it.fingerprint] = {
-            it.servers.size(), it.latest,
+            QuarantineAfter(RetriesAmong(it.crash_times), it.any_body),
+            it.latest,
             known == before.end() ? kDistantPast : known->second.retried_at};
       }
     }
@@ -221,8 +239,11 @@
     return std::chrono::milliseconds(0);
   }
   const auto& blame = it->second;
+  const std::chrono::duration<double, std::milli> delay =
+      blame.time * kRetrySpread * delay_share_;
   const auto until =
-      std::max(blame.latest + QuarantineAfter(blame.crashes, delay_share_),
+      std::max(blame.latest + blame.time +
+                   std::chrono::duration_cast<std::chrono::milliseconds>(delay),
                blame.retried_at + kRetryTimeout);
   return std::max(std::chrono::milliseconds(0),
                   std::chrono::ceil<std::chrono::milliseconds>(until - now));
--- a/source/core/request_quarantine.h
+++ b/source/core/request_quarantine.h
@@ -36,8 +36,8 @@
 // breaks off the other requests that it runs.
 //
 // A request is quarantined once kMaxCrashes crashes are blamed on it. Then the
-// daemons retry it one after the other, after a time that grows with each
-// further crash, until kMaxRetries of them have crashed servers too. A crash is
+// daemons retry it one after the other, after a time that grows with each retry
+// that crashes a server too, and no more after kMaxRetries of them. A crash is
 // blamed on the request that was running at most crashes, because the others
 // happened to run at the same servers; of several, on the one that had no
 // output yet at most of them. An answer to a request clears it of the crashes
@@ -45,7 +45,8 @@
 //
 // All requests for one target count as a request too, because clients may send
 // the turn that crashes servers behind other earlier turns each time. They are
-// blamed if they explain more than any one of them, and none was answered.
+// blamed if they explain more than any one of them, and none was answered. They
+// are retried sooner, and without end: a target may serve many.
 class RequestQuarantine {
  public:
   static constexpr std::size_t kMaxCrashes = 3;
@@ -101,14 +102,15 @@
     Run answer;                          // The latest.
   };
   struct Blame {
-    std::size_t crashes = 0;
-    TimePoint latest = kDistantPast;
+    std::chrono::milliseconds time{0};    // Of the quarantine.
+    TimePoint latest = kDistantPast;      // Crash.
     TimePoint retried_at = kDistantPast;  // By this daemon.
   };
   struct Candidate {
     std::uint64_t fingerprint = 0;
     bool any_body = false;
     std::set<std::string> servers;  // Whose crashes it may explain.
+    std::vector<TimePoint> crash_times;
     std::size_t without_output = 0;
     TimePoint latest = kDistantPast;
 
--- a/source/fleet/fleet_sync.cc
+++ b/source/fleet/fleet_sync.cc
@@ -253,9 +253,7 @@
 }
 
 void FleetSync::ApplySuspectRuns(const FleetNews& news) {
-  for (const auto& it : news.suspect_runs) {
-    view_.RecordSuspectRun(it, ReportSource::kAnswer);
-  }
+  view_.RecordSuspectRuns(news.suspect_runs, ReportSource::kAnswer);
   quarantine_differs_ = news.blamed_hash != view_.quarantine().HashOfBlamed();
 }
 
@@ -346,9 +344,7 @@
   for (const auto& it : question.faults) {
     view_.faults().Record(it, now);
   }
-  for (const auto& it : question.suspect_runs) {
-    view_.RecordSuspectRun(it, ReportSource::kLocal);
-  }
+  view_.RecordSuspectRuns(question.suspect_runs, ReportSource::kLocal);
   if (!question.address.empty()) {
     recent_peers_[question.address] = now;
     news.daemons = RecentPeers(question.address);
--- a/source/fleet/fleet_view.cc
+++ b/source/fleet/fleet_view.cc
@@ -85,9 +85,12 @@
   }
 }
 
-void FleetView::RecordSuspectRun(const SuspectRun& run, ReportSource source) {
+void FleetView::RecordSuspectRuns(const std::vector<SuspectRun>& runs,
+                                  ReportSource source) {
   const auto before = quarantine_.HashOfBlamed();
-  quarantine_.Record(run, std::chrono::steady_clock::now(), source);
+  for (const auto& it : runs) {
+    quarantine_.Record(it, std::chrono::steady_clock::now(), source);
+  }
   if (quarantine_.HashOfBlamed() != before) {
     NotifyListeners();
   }
--- a/source/fleet/fleet_view.h
+++ b/source/fleet/fleet_view.h
@@ -74,7 +74,8 @@
 
   // Requests that crash servers, as this daemon and others have seen.
   const RequestQuarantine& quarantine() const { return quarantine_; }
-  void RecordSuspectRun(const SuspectRun& run, ReportSource source);
+  void RecordSuspectRuns(const std::vector<SuspectRun>& runs,
+                         ReportSource source);
   // See RequestQuarantine::RecordSend.
   bool RecordSend(const RequestFingerprint& fingerprint) {
     return quarantine_.RecordSend(fingerprint,
--- a/source/front/crash_guard.cc
+++ b/source/front/crash_guard.cc
@@ -67,17 +67,16 @@
              {{"server", server_id},
               {"address", address},
               {"broken_answers", broken.answers}});
-  for (const auto& it : broken.runs) {
-    view_.RecordSuspectRun(it, ReportSource::kLocal);
-  }
+  view_.RecordSuspectRuns(broken.runs, ReportSource::kLocal);
 }
 
 void CrashGuard::OnAnswer(const AcquiredSlot& slot,
                           const RequestFingerprint& fingerprint) {
   const auto record = [&](std::uint64_t part, bool any_body) {
     if (view_.quarantine().IsSuspect(part)) {
-      view_.RecordSuspectRun({part, slot.server_id, false, {}, false, any_body},
-                             ReportSource::kLocal);
+      view_.RecordSuspectRuns(
+          {{part, slot.server_id, false, {}, false, any_body}},
+          ReportSource::kLocal);
     }
   };
   record(fingerprint.request, false);
--- a/source/storage/fleet_state_file.cc
+++ b/source/storage/fleet_state_file.cc
@@ -67,10 +67,11 @@
 void FleetStateFile::RestoreQuarantine() {
   const auto age =
       std::max(std::chrono::milliseconds(0), WallNow() - kept_.kept_at);
-  for (auto it : kept_.suspect_runs) {
+  auto runs = kept_.suspect_runs;
+  for (auto& it : runs) {
     it.age += age;
-    view_.RecordSuspectRun(it, ReportSource::kLocal);
   }
+  view_.RecordSuspectRuns(runs, ReportSource::kLocal);
   kept_blamed_hash_ = view_.quarantine().HashOfBlamed();
 }
 
