--- a/source/core/request_quarantine.cc
+++ b/source/core/request_quarantine.cc
@@ -8,7 +8,9 @@
 
 namespace {
 constexpr std::chrono::milliseconds kFirstQuarantine{60000};
-constexpr int kQuarantineGrowth = 8;
+// Growth of the quarantine with each retry that crashes a server.
+constexpr int kRequestGrowth = 8;
+constexpr int kTargetGrowth = 2;
 // Multiple of the quarantine over which the retries of the daemons are spread.
 constexpr double kRetrySpread = 4;
 constexpr std::chrono::milliseconds kLongestTargetQuarantine{8 * 60000};
@@ -35,20 +37,15 @@
 }
 
 std::chrono::milliseconds QuarantineAfter(std::size_t retries, bool any_body) {
-  if (any_body) {
-    return std::min<std::chrono::milliseconds>(
-        kFirstQuarantine *
-            (std::size_t{1} << std::min<std::size_t>(retries, 8)),
-        kLongestTargetQuarantine);
-  }
-  if (retries >= RequestQuarantine::kMaxRetries) {
+  if (!any_body && retries >= RequestQuarantine::kMaxRetries) {
     return kRetention;
   }
+  const auto longest = any_body ? kLongestTargetQuarantine : kRetention;
   auto out = kFirstQuarantine;
-  for (std::size_t n = 0; n < retries; ++n) {
-    out *= kQuarantineGrowth;
+  for (std::size_t n = 0; n < retries && out < longest; ++n) {
+    out *= any_body ? kTargetGrowth : kRequestGrowth;
   }
-  return out;
+  return std::min(out, longest);
 }
 
 }  // namespace
--- a/tests/unit/request_quarantine_test.cc
+++ b/tests/unit/request_quarantine_test.cc
@@ -272,6 +272,7 @@
 BOOST_AUTO_TEST_CASE(daemons_do_not_retry_quarantined_request_together) {
   constexpr int kDaemons = 80;
   std::vector<RequestQuarantine> daemons;
+  daemons.reserve(kDaemons);
   for (int n = 0; n < kDaemons; ++n) {
     daemons.push_back(AfterCrashes(3, static_cast<double>(n) / kDaemons));
   }
