--- a/source/front/crash_guard.cc
+++ b/source/front/crash_guard.cc
@@ -105,7 +105,7 @@
     if (std::find(logged_.begin(), logged_.end(), it) == logged_.end()) {
       log_.Write("request_quarantined", "",
                  {{"request_hash", FingerprintText(it)},
-                  {"time_ms_left", QuarantineLeft({it, it})}});
+                  {"time_ms_left", QuarantineLeft({it, 0})}});
     }
   }
   logged_ = std::move(blamed);
