--- a/tests/vm/fleet_test.cc
+++ b/tests/vm/fleet_test.cc
@@ -2,6 +2,8 @@
 // of the store.
 
 #include <fstream>
+#include <set>
+#include <string>
 
 #include <boost/test/unit_test.hpp>
 
@@ -181,6 +183,33 @@
 // Every call to the store is wasted during an outage. Daemons that serve
 // clients therefore leave the calls to the storage daemons at first and start
 // to call the store one after the other.
+// Storage daemons are no relays: a daemon that is cut off reaches none of them.
+BOOST_AUTO_TEST_CASE(daemon_alone_in_its_data_centre_knows_relays_in_others) {
+  RunWithDeployment([](Fiber& fiber, VmDeployment& deployment) {
+    deployment.StartAll(fiber, 2);
+    deployment.AddVm("disk-4", true, false, "south");
+    deployment.AddVm("front-3", false, false, "south");
+    BOOST_REQUIRE(deployment.WaitFor(
+        fiber, [&] { return deployment.StorageMemberCount() == 4U; }));
+    const auto address_of = [&](const std::string& name) {
+      return deployment.vm(name).settings.internal_address;
+    };
+    const auto known_to_front = [&] {
+      FleetQuestion question;
+      question.address = address_of("front-3");
+      const auto reply =
+          deployment.http().Send(fiber, address_of("disk-4"),
+                                 {"POST", kFleetPath, {}, Encode(question)});
+      const auto known = DecodeFleetNews(reply.body).daemons;
+      return std::set<std::string>(known.begin(), known.end());
+    };
+    const std::set<std::string> others{address_of("front-1"),
+                                       address_of("front-2")};
+    BOOST_TEST(
+        deployment.WaitFor(fiber, [&] { return known_to_front() == others; }));
+  });
+}
+
 BOOST_AUTO_TEST_CASE(few_daemons_call_store_during_outage) {
   RunWithDeployment([](Fiber& fiber, VmDeployment& deployment) {
     constexpr int kFrontDaemons = 10;
