--- a/source/net/http_client.cc
+++ b/source/net/http_client.cc
@@ -9,6 +9,7 @@
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
 
+#include "net/exchange_watchdog.h"
 #include "net/loop_impl.h"
 #include "net/yield_token.h"
 
@@ -34,7 +35,6 @@
 // After a piece of at least this size, more data is probably waiting in the
 // socket already, so reading continues without a pause.
 constexpr std::size_t kNoPauseBytes = kReadBytes / 2;
-constexpr std::chrono::milliseconds kCancelPollInterval{50};
 
 tcp::endpoint ParseEndpoint(const std::string& address) {
   const auto n = address.rfind(':');
@@ -108,82 +108,6 @@
   }
 }
 
-// Cancels the pending operation of an exchange when the `cancelled` hook, which
-// is polled, returns true or when the deadline for more data has passed.
-class ExchangeWatchdog {
- public:
-  ExchangeWatchdog(boost::asio::io_context& io,
-                   beast::tcp_stream& stream,
-                   const std::function<bool()>& cancelled,
-                   std::chrono::milliseconds total_timeout)
-      : state_(std::make_shared<State>(io, stream, cancelled)) {
-    if (total_timeout.count() > 0) {
-      state_->exchange_deadline = Clock::now() + total_timeout;
-    }
-    if (cancelled || total_timeout.count() > 0) {
-      state_->Arm();
-    }
-  }
-  ~ExchangeWatchdog() {
-    // The timer's handler may still run after the exchange has been destroyed.
-    state_->finished = true;
-    state_->timer.cancel();
-  }
-  ExchangeWatchdog(const ExchangeWatchdog&) = delete;
-  ExchangeWatchdog& operator=(const ExchangeWatchdog&) = delete;
-
-  // Moves the deadline. A running timer is not restarted but checks the
-  // deadline when it fires: a restart for each token would cost as much as its
-  // read.
-  void ExpireAfter(std::chrono::milliseconds time) {
-    state_->deadline = Clock::now() + time;
-    if (!state_->armed) {
-      state_->Arm();
-    }
-  }
-
- private:
-  using Clock = std::chrono::steady_clock;
-
-  struct State : std::enable_shared_from_this<State> {
-    State(boost::asio::io_context& io,
-          beast::tcp_stream& watched_stream,
-          const std::function<bool()>& cancel_hook)
-        : timer(io), stream(watched_stream), cancelled(cancel_hook) {}
-
-    void Arm() {
-      armed = true;
-      const auto wake_at = std::min(deadline, exchange_deadline);
-      timer.expires_at(
-          cancelled ? std::min(wake_at, Clock::now() + kCancelPollInterval)
-                    : wake_at);
-      timer.async_wait([self = shared_from_this()](boost::system::error_code) {
-        self->armed = false;
-        if (self->finished) {
-          return;
-        }
-        const auto now = Clock::now();
-        if (now >= self->deadline || now >= self->exchange_deadline ||
-            (self->cancelled && self->cancelled())) {
-          self->stream.cancel();
-        } else {
-          self->Arm();
-        }
-      });
-    }
-
-    boost::asio::steady_timer timer;
-    beast::tcp_stream& stream;
-    const std::function<bool()>& cancelled;
-    Clock::time_point deadline = Clock::time_point::max();
-    Clock::time_point exchange_deadline = Clock::time_point::max();
-    bool armed = false;
-    bool finished = false;
-  };
-
-  std::shared_ptr<State> state_;
-};
-
 using Parser = http::response_parser<http::buffer_body>;
 
 // Parses all data in the buffer. Beast's own read functions stop after each
