Log servers that broke off answers and cannot be reached

Found by reading the diff: where an answer broke off, the daemon asks its server for a connection. A connection that is neither accepted nor refused, as after a loss of power, left no line, although the crash is then not counted. 4 of 4 test programs of unit, vm_calls, vm_deadly_request and vm_leaving passed.

--- a/source/front/crash_guard.cc
+++ b/source/front/crash_guard.cc
@@ -60,13 +60,17 @@
   const auto connected = http_.TryConnect(fiber, address, kConnectTimeout);
   const auto broken = std::move(broken_.at(server_id));
   broken_.erase(server_id);
-  if (connected != ConnectResult::kRefused) {
+  if (connected == ConnectResult::kAccepted) {
     return;
   }
-  log_.Write("server_ended", "",
+  const bool ended = connected == ConnectResult::kRefused;
+  log_.Write(ended ? "server_ended" : "server_unreachable", "",
              {{"server", server_id},
               {"address", address},
               {"broken_answers", broken.answers}});
+  if (!ended) {
+    return;
+  }
   view_.RecordSuspectRuns(broken.runs, ReportSource::kLocal);
 }
 
