Tests: name requests that crash servers in the field's terms

The users' word for them stood in the names of tests and a stand-in. A rename without other changes: unit and vm_crashing_request passed.

--- a/tests/standins/platform_server.cc
+++ b/tests/standins/platform_server.cc
@@ -63,9 +63,9 @@
   return !crashed_;
 }
 
-void PlatformServer::CrashIfDeadly(const HttpRequest& request) {
-  if (!deadly_body_.empty() &&
-      boost::algorithm::ends_with(request.body, deadly_body_)) {
+void PlatformServer::CrashIfAsked(const HttpRequest& request) {
+  if (!crashing_body_.empty() &&
+      boost::algorithm::ends_with(request.body, crashing_body_)) {
     crashed_ = true;
     stop_listening_();
   }
@@ -94,7 +94,7 @@
   }
   runs_.push_back({request_id, request, false});
   const auto n = runs_.size() - 1;
-  CrashIfDeadly(request);
+  CrashIfAsked(request);
   if (!SimulateWork(fiber, exchange, runs_[n])) {
     return;
   }
--- a/tests/standins/platform_server.h
+++ b/tests/standins/platform_server.h
@@ -41,7 +41,7 @@
   // Makes the server crash when it begins to run a request whose body ends with
   // `body`: it breaks off all answers and calls `stop_listening`.
   void CrashOn(std::string body, std::function<void()> stop_listening) {
-    deadly_body_ = std::move(body);
+    crashing_body_ = std::move(body);
     stop_listening_ = std::move(stop_listening);
   }
   // Makes the server say in its answers that it is leaving.
@@ -55,7 +55,7 @@
                   const HttpRequest& request,
                   HttpExchange& exchange);
   std::vector<HttpHeader> ResponseHeaders(const std::string& request_id) const;
-  void CrashIfDeadly(const HttpRequest& request);
+  void CrashIfAsked(const HttpRequest& request);
   // Waits for the work time; returns false if the client disconnects or the
   // server crashes meanwhile.
   bool SimulateWork(Fiber& fiber, HttpExchange& exchange, Run& run) const;
@@ -66,7 +66,7 @@
   std::chrono::milliseconds work_time_;
   Faults faults_;
   std::vector<Run> runs_;
-  std::string deadly_body_;  // Empty: no request crashes the server.
+  std::string crashing_body_;  // Empty: no request crashes the server.
   std::function<void()> stop_listening_;
   bool crashed_ = false;
   bool leaving_ = false;
--- a/tests/unit/request_quarantine_test.cc
+++ b/tests/unit/request_quarantine_test.cc
@@ -16,7 +16,7 @@
 using std::chrono::minutes;
 
 const TimePoint kNow{milliseconds(100000000)};
-constexpr std::uint64_t kDeadly = 11;
+constexpr std::uint64_t kCrashing = 11;
 constexpr std::uint64_t kOther = 12;
 constexpr std::uint64_t kTarget = 13;
 
@@ -37,13 +37,14 @@
 RequestQuarantine AfterCrashes(int count, double delay_share = 0) {
   RequestQuarantine out(delay_share);
   for (int n = 1; n <= count; ++n) {
-    out.Record(Crash(kDeadly, "s" + std::to_string(n)), kNow);
+    out.Record(Crash(kCrashing, "s" + std::to_string(n)), kNow);
   }
   return out;
 }
 
-// Plays `time` in which clients send the deadly request to each of the daemons
-// all the while. Returns how many of them reach a server after the third crash.
+// Plays `time` in which clients send the crashing request to each of the
+// daemons all the while. Returns how many of them reach a server after the
+// third crash.
 int PlayRetries(std::vector<RequestQuarantine>& daemons, minutes time) {
   constexpr milliseconds kStep{100};
   // Until all daemons know of a crash.
@@ -58,9 +59,9 @@
       reports.erase(reports.begin());
     }
     for (auto& it : daemons) {
-      if (!IsQuarantined(it, kDeadly, now)) {
-        it.RecordSend({kDeadly, 0}, now);
-        auto run = Crash(kDeadly, "retry-" + std::to_string(++out));
+      if (!IsQuarantined(it, kCrashing, now)) {
+        it.RecordSend({kCrashing, 0}, now);
+        auto run = Crash(kCrashing, "retry-" + std::to_string(++out));
         run.age = kReportTime;
         reports.emplace_back(now + kReportTime, run);
       }
@@ -72,16 +73,16 @@
 BOOST_AUTO_TEST_SUITE(request_quarantine)
 
 BOOST_AUTO_TEST_CASE(third_crash_quarantines) {
-  BOOST_TEST(!IsQuarantined(AfterCrashes(2), kDeadly));
-  BOOST_TEST(IsQuarantined(AfterCrashes(3), kDeadly));
+  BOOST_TEST(!IsQuarantined(AfterCrashes(2), kCrashing));
+  BOOST_TEST(IsQuarantined(AfterCrashes(3), kCrashing));
   BOOST_TEST(!IsQuarantined(AfterCrashes(3), kOther));
 }
 
 BOOST_AUTO_TEST_CASE(crash_that_two_daemons_report_counts_once) {
   auto quarantine = AfterCrashes(2);
-  BOOST_TEST(!quarantine.Record({kDeadly, "s2", true, milliseconds(70)},
+  BOOST_TEST(!quarantine.Record({kCrashing, "s2", true, milliseconds(70)},
                                 kNow + milliseconds(80)));
-  BOOST_TEST(!IsQuarantined(quarantine, kDeadly));
+  BOOST_TEST(!IsQuarantined(quarantine, kCrashing));
 }
 
 BOOST_AUTO_TEST_CASE(request_that_ran_at_explained_crashes_is_not_blamed) {
@@ -89,12 +90,12 @@
   for (const auto* it : {"s1", "s2", "s4"}) {
     quarantine.Record(Crash(kOther, it), kNow);
   }
-  BOOST_TEST(IsQuarantined(quarantine, kDeadly));
+  BOOST_TEST(IsQuarantined(quarantine, kCrashing));
   BOOST_TEST(!IsQuarantined(quarantine, kOther));
   BOOST_TEST(quarantine.blamed() == 1U);
 }
 
-BOOST_AUTO_TEST_CASE(second_deadly_request_is_blamed_for_other_crashes) {
+BOOST_AUTO_TEST_CASE(second_crashing_request_is_blamed_for_other_crashes) {
   auto quarantine = AfterCrashes(4);
   for (const auto* it : {"s4", "t1", "t2"}) {
     quarantine.Record(Crash(kOther, it), kNow);
@@ -109,17 +110,17 @@
   for (const auto* it : {"s1", "s2", "s3"}) {
     quarantine.Record({kOther, it, true, {}, true}, kNow);
   }
-  BOOST_TEST(IsQuarantined(quarantine, kDeadly));
+  BOOST_TEST(IsQuarantined(quarantine, kCrashing));
   BOOST_TEST(!IsQuarantined(quarantine, kOther));
 }
 
-BOOST_AUTO_TEST_CASE(request_at_one_crash_of_the_deadly_one_is_not_blamed) {
+BOOST_AUTO_TEST_CASE(request_at_one_crash_of_the_crashing_one_is_not_blamed) {
   auto quarantine = AfterCrashes(3);
   const auto later = kNow + milliseconds(900);
   quarantine.Record(Crash(kOther, "s2"), kNow);
   quarantine.Record(Crash(kOther, "t1"), later);
   quarantine.Record(Crash(kOther, "t2"), later);
-  BOOST_TEST(IsQuarantined(quarantine, kDeadly));
+  BOOST_TEST(IsQuarantined(quarantine, kCrashing));
   BOOST_TEST(!IsQuarantined(quarantine, kOther));
 }
 
@@ -149,7 +150,7 @@
   for (const auto* it : {"s1", "s2", "s3"}) {
     quarantine.Record({kTarget, it, true, {}, false, true}, kNow);
   }
-  BOOST_TEST(IsQuarantined(quarantine, kDeadly));
+  BOOST_TEST(IsQuarantined(quarantine, kCrashing));
   BOOST_TEST(!IsQuarantined(quarantine, kTarget));
 }
 
@@ -190,34 +191,34 @@
 BOOST_AUTO_TEST_CASE(answer_clears_request_of_earlier_crashes) {
   auto quarantine = AfterCrashes(2);
   const auto later = kNow + milliseconds(10);
-  BOOST_TEST(quarantine.IsSuspect(kDeadly));
-  BOOST_TEST(quarantine.Record(Answer(kDeadly, "s9"), later));
-  BOOST_TEST(!quarantine.IsSuspect(kDeadly));
+  BOOST_TEST(quarantine.IsSuspect(kCrashing));
+  BOOST_TEST(quarantine.Record(Answer(kCrashing, "s9"), later));
+  BOOST_TEST(!quarantine.IsSuspect(kCrashing));
   // A report of an earlier crash that arrives late.
-  BOOST_TEST(!quarantine.Record({kDeadly, "s3", true, milliseconds(40)},
+  BOOST_TEST(!quarantine.Record({kCrashing, "s3", true, milliseconds(40)},
                                 later + milliseconds(20)));
-  quarantine.Record(Crash(kDeadly, "s4"), later + milliseconds(20));
-  BOOST_TEST(!IsQuarantined(quarantine, kDeadly, later));
+  quarantine.Record(Crash(kCrashing, "s4"), later + milliseconds(20));
+  BOOST_TEST(!IsQuarantined(quarantine, kCrashing, later));
   // The same server answers again.
   BOOST_TEST(
-      quarantine.Record(Answer(kDeadly, "s9"), later + milliseconds(30)));
-  BOOST_TEST(!quarantine.IsSuspect(kDeadly));
+      quarantine.Record(Answer(kCrashing, "s9"), later + milliseconds(30)));
+  BOOST_TEST(!quarantine.IsSuspect(kCrashing));
 }
 
 BOOST_AUTO_TEST_CASE(answer_of_another_daemon_ends_quarantine) {
   auto quarantine = AfterCrashes(3);
-  quarantine.Record(Answer(kDeadly, "s9"), kNow + milliseconds(10),
+  quarantine.Record(Answer(kCrashing, "s9"), kNow + milliseconds(10),
                     ReportSource::kAnswer);
-  BOOST_TEST(!IsQuarantined(quarantine, kDeadly));
+  BOOST_TEST(!IsQuarantined(quarantine, kCrashing));
   BOOST_TEST(quarantine.HashOfBlamed() == 0U);
 }
 
 BOOST_AUTO_TEST_CASE(crashes_before_all_daemons_know_are_no_retries) {
   auto quarantine = AfterCrashes(3);
   for (int n = 4; n <= 9; ++n) {
-    quarantine.Record(Crash(kDeadly, "s" + std::to_string(n)), kNow);
+    quarantine.Record(Crash(kCrashing, "s" + std::to_string(n)), kNow);
   }
-  BOOST_TEST((quarantine.TimeLeft({kDeadly, 0}, kNow) == minutes(1)));
+  BOOST_TEST((quarantine.TimeLeft({kCrashing, 0}, kNow) == minutes(1)));
 }
 
 BOOST_AUTO_TEST_CASE(target_is_retried_without_end) {
@@ -238,34 +239,34 @@
   auto quarantine = AfterCrashes(3);
   BOOST_TEST(!quarantine.RecordSend({kOther, 0}, kNow));
   const auto retry = kNow + minutes(1);
-  BOOST_TEST(!IsQuarantined(quarantine, kDeadly, retry));
-  BOOST_TEST(quarantine.RecordSend({kDeadly, 0}, retry));
-  BOOST_TEST(IsQuarantined(quarantine, kDeadly, retry));
+  BOOST_TEST(!IsQuarantined(quarantine, kCrashing, retry));
+  BOOST_TEST(quarantine.RecordSend({kCrashing, 0}, retry));
+  BOOST_TEST(IsQuarantined(quarantine, kCrashing, retry));
   // The crash of another request does not end the retry.
   for (const auto* it : {"t1", "t2", "t3"}) {
     quarantine.Record(Crash(kOther, it), retry);
   }
-  BOOST_TEST(IsQuarantined(quarantine, kDeadly, retry));
+  BOOST_TEST(IsQuarantined(quarantine, kCrashing, retry));
   // The retry had no outcome, as if its client had gone.
-  BOOST_TEST(!IsQuarantined(quarantine, kDeadly, retry + minutes(1)));
-  quarantine.Record(Answer(kDeadly, "s9"), retry + milliseconds(1));
-  BOOST_TEST(!IsQuarantined(quarantine, kDeadly, retry + milliseconds(1)));
+  BOOST_TEST(!IsQuarantined(quarantine, kCrashing, retry + minutes(1)));
+  quarantine.Record(Answer(kCrashing, "s9"), retry + milliseconds(1));
+  BOOST_TEST(!IsQuarantined(quarantine, kCrashing, retry + milliseconds(1)));
 }
 
 BOOST_AUTO_TEST_CASE(each_further_crash_lengthens_the_quarantine) {
   auto quarantine = AfterCrashes(3);
-  BOOST_TEST((quarantine.TimeLeft({kDeadly, 0}, kNow) == minutes(1)));
+  BOOST_TEST((quarantine.TimeLeft({kCrashing, 0}, kNow) == minutes(1)));
   auto trial = kNow + minutes(1);
-  BOOST_TEST(!IsQuarantined(quarantine, kDeadly, trial));
-  quarantine.Record(Crash(kDeadly, "s4"), trial);
-  BOOST_TEST((quarantine.TimeLeft({kDeadly, 0}, trial) == minutes(8)));
+  BOOST_TEST(!IsQuarantined(quarantine, kCrashing, trial));
+  quarantine.Record(Crash(kCrashing, "s4"), trial);
+  BOOST_TEST((quarantine.TimeLeft({kCrashing, 0}, trial) == minutes(8)));
   trial += minutes(8);
-  quarantine.Record(Crash(kDeadly, "s5"), trial);
-  BOOST_TEST((quarantine.TimeLeft({kDeadly, 0}, trial) == minutes(64)));
+  quarantine.Record(Crash(kCrashing, "s5"), trial);
+  BOOST_TEST((quarantine.TimeLeft({kCrashing, 0}, trial) == minutes(64)));
   for (int n = 6; n < 20; ++n) {
     trial += minutes(64);
-    quarantine.Record(Crash(kDeadly, "s" + std::to_string(n)), trial);
-    BOOST_TEST((quarantine.TimeLeft({kDeadly, 0}, trial) == hours(24)));
+    quarantine.Record(Crash(kCrashing, "s" + std::to_string(n)), trial);
+    BOOST_TEST((quarantine.TimeLeft({kCrashing, 0}, trial) == hours(24)));
   }
 }
 
@@ -287,7 +288,7 @@
     quarantine.Record(Crash(n, "s" + std::to_string(n / 16)), kNow);
   }
   BOOST_TEST(quarantine.size() <= 4096U);
-  BOOST_TEST(IsQuarantined(quarantine, kDeadly));
+  BOOST_TEST(IsQuarantined(quarantine, kCrashing));
 }
 
 BOOST_AUTO_TEST_CASE(old_crashes_expire) {
@@ -313,7 +314,7 @@
     other.Record(it, later, ReportSource::kAnswer);
   }
   BOOST_TEST(other.HashOfBlamed() == received.blamed_hash);
-  BOOST_TEST(other.TimeLeft({kDeadly, 0}, later).count() == 1);
+  BOOST_TEST(other.TimeLeft({kCrashing, 0}, later).count() == 1);
   BOOST_TEST(!other.IsSuspect(kOther));
   BOOST_TEST(other.LocalSince(kNow, later).empty());
 }
--- a/tests/vm/deadly_request_test.cc
+++ b/tests/vm/crashing_request_test.cc
@@ -15,15 +15,15 @@
 
 using std::chrono::milliseconds;
 
-constexpr const char* kDeadlyBody = "deadly";
+constexpr const char* kCrashingBody = "crash";
 constexpr int kBadGateway = 502;
 constexpr int kUnavailable = 503;
-// Crashes from which it is known that a request is deadly, and runs that may
+// Crashes from which it is known what a request does, and runs that may
 // follow while the daemons tell each other.
 constexpr int kCrashesToTell = 3;
 constexpr int kRunsAfter = 3;
 
-// A deployment whose servers crash when they run a request with kDeadlyBody.
+// A deployment whose servers crash when they run a request with kCrashingBody.
 class CrashingServers {
  public:
   CrashingServers(VmDeployment& deployment, int count)
@@ -37,7 +37,7 @@
     const auto id = "crashing-" + std::to_string(ids_.size() + 1);
     ids_.push_back(id);
     auto& server = deployment_.AddServer(id, work);
-    server.service->CrashOn(kDeadlyBody,
+    server.service->CrashOn(kCrashingBody,
                             [&http = *server.http] { http.Drain(); });
   }
 
@@ -57,14 +57,14 @@
   std::vector<std::string> ids_;
 };
 
-HttpReply SendDeadly(Fiber& fiber,
-                     VmDeployment& deployment,
-                     const VmDeployment::Vm& front,
-                     const std::string& path = "/once/x") {
+HttpReply SendCrashing(Fiber& fiber,
+                       VmDeployment& deployment,
+                       const VmDeployment::Vm& front,
+                       const std::string& path = "/once/x") {
   static int number = 0;
   return deployment.Send(
       fiber, front,
-      {path, "deadly-" + std::to_string(++number), kDeadlyBody, {}});
+      {path, "crashing-" + std::to_string(++number), kCrashingBody, {}});
 }
 
 bool Serves(Fiber& fiber,
@@ -77,12 +77,12 @@
              .status == 200;
 }
 
-// Sends the deadly request by both fronts in turn until both refuse it.
+// Sends the crashing request by both fronts in turn until both refuse it.
 void SendUntilRefused(Fiber& fiber, VmDeployment& deployment) {
   std::set<std::string> refused_by;
   BOOST_TEST(deployment.WaitFor(fiber, [&] {
     for (const auto* name : {"front-1", "front-2"}) {
-      if (SendDeadly(fiber, deployment, deployment.vm(name)).status ==
+      if (SendCrashing(fiber, deployment, deployment.vm(name)).status ==
           kUnavailable) {
         refused_by.insert(name);
       }
@@ -95,12 +95,12 @@
                       VmDeployment& deployment,
                       const standins::PlatformServer& server) {
   BOOST_TEST(deployment.WaitFor(fiber, [&] {
-    SendDeadly(fiber, deployment, deployment.vm("front-1"));
+    SendCrashing(fiber, deployment, deployment.vm("front-1"));
     return server.crashed();
   }));
 }
 
-BOOST_AUTO_TEST_SUITE(deadly_request)
+BOOST_AUTO_TEST_SUITE(crashing_request)
 
 BOOST_AUTO_TEST_CASE(request_that_crashes_servers_is_refused_after_the_third) {
   RunWithDeployment([](Fiber& fiber, VmDeployment& deployment) {
@@ -112,7 +112,7 @@
     BOOST_TEST(crashed <= kCrashesToTell + kRunsAfter);
     for (const auto* name : {"front-1", "front-2"}) {
       const auto& front = deployment.vm(name);
-      const auto reply = SendDeadly(fiber, deployment, front);
+      const auto reply = SendCrashing(fiber, deployment, front);
       BOOST_TEST(reply.status == kUnavailable);
       BOOST_TEST(std::atof(reply.Header("Retry-After").c_str()) > 1);
       BOOST_TEST(Serves(fiber, deployment, front));
@@ -122,13 +122,13 @@
 }
 
 BOOST_AUTO_TEST_CASE(
-    deadly_request_that_may_be_repeated_stops_after_the_third) {
+    crashing_request_that_may_be_repeated_stops_after_the_third) {
   RunWithDeployment([](Fiber& fiber, VmDeployment& deployment) {
     CrashingServers servers(deployment, 12);
     deployment.StartAll(fiber, 2);
     const auto& front = deployment.vm("front-1");
     BOOST_TEST(deployment.WaitFor(fiber, [&] {
-      return SendDeadly(fiber, deployment, front, "/stream/x").status ==
+      return SendCrashing(fiber, deployment, front, "/stream/x").status ==
              kUnavailable;
     }));
     BOOST_TEST(servers.crashed() <= kCrashesToTell + kRunsAfter);
@@ -136,7 +136,7 @@
 }
 
 // Clients that keep the conversation themselves send it before each new turn.
-BOOST_AUTO_TEST_CASE(deadly_request_behind_other_conversations_is_refused) {
+BOOST_AUTO_TEST_CASE(crashing_request_behind_other_conversations_is_refused) {
   RunWithDeployment([](Fiber& fiber, VmDeployment& deployment) {
     CrashingServers servers(deployment, 12);
     deployment.StartAll(fiber, 2);
@@ -146,7 +146,7 @@
       const auto id = "conversation-" + std::to_string(++number);
       return deployment
           .Send(fiber, deployment.vm(fronts[number % fronts.size()]),
-                {"/once/deadly", id, id + kDeadlyBody, {}})
+                {"/once/crashing", id, id + kCrashingBody, {}})
           .status;
     };
     int refused = 0;
@@ -178,14 +178,14 @@
     BOOST_REQUIRE(
         deployment.WaitFor(fiber, [&] { return send("sound") == 200; }));
     for (int n = 1; n <= 2 * kCrashesToTell; ++n) {
-      BOOST_TEST(send(kDeadlyBody) == kBadGateway);
+      BOOST_TEST(send(kCrashingBody) == kBadGateway);
       BOOST_TEST(
           deployment.WaitFor(fiber, [&] { return send("sound") == 200; }));
     }
   });
 }
 
-BOOST_AUTO_TEST_CASE(restarted_daemons_still_refuse_deadly_request) {
+BOOST_AUTO_TEST_CASE(restarted_daemons_still_refuse_crashing_request) {
   RunWithDeployment([](Fiber& fiber, VmDeployment& deployment) {
     CrashingServers servers(deployment, 12);
     deployment.StartAll(fiber, 2);
@@ -202,14 +202,14 @@
     const auto& front = deployment.vm("front-1");
     BOOST_REQUIRE(deployment.WaitFor(
         fiber, [&] { return deployment.IsReady(fiber, front); }));
-    BOOST_TEST(SendDeadly(fiber, deployment, front).status == kUnavailable);
+    BOOST_TEST(SendCrashing(fiber, deployment, front).status == kUnavailable);
     BOOST_TEST(servers.crashed() == crashed);
     BOOST_TEST(deployment.WaitFor(
         fiber, [&] { return Serves(fiber, deployment, front); }));
   });
 }
 
-BOOST_AUTO_TEST_CASE(request_that_ran_beside_deadly_one_is_served) {
+BOOST_AUTO_TEST_CASE(request_that_ran_beside_crashing_one_is_served) {
   RunWithDeployment([](Fiber& fiber, VmDeployment& deployment) {
     CrashingServers servers(deployment, 0);
     deployment.StartAll(fiber);
@@ -240,7 +240,7 @@
     BOOST_TEST(
         deployment.Send(fiber, front, {"/once/y", "beside-3", "beside", {}})
             .status == 200);
-    BOOST_TEST(SendDeadly(fiber, deployment, front).status == kUnavailable);
+    BOOST_TEST(SendCrashing(fiber, deployment, front).status == kUnavailable);
     BOOST_TEST(!servers.newest().crashed());
   });
 }
