--- a/source/core/server_pool.cc
+++ b/source/core/server_pool.cc
@@ -40,23 +40,7 @@
 constexpr double kNewestWeight = 0.1;  // In moving averages.
 // A server is avoided when its latency exceeds the median by this factor.
 constexpr double kSlowLatencyFactor = 2.5;
-constexpr std::chrono::milliseconds kFirstSuspension{300};
-constexpr std::chrono::milliseconds kMaxSuspension{2000};
-constexpr int kFailuresToSuspend = 2;
 constexpr int kRefusalLoadMargin = 1;
-// Faults of a server in a row, over all daemons, from which on it counts as
-// faulty. Answers get around within half a second, so that the faults of a
-// server that fails a few requests of a hundred are rarely in a row.
-constexpr std::size_t kFaultsInRow = 4;
-// Daemons that have to see them: a daemon may be cut off itself.
-constexpr std::size_t kFaultedDaemons = 2;
-// A faulty server is left alone for the first time and a part of the second.
-// The first daemon that tries it tells all others how that went.
-constexpr std::chrono::milliseconds kAvoidTime{1000};
-constexpr std::chrono::milliseconds kAvoidSpread{6000};
-// A server that has begun no answer for this time, on requests to which others
-// begin theirs within some 100 ms, is probably dead or cut off.
-constexpr std::chrono::milliseconds kSilenceTime{600};
 // Share of taken slots from which on a data centre counts as full.
 constexpr double kFullDataCentreShare = 0.85;
 // Requests per slot from which on a daemon keeps to its window.
@@ -65,70 +49,16 @@
 constexpr int kSlotsPerWaitingRequest = 4;
 // Time that a slot is held, until the average is known; deliberately short.
 constexpr double kDefaultHeldMs = 100;
-// Thresholds on the load level, which is the number of requests at servers per
-// slot, for programs that have not begun. Below the sum of kBeginLevel and the
-// terms for priority and stage all of them begin; above it a share that falls
-// to none over kBeginSpread. Above a level of 0.9 each further program slows
-// all others by about the time that deployments grant a program beyond its time
-// on idle servers. The most urgent priority is refused last.
-constexpr double kBeginLevel = 0.76;
-constexpr double kBeginLevelUrgent = 0.06;
-constexpr double kBeginLevelReturning = 0.05;
-// Replaces kBeginLevelReturning for a program that was refused for so long that
-// it can no longer finish in time: it begins only while there is room for all.
-constexpr double kBeginLevelLate = -0.1;
-constexpr double kBeginSpread = 0.15;
 
 double Decayed(double value, std::chrono::duration<double, std::milli> age) {
   return value * std::exp2(-age.count() / kLoadHalfLife.count());
 }
 
-void EraseOne(std::multiset<TimePoint>& times, TimePoint time) {
-  const auto it = times.find(time);
-  if (it != times.end()) {
-    times.erase(it);
-  }
-}
-
 double MovingAverage(double mean, double newest) {
   return mean == 0 ? newest
                    : mean * (1 - kNewestWeight) + newest * kNewestWeight;
 }
 
-// Programs that have begun go before all others: under overload, beginning
-// every program would make all of them late and waste the work done for those
-// that then fail. At equal priority and stage, programs that can still finish
-// in time go before those that cannot, the earliest must_start_by first.
-bool GoesBefore(const SlotRequest& a, const SlotRequest& b) {
-  const bool a_started = a.stage == ProgramStage::kStarted;
-  if (a_started != (b.stage == ProgramStage::kStarted)) {
-    return a_started;
-  }
-  if (a.priority != b.priority) {
-    return a.priority < b.priority;
-  }
-  if (a.stage != b.stage) {
-    return a.stage < b.stage;
-  }
-  if (a.late != b.late) {
-    return b.late;
-  }
-  if (a.must_start_by != b.must_start_by && !a.late) {
-    return a.must_start_by < b.must_start_by;
-  }
-  return a.arrived < b.arrived;
-}
-
-// A program that returns after a refusal goes before new ones, unless it would
-// take the place of one that can still finish in time.
-double StageTerm(const SlotRequest& request) {
-  if (request.stage != ProgramStage::kReturning) {
-    return 0;
-  }
-  return request.late || request.late_at_present_load ? kBeginLevelLate
-                                                      : kBeginLevelReturning;
-}
-
 }  // namespace
 
 ServerPool::ServerPool(std::string data_centre,
@@ -149,12 +79,11 @@
     if (restarted && !server.info.id.empty()) {
       // A restart empties the cache and makes earlier observations invalid.
       server.cache.Clear();
-      server.consecutive_failures = 0;
-      server.incomplete_answers = 0;
-      server.suspended_until = now;
       server.latency_ms = 0;
       server.other_requests = 0;
-      ObserveAnswer(server, now);
+      if (server.health.RecordRestart(now)) {
+        NotifyFaultyChange(server, false);
+      }
     }
     server.info = it;
   }
@@ -168,88 +97,35 @@
   window_.SetSlots(total_slots);
 }
 
-bool ServerPool::IsUsable(const Server& server, TimePoint now) const {
-  if (server.info.leaving) {
-    return false;
-  }
-  const bool failing = IsFailing(server);
-  const bool suspended = failing && now < server.suspended_until;
-  const bool avoided = IsFaulty(server) && now < server.avoided_until;
-  const bool on_trial = server.probing && (failing || IsFaulty(server));
-  return !suspended && !avoided && !on_trial;
+bool ServerPool::IsUsable(const Server& server, TimePoint now) {
+  return !server.info.leaving && server.health.IsUsable(now);
 }
 
-bool ServerPool::IsFailing(const Server& server) {
-  return std::max(server.consecutive_failures, server.incomplete_answers) >=
-         kFailuresToSuspend;
-}
-
-void ServerPool::ObserveFailure(Server& server, TimePoint now) {
-  ++server.consecutive_failures;
-  ++server.incomplete_answers;
-  const auto failures =
-      std::max(server.consecutive_failures, server.incomplete_answers);
-  const auto doubled = kFirstSuspension * (1 << std::min(failures, 4)) / 4;
-  server.suspended_until =
-      now + std::min<std::chrono::milliseconds>(doubled, kMaxSuspension);
-}
-
-bool ServerPool::IsFaulty(const Server& server) {
-  const auto& origins = server.faulted_origins;
-  return origins.size() >= kFaultsInRow &&
-         std::set<std::uint64_t>(origins.begin(), origins.end()).size() >=
-             kFaultedDaemons;
-}
-
-void ServerPool::Avoid(Server& server, TimePoint now) {
-  server.avoided_until =
-      now + kAvoidTime +
-      std::chrono::milliseconds(
-          random_() % static_cast<std::uint64_t>(kAvoidSpread.count()));
+void ServerPool::NotifyFaultyChange(const Server& server, bool faulty) const {
+  if (on_faulty_change_) {
+    on_faulty_change_(server.info.id, faulty);
+  }
 }
 
 void ServerPool::ObserveAnswer(Server& server, TimePoint at) {
-  server.answered_at = std::max(server.answered_at, at);
-  if (server.answered_at < server.faulted_at) {
-    return;
-  }
-  const bool was_faulty = IsFaulty(server);
-  server.faulted_origins.clear();
-  if (was_faulty && on_faulty_change_) {
-    on_faulty_change_(server.info.id, false);
+  if (server.health.RecordAnswer(at)) {
+    NotifyFaultyChange(server, false);
   }
 }
 
 void ServerPool::ObserveFault(const ServerFault& fault, TimePoint now) {
   const auto it = servers_.find(fault.server_id);
-  const auto failed_at = now - fault.age;
-  if (it == servers_.end() || failed_at <= it->second.answered_at) {
-    return;
-  }
-  auto& server = it->second;
-  const bool was_faulty = IsFaulty(server);
-  if (server.faulted_origins.size() < 2 * kFaultsInRow) {
-    server.faulted_origins.push_back(fault.origin);
-  }
-  server.faulted_at = std::max(server.faulted_at, failed_at);
-  if (!was_faulty && IsFaulty(server)) {
-    Avoid(server, now);
-    if (on_faulty_change_) {
-      on_faulty_change_(server.info.id, true);
-    }
+  if (it != servers_.end() &&
+      it->second.health.RecordFault(fault.origin, now - fault.age, now,
+                                    random_)) {
+    NotifyFaultyChange(it->second, true);
   }
 }
 
 std::vector<std::string> ServerPool::TakeSilentServers(TimePoint now) {
   std::vector<std::string> out;
   for (auto& [id, it] : servers_) {
-    while (!it.unanswered.empty() &&
-           now - *it.unanswered.begin() > kSilenceTime) {
-      if (it.answered_at < *it.unanswered.begin()) {
-        out.push_back(id);
-      }
-      it.unanswered.erase(it.unanswered.begin());
-    }
+    out.insert(out.end(), it.health.TakeSilences(now), id);
   }
   return out;
 }
@@ -267,23 +143,8 @@
   return LoadOf(server, now) < SlotsOf(server);
 }
 
-// Whether a program may begin now. A program that begins adds its turns to the
-// load for seconds: admitting more programs than the servers can carry makes
-// all of them late and keeps the load high long after a burst has ended.
 bool ServerPool::MayBegin(const SlotRequest& request, TimePoint now) const {
-  if (!is_engine_ || request.stage == ProgramStage::kStarted) {
-    return true;
-  }
-  const double threshold = kBeginLevel +
-                           kBeginLevelUrgent / (1 + request.priority) +
-                           StageTerm(request);
-  // All daemons get the same load reports. The draw keeps them from admitting
-  // and refusing programs in lockstep.
-  const auto draw =
-      Hash64(request.session,
-             static_cast<std::uint64_t>(now.time_since_epoch().count()));
-  const double share = static_cast<double>(draw % 1000) / 1000;
-  return level_.At(now) < threshold + kBeginSpread * share;
+  return !is_engine_ || MayBeginAt(level_.At(now), request, now);
 }
 
 // In a large fleet a window holds few requests, so that some daemons would wait
@@ -450,13 +311,8 @@
   out.in_other_data_centre = server.info.data_centre != data_centre_;
   server.cache.RecordUse(request.prompt);
   out.acquired_at = now;
-  server.unanswered.insert(now);
   ++server.own_requests;
-  if (IsFailing(server) || IsFaulty(server)) {
-    server.probing = true;
-    out.is_probe = true;
-    Avoid(server, now);
-  }
+  out.is_probe = server.health.RecordSend(now, random_);
   return out;
 }
 
@@ -532,15 +388,13 @@
     return;
   }
   auto& server = it->second;
-  EraseOne(server.unanswered, slot.acquired_at);
+  server.health.RecordResponseStart(slot.acquired_at);
   ObserveAnswer(server, now);
   if (load) {
     ObserveLoad(server, *load, now);
   }
   server.latency_ms =
       MovingAverage(server.latency_ms, static_cast<double>(first_byte.count()));
-  server.consecutive_failures = 0;
-  server.probing = false;
 }
 
 void ServerPool::Release(const AcquiredSlot& slot,
@@ -553,16 +407,14 @@
     return;
   }
   auto& server = it->second;
-  EraseOne(server.unanswered, slot.acquired_at);
+  server.health.RecordEnd(slot.acquired_at, slot.is_probe);
   server.own_requests = std::max(0, server.own_requests - 1);
-  server.probing = server.probing && !slot.is_probe;
   switch (result) {
     case ExchangeResult::kAnswered:
       ObserveAnswer(server, now);
       mean_held_ms_ =
           MovingAverage(mean_held_ms_, static_cast<double>(held.count()));
-      server.consecutive_failures = 0;
-      server.incomplete_answers = 0;
+      server.health.RecordSuccess();
       break;
     case ExchangeResult::kRefused:
       ObserveAnswer(server, now);
@@ -581,7 +433,7 @@
       break;
     case ExchangeResult::kFailed:
     case ExchangeResult::kStalled:
-      ObserveFailure(server, now);
+      server.health.RecordFailure(now);
       break;
     case ExchangeResult::kAbandoned:
       break;
--- a/source/core/server_pool.h
+++ b/source/core/server_pool.h
@@ -20,37 +20,13 @@
 #include "core/prompt_cache_view.h"
 #include "core/request_window.h"
 #include "core/server_fault_table.h"
+#include "core/server_health.h"
 #include "core/shared_prompt_parts.h"
+#include "core/slot_request.h"
 #include "core/time_point.h"
 
 namespace comfreyfold {
 
-// The progress of the program that a request belongs to.
-enum class ProgramStage {
-  kStarted,    // Servers have run some of it, or the request has no program.
-  kReturning,  // It was refused before and is retried by its client.
-  kNew,
-};
-
-// A request that needs a slot at a server.
-struct SlotRequest {
-  std::uint64_t ticket = 0;  // Identifies the request within the pool.
-  int priority = 0;          // 0 is the most urgent.
-  ProgramStage stage = ProgramStage::kStarted;
-  TimePoint arrived{};
-  TimePoint acquire_by{};  // A slot acquired later than this is useless.
-  // When the program has used up the delay that it can take and still finish
-  // in time.
-  TimePoint must_start_by = TimePoint::max();
-  bool late = false;  // The program can no longer finish in time.
-  // It can, but not if its turns take as long as turns take at present.
-  bool late_at_present_load = false;
-  std::vector<PromptPart> prompt;
-  std::string session;    // Its requests share most of their prompts.
-  std::string cached_at;  // The server that ran its last turn, or empty.
-  std::set<std::string> excluded;  // Servers that failed this request.
-};
-
 // A slot that a request holds at a server.
 struct AcquiredSlot {
   std::string server_id;
@@ -146,32 +122,13 @@
     double other_requests = 0;  // Requests of other daemons at `reported_at`.
     TimePoint reported_at{};
     TimePoint used_at{};  // When this daemon last sent a request.
-    int consecutive_failures = 0;
-    // Answers in a row that have begun but broke off or stalled.
-    int incomplete_answers = 0;
-    TimePoint suspended_until{};
-    TimePoint answered_at{};  // When any daemon last got an answer.
-    // Daemons that saw the faults since then, one entry for each fault.
-    std::vector<std::uint64_t> faulted_origins;
-    TimePoint faulted_at{};  // Of the newest of these.
-    TimePoint avoided_until{};
-    // When the requests without the beginning of an answer were sent.
-    std::multiset<TimePoint> unanswered;
-    bool probing = false;   // One request tests a suspended server.
+    ServerHealth health;
     double latency_ms = 0;  // Moving average of the time to first byte.
     PromptCacheView cache;
   };
 
-  bool IsUsable(const Server& server, TimePoint now) const;
-  // Whether the requests of this daemon speak against the server.
-  static bool IsFailing(const Server& server);
-  // Records that a request failed or stalled, and suspends the server for a
-  // time that grows with the failures in a row.
-  static void ObserveFailure(Server& server, TimePoint now);
-  // Whether the faults that all daemons have seen speak against the server.
-  static bool IsFaulty(const Server& server);
-  // Leaves a faulty server alone for a time that differs between daemons.
-  void Avoid(Server& server, TimePoint now);
+  static bool IsUsable(const Server& server, TimePoint now);
+  void NotifyFaultyChange(const Server& server, bool faulty) const;
   void ObserveAnswer(Server& server, TimePoint at);
   double LoadOf(const Server& server, TimePoint now) const;
   int SlotsOf(const Server& server) const;
