--- a/review/harness/fleet.cpp
+++ b/review/harness/fleet.cpp
@@ -228,7 +228,6 @@
   machine.process = std::make_unique<harness::Process>(
       std::vector<std::string>{kDaemon, "--metrics-port", kMetricsPort}, false,
       file + ".err", file + ".log");
-  machine.started_before = true;
   record_.Write("start " + machine.name + " at " + machine.ip + ", zone " +
                 machine.zone + ", bootstrap " + (bootstrap ? "1" : "0"));
 }
--- a/review/harness/fleet.h
+++ b/review/harness/fleet.h
@@ -47,7 +47,6 @@
   std::string zone;
   bool has_disk = false;
   int memory_mb = 110;
-  bool started_before = false;
   std::unique_ptr<harness::Process> process;
 };
 
