--- a/review/1/case.cpp
+++ b/review/1/case.cpp
@@ -68,7 +68,7 @@
     for (auto* it : machines) {
       if (Fleet::HasEnded(*it)) {
         ++ends[it->name];
-        record.Write(it->name + " has ended by itself");
+        record.Write(it->name + " has ended by itself, " + Fleet::EndOf(*it));
         fiber.Sleep(milliseconds(300));
         fleet.Start(*it, false);
       }
--- a/review/harness/fleet.cpp
+++ b/review/harness/fleet.cpp
@@ -3,6 +3,8 @@
 #include <sys/wait.h>
 #include <unistd.h>
 
+#include <algorithm>
+#include <cstdio>
 #include <cstdlib>
 #include <filesystem>
 #include <iostream>
@@ -32,8 +34,9 @@
 constexpr const char* kHost = "ficu95.example";
 constexpr const char* kListKey = "comfreyfold/storage";
 constexpr milliseconds kEventPause{5};
+constexpr milliseconds kHeartbeat{1200};
 constexpr milliseconds kPoll{20};
-constexpr milliseconds kTimeLimit{112000};
+constexpr milliseconds kTimeLimit{110000};
 
 std::string At(const Machine& machine, int port) {
   return machine.ip + ":" + std::to_string(port);
@@ -47,6 +50,15 @@
          std::to_string(pid & 255) + ".";
 }
 
+// Returns the hexadecimal id of the part of the prompt that a session has of
+// its own.
+std::string SessionPart(const std::string& session) {
+  char buf[17];
+  std::snprintf(buf, sizeof buf, "%08zx",
+                std::hash<std::string>{}(session)&0xffffffff);
+  return buf;
+}
+
 json RouteEntry(const std::string& prefix,
                 const char* type,
                 const char* service,
@@ -245,16 +257,30 @@
   fs::create_directories(folder_ + "/" + machine.name);
 }
 
-void Fleet::Register(const std::string& id,
-                     const std::string& service,
-                     const std::string& address) {
+void Fleet::WriteRegistration(const std::string& id,
+                              const std::string& service,
+                              const std::string& address,
+                              int seq) {
   const json entry = {
       {"service", service},     {"address", address}, {"zone", "mit-a"},
       {"version", "v1"},        {"slots", 16},        {"state", "ready"},
-      {"cold_remaining_ms", 0}, {"seq", 1},           {"born", 1764936000000}};
+      {"cold_remaining_ms", 0}, {"seq", seq},         {"born", 1764936000000}};
   store_.Put("servers/" + id, entry.dump());
 }
 
+// A server writes its registration again every `heartbeat_ms`.
+void Fleet::Register(const std::string& id,
+                     const std::string& service,
+                     const std::string& address) {
+  WriteRegistration(id, service, address, 1);
+  loop_.Spawn([this, id, service, address](Fiber& fiber) {
+    for (int seq = 2;; ++seq) {
+      fiber.Sleep(kHeartbeat);
+      WriteRegistration(id, service, address, seq);
+    }
+  });
+}
+
 void Fleet::AddServer(const std::string& id, const std::string& service) {
   auto http = std::make_unique<HttpServer>(
       loop_, [this, id](Fiber& fiber, const HttpRequest& request,
@@ -289,6 +315,7 @@
     exchange.Reply(kOk, "text/plain", "result of " + request_id, headers);
     return;
   }
+  headers.push_back({"Weight-Versions", "1"});
   const auto usage = request.Header("Token-Usage");
   const auto tokens = std::atoi(usage.substr(usage.find(',') + 1).c_str());
   const int events = tokens / options_.event_stride;
@@ -373,10 +400,20 @@
 }
 
 bool Fleet::HasEnded(const Machine& machine) {
+  return !EndOf(machine).empty();
+}
+
+std::string Fleet::EndOf(const Machine& machine) {
   siginfo_t info{};
-  return ::waitid(P_PID, static_cast<id_t>(machine.process->pid()), &info,
-                  WEXITED | WNOHANG | WNOWAIT) != 0 ||
-         info.si_pid != 0;
+  if (::waitid(P_PID, static_cast<id_t>(machine.process->pid()), &info,
+               WEXITED | WNOHANG | WNOWAIT) != 0) {
+    return "unknown end";
+  }
+  if (info.si_pid == 0) {
+    return "";
+  }
+  return (info.si_code == CLD_EXITED ? "status " : "signal ") +
+         std::to_string(info.si_status);
 }
 
 long Fleet::ResidentKib(const Machine& machine) {
@@ -384,8 +421,8 @@
                    "/status");
   std::string line;
   while (std::getline(in, line)) {
-    if (line.rfind("VmRSS:", 0) == 0) {
-      return std::atol(line.c_str() + std::string("VmRSS:").size());
+    if (line.rfind("RssAnon:", 0) == 0) {
+      return std::atol(line.c_str() + std::string("RssAnon:").size());
     }
   }
   return 0;
@@ -416,6 +453,8 @@
     out.status = reply.status;
     out.body += reply.body;
     out.complete = true;
+    out.retry_after = milliseconds(static_cast<std::int64_t>(
+        std::atof(reply.Header("Retry-After").c_str()) * 1000));
   } catch (const HttpFailure& e) {
     out.failure = e.what();
   }
@@ -432,6 +471,12 @@
 Fleet::Answer Fleet::SendTurn(Fiber& fiber,
                               const Machine& front,
                               const Turn& turn) {
+  const auto start =
+      program_starts_.emplace(turn.program, record_.Elapsed()).first->second;
+  const auto finish_in =
+      std::max(milliseconds(0), options_.aim - (record_.Elapsed() - start));
+  const auto tokens =
+      std::to_string(std::max<std::size_t>(1, turn.input.size() / 4));
   HttpRequest request;
   request.method = "POST";
   request.target = "/turns/2f";
@@ -441,7 +486,7 @@
       {"Request-Id", turn.id},
       {"Program-Id", turn.program},
       {"Session-Id", turn.session},
-      {"Finish-Deadline-Ms", std::to_string(turn.finish_in.count())},
+      {"Finish-Deadline-Ms", std::to_string(finish_in.count())},
       {"Token-Budget", std::to_string(turn.budget)},
       {"Token-Usage", std::to_string(turn.input.size() / 4) + "," +
                           std::to_string(turn.max_tokens)},
--- a/review/harness/fleet.h
+++ b/review/harness/fleet.h
@@ -4,6 +4,7 @@
 #include <chrono>
 #include <fstream>
 #include <functional>
+#include <map>
 #include <memory>
 #include <string>
 #include <vector>
@@ -64,6 +65,7 @@
   struct Options {
     double retention_s = 30;
     int event_stride = 8;
+    std::chrono::milliseconds aim{110000};
   };
   Fleet(Loop& loop, Record& record, const Options& options);
   ~Fleet();
@@ -100,7 +102,10 @@
   std::pair<std::size_t, std::size_t> ListSizes();
   // Whether the process has ended by itself.
   static bool HasEnded(const Machine& machine);
-  // Resident memory of the process in KiB; 0 if it does not run.
+  // How the process ended by itself, such as "signal 11"; empty if it runs.
+  static std::string EndOf(const Machine& machine);
+  // Resident memory of the process in KiB, without that of files; 0 if it does
+  // not run.
   static long ResidentKib(const Machine& machine);
 
   // One client attempt on its own channel. `status` 0: no complete answer.
@@ -110,6 +115,7 @@
     std::string body;  // What arrived.
     std::string data;  // Data of the events, each followed by a line feed.
     std::string failure;
+    std::chrono::milliseconds retry_after{0};
     bool complete = false;
   };
   struct Turn {
@@ -121,8 +127,8 @@
     int max_tokens = 32;
     int budget = 100000;
     std::chrono::milliseconds time_limit{4000};
-    std::chrono::milliseconds finish_in{60000};
   };
+  // The aim of a program is Options::aim after its first turn.
   Answer SendTurn(Fiber& fiber, const Machine& front, const Turn& turn);
   Answer Send(Fiber& fiber,
               const Machine& front,
@@ -148,6 +154,10 @@
                     const HttpRequest& request,
                     HttpExchange& exchange);
   void WriteSettings(const Machine& machine, bool bootstrap) const;
+  void WriteRegistration(const std::string& id,
+                         const std::string& service,
+                         const std::string& address,
+                         int seq);
 
   Loop& loop_;
   Record& record_;
@@ -161,6 +171,8 @@
   std::vector<std::unique_ptr<Machine>> machines_;
   std::vector<Server> servers_;
   std::vector<ServerRun> runs_;
+  // When each program began.
+  std::map<std::string, std::chrono::milliseconds> program_starts_;
 };
 
 // Runs `body` in a coroutine and returns its result as the exit code. The
