--- a/review/5/case.cpp
+++ b/review/5/case.cpp
@@ -8,6 +8,9 @@
 #include <unistd.h>
 
 #include <algorithm>
+#include <atomic>
+#include <cstdio>
+#include <cstdlib>
 #include <map>
 #include <memory>
 #include <string>
@@ -25,8 +28,12 @@
 constexpr int kClientsPerFront = 12;
 constexpr milliseconds kDay{75000};
 constexpr std::size_t kPieceBytes = 65536;
+// With the sick one, as many as the site has.
+constexpr int kSoundServers = 10;
+constexpr const char* kSickId = "i-sick";
+constexpr int kTokensPerEvent = 8;
 
-// Answers each request with the head of a 500 and bytes until the caller
+// Answers some requests with the head of a 500 and bytes until the caller
 // closes the channel. Runs in threads of its own.
 class SickServer {
  public:
@@ -55,26 +62,101 @@
   const std::string& address() const { return address_; }
 
  private:
+  // Serves the requests of one channel. Two answers of five are no answers, but
+  // bytes without end; the others are sound.
   static void Serve(int channel) {
-    std::string head;
+    std::string in;
+    bool open = true;
+    while (open) {
+      std::size_t end = 0;
+      while ((end = in.find("\r\n\r\n")) == std::string::npos) {
+        if (!Receive(channel, in)) {
+          ::close(channel);
+          return;
+        }
+      }
+      const auto head = in.substr(0, end + 2);
+      const auto body_bytes = static_cast<std::size_t>(
+          std::atol(Header(head, "Content-Length").c_str()));
+      in.erase(0, end + 4);
+      while (in.size() < body_bytes) {
+        if (!Receive(channel, in)) {
+          ::close(channel);
+          return;
+        }
+      }
+      in.erase(0, body_bytes);
+      if (Header(head, "Expect-Instance") != kSickId) {
+        open = Send(channel,
+                    "HTTP/1.1 421 Misdirected Request\r\nNot-Executed: 1\r\n"
+                    "Content-Length: 0\r\nRequest-Id: " +
+                        Header(head, "Request-Id") + "\r\n\r\n");
+      } else if (runs_++ % 5 < 2) {
+        open = Send(channel, "HTTP/1.1 500 Internal Server Error\r\n\r\n");
+        const std::string piece(kPieceBytes, '#');
+        while (open) {
+          open = Send(channel, piece);
+        }
+      } else {
+        open = SendTurnAnswer(channel, head);
+      }
+    }
+    ::close(channel);
+  }
+
+  static bool SendTurnAnswer(int channel, const std::string& head) {
+    const auto id = Header(head, "Request-Id");
+    const auto usage = Header(head, "Token-Usage");
+    const int events =
+        std::atoi(usage.substr(usage.find(',') + 1).c_str()) / kTokensPerEvent;
+    bool open = Send(channel,
+                     "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n"
+                     "Weight-Versions: 1\r\nServer-Load: 1,0,16\r\n"
+                     "Request-Id: " +
+                         id + "\r\nResponse-Signature: mac-" + id + "\r\n\r\n");
+    for (int n = 1; open && n <= events; ++n) {
+      const auto event = "id: " + std::to_string(n) + "\ndata: " + id + "-" +
+                         std::to_string(n) + "\n\n";
+      char size[24];
+      std::snprintf(size, sizeof size, "%zx\r\n", event.size());
+      open = Send(channel, size + event + "\r\n");
+      std::this_thread::sleep_for(milliseconds(5));
+    }
+    return open && Send(channel, "0\r\n\r\n");
+  }
+
+  static bool Receive(int channel, std::string& in) {
     char buf[4096];
-    while (head.find("\r\n\r\n") == std::string::npos) {
-      const auto n = ::recv(channel, buf, sizeof buf, 0);
+    const auto n = ::recv(channel, buf, sizeof buf, 0);
+    if (n > 0) {
+      in.append(buf, static_cast<std::size_t>(n));
+    }
+    return n > 0;
+  }
+
+  static bool Send(int channel, const std::string& bytes) {
+    std::size_t done = 0;
+    while (done < bytes.size()) {
+      const auto n = ::send(channel, bytes.data() + done, bytes.size() - done,
+                            MSG_NOSIGNAL);
       if (n <= 0) {
-        ::close(channel);
-        return;
+        return false;
       }
-      head.append(buf, static_cast<std::size_t>(n));
+      done += static_cast<std::size_t>(n);
     }
-    const std::string answer = "HTTP/1.1 500 Internal Server Error\r\n\r\n";
-    const std::string piece(kPieceBytes, '#');
-    bool open = ::send(channel, answer.data(), answer.size(), MSG_NOSIGNAL) > 0;
-    while (open) {
-      open = ::send(channel, piece.data(), piece.size(), MSG_NOSIGNAL) > 0;
+    return true;
+  }
+
+  static std::string Header(const std::string& head, const std::string& name) {
+    const auto at = head.find("\r\n" + name + ": ");
+    if (at == std::string::npos) {
+      return "";
     }
-    ::close(channel);
+    const auto from = at + name.size() + 4;
+    return head.substr(from, head.find("\r\n", from) - from);
   }
 
+  static inline std::atomic<int> runs_{0};
   int fd_ = -1;
   std::string address_;
 };
@@ -92,7 +174,7 @@
     machines.push_back(fronts.back());
   }
   fleet.WriteConfig();
-  for (int n = 1; n <= 4; ++n) {
+  for (int n = 1; n <= kSoundServers; ++n) {
     fleet.AddServer("i-model-" + std::to_string(n), "models");
   }
   for (auto* it : machines) {
@@ -111,10 +193,10 @@
   std::unique_ptr<SickServer> sick;
   if (trouble) {
     sick = std::make_unique<SickServer>(fleet.network() + "252");
-    fleet.Register("i-sick", "models", sick->address());
+    fleet.Register(kSickId, "models", sick->address());
     record.Write(
-        "server i-sick registers; it answers 500 with a body without "
-        "end");
+        "server i-sick registers; two of five of its answers are a 500 with a "
+        "body without end");
   }
 
   // The platform ends a process that uses more than its memory, and starts it
--- a/review/5/run.sh
+++ b/review/5/run.sh
@@ -10,7 +10,17 @@
   echo "run review/build.sh first" >&2
   exit 2
 fi
-timeout -k 5 118 "target/review/case-$n"
+folder=$(mktemp -d) || exit 2
+export TMPDIR="$folder"
+# timeout leads a process group of its own, with all daemons in it.
+timeout -k 5 113 "target/review/case-$n" &
+group=$!
+trap 'kill -TERM "$group"' TERM INT
+wait "$group"
 status=$?
+trap - TERM INT
+wait "$group" 2>/dev/null
+kill -KILL -- "-$group" 2>/dev/null && sleep 0.5
+[ -n "${KEEP:-}" ] || rm -rf "$folder"
 [ "$status" -le 2 ] || status=2
 exit "$status"
