Decode what others wrote within bounds of depth and range

Cause: the error for a field of the wrong type printed its value. The JSON library parses nested values without recursion, but prints and copies them with a stack frame for each level, and a coroutine has 256 KiB of stack. Printing, copying and value() of such values were also found in the clients of engines, of the key-value service and of the weight store, and in the API for callers.

All JSON of other programs now goes through ParseJson(), which refuses more than 64 levels. A registration is skipped if a number, time, port or name is out of range; such entries were used with truncated values. Coroutines that follow the store survive any exception.

--- a/source/backend/engine_client.cc
+++ b/source/backend/engine_client.cc
@@ -6,6 +6,7 @@
 
 #include "clients/base64.h"
 #include "core/stream_pacer.h"
+#include "net/json_parser.h"
 
 namespace comfreyfold {
 
@@ -65,7 +66,7 @@
       done_ = true;
       return;
     }
-    const auto chunk = json::parse(text, nullptr, false);
+    const auto chunk = ParseJson(text);
     if (!chunk.is_object()) {
       return;
     }
@@ -259,7 +260,7 @@
                                  const std::string& program) {
   const auto reply = PostCacheRequest(fiber, address, "export",
                                       json{{"program", program}}.dump());
-  const auto answer = json::parse(reply.body, nullptr, false);
+  const auto answer = ParseJson(reply.body);
   return answer.is_object() ? answer.value("cache", std::string())
                             : std::string();
 }
@@ -271,7 +272,7 @@
   const auto reply =
       PostCacheRequest(fiber, address, "import",
                        json{{"program", program}, {"cache", copy}}.dump());
-  const auto answer = json::parse(reply.body, nullptr, false);
+  const auto answer = ParseJson(reply.body);
   return answer.is_object() ? answer.value("imported_tokens", std::int64_t{0})
                             : 0;
 }
--- a/source/backend/engine_order_client.cc
+++ b/source/backend/engine_order_client.cc
@@ -2,6 +2,8 @@
 
 #include <nlohmann/json.hpp>
 
+#include "net/json_parser.h"
+
 namespace comfreyfold {
 
 namespace {
@@ -24,7 +26,7 @@
 }
 
 EngineState ParseEngineState(const HttpReply& reply) {
-  const auto body = json::parse(reply.body, nullptr, false);
+  const auto body = ParseJson(reply.body);
   if (reply.status != 200 || !body.is_object()) {
     throw BackendFailure("engine answered the /orders request with status " +
                              std::to_string(reply.status),
--- a/source/clients/kv_client.cc
+++ b/source/clients/kv_client.cc
@@ -5,6 +5,7 @@
 #include <nlohmann/json.hpp>
 
 #include "clients/base64.h"
+#include "net/json_parser.h"
 
 namespace comfreyfold {
 
@@ -70,7 +71,7 @@
 // A reply that cannot be parsed does not tell whether the request was applied,
 // so the failure is thrown with may_have_applied set.
 json ParseReply(const std::string& body) {
-  auto out = json::parse(body, nullptr, false);
+  auto out = ParseJson(body);
   if (!out.is_object()) {
     throw KvUnavailable(
         "key-value service sent a reply that is not a JSON object", true);
@@ -215,7 +216,7 @@
   options.on_data = [&buf, &on_change](std::string_view data) {
     buf += data;
     for (auto n = buf.find('\n'); n != std::string::npos; n = buf.find('\n')) {
-      const auto line = json::parse(buf.substr(0, n), nullptr, false);
+      const auto line = ParseJson(buf.substr(0, n));
       buf.erase(0, n + 1);
       if (line.is_object() && line.contains("result") &&
           line["result"].contains("events")) {
--- a/source/clients/vm_list_client.cc
+++ b/source/clients/vm_list_client.cc
@@ -4,6 +4,8 @@
 
 #include <nlohmann/json.hpp>
 
+#include "net/json_parser.h"
+
 namespace comfreyfold {
 
 VmListClient::VmListClient(HttpClient& http,
@@ -16,7 +18,7 @@
   options.connect_timeout = timeout_;
   options.idle_timeout = timeout_;
   const auto reply = http_.Send(fiber, address_, {"GET", "/vms"}, options);
-  const auto list = nlohmann::json::parse(reply.body, nullptr, false);
+  const auto list = ParseJson(reply.body);
   if (reply.status != 200 || !list.is_array()) {
     throw std::runtime_error(
         "VM list service did not answer with status 200 and a JSON array");
--- a/source/clients/weight_store_client.cc
+++ b/source/clients/weight_store_client.cc
@@ -6,6 +6,8 @@
 
 #include <nlohmann/json.hpp>
 
+#include "net/json_parser.h"
+
 namespace comfreyfold {
 
 namespace {
@@ -46,7 +48,7 @@
     throw WeightStoreFailure("weight store: request rate limit exceeded",
                              retry_after);
   }
-  const auto body = nlohmann::json::parse(reply.body, nullptr, false);
+  const auto body = ParseJson(reply.body);
   if (reply.status != 200 || !body.is_object()) {
     throw WeightStoreFailure("weight store answered with status " +
                                  std::to_string(reply.status) + " for " + name,
--- a/source/fleet/store_watcher.cc
+++ b/source/fleet/store_watcher.cc
@@ -83,7 +83,9 @@
       RecordReachable(true, "");
     } catch (const KvCompacted&) {
       revision = 0;
-    } catch (const KvUnavailable& e) {
+    } catch (const std::exception& e) {
+      // Whatever a foreign value causes must not end the coroutine: the daemon
+      // would go on with what it knew.
       revision = 0;
       RecordReachable(false, e.what());
       fiber.Sleep(Backoff(failures++));
@@ -114,7 +116,7 @@
                     {"revision", it.mod_revision},
                     {"source", "store"}});
       }
-    } catch (const std::runtime_error& e) {
+    } catch (const std::exception& e) {
       log_.Write("config_refused", "",
                  {{"revision", it.mod_revision}, {"reason", e.what()}});
     }
@@ -138,7 +140,7 @@
   for (const auto& it : range.items) {
     try {
       view_.OfferStorageList(layout_.decode_storage_list(it.value));
-    } catch (const std::runtime_error& e) {
+    } catch (const std::exception& e) {
       log_.Write("storage_list_refused", "",
                  {{"revision", it.mod_revision}, {"reason", e.what()}});
     }
@@ -158,7 +160,7 @@
       failures = 0;
       RecordReachable(true, "");
       fiber.Sleep(read_interval_);
-    } catch (const KvUnavailable& e) {
+    } catch (const std::exception& e) {
       view_.RegistryLost();
       RecordReachable(false, e.what());
       fiber.Sleep(Backoff(failures++));
@@ -170,14 +172,13 @@
   const auto requested_at = std::chrono::steady_clock::now();
   const auto range = store_.Prefix(fiber, layout_.servers_prefix);
   std::vector<BackendServer> servers;
-  std::vector<std::string> malformed;
+  std::set<std::string> malformed;
   for (const auto& it : range.items) {
     try {
       servers.push_back(layout_.decode_server(it.key, it.value));
-    } catch (const std::runtime_error& e) {
-      malformed.push_back(it.key);
-      if (std::find(malformed_keys_.begin(), malformed_keys_.end(), it.key) ==
-          malformed_keys_.end()) {
+    } catch (const std::exception& e) {
+      malformed.insert(it.key);
+      if (malformed_keys_.count(it.key) == 0) {
         log_.Write("server_entry_refused", "",
                    {{"key", it.key}, {"reason", e.what()}});
       }
--- a/source/fleet/store_watcher.h
+++ b/source/fleet/store_watcher.h
@@ -3,6 +3,7 @@
 
 #include <chrono>
 #include <functional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -87,7 +88,7 @@
   std::function<void(const KvRange&)> on_operator_keys_;
   bool reachable_ = true;
   // Keys with malformed registrations at the last reading; logged already.
-  std::vector<std::string> malformed_keys_;
+  std::set<std::string> malformed_keys_;
 };
 
 }  // namespace comfreyfold
--- a/source/net/http_client.cc
+++ b/source/net/http_client.cc
@@ -9,6 +9,7 @@
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
 
+#include "net/endpoint.h"
 #include "net/exchange_watchdog.h"
 #include "net/loop_impl.h"
 #include "net/yield_token.h"
@@ -36,17 +37,6 @@
 // socket already, so reading continues without a pause.
 constexpr std::size_t kNoPauseBytes = kReadBytes / 2;
 
-tcp::endpoint ParseEndpoint(const std::string& address) {
-  const auto n = address.rfind(':');
-  boost::system::error_code ec;
-  const auto ip = boost::asio::ip::make_address(address.substr(0, n), ec);
-  if (ec || n == std::string::npos) {
-    throw HttpFailure("address '" + address + "' is not ip:port", false);
-  }
-  const auto port = std::strtoul(address.c_str() + n + 1, nullptr, 10);
-  return {ip, static_cast<std::uint16_t>(port)};
-}
-
 struct Connection {
   explicit Connection(boost::asio::io_context& io) : stream(io) {
     buf.reserve(kReadBytes);  // The capacity bounds the size of one read.
@@ -207,10 +197,16 @@
                                       std::chrono::milliseconds timeout,
                                       boost::system::error_code& ec) {
     auto connection = std::make_unique<Connection>(loop.impl().io);
+    const auto endpoint = ParseEndpoint(address);
+    if (!endpoint) {
+      ec = boost::asio::error::invalid_argument;
+      return connection;
+    }
     connection->stream.expires_after(timeout);
     ++connections_opened;
-    connection->stream.async_connect(ParseEndpoint(address),
-                                     YieldToken(fiber)[ec]);
+    connection->stream.async_connect(
+        {boost::asio::ip::make_address(endpoint->ip), endpoint->port},
+        YieldToken(fiber)[ec]);
     if (!ec) {
       boost::system::error_code ignored;
       connection->stream.socket().set_option(tcp::no_delay(true), ignored);
--- a/source/net/http_server.cc
+++ b/source/net/http_server.cc
@@ -7,6 +7,7 @@
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
 
+#include "net/endpoint.h"
 #include "net/error_reply.h"
 #include "net/loop_impl.h"
 #include "net/server_exchange.h"
@@ -381,15 +382,14 @@
 HttpServer::~HttpServer() = default;
 
 std::string HttpServer::Listen(const std::string& address) {
-  const auto n = address.rfind(':');
-  boost::system::error_code ec;
-  const auto ip = boost::asio::ip::make_address(address.substr(0, n), ec);
-  if (ec || n == std::string::npos) {
+  const auto parsed = ParseEndpoint(address);
+  if (!parsed) {
     throw std::runtime_error("listen address '" + address +
                              "' is not ip:port; write e.g. 127.0.0.1:8080");
   }
-  const tcp::endpoint endpoint(ip, static_cast<std::uint16_t>(std::strtoul(
-                                       address.c_str() + n + 1, nullptr, 10)));
+  const tcp::endpoint endpoint(boost::asio::ip::make_address(parsed->ip),
+                               parsed->port);
+  boost::system::error_code ec;
   auto& acceptor = impl_->acceptor;
   acceptor.open(endpoint.protocol());
   acceptor.set_option(tcp::acceptor::reuse_address(true));
--- a/source/server/backend_directory.cc
+++ b/source/server/backend_directory.cc
@@ -5,6 +5,8 @@
 
 #include <nlohmann/json.hpp>
 
+#include "net/json_parser.h"
+
 namespace comfreyfold {
 
 namespace {
@@ -119,7 +121,7 @@
   try {
     const auto reply =
         http_.Send(fiber, previous->vm.address, {"GET", "/load"}, options);
-    load = nlohmann::json::parse(reply.body, nullptr, false);
+    load = ParseJson(reply.body);
   } catch (const HttpFailure& e) {
     auto* backend = Find(id);
     if (backend != nullptr && e.sent()) {
--- a/source/server/call_checks.cc
+++ b/source/server/call_checks.cc
@@ -5,6 +5,7 @@
 #include <nlohmann/json.hpp>
 
 #include "core/call_error.h"
+#include "net/json_parser.h"
 
 namespace comfreyfold {
 
@@ -13,7 +14,6 @@
 using nlohmann::json;
 
 constexpr std::size_t kMaxNameLength = 200;
-constexpr int kMaxNestingDepth = 64;
 constexpr std::chrono::hours kMaxDeadline{1};
 
 [[noreturn]] void Refuse(const char* code, const std::string& message) {
@@ -23,16 +23,13 @@
 // Limits the nesting depth, because every later step that parses or writes the
 // body uses stack space for each level.
 json ParseBody(const std::string& body) {
-  const json::parser_callback_t check_depth = [](int depth, json::parse_event_t,
-                                                 json&) {
-    if (depth > kMaxNestingDepth) {
-      Refuse("nested_too_deep", "the body is nested deeper than " +
-                                    std::to_string(kMaxNestingDepth) +
-                                    " levels; flatten it");
-    }
-    return true;
-  };
-  auto out = json::parse(body, check_depth, false);
+  bool too_deep = false;
+  auto out = ParseJson(body, &too_deep);
+  if (too_deep) {
+    Refuse("nested_too_deep", "the body is nested deeper than " +
+                                  std::to_string(kMaxJsonDepth) +
+                                  " levels; flatten it");
+  }
   if (out.is_discarded()) {
     Refuse("bad_json", "the body must be JSON in UTF-8");
   }
--- a/source/server/caller_api.cc
+++ b/source/server/caller_api.cc
@@ -9,6 +9,7 @@
 #include "clients/base64.h"
 #include "core/call_error.h"
 #include "net/error_reply.h"
+#include "net/json_parser.h"
 #include "server/call_checks.h"
 #include "server/call_context.h"
 
@@ -277,7 +278,7 @@
 
 void CallerApi::ParseModelCall(CallerRequest& out) {
   out.call.operation = Operation::kModel;
-  const auto body = json::parse(out.call.body, nullptr, false);
+  const auto body = ParseJson(out.call.body);
   if (body.is_object()) {
     // CheckCall refuses members of the wrong type.
     const auto model = body.value("model", json());
--- a/source/storage/storage_membership_manager.cc
+++ b/source/storage/storage_membership_manager.cc
@@ -244,10 +244,16 @@
     Fiber& fiber) {
   std::vector<StorageMember> out{self_};
   for (const auto& it : store_.Prefix(fiber, kJoiningPrefix).items) {
-    const auto announcement = DecodeStorageList(it.value);
-    if (!announcement.members.empty() &&
-        announcement.members.front().disk != self_.disk) {
-      out.push_back(announcement.members.front());
+    try {
+      const auto announcement = DecodeStorageList(it.value);
+      if (!announcement.members.empty() &&
+          announcement.members.front().disk != self_.disk) {
+        out.push_back(announcement.members.front());
+      }
+    } catch (const std::runtime_error& e) {
+      // An entry that cannot be read must not keep the others from joining.
+      log_.Write("announcement_refused", "",
+                 {{"key", it.key}, {"reason", e.what()}});
     }
   }
   return out;
--- a/source/tool/daemon_finder.cc
+++ b/source/tool/daemon_finder.cc
@@ -3,6 +3,7 @@
 #include <stdexcept>
 
 #include "clients/kv_client.h"
+#include "net/json_parser.h"
 
 namespace comfreyfold {
 
@@ -47,7 +48,7 @@
   try {
     const auto reply =
         http.Send(fiber, address, {"GET", target, {}, {}}, options);
-    auto body = nlohmann::json::parse(reply.body, nullptr, false);
+    auto body = ParseJson(reply.body);
     if (reply.status == 200 && !body.is_discarded()) {
       return body;
     }
--- a/tests/vm/decoders_test.cc
+++ b/tests/vm/decoders_test.cc
@@ -2,6 +2,7 @@
 
 #include <boost/test/unit_test.hpp>
 
+#include "net/loop.h"
 #include "platform/json_fields.h"
 #include "platform/registry_decoder.h"
 #include "platform/request_headers.h"
@@ -90,6 +91,66 @@
   }
 }
 
+// A registration nested too deeply overflowed the stack of the coroutine that
+// reads the registrations.
+BOOST_AUTO_TEST_CASE(deeply_nested_registration_is_rejected) {
+  constexpr int kDepth = 20000;
+  const std::string head = R"({"address":"1.1.1.1:2","zone":"north",)";
+  const std::string tail = R"("slots":4,"state":"ready"})";
+  const auto nested = std::string(kDepth, '[') + std::string(kDepth, ']') + ",";
+  int rejected = 0;
+  Loop loop;
+  loop.Spawn([&](Fiber&) {
+    for (const auto& text : {head + R"("service":)" + nested + tail,
+                             head + R"("service":"a","x":)" + nested + tail}) {
+      BOOST_CHECK_THROW(DecodeServer("servers/i-1", text), DecodeError);
+      ++rejected;
+    }
+    BOOST_CHECK_THROW(DecodeRouting(R"({"version":1,"routes":[],"services":)" +
+                                    nested + R"("x":1})"),
+                      DecodeError);
+    ++rejected;
+  });
+  loop.Run();
+  BOOST_TEST(rejected == 3);
+}
+
+// Such registrations were used, with a truncated port or an overflowing time.
+BOOST_AUTO_TEST_CASE(registration_with_values_out_of_range_is_rejected) {
+  const auto entry = [](const std::string& fields) {
+    return R"({"service":"a","zone":"north","state":"ready",)" + fields + "}";
+  };
+  const std::string address = R"("address":"1.1.1.1:2",)";
+  BOOST_TEST(
+      DecodeServer("servers/i-1", entry(address + R"("slots":8)")).slots == 8);
+  for (const auto* it :
+       {R"("address":"1.1.1.1:99999","slots":4)",
+        R"("address":"1.1.1.1:0","slots":4)",
+        R"("address":"1.1.1.1:-1","slots":4)",
+        R"("address":"1.1.1.1:2x","slots":4)",
+        R"("address":"1.1.1.1:","slots":4)",
+        R"("address":"nowhere:80","slots":4)",
+        R"("address":"1.1.1.1:2","slots":1e300)",
+        R"("address":"1.1.1.1:2","slots":99999999999)",
+        R"("address":"1.1.1.1:2","slots":-3)",
+        R"("address":"1.1.1.1:2","slots":4,"cold_remaining_ms":1e300)",
+        R"("address":"1.1.1.1:2","slots":4,"born":1e300)",
+        R"("address":"1.1.1.1:2","slots":4,"born":99999999999999999999)"}) {
+    BOOST_CHECK_THROW(DecodeServer("servers/i-1", entry(it)), DecodeError);
+  }
+  // The id goes into a header of each request to the server.
+  for (const std::string key :
+       {"servers/", "servers/a\r\nB: c", "servers/a b", "servers"}) {
+    BOOST_CHECK_THROW(DecodeServer(key, entry(address + R"("slots":4)")),
+                      DecodeError);
+  }
+  const std::string long_name(100000, 'x');
+  BOOST_CHECK_THROW(
+      DecodeServer("servers/i-1",
+                   entry(address + R"("slots":4,"zone":")" + long_name + "\"")),
+      DecodeError);
+}
+
 BOOST_AUTO_TEST_CASE(turn_headers_are_decoded) {
   HttpRequest request;
   request.headers = {{"Request-Id", "r"},
--- a/tests/vm/fleet_test.cc
+++ b/tests/vm/fleet_test.cc
@@ -71,6 +71,41 @@
   });
 }
 
+// One odd registration ended the daemons that read it, or kept them from
+// reading the others.
+BOOST_AUTO_TEST_CASE(registrations_of_other_writers_do_not_stop_readers) {
+  RunWithDeployment([](Fiber& fiber, VmDeployment& deployment) {
+    const auto& front = StartServing(fiber, deployment);
+    constexpr int kDepth = 20000;
+    const auto nested = std::string(kDepth, '[') + std::string(kDepth, ']');
+    const std::string fields =
+        R"("service":"app","zone":"north","state":"ready")";
+    int number = 0;
+    for (const auto& it :
+         {R"({"service":)" + nested + "}", nested,
+          "{" + fields + R"(,"address":"127.0.0.1:70000","slots":8})",
+          "{" + fields + R"(,"address":"x:1","slots":8})",
+          "{" + fields + R"(,"address":"127.0.0.1:1","slots":1e400})",
+          "{" + fields + R"(,"address":"127.0.0.1:1","slots":1e300})",
+          std::string("\xff\xfe"), std::string()}) {
+      deployment.store().Put("servers/0-odd-" + std::to_string(number++), it);
+    }
+    // Longer than two reads of the registrations.
+    fiber.Sleep(milliseconds(2500));
+    deployment.AddServer("s2");
+    deployment.RegisterServer("s1", "draining");
+    BOOST_TEST(deployment.WaitFor(fiber, [&] {
+      deployment.Send(fiber, front, {"/plain/x", "r", "", {}});
+      return !deployment.server("s2").service->runs().empty();
+    }));
+    for (int n = 0; n < 20; ++n) {
+      BOOST_TEST(
+          deployment.Send(fiber, front, {"/plain/x", "r", "", {}}).status ==
+          200);
+    }
+  });
+}
+
 BOOST_AUTO_TEST_CASE(servers_stay_in_use_during_store_outage) {
   RunWithDeployment([](Fiber& fiber, VmDeployment& deployment) {
     const auto& front = StartServing(fiber, deployment);
