Bound what answers of servers hold in memory

Cause: streams may have 64 MiB because they pass on what they receive, but only 2xx answers are passed on. Bodies of other answers were collected up to that limit, for each request. The output of a turn, which is kept to be stored, had no limit of its own either.

A body that is never passed on is now dropped after its head has been read; what is kept is limited to 4 MiB for one answer and to an eighth of the daemon's memory for all together. Beyond it the one answer fails instead of the process.

--- a/source/front/call.h
+++ b/source/front/call.h
@@ -11,6 +11,7 @@
 
 #include "core/call_error.h"
 #include "core/client_call.h"
+#include "core/memory_budget.h"
 #include "core/request_quarantine.h"
 #include "core/routing.h"
 #include "core/server_pool.h"
@@ -23,12 +24,15 @@
 
 // State of one client request while the daemon handles it.
 struct Call {
-  Call(const HttpRequest& client_request, HttpExchange& client_exchange)
-      : request(client_request), client(client_exchange) {}
+  Call(const HttpRequest& client_request,
+       HttpExchange& client_exchange,
+       MemoryBudget& budget)
+      : request(client_request), client(client_exchange), memory(budget) {}
 
   const HttpRequest& request;
   HttpExchange& client;
-  ClientCall params;                            // Decoded from the headers.
+  MemoryReservation memory;  // For what this daemon holds for the call.
+  ClientCall params;         // Decoded from the headers.
   std::shared_ptr<const RoutingConfig> config;  // Keeps `route` alive.
   const Route* route = nullptr;
   std::string service;
--- a/source/front/call_dispatcher.cc
+++ b/source/front/call_dispatcher.cc
@@ -155,7 +155,7 @@
   auto result = server_call.Run(
       fiber, {*call.route, call.params.request_id, request, slot, call.arrived,
               call.deadline, call.max_events,
-              call.tried_server_ids.count(slot.server_id) > 0});
+              call.tried_server_ids.count(slot.server_id) > 0, call.memory});
   admission_.Release(call.service, slot, result.exchange, result.metadata.load,
                      std::chrono::duration_cast<std::chrono::milliseconds>(
                          std::chrono::steady_clock::now() - start));
--- a/source/front/call_handler.cc
+++ b/source/front/call_handler.cc
@@ -61,12 +61,14 @@
                          StorageClient& storage,
                          DecisionLog& log,
                          Metrics& metrics,
+                         MemoryBudget& memory,
                          RequestCodec codec)
     : view_(view),
       crash_guard_(crash_guard),
       storage_(storage),
       log_(log),
       metrics_(metrics),
+      memory_(memory),
       codec_(std::move(codec)),
       dispatcher_(http, admission, log, codec_, slack_, crash_guard),
       random_(std::random_device{}()) {}
@@ -74,7 +76,7 @@
 void CallHandler::Handle(Fiber& fiber,
                          const HttpRequest& request,
                          HttpExchange& client) {
-  Call call(request, client);
+  Call call(request, client, memory_);
   auto error = Prepare(fiber, call);
   if (!error) {
     auto outcome = dispatcher_.Dispatch(fiber, call);
--- a/source/front/call_handler.h
+++ b/source/front/call_handler.h
@@ -10,6 +10,7 @@
 #include <vector>
 
 #include "core/call_error.h"
+#include "core/memory_budget.h"
 #include "core/program_slack.h"
 #include "fleet/decision_log.h"
 #include "fleet/fleet_view.h"
@@ -36,6 +37,7 @@
               StorageClient& storage,
               DecisionLog& log,
               Metrics& metrics,
+              MemoryBudget& memory,
               RequestCodec codec);
 
   void Handle(Fiber& fiber, const HttpRequest& request, HttpExchange& client);
@@ -63,6 +65,7 @@
   StorageClient& storage_;
   DecisionLog& log_;
   Metrics& metrics_;
+  MemoryBudget& memory_;
   RequestCodec codec_;
   ProgramSlack slack_;
   CallDispatcher dispatcher_;
--- a/source/front/server_call.cc
+++ b/source/front/server_call.cc
@@ -20,8 +20,9 @@
 // A server that has not got on with an answer for this time when the client
 // leaves or its time is over may be at fault. Clients wait longer for an event.
 constexpr std::chrono::milliseconds kStallTime{600};
-// Answers are held until they are complete, and single events until their end
-// arrives. A faulty server may send bytes without end.
+// Answers are held until they are complete, the output of a turn until it is
+// stored, and single events until their end arrives. A faulty server may send
+// bytes without end.
 constexpr std::uint64_t kMaxAnswerBytes = 4ULL * 1024 * 1024;
 constexpr std::size_t kMaxEventBytes = 256UL * 1024;
 // A stream is longer, but passes on what it receives.
@@ -68,7 +69,24 @@
     progress_.head_sent = true;
     client_.Begin(reply.status, "", codec_.client_answer_headers(reply));
   }
-  return ReplyAction::kAccept;
+  // The body of any other answer to a stream that has begun, of a refusal and
+  // of an answer that does not prove whose it is is never passed on.
+  const bool passed_on =
+      streaming_ ||
+      (!progress_.head_sent && !metadata_.not_run && metadata_.is_signed &&
+       metadata_.request_id == input.request_id);
+  return passed_on ? ReplyAction::kAccept : ReplyAction::kHeadOnly;
+}
+
+void ServerCall::KeepOutput(const std::string& data, const Input& input) {
+  if (progress_.output.size() + data.size() >= kMaxAnswerBytes) {
+    excess_ = "more output than a turn may have";
+  } else if (!input.memory.Grow(data.size() + 1)) {
+    excess_ = "more output than this daemon has memory for";
+  } else {
+    progress_.output += data;
+    progress_.output += '\n';
+  }
 }
 
 void ServerCall::HandleData(std::string_view data, const Input& input) {
@@ -78,6 +96,9 @@
   std::string complete_events;
   events_.Feed(
       data, [this, &complete_events, &input](const StreamEvent& event) {
+        if (!excess_.empty()) {
+          return;
+        }
         if (input.max_events > 0 && progress_.events >= input.max_events) {
           excess_ = "more events than the request's tokens allow";
           return;
@@ -93,8 +114,7 @@
           progress_.last_event_id = event.id;
         }
         if (input.route.retains_context) {
-          progress_.output += event.data;
-          progress_.output += '\n';
+          KeepOutput(event.data, input);
         }
         complete_events += event.bytes;
       });
@@ -136,6 +156,10 @@
   options.on_head = [this, &input](const HttpReply& reply) {
     return HandleHead(reply, input);
   };
+  options.on_collect = [this, &input](std::size_t n) {
+    collected_bytes_ += n;
+    return collected_bytes_ <= kMaxAnswerBytes && input.memory.Grow(n);
+  };
   options.on_interim = [this](const HttpReply& reply) {
     CheckLeaving(codec_.decode_answer(reply));
   };
--- a/source/front/server_call.h
+++ b/source/front/server_call.h
@@ -8,6 +8,7 @@
 #include <string>
 
 #include "core/event_stream_parser.h"
+#include "core/memory_budget.h"
 #include "core/routing.h"
 #include "core/server_pool.h"
 #include "core/time_point.h"
@@ -59,6 +60,8 @@
     // The server has had this request before. A second copy of its answer may
     // still arrive on the connection used then, under the same request id.
     bool repeated = false;
+    // Takes what is held of the answer: the body, or the output of a turn.
+    MemoryReservation& memory;
   };
 
   ServerCall(HttpClient& http,
@@ -81,6 +84,8 @@
   void CheckLeaving(const ServerAnswer& metadata) const;
   ReplyAction HandleHead(const HttpReply& reply, const Input& input);
   void HandleData(std::string_view data, const Input& input);
+  // Keeps the data of an event, as a part of the turn's output.
+  void KeepOutput(const std::string& data, const Input& input);
   // Whether the stream that has ended lacks a part.
   bool IsCutShort() const;
   void ClassifyReply(HttpReply reply,
@@ -94,6 +99,7 @@
   std::function<void(const ServerAnswer&)> on_head_;
   std::function<void()> on_leaving_;
   ServerAnswer metadata_;
+  std::uint64_t collected_bytes_ = 0;  // Of a body that is not streamed.
   BodyFraming framing_ = BodyFraming::kLength;
   EventStreamParser events_;
   std::string
--- a/source/net/http_client.cc
+++ b/source/net/http_client.cc
@@ -31,6 +31,10 @@
 constexpr std::size_t kMaxUnparsedBytes = 64 * 1024;
 // Interim replies, and replies to other requests, that may precede a reply.
 constexpr int kMaxSkippedReplies = 16;
+// A body that is not needed is read nevertheless, so that the connection can be
+// used again, unless it is longer or takes longer than this.
+constexpr std::size_t kMaxDroppedBytes = 64 * 1024;
+constexpr std::chrono::milliseconds kMaxDropTime{100};
 constexpr std::size_t kMaxPieceBytes = 16 * 1024;
 constexpr std::size_t kReadBytes = 4096;
 // After a piece of at least this size, more data is probably waiting in the
@@ -312,14 +316,51 @@
     if (IsInterim(reply.status) && options_.on_interim) {
       options_.on_interim(reply);
     }
-    const bool accepted =
-        !IsInterim(reply.status) &&
-        (!options_.on_head || options_.on_head(reply) == ReplyAction::kAccept);
+    auto action = ReplyAction::kDiscard;
+    if (!IsInterim(reply.status)) {
+      action =
+          options_.on_head ? options_.on_head(reply) : ReplyAction::kAccept;
+    }
+    if (action == ReplyAction::kHeadOnly) {
+      keep_alive_ = DropBody(parser) && parser.get().keep_alive();
+      return true;
+    }
+    const bool accepted = action == ReplyAction::kAccept;
     ReadBody(parser, reply, accepted);
     keep_alive_ = parser.get().keep_alive();
     return accepted;
   }
 
+  // Reads the rest of a reply whose body is not needed. Returns whether its end
+  // was reached.
+  bool DropBody(Parser& parser) {
+    const auto deadline = std::chrono::steady_clock::now() + kMaxDropTime;
+    std::array<char, kMaxPieceBytes> piece;
+    std::size_t dropped = 0;
+    boost::system::error_code ec;
+    while (!parser.is_done()) {
+      parser.get().body().data = piece.data();
+      parser.get().body().size = piece.size();
+      ParseBuffered(connection_.buf, parser, ec);
+      const auto n = piece.size() - parser.get().body().size;
+      dropped += n;
+      const auto left = std::chrono::ceil<std::chrono::milliseconds>(
+          deadline - std::chrono::steady_clock::now());
+      if (ec || dropped > kMaxDroppedBytes ||
+          connection_.buf.size() > kMaxUnparsedBytes || left.count() <= 0) {
+        return false;
+      }
+      if (n == 0 && !parser.is_done()) {
+        watchdog_.ExpireAfter(left);
+        ReadMore(fiber_, connection_, parser, ec);
+      }
+      if (ec) {
+        return false;
+      }
+    }
+    return true;
+  }
+
   void ReadBody(Parser& parser, HttpReply& reply, bool accepted) {
     const bool streamed =
         accepted && options_.on_data && reply.status / 100 == 2;
@@ -345,6 +386,11 @@
           PauseReading(fiber_, options_);
         }
       } else if (accepted) {
+        if (options_.on_collect && !options_.on_collect(data.size())) {
+          throw HttpFailure(
+              "read from " + address_ + ": the body exceeds what may be held",
+              true);
+        }
         reply.body += data;
       }
     }
--- a/source/net/http_client.h
+++ b/source/net/http_client.h
@@ -28,8 +28,9 @@
 
 // What to do with a reply whose status and headers have arrived.
 enum class ReplyAction {
-  kAccept,   // Read it as the reply to this request.
-  kDiscard,  // It answers another request: skip it and read the next reply.
+  kAccept,    // Read it as the reply to this request.
+  kHeadOnly,  // It is the reply to this request, and its body is not needed.
+  kDiscard,   // It answers another request: skip it and read the next reply.
 };
 
 struct HttpOptions {
@@ -41,6 +42,9 @@
   std::chrono::milliseconds total_timeout{0};
   // Largest body of a reply.
   std::uint64_t max_body_bytes = 256ULL * 1024 * 1024;
+  // Called before `n` more bytes of a body are added to HttpReply::body.
+  // Returning false ends the exchange with HttpFailure.
+  std::function<bool(std::size_t n)> on_collect;
   // Opens a new connection instead of using a pooled one. The server may have
   // closed a pooled connection unnoticed, and then it is unknown whether the
   // request ran. Calls that must not run twice set this.
--- a/source/vm/vm_daemon.cc
+++ b/source/vm/vm_daemon.cc
@@ -56,6 +56,10 @@
 constexpr int kClientConnectionDivisor = 2;
 // The cache of chains may use the memory limit divided by this number.
 constexpr std::int64_t kCacheMemoryDivisor = 16;
+// The bodies of clients' requests, with the chains before them, and of answers
+// may use the memory limit divided by this number. Each is copied a few times
+// on its way.
+constexpr std::int64_t kBodyMemoryDivisor = 8;
 // Largest body of a request between daemons.
 constexpr std::uint64_t kInternalBodyBytes = 64UL * 1024 * 1024;
 // Far longer than connections between daemons usually stay unused.
@@ -94,6 +98,8 @@
       platform_(std::move(platform)),
       metrics_port_(metrics_port),
       log_(settings_.vm),
+      bodies_memory_(static_cast<std::size_t>(settings_.memory_bytes /
+                                              kBodyMemoryDivisor)),
       store_watcher_(loop,
                      platform_.store,
                      view_,
@@ -191,7 +197,7 @@
   crash_guard_ = std::make_unique<CrashGuard>(loop_, http_, view_, log_);
   call_handler_ = std::make_unique<CallHandler>(
       http_, view_, *admission_, *crash_guard_, *storage_client_, log_,
-      metrics_, platform_.request_codec);
+      metrics_, bodies_memory_, platform_.request_codec);
   loop_.Spawn([this](Fiber& fiber) { storage_client_->Run(fiber); });
   client_server_ = std::make_unique<HttpServer>(
       loop_,
@@ -210,6 +216,10 @@
       "comfreyfold_quarantined_requests",
       "Requests that crashed servers and are kept from them",
       [this] { return static_cast<double>(view_.quarantine().blamed()); });
+  metrics_.AddGauge(
+      "comfreyfold_body_bytes",
+      "Bytes of the bodies of requests and answers in memory",
+      [this] { return static_cast<double>(bodies_memory_.used()); });
   metrics_.AddGauge("comfreyfold_waiting_requests",
                     "Requests that wait for a place at a server", [this] {
                       return static_cast<double>(admission_->waiting());
--- a/source/vm/vm_daemon.h
+++ b/source/vm/vm_daemon.h
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include "clients/kv_store.h"
+#include "core/memory_budget.h"
 #include "fleet/decision_log.h"
 #include "fleet/fleet_sync.h"
 #include "fleet/fleet_view.h"
@@ -101,6 +102,7 @@
   VmPlatform platform_;
   int metrics_port_;
   DecisionLog log_;
+  MemoryBudget bodies_memory_;
   Metrics metrics_;
   FleetView view_;
   StoreWatcher store_watcher_;
--- /dev/null
+++ b/tests/unit/memory_budget_test.cc
@@ -0,0 +1,36 @@
+// The memory that the bodies of all requests share.
+
+#include <boost/test/unit_test.hpp>
+
+#include "core/memory_budget.h"
+
+namespace comfreyfold {
+namespace {
+
+BOOST_AUTO_TEST_SUITE(memory_budget)
+
+BOOST_AUTO_TEST_CASE(requests_share_the_limit_and_give_back) {
+  MemoryBudget budget(100);
+  MemoryReservation first(budget);
+  BOOST_TEST(first.Grow(60));
+  {
+    MemoryReservation second(budget);
+    BOOST_TEST(!second.Grow(41));
+    BOOST_TEST(second.Grow(40));
+    BOOST_TEST(!first.Grow(1));
+  }
+  BOOST_TEST(budget.used() == 60U);
+  BOOST_TEST(first.Grow(40));
+  BOOST_TEST(!first.Grow(static_cast<std::size_t>(-1)));
+}
+
+BOOST_AUTO_TEST_CASE(no_limit_refuses_nothing) {
+  MemoryBudget budget(0);
+  MemoryReservation all(budget);
+  BOOST_TEST(all.Grow(1UL << 40));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace
+}  // namespace comfreyfold
--- a/tests/vm/endless_test.cc
+++ b/tests/vm/endless_test.cc
@@ -128,6 +128,45 @@
                         "1\r\nx\r\n", milliseconds(30)));
 }
 
+// The bodies of failures were collected up to the limit of a whole stream.
+BOOST_AUTO_TEST_CASE(error_answer_to_a_stream) {
+  for (const auto* path : {"/stream/x", "/talk/stream/x"}) {
+    ExpectBounded(path, Endless("HTTP/1.1 500 X\r\n\r\n", kPiece));
+    ExpectBounded(path, Endless("HTTP/1.1 500 X\r\nRequest-Id: r1\r\n"
+                                "Response-Signature: s\r\n\r\n",
+                                kPiece));
+  }
+}
+
+// A refusal proves that the request has not run, whatever follows its head.
+BOOST_AUTO_TEST_CASE(body_of_a_refusal) {
+  const std::string refusal = "Not-Executed: 1\r\n\r\n";
+  WithRawServer(
+      [&refusal](Fiber&, RawServer::Peer& peer) {
+        const auto id = RequestIdOf(peer.ReadHead());
+        if (id == "probe") {
+          peer.Write(Answer(id, "ok"));
+          return;
+        }
+        peer.Write("HTTP/1.1 503 Busy\r\nRequest-Id: " + id + "\r\n" + refusal);
+        while (peer.Write(kPiece)) {
+        }
+      },
+      [](Fiber& fiber, VmDeployment& deployment,
+         const VmDeployment::Vm& front) {
+        const auto reply =
+            deployment.Send(fiber, front, {"/once/x", "r1", "", {}});
+        BOOST_TEST(reply.status == 503);
+        BOOST_TEST(!reply.Header("Retry-After").empty());
+      });
+}
+
+// The data of the events was collected without limit, to be stored.
+BOOST_AUTO_TEST_CASE(events_of_a_turn_that_is_stored) {
+  const auto event = "data: " + kPiece + "\n\n";
+  ExpectBounded("/talk/stream/x", Endless(SignedHead("r1", "\r\n"), event));
+}
+
 BOOST_AUTO_TEST_CASE(event_without_end) {
   ExpectBounded(
       "/talk/stream/x",
