Version the set of machines to retire

Cause: daemons pass the set on without a version. One that had just read the request from the store took over the empty set of a peer that knew less, and did not read again. It now goes with the revision of the store at which it was read.

Evidence: retirement_is_not_forgotten_for_what_a_peer_knew_before passes, and fails with the comparison of revisions taken out.

--- a/source/fleet/fleet_sync.cc
+++ b/source/fleet/fleet_sync.cc
@@ -283,7 +283,7 @@
     ApplyKept();
   }
   if (news.config_version > 0 && news.config_age < max_age_) {
-    view_.ApplyRetiring(news.retiring);
+    view_.ApplyRetiring(news.retiring, news.retiring_revision);
   }
 }
 
@@ -337,6 +337,7 @@
     news.members = view_.storage_list();
   }
   news.retiring = view_.retiring();
+  news.retiring_revision = view_.retiring_revision();
   const auto now = std::chrono::steady_clock::now();
   for (const auto& it : question.loads) {
     view_.loads().Record(it, now);
--- a/source/fleet/fleet_view.cc
+++ b/source/fleet/fleet_view.cc
@@ -78,7 +78,12 @@
   }
 }
 
-void FleetView::ApplyRetiring(std::set<std::string> vms) {
+void FleetView::ApplyRetiring(std::set<std::string> vms,
+                              std::int64_t revision) {
+  if (revision < retiring_revision_) {
+    return;
+  }
+  retiring_revision_ = revision;
   if (vms != retiring_) {
     retiring_ = std::move(vms);
     NotifyListeners();
--- a/source/fleet/fleet_view.h
+++ b/source/fleet/fleet_view.h
@@ -92,7 +92,10 @@
 
   // Names of the VMs whose disks operators want emptied.
   const std::set<std::string>& retiring() const { return retiring_; }
-  void ApplyRetiring(std::set<std::string> vms);
+  // Revision of the store at which `retiring` was read; 0: not read yet.
+  std::int64_t retiring_revision() const { return retiring_revision_; }
+  // Takes over `vms` unless a newer set is known.
+  void ApplyRetiring(std::set<std::string> vms, std::int64_t revision);
 
   // Adds a function that is called after each change.
   void OnChange(std::function<void()> hook) { on_change_.push_back(hook); }
@@ -113,6 +116,7 @@
   RequestQuarantine quarantine_;
   std::vector<std::string> client_daemons_;
   std::set<std::string> retiring_;
+  std::int64_t retiring_revision_ = 0;
   std::vector<std::function<void()>> on_change_;
 };
 
--- a/source/vm/vm_daemon.cc
+++ b/source/vm/vm_daemon.cc
@@ -383,7 +383,7 @@
       vms.insert(it.key.substr(prefix.size()));
     }
   }
-  view_.ApplyRetiring(std::move(vms));
+  view_.ApplyRetiring(std::move(vms), operator_keys.revision);
 }
 
 void VmDaemon::StartRetirementIfRequested() {
--- a/source/wire/comfreyfold.thrift
+++ b/source/wire/comfreyfold.thrift
@@ -239,6 +239,7 @@
   3: list<StorageMember> members,
   4: list<StorageMember> incoming,
   5: list<string> synced,
+  6: bool recopies,
 }
 
 // A request to a storage daemon; also an entry of its disk log.
@@ -260,6 +261,7 @@
   4: list<TokenUse> uses,
   5: list<string> ids,
   6: optional StorageList members,
+  7: list<i64> expiries_ms,
 }
 
 struct RegisteredServer {
@@ -337,4 +339,5 @@
   13: string disk, // Of the replying daemon, if it has one.
   14: list<SuspectRun> suspect_runs,
   15: i64 blamed_hash,
+  16: i64 retiring_revision, // Of the store, when 'retiring' was read.
 }
--- a/source/wire/fleet_codec.cc
+++ b/source/wire/fleet_codec.cc
@@ -191,6 +191,7 @@
     out.__set_members(detail::ToWire(*news.members));
   }
   out.retiring = news.retiring;
+  out.retiring_revision = news.retiring_revision;
   out.loads = ToWire(news.loads);
   out.daemons = news.daemons;
   out.faults = ToWire(news.faults);
@@ -221,6 +222,7 @@
     out.members = detail::FromWire(in.members);
   }
   out.retiring = in.retiring;
+  out.retiring_revision = in.retiring_revision;
   out.loads = FromWire(in.loads);
   out.daemons = in.daemons;
   out.faults = FromWire(in.faults);
--- a/source/wire/fleet_messages.h
+++ b/source/wire/fleet_messages.h
@@ -47,7 +47,8 @@
   std::uint64_t servers_hash = 0;
   std::optional<std::vector<BackendServer>> servers;
   std::optional<StorageList> members;
-  std::set<std::string> retiring;  // VMs whose disks are to be emptied.
+  std::set<std::string> retiring;      // VMs whose disks are to be emptied.
+  std::int64_t retiring_revision = 0;  // Of the store, when it was read.
   std::vector<LoadReport> loads;
   std::vector<std::string> daemons;  // Addresses of some client daemons.
   std::vector<ServerFault> faults;
--- a/source/wire/gen/comfreyfold_types.cpp
+++ b/source/wire/gen/comfreyfold_types.cpp
@@ -5083,6 +5083,10 @@
 void StorageList::__set_synced(const std::vector<std::string> & val) {
   this->synced = val;
 }
+
+void StorageList::__set_recopies(const bool val) {
+  this->recopies = val;
+}
 std::ostream& operator<<(std::ostream& out, const StorageList& obj)
 {
   obj.printTo(out);
@@ -5187,6 +5191,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->recopies);
+          this->__isset.recopies = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -5248,6 +5260,10 @@
   }
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("recopies", ::apache::thrift::protocol::T_BOOL, 6);
+  xfer += oprot->writeBool(this->recopies);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -5260,6 +5276,7 @@
   swap(a.members, b.members);
   swap(a.incoming, b.incoming);
   swap(a.synced, b.synced);
+  swap(a.recopies, b.recopies);
   swap(a.__isset, b.__isset);
 }
 
@@ -5269,6 +5286,7 @@
   members = other176.members;
   incoming = other176.incoming;
   synced = other176.synced;
+  recopies = other176.recopies;
   __isset = other176.__isset;
 }
 StorageList& StorageList::operator=(const StorageList& other177) {
@@ -5277,6 +5295,7 @@
   members = other177.members;
   incoming = other177.incoming;
   synced = other177.synced;
+  recopies = other177.recopies;
   __isset = other177.__isset;
   return *this;
 }
@@ -5288,6 +5307,7 @@
   out << ", " << "members=" << to_string(members);
   out << ", " << "incoming=" << to_string(incoming);
   out << ", " << "synced=" << to_string(synced);
+  out << ", " << "recopies=" << to_string(recopies);
   out << ")";
 }
 
@@ -5614,6 +5634,10 @@
   this->members = val;
 __isset.members = true;
 }
+
+void StorageReply::__set_expiries_ms(const std::vector<int64_t> & val) {
+  this->expiries_ms = val;
+}
 std::ostream& operator<<(std::ostream& out, const StorageReply& obj)
 {
   obj.printTo(out);
@@ -5726,6 +5750,26 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 7:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->expiries_ms.clear();
+            uint32_t _size213;
+            ::apache::thrift::protocol::TType _etype216;
+            xfer += iprot->readListBegin(_etype216, _size213);
+            this->expiries_ms.resize(_size213);
+            uint32_t _i217;
+            for (_i217 = 0; _i217 < _size213; ++_i217)
+            {
+              xfer += iprot->readI64(this->expiries_ms[_i217]);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.expiries_ms = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -5754,10 +5798,10 @@
   xfer += oprot->writeFieldBegin("turns", ::apache::thrift::protocol::T_LIST, 3);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->turns.size()));
-    std::vector<TurnRecord> ::const_iterator _iter213;
-    for (_iter213 = this->turns.begin(); _iter213 != this->turns.end(); ++_iter213)
+    std::vector<TurnRecord> ::const_iterator _iter218;
+    for (_iter218 = this->turns.begin(); _iter218 != this->turns.end(); ++_iter218)
     {
-      xfer += (*_iter213).write(oprot);
+      xfer += (*_iter218).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -5766,10 +5810,10 @@
   xfer += oprot->writeFieldBegin("uses", ::apache::thrift::protocol::T_LIST, 4);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->uses.size()));
-    std::vector<TokenUse> ::const_iterator _iter214;
-    for (_iter214 = this->uses.begin(); _iter214 != this->uses.end(); ++_iter214)
+    std::vector<TokenUse> ::const_iterator _iter219;
+    for (_iter219 = this->uses.begin(); _iter219 != this->uses.end(); ++_iter219)
     {
-      xfer += (*_iter214).write(oprot);
+      xfer += (*_iter219).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -5778,10 +5822,10 @@
   xfer += oprot->writeFieldBegin("ids", ::apache::thrift::protocol::T_LIST, 5);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->ids.size()));
-    std::vector<std::string> ::const_iterator _iter215;
-    for (_iter215 = this->ids.begin(); _iter215 != this->ids.end(); ++_iter215)
+    std::vector<std::string> ::const_iterator _iter220;
+    for (_iter220 = this->ids.begin(); _iter220 != this->ids.end(); ++_iter220)
     {
-      xfer += oprot->writeString((*_iter215));
+      xfer += oprot->writeString((*_iter220));
     }
     xfer += oprot->writeListEnd();
   }
@@ -5792,6 +5836,18 @@
     xfer += this->members.write(oprot);
     xfer += oprot->writeFieldEnd();
   }
+  xfer += oprot->writeFieldBegin("expiries_ms", ::apache::thrift::protocol::T_LIST, 7);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I64, static_cast<uint32_t>(this->expiries_ms.size()));
+    std::vector<int64_t> ::const_iterator _iter221;
+    for (_iter221 = this->expiries_ms.begin(); _iter221 != this->expiries_ms.end(); ++_iter221)
+    {
+      xfer += oprot->writeI64((*_iter221));
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -5805,26 +5861,29 @@
   swap(a.uses, b.uses);
   swap(a.ids, b.ids);
   swap(a.members, b.members);
+  swap(a.expiries_ms, b.expiries_ms);
   swap(a.__isset, b.__isset);
 }
 
-StorageReply::StorageReply(const StorageReply& other216) {
-  status = other216.status;
-  whole = other216.whole;
-  turns = other216.turns;
-  uses = other216.uses;
-  ids = other216.ids;
-  members = other216.members;
-  __isset = other216.__isset;
-}
-StorageReply& StorageReply::operator=(const StorageReply& other217) {
-  status = other217.status;
-  whole = other217.whole;
-  turns = other217.turns;
-  uses = other217.uses;
-  ids = other217.ids;
-  members = other217.members;
-  __isset = other217.__isset;
+StorageReply::StorageReply(const StorageReply& other222) {
+  status = other222.status;
+  whole = other222.whole;
+  turns = other222.turns;
+  uses = other222.uses;
+  ids = other222.ids;
+  members = other222.members;
+  expiries_ms = other222.expiries_ms;
+  __isset = other222.__isset;
+}
+StorageReply& StorageReply::operator=(const StorageReply& other223) {
+  status = other223.status;
+  whole = other223.whole;
+  turns = other223.turns;
+  uses = other223.uses;
+  ids = other223.ids;
+  members = other223.members;
+  expiries_ms = other223.expiries_ms;
+  __isset = other223.__isset;
   return *this;
 }
 void StorageReply::printTo(std::ostream& out) const {
@@ -5836,6 +5895,7 @@
   out << ", " << "uses=" << to_string(uses);
   out << ", " << "ids=" << to_string(ids);
   out << ", " << "members="; (__isset.members ? (out << to_string(members)) : (out << "<null>"));
+  out << ", " << "expiries_ms=" << to_string(expiries_ms);
   out << ")";
 }
 
@@ -6034,27 +6094,27 @@
   swap(a.__isset, b.__isset);
 }
 
-RegisteredServer::RegisteredServer(const RegisteredServer& other218) {
-  id = other218.id;
-  service_name = other218.service_name;
-  address = other218.address;
-  data_centre = other218.data_centre;
-  slots = other218.slots;
-  leaving = other218.leaving;
-  cold_left_ms = other218.cold_left_ms;
-  started_ms = other218.started_ms;
-  __isset = other218.__isset;
-}
-RegisteredServer& RegisteredServer::operator=(const RegisteredServer& other219) {
-  id = other219.id;
-  service_name = other219.service_name;
-  address = other219.address;
-  data_centre = other219.data_centre;
-  slots = other219.slots;
-  leaving = other219.leaving;
-  cold_left_ms = other219.cold_left_ms;
-  started_ms = other219.started_ms;
-  __isset = other219.__isset;
+RegisteredServer::RegisteredServer(const RegisteredServer& other224) {
+  id = other224.id;
+  service_name = other224.service_name;
+  address = other224.address;
+  data_centre = other224.data_centre;
+  slots = other224.slots;
+  leaving = other224.leaving;
+  cold_left_ms = other224.cold_left_ms;
+  started_ms = other224.started_ms;
+  __isset = other224.__isset;
+}
+RegisteredServer& RegisteredServer::operator=(const RegisteredServer& other225) {
+  id = other225.id;
+  service_name = other225.service_name;
+  address = other225.address;
+  data_centre = other225.data_centre;
+  slots = other225.slots;
+  leaving = other225.leaving;
+  cold_left_ms = other225.cold_left_ms;
+  started_ms = other225.started_ms;
+  __isset = other225.__isset;
   return *this;
 }
 void RegisteredServer::printTo(std::ostream& out) const {
@@ -6181,17 +6241,17 @@
   swap(a.__isset, b.__isset);
 }
 
-LoadNote::LoadNote(const LoadNote& other220) {
-  server = other220.server;
-  requests = other220.requests;
-  age_ms = other220.age_ms;
-  __isset = other220.__isset;
+LoadNote::LoadNote(const LoadNote& other226) {
+  server = other226.server;
+  requests = other226.requests;
+  age_ms = other226.age_ms;
+  __isset = other226.__isset;
 }
-LoadNote& LoadNote::operator=(const LoadNote& other221) {
-  server = other221.server;
-  requests = other221.requests;
-  age_ms = other221.age_ms;
-  __isset = other221.__isset;
+LoadNote& LoadNote::operator=(const LoadNote& other227) {
+  server = other227.server;
+  requests = other227.requests;
+  age_ms = other227.age_ms;
+  __isset = other227.__isset;
   return *this;
 }
 void LoadNote::printTo(std::ostream& out) const {
@@ -6330,19 +6390,19 @@
   swap(a.__isset, b.__isset);
 }
 
-ServerFault::ServerFault(const ServerFault& other222) {
-  server = other222.server;
-  origin = other222.origin;
-  number = other222.number;
-  age_ms = other222.age_ms;
-  __isset = other222.__isset;
+ServerFault::ServerFault(const ServerFault& other228) {
+  server = other228.server;
+  origin = other228.origin;
+  number = other228.number;
+  age_ms = other228.age_ms;
+  __isset = other228.__isset;
 }
-ServerFault& ServerFault::operator=(const ServerFault& other223) {
-  server = other223.server;
-  origin = other223.origin;
-  number = other223.number;
-  age_ms = other223.age_ms;
-  __isset = other223.__isset;
+ServerFault& ServerFault::operator=(const ServerFault& other229) {
+  server = other229.server;
+  origin = other229.origin;
+  number = other229.number;
+  age_ms = other229.age_ms;
+  __isset = other229.__isset;
   return *this;
 }
 void ServerFault::printTo(std::ostream& out) const {
@@ -6516,23 +6576,23 @@
   swap(a.__isset, b.__isset);
 }
 
-SuspectRun::SuspectRun(const SuspectRun& other224) {
-  fingerprint = other224.fingerprint;
-  server = other224.server;
-  crashed = other224.crashed;
-  age_ms = other224.age_ms;
-  had_output = other224.had_output;
-  any_body = other224.any_body;
-  __isset = other224.__isset;
-}
-SuspectRun& SuspectRun::operator=(const SuspectRun& other225) {
-  fingerprint = other225.fingerprint;
-  server = other225.server;
-  crashed = other225.crashed;
-  age_ms = other225.age_ms;
-  had_output = other225.had_output;
-  any_body = other225.any_body;
-  __isset = other225.__isset;
+SuspectRun::SuspectRun(const SuspectRun& other230) {
+  fingerprint = other230.fingerprint;
+  server = other230.server;
+  crashed = other230.crashed;
+  age_ms = other230.age_ms;
+  had_output = other230.had_output;
+  any_body = other230.any_body;
+  __isset = other230.__isset;
+}
+SuspectRun& SuspectRun::operator=(const SuspectRun& other231) {
+  fingerprint = other231.fingerprint;
+  server = other231.server;
+  crashed = other231.crashed;
+  age_ms = other231.age_ms;
+  had_output = other231.had_output;
+  any_body = other231.any_body;
+  __isset = other231.__isset;
   return *this;
 }
 void SuspectRun::printTo(std::ostream& out) const {
@@ -6643,14 +6703,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->loads.clear();
-            uint32_t _size226;
-            ::apache::thrift::protocol::TType _etype229;
-            xfer += iprot->readListBegin(_etype229, _size226);
-            this->loads.resize(_size226);
-            uint32_t _i230;
-            for (_i230 = 0; _i230 < _size226; ++_i230)
+            uint32_t _size232;
+            ::apache::thrift::protocol::TType _etype235;
+            xfer += iprot->readListBegin(_etype235, _size232);
+            this->loads.resize(_size232);
+            uint32_t _i236;
+            for (_i236 = 0; _i236 < _size232; ++_i236)
             {
-              xfer += this->loads[_i230].read(iprot);
+              xfer += this->loads[_i236].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -6679,14 +6739,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->faults.clear();
-            uint32_t _size231;
-            ::apache::thrift::protocol::TType _etype234;
-            xfer += iprot->readListBegin(_etype234, _size231);
-            this->faults.resize(_size231);
-            uint32_t _i235;
-            for (_i235 = 0; _i235 < _size231; ++_i235)
+            uint32_t _size237;
+            ::apache::thrift::protocol::TType _etype240;
+            xfer += iprot->readListBegin(_etype240, _size237);
+            this->faults.resize(_size237);
+            uint32_t _i241;
+            for (_i241 = 0; _i241 < _size237; ++_i241)
             {
-              xfer += this->faults[_i235].read(iprot);
+              xfer += this->faults[_i241].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -6699,14 +6759,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->suspect_runs.clear();
-            uint32_t _size236;
-            ::apache::thrift::protocol::TType _etype239;
-            xfer += iprot->readListBegin(_etype239, _size236);
-            this->suspect_runs.resize(_size236);
-            uint32_t _i240;
-            for (_i240 = 0; _i240 < _size236; ++_i240)
+            uint32_t _size242;
+            ::apache::thrift::protocol::TType _etype245;
+            xfer += iprot->readListBegin(_etype245, _size242);
+            this->suspect_runs.resize(_size242);
+            uint32_t _i246;
+            for (_i246 = 0; _i246 < _size242; ++_i246)
             {
-              xfer += this->suspect_runs[_i240].read(iprot);
+              xfer += this->suspect_runs[_i246].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -6755,10 +6815,10 @@
   xfer += oprot->writeFieldBegin("loads", ::apache::thrift::protocol::T_LIST, 4);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->loads.size()));
-    std::vector<LoadNote> ::const_iterator _iter241;
-    for (_iter241 = this->loads.begin(); _iter241 != this->loads.end(); ++_iter241)
+    std::vector<LoadNote> ::const_iterator _iter247;
+    for (_iter247 = this->loads.begin(); _iter247 != this->loads.end(); ++_iter247)
     {
-      xfer += (*_iter241).write(oprot);
+      xfer += (*_iter247).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -6775,10 +6835,10 @@
   xfer += oprot->writeFieldBegin("faults", ::apache::thrift::protocol::T_LIST, 7);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->faults.size()));
-    std::vector<ServerFault> ::const_iterator _iter242;
-    for (_iter242 = this->faults.begin(); _iter242 != this->faults.end(); ++_iter242)
+    std::vector<ServerFault> ::const_iterator _iter248;
+    for (_iter248 = this->faults.begin(); _iter248 != this->faults.end(); ++_iter248)
     {
-      xfer += (*_iter242).write(oprot);
+      xfer += (*_iter248).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -6787,10 +6847,10 @@
   xfer += oprot->writeFieldBegin("suspect_runs", ::apache::thrift::protocol::T_LIST, 8);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->suspect_runs.size()));
-    std::vector<SuspectRun> ::const_iterator _iter243;
-    for (_iter243 = this->suspect_runs.begin(); _iter243 != this->suspect_runs.end(); ++_iter243)
+    std::vector<SuspectRun> ::const_iterator _iter249;
+    for (_iter249 = this->suspect_runs.begin(); _iter249 != this->suspect_runs.end(); ++_iter249)
     {
-      xfer += (*_iter243).write(oprot);
+      xfer += (*_iter249).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -6819,29 +6879,29 @@
   swap(a.__isset, b.__isset);
 }
 
-FleetQuestion::FleetQuestion(const FleetQuestion& other244) {
-  config_version = other244.config_version;
-  list_version = other244.list_version;
-  servers_hash = other244.servers_hash;
-  loads = other244.loads;
-  loads_within_ms = other244.loads_within_ms;
-  address = other244.address;
-  faults = other244.faults;
-  suspect_runs = other244.suspect_runs;
-  blamed_hash = other244.blamed_hash;
-  __isset = other244.__isset;
-}
-FleetQuestion& FleetQuestion::operator=(const FleetQuestion& other245) {
-  config_version = other245.config_version;
-  list_version = other245.list_version;
-  servers_hash = other245.servers_hash;
-  loads = other245.loads;
-  loads_within_ms = other245.loads_within_ms;
-  address = other245.address;
-  faults = other245.faults;
-  suspect_runs = other245.suspect_runs;
-  blamed_hash = other245.blamed_hash;
-  __isset = other245.__isset;
+FleetQuestion::FleetQuestion(const FleetQuestion& other250) {
+  config_version = other250.config_version;
+  list_version = other250.list_version;
+  servers_hash = other250.servers_hash;
+  loads = other250.loads;
+  loads_within_ms = other250.loads_within_ms;
+  address = other250.address;
+  faults = other250.faults;
+  suspect_runs = other250.suspect_runs;
+  blamed_hash = other250.blamed_hash;
+  __isset = other250.__isset;
+}
+FleetQuestion& FleetQuestion::operator=(const FleetQuestion& other251) {
+  config_version = other251.config_version;
+  list_version = other251.list_version;
+  servers_hash = other251.servers_hash;
+  loads = other251.loads;
+  loads_within_ms = other251.loads_within_ms;
+  address = other251.address;
+  faults = other251.faults;
+  suspect_runs = other251.suspect_runs;
+  blamed_hash = other251.blamed_hash;
+  __isset = other251.__isset;
   return *this;
 }
 void FleetQuestion::printTo(std::ostream& out) const {
@@ -6931,14 +6991,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->servers.clear();
-            uint32_t _size246;
-            ::apache::thrift::protocol::TType _etype249;
-            xfer += iprot->readListBegin(_etype249, _size246);
-            this->servers.resize(_size246);
-            uint32_t _i250;
-            for (_i250 = 0; _i250 < _size246; ++_i250)
+            uint32_t _size252;
+            ::apache::thrift::protocol::TType _etype255;
+            xfer += iprot->readListBegin(_etype255, _size252);
+            this->servers.resize(_size252);
+            uint32_t _i256;
+            for (_i256 = 0; _i256 < _size252; ++_i256)
             {
-              xfer += this->servers[_i250].read(iprot);
+              xfer += this->servers[_i256].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -6959,14 +7019,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->suspect_runs.clear();
-            uint32_t _size251;
-            ::apache::thrift::protocol::TType _etype254;
-            xfer += iprot->readListBegin(_etype254, _size251);
-            this->suspect_runs.resize(_size251);
-            uint32_t _i255;
-            for (_i255 = 0; _i255 < _size251; ++_i255)
+            uint32_t _size257;
+            ::apache::thrift::protocol::TType _etype260;
+            xfer += iprot->readListBegin(_etype260, _size257);
+            this->suspect_runs.resize(_size257);
+            uint32_t _i261;
+            for (_i261 = 0; _i261 < _size257; ++_i261)
             {
-              xfer += this->suspect_runs[_i255].read(iprot);
+              xfer += this->suspect_runs[_i261].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -7003,10 +7063,10 @@
   xfer += oprot->writeFieldBegin("servers", ::apache::thrift::protocol::T_LIST, 3);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->servers.size()));
-    std::vector<RegisteredServer> ::const_iterator _iter256;
-    for (_iter256 = this->servers.begin(); _iter256 != this->servers.end(); ++_iter256)
+    std::vector<RegisteredServer> ::const_iterator _iter262;
+    for (_iter262 = this->servers.begin(); _iter262 != this->servers.end(); ++_iter262)
     {
-      xfer += (*_iter256).write(oprot);
+      xfer += (*_iter262).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -7019,10 +7079,10 @@
   xfer += oprot->writeFieldBegin("suspect_runs", ::apache::thrift::protocol::T_LIST, 5);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->suspect_runs.size()));
-    std::vector<SuspectRun> ::const_iterator _iter257;
-    for (_iter257 = this->suspect_runs.begin(); _iter257 != this->suspect_runs.end(); ++_iter257)
+    std::vector<SuspectRun> ::const_iterator _iter263;
+    for (_iter263 = this->suspect_runs.begin(); _iter263 != this->suspect_runs.end(); ++_iter263)
     {
-      xfer += (*_iter257).write(oprot);
+      xfer += (*_iter263).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -7043,21 +7103,21 @@
   swap(a.__isset, b.__isset);
 }
 
-KeptFleet::KeptFleet(const KeptFleet& other258) {
-  config_version = other258.config_version;
-  config_text = other258.config_text;
-  servers = other258.servers;
-  kept_at_ms = other258.kept_at_ms;
-  suspect_runs = other258.suspect_runs;
-  __isset = other258.__isset;
-}
-KeptFleet& KeptFleet::operator=(const KeptFleet& other259) {
-  config_version = other259.config_version;
-  config_text = other259.config_text;
-  servers = other259.servers;
-  kept_at_ms = other259.kept_at_ms;
-  suspect_runs = other259.suspect_runs;
-  __isset = other259.__isset;
+KeptFleet::KeptFleet(const KeptFleet& other264) {
+  config_version = other264.config_version;
+  config_text = other264.config_text;
+  servers = other264.servers;
+  kept_at_ms = other264.kept_at_ms;
+  suspect_runs = other264.suspect_runs;
+  __isset = other264.__isset;
+}
+KeptFleet& KeptFleet::operator=(const KeptFleet& other265) {
+  config_version = other265.config_version;
+  config_text = other265.config_text;
+  servers = other265.servers;
+  kept_at_ms = other265.kept_at_ms;
+  suspect_runs = other265.suspect_runs;
+  __isset = other265.__isset;
   return *this;
 }
 void KeptFleet::printTo(std::ostream& out) const {
@@ -7138,6 +7198,10 @@
 void FleetNews::__set_blamed_hash(const int64_t val) {
   this->blamed_hash = val;
 }
+
+void FleetNews::__set_retiring_revision(const int64_t val) {
+  this->retiring_revision = val;
+}
 std::ostream& operator<<(std::ostream& out, const FleetNews& obj)
 {
   obj.printTo(out);
@@ -7210,14 +7274,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->servers.clear();
-            uint32_t _size260;
-            ::apache::thrift::protocol::TType _etype263;
-            xfer += iprot->readListBegin(_etype263, _size260);
-            this->servers.resize(_size260);
-            uint32_t _i264;
-            for (_i264 = 0; _i264 < _size260; ++_i264)
+            uint32_t _size266;
+            ::apache::thrift::protocol::TType _etype269;
+            xfer += iprot->readListBegin(_etype269, _size266);
+            this->servers.resize(_size266);
+            uint32_t _i270;
+            for (_i270 = 0; _i270 < _size266; ++_i270)
             {
-              xfer += this->servers[_i264].read(iprot);
+              xfer += this->servers[_i270].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -7238,15 +7302,15 @@
         if (ftype == ::apache::thrift::protocol::T_SET) {
           {
             this->retiring.clear();
-            uint32_t _size265;
-            ::apache::thrift::protocol::TType _etype268;
-            xfer += iprot->readSetBegin(_etype268, _size265);
-            uint32_t _i269;
-            for (_i269 = 0; _i269 < _size265; ++_i269)
+            uint32_t _size271;
+            ::apache::thrift::protocol::TType _etype274;
+            xfer += iprot->readSetBegin(_etype274, _size271);
+            uint32_t _i275;
+            for (_i275 = 0; _i275 < _size271; ++_i275)
             {
-              std::string _elem270;
-              xfer += iprot->readString(_elem270);
-              this->retiring.insert(_elem270);
+              std::string _elem276;
+              xfer += iprot->readString(_elem276);
+              this->retiring.insert(_elem276);
             }
             xfer += iprot->readSetEnd();
           }
@@ -7259,14 +7323,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->loads.clear();
-            uint32_t _size271;
-            ::apache::thrift::protocol::TType _etype274;
-            xfer += iprot->readListBegin(_etype274, _size271);
-            this->loads.resize(_size271);
-            uint32_t _i275;
-            for (_i275 = 0; _i275 < _size271; ++_i275)
+            uint32_t _size277;
+            ::apache::thrift::protocol::TType _etype280;
+            xfer += iprot->readListBegin(_etype280, _size277);
+            this->loads.resize(_size277);
+            uint32_t _i281;
+            for (_i281 = 0; _i281 < _size277; ++_i281)
             {
-              xfer += this->loads[_i275].read(iprot);
+              xfer += this->loads[_i281].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -7279,14 +7343,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->daemons.clear();
-            uint32_t _size276;
-            ::apache::thrift::protocol::TType _etype279;
-            xfer += iprot->readListBegin(_etype279, _size276);
-            this->daemons.resize(_size276);
-            uint32_t _i280;
-            for (_i280 = 0; _i280 < _size276; ++_i280)
+            uint32_t _size282;
+            ::apache::thrift::protocol::TType _etype285;
+            xfer += iprot->readListBegin(_etype285, _size282);
+            this->daemons.resize(_size282);
+            uint32_t _i286;
+            for (_i286 = 0; _i286 < _size282; ++_i286)
             {
-              xfer += iprot->readString(this->daemons[_i280]);
+              xfer += iprot->readString(this->daemons[_i286]);
             }
             xfer += iprot->readListEnd();
           }
@@ -7299,14 +7363,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->faults.clear();
-            uint32_t _size281;
-            ::apache::thrift::protocol::TType _etype284;
-            xfer += iprot->readListBegin(_etype284, _size281);
-            this->faults.resize(_size281);
-            uint32_t _i285;
-            for (_i285 = 0; _i285 < _size281; ++_i285)
+            uint32_t _size287;
+            ::apache::thrift::protocol::TType _etype290;
+            xfer += iprot->readListBegin(_etype290, _size287);
+            this->faults.resize(_size287);
+            uint32_t _i291;
+            for (_i291 = 0; _i291 < _size287; ++_i291)
             {
-              xfer += this->faults[_i285].read(iprot);
+              xfer += this->faults[_i291].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -7335,14 +7399,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->suspect_runs.clear();
-            uint32_t _size286;
-            ::apache::thrift::protocol::TType _etype289;
-            xfer += iprot->readListBegin(_etype289, _size286);
-            this->suspect_runs.resize(_size286);
-            uint32_t _i290;
-            for (_i290 = 0; _i290 < _size286; ++_i290)
+            uint32_t _size292;
+            ::apache::thrift::protocol::TType _etype295;
+            xfer += iprot->readListBegin(_etype295, _size292);
+            this->suspect_runs.resize(_size292);
+            uint32_t _i296;
+            for (_i296 = 0; _i296 < _size292; ++_i296)
             {
-              xfer += this->suspect_runs[_i290].read(iprot);
+              xfer += this->suspect_runs[_i296].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -7359,6 +7423,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 16:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->retiring_revision);
+          this->__isset.retiring_revision = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -7400,10 +7472,10 @@
     xfer += oprot->writeFieldBegin("servers", ::apache::thrift::protocol::T_LIST, 6);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->servers.size()));
-      std::vector<RegisteredServer> ::const_iterator _iter291;
-      for (_iter291 = this->servers.begin(); _iter291 != this->servers.end(); ++_iter291)
+      std::vector<RegisteredServer> ::const_iterator _iter297;
+      for (_iter297 = this->servers.begin(); _iter297 != this->servers.end(); ++_iter297)
       {
-        xfer += (*_iter291).write(oprot);
+        xfer += (*_iter297).write(oprot);
       }
       xfer += oprot->writeListEnd();
     }
@@ -7417,10 +7489,10 @@
   xfer += oprot->writeFieldBegin("retiring", ::apache::thrift::protocol::T_SET, 8);
   {
     xfer += oprot->writeSetBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->retiring.size()));
-    std::set<std::string> ::const_iterator _iter292;
-    for (_iter292 = this->retiring.begin(); _iter292 != this->retiring.end(); ++_iter292)
+    std::set<std::string> ::const_iterator _iter298;
+    for (_iter298 = this->retiring.begin(); _iter298 != this->retiring.end(); ++_iter298)
     {
-      xfer += oprot->writeString((*_iter292));
+      xfer += oprot->writeString((*_iter298));
     }
     xfer += oprot->writeSetEnd();
   }
@@ -7429,10 +7501,10 @@
   xfer += oprot->writeFieldBegin("loads", ::apache::thrift::protocol::T_LIST, 9);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->loads.size()));
-    std::vector<LoadNote> ::const_iterator _iter293;
-    for (_iter293 = this->loads.begin(); _iter293 != this->loads.end(); ++_iter293)
+    std::vector<LoadNote> ::const_iterator _iter299;
+    for (_iter299 = this->loads.begin(); _iter299 != this->loads.end(); ++_iter299)
     {
-      xfer += (*_iter293).write(oprot);
+      xfer += (*_iter299).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -7441,10 +7513,10 @@
   xfer += oprot->writeFieldBegin("daemons", ::apache::thrift::protocol::T_LIST, 10);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->daemons.size()));
-    std::vector<std::string> ::const_iterator _iter294;
-    for (_iter294 = this->daemons.begin(); _iter294 != this->daemons.end(); ++_iter294)
+    std::vector<std::string> ::const_iterator _iter300;
+    for (_iter300 = this->daemons.begin(); _iter300 != this->daemons.end(); ++_iter300)
     {
-      xfer += oprot->writeString((*_iter294));
+      xfer += oprot->writeString((*_iter300));
     }
     xfer += oprot->writeListEnd();
   }
@@ -7453,10 +7525,10 @@
   xfer += oprot->writeFieldBegin("faults", ::apache::thrift::protocol::T_LIST, 11);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->faults.size()));
-    std::vector<ServerFault> ::const_iterator _iter295;
-    for (_iter295 = this->faults.begin(); _iter295 != this->faults.end(); ++_iter295)
+    std::vector<ServerFault> ::const_iterator _iter301;
+    for (_iter301 = this->faults.begin(); _iter301 != this->faults.end(); ++_iter301)
     {
-      xfer += (*_iter295).write(oprot);
+      xfer += (*_iter301).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -7474,10 +7546,10 @@
   xfer += oprot->writeFieldBegin("suspect_runs", ::apache::thrift::protocol::T_LIST, 14);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->suspect_runs.size()));
-    std::vector<SuspectRun> ::const_iterator _iter296;
-    for (_iter296 = this->suspect_runs.begin(); _iter296 != this->suspect_runs.end(); ++_iter296)
+    std::vector<SuspectRun> ::const_iterator _iter302;
+    for (_iter302 = this->suspect_runs.begin(); _iter302 != this->suspect_runs.end(); ++_iter302)
     {
-      xfer += (*_iter296).write(oprot);
+      xfer += (*_iter302).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -7487,6 +7559,10 @@
   xfer += oprot->writeI64(this->blamed_hash);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("retiring_revision", ::apache::thrift::protocol::T_I64, 16);
+  xfer += oprot->writeI64(this->retiring_revision);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -7509,44 +7585,47 @@
   swap(a.disk, b.disk);
   swap(a.suspect_runs, b.suspect_runs);
   swap(a.blamed_hash, b.blamed_hash);
+  swap(a.retiring_revision, b.retiring_revision);
   swap(a.__isset, b.__isset);
 }
 
-FleetNews::FleetNews(const FleetNews& other297) {
-  config_version = other297.config_version;
-  config_age_ms = other297.config_age_ms;
-  config_text = other297.config_text;
-  servers_age_ms = other297.servers_age_ms;
-  servers_hash = other297.servers_hash;
-  servers = other297.servers;
-  members = other297.members;
-  retiring = other297.retiring;
-  loads = other297.loads;
-  daemons = other297.daemons;
-  faults = other297.faults;
-  kept = other297.kept;
-  disk = other297.disk;
-  suspect_runs = other297.suspect_runs;
-  blamed_hash = other297.blamed_hash;
-  __isset = other297.__isset;
-}
-FleetNews& FleetNews::operator=(const FleetNews& other298) {
-  config_version = other298.config_version;
-  config_age_ms = other298.config_age_ms;
-  config_text = other298.config_text;
-  servers_age_ms = other298.servers_age_ms;
-  servers_hash = other298.servers_hash;
-  servers = other298.servers;
-  members = other298.members;
-  retiring = other298.retiring;
-  loads = other298.loads;
-  daemons = other298.daemons;
-  faults = other298.faults;
-  kept = other298.kept;
-  disk = other298.disk;
-  suspect_runs = other298.suspect_runs;
-  blamed_hash = other298.blamed_hash;
-  __isset = other298.__isset;
+FleetNews::FleetNews(const FleetNews& other303) {
+  config_version = other303.config_version;
+  config_age_ms = other303.config_age_ms;
+  config_text = other303.config_text;
+  servers_age_ms = other303.servers_age_ms;
+  servers_hash = other303.servers_hash;
+  servers = other303.servers;
+  members = other303.members;
+  retiring = other303.retiring;
+  loads = other303.loads;
+  daemons = other303.daemons;
+  faults = other303.faults;
+  kept = other303.kept;
+  disk = other303.disk;
+  suspect_runs = other303.suspect_runs;
+  blamed_hash = other303.blamed_hash;
+  retiring_revision = other303.retiring_revision;
+  __isset = other303.__isset;
+}
+FleetNews& FleetNews::operator=(const FleetNews& other304) {
+  config_version = other304.config_version;
+  config_age_ms = other304.config_age_ms;
+  config_text = other304.config_text;
+  servers_age_ms = other304.servers_age_ms;
+  servers_hash = other304.servers_hash;
+  servers = other304.servers;
+  members = other304.members;
+  retiring = other304.retiring;
+  loads = other304.loads;
+  daemons = other304.daemons;
+  faults = other304.faults;
+  kept = other304.kept;
+  disk = other304.disk;
+  suspect_runs = other304.suspect_runs;
+  blamed_hash = other304.blamed_hash;
+  retiring_revision = other304.retiring_revision;
+  __isset = other304.__isset;
   return *this;
 }
 void FleetNews::printTo(std::ostream& out) const {
@@ -7567,6 +7646,7 @@
   out << ", " << "disk=" << to_string(disk);
   out << ", " << "suspect_runs=" << to_string(suspect_runs);
   out << ", " << "blamed_hash=" << to_string(blamed_hash);
+  out << ", " << "retiring_revision=" << to_string(retiring_revision);
   out << ")";
 }
 
--- a/source/wire/gen/comfreyfold_types.h
+++ b/source/wire/gen/comfreyfold_types.h
@@ -2014,12 +2014,13 @@
 std::ostream& operator<<(std::ostream& out, const StorageMember& obj);
 
 typedef struct _StorageList__isset {
-  _StorageList__isset() : version(false), epoch(false), members(false), incoming(false), synced(false) {}
+  _StorageList__isset() : version(false), epoch(false), members(false), incoming(false), synced(false), recopies(false) {}
   bool version :1;
   bool epoch :1;
   bool members :1;
   bool incoming :1;
   bool synced :1;
+  bool recopies :1;
 } _StorageList__isset;
 
 class StorageList : public virtual ::apache::thrift::TBase {
@@ -2029,7 +2030,8 @@
   StorageList& operator=(const StorageList&);
   StorageList() noexcept
               : version(0),
-                epoch(0) {
+                epoch(0),
+                recopies(0) {
   }
 
   virtual ~StorageList() noexcept;
@@ -2038,6 +2040,7 @@
   std::vector<StorageMember>  members;
   std::vector<StorageMember>  incoming;
   std::vector<std::string>  synced;
+  bool recopies;
 
   _StorageList__isset __isset;
 
@@ -2051,6 +2054,8 @@
 
   void __set_synced(const std::vector<std::string> & val);
 
+  void __set_recopies(const bool val);
+
   bool operator == (const StorageList & rhs) const
   {
     if (!(version == rhs.version))
@@ -2063,6 +2068,8 @@
       return false;
     if (!(synced == rhs.synced))
       return false;
+    if (!(recopies == rhs.recopies))
+      return false;
     return true;
   }
   bool operator != (const StorageList &rhs) const {
@@ -2172,13 +2179,14 @@
 std::ostream& operator<<(std::ostream& out, const StorageRequest& obj);
 
 typedef struct _StorageReply__isset {
-  _StorageReply__isset() : status(false), whole(false), turns(false), uses(false), ids(false), members(false) {}
+  _StorageReply__isset() : status(false), whole(false), turns(false), uses(false), ids(false), members(false), expiries_ms(false) {}
   bool status :1;
   bool whole :1;
   bool turns :1;
   bool uses :1;
   bool ids :1;
   bool members :1;
+  bool expiries_ms :1;
 } _StorageReply__isset;
 
 class StorageReply : public virtual ::apache::thrift::TBase {
@@ -2198,6 +2206,7 @@
   std::vector<TokenUse>  uses;
   std::vector<std::string>  ids;
   StorageList members;
+  std::vector<int64_t>  expiries_ms;
 
   _StorageReply__isset __isset;
 
@@ -2213,6 +2222,8 @@
 
   void __set_members(const StorageList& val);
 
+  void __set_expiries_ms(const std::vector<int64_t> & val);
+
   bool operator == (const StorageReply & rhs) const
   {
     if (!(status == rhs.status))
@@ -2229,6 +2240,8 @@
       return false;
     else if (__isset.members && !(members == rhs.members))
       return false;
+    if (!(expiries_ms == rhs.expiries_ms))
+      return false;
     return true;
   }
   bool operator != (const StorageReply &rhs) const {
@@ -2704,7 +2717,7 @@
 std::ostream& operator<<(std::ostream& out, const KeptFleet& obj);
 
 typedef struct _FleetNews__isset {
-  _FleetNews__isset() : config_version(false), config_age_ms(false), config_text(false), servers_age_ms(false), servers_hash(false), servers(false), members(false), retiring(false), loads(false), daemons(false), faults(false), kept(false), disk(false), suspect_runs(false), blamed_hash(false) {}
+  _FleetNews__isset() : config_version(false), config_age_ms(false), config_text(false), servers_age_ms(false), servers_hash(false), servers(false), members(false), retiring(false), loads(false), daemons(false), faults(false), kept(false), disk(false), suspect_runs(false), blamed_hash(false), retiring_revision(false) {}
   bool config_version :1;
   bool config_age_ms :1;
   bool config_text :1;
@@ -2720,6 +2733,7 @@
   bool disk :1;
   bool suspect_runs :1;
   bool blamed_hash :1;
+  bool retiring_revision :1;
 } _FleetNews__isset;
 
 class FleetNews : public virtual ::apache::thrift::TBase {
@@ -2734,7 +2748,8 @@
               servers_age_ms(0),
               servers_hash(0),
               disk(),
-              blamed_hash(0) {
+              blamed_hash(0),
+              retiring_revision(0) {
   }
 
   virtual ~FleetNews() noexcept;
@@ -2753,6 +2768,7 @@
   std::string disk;
   std::vector<SuspectRun>  suspect_runs;
   int64_t blamed_hash;
+  int64_t retiring_revision;
 
   _FleetNews__isset __isset;
 
@@ -2786,6 +2802,8 @@
 
   void __set_blamed_hash(const int64_t val);
 
+  void __set_retiring_revision(const int64_t val);
+
   bool operator == (const FleetNews & rhs) const
   {
     if (!(config_version == rhs.config_version))
@@ -2824,6 +2842,8 @@
       return false;
     if (!(blamed_hash == rhs.blamed_hash))
       return false;
+    if (!(retiring_revision == rhs.retiring_revision))
+      return false;
     return true;
   }
   bool operator != (const FleetNews &rhs) const {
--- a/tests/vm/fleet_test.cc
+++ b/tests/vm/fleet_test.cc
@@ -106,6 +106,27 @@
   });
 }
 
+// The daemon that had just read the request took over the empty set of a peer
+// that knew less, and did not read again.
+BOOST_AUTO_TEST_CASE(retirement_is_not_forgotten_for_what_a_peer_knew_before) {
+  for (const auto* name : {"disk-1", "disk-2", "disk-3"}) {
+    RunWithDeployment([name](Fiber& fiber, VmDeployment& deployment) {
+      deployment.StartAll(fiber);
+      // The disk that reads for the others is the first of the list.
+      deployment.StopVm(fiber, deployment.vm("disk-1"));
+      deployment.RestartVm(deployment.vm("disk-1"));
+      fiber.Sleep(milliseconds(1500));
+      deployment.store().Put(std::string("op/retire/") + name,
+                             R"({"duration_s":10})");
+      BOOST_TEST(deployment.WaitFor(fiber, [&] {
+        return !deployment.store()
+                    .Value(std::string("status/retire/") + name)
+                    .empty();
+      }));
+    });
+  }
+}
+
 BOOST_AUTO_TEST_CASE(servers_stay_in_use_during_store_outage) {
   RunWithDeployment([](Fiber& fiber, VmDeployment& deployment) {
     const auto& front = StartServing(fiber, deployment);
