Keep whole chains on each disk that stores their newest turn

Cause: a new turn extended the retention of earlier turns only on the disks that stored it, two of three that differed from turn to turn. The other copy expired, and nothing made a new one. The copier of a changing list counted copies that were about to expire.

A disk now says which earlier turns it lacks when it stores one, and is sent them before the turn counts as stored; the disks follow from the first turn of the chain, so that this is rare. The copier counts only the copies that expire last.

A change of the list that drops a joining disk now makes all disks look for turns without enough copies, and a turn is denied meanwhile only if every disk lacks it: what was written since the change began may have been on the dropped disk.

--- a/source/core/storage_list.cc
+++ b/source/core/storage_list.cc
@@ -137,6 +137,17 @@
   return out;
 }
 
+StorageList StorageList::RestartedWith(
+    const std::vector<StorageMember>& alive) const {
+  StorageList out;
+  out.version = version + 1;
+  out.epoch = epoch + 1;
+  out.members = members;
+  out.next = alive;
+  out.recopies = true;
+  return out;
+}
+
 StorageList StorageList::WithSynced(const std::string& disk) const {
   auto out = *this;
   ++out.version;
@@ -149,6 +160,7 @@
     out.members = std::move(out.next);
     out.next.clear();
     out.synced.clear();
+    out.recopies = false;
   }
   return out;
 }
--- a/source/core/storage_list.h
+++ b/source/core/storage_list.h
@@ -37,6 +37,9 @@
   std::vector<StorageMember> members;
   std::vector<StorageMember> next;
   std::vector<std::string> synced;  // Disks of `next` that are complete.
+  // Disks were dropped from `next`, so that turns that were written since the
+  // change began may lack a copy, and all disks of `next` look for them.
+  bool recopies = false;
 
   bool changing() const { return !next.empty(); }
 
@@ -78,6 +81,9 @@
   // nothing to copy.
   StorageList WithChange(const std::vector<StorageMember>& added,
                          const std::vector<std::string>& removed) const;
+  // Returns the list that begins the present change anew with the disks `alive`
+  // of `next` only.
+  StorageList RestartedWith(const std::vector<StorageMember>& alive) const;
   // Returns the list after `disk` has copied the records it lacked. Once all
   // disks of `next` have, `next` replaces `members`.
   StorageList WithSynced(const std::string& disk) const;
--- a/source/core/turn_index.cc
+++ b/source/core/turn_index.cc
@@ -80,6 +80,17 @@
   turns_.erase(it);
 }
 
+std::vector<std::string> TurnIndex::Missing(
+    const std::vector<std::string>& ids) const {
+  std::vector<std::string> out;
+  for (const auto& id : ids) {
+    if (turns_.count(id) == 0) {
+      out.push_back(id);
+    }
+  }
+  return out;
+}
+
 std::vector<std::string> TurnIndex::Ids() const {
   std::vector<std::string> out;
   out.reserve(turns_.size());
--- a/source/core/turn_index.h
+++ b/source/core/turn_index.h
@@ -38,6 +38,8 @@
     return segments_.count(segment) > 0;
   }
   std::vector<std::string> Ids() const;
+  // Returns those of `ids` that are not stored here.
+  std::vector<std::string> Missing(const std::vector<std::string>& ids) const;
   std::size_t size() const { return turns_.size(); }
   std::size_t bytes() const { return bytes_; }
 
--- a/source/front/call.cc
+++ b/source/front/call.cc
@@ -6,11 +6,6 @@
 
 namespace comfreyfold {
 
-std::chrono::milliseconds TimeLeft(TimePoint deadline) {
-  return std::chrono::duration_cast<std::chrono::milliseconds>(
-      deadline - std::chrono::steady_clock::now());
-}
-
 RequestFingerprint FingerprintOf(const HttpRequest& request,
                                  const std::string& host) {
   const auto target =
--- a/source/front/call.h
+++ b/source/front/call.h
@@ -59,9 +59,6 @@
   bool late = false;  // The program cannot finish within its time limit.
 };
 
-// Time until `deadline`; negative when it has passed.
-std::chrono::milliseconds TimeLeft(TimePoint deadline);
-
 RequestFingerprint FingerprintOf(const HttpRequest& request,
                                  const std::string& host);
 
--- a/source/server/budget_ledger.cc
+++ b/source/server/budget_ledger.cc
@@ -6,6 +6,7 @@
 #include "clients/base64.h"
 #include "clients/budget_codec.h"
 #include "core/call_error.h"
+#include "core/time_point.h"
 
 namespace comfreyfold {
 
@@ -34,11 +35,6 @@
       std::chrono::system_clock::now().time_since_epoch());
 }
 
-milliseconds TimeLeft(steady_clock::time_point deadline) {
-  return std::chrono::duration_cast<milliseconds>(deadline -
-                                                  steady_clock::now());
-}
-
 // `contract` is null when it has been removed in the meantime.
 [[noreturn]] void ThrowBudgetSpent(const Contract* contract) {
   if (contract == nullptr) {
--- a/source/storage/disk_copier.cc
+++ b/source/storage/disk_copier.cc
@@ -4,6 +4,7 @@
 #include <chrono>
 #include <map>
 #include <memory>
+#include <tuple>
 #include <utility>
 
 #include "core/hash.h"
@@ -35,11 +36,12 @@
       disk_(std::move(disk)),
       tolerated_losses_(tolerated_losses) {}
 
-// If no member leaves, each turn stays on enough disks. Only token uses have to
+// If no member leaves, nor a disk that was joining, each turn stays on enough
+// disks. Only token uses have to
 // be copied then, because the replica sets of programs change.
 bool DiskCopier::Copy(Fiber& fiber, const StorageList& list) {
   return CopyUses(fiber, list) &&
-         (list.OnlyAddsMembers() || CopyTurns(fiber, list));
+         ((list.OnlyAddsMembers() && !list.recopies) || CopyTurns(fiber, list));
 }
 
 bool DiskCopier::CallWithList(Fiber& fiber,
@@ -129,6 +131,18 @@
   return true;
 }
 
+// The retention of a turn is extended on as many disks as a record needs, so
+// other copies of it may expire early. They do not count.
+void DiskCopier::DropShortLived(std::vector<TurnCopy>& copies) {
+  // No value compares as less than any.
+  const auto last = std::max_element(
+      copies.begin(), copies.end(),
+      [](const auto& a, const auto& b) { return a.expires_at < b.expires_at; });
+  std::erase_if(copies, [until = last->expires_at](const auto& it) {
+    return it.expires_at && it.expires_at < until;
+  });
+}
+
 bool DiskCopier::FindHolders(Fiber& fiber,
                              const StorageList& list,
                              Holders& holders) {
@@ -156,20 +170,35 @@
     return static_cast<std::size_t>(answered) >=
            list.AnswersToProveAbsence(tolerated_losses_);
   };
-  const auto replies = replicas_.Call(fiber, plan, request, enough);
+  // The disk that was dropped may have had one of the copies, and any other
+  // disk the last one.
+  const auto replies = replicas_.Call(
+      fiber, plan, request, [&enough, &list, &plan](const StorageReplies& it) {
+        return enough(it) &&
+               (!list.recopies || it.size() == plan.targets.size());
+      });
   for (std::size_t n = 0; n < all.size(); ++n) {
     const auto reply = replies.find(all[n].disk);
     if (all[n].disk == disk_) {
       for (const auto& id : node_.turns().Ids()) {
-        holders[id].push_back(n);
+        holders[id].push_back({n, node_.turns().Find(id)->expires_at});
       }
     } else if (reply != replies.end() &&
                reply->second.status == StorageStatus::kDone) {
-      for (const auto& id : reply->second.ids) {
-        holders[id].push_back(n);
+      const auto& [ids, expiries] =
+          std::tie(reply->second.ids, reply->second.expiries);
+      for (std::size_t i = 0; i < ids.size(); ++i) {
+        TurnCopy copy{n, {}};
+        if (i < expiries.size()) {
+          copy.expires_at = expiries[i];
+        }
+        holders[ids[i]].push_back(copy);
       }
     }
   }
+  for (auto& [id, copies] : holders) {
+    DropShortLived(copies);
+  }
   return enough(replies);
 }
 
@@ -192,7 +221,8 @@
       if (!list.IsNextMember(all[n].disk)) {
         continue;
       }
-      if (std::find(disks.begin(), disks.end(), n) != disks.end()) {
+      if (std::any_of(disks.begin(), disks.end(),
+                      [n](const auto& it) { return it.member == n; })) {
         ++held;
       } else {
         missing.push_back(all[n].disk);
@@ -204,7 +234,7 @@
     const auto order = RendezvousOrder(id, std::move(missing));
     for (std::size_t n = 0; held + n < copies && n < order.size(); ++n) {
       if (order[n] == disk_) {
-        turns_to_fetch[disks.front()].push_back(id);
+        turns_to_fetch[disks.front().member].push_back(id);
       }
     }
   }
--- a/source/storage/disk_copier.h
+++ b/source/storage/disk_copier.h
@@ -3,6 +3,7 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <optional>
 #include <set>
 #include <string>
 #include <unordered_map>
@@ -38,9 +39,15 @@
                   const StorageList& list,
                   const StorageMember& member);
   bool CopyTurns(Fiber& fiber, const StorageList& list);
-  // Maps the id of a turn to the disks that hold it, as indexes into
-  // `list.AllMembers()`.
-  using Holders = std::unordered_map<std::string, std::vector<std::size_t>>;
+  struct TurnCopy {
+    std::size_t member = 0;  // Index into `list.AllMembers()`.
+    // Unknown of members with an older build.
+    std::optional<std::chrono::milliseconds> expires_at;
+  };
+  // Maps the id of a turn to its copies.
+  using Holders = std::unordered_map<std::string, std::vector<TurnCopy>>;
+  // Drops the copies that expire earlier than others.
+  static void DropShortLived(std::vector<TurnCopy>& copies);
   bool FindHolders(Fiber& fiber, const StorageList& list, Holders& holders);
   // Sends `request` to `member`. A member that reports an older epoch is sent
   // `list` first.
--- a/source/storage/storage_client.cc
+++ b/source/storage/storage_client.cc
@@ -3,7 +3,6 @@
 #include <algorithm>
 #include <utility>
 
-#include "core/hash.h"
 #include "storage/replica_replies.h"
 
 namespace comfreyfold {
@@ -85,8 +84,7 @@
     const auto list = view_.storage_list();
     request.epoch = list.epoch;
     auto current_plan = plan(list);
-    current_plan.timeout = std::chrono::ceil<std::chrono::milliseconds>(
-        deadline - std::chrono::steady_clock::now());
+    current_plan.timeout = TimeLeft(deadline);
     auto replies = replicas_.Call(
         fiber, current_plan, request, [&](const StorageReplies& it) {
           return enough(list, it) || HasOtherEpoch(it);
@@ -103,80 +101,6 @@
   }
 }
 
-bool StorageClient::IsAbsent(const StorageList& list,
-                             const StorageReplies& replies) const {
-  const auto certain = [&](const std::vector<StorageMember>& members) {
-    return CountAbsentReplies(members, replies) >=
-           StorageList::AnswersToProveAbsence(members, tolerated_losses_);
-  };
-  return !list.members.empty() && certain(list.members) &&
-         (!list.changing() || certain(list.next));
-}
-
-LoadedChain StorageClient::LoadChain(Fiber& fiber,
-                                     const std::string& turn,
-                                     std::chrono::milliseconds timeout) {
-  const auto deadline = std::chrono::steady_clock::now() + timeout;
-  LoadedChain out;
-  std::vector<TurnRecord> chain;  // Newest turn first.
-  std::string next_turn = turn;
-  while (!next_turn.empty()) {
-    if (const auto* cached = cache_.Find(next_turn)) {
-      chain.push_back(*cached);
-      next_turn = cached->parent;
-      continue;
-    }
-    StorageRequest request;
-    request.operation = StorageOperation::kChain;
-    request.ids = {next_turn};
-    const auto replies = CallWithCurrentList(
-        fiber, request,
-        std::chrono::ceil<std::chrono::milliseconds>(
-            deadline - std::chrono::steady_clock::now()),
-        [this](const StorageList& list) {
-          ReplicaClient::Plan plan;
-          plan.targets = replicas_.SpreadOverDataCentres(list.AllMembers());
-          return plan;
-        },
-        [this](const StorageList& list, const StorageReplies& it) {
-          return IsAbsent(list, it) ||
-                 std::any_of(it.begin(), it.end(), [](const auto& reply) {
-                   return !reply.second.turns.empty();
-                 });
-        });
-    const auto found =
-        std::find_if(replies.begin(), replies.end(),
-                     [](const auto& it) { return !it.second.turns.empty(); });
-    if (found == replies.end()) {
-      // If only older turns of the chain are missing, the requested turn
-      // exists, so the chain does not count as absent.
-      if (chain.empty() && IsAbsent(view_.storage_list(), replies)) {
-        out.found = Tristate::kNo;
-      }
-      log_.Write("chain_missing", "",
-                 {{"turn", next_turn},
-                  {"answers", static_cast<int>(replies.size())},
-                  {"certain", out.found == Tristate::kNo ? 1 : 0}});
-      return out;
-    }
-    for (const auto& it : found->second.turns) {
-      cache_.Put(it);
-    }
-    if (cache_.Find(next_turn) == nullptr) {
-      return out;
-    }
-  }
-  for (auto it = chain.rbegin(); it != chain.rend(); ++it) {
-    out.bytes += it->input;
-    out.bytes += it->output;
-  }
-  for (const auto& it : chain) {
-    out.turns.push_back(it.id);
-  }
-  out.found = Tristate::kYes;
-  return out;
-}
-
 bool StorageClient::CallQuorum(Fiber& fiber,
                                const std::string& program,
                                const StorageRequest& request,
@@ -235,10 +159,7 @@
     StorageRequest read;
     read.operation = StorageOperation::kUses;
     read.program = use.program;
-    certain = CallQuorum(fiber, use.program, read,
-                         std::chrono::ceil<std::chrono::milliseconds>(
-                             deadline - std::chrono::steady_clock::now()),
-                         quorum);
+    certain = CallQuorum(fiber, use.program, read, TimeLeft(deadline), quorum);
   }
   const auto& ledger = quorum.ledger();
   if (certain) {
@@ -340,110 +261,4 @@
   }
 }
 
-// Orders the disks by a hash of the turn's id, which spreads turns over them.
-// The replicas of the program's budget come before the other disks, and
-// SortByPreference() then puts near disks that answer first.
-ReplicaClient::Plan StorageClient::PlanForTurn(const StorageList& list,
-                                               const TurnRecord& turn,
-                                               const TokenUse& use) const {
-  const auto replica_disks =
-      list.ReplicasOf(use.program, tolerated_losses_).back().disks;
-  auto members = list.Writable();
-  const auto seed = Hash64(turn.id);
-  std::sort(members.begin(), members.end(),
-            [seed](const auto& a, const auto& b) {
-              return Hash64(a.disk, seed) > Hash64(b.disk, seed);
-            });
-  std::stable_partition(
-      members.begin(), members.end(), [&replica_disks](const auto& it) {
-        return std::find(replica_disks.begin(), replica_disks.end(), it.disk) !=
-               replica_disks.end();
-      });
-  ReplicaClient::Plan plan;
-  plan.targets = replicas_.SortByPreference(std::move(members));
-  plan.initial_targets = static_cast<std::size_t>(tolerated_losses_) + 1;
-  return plan;
-}
-
-struct StorageClient::PendingSettlement {
-  explicit PendingSettlement(Loop& loop) : changed(loop) {}
-  Condition changed;
-  bool ended = false;
-  bool certain = false;
-};
-
-std::shared_ptr<StorageClient::PendingSettlement>
-StorageClient::BeginSettlement(const TokenUse& use,
-                               const ReplicaClient::Plan& plan,
-                               std::chrono::milliseconds timeout) {
-  StorageReplies expected;
-  for (std::size_t n = 0;
-       n < std::min(plan.initial_targets, plan.targets.size()); ++n) {
-    expected[plan.targets[n].disk] = {};
-  }
-  const auto sets =
-      view_.storage_list().ReplicasOf(use.program, tolerated_losses_);
-  if (use.request.empty() || HasQuorums(sets, expected)) {
-    return nullptr;
-  }
-  auto settlement = std::make_shared<PendingSettlement>(loop_);
-  loop_.Spawn([this, settlement, use, timeout](Fiber& child) {
-    StorageRequest request;
-    request.operation = StorageOperation::kStore;
-    request.uses = {use};
-    TokenQuorum ignored;
-    settlement->certain =
-        CallQuorum(child, use.program, request, timeout, ignored);
-    settlement->ended = true;
-    settlement->changed.NotifyAll();
-  });
-  return settlement;
-}
-
-// The caller may send the complete turn to the client once this returns. The
-// settled use is stored along with the turn: whatever daemon dies afterwards,
-// the tokens used stay known and the unused ones are free.
-StorageClient::StoreTurnResult StorageClient::StoreTurn(
-    Fiber& fiber,
-    const TurnRecord& turn,
-    const TokenUse& use,
-    const std::vector<std::string>& chain,
-    std::chrono::milliseconds timeout) {
-  StorageRequest request;
-  request.operation = StorageOperation::kStore;
-  request.turns = {turn};
-  if (!use.request.empty()) {
-    request.uses = {use};
-  }
-  request.ids = chain;
-  request.keep_until = turn.expires_at;
-  const auto copies = static_cast<std::size_t>(tolerated_losses_) + 1;
-  const auto settlement = BeginSettlement(
-      use, PlanForTurn(view_.storage_list(), turn, use), timeout);
-  const auto replies = CallWithCurrentList(
-      fiber, request, timeout,
-      [this, &turn, &use](const StorageList& list) {
-        return PlanForTurn(list, turn, use);
-      },
-      [copies](const StorageList& list, const StorageReplies& it) {
-        return !list.members.empty() && CountAllDone(it) >= copies;
-      });
-  StoreTurnResult out;
-  out.durable = CountAllDone(replies) >= copies;
-  if (settlement) {
-    settlement->changed.WaitUntil(fiber, timeout,
-                                  [&settlement] { return settlement->ended; });
-    out.settled = settlement->certain;
-  } else {
-    out.settled = HasQuorums(
-        view_.storage_list().ReplicasOf(use.program, tolerated_losses_),
-        replies);
-  }
-  if (out.durable) {
-    cache_.Put(turn);
-    cache_.Expire(std::chrono::milliseconds(0), cache_bytes_);
-  }
-  return out;
-}
-
 }  // namespace comfreyfold
--- a/source/storage/storage_client.h
+++ b/source/storage/storage_client.h
@@ -89,8 +89,9 @@
     // Whether a quorum of the program's replicas has stored the settlement.
     bool settled = false;
   };
-  // Stores `turn` on enough disks to survive the tolerated losses, extends the
-  // retention of the turns `chain` to that of `turn`, and settles `use`.
+  // Stores `turn` on enough disks to survive the tolerated losses, each of
+  // which then also has the turns `chain` (newest first) for as long as `turn`,
+  // and settles `use`.
   StoreTurnResult StoreTurn(Fiber& fiber,
                             const TurnRecord& turn,
                             const TokenUse& use,
@@ -134,9 +135,30 @@
                   const StorageRequest& request,
                   std::chrono::milliseconds timeout,
                   TokenQuorum& quorum);
+  // `root` is the id of the first turn of the chain.
   ReplicaClient::Plan PlanForTurn(const StorageList& list,
-                                  const TurnRecord& turn,
+                                  const std::string& root,
                                   const TokenUse& use) const;
+  // Loads `turn` and the turns before it, newest first. Returns no turn if one
+  // of them could not be loaded; `found` tells whether `turn` exists.
+  std::vector<TurnRecord> LoadTurns(Fiber& fiber,
+                                    const std::string& turn,
+                                    TimePoint deadline,
+                                    Tristate& found);
+  // Sends the earlier turns of the chain that ends with `turn` to those disks
+  // that, by their `replies`, have stored `turn` and lack them. Returns how
+  // many disks have the whole chain.
+  std::size_t CompleteChain(Fiber& fiber,
+                            const TurnRecord& turn,
+                            const StorageReplies& replies,
+                            TimePoint deadline);
+  // Sends `turns` to the disk, to be kept until `until`. Returns whether it has
+  // stored them.
+  bool SendTurns(Fiber& fiber,
+                 const StorageMember& member,
+                 const std::vector<const TurnRecord*>& turns,
+                 std::chrono::milliseconds until,
+                 TimePoint deadline);
   // Starts to store the settled `use` on the replicas of its program, in a
   // coroutine of its own. Returns null if the disks of `plan` include a quorum
   // of them, because the store of the turn carries the settlement then.
--- /dev/null
+++ b/source/storage/storage_client_turns.cc
@@ -0,0 +1,297 @@
+// The part of StorageClient that loads and stores turns.
+
+#include <algorithm>
+#include <map>
+#include <utility>
+
+#include "core/hash.h"
+#include "storage/replica_replies.h"
+#include "storage/storage_client.h"
+
+namespace comfreyfold {
+
+namespace {
+
+// Bytes of turns that are sent to a disk in one request.
+constexpr std::size_t kMaxRequestBytes = 256 * 1024;
+// Stores of a turn while the chain before it does not get to enough disks.
+constexpr int kMaxStoreTries = 2;
+
+}  // namespace
+
+bool StorageClient::IsAbsent(const StorageList& list,
+                             const StorageReplies& replies) const {
+  // A disk that was dropped from the change may have had the other copies.
+  const int losses = list.recopies ? 0 : tolerated_losses_;
+  const auto certain = [&](const std::vector<StorageMember>& members) {
+    return CountAbsentReplies(members, replies) >=
+           StorageList::AnswersToProveAbsence(members, losses);
+  };
+  return !list.members.empty() && certain(list.members) &&
+         (!list.changing() || certain(list.next));
+}
+
+std::vector<TurnRecord> StorageClient::LoadTurns(Fiber& fiber,
+                                                 const std::string& turn,
+                                                 TimePoint deadline,
+                                                 Tristate& found) {
+  std::vector<TurnRecord> chain;
+  std::string next_turn = turn;
+  while (!next_turn.empty()) {
+    if (const auto* cached = cache_.Find(next_turn)) {
+      chain.push_back(*cached);
+      next_turn = cached->parent;
+      continue;
+    }
+    StorageRequest request;
+    request.operation = StorageOperation::kChain;
+    request.ids = {next_turn};
+    const auto replies = CallWithCurrentList(
+        fiber, request, TimeLeft(deadline),
+        [this](const StorageList& list) {
+          ReplicaClient::Plan plan;
+          plan.targets = replicas_.SpreadOverDataCentres(list.AllMembers());
+          return plan;
+        },
+        [this](const StorageList& list, const StorageReplies& it) {
+          return IsAbsent(list, it) ||
+                 std::any_of(it.begin(), it.end(), [](const auto& reply) {
+                   return !reply.second.turns.empty();
+                 });
+        });
+    const auto reply =
+        std::find_if(replies.begin(), replies.end(),
+                     [](const auto& it) { return !it.second.turns.empty(); });
+    if (reply == replies.end()) {
+      // If only older turns of the chain are missing, the requested turn
+      // exists, so the chain does not count as absent.
+      if (chain.empty() && IsAbsent(view_.storage_list(), replies)) {
+        found = Tristate::kNo;
+      }
+      log_.Write("chain_missing", "",
+                 {{"turn", next_turn},
+                  {"answers", static_cast<int>(replies.size())},
+                  {"certain", found == Tristate::kNo ? 1 : 0}});
+      return {};
+    }
+    for (const auto& it : reply->second.turns) {
+      cache_.Put(it);
+    }
+    if (cache_.Find(next_turn) == nullptr) {
+      return {};
+    }
+  }
+  found = Tristate::kYes;
+  return chain;
+}
+
+LoadedChain StorageClient::LoadChain(Fiber& fiber,
+                                     const std::string& turn,
+                                     std::chrono::milliseconds timeout) {
+  LoadedChain out;
+  const auto chain = LoadTurns(
+      fiber, turn, std::chrono::steady_clock::now() + timeout, out.found);
+  for (auto it = chain.rbegin(); it != chain.rend(); ++it) {
+    out.bytes += it->input;
+    out.bytes += it->output;
+  }
+  for (const auto& it : chain) {
+    out.turns.push_back(it.id);
+  }
+  return out;
+}
+
+// Orders the disks by a hash of the chain's first turn, which spreads chains
+// over them and keeps the turns of a chain together. The replicas of the
+// program's budget come before the other disks, and SortByPreference() then
+// puts near disks that answer first.
+ReplicaClient::Plan StorageClient::PlanForTurn(const StorageList& list,
+                                               const std::string& root,
+                                               const TokenUse& use) const {
+  const auto replica_disks =
+      list.ReplicasOf(use.program, tolerated_losses_).back().disks;
+  auto members = list.Writable();
+  const auto seed = Hash64(root);
+  std::sort(members.begin(), members.end(),
+            [seed](const auto& a, const auto& b) {
+              return Hash64(a.disk, seed) > Hash64(b.disk, seed);
+            });
+  std::stable_partition(
+      members.begin(), members.end(), [&replica_disks](const auto& it) {
+        return std::find(replica_disks.begin(), replica_disks.end(), it.disk) !=
+               replica_disks.end();
+      });
+  ReplicaClient::Plan plan;
+  plan.targets = replicas_.SortByPreference(std::move(members));
+  plan.initial_targets = static_cast<std::size_t>(tolerated_losses_) + 1;
+  return plan;
+}
+
+struct StorageClient::PendingSettlement {
+  explicit PendingSettlement(Loop& loop) : changed(loop) {}
+  Condition changed;
+  bool ended = false;
+  bool certain = false;
+};
+
+std::shared_ptr<StorageClient::PendingSettlement>
+StorageClient::BeginSettlement(const TokenUse& use,
+                               const ReplicaClient::Plan& plan,
+                               std::chrono::milliseconds timeout) {
+  StorageReplies expected;
+  for (std::size_t n = 0;
+       n < std::min(plan.initial_targets, plan.targets.size()); ++n) {
+    expected[plan.targets[n].disk] = {};
+  }
+  const auto sets =
+      view_.storage_list().ReplicasOf(use.program, tolerated_losses_);
+  if (use.request.empty() || HasQuorums(sets, expected)) {
+    return nullptr;
+  }
+  auto settlement = std::make_shared<PendingSettlement>(loop_);
+  loop_.Spawn([this, settlement, use, timeout](Fiber& child) {
+    StorageRequest request;
+    request.operation = StorageOperation::kStore;
+    request.uses = {use};
+    TokenQuorum ignored;
+    settlement->certain =
+        CallQuorum(child, use.program, request, timeout, ignored);
+    settlement->ended = true;
+    settlement->changed.NotifyAll();
+  });
+  return settlement;
+}
+
+bool StorageClient::SendTurns(Fiber& fiber,
+                              const StorageMember& member,
+                              const std::vector<const TurnRecord*>& turns,
+                              std::chrono::milliseconds until,
+                              TimePoint deadline) {
+  StorageRequest request;
+  request.operation = StorageOperation::kStore;
+  request.epoch = view_.storage_list().epoch;
+  std::size_t bytes = 0;
+  for (std::size_t n = 0; n < turns.size(); ++n) {
+    request.turns.push_back(*turns[n]);
+    request.turns.back().expires_at = until;
+    bytes += turns[n]->bytes();
+    if (bytes < kMaxRequestBytes && n + 1 < turns.size()) {
+      continue;
+    }
+    StorageReply reply;
+    if (TimeLeft(deadline).count() <= 0 ||
+        !replicas_.CallOne(fiber, member, request, TimeLeft(deadline), reply) ||
+        reply.status != StorageStatus::kDone) {
+      return false;
+    }
+    request.turns.clear();
+    bytes = 0;
+  }
+  return true;
+}
+
+std::size_t StorageClient::CompleteChain(Fiber& fiber,
+                                         const TurnRecord& turn,
+                                         const StorageReplies& replies,
+                                         TimePoint deadline) {
+  std::size_t whole = 0;
+  std::map<std::string, std::vector<std::string>> lacking;  // Ids by disk.
+  for (const auto& [disk, reply] : replies) {
+    if (reply.status != StorageStatus::kDone) {
+      continue;
+    }
+    if (reply.ids.empty()) {
+      ++whole;
+    } else {
+      lacking[disk] = reply.ids;
+    }
+  }
+  const auto wanted = static_cast<std::size_t>(tolerated_losses_) + 1;
+  if (whole >= wanted || lacking.empty()) {
+    return whole;
+  }
+  auto found = Tristate::kUnknown;
+  const auto chain = LoadTurns(fiber, turn.parent, deadline, found);
+  for (const auto& [disk, ids] : lacking) {
+    const auto list = view_.storage_list();
+    const auto* member = list.Find(disk);
+    if (chain.empty() || member == nullptr) {
+      continue;
+    }
+    std::vector<const TurnRecord*> turns;
+    for (const auto& it : chain) {
+      if (std::find(ids.begin(), ids.end(), it.id) != ids.end()) {
+        turns.push_back(&it);
+      }
+    }
+    const bool sent =
+        turns.size() == ids.size() &&
+        SendTurns(fiber, *member, turns, turn.expires_at, deadline);
+    whole += sent ? 1 : 0;
+    log_.Write("chain_copied", turn.id,
+               {{"peer", member->vm},
+                {"turns", static_cast<int>(ids.size())},
+                {"outcome", sent ? "stored" : "failed"}});
+  }
+  return whole;
+}
+
+// The caller may send the complete turn to the client once this returns. The
+// settled use is stored along with the turn: whatever daemon dies afterwards,
+// the tokens used stay known and the unused ones are free.
+StorageClient::StoreTurnResult StorageClient::StoreTurn(
+    Fiber& fiber,
+    const TurnRecord& turn,
+    const TokenUse& use,
+    const std::vector<std::string>& chain,
+    std::chrono::milliseconds timeout) {
+  const auto deadline = std::chrono::steady_clock::now() + timeout;
+  const auto& root = chain.empty() ? turn.id : chain.back();
+  StorageRequest request;
+  request.operation = StorageOperation::kStore;
+  request.turns = {turn};
+  if (!use.request.empty()) {
+    request.uses = {use};
+  }
+  request.ids = chain;
+  request.keep_until = turn.expires_at;
+  const auto copies = static_cast<std::size_t>(tolerated_losses_) + 1;
+  const auto settlement = BeginSettlement(
+      use, PlanForTurn(view_.storage_list(), root, use), timeout);
+  StoreTurnResult out;
+  StorageReplies replies;
+  for (int n = 0; n < kMaxStoreTries && !out.durable; ++n) {
+    if (TimeLeft(deadline).count() <= 0) {
+      break;
+    }
+    replies = CallWithCurrentList(
+        fiber, request, TimeLeft(deadline),
+        [this, &root, &use](const StorageList& list) {
+          return PlanForTurn(list, root, use);
+        },
+        [copies](const StorageList& list, const StorageReplies& it) {
+          return !list.members.empty() && CountAllDone(it) >= copies;
+        });
+    if (CountAllDone(replies) < copies) {
+      break;
+    }
+    out.durable = CompleteChain(fiber, turn, replies, deadline) >= copies;
+  }
+  if (settlement) {
+    settlement->changed.WaitUntil(
+        fiber, std::max(TimeLeft(deadline), std::chrono::milliseconds(0)),
+        [&settlement] { return settlement->ended; });
+    out.settled = settlement->certain;
+  } else {
+    out.settled = HasQuorums(
+        view_.storage_list().ReplicasOf(use.program, tolerated_losses_),
+        replies);
+  }
+  if (out.durable) {
+    cache_.Put(turn);
+    cache_.Expire(std::chrono::milliseconds(0), cache_bytes_);
+  }
+  return out;
+}
+
+}  // namespace comfreyfold
--- a/source/storage/storage_membership_manager.cc
+++ b/source/storage/storage_membership_manager.cc
@@ -305,12 +305,7 @@
       alive.size() < static_cast<std::size_t>(tolerated_losses_) + 1) {
     return;
   }
-  StorageList out;
-  out.version = list.version + 1;
-  out.epoch = list.epoch + 1;
-  out.members = list.members;
-  out.next = alive;
-  Propose(fiber, out, "change without unreachable disks");
+  Propose(fiber, list.RestartedWith(alive), "change without unreachable disks");
 }
 
 void StorageMembershipManager::Synchronize(Fiber& fiber) {
--- a/source/storage/storage_node.cc
+++ b/source/storage/storage_node.cc
@@ -248,6 +248,7 @@
     // this one.
     reply.uses = tokens_.ForProgram(request.program);
   }
+  reply.ids = turns_.Missing(request.ids);
   if (!AwaitWrite(fiber, write)) {
     log_.Write("store_failed", "",
                {{"reason", "write to disk failed or took too long"}});
@@ -308,6 +309,9 @@
 StorageReply StorageNode::AnswerDigest() const {
   StorageReply reply;
   reply.ids = turns_.Ids();
+  for (const auto& id : reply.ids) {
+    reply.expiries.push_back(turns_.Find(id)->expires_at);
+  }
   return reply;
 }
 
--- a/source/wire/storage_codec.cc
+++ b/source/wire/storage_codec.cc
@@ -83,6 +83,7 @@
   out.incoming = ConvertAll<wire::StorageMember, StorageMember>(
       list.next, comfreyfold::ToWire);
   out.synced = list.synced;
+  out.recopies = list.recopies;
   return out;
 }
 
@@ -95,6 +96,7 @@
   out.next = ConvertAll<StorageMember, wire::StorageMember>(
       list.incoming, comfreyfold::FromWire);
   out.synced = list.synced;
+  out.recopies = list.recopies;
   return out;
 }
 
@@ -138,6 +140,9 @@
   out.turns = ConvertAll<wire::TurnRecord, TurnRecord>(reply.turns, ToWire);
   out.uses = ConvertAll<wire::TokenUse, TokenUse>(reply.uses, ToWire);
   out.ids = reply.ids;
+  for (const auto& it : reply.expiries) {
+    out.expiries_ms.push_back(it.count());
+  }
   if (reply.members) {
     out.__set_members(detail::ToWire(*reply.members));
   }
@@ -152,6 +157,9 @@
   out.turns = ConvertAll<TurnRecord, wire::TurnRecord>(in.turns, FromWire);
   out.uses = ConvertAll<TokenUse, wire::TokenUse>(in.uses, FromWire);
   out.ids = in.ids;
+  for (const auto it : in.expiries_ms) {
+    out.expiries.emplace_back(it);
+  }
   if (in.__isset.members) {
     out.members = detail::FromWire(in.members);
   }
--- a/source/wire/storage_messages.h
+++ b/source/wire/storage_messages.h
@@ -15,11 +15,12 @@
 
 enum class StorageOperation {
   // Store `turns` and `uses`, and extend the expiry of the turns `ids` to
-  // `keep_until`. The reply is sent once all of it is on disk.
+  // `keep_until`. The reply is sent once all of it is on disk; its `ids` are
+  // the turns among `ids` that the disk lacks.
   kStore = 0,
   kChain = 1,   // Return turn ids[0] and its ancestors that are stored here.
   kUses = 2,    // Return the token uses of `program`.
-  kDigest = 3,  // Return the ids of all turns that are stored here.
+  kDigest = 3,  // Return the ids and expiries of all turns stored here.
   kFetch = 4,   // Return the turns `ids`.
   // Return the token uses that disk ids[0] has to copy, one page per request,
   // beginning with the programs after `program`. While there are more pages,
@@ -60,6 +61,9 @@
   std::vector<TurnRecord> turns;
   std::vector<TokenUse> uses;
   std::vector<std::string> ids;
+  // Since the Unix epoch, for each of `ids`; empty from daemons of an older
+  // build.
+  std::vector<std::chrono::milliseconds> expiries;
   std::optional<StorageList> members;
 };
 
