Bound the memory of request bodies, chains and log entries together

The users saw processes end by themselves and accepted requests end without an answer on real machines. Reproduced on real processes: 36 clients with turns of 4 MB ended the daemons that serve clients 15 times in 14 s, and 36 chains of 70 turns of 31 KB 75 times in 80 s; all requests in flight went with them.

Cause: only single bodies were limited, and each was copied up to eight times on its way. The cache of turns was not trimmed after a load, and the backlog of a stalled disk was limited in entries, not bytes.

Bodies of clients and daemons, and answers, now have a budget each. What does not fit is refused with 503, not run, once a short wait has not helped. Bodies are moved or referred to instead of copied.

--- a/source/core/memory_budget.cc
+++ b/source/core/memory_budget.cc
@@ -11,7 +11,7 @@
 }
 
 bool MemoryReservation::Grow(std::size_t bytes) {
-  if (!budget_.TryTake(bytes)) {
+  if (!budget_->TryTake(bytes)) {
     return false;
   }
   bytes_ += bytes;
--- a/source/core/memory_budget.h
+++ b/source/core/memory_budget.h
@@ -2,6 +2,8 @@
 #define CORE_MEMORY_BUDGET_H_
 
 #include <cstddef>
+#include <memory>
+#include <utility>
 
 namespace comfreyfold {
 
@@ -22,11 +24,13 @@
   std::size_t used_ = 0;
 };
 
-// What one request has taken of a budget; given back by the destructor.
+// What one request has taken of a budget; given back by the destructor, which
+// may run after the owner of the budget is gone.
 class MemoryReservation {
  public:
-  explicit MemoryReservation(MemoryBudget& budget) : budget_(budget) {}
-  ~MemoryReservation() { budget_.GiveBack(bytes_); }
+  explicit MemoryReservation(std::shared_ptr<MemoryBudget> budget)
+      : budget_(std::move(budget)) {}
+  ~MemoryReservation() { budget_->GiveBack(bytes_); }
   MemoryReservation(const MemoryReservation&) = delete;
   MemoryReservation& operator=(const MemoryReservation&) = delete;
 
@@ -35,7 +39,7 @@
   bool Grow(std::size_t bytes);
 
  private:
-  MemoryBudget& budget_;
+  std::shared_ptr<MemoryBudget> budget_;
   std::size_t bytes_ = 0;
 };
 
--- a/source/front/call.h
+++ b/source/front/call.h
@@ -7,6 +7,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "core/call_error.h"
@@ -26,13 +27,18 @@
 struct Call {
   Call(const HttpRequest& client_request,
        HttpExchange& client_exchange,
-       MemoryBudget& budget)
-      : request(client_request), client(client_exchange), memory(budget) {}
+       std::shared_ptr<MemoryBudget> bodies,
+       std::shared_ptr<MemoryBudget> answers)
+      : request(client_request),
+        client(client_exchange),
+        body_memory(std::move(bodies)),
+        answer_memory(std::move(answers)) {}
 
   const HttpRequest& request;
   HttpExchange& client;
-  MemoryReservation memory;  // For what this daemon holds for the call.
-  ClientCall params;         // Decoded from the headers.
+  MemoryReservation body_memory;    // For `body`.
+  MemoryReservation answer_memory;  // For the answer, until it is passed on.
+  ClientCall params;                // Decoded from the headers.
   std::shared_ptr<const RoutingConfig> config;  // Keeps `route` alive.
   const Route* route = nullptr;
   std::string service;
--- a/source/front/call_dispatcher.cc
+++ b/source/front/call_dispatcher.cc
@@ -134,7 +134,6 @@
   server_params.server_id = slot.server_id;
   server_params.time_left =
       std::max(std::chrono::milliseconds(1), TimeLeft(call.deadline));
-  server_params.body = call.body;
   if (call.progress.head_sent) {
     server_params.last_event_id = call.progress.last_event_id;
   }
@@ -152,10 +151,12 @@
     }
   });
   server_call.OnLeaving([this, &slot] { admission_.ObserveLeaving(slot); });
-  auto result = server_call.Run(
-      fiber, {*call.route, call.params.request_id, request, slot, call.arrived,
-              call.deadline, call.max_events,
-              call.tried_server_ids.count(slot.server_id) > 0, call.memory});
+  auto result =
+      server_call.Run(fiber, {*call.route, call.params.request_id, request,
+                              call.body ? *call.body : call.request.body, slot,
+                              call.arrived, call.deadline, call.max_events,
+                              call.tried_server_ids.count(slot.server_id) > 0,
+                              call.answer_memory});
   admission_.Release(call.service, slot, result.exchange, result.metadata.load,
                      std::chrono::duration_cast<std::chrono::milliseconds>(
                          std::chrono::steady_clock::now() - start));
--- a/source/front/call_handler.cc
+++ b/source/front/call_handler.cc
@@ -25,6 +25,8 @@
 constexpr std::chrono::milliseconds kRetentionMargin{30000};
 constexpr std::chrono::milliseconds kNoConfigRetryAfter{200};
 constexpr std::chrono::milliseconds kStorageRetryAfter{150};
+// About the duration of a turn, which frees its memory.
+constexpr std::chrono::milliseconds kNoMemoryRetryAfter{250};
 // About the duration of a turn.
 constexpr std::chrono::milliseconds kBudgetHeldRetryAfter{250};
 constexpr std::chrono::milliseconds kMinStoreTurnTimeout{50};
@@ -61,14 +63,16 @@
                          StorageClient& storage,
                          DecisionLog& log,
                          Metrics& metrics,
-                         MemoryBudget& memory,
+                         std::shared_ptr<MemoryBudget> bodies,
+                         std::shared_ptr<MemoryBudget> answers,
                          RequestCodec codec)
     : view_(view),
       crash_guard_(crash_guard),
       storage_(storage),
       log_(log),
       metrics_(metrics),
-      memory_(memory),
+      bodies_(std::move(bodies)),
+      answers_(std::move(answers)),
       codec_(std::move(codec)),
       dispatcher_(http, admission, log, codec_, slack_, crash_guard),
       random_(std::random_device{}()) {}
@@ -76,7 +80,7 @@
 void CallHandler::Handle(Fiber& fiber,
                          const HttpRequest& request,
                          HttpExchange& client) {
-  Call call(request, client, memory_);
+  Call call(request, client, bodies_, answers_);
   auto error = Prepare(fiber, call);
   if (!error) {
     auto outcome = dispatcher_.Dispatch(fiber, call);
@@ -161,7 +165,15 @@
                        "the previous turn cannot be read now; retry",
                        kStorageRetryAfter);
   }
-  call.body = chain.bytes + call.request.body;
+  const auto bytes = chain.bytes.size() + call.request.body.size();
+  if (!call.body_memory.Grow(bytes)) {
+    return NotRunError(kUnavailable, "no_memory",
+                       "this daemon has no memory for the earlier turns now; "
+                       "retry, or use another daemon",
+                       kNoMemoryRetryAfter);
+  }
+  chain.bytes += call.request.body;
+  call.body = std::move(chain.bytes);
   call.chain_turn_ids = std::move(chain.turns);
   return std::nullopt;
 }
@@ -238,6 +250,7 @@
 }
 
 bool CallHandler::PersistTurn(Fiber& fiber, Call& call) {
+  call.body.reset();
   TurnRecord turn;
   turn.id = call.params.request_id;
   turn.parent = call.params.previous_turn;
@@ -245,8 +258,8 @@
   turn.output = std::move(call.progress.output);
   turn.expires_at = WallNow() + call.route->retention + kRetentionMargin;
   const auto stored = storage_.StoreTurn(
-      fiber, turn, call.reserved_tokens ? SettledUse(call) : TokenUse{},
-      call.chain_turn_ids,
+      fiber, std::move(turn),
+      call.reserved_tokens ? SettledUse(call) : TokenUse{}, call.chain_turn_ids,
       std::clamp(TimeLeft(call.deadline), kMinStoreTurnTimeout,
                  kStoreTurnTimeout));
   if (stored.settled) {
--- a/source/front/call_handler.h
+++ b/source/front/call_handler.h
@@ -37,7 +37,8 @@
               StorageClient& storage,
               DecisionLog& log,
               Metrics& metrics,
-              MemoryBudget& memory,
+              std::shared_ptr<MemoryBudget> bodies,
+              std::shared_ptr<MemoryBudget> answers,
               RequestCodec codec);
 
   void Handle(Fiber& fiber, const HttpRequest& request, HttpExchange& client);
@@ -65,7 +66,10 @@
   StorageClient& storage_;
   DecisionLog& log_;
   Metrics& metrics_;
-  MemoryBudget& memory_;
+  // Answers have a budget of their own: new requests must not make those fail
+  // that servers have run.
+  std::shared_ptr<MemoryBudget> bodies_;
+  std::shared_ptr<MemoryBudget> answers_;
   RequestCodec codec_;
   ProgramSlack slack_;
   CallDispatcher dispatcher_;
--- a/source/front/request_codec.h
+++ b/source/front/request_codec.h
@@ -18,7 +18,6 @@
   std::string server_id;  // A server with another id refuses the request.
   std::chrono::milliseconds time_left{0};
   std::optional<std::string> last_event_id;  // Resume a stream after it.
-  std::optional<std::string> body;           // Replaces the body of the client.
 };
 
 // Translates between the HTTP messages of a deployment's clients and backend
--- a/source/front/server_call.cc
+++ b/source/front/server_call.cc
@@ -144,6 +144,7 @@
       std::min(kConnectTimeout, TimeoutUntil(input.deadline));
   options.idle_timeout = TimeoutUntil(input.deadline);
   options.fresh_connection = input.repeated;
+  options.body = &input.body;
   options.max_body_bytes = input.route.kind == RequestKind::kStream
                                ? kMaxStreamBytes
                                : kMaxAnswerBytes;
--- a/source/front/server_call.h
+++ b/source/front/server_call.h
@@ -51,7 +51,8 @@
   struct Input {
     const Route& route;
     const std::string& request_id;
-    const HttpRequest& request;  // As sent to the server.
+    const HttpRequest& request;  // As sent to the server, without the body.
+    const std::string& body;
     const AcquiredSlot& slot;
     TimePoint arrived;
     TimePoint deadline;
--- a/source/net/http_client.cc
+++ b/source/net/http_client.cc
@@ -8,6 +8,7 @@
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
+#include <boost/beast/http/span_body.hpp>
 
 #include "net/endpoint.h"
 #include "net/exchange_watchdog.h"
@@ -68,9 +69,13 @@
   return std::chrono::steady_clock::now() + timeout - kMargin;
 }
 
-http::request<http::string_body> ToBeast(const std::string& address,
-                                         const HttpRequest& request) {
-  http::request<http::string_body> out;
+// Refers to the body of the request instead of copying it.
+using Message = http::request<http::span_body<const char>>;
+
+Message ToBeast(const std::string& address,
+                const HttpRequest& request,
+                const std::string& body) {
+  Message out;
   out.version(11);
   out.method_string(request.method);
   out.target(request.target);
@@ -82,7 +87,7 @@
       out.insert(it.name, it.value);
     }
   }
-  out.body() = request.body;
+  out.body() = {body.data(), body.size()};
   out.prepare_payload();
   return out;
 }
@@ -154,10 +159,10 @@
   std::function<void(const HttpRequest&, std::size_t)> on_sent;
   std::int64_t connections_opened = 0;
 
-  http::request<http::string_body> BuildMessage(
-      const std::string& address,
-      const HttpRequest& request) const {
-    auto out = ToBeast(address, request);
+  Message BuildMessage(const std::string& address,
+                       const HttpRequest& request,
+                       const std::string& body) const {
+    auto out = ToBeast(address, request, body);
     for (const auto& [prefix, header] : added_headers) {
       if (request.target.rfind(prefix, 0) == 0) {
         out.set(header.name, header.value);
@@ -444,7 +449,8 @@
 
   ExchangeWatchdog watchdog(impl_->loop.impl().io, stream, options.cancelled,
                             options.total_timeout);
-  auto message = impl_->BuildMessage(address, request);
+  const auto message = impl_->BuildMessage(
+      address, request, options.body != nullptr ? *options.body : request.body);
   if (options.on_sending) {
     options.on_sending();
   }
--- a/source/net/http_client.h
+++ b/source/net/http_client.h
@@ -42,6 +42,9 @@
   std::chrono::milliseconds total_timeout{0};
   // Largest body of a reply.
   std::uint64_t max_body_bytes = 256ULL * 1024 * 1024;
+  // Sent in place of the request's own body, without a copy; must outlive the
+  // exchange.
+  const std::string* body = nullptr;
   // Called before `n` more bytes of a body are added to HttpReply::body.
   // Returning false ends the exchange with HttpFailure.
   std::function<bool(std::size_t n)> on_collect;
--- a/source/net/http_server.cc
+++ b/source/net/http_server.cc
@@ -35,6 +35,12 @@
 // Limit on the data of a refused request that is read and discarded before its
 // connection is closed.
 constexpr std::size_t kMaxDiscardedBytes = 256 * 1024;
+// How long a request waits for memory for its body, and how soon another try
+// may find some: about the duration of a request.
+constexpr std::chrono::milliseconds kMaxMemoryWait{300};
+constexpr std::chrono::milliseconds kMemoryRetryAfter{300};
+// A reading buffer that has grown beyond this is released after the request.
+constexpr std::size_t kMaxKeptBufferBytes = 4096;
 
 // Cancels the reading of a request that arrives too slowly. The stream's own
 // timeout would close the socket, so the request could not be answered.
@@ -68,7 +74,7 @@
   return {status, code, message, Verdict::kNotRun, retry_after};
 }
 
-HttpRequest FromBeast(const http::request<http::string_body>& message) {
+HttpRequest FromBeast(http::request<http::string_body> message) {
   HttpRequest out;
   out.method = std::string(message.method_string());
   out.target = std::string(message.target());
@@ -76,7 +82,7 @@
     out.headers.push_back(
         {std::string(it.name_string()), std::string(it.value())});
   }
-  out.body = message.body();
+  out.body = std::move(message.body());
   return out;
 }
 
@@ -99,6 +105,9 @@
   bool closing = false;
   bool draining = false;
   std::function<void(const HttpRequest&, std::size_t)> on_answered;
+  std::shared_ptr<MemoryBudget> body_memory = std::make_shared<MemoryBudget>(0);
+  std::size_t exempt_bytes = 0;
+  Condition memory_freed{loop};
 
   void Accept(Fiber& fiber) {
     while (!draining) {
@@ -201,7 +210,8 @@
   // the request was bad; a bad request has then been answered.
   bool ReadRequest(Fiber& fiber,
                    const std::shared_ptr<Session>& shared,
-                   Parser& parser) {
+                   Parser& parser,
+                   MemoryReservation& memory) {
     auto& session = *shared;
     parser.body_limit(limits.body_bytes);
     parser.header_limit(limits.header_bytes);
@@ -218,14 +228,22 @@
                 !HandleExpectation(fiber, session, parser))) {
       return false;
     }
+    bool has_memory = true;
     if (!ec) {
-      http::async_read(session.stream, session.buf, parser,
-                       YieldToken(fiber)[ec]);
+      has_memory = ReadBody(fiber, session, parser, memory, ec);
     }
-    if (!ec) {
+    if (!ec && has_memory) {
       return true;
     }
-    if (deadline.expired()) {
+    if (!has_memory) {
+      Refuse(
+          fiber, session,
+          MakeRefusal(503, "no_memory",
+                      "this daemon has no memory for the body now; retry, or "
+                      "use another daemon",
+                      kMemoryRetryAfter),
+          limits.body_bytes);
+    } else if (deadline.expired()) {
       Refuse(
           fiber, session,
           MakeRefusal(408, "request_timeout",
@@ -237,6 +255,37 @@
     return false;
   }
 
+  // Reads the body, whose memory is taken at once if its length is known, else
+  // as it grows. Returns false if there is not enough memory.
+  bool ReadBody(Fiber& fiber,
+                Session& session,
+                Parser& parser,
+                MemoryReservation& memory,
+                boost::system::error_code& ec) {
+    std::size_t taken = exempt_bytes;
+    const auto take_up_to = [&](std::size_t bytes) {
+      if (bytes <= taken) {
+        return true;
+      }
+      const bool taken_now = memory_freed.WaitUntil(
+          fiber, kMaxMemoryWait, [&] { return memory.Grow(bytes - taken); });
+      taken = bytes;
+      return taken_now;
+    };
+    const auto length = parser.content_length_remaining();
+    if (length && !take_up_to(static_cast<std::size_t>(*length))) {
+      return false;
+    }
+    while (!ec && !parser.is_done()) {
+      http::async_read_some(session.stream, session.buf, parser,
+                            YieldToken(fiber)[ec]);
+      if (!ec && !take_up_to(parser.get().body().size())) {
+        return false;
+      }
+    }
+    return true;
+  }
+
   // Refuses transfer codings other than plain "chunked": the end of such a body
   // is unknown, and its bytes could be taken for another request (request
   // smuggling). Returns false if the request was refused.
@@ -309,14 +358,17 @@
   // Answers a request that was not read completely, then reads and drops the
   // rest of it: closing a socket with unread data resets the connection, and
   // the client could lose the answer.
-  static void Refuse(Fiber& fiber, Session& session, const CallError& error) {
+  static void Refuse(Fiber& fiber,
+                     Session& session,
+                     const CallError& error,
+                     std::size_t max_discarded = kMaxDiscardedBytes) {
     ServerExchange exchange(fiber, session, [] { return false; });
     ReplyError(exchange, error);
     boost::system::error_code ec;
     session.stream.socket().shutdown(tcp::socket::shutdown_send, ec);
     session.stream.expires_after(kDiscardTimeout);
     std::size_t discarded = 0;
-    while (!ec && discarded < kMaxDiscardedBytes) {
+    while (!ec && discarded < max_discarded) {
       session.buf.clear();
       discarded += session.stream.async_read_some(
           session.buf.prepare(kReadBytes), YieldToken(fiber)[ec]);
@@ -327,21 +379,28 @@
     auto& session = *shared;
     for (bool kept_alive = true; kept_alive;) {
       Parser parser;
-      if (!ReadRequest(fiber, shared, parser)) {
+      MemoryReservation memory(body_memory);
+      if (!ReadRequest(fiber, shared, parser, memory)) {
         break;
       }
+      if (session.buf.size() == 0 &&
+          session.buf.capacity() > kMaxKeptBufferBytes) {
+        session.buf.shrink_to_fit();
+      }
+      const bool keep_alive = parser.get().keep_alive();
       // During a planned stop the current request is still answered, but the
       // connection accepts no further one.
-      ServerExchange exchange(fiber, session, [this, &parser] {
-        return parser.get().keep_alive() && !draining && !closing;
+      ServerExchange exchange(fiber, session, [this, keep_alive] {
+        return keep_alive && !draining && !closing;
       });
       session.stream.expires_never();
       session.reading = false;
       session.busy = true;
       session.had_request = true;
       ++in_flight;
-      HandleRequest(fiber, FromBeast(parser.get()), exchange);
+      HandleRequest(fiber, FromBeast(parser.release()), exchange);
       --in_flight;
+      memory_freed.NotifyAll();
       session.busy = false;
       kept_alive = exchange.kept_alive() && !exchange.broken();
     }
@@ -408,6 +467,12 @@
   impl_->limits = limits;
 }
 
+void HttpServer::LimitBodyMemory(std::shared_ptr<MemoryBudget> budget,
+                                 std::size_t exempt_bytes) {
+  impl_->body_memory = std::move(budget);
+  impl_->exempt_bytes = exempt_bytes;
+}
+
 void HttpServer::CloseAfterReplies() {
   impl_->closing = true;
 }
--- a/source/net/http_server.h
+++ b/source/net/http_server.h
@@ -10,6 +10,7 @@
 #include <string_view>
 #include <vector>
 
+#include "core/memory_budget.h"
 #include "net/http.h"
 #include "net/loop.h"
 
@@ -74,6 +75,12 @@
   // Sets the limits for requests that begin to arrive after this call.
   void SetLimits(const HttpLimits& limits);
 
+  // Takes the bodies of requests from `budget` until the requests have been
+  // handled. A request whose body does not fit is answered with 503 if it still
+  // does not after a short wait. Bodies of at most `exempt_bytes` always fit.
+  void LimitBodyMemory(std::shared_ptr<MemoryBudget> budget,
+                       std::size_t exempt_bytes);
+
   // Closes each connection after its next reply, so that clients switch to
   // another daemon. New connections are still accepted.
   void CloseAfterReplies();
--- a/source/net/server_exchange.cc
+++ b/source/net/server_exchange.cc
@@ -2,6 +2,7 @@
 
 #include <boost/asio/write.hpp>
 #include <boost/beast/http.hpp>
+#include <boost/beast/http/span_body.hpp>
 
 #include "net/yield_token.h"
 
@@ -31,9 +32,9 @@
                            const std::string& content_type,
                            const std::string& body,
                            const std::vector<HttpHeader>& headers) {
-  http::response<http::string_body> message;
+  http::response<http::span_body<const char>> message;
   SetHeader(message, status, content_type, headers);
-  message.body() = body;
+  message.body() = {body.data(), body.size()};
   message.prepare_payload();
   begun_ = true;
   boost::system::error_code ec;
--- a/source/storage/disk_log.cc
+++ b/source/storage/disk_log.cc
@@ -236,6 +236,9 @@
     }
     loop.Post([self = shared_from_this(), synced, batch = std::move(batch)] {
       self->pending -= batch.size();
+      for (const auto& it : batch) {
+        self->pending_bytes -= it.bytes.size();
+      }
       if (!synced) {
         // Entries after a failed write in the same segment could not be read.
         self->OpenNextSegment();
@@ -277,6 +280,7 @@
   std::int64_t open_segment = 1;
   std::int64_t open_segment_bytes = 0;
   std::size_t pending = 0;  // Entries not synced yet.
+  std::size_t pending_bytes = 0;
 
   // Used by the writer thread only.
   std::int64_t damaged_segment = 0;  // 0: none.
@@ -327,6 +331,7 @@
   impl_->open_segment_bytes += static_cast<std::int64_t>(bytes.size());
   const auto segment = impl_->open_segment;
   ++impl_->pending;
+  impl_->pending_bytes += bytes.size();
   {
     const std::lock_guard lock(impl_->mutex);
     impl_->queue.push_back({std::move(bytes), segment, std::move(done)});
@@ -364,4 +369,8 @@
   return impl_->pending;
 }
 
+std::size_t DiskLog::backlog_bytes() const {
+  return impl_->pending_bytes;
+}
+
 }  // namespace comfreyfold
--- a/source/storage/disk_log.h
+++ b/source/storage/disk_log.h
@@ -44,6 +44,7 @@
   std::int64_t current_segment() const;
   // Number of entries whose write or sync has not finished.
   std::size_t backlog() const;
+  std::size_t backlog_bytes() const;
 
  private:
   struct Impl;
--- a/source/storage/replica_client.cc
+++ b/source/storage/replica_client.cc
@@ -156,7 +156,8 @@
   options.total_timeout = timeout;
   // After a failure the pooled connection may be dead although a new one works.
   options.fresh_connection = last_failures_.count(address) > 0;
-  HttpRequest request{"POST", kStoragePath + disk, {}, body};
+  options.body = &body;
+  HttpRequest request{"POST", kStoragePath + disk, {}, ""};
   if (relayed) {
     request.headers.push_back({kRelayHeader, "1"});
   }
--- a/source/storage/storage_client.cc
+++ b/source/storage/storage_client.cc
@@ -74,7 +74,7 @@
 
 StorageReplies StorageClient::CallWithCurrentList(
     Fiber& fiber,
-    StorageRequest request,
+    StorageRequest& request,
     std::chrono::milliseconds timeout,
     const std::function<ReplicaClient::Plan(const StorageList&)>& plan,
     const std::function<bool(const StorageList&, const StorageReplies&)>&
@@ -84,7 +84,9 @@
     const auto list = view_.storage_list();
     request.epoch = list.epoch;
     auto current_plan = plan(list);
-    current_plan.timeout = TimeLeft(deadline);
+    // The HTTP client takes 0 for no limit.
+    current_plan.timeout =
+        std::max(TimeLeft(deadline), std::chrono::milliseconds(1));
     auto replies = replicas_.Call(
         fiber, current_plan, request, [&](const StorageReplies& it) {
           return enough(list, it) || HasOtherEpoch(it);
@@ -103,7 +105,7 @@
 
 bool StorageClient::CallQuorum(Fiber& fiber,
                                const std::string& program,
-                               const StorageRequest& request,
+                               StorageRequest& request,
                                std::chrono::milliseconds timeout,
                                TokenQuorum& quorum) {
   bool complete = false;
--- a/source/storage/storage_client.h
+++ b/source/storage/storage_client.h
@@ -93,7 +93,7 @@
   // which then also has the turns `chain` (newest first) for as long as `turn`,
   // and settles `use`.
   StoreTurnResult StoreTurn(Fiber& fiber,
-                            const TurnRecord& turn,
+                            TurnRecord turn,
                             const TokenUse& use,
                             const std::vector<std::string>& chain,
                             std::chrono::milliseconds timeout);
@@ -112,12 +112,12 @@
  private:
   using Enough = std::function<bool(const StorageReplies&)>;
 
-  // Sends `request` according to the current list of storage members. If a
-  // replica has a list of another epoch, brings the older side up to date and
-  // sends the request again.
+  // Sends `request` according to the current list of storage members, whose
+  // epoch it gets. If a replica has a list of another epoch, brings the older
+  // side up to date and sends the request again.
   StorageReplies CallWithCurrentList(
       Fiber& fiber,
-      StorageRequest request,
+      StorageRequest& request,
       std::chrono::milliseconds timeout,
       const std::function<ReplicaClient::Plan(const StorageList&)>& plan,
       const std::function<bool(const StorageList&, const StorageReplies&)>&
@@ -132,7 +132,7 @@
   // answered.
   bool CallQuorum(Fiber& fiber,
                   const std::string& program,
-                  const StorageRequest& request,
+                  StorageRequest& request,
                   std::chrono::milliseconds timeout,
                   TokenQuorum& quorum);
   // `root` is the id of the first turn of the chain.
--- a/source/storage/storage_client_turns.cc
+++ b/source/storage/storage_client_turns.cc
@@ -82,6 +82,7 @@
     }
   }
   found = Tristate::kYes;
+  cache_.Expire(std::chrono::milliseconds(0), cache_bytes_);
   return chain;
 }
 
@@ -179,8 +180,9 @@
       continue;
     }
     StorageReply reply;
-    if (TimeLeft(deadline).count() <= 0 ||
-        !replicas_.CallOne(fiber, member, request, TimeLeft(deadline), reply) ||
+    const auto left = TimeLeft(deadline);
+    if (left.count() <= 0 ||
+        !replicas_.CallOne(fiber, member, request, left, reply) ||
         reply.status != StorageStatus::kDone) {
       return false;
     }
@@ -241,20 +243,21 @@
 // the tokens used stay known and the unused ones are free.
 StorageClient::StoreTurnResult StorageClient::StoreTurn(
     Fiber& fiber,
-    const TurnRecord& turn,
+    TurnRecord turn,
     const TokenUse& use,
     const std::vector<std::string>& chain,
     std::chrono::milliseconds timeout) {
   const auto deadline = std::chrono::steady_clock::now() + timeout;
-  const auto& root = chain.empty() ? turn.id : chain.back();
+  const auto root = chain.empty() ? turn.id : chain.back();
   StorageRequest request;
   request.operation = StorageOperation::kStore;
-  request.turns = {turn};
+  request.keep_until = turn.expires_at;
+  request.turns.push_back(std::move(turn));
+  const auto& stored = request.turns.front();
   if (!use.request.empty()) {
     request.uses = {use};
   }
   request.ids = chain;
-  request.keep_until = turn.expires_at;
   const auto copies = static_cast<std::size_t>(tolerated_losses_) + 1;
   const auto settlement = BeginSettlement(
       use, PlanForTurn(view_.storage_list(), root, use), timeout);
@@ -275,7 +278,7 @@
     if (CountAllDone(replies) < copies) {
       break;
     }
-    out.durable = CompleteChain(fiber, turn, replies, deadline) >= copies;
+    out.durable = CompleteChain(fiber, stored, replies, deadline) >= copies;
   }
   if (settlement) {
     settlement->changed.WaitUntil(
@@ -288,7 +291,7 @@
         replies);
   }
   if (out.durable) {
-    cache_.Put(turn);
+    cache_.Put(std::move(request.turns.front()));
     cache_.Expire(std::chrono::milliseconds(0), cache_bytes_);
   }
   return out;
--- a/source/storage/storage_node.cc
+++ b/source/storage/storage_node.cc
@@ -24,8 +24,10 @@
 // Turns may use 1/kDiskDivisor of the disk. The rest is needed because segments
 // are removed late.
 constexpr int kDiskDivisor = 3;
-// Log entries that may wait for a stalled disk.
+// Log entries that may wait for a stalled disk. Their bytes may use
+// 1/kBacklogMemoryDivisor of the VM's memory.
 constexpr std::size_t kMaxBacklog = 4096;
+constexpr int kBacklogMemoryDivisor = 8;
 // Limits of a reply with turns or uses, which many disks may request from this
 // one at the same time. The requesting disk asks for the rest again.
 constexpr std::size_t kMaxReplyBytes = 256 * 1024;
@@ -152,7 +154,11 @@
   } else {
     reply = Answer(fiber, decoded, request.body);
   }
-  exchange.Reply(kOk, "", Encode(reply));
+  const auto body = Encode(reply);
+  // The peer may read slowly.
+  reply = {};
+  decoded = {};
+  exchange.Reply(kOk, "", body);
 }
 
 StorageReply StorageNode::Answer(Fiber& fiber,
@@ -203,7 +209,10 @@
 
 bool StorageNode::HasRoom() const {
   const auto used = static_cast<std::int64_t>(turns_.bytes());
+  const auto waiting = static_cast<std::int64_t>(disk_log_.backlog_bytes());
   return disk_log_.backlog() < kMaxBacklog &&
+         (memory_bytes_ == 0 ||
+          waiting < memory_bytes_ / kBacklogMemoryDivisor) &&
          (memory_bytes_ == 0 || used < memory_bytes_ / kMemoryDivisor) &&
          (disk_bytes_ == 0 || used < disk_bytes_ / kDiskDivisor);
 }
--- a/source/vm/vm_daemon.cc
+++ b/source/vm/vm_daemon.cc
@@ -56,10 +56,12 @@
 constexpr int kClientConnectionDivisor = 2;
 // The cache of chains may use the memory limit divided by this number.
 constexpr std::int64_t kCacheMemoryDivisor = 16;
-// The bodies of clients' requests, with the chains before them, and of answers
-// may use the memory limit divided by this number. Each is copied a few times
-// on its way.
+// The bodies of clients' requests with the chains before them, those of
+// answers, and those of requests of other daemons may each use the memory limit
+// divided by this number. Each is copied a few times on its way.
 constexpr std::int64_t kBodyMemoryDivisor = 8;
+// Bodies of other daemons' requests up to this size do not count.
+constexpr std::size_t kExemptPeerBodyBytes = 64UL * 1024;
 // Largest body of a request between daemons.
 constexpr std::uint64_t kInternalBodyBytes = 64UL * 1024 * 1024;
 // Far longer than connections between daemons usually stay unused.
@@ -81,6 +83,11 @@
   return out;
 }
 
+std::shared_ptr<MemoryBudget> BodyBudget(const VmSettings& settings) {
+  return std::make_shared<MemoryBudget>(
+      static_cast<std::size_t>(settings.memory_bytes / kBodyMemoryDivisor));
+}
+
 std::string ReplacePort(const std::string& address, int port) {
   return address.substr(0, address.rfind(':')) + ":" + std::to_string(port);
 }
@@ -98,8 +105,9 @@
       platform_(std::move(platform)),
       metrics_port_(metrics_port),
       log_(settings_.vm),
-      bodies_memory_(static_cast<std::size_t>(settings_.memory_bytes /
-                                              kBodyMemoryDivisor)),
+      bodies_memory_(BodyBudget(settings_)),
+      answers_memory_(BodyBudget(settings_)),
+      peer_bodies_memory_(BodyBudget(settings_)),
       store_watcher_(loop,
                      platform_.store,
                      view_,
@@ -125,6 +133,7 @@
         HandleInternal(fiber, request, exchange);
       },
       InternalHttpLimits(settings_.memory_bytes));
+  internal_server_->LimitBodyMemory(peer_bodies_memory_, kExemptPeerBodyBytes);
   internal_server_->Listen(settings_.internal_address);
   if (!settings_.control_address.empty()) {
     control_server_ = std::make_unique<HttpServer>(
@@ -197,7 +206,7 @@
   crash_guard_ = std::make_unique<CrashGuard>(loop_, http_, view_, log_);
   call_handler_ = std::make_unique<CallHandler>(
       http_, view_, *admission_, *crash_guard_, *storage_client_, log_,
-      metrics_, bodies_memory_, platform_.request_codec);
+      metrics_, bodies_memory_, answers_memory_, platform_.request_codec);
   loop_.Spawn([this](Fiber& fiber) { storage_client_->Run(fiber); });
   client_server_ = std::make_unique<HttpServer>(
       loop_,
@@ -205,6 +214,7 @@
         call_handler_->Handle(fiber, request, exchange);
       },
       ClientHttpLimits());
+  client_server_->LimitBodyMemory(bodies_memory_, 0);
   client_server_->Listen(settings_.client_address);
   view_.OnChange([this] { ApplyClientLimits(); });
   ready_server_ = std::make_unique<HttpServer>(
@@ -216,10 +226,12 @@
       "comfreyfold_quarantined_requests",
       "Requests that crashed servers and are kept from them",
       [this] { return static_cast<double>(view_.quarantine().blamed()); });
-  metrics_.AddGauge(
-      "comfreyfold_body_bytes",
-      "Bytes of the bodies of requests and answers in memory",
-      [this] { return static_cast<double>(bodies_memory_.used()); });
+  metrics_.AddGauge("comfreyfold_body_bytes",
+                    "Bytes of the bodies of requests and answers in memory",
+                    [this] {
+                      return static_cast<double>(bodies_memory_->used() +
+                                                 answers_memory_->used());
+                    });
   metrics_.AddGauge("comfreyfold_waiting_requests",
                     "Requests that wait for a place at a server", [this] {
                       return static_cast<double>(admission_->waiting());
--- a/source/vm/vm_daemon.h
+++ b/source/vm/vm_daemon.h
@@ -102,7 +102,9 @@
   VmPlatform platform_;
   int metrics_port_;
   DecisionLog log_;
-  MemoryBudget bodies_memory_;
+  std::shared_ptr<MemoryBudget> bodies_memory_;
+  std::shared_ptr<MemoryBudget> answers_memory_;
+  std::shared_ptr<MemoryBudget> peer_bodies_memory_;
   Metrics metrics_;
   FleetView view_;
   StoreWatcher store_watcher_;
--- a/tests/unit/memory_budget_test.cc
+++ b/tests/unit/memory_budget_test.cc
@@ -10,7 +10,7 @@
 BOOST_AUTO_TEST_SUITE(memory_budget)
 
 BOOST_AUTO_TEST_CASE(requests_share_the_limit_and_give_back) {
-  MemoryBudget budget(100);
+  const auto budget = std::make_shared<MemoryBudget>(100);
   MemoryReservation first(budget);
   BOOST_TEST(first.Grow(60));
   {
@@ -19,13 +19,13 @@
     BOOST_TEST(second.Grow(40));
     BOOST_TEST(!first.Grow(1));
   }
-  BOOST_TEST(budget.used() == 60U);
+  BOOST_TEST(budget->used() == 60U);
   BOOST_TEST(first.Grow(40));
   BOOST_TEST(!first.Grow(static_cast<std::size_t>(-1)));
 }
 
 BOOST_AUTO_TEST_CASE(no_limit_refuses_nothing) {
-  MemoryBudget budget(0);
+  const auto budget = std::make_shared<MemoryBudget>(0);
   MemoryReservation all(budget);
   BOOST_TEST(all.Grow(1UL << 40));
 }
