Answer every request before a planned stop ends

Another operator's report: requests taken late in the grace of a planned stop were cut with no answer, also those that must not be repeated. It happens here: the process exited at the end of the grace whatever its requests were doing.

Requests that are not over 250 ms before the exit are now answered, with 504 if a server may have run them and 503 if they waited for one. Requests that arrive when the load balancer has removed the daemon are refused as not run if they could outlast the stop.

--- a/source/front/call_dispatcher.cc
+++ b/source/front/call_dispatcher.cc
@@ -57,6 +57,10 @@
       crash_guard_(crash_guard),
       random_(std::random_device{}()) {}
 
+TimePoint CallDispatcher::EndOf(const Call& call) const {
+  return std::min(call.deadline, stop_at_);
+}
+
 std::optional<CallError> CallDispatcher::AcquireSlot(Fiber& fiber,
                                                      Call& call,
                                                      SlotResult& slot_result) {
@@ -67,7 +71,7 @@
   // After a longer wait the request could hardly finish in time. An immediate
   // refusal lets the client retry or give up.
   request.acquire_by = std::chrono::steady_clock::now() +
-                       TimeLeft(call.deadline) * kMaxWaitPercent / 100;
+                       TimeLeft(EndOf(call)) * kMaxWaitPercent / 100;
   const bool not_started = call.stage != ProgramStage::kStarted;
   if (not_started && call.route->target_latency.count() > 0) {
     request.acquire_by = std::min(
@@ -88,8 +92,11 @@
   request.session = call.params.program;
   request.cached_at = call.cached_server_id;
   request.excluded = call.tried_server_ids;
-  slot_result = admission_.Acquire(fiber, call.service, std::move(request),
-                                   [&call] { return call.client.PeerGone(); });
+  slot_result = admission_.Acquire(
+      fiber, call.service, std::move(request), [this, &call] {
+        return call.client.PeerGone() ||
+               std::chrono::steady_clock::now() >= stop_at_;
+      });
   call.queue_time += slot_result.queue_time;
   call.load_level = slot_result.load_level;
   if (slot_result.slot) {
@@ -151,12 +158,12 @@
     }
   });
   server_call.OnLeaving([this, &slot] { admission_.ObserveLeaving(slot); });
-  auto result =
-      server_call.Run(fiber, {*call.route, call.params.request_id, request,
-                              call.body ? *call.body : call.request.body, slot,
-                              call.arrived, call.deadline, call.max_events,
-                              call.tried_server_ids.count(slot.server_id) > 0,
-                              call.answer_memory});
+  auto result = server_call.Run(
+      fiber,
+      {*call.route, call.params.request_id, request,
+       call.body ? *call.body : call.request.body, slot, call.arrived,
+       call.deadline, stop_at_, call.max_events,
+       call.tried_server_ids.count(slot.server_id) > 0, call.answer_memory});
   admission_.Release(call.service, slot, result.exchange, result.metadata.load,
                      std::chrono::duration_cast<std::chrono::milliseconds>(
                          std::chrono::steady_clock::now() - start));
@@ -189,7 +196,7 @@
 
 bool CallDispatcher::MayRetry(const Call& call,
                               const ServerCallResult& result) const {
-  if (call.client.broken() || TimeLeft(call.deadline) <= kAnswerMargin) {
+  if (call.client.broken() || TimeLeft(EndOf(call)) <= kAnswerMargin) {
     return false;
   }
   if (result.verdict == Verdict::kNotRun) {
@@ -233,7 +240,7 @@
                       "no server that was tried accepted the request; retry",
                       std::max(kMinRetryAfter, slot_result.expected_wait))};
     }
-    const bool late = TimeLeft(call.deadline) <= std::chrono::milliseconds(0);
+    const bool late = TimeLeft(EndOf(call)) <= std::chrono::milliseconds(0);
     return {
         {},
         CallError(late ? kTimedOut : kBadGateway,
--- a/source/front/call_dispatcher.h
+++ b/source/front/call_dispatcher.h
@@ -28,6 +28,9 @@
                  const ProgramSlack& slack,
                  CrashGuard& crash_guard);
 
+  // Sets when the daemon stops: calls that are not over by then are answered.
+  void StopAt(TimePoint time) { stop_at_ = time; }
+
   // Either the server's answer or the reason why there is none.
   struct Outcome {
     std::optional<HttpReply> answer;
@@ -46,6 +49,8 @@
                         Call& call,
                         const SlotResult& slot_result);
   bool MayRetry(const Call& call, const ServerCallResult& result) const;
+  // The end of the call's time: its deadline, or the stop of the daemon.
+  TimePoint EndOf(const Call& call) const;
 
   HttpClient& http_;
   ServerAdmission& admission_;
@@ -53,6 +58,7 @@
   const RequestCodec& codec_;
   const ProgramSlack& slack_;
   CrashGuard& crash_guard_;
+  TimePoint stop_at_ = TimePoint::max();
   std::mt19937_64 random_;
 };
 
--- a/source/front/call_handler.cc
+++ b/source/front/call_handler.cc
@@ -25,6 +25,10 @@
 constexpr std::chrono::milliseconds kRetentionMargin{30000};
 constexpr std::chrono::milliseconds kNoConfigRetryAfter{200};
 constexpr std::chrono::milliseconds kStorageRetryAfter{150};
+// Another daemon can take the request at once.
+constexpr std::chrono::milliseconds kStoppingRetryAfter{50};
+// Kept free at the end of a planned stop for the answers to calls that are cut.
+constexpr std::chrono::milliseconds kStopAnswerTime{250};
 // About the duration of a turn, which frees its memory.
 constexpr std::chrono::milliseconds kNoMemoryRetryAfter{250};
 // About the duration of a turn.
@@ -77,6 +81,11 @@
       dispatcher_(http, admission, log, codec_, slack_, crash_guard),
       random_(std::random_device{}()) {}
 
+void CallHandler::StopAt(TimePoint time) {
+  stop_at_ = time - kStopAnswerTime;
+  dispatcher_.StopAt(stop_at_);
+}
+
 void CallHandler::Handle(Fiber& fiber,
                          const HttpRequest& request,
                          HttpExchange& client) {
@@ -131,6 +140,12 @@
     time = std::min(time, call.route->timeout);
   }
   call.deadline = call.arrived + time;
+  if (refuses_long_calls_ && call.deadline > stop_at_) {
+    return NotRunError(kUnavailable, "stopping",
+                       "this daemon stops before the request's time is over; "
+                       "use another daemon",
+                       kStoppingRetryAfter);
+  }
   if (call.params.finish_in && call.route->kind == RequestKind::kStream) {
     slack_.OnTurnStart(call.params.program, *call.params.finish_in,
                        call.arrived);
--- a/source/front/server_call.cc
+++ b/source/front/server_call.cc
@@ -170,8 +170,8 @@
     };
   }
   options.cancelled = [this, &input] {
-    return client_.PeerGone() ||
-           std::chrono::steady_clock::now() >= input.deadline;
+    const auto now = std::chrono::steady_clock::now();
+    return client_.PeerGone() || now >= input.deadline || now >= input.stop_at;
   };
   try {
     auto reply = http_.Send(fiber, input.slot.address, input.request, options);
@@ -183,7 +183,7 @@
     result.failure = e.what();
     result.verdict = may_have_sent_ ? Verdict::kMayHaveRun : Verdict::kNotRun;
     const auto now = std::chrono::steady_clock::now();
-    if (!client_.broken() && now < input.deadline) {
+    if (!client_.broken() && now < input.deadline && now < input.stop_at) {
       result.exchange = ExchangeResult::kFailed;
     } else if (may_have_sent_ && now - progress_at_ > kStallTime) {
       result.exchange = ExchangeResult::kStalled;
--- a/source/front/server_call.h
+++ b/source/front/server_call.h
@@ -56,6 +56,7 @@
     const AcquiredSlot& slot;
     TimePoint arrived;
     TimePoint deadline;
+    const TimePoint& stop_at;  // When the daemon stops; may change meanwhile.
     // Events that the request's tokens allow for, over all attempts; 0: any.
     std::int64_t max_events = 0;
     // The server has had this request before. A second copy of its answer may
--- a/source/vm/vm_daemon.cc
+++ b/source/vm/vm_daemon.cc
@@ -488,8 +488,10 @@
   const auto deadline =
       std::chrono::steady_clock::now() + settings_.stop_grace - kStopMargin;
   if (client_server_) {
+    call_handler_->StopAt(deadline);
     // New connections arrive until the load balancer has removed this daemon.
     fiber.Sleep(kBalancerRemovalTime);
+    call_handler_->RefuseLongCalls();
     client_server_->Drain();
   }
   const auto busy = [this] {
--- a/tests/vm/leaving_test.cc
+++ b/tests/vm/leaving_test.cc
@@ -96,6 +96,48 @@
   });
 }
 
+// At the end of a planned stop, requests that servers still worked on, or that
+// waited for one, were cut without an answer, also those taken shortly before.
+BOOST_AUTO_TEST_CASE(planned_stop_answers_every_request_before_it_ends) {
+  RunWithDeployment([](Fiber& fiber, VmDeployment& deployment) {
+    deployment.StartAll(fiber);
+    deployment.AddServer("s1");
+    auto& front = deployment.vm("front-1");
+    BOOST_REQUIRE(deployment.WaitFor(fiber, [&] {
+      return deployment.Send(fiber, front, {"/once/x", "probe", "", {}})
+                 .status == 200;
+    }));
+    deployment.server("s1").service->SetWorkTime(std::chrono::seconds(60));
+    auto settings = front.settings;
+    settings.stop_grace = std::chrono::milliseconds(3400);  // Route limit: 4 s.
+    front.daemon->Reload(settings);
+    // One more than the server has places.
+    constexpr int kRequests = 9;
+    std::vector<int> statuses;
+    for (int n = 0; n < kRequests; ++n) {
+      fiber.loop().Spawn([&, n](Fiber& child) {
+        VmDeployment::ClientRequest request{
+            "/once/x", "r" + std::to_string(n), "", {}};
+        request.time_limit = std::chrono::seconds(100);
+        statuses.push_back(deployment.Send(child, front, request).status);
+      });
+    }
+    BOOST_REQUIRE(deployment.WaitFor(fiber, [&] {
+      return deployment.server("s1").service->runs().size() >= kRequests;
+    }));
+    bool stopped = false;
+    front.daemon->Stop([&] {
+      stopped = true;
+      // The process ends here.
+      BOOST_TEST(statuses.size() == static_cast<std::size_t>(kRequests));
+    });
+    BOOST_REQUIRE(deployment.WaitFor(fiber, [&] { return stopped; }));
+    for (const auto it : statuses) {
+      BOOST_TEST((it == 504 || it == 503));
+    }
+  });
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace
