Keep the token uses of living programs when log segments are removed

Cause: the ledger keeps the uses of a program until the last one expires, but a segment of the log was removed once the uses in it had. A restart read only what was left. The uses of living programs are now written to the current segment before an old one goes.

--- a/source/storage/storage_node.cc
+++ b/source/storage/storage_node.cc
@@ -87,6 +87,7 @@
   needed = std::max(needed, request.keep_until);
   for (const auto& it : tokens_.Merge(request.uses)) {
     needed = std::max(needed, it.expires_at);
+    programs_in_segment_[segment].insert(it.program);
   }
 }
 
@@ -341,6 +342,41 @@
   return reply;
 }
 
+// A program's uses count until the last of them expires, which may be in a much
+// later segment.
+bool StorageNode::MoveLivingPrograms(std::int64_t segment) {
+  const auto move = moves_.find(segment);
+  if (move != moves_.end()) {
+    if (!move->second->ended) {
+      return false;
+    }
+    if (move->second->durable) {
+      return true;
+    }
+    moves_.erase(move);
+  }
+  StorageRequest request;
+  request.operation = StorageOperation::kStore;
+  std::set<std::string> living;
+  for (const auto& program : programs_in_segment_[segment]) {
+    for (auto& use : tokens_.ForProgram(program)) {
+      request.uses.push_back(std::move(use));
+      living.insert(program);
+    }
+  }
+  if (living.empty()) {
+    return true;
+  }
+  moves_[segment] = BeginWrite(request, Encode(request));
+  // The uses are known, so that Apply() has not recorded where they are now.
+  const auto current = disk_log_.current_segment();
+  programs_in_segment_[current].insert(living.begin(), living.end());
+  for (const auto& use : request.uses) {
+    needed_until_[current] = std::max(needed_until_[current], use.expires_at);
+  }
+  return false;
+}
+
 void StorageNode::Expire() {
   const auto now = WallNow();
   turns_.Expire(now);
@@ -348,11 +384,13 @@
   for (auto it = needed_until_.begin(); it != needed_until_.end();) {
     const bool needed = it->second >= now || turns_.UsesSegment(it->first) ||
                         it->first >= disk_log_.current_segment();
-    if (needed) {
+    if (needed || !MoveLivingPrograms(it->first)) {
       ++it;
       continue;
     }
     disk_log_.Remove(it->first);
+    moves_.erase(it->first);
+    programs_in_segment_.erase(it->first);
     it = needed_until_.erase(it);
   }
 }
--- a/source/storage/storage_node.h
+++ b/source/storage/storage_node.h
@@ -5,6 +5,7 @@
 #include <cstdint>
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -79,6 +80,10 @@
   // Whether the log, memory and disk can take further records.
   bool HasRoom() const;
   void Apply(std::int64_t segment, const StorageRequest& request);
+  // Writes the uses of the programs that still live and have uses in `segment`
+  // to the current segment. Returns whether the disk has all of them there, or
+  // there are none.
+  bool MoveLivingPrograms(std::int64_t segment);
   // Applies `request` and queues it for writing; `encoded` is its encoding.
   std::shared_ptr<Write> BeginWrite(const StorageRequest& request,
                                     const std::string& encoded);
@@ -109,6 +114,10 @@
   std::int64_t list_write_version_ = 0;
   // Time until which each segment is needed for records other than turns.
   std::map<std::int64_t, std::chrono::milliseconds> needed_until_;
+  // Programs with uses in each segment.
+  std::map<std::int64_t, std::set<std::string>> programs_in_segment_;
+  // Writes that free segments of the uses that are still needed.
+  std::map<std::int64_t, std::shared_ptr<Write>> moves_;
 };
 
 }  // namespace comfreyfold
