Copy token uses to all replicas when their number shrinks

Cause: only a disk that becomes a replica copies uses. With as many disks as replicas none becomes one when a disk leaves, and what had been stored on the leaving disk and one other stayed on that one alone. All replicas now copy if there are fewer than before.

Evidence: uses_are_on_enough_disks_after_a_replica_has_left failed before, for one and two tolerated losses, and passes.

--- a/source/core/storage_list.cc
+++ b/source/core/storage_list.cc
@@ -80,7 +80,8 @@
 // their records. Consider a use that a quorum stored. Each of its disks that
 // stops being a replica is replaced by one that copies from all members but the
 // tolerated losses and therefore gets the use. As many replicas have it as
-// before, so every quorum of the next set includes one of them.
+// before, so every quorum of the next set includes one of them. If the set
+// shrinks, no disk takes the place of one that leaves, so all copy from all.
 std::vector<std::string> StorageList::NewReplicasOf(
     std::string_view program,
     int tolerated_losses) const {
@@ -89,6 +90,9 @@
   }
   const auto before = ChooseReplicas(members, program, tolerated_losses).disks;
   auto out = ChooseReplicas(next, program, tolerated_losses).disks;
+  if (out.size() < before.size()) {
+    return out;
+  }
   std::erase_if(out, [&before](const auto& disk) {
     return std::find(before.begin(), before.end(), disk) != before.end();
   });
--- a/source/core/storage_list.h
+++ b/source/core/storage_list.h
@@ -55,8 +55,9 @@
   std::vector<ReplicaSet> ReplicasOf(std::string_view program,
                                      int tolerated_losses) const;
 
-  // Returns the replicas of `program` in `next` that are not its replicas in
-  // `members`, and so have to copy its token uses.
+  // Returns the replicas of `program` in `next` that have to copy its token
+  // uses: those that are not its replicas in `members`, or all if there are
+  // fewer than before.
   std::vector<std::string> NewReplicasOf(std::string_view program,
                                          int tolerated_losses) const;
   // True if the change removes no disk, so that only the added disks copy.
--- a/tests/storage_property/members_test.cc
+++ b/tests/storage_property/members_test.cc
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <random>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -78,6 +79,33 @@
   RC_ASSERT(holders + after.quorum > after.disks.size());
 }
 
+// With as many disks as replicas no other disk takes the place of one that
+// leaves, and a use that it stored stayed on one disk alone.
+BOOST_AUTO_TEST_CASE(uses_are_on_enough_disks_after_a_replica_has_left) {
+  for (const int losses : {1, 2}) {
+    StorageList list;
+    const auto size = 2 * static_cast<std::size_t>(losses) + 1;
+    for (std::size_t n = 0; n < size; ++n) {
+      list.members.push_back({"disk" + std::to_string(n), "", "", ""});
+    }
+    const auto before = list.ReplicasOf(kProgram, losses).front();
+    // The use was stored on any quorum, that is, not on `size - quorum` disks.
+    for (std::size_t first = 0; first < size; ++first) {
+      std::set<std::string> holders;
+      for (std::size_t n = 0; n < before.quorum; ++n) {
+        holders.insert(before.disks[(first + n) % size]);
+      }
+      const auto leaving = *holders.begin();
+      const auto change = list.WithChange({}, {leaving});
+      for (const auto& it : change.NewReplicasOf(kProgram, losses)) {
+        holders.insert(it);
+      }
+      holders.erase(leaving);
+      BOOST_TEST(holders.size() >= static_cast<std::size_t>(losses) + 1);
+    }
+  }
+}
+
 // Turns are not copied if no disk leaves, so such changes must be recognized.
 BOOST_AUTO_TEST_CASE(only_changes_without_leaving_disks_count_as_joins) {
   StorageList list;
