--- a/source/net/http_server.cc
+++ b/source/net/http_server.cc
@@ -10,6 +10,7 @@
 #include "net/endpoint.h"
 #include "net/error_reply.h"
 #include "net/loop_impl.h"
+#include "net/read_deadline.h"
 #include "net/server_exchange.h"
 #include "net/yield_token.h"
 
@@ -42,29 +43,6 @@
 // A reading buffer that has grown beyond this is released after the request.
 constexpr std::size_t kMaxKeptBufferBytes = 4096;
 
-// Cancels the reading of a request that arrives too slowly. The stream's own
-// timeout would close the socket, so the request could not be answered.
-class ReadDeadline {
- public:
-  ReadDeadline(const std::shared_ptr<Session>& session,
-               std::chrono::milliseconds time)
-      : timer_(session->stream.get_executor(), time),
-        expired_(std::make_shared<bool>(false)) {
-    timer_.async_wait(
-        [session, expired = expired_](boost::system::error_code ec) {
-          if (!ec) {
-            *expired = true;
-            session->stream.cancel();
-          }
-        });
-  }
-  bool expired() const { return *expired_; }
-
- private:
-  boost::asio::steady_timer timer_;
-  std::shared_ptr<bool> expired_;
-};
-
 using Parser = http::request_parser<http::string_body>;
 
 CallError MakeRefusal(int status,
--- a/source/vm/vm_daemon.cc
+++ b/source/vm/vm_daemon.cc
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include "core/hash.h"
+#include "vm/memory_shares.h"
 
 namespace comfreyfold {
 
@@ -56,38 +57,9 @@
 constexpr int kClientConnectionDivisor = 2;
 // The cache of chains may use the memory limit divided by this number.
 constexpr std::int64_t kCacheMemoryDivisor = 16;
-// The bodies of clients' requests with the chains before them, those of
-// answers, and those of requests of other daemons may each use the memory limit
-// divided by this number. Each is copied a few times on its way.
-constexpr std::int64_t kBodyMemoryDivisor = 8;
 // Bodies of other daemons' requests up to this size do not count.
 constexpr std::size_t kExemptPeerBodyBytes = 64UL * 1024;
-// Largest body of a request between daemons.
-constexpr std::uint64_t kInternalBodyBytes = 64UL * 1024 * 1024;
-// Far longer than connections between daemons usually stay unused.
-constexpr std::chrono::milliseconds kInternalIdleTimeout{15000};
 constexpr std::chrono::milliseconds kRelayTimeout{200};
-// Connections from other daemons, each with its coroutine, may use the memory
-// limit divided by this number.
-constexpr std::int64_t kPeerMemoryDivisor = 2;
-constexpr std::int64_t kBytesPerConnection = 48 * 1024;
-
-HttpLimits InternalHttpLimits(std::int64_t memory_bytes) {
-  HttpLimits out;
-  if (memory_bytes > 0) {
-    out.connections = static_cast<int>(memory_bytes / kPeerMemoryDivisor /
-                                       kBytesPerConnection);
-  }
-  out.body_bytes = kInternalBodyBytes;
-  out.idle_time = kInternalIdleTimeout;
-  return out;
-}
-
-std::shared_ptr<MemoryBudget> BodyBudget(const VmSettings& settings) {
-  return std::make_shared<MemoryBudget>(
-      static_cast<std::size_t>(settings.memory_bytes / kBodyMemoryDivisor));
-}
-
 std::string ReplacePort(const std::string& address, int port) {
   return address.substr(0, address.rfind(':')) + ":" + std::to_string(port);
 }
@@ -105,9 +77,9 @@
       platform_(std::move(platform)),
       metrics_port_(metrics_port),
       log_(settings_.vm),
-      bodies_memory_(BodyBudget(settings_)),
-      answers_memory_(BodyBudget(settings_)),
-      peer_bodies_memory_(BodyBudget(settings_)),
+      bodies_memory_(BodyBudget(settings_.memory_bytes)),
+      answers_memory_(BodyBudget(settings_.memory_bytes)),
+      peer_bodies_memory_(BodyBudget(settings_.memory_bytes)),
       store_watcher_(loop,
                      platform_.store,
                      view_,
--- /dev/null
+++ b/tests/vm/chains_test.cc
@@ -0,0 +1,106 @@
+// Chains of turns stay on enough disks, for as long as their newest turn.
+
+#include <algorithm>
+
+#include <boost/test/unit_test.hpp>
+
+#include "storage/replica_client.h"
+#include "vm/turn_requests.h"
+#include "wire/storage_messages.h"
+
+namespace comfreyfold {
+namespace {
+
+using std::chrono::milliseconds;
+
+// Returns when each copy of the turn on a disk of the list expires.
+std::vector<milliseconds> ExpiriesOf(Fiber& fiber,
+                                     VmDeployment& deployment,
+                                     const std::string& id) {
+  StorageRequest request;
+  request.operation = StorageOperation::kFetch;
+  request.ids = {id};
+  std::vector<milliseconds> out;
+  const auto list =
+      DecodeStorageList(deployment.store().Value("comfreyfold/storage"));
+  for (const auto& it : list.members) {
+    const auto reply = DecodeStorageReply(
+        deployment.http()
+            .Send(fiber, it.address,
+                  {"POST", kStoragePath + it.disk, {}, Encode(request)})
+            .body);
+    for (const auto& turn : reply.turns) {
+      out.push_back(turn.expires_at);
+    }
+  }
+  return out;
+}
+
+BOOST_AUTO_TEST_SUITE(chains)
+
+// The retention of earlier turns was extended only on the disks that stored the
+// new turn. Where these differed from turn to turn, a chain that lived longer
+// than one retention rested on one disk.
+BOOST_AUTO_TEST_CASE(whole_chain_is_kept_on_enough_disks_as_long_as_its_end) {
+  WithTwoFrontDaemons([](Fiber& fiber, VmDeployment& deployment) {
+    constexpr int kTurns = 4;
+    for (int chain = 0; chain < 8; ++chain) {
+      std::vector<std::string> ids;
+      for (int n = 0; n < kTurns; ++n) {
+        const auto previous = ids.empty() ? "" : ids.back();
+        ids.push_back(std::to_string(chain) + "-" + std::to_string(n));
+        BOOST_TEST(SendTurn(fiber, deployment,
+                            n % 2 == 0 ? "front-1" : "front-2", ids.back(),
+                            "in;", previous)
+                       .status == 200);
+        // So that each turn expires later than the one before.
+        fiber.Sleep(milliseconds(2));
+      }
+      const auto newest = ExpiriesOf(fiber, deployment, ids.back());
+      const auto end = *std::max_element(newest.begin(), newest.end());
+      for (const auto& id : ids) {
+        const auto copies = ExpiriesOf(fiber, deployment, id);
+        BOOST_TEST(std::count_if(copies.begin(), copies.end(),
+                                 [end](auto it) { return it >= end; }) >= 2);
+      }
+    }
+  });
+}
+
+// Copies of earlier turns that would expire soon were counted as copies when a
+// disk left, so that nothing took the place of the copy on it.
+BOOST_AUTO_TEST_CASE(retired_disk_leaves_chains_that_last_on_enough_disks) {
+  WithTwoFrontDaemons([](Fiber& fiber, VmDeployment& deployment) {
+    constexpr int kChains = 8;
+    const auto send = [&](const std::string& turn,
+                          const std::string& previous) {
+      for (int n = 0; n < kChains; ++n) {
+        const auto chain = std::to_string(n);
+        BOOST_TEST(SendTurn(fiber, deployment, "front-1", chain + turn, "in;",
+                            previous.empty() ? "" : chain + previous)
+                       .status == 200);
+      }
+    };
+    send("a", "");
+    // The second turns are stored, with the first, on the other disks.
+    deployment.StopVm(fiber, deployment.vm("disk-1"));
+    send("b", "a");
+    deployment.RestartVm(deployment.vm("disk-1"));
+    deployment.store().Put("op/retire/disk-2", R"({"duration_s":10})");
+    BOOST_REQUIRE(deployment.WaitFor(
+        fiber, [&] { return deployment.StorageMemberCount() == 2U; }));
+    for (int n = 0; n < kChains; ++n) {
+      const auto chain = std::to_string(n);
+      const auto newest = ExpiriesOf(fiber, deployment, chain + "b");
+      const auto end = *std::max_element(newest.begin(), newest.end());
+      const auto copies = ExpiriesOf(fiber, deployment, chain + "a");
+      BOOST_TEST(std::count_if(copies.begin(), copies.end(),
+                               [end](auto it) { return it >= end; }) == 2);
+    }
+  });
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace
+}  // namespace comfreyfold
--- a/tests/vm/storage_node_test.cc
+++ b/tests/vm/storage_node_test.cc
@@ -37,7 +37,8 @@
     request.turns.push_back({"t" + std::to_string(first) + std::to_string(n),
                              "", std::string(kTurnBytes, 'x'), "",
                              WallNow() - milliseconds(1)});
-    BOOST_REQUIRE(node.StoreCopied(fiber, std::move(request)));
+    const bool stored = node.StoreCopied(fiber, std::move(request));
+    BOOST_REQUIRE(stored);
   }
 }
 
--- a/tests/vm/turns_test.cc
+++ b/tests/vm/turns_test.cc
@@ -5,7 +5,7 @@
 #include <boost/test/unit_test.hpp>
 
 #include "storage/replica_client.h"
-#include "vm/vm_deployment.h"
+#include "vm/turn_requests.h"
 #include "wire/storage_messages.h"
 
 namespace comfreyfold {
@@ -15,37 +15,6 @@
 
 constexpr const char* kTurnOutput = "event-1\nevent-2\nevent-3\nevent-4\n";
 
-using TestBody = std::function<void(Fiber&, VmDeployment&)>;
-
-void WithTwoFrontDaemons(const TestBody& body) {
-  RunWithDeployment([&](Fiber& fiber, VmDeployment& deployment) {
-    deployment.StartAll(fiber, 2);
-    deployment.AddServer("s1");
-    for (const auto* name : {"front-1", "front-2"}) {
-      BOOST_REQUIRE(deployment.WaitFor(fiber, [&] {
-        return deployment
-                   .Send(fiber, deployment.vm(name),
-                         {"/plain/x", "probe", "", {}})
-                   .status == 200;
-      }));
-    }
-    body(fiber, deployment);
-  });
-}
-
-HttpReply SendTurn(Fiber& fiber,
-                   VmDeployment& deployment,
-                   const std::string& front,
-                   const std::string& id,
-                   const std::string& input,
-                   const std::string& previous = {}) {
-  VmDeployment::ClientRequest client_request{"/talk/stream/x", id, input, {}};
-  if (!previous.empty()) {
-    client_request.headers.push_back({"Previous-Turn", previous});
-  }
-  return deployment.Send(fiber, deployment.vm(front), client_request);
-}
-
 std::string LastServerRequestBody(VmDeployment& deployment) {
   return deployment.server("s1").service->runs().back().request.body;
 }
@@ -130,91 +99,6 @@
   }
 }
 
-// Returns when each copy of the turn on a disk of the list expires.
-std::vector<milliseconds> ExpiriesOf(Fiber& fiber,
-                                     VmDeployment& deployment,
-                                     const std::string& id) {
-  StorageRequest request;
-  request.operation = StorageOperation::kFetch;
-  request.ids = {id};
-  std::vector<milliseconds> out;
-  const auto list =
-      DecodeStorageList(deployment.store().Value("comfreyfold/storage"));
-  for (const auto& it : list.members) {
-    const auto reply = DecodeStorageReply(
-        deployment.http()
-            .Send(fiber, it.address,
-                  {"POST", kStoragePath + it.disk, {}, Encode(request)})
-            .body);
-    for (const auto& turn : reply.turns) {
-      out.push_back(turn.expires_at);
-    }
-  }
-  return out;
-}
-
-// The retention of earlier turns was extended only on the disks that stored the
-// new turn. Where these differed from turn to turn, a chain that lived longer
-// than one retention rested on one disk.
-BOOST_AUTO_TEST_CASE(whole_chain_is_kept_on_enough_disks_as_long_as_its_end) {
-  WithTwoFrontDaemons([](Fiber& fiber, VmDeployment& deployment) {
-    constexpr int kTurns = 4;
-    for (int chain = 0; chain < 8; ++chain) {
-      std::vector<std::string> ids;
-      for (int n = 0; n < kTurns; ++n) {
-        const auto previous = ids.empty() ? "" : ids.back();
-        ids.push_back(std::to_string(chain) + "-" + std::to_string(n));
-        BOOST_TEST(SendTurn(fiber, deployment,
-                            n % 2 == 0 ? "front-1" : "front-2", ids.back(),
-                            "in;", previous)
-                       .status == 200);
-        // So that each turn expires later than the one before.
-        fiber.Sleep(milliseconds(2));
-      }
-      const auto newest = ExpiriesOf(fiber, deployment, ids.back());
-      const auto end = *std::max_element(newest.begin(), newest.end());
-      for (const auto& id : ids) {
-        const auto copies = ExpiriesOf(fiber, deployment, id);
-        BOOST_TEST(std::count_if(copies.begin(), copies.end(),
-                                 [end](auto it) { return it >= end; }) >= 2);
-      }
-    }
-  });
-}
-
-// Copies of earlier turns that would expire soon were counted as copies when a
-// disk left, so that nothing took the place of the copy on it.
-BOOST_AUTO_TEST_CASE(retired_disk_leaves_chains_that_last_on_enough_disks) {
-  WithTwoFrontDaemons([](Fiber& fiber, VmDeployment& deployment) {
-    constexpr int kChains = 8;
-    const auto send = [&](const std::string& turn,
-                          const std::string& previous) {
-      for (int n = 0; n < kChains; ++n) {
-        const auto chain = std::to_string(n);
-        BOOST_TEST(SendTurn(fiber, deployment, "front-1", chain + turn, "in;",
-                            previous.empty() ? "" : chain + previous)
-                       .status == 200);
-      }
-    };
-    send("a", "");
-    // The second turns are stored, with the first, on the other disks.
-    deployment.StopVm(fiber, deployment.vm("disk-1"));
-    send("b", "a");
-    deployment.RestartVm(deployment.vm("disk-1"));
-    deployment.store().Put("op/retire/disk-2", R"({"duration_s":10})");
-    BOOST_REQUIRE(deployment.WaitFor(
-        fiber, [&] { return deployment.StorageMemberCount() == 2U; }));
-    for (int n = 0; n < kChains; ++n) {
-      const auto chain = std::to_string(n);
-      const auto newest = ExpiriesOf(fiber, deployment, chain + "b");
-      const auto end = *std::max_element(newest.begin(), newest.end());
-      const auto copies = ExpiriesOf(fiber, deployment, chain + "a");
-      BOOST_TEST(std::count_if(copies.begin(), copies.end(),
-                               [end](auto it) { return it >= end; }) == 2);
-    }
-  });
-}
-
 BOOST_AUTO_TEST_CASE(replacement_disk_copies_turns_before_next_loss) {
   WithTwoFrontDaemons([](Fiber& fiber, VmDeployment& deployment) {
     for (int n = 0; n < 20; ++n) {
