--- a/tests/vm/chains_test.cc
+++ b/tests/vm/chains_test.cc
@@ -100,6 +100,55 @@
   });
 }
 
+// What had been written while a disk joined counted as stored with the copy on
+// that disk. When it was dropped before it had joined, nothing replaced the
+// copy, and two disks of three without the turn passed for a proof that there
+// is none.
+BOOST_AUTO_TEST_CASE(turns_survive_a_disk_that_is_lost_while_it_joins) {
+  WithTwoFrontDaemons([](Fiber& fiber, VmDeployment& deployment) {
+    constexpr const char* kListKey = "comfreyfold/storage";
+    const auto list = [&deployment] {
+      return DecodeStorageList(deployment.store().Value(kListKey));
+    };
+    // Leaves time to see the change before its next step.
+    deployment.store().faults().Set("slow", -1, milliseconds(200));
+    auto& joining = deployment.AddVm("disk-4", true, false);
+    BOOST_REQUIRE(
+        deployment.WaitFor(fiber, [&] { return list().next.size() == 4U; }));
+    // The change cannot end while the store is out.
+    deployment.store().faults().Set("out", -1);
+    deployment.store().faults().Set("slow", 0);
+    std::vector<std::string> answered;
+    for (int n = 0; n < 20; ++n) {
+      const auto id = "t" + std::to_string(n);
+      // Programs with a budget spread their turns over all disks.
+      const VmDeployment::ClientRequest turn{"/talk/stream/x",
+                                             id,
+                                             "in;",
+                                             {{"Program-Id", "p" + id},
+                                              {"Token-Budget", "64"},
+                                              {"Token-Usage", "10,32"}}};
+      if (deployment.Send(fiber, deployment.vm("front-1"), turn).status ==
+          200) {
+        answered.push_back(id);
+      }
+    }
+    BOOST_REQUIRE(!answered.empty());
+    BOOST_REQUIRE(list().changing());
+    deployment.StopVm(fiber, joining);
+    deployment.store().faults().Set("out", 0);
+    BOOST_REQUIRE(deployment.WaitFor(fiber, [&] {
+      return !list().changing() && list().members.size() == 3U;
+    }));
+    for (const auto& id : answered) {
+      BOOST_TEST(ExpiriesOf(fiber, deployment, id).size() >= 2U);
+      BOOST_TEST(
+          SendTurn(fiber, deployment, "front-2", "after-" + id, "in;", id)
+              .status == 200);
+    }
+  });
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace
