Leave time for a second try when a chain cannot be completed

By the code, earlier turns could be sent to one slow disk until that limit, and no time was left to try another. Half of it now is.

Evidence: the suites chains and turns pass; no test shows the fault.

--- a/source/storage/storage_client_turns.cc
+++ b/source/storage/storage_client_turns.cc
@@ -278,7 +278,11 @@
     if (CountAllDone(replies) < copies) {
       break;
     }
-    out.durable = CompleteChain(fiber, stored, replies, deadline) >= copies;
+    // A disk that is slow now is avoided by the next try, which needs time too.
+    const auto now = std::chrono::steady_clock::now();
+    const auto try_until =
+        n + 1 < kMaxStoreTries ? now + (deadline - now) / 2 : deadline;
+    out.durable = CompleteChain(fiber, stored, replies, try_until) >= copies;
   }
   if (settlement) {
     settlement->changed.WaitUntil(
