Log and measure how long turns wait for their disks

Streams were cut with "turn not stored on enough disks", and no line told how long the disks had been waited for, how often the turn was sent or how many disks had it: a disk that is slow, one that is down and a daemon that is cut off looked alike. `request` lines now have store_ms, store_tries and store_answers, and comfreyfold_turn_store_seconds counts turns that were given up.

--- a/source/front/call_handler.cc
+++ b/source/front/call_handler.cc
@@ -272,11 +272,18 @@
   turn.input = call.request.body;
   turn.output = std::move(call.progress.output);
   turn.expires_at = WallNow() + call.route->retention + kRetentionMargin;
+  const auto start = std::chrono::steady_clock::now();
   const auto stored = storage_.StoreTurn(
       fiber, std::move(turn),
       call.reserved_tokens ? SettledUse(call) : TokenUse{}, call.chain_turn_ids,
       std::clamp(TimeLeft(call.deadline), kMinStoreTurnTimeout,
                  kStoreTurnTimeout));
+  const auto store_time = std::chrono::steady_clock::now() - start;
+  metrics_.ObserveTurnStore(stored.durable, store_time);
+  call.store_time =
+      std::chrono::duration_cast<std::chrono::milliseconds>(store_time);
+  call.store_tries = stored.tries;
+  call.store_answers = stored.answers;
   if (stored.settled) {
     call.reserved_tokens.reset();
   }
@@ -353,6 +360,9 @@
        {"events", call.progress.events},
        {"first_event_ms", call.progress.time_to_first_event},
        {"waited_ms", call.queue_time},
+       {"store_ms", call.store_time},
+       {"store_tries", call.store_tries},
+       {"store_answers", call.store_answers},
        {"stage", ToString(call.stage)},
        {"late", call.late ? 1 : 0},
        {"level_percent", static_cast<int>(call.load_level * 100)},
--- a/source/log/metrics.cc
+++ b/source/log/metrics.cc
@@ -67,6 +67,10 @@
               "Bytes written to connections, by kind of traffic");
   prometheus::Family<prometheus::Histogram>& call_time =
       Histogram("comfreyfold_call_seconds", "Time of a call at its entry");
+  prometheus::Family<prometheus::Histogram>& turn_store_time =
+      Histogram("comfreyfold_turn_store_seconds",
+                "Time from the end of a turn's answer until enough disks have "
+                "stored the turn, or it is given up");
   prometheus::Family<prometheus::Histogram>& key_value_time =
       Histogram("comfreyfold_key_value_seconds",
                 "Time of a call to the service");
@@ -113,6 +117,12 @@
   impl_->token_gap.Observe(ToSeconds(duration));
 }
 
+void Metrics::ObserveTurnStore(bool stored, Duration duration) {
+  impl_->turn_store_time
+      .Add({{"outcome", stored ? "stored" : "given_up"}}, CallBuckets())
+      .Observe(ToSeconds(duration));
+}
+
 void Metrics::CountKeyValueCall(const std::string& kind,
                                 bool answered,
                                 Duration duration) {
--- a/source/log/metrics.h
+++ b/source/log/metrics.h
@@ -26,6 +26,9 @@
   void CountRefusal(const std::string& code, const std::string& verdict);
   void ObserveFirstToken(Duration duration);
   void ObserveTokenGap(Duration duration);
+  // Records how long a turn was waited for to be on enough disks, and whether
+  // it got there.
+  void ObserveTurnStore(bool stored, Duration duration);
   void CountKeyValueCall(const std::string& kind,
                          bool answered,
                          Duration duration);
--- a/source/storage/storage_client.h
+++ b/source/storage/storage_client.h
@@ -88,6 +88,8 @@
     bool durable = false;
     // Whether a quorum of the program's replicas has stored the settlement.
     bool settled = false;
+    int tries = 0;    // Times that the turn was sent to disks.
+    int answers = 0;  // Disks that reported to have stored it, in the last try.
   };
   // Stores `turn` on enough disks to survive the tolerated losses, each of
   // which then also has the turns `chain` (newest first) for as long as `turn`,
--- a/source/storage/storage_client_turns.cc
+++ b/source/storage/storage_client_turns.cc
@@ -267,6 +267,7 @@
     if (TimeLeft(deadline).count() <= 0) {
       break;
     }
+    ++out.tries;
     replies = CallWithCurrentList(
         fiber, request, TimeLeft(deadline),
         [this, &root, &use](const StorageList& list) {
@@ -275,6 +276,7 @@
         [copies](const StorageList& list, const StorageReplies& it) {
           return !list.members.empty() && CountAllDone(it) >= copies;
         });
+    out.answers = static_cast<int>(CountAllDone(replies));
     if (CountAllDone(replies) < copies) {
       break;
     }
