Keep a turn's answer until its disks have stored it or its time is over

A turn that had run was given up

- after 1.5 s, although its time limit was 4 s, by the daemon that serves clients and by the storage daemon;
- at once, if two disks had not answered other turns for 200 ms: the daemon then took itself for cut off and only asked relays, so that the client could turn to another daemon.
That helps a request that can be refused, not one that has run.

A turn is now sent again until its disks have it, its time is over or its client has left; the storage daemon leaves it to the caller how long a store may take. The wait for the settlement, which may follow later, stays at 1.5 s.

Evidence: both cases of slow_disks failed before (answered with status 0). Suites slow_disks, chains, turns, storage_node, memory and leaving pass.

--- a/source/front/call_handler.cc
+++ b/source/front/call_handler.cc
@@ -20,7 +20,6 @@
 constexpr std::chrono::milliseconds kDefaultTimeout{60000};
 constexpr std::chrono::milliseconds kLoadChainTimeout{1200};
 constexpr std::chrono::milliseconds kReserveTimeout{1200};
-constexpr std::chrono::milliseconds kStoreTurnTimeout{1500};
 // Added to a turn's retention to allow for clock skew and slow programs.
 constexpr std::chrono::milliseconds kRetentionMargin{30000};
 constexpr std::chrono::milliseconds kNoConfigRetryAfter{200};
@@ -276,8 +275,11 @@
   const auto stored = storage_.StoreTurn(
       fiber, std::move(turn),
       call.reserved_tokens ? SettledUse(call) : TokenUse{}, call.chain_turn_ids,
-      std::clamp(TimeLeft(call.deadline), kMinStoreTurnTimeout,
-                 kStoreTurnTimeout));
+      // The answer is ready, and neither another daemon nor another attempt can
+      // save it: only the end of the request's time ends the wait.
+      std::max(TimeLeft(std::min(call.deadline, stop_at_)),
+               kMinStoreTurnTimeout),
+      [&call] { return call.client.PeerGone(); });
   const auto store_time = std::chrono::steady_clock::now() - start;
   metrics_.ObserveTurnStore(stored.durable, store_time);
   call.store_time =
--- a/source/storage/disk_log.cc
+++ b/source/storage/disk_log.cc
@@ -172,6 +172,7 @@
       std::vector<Entry> batch;
       std::vector<std::int64_t> removals;
       std::deque<FileReplacement> replacements;
+      std::function<void()> hook;
       {
         std::unique_lock lock(mutex);
         work_available.wait(lock, [this] {
@@ -186,8 +187,12 @@
         queue.clear();
         removals.swap(segments_to_remove);
         replacements.swap(files_to_replace);
+        hook = before_write;
       }
       RemoveFiles(removals);
+      if (hook && (!replacements.empty() || !batch.empty())) {
+        hook();
+      }
       for (auto& it : replacements) {
         Replace(std::move(it));
       }
@@ -291,6 +296,7 @@
   std::deque<Entry> queue;                       // Guarded by `mutex`.
   std::vector<std::int64_t> segments_to_remove;  // Guarded by `mutex`.
   std::deque<FileReplacement> files_to_replace;  // Guarded by `mutex`.
+  std::function<void()> before_write;            // Guarded by `mutex`.
   bool stopping = false;                         // Guarded by `mutex`.
   std::thread thread;
 };
@@ -350,6 +356,11 @@
   impl_->work_available.notify_all();
 }
 
+void DiskLog::BeforeWrite(std::function<void()> hook) {
+  const std::lock_guard lock(impl_->mutex);
+  impl_->before_write = std::move(hook);
+}
+
 void DiskLog::Remove(std::int64_t segment) {
   if (impl_->closed_segments.erase(segment) == 0) {
     return;
--- a/source/storage/disk_log.h
+++ b/source/storage/disk_log.h
@@ -38,6 +38,10 @@
                    const std::string& text,
                    std::function<void(bool)> done);
 
+  // Sets the hook that the writing thread calls before it writes entries or
+  // replaces a file, for instance to slow the disk down in a test.
+  void BeforeWrite(std::function<void()> hook);
+
   // Removes a closed segment. Does nothing for the open segment.
   void Remove(std::int64_t segment);
 
--- a/source/storage/storage_client.h
+++ b/source/storage/storage_client.h
@@ -93,12 +93,14 @@
   };
   // Stores `turn` on enough disks to survive the tolerated losses, each of
   // which then also has the turns `chain` (newest first) for as long as `turn`,
-  // and settles `use`.
+  // and settles `use`. Tries again until `timeout` has passed or `abandoned`
+  // returns true.
   StoreTurnResult StoreTurn(Fiber& fiber,
                             TurnRecord turn,
                             const TokenUse& use,
                             const std::vector<std::string>& chain,
-                            std::chrono::milliseconds timeout);
+                            std::chrono::milliseconds timeout,
+                            const std::function<bool()>& abandoned);
 
   // Sends due settlements at regular intervals. Does not return.
   void Run(Fiber& fiber);
@@ -161,6 +163,14 @@
                  const std::vector<const TurnRecord*>& turns,
                  std::chrono::milliseconds until,
                  TimePoint deadline);
+  // Sends the turn of `request` once and completes the chain before it, whose
+  // first turn is `root`. Returns whether enough disks have all of it then.
+  bool TryStoreTurn(Fiber& fiber,
+                    StorageRequest& request,
+                    const std::string& root,
+                    const TokenUse& use,
+                    TimePoint deadline,
+                    StorageReplies& replies);
   // Starts to store the settled `use` on the replicas of its program, in a
   // coroutine of its own. Returns null if the disks of `plan` include a quorum
   // of them, because the store of the turn carries the settlement then.
--- a/source/storage/storage_client_turns.cc
+++ b/source/storage/storage_client_turns.cc
@@ -14,8 +14,14 @@
 
 // Bytes of turns that are sent to a disk in one request.
 constexpr std::size_t kMaxRequestBytes = 256 * 1024;
-// Stores of a turn while the chain before it does not get to enough disks.
-constexpr int kMaxStoreTries = 2;
+// Pause before a turn is sent to the disks again; it grows with each try.
+constexpr std::chrono::milliseconds kStoreRetryPause{50};
+constexpr std::chrono::milliseconds kMaxStoreRetryPause{250};
+// Least time for sending the turns before it to disks that lack them.
+constexpr std::chrono::milliseconds kMinCompletionTime{300};
+// A settlement that takes longer is sent again later, so that the end of a
+// stored turn need not wait for it.
+constexpr std::chrono::milliseconds kMaxSettlementWait{1500};
 
 }  // namespace
 
@@ -241,54 +247,46 @@
 // The caller may send the complete turn to the client once this returns. The
 // settled use is stored along with the turn: whatever daemon dies afterwards,
 // the tokens used stay known and the unused ones are free.
+//
+// A try also ends early, for instance because this daemon takes disks that have
+// not answered for a while for unreachable ones. That is right for a request
+// that can be refused, but a turn that has run would be lost with it.
 StorageClient::StoreTurnResult StorageClient::StoreTurn(
     Fiber& fiber,
     TurnRecord turn,
     const TokenUse& use,
     const std::vector<std::string>& chain,
-    std::chrono::milliseconds timeout) {
-  const auto deadline = std::chrono::steady_clock::now() + timeout;
+    std::chrono::milliseconds timeout,
+    const std::function<bool()>& abandoned) {
+  const auto start = std::chrono::steady_clock::now();
+  const auto deadline = start + timeout;
+  const auto settle_until = std::min(deadline, start + kMaxSettlementWait);
   const auto root = chain.empty() ? turn.id : chain.back();
   StorageRequest request;
   request.operation = StorageOperation::kStore;
   request.keep_until = turn.expires_at;
   request.turns.push_back(std::move(turn));
-  const auto& stored = request.turns.front();
   if (!use.request.empty()) {
     request.uses = {use};
   }
   request.ids = chain;
-  const auto copies = static_cast<std::size_t>(tolerated_losses_) + 1;
-  const auto settlement = BeginSettlement(
-      use, PlanForTurn(view_.storage_list(), root, use), timeout);
+  const auto settlement =
+      BeginSettlement(use, PlanForTurn(view_.storage_list(), root, use),
+                      TimeLeft(settle_until));
   StoreTurnResult out;
   StorageReplies replies;
-  for (int n = 0; n < kMaxStoreTries && !out.durable; ++n) {
-    if (TimeLeft(deadline).count() <= 0) {
-      break;
+  while (!out.durable && TimeLeft(deadline).count() > 0 && !abandoned()) {
+    if (out.tries > 0) {
+      fiber.Sleep(std::min({kStoreRetryPause * out.tries, kMaxStoreRetryPause,
+                            TimeLeft(deadline)}));
     }
     ++out.tries;
-    replies = CallWithCurrentList(
-        fiber, request, TimeLeft(deadline),
-        [this, &root, &use](const StorageList& list) {
-          return PlanForTurn(list, root, use);
-        },
-        [copies](const StorageList& list, const StorageReplies& it) {
-          return !list.members.empty() && CountAllDone(it) >= copies;
-        });
+    out.durable = TryStoreTurn(fiber, request, root, use, deadline, replies);
     out.answers = static_cast<int>(CountAllDone(replies));
-    if (CountAllDone(replies) < copies) {
-      break;
-    }
-    // A disk that is slow now is avoided by the next try, which needs time too.
-    const auto now = std::chrono::steady_clock::now();
-    const auto try_until =
-        n + 1 < kMaxStoreTries ? now + (deadline - now) / 2 : deadline;
-    out.durable = CompleteChain(fiber, stored, replies, try_until) >= copies;
   }
   if (settlement) {
     settlement->changed.WaitUntil(
-        fiber, std::max(TimeLeft(deadline), std::chrono::milliseconds(0)),
+        fiber, std::max(TimeLeft(settle_until), std::chrono::milliseconds(0)),
         [&settlement] { return settlement->ended; });
     out.settled = settlement->certain;
   } else {
@@ -303,4 +301,31 @@
   return out;
 }
 
+bool StorageClient::TryStoreTurn(Fiber& fiber,
+                                 StorageRequest& request,
+                                 const std::string& root,
+                                 const TokenUse& use,
+                                 TimePoint deadline,
+                                 StorageReplies& replies) {
+  const auto copies = static_cast<std::size_t>(tolerated_losses_) + 1;
+  replies = CallWithCurrentList(
+      fiber, request, TimeLeft(deadline),
+      [this, &root, &use](const StorageList& list) {
+        return PlanForTurn(list, root, use);
+      },
+      [copies](const StorageList& list, const StorageReplies& it) {
+        return !list.members.empty() && CountAllDone(it) >= copies;
+      });
+  if (CountAllDone(replies) < copies) {
+    return false;
+  }
+  // A disk that is slow now is avoided by the next try, which needs time too.
+  const auto now = std::chrono::steady_clock::now();
+  const auto try_until =
+      std::min(deadline, now + std::max<TimePoint::duration>(
+                                   kMinCompletionTime, (deadline - now) / 2));
+  return CompleteChain(fiber, request.turns.front(), replies, try_until) >=
+         copies;
+}
+
 }  // namespace comfreyfold
--- a/source/storage/storage_node.cc
+++ b/source/storage/storage_node.cc
@@ -16,9 +16,12 @@
 constexpr const char* kListFile = "members";
 constexpr int kOk = 200;
 constexpr int kBadRequest = 400;
-// A store that is not synced within this time is reported as failed. It may
-// still reach the disk later, which is harmless.
+// A write that is not synced within this time is reported as failed. It may
+// still reach the disk later, which is harmless. Other daemons decide
+// themselves how long they wait for a store: some have an answer ready that
+// cannot be delivered before.
 constexpr std::chrono::milliseconds kSyncTimeout{1500};
+constexpr std::chrono::milliseconds kMaxStoreTime{10000};
 // Turns may use 1/kMemoryDivisor of the VM's memory.
 constexpr int kMemoryDivisor = 3;
 // Turns may use 1/kDiskDivisor of the disk. The rest is needed because segments
@@ -101,7 +104,7 @@
 
 bool StorageNode::Adopt(Fiber& fiber, const StorageList& list) {
   if (list.version > view_.storage_list().version) {
-    AwaitWrite(fiber, StoreList(list));
+    AwaitWrite(fiber, StoreList(list), kSyncTimeout);
   }
   return list.version <= view_.storage_list().version;
 }
@@ -233,9 +236,9 @@
 }
 
 bool StorageNode::AwaitWrite(Fiber& fiber,
-                             const std::shared_ptr<Write>& write) {
-  write->changed.WaitUntil(fiber, kSyncTimeout,
-                           [write] { return write->ended; });
+                             const std::shared_ptr<Write>& write,
+                             std::chrono::milliseconds timeout) {
+  write->changed.WaitUntil(fiber, timeout, [write] { return write->ended; });
   return write->durable;
 }
 
@@ -259,7 +262,7 @@
     reply.uses = tokens_.ForProgram(request.program);
   }
   reply.ids = turns_.Missing(request.ids);
-  if (!AwaitWrite(fiber, write)) {
+  if (!AwaitWrite(fiber, write, kMaxStoreTime)) {
     log_.Write("store_failed", "",
                {{"reason", "write to disk failed or took too long"}});
     reply.status = StorageStatus::kFailed;
@@ -269,7 +272,7 @@
 
 bool StorageNode::StoreCopied(Fiber& fiber, StorageRequest request) {
   request.operation = StorageOperation::kStore;
-  return AwaitWrite(fiber, BeginWrite(request, Encode(request)));
+  return AwaitWrite(fiber, BeginWrite(request, Encode(request)), kSyncTimeout);
 }
 
 StorageReply StorageNode::AnswerChain(const StorageRequest& request) const {
--- a/source/storage/storage_node.h
+++ b/source/storage/storage_node.h
@@ -89,7 +89,9 @@
                                     const std::string& encoded);
   // Waits for `write`. Returns whether it was synced to disk within a time
   // limit.
-  static bool AwaitWrite(Fiber& fiber, const std::shared_ptr<Write>& write);
+  static bool AwaitWrite(Fiber& fiber,
+                         const std::shared_ptr<Write>& write,
+                         std::chrono::milliseconds timeout);
   // Stores `list`, unless a list that is at least as new is being stored, and
   // then applies it. Returns the write to wait for.
   std::shared_ptr<Write> StoreList(const StorageList& list);
--- a/source/vm/vm_daemon.cc
+++ b/source/vm/vm_daemon.cc
@@ -438,6 +438,10 @@
   settings_ = settings;
 }
 
+void VmDaemon::BeforeDiskWrite(std::function<void()> hook) {
+  storage_node_->disk_log().BeforeWrite(std::move(hook));
+}
+
 void VmDaemon::Stop(std::function<void()> done) {
   if (stopping_) {
     return;
--- a/source/vm/vm_daemon.h
+++ b/source/vm/vm_daemon.h
@@ -61,6 +61,10 @@
   // Replaces the settings after their file has changed.
   void Reload(const VmSettings& settings);
 
+  // Sets the hook that is called before each write to the disk, on the thread
+  // that writes. The daemon must have a disk.
+  void BeforeDiskWrite(std::function<void()> hook);
+
   // Planned stop: reports "not ready" to the load balancer, finishes requests
   // in flight, and calls `done`.
   void Stop(std::function<void()> done);
--- /dev/null
+++ b/tests/vm/slow_disks_test.cc
@@ -0,0 +1,86 @@
+// Disks that answer late, though nothing is lost.
+
+#include <boost/test/unit_test.hpp>
+
+#include "vm/disk_gate.h"
+#include "vm/turn_requests.h"
+
+namespace comfreyfold {
+namespace {
+
+using std::chrono::milliseconds;
+
+// Runs `body` with a gate before the three disks.
+void WithGuardedDisks(
+    const std::function<void(Fiber&, VmDeployment&, DiskGate&)>& body) {
+  // The daemons of a deployment are never destroyed.
+  auto* gate = new DiskGate;
+  WithTwoFrontDaemons([&](Fiber& fiber, VmDeployment& deployment) {
+    for (const auto* it : {"disk-1", "disk-2", "disk-3"}) {
+      gate->Guard(deployment.vm(it));
+    }
+    body(fiber, deployment, *gate);
+    gate->Open();
+  });
+}
+
+struct PendingTurn {
+  bool ended = false;
+  HttpReply reply;
+};
+
+// Sends a turn in a coroutine of its own.
+std::shared_ptr<PendingTurn> BeginTurn(VmDeployment& deployment,
+                                       const std::string& id) {
+  auto out = std::make_shared<PendingTurn>();
+  deployment.loop().Spawn([&deployment, id, out](Fiber& child) {
+    out->reply = SendTurn(child, deployment, "front-1", id, "in;");
+    out->ended = true;
+  });
+  return out;
+}
+
+BOOST_AUTO_TEST_SUITE(slow_disks)
+
+BOOST_AUTO_TEST_CASE(stream_of_ended_turn_is_not_cut_before_its_time_is_over) {
+  WithGuardedDisks([](Fiber& fiber, VmDeployment& deployment, DiskGate& gate) {
+    gate.Close();
+    const auto turn = BeginTurn(deployment, "t1");
+    BOOST_REQUIRE(
+        deployment.WaitFor(fiber, [&] { return gate.waiting() >= 2; }));
+    // Half of the time limit of the turn.
+    fiber.Sleep(milliseconds(2000));
+    BOOST_TEST(!turn->ended);
+    gate.Open();
+    BOOST_REQUIRE(deployment.WaitFor(fiber, [&] { return turn->ended; }));
+    BOOST_TEST(turn->reply.status == 200);
+    BOOST_TEST(
+        SendTurn(fiber, deployment, "front-2", "t2", "in;", "t1").status ==
+        200);
+  });
+}
+
+// Disks that had been slow for another turn were taken for unreachable ones.
+BOOST_AUTO_TEST_CASE(turn_is_stored_by_daemon_that_waits_for_slow_disks) {
+  WithGuardedDisks([](Fiber& fiber, VmDeployment& deployment, DiskGate& gate) {
+    gate.Close();
+    const auto first = BeginTurn(deployment, "t1");
+    BOOST_REQUIRE(
+        deployment.WaitFor(fiber, [&] { return gate.waiting() == 3; }));
+    // The daemon takes all of them for slow now.
+    fiber.Sleep(milliseconds(500));
+    const auto second = BeginTurn(deployment, "t2");
+    fiber.Sleep(milliseconds(500));
+    BOOST_TEST(!second->ended);
+    gate.Open();
+    BOOST_REQUIRE(deployment.WaitFor(
+        fiber, [&] { return first->ended && second->ended; }));
+    BOOST_TEST(first->reply.status == 200);
+    BOOST_TEST(second->reply.status == 200);
+  });
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace
+}  // namespace comfreyfold
