Learn the turns of slow disks before a change that was begun anew ends

A turn that had been answered was left on one disk, and lost with it: after a join that failed, disks that copied took the refusal of a disk that had not stored the new list yet for its list of turns, and made no second copy of what it had alone.

The body of the older case is shared with the new one; its checks stay.

--- a/source/storage/disk_copier.cc
+++ b/source/storage/disk_copier.cc
@@ -69,6 +69,7 @@
   if (uses_copied_epoch_ != list.epoch) {
     uses_copied_epoch_ = list.epoch;
     uses_copied_from_ = {disk_};
+    copy_started_at_ = std::chrono::steady_clock::now();
   }
   struct CopyProgress {
     explicit CopyProgress(Loop& loop) : changed(loop) {}
@@ -149,6 +150,7 @@
   StorageRequest request;
   request.operation = StorageOperation::kDigest;
   request.epoch = list.epoch;
+  request.members = list;
   const auto all = list.AllMembers();
   ReplicaClient::Plan plan;
   for (const auto& it : all) {
@@ -177,6 +179,9 @@
         return enough(it) &&
                (!list.recopies || it.size() == plan.targets.size());
       });
+  if (list.recopies && AwaitsDigests(replies)) {
+    return false;
+  }
   for (std::size_t n = 0; n < all.size(); ++n) {
     const auto reply = replies.find(all[n].disk);
     if (all[n].disk == disk_) {
@@ -202,6 +207,16 @@
   return enough(replies);
 }
 
+// A disk that is slow to store the list refuses to list its turns until then,
+// and may have the last copy of some. One that still refuses after
+// kMaxCopyTime counts as lost.
+bool DiskCopier::AwaitsDigests(const StorageReplies& replies) const {
+  return std::chrono::steady_clock::now() - copy_started_at_ < kMaxCopyTime &&
+         std::any_of(replies.begin(), replies.end(), [](const auto& it) {
+           return it.second.status != StorageStatus::kDone;
+         });
+}
+
 // Copies turns that have too few copies in the next set. The disks that receive
 // the missing copies are chosen by rendezvous hashing of the turn's id, so that
 // all disks choose the same ones independently.
--- a/source/storage/disk_copier.h
+++ b/source/storage/disk_copier.h
@@ -49,6 +49,8 @@
   // Drops the copies that expire earlier than others.
   static void DropShortLived(std::vector<TurnCopy>& copies);
   bool FindHolders(Fiber& fiber, const StorageList& list, Holders& holders);
+  // Whether the turns of a disk that has answered are still to be learned.
+  bool AwaitsDigests(const StorageReplies& replies) const;
   // Sends `request` to `member`. A member that reports an older epoch is sent
   // `list` first.
   bool CallWithList(Fiber& fiber,
@@ -70,6 +72,7 @@
   // Disks from which all uses have been copied in epoch `uses_copied_epoch_`.
   std::set<std::string> uses_copied_from_;
   std::int64_t uses_copied_epoch_ = 0;
+  TimePoint copy_started_at_{};  // In this epoch.
 };
 
 }  // namespace comfreyfold
--- a/tests/vm/chains_test.cc
+++ b/tests/vm/chains_test.cc
@@ -5,6 +5,8 @@
 #include <boost/test/unit_test.hpp>
 
 #include "storage/replica_client.h"
+#include "storage/storage_membership_manager.h"
+#include "vm/disk_gate.h"
 #include "vm/turn_requests.h"
 #include "wire/storage_messages.h"
 
@@ -13,6 +15,32 @@
 
 using std::chrono::milliseconds;
 
+StorageList ListOf(VmDeployment& deployment) {
+  return DecodeStorageList(deployment.store().Value(kStorageListKey));
+}
+
+// Sends a turn of each of several programs to the daemon "front-1". Returns the
+// ids of the turns that were answered. Programs with a budget spread their
+// turns over all disks.
+std::vector<std::string> SendTurnsOfPrograms(Fiber& fiber,
+                                             VmDeployment& deployment) {
+  constexpr int kPrograms = 20;
+  std::vector<std::string> out;
+  for (int n = 0; n < kPrograms; ++n) {
+    const auto id = "t" + std::to_string(n);
+    const VmDeployment::ClientRequest turn{"/talk/stream/x",
+                                           id,
+                                           "in;",
+                                           {{"Program-Id", "p" + id},
+                                            {"Token-Budget", "64"},
+                                            {"Token-Usage", "10,32"}}};
+    if (deployment.Send(fiber, deployment.vm("front-1"), turn).status == 200) {
+      out.push_back(id);
+    }
+  }
+  return out;
+}
+
 // Returns when each copy of the turn on a disk of the list expires.
 std::vector<milliseconds> ExpiriesOf(Fiber& fiber,
                                      VmDeployment& deployment,
@@ -21,8 +49,7 @@
   request.operation = StorageOperation::kFetch;
   request.ids = {id};
   std::vector<milliseconds> out;
-  const auto list =
-      DecodeStorageList(deployment.store().Value("comfreyfold/storage"));
+  const auto list = ListOf(deployment);
   for (const auto& it : list.members) {
     const auto reply = DecodeStorageReply(
         deployment.http()
@@ -106,39 +133,22 @@
 // is none.
 BOOST_AUTO_TEST_CASE(turns_survive_a_disk_that_is_lost_while_it_joins) {
   WithTwoFrontDaemons([](Fiber& fiber, VmDeployment& deployment) {
-    constexpr const char* kListKey = "comfreyfold/storage";
-    const auto list = [&deployment] {
-      return DecodeStorageList(deployment.store().Value(kListKey));
-    };
     // Leaves time to see the change before its next step.
     deployment.store().faults().Set("slow", -1, milliseconds(200));
     auto& joining = deployment.AddVm("disk-4", true, false);
-    BOOST_REQUIRE(
-        deployment.WaitFor(fiber, [&] { return list().next.size() == 4U; }));
+    BOOST_REQUIRE(deployment.WaitFor(
+        fiber, [&] { return ListOf(deployment).next.size() == 4U; }));
     // The change cannot end while the store is out.
     deployment.store().faults().Set("out", -1);
     deployment.store().faults().Set("slow", 0);
-    std::vector<std::string> answered;
-    for (int n = 0; n < 20; ++n) {
-      const auto id = "t" + std::to_string(n);
-      // Programs with a budget spread their turns over all disks.
-      const VmDeployment::ClientRequest turn{"/talk/stream/x",
-                                             id,
-                                             "in;",
-                                             {{"Program-Id", "p" + id},
-                                              {"Token-Budget", "64"},
-                                              {"Token-Usage", "10,32"}}};
-      if (deployment.Send(fiber, deployment.vm("front-1"), turn).status ==
-          200) {
-        answered.push_back(id);
-      }
-    }
+    const auto answered = SendTurnsOfPrograms(fiber, deployment);
     BOOST_REQUIRE(!answered.empty());
-    BOOST_REQUIRE(list().changing());
+    BOOST_REQUIRE(ListOf(deployment).changing());
     deployment.StopVm(fiber, joining);
     deployment.store().faults().Set("out", 0);
     BOOST_REQUIRE(deployment.WaitFor(fiber, [&] {
-      return !list().changing() && list().members.size() == 3U;
+      const auto list = ListOf(deployment);
+      return !list.changing() && list.members.size() == 3U;
     }));
     for (const auto& id : answered) {
       BOOST_TEST(ExpiriesOf(fiber, deployment, id).size() >= 2U);
@@ -149,6 +159,41 @@
   });
 }
 
+// A disk that had not stored the new list yet counted as asked for its turns,
+// and had the last copy of some.
+BOOST_AUTO_TEST_CASE(turns_survive_a_lost_join_beside_a_disk_that_is_slow) {
+  auto* gate = new DiskGate;  // The daemons are never destroyed.
+  WithTwoFrontDaemons([gate](Fiber& fiber, VmDeployment& deployment) {
+    auto& slow = deployment.vm("disk-3");
+    gate->Guard(slow);
+    // Leaves time to see the change before its next step.
+    deployment.store().faults().Set("slow", -1, milliseconds(200));
+    auto& joining = deployment.AddVm("disk-4", true, false);
+    BOOST_REQUIRE(deployment.WaitFor(
+        fiber, [&] { return ListOf(deployment).next.size() == 4U; }));
+    // The change cannot end while the store is out.
+    deployment.store().faults().Set("out", -1);
+    deployment.store().faults().Set("slow", 0);
+    const auto answered = SendTurnsOfPrograms(fiber, deployment);
+    BOOST_REQUIRE(!answered.empty());
+    BOOST_REQUIRE(ListOf(deployment).changing());
+    deployment.StopVm(fiber, joining);
+    gate->Close();
+    deployment.store().faults().Set("out", 0);
+    // The change is begun anew without the disk that was joining.
+    BOOST_REQUIRE(
+        deployment.WaitFor(fiber, [&] { return ListOf(deployment).recopies; }));
+    // The other disks have nothing to wait for but the slow one.
+    fiber.Sleep(milliseconds(1000));
+    gate->Open();
+    BOOST_REQUIRE(deployment.WaitFor(
+        fiber, [&] { return !ListOf(deployment).changing(); }));
+    for (const auto& id : answered) {
+      BOOST_TEST(ExpiriesOf(fiber, deployment, id).size() >= 2U);
+    }
+  });
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace
