Test that late requests are refused in a planned stop

The refusal of requests whose time is not over before a planned stop ends had no test of its own. The test begins two requests while connections are still accepted, completes them once they are refused, and checks that the long one is answered 503 (stopping, not run, Retry-After) and reaches no server, and that the short one is served.

The raw connection of reported_failures moves to tests/vm/raw_client.

--- a/tests/vm/leaving_test.cc
+++ b/tests/vm/leaving_test.cc
@@ -5,6 +5,7 @@
 #include <boost/test/unit_test.hpp>
 
 #include "vm/raw_answers.h"
+#include "vm/raw_client.h"
 
 namespace comfreyfold {
 namespace {
@@ -138,6 +139,47 @@
   });
 }
 
+// Requests that began to arrive at the end of the load balancer's time were
+// passed on, and cut at the end of the stop.
+BOOST_AUTO_TEST_CASE(late_request_beyond_the_end_of_a_planned_stop_is_refused) {
+  RunWithDeployment([](Fiber& fiber, VmDeployment& deployment) {
+    deployment.StartAll(fiber);
+    const auto& server = *deployment.AddServer("s1").service;
+    auto& front = deployment.vm("front-1");
+    const auto probe = [&] {
+      return deployment.Send(fiber, front, {"/once/x", "probe", "", {}}).status;
+    };
+    BOOST_REQUIRE(deployment.WaitFor(fiber, [&] { return probe() == 200; }));
+    auto settings = front.settings;
+    // Less than the route's limit of 4 s is left when connections are refused.
+    settings.stop_grace = std::chrono::seconds(6);
+    front.daemon->Reload(settings);
+    bool stopped = false;
+    front.daemon->Stop([&stopped] { stopped = true; });
+    RawClient too_long(fiber, deployment, front);
+    RawClient short_enough(fiber, deployment, front);
+    const std::string start = "POST /once/x HTTP/1.1\r\nHost: shop\r\n";
+    too_long.Write(start);
+    short_enough.Write(start);
+    BOOST_REQUIRE(deployment.WaitFor(fiber, [&] { return probe() == 0; }));
+    too_long.Write(
+        "Request-Id: long\r\nRequest-Deadline-Ms: 4000\r\n"
+        "Content-Length: 2\r\n\r\nok");
+    short_enough.Write(
+        "Request-Id: short\r\nRequest-Deadline-Ms: 1000\r\n"
+        "Content-Length: 2\r\n\r\nok");
+    const auto refused = too_long.ReadToEnd();
+    BOOST_TEST(refused.find("HTTP/1.1 503") == 0U);
+    BOOST_TEST(refused.find("\"code\":\"stopping\"") != std::string::npos);
+    BOOST_TEST(refused.find("\"verdict\":\"not_run\"") != std::string::npos);
+    BOOST_TEST(refused.find("Retry-After: ") != std::string::npos);
+    BOOST_TEST(short_enough.ReadToEnd().find("HTTP/1.1 200") == 0U);
+    BOOST_TEST(server.RunsOf("long") == 0);
+    BOOST_TEST(server.RunsOf("short") == 1);
+    BOOST_TEST(deployment.WaitFor(fiber, [&stopped] { return stopped; }));
+  });
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace
--- a/tests/vm/reported_failures_test.cc
+++ b/tests/vm/reported_failures_test.cc
@@ -1,15 +1,11 @@
 // Failures that operators of similar systems have reported.
 
-#include <boost/asio/ip/tcp.hpp>
-#include <boost/asio/read.hpp>
-#include <boost/asio/write.hpp>
 #include <boost/test/unit_test.hpp>
 #include <nlohmann/json.hpp>
 
-#include "net/loop_impl.h"
-#include "net/yield_token.h"
 #include "storage/disk_log.h"
 #include "vm/raw_answers.h"
+#include "vm/raw_client.h"
 #include "wire/storage_messages.h"
 
 namespace comfreyfold {
@@ -139,19 +135,9 @@
       return deployment.Send(fiber, front, {"/plain/x", "r", "", {}}).status ==
              200;
     }));
-    boost::asio::ip::tcp::socket socket(deployment.loop().impl().io);
-    const auto& address = front.settings.client_address;
-    const auto colon = address.rfind(':');
-    boost::system::error_code ec;
-    socket.async_connect(
-        {boost::asio::ip::make_address(address.substr(0, colon)),
-         static_cast<std::uint16_t>(std::stoi(address.substr(colon + 1)))},
-        YieldToken(fiber)[ec]);
-    const auto write = [&](const std::string& bytes) {
-      boost::asio::async_write(socket, boost::asio::buffer(bytes),
-                               YieldToken(fiber)[ec]);
-    };
-    write("POST /plain/x HTTP/1.1\r\nHost: shop\r\nRequest-Id: late\r\n");
+    RawClient client(fiber, deployment, front);
+    client.Write(
+        "POST /plain/x HTTP/1.1\r\nHost: shop\r\nRequest-Id: late\r\n");
     bool stopped = false;
     front.daemon->Stop([&stopped] { stopped = true; });
     // New connections are refused once the daemon has stopped to accept them.
@@ -159,10 +145,8 @@
       return deployment.Send(fiber, front, {"/plain/x", "r", "", {}}).status ==
              0;
     }));
-    write("Content-Length: 2\r\n\r\nok");
-    std::string reply;
-    boost::asio::async_read(socket, boost::asio::dynamic_buffer(reply),
-                            YieldToken(fiber)[ec]);
+    client.Write("Content-Length: 2\r\n\r\nok");
+    const auto reply = client.ReadToEnd();
     BOOST_TEST(reply.substr(0, 12) == "HTTP/1.1 200");
     BOOST_TEST(reply.find("answer to ok") != std::string::npos);
     BOOST_TEST(deployment.WaitFor(fiber, [&stopped] { return stopped; }));
