Answer for a block that a holder has without writing it again

Callers saw idempotent calls refused (journal_unavailable) while the key-value service was out and a holder's disk slow. A holder that took longer than the 500 ms for which its owner waits was sent the block again, and synced it again, so that no answer came in time however often it was asked.

A holder that has the very same block on disk now says so at once. The spool's folder is synced when it is opened, since a block that is visible after a restart need not be durable.

Evidence: with the comparison commented out, block_spool/holders_with_slow_disks_commit_idempotent_calls fails (refused after commit_timeout, nothing at the second holder) and block_spool/only_the_same_block_is_not_written_again too.

--- a/source/server/block_spool.cc
+++ b/source/server/block_spool.cc
@@ -68,20 +68,6 @@
   Descriptor(folder, O_RDONLY | O_DIRECTORY).Sync();
 }
 
-// Writes the file atomically: after a crash it has either its old content or
-// all of `bytes`.
-void WriteDurably(const fs::path& path, const std::string& bytes) {
-  auto temporary = path;
-  temporary += kNewSuffix;
-  {
-    const Descriptor file(temporary, O_WRONLY | O_CREAT | O_TRUNC);
-    file.Write(bytes);
-    file.Sync();
-  }
-  fs::rename(temporary, path);
-  SyncFolder(path.parent_path());
-}
-
 std::string ReadFile(const fs::path& path) {
   std::ifstream in(path, std::ios::binary);
   if (!in) {
@@ -98,6 +84,9 @@
   fs::create_directories(folder_);
   SyncFolder(data_folder);
   Load();
+  // What an earlier process wrote last may be visible without being durable,
+  // and a repeated request to store it is answered without another write.
+  SyncFolder(folder_);
   if (id_.empty()) {
     id_ = RandomId();
     WriteDurably(folder_ / kIdFile, id_);
@@ -137,6 +126,35 @@
   return folder_ / ("seal-" + std::to_string(lane));
 }
 
+// Writes the file atomically: after a crash it has either its old content or
+// all of `bytes`.
+void BlockSpool::WriteDurably(const fs::path& path,
+                              const std::string& bytes) const {
+  auto temporary = path;
+  temporary += kNewSuffix;
+  {
+    const Descriptor file(temporary, O_WRONLY | O_CREAT | O_TRUNC);
+    file.Write(bytes);
+    file.Sync();
+  }
+  fs::rename(temporary, path);
+  SyncFolder(path.parent_path());
+  if (on_durable_write_) {
+    on_durable_write_();
+  }
+}
+
+bool BlockSpool::HasBlock(const SpoolRequest& request,
+                          const LaneBlock& block) const {
+  const auto lane = lanes_.find(request.lane);
+  if (lane == lanes_.end()) {
+    return false;
+  }
+  const auto stored = lane->second.epochs.find(block.number);
+  return stored != lane->second.epochs.end() && stored->second == block.epoch &&
+         ReadFile(BlockPath(request.lane, block.number)) == request.block;
+}
+
 SpoolAnswer BlockSpool::Store(const SpoolRequest& request) {
   if (request.spool != id_) {
     return {SpoolStatus::kOtherSpool, {}};
@@ -150,6 +168,11 @@
       (stored != lane.epochs.end() && stored->second > block.epoch)) {
     return {SpoolStatus::kSealed, {}};
   }
+  // An owner that got no answer in time sends the block again. If each of these
+  // requests waited for the disk, a slow one would never answer in time.
+  if (HasBlock(request, block)) {
+    return {};
+  }
   WriteDurably(BlockPath(request.lane, block.number), request.block);
   lane.epochs[block.number] = block.epoch;
   return {};
--- a/source/server/block_spool.h
+++ b/source/server/block_spool.h
@@ -4,9 +4,12 @@
 #include <cstddef>
 #include <cstdint>
 #include <filesystem>
+#include <functional>
 #include <map>
 #include <string>
+#include <utility>
 
+#include "core/lane_entry.h"
 #include "log/event_log.h"
 #include "wire/spool_messages.h"
 
@@ -38,6 +41,11 @@
   // Number of blocks stored, over all lanes.
   std::size_t held() const;
 
+  // The hook runs after each write that waited for the disk.
+  void OnDurableWrite(std::function<void()> hook) {
+    on_durable_write_ = std::move(hook);
+  }
+
  private:
   struct Lane {
     std::int64_t seal = 0;       // Blocks of epochs below this are refused.
@@ -47,6 +55,10 @@
 
   void Load();
   void LoadFile(const std::filesystem::path& path);
+  void WriteDurably(const std::filesystem::path& path,
+                    const std::string& bytes) const;
+  // Whether the requested block is on disk already.
+  bool HasBlock(const SpoolRequest& request, const LaneBlock& block) const;
   std::filesystem::path BlockPath(int lane, std::int64_t number) const;
   std::filesystem::path SealPath(int lane) const;
 
@@ -54,6 +66,7 @@
   EventLog& log_;
   std::string id_;
   std::map<int, Lane> lanes_;
+  std::function<void()> on_durable_write_;
 };
 
 }  // namespace comfreyfold
--- a/tests/lane/in_process_holders.cc
+++ b/tests/lane/in_process_holders.cc
@@ -39,6 +39,7 @@
   const auto folder = folder_.Sub(daemon);
   fs::create_directories(folder);
   spools_[daemon] = std::make_unique<BlockSpool>(folder, log_);
+  spools_[daemon]->OnDurableWrite([this] { ++durable_writes_; });
 }
 
 void InProcessHolders::ReplaceDisk(const std::string& daemon) {
@@ -101,7 +102,11 @@
   if (down_.contains(daemon)) {
     return {SpoolStatus::kNoAnswer, {}};
   }
+  const auto writes = durable_writes_;
   auto out = ask(*spools_.at(daemon));
+  if (slow_disks_ && durable_writes_ > writes) {
+    return {SpoolStatus::kNoAnswer, {}};
+  }
   if (lost_answers_[daemon] > 0) {
     --lost_answers_[daemon];
     return {SpoolStatus::kNoAnswer, {}};
--- a/tests/lane/in_process_holders.h
+++ b/tests/lane/in_process_holders.h
@@ -42,6 +42,8 @@
   void ReplaceDisk(const std::string& daemon);
   // The answers to the next `count` requests to the daemon are lost.
   void LoseAnswers(const std::string& daemon, int count);
+  // Answers to requests that wait for the disk come too late from now on.
+  void SetSlowDisks(bool slow) { slow_disks_ = slow; }
   // The hook runs once, after the next request to seal.
   void AfterSeal(std::function<void(Fiber&)> hook) {
     after_seal_ = std::move(hook);
@@ -83,6 +85,8 @@
   std::set<std::string> down_;
   std::set<std::string> unlisted_;
   std::map<std::string, int> lost_answers_;
+  bool slow_disks_ = false;
+  int durable_writes_ = 0;
   std::function<void(Fiber&)> after_seal_;
 };
 
