Await a relayed outcome for as long as its call has time

A call whose lane is handed over while it runs sends its outcome to the next owner.

The owner now answers that the outcome is queued, and the sender asks again until the call's time is over. A queued outcome is not queued twice.

Evidence: with the refusal put back, outcome_relay/outcome_is_awaited_for_the_time_of_its_call fails; on this code it passes. Found by reading; not seen in a deployment.

--- a/source/server/outcome_relay.cc
+++ b/source/server/outcome_relay.cc
@@ -13,6 +13,7 @@
 
 constexpr milliseconds kOwnerRetryInterval{20};
 constexpr milliseconds kAppendTimeout{5000};
+constexpr milliseconds kQueuePollInterval{100};
 
 const CallRecord* FindOpenCall(const LaneState& state,
                                const LaneEntry& done,
@@ -36,6 +37,12 @@
          call->answer == done.answer;
 }
 
+// True when an outcome of the call waits to be written to the journal.
+bool IsQueued(const LaneOwner& lane, const LaneEntry& done) {
+  const auto* queued = lane.PendingOutcome({done.customer, done.program});
+  return queued != nullptr && queued->key == done.key;
+}
+
 }  // namespace
 
 bool OutcomeRelay::Send(Fiber& fiber,
@@ -51,7 +58,8 @@
       const auto left = std::chrono::duration_cast<milliseconds>(
           deadline - steady_clock::now());
       const auto reception = Deliver(fiber, *owner, outcome, left);
-      if (reception != Reception::kNotOwner) {
+      if (reception == Reception::kRecorded ||
+          reception == Reception::kRefused) {
         return reception == Reception::kRecorded;
       }
     }
@@ -79,6 +87,9 @@
     if (reply.status == 200) {
       return Reception::kRecorded;
     }
+    if (reply.status == kOutcomePending) {
+      return Reception::kPending;
+    }
     return reply.status == kMisdirected ? Reception::kNotOwner
                                         : Reception::kRefused;
   } catch (const HttpFailure&) {
@@ -89,6 +100,32 @@
   }
 }
 
+OutcomeRelay::Reception OutcomeRelay::Record(Fiber& fiber,
+                                             LaneOwner& lane,
+                                             const LaneEntry& done) {
+  if (!IsQueued(lane, done)) {
+    try {
+      lane.Append(fiber, {done}, kAppendTimeout);
+      return Reception::kRecorded;
+    } catch (const LaneLost&) {
+      return Reception::kNotOwner;
+    } catch (const AppendTimeout&) {
+      // The outcome stays queued. How long its sender waits, the sender knows.
+      return Reception::kPending;
+    }
+  }
+  const auto give_up_at = steady_clock::now() + kAppendTimeout;
+  while (IsQueued(lane, done) && !lane.lost() &&
+         steady_clock::now() < give_up_at) {
+    lane.WaitForChange(fiber, kQueuePollInterval);
+  }
+  if (lane.lost()) {
+    return Reception::kNotOwner;
+  }
+  return IsRecorded(lane.state(), done) ? Reception::kRecorded
+                                        : Reception::kPending;
+}
+
 OutcomeRelay::Reception OutcomeRelay::Receive(Fiber& fiber,
                                               const LaneBlock& outcome) {
   if (outcome.entries.size() != 1 ||
@@ -105,12 +142,9 @@
     return IsRecorded(lane->state(), done) ? Reception::kRecorded
                                            : Reception::kRefused;
   }
-  try {
-    lane->Append(fiber, {done}, kAppendTimeout);
-  } catch (const LaneLost&) {
-    return Reception::kNotOwner;
-  } catch (const AppendTimeout&) {
-    return Reception::kRefused;
+  const auto out = Record(fiber, *lane, done);
+  if (out != Reception::kRecorded) {
+    return out;
   }
   log_.Write({.name = "outcome_received",
               .customer = done.customer,
@@ -120,7 +154,7 @@
               .epoch = lane->epoch(),
               .call = done.call,
               .detail = outcome.owner});
-  return Reception::kRecorded;
+  return out;
 }
 
 }  // namespace comfreyfold
--- a/source/server/outcome_relay.h
+++ b/source/server/outcome_relay.h
@@ -29,12 +29,20 @@
             std::int64_t epoch,
             std::chrono::milliseconds timeout);
 
-  enum class Reception { kRecorded, kRefused, kNotOwner };
+  enum class Reception {
+    kRecorded,
+    kRefused,
+    kNotOwner,
+    kPending,  // Queued for the journal; to be sent again.
+  };
 
   // Called at the owner: appends a received outcome to the journal.
   Reception Receive(Fiber& fiber, const LaneBlock& outcome);
 
  private:
+  // Appends `done` to the journal of the lane, unless an earlier request has
+  // queued it, and waits until it is recorded.
+  static Reception Record(Fiber& fiber, LaneOwner& lane, const LaneEntry& done);
   Reception Deliver(Fiber& fiber,
                     const LaneOwnerView& owner,
                     const LaneBlock& outcome,
--- a/source/server/peer_api.cc
+++ b/source/server/peer_api.cc
@@ -104,6 +104,9 @@
     case OutcomeRelay::Reception::kNotOwner:
       exchange.Reply(kMisdirected, "text/plain", "not the owner");
       break;
+    case OutcomeRelay::Reception::kPending:
+      exchange.Reply(kOutcomePending, "text/plain", "not recorded yet");
+      break;
   }
 }
 
--- a/source/server/peer_protocol.h
+++ b/source/server/peer_protocol.h
@@ -35,6 +35,10 @@
 // Nothing was run.
 inline constexpr int kMisdirected = 421;
 
+// HTTP status for an outcome that is queued for the journal, so that it can be
+// sent again.
+inline constexpr int kOutcomePending = 503;
+
 }  // namespace comfreyfold
 
 #endif  // SERVER_PEER_PROTOCOL_H_
