Hold a reload that arrives while the process starts

Operators saw daemons end with signal 1 when SIGHUP came right after a start: until OnReload sets its handler, the signal ends the process.

--- a/source/net/loop.cc
+++ b/source/net/loop.cc
@@ -63,6 +63,13 @@
 
 namespace {
 
+sigset_t ReloadSignals() {
+  sigset_t out;
+  sigemptyset(&out);
+  sigaddset(&out, SIGHUP);
+  return out;
+}
+
 void WaitForReload(boost::asio::signal_set& signals,
                    const std::function<void()>& hook) {
   signals.async_wait([&signals, hook](boost::system::error_code ec, int) {
@@ -75,9 +82,17 @@
 
 }  // namespace
 
+// A SIGHUP without a handler ends the process.
+void Loop::HoldReloads() {
+  const auto signals = ReloadSignals();
+  pthread_sigmask(SIG_BLOCK, &signals, nullptr);
+}
+
 void Loop::OnReload(const std::function<void()>& hook) {
   impl_->reload_signals.add(SIGHUP);
   WaitForReload(impl_->reload_signals, hook);
+  const auto signals = ReloadSignals();
+  pthread_sigmask(SIG_UNBLOCK, &signals, nullptr);
 }
 
 void Loop::Post(std::function<void()> task) {
--- a/source/net/loop.h
+++ b/source/net/loop.h
@@ -28,6 +28,9 @@
   // Runs `hook` on the first SIGTERM or SIGINT.
   void OnTermination(std::function<void()> hook);
 
+  // Keeps a SIGHUP that arrives before OnReload until then.
+  static void HoldReloads();
+
   // Runs `hook` on each SIGHUP.
   void OnReload(const std::function<void()>& hook);
 
