End chains that lead back to themselves

Callers saw a daemon stop answering anything, take more and more memory and end with all its requests, and then the next one that read the chain. It takes a client that uses the id of a turn again, behind a later turn of its chain, while a disk that holds the turn is away: a disk without the turn then stores it a second time with another parent, and the daemon that follows the parents never gets to an end.

The index of turns does not add a turn that would be its own ancestor.

turn_index/a_turn_that_would_be_its_own_ancestor_is_not_added (3 checks) and chains/chain_that_leads_back_to_itself_does_not_hang_a_daemon (with 3 GB of memory: 500 in place of 503, after 7.5 s without any answer) failed before. With the change the unit tests and the suites chains and turns pass. A run before that with chains, turns, disk_log and storage_node in 3 GB failed: ten cases could not start a thread in that limit, and turns_survive_a_disk_that_is_lost_while_it_joins found one copy of a turn instead of two, which is not traced; it passed in the next run, without the limit.

--- a/source/core/turn_index.cc
+++ b/source/core/turn_index.cc
@@ -6,8 +6,7 @@
 namespace comfreyfold {
 
 namespace {
-// Limits the length of a chain, so that a corrupt chain with a cycle cannot
-// cause an endless loop.
+// Limits the length of a chain, and so the size of the answer with its turns.
 constexpr std::size_t kMaxChainLength = 10000;
 }  // namespace
 
@@ -16,6 +15,11 @@
     ExtendExpiry({record.id}, record.expires_at);
     return false;
   }
+  // A client may use the id of an earlier turn again. Whoever follows the
+  // parents of a turn must get to an end.
+  if (Descends(record.parent, record.id)) {
+    return false;
+  }
   bytes_ += record.bytes();
   ++segments_[segment];
   by_expiry_.emplace(record.expires_at, record.id);
@@ -24,6 +28,22 @@
   return true;
 }
 
+bool TurnIndex::Descends(const std::string& id,
+                         const std::string& ancestor) const {
+  const auto* next = &id;
+  while (!next->empty()) {
+    if (*next == ancestor) {
+      return true;
+    }
+    const auto* turn = Find(*next);
+    if (turn == nullptr) {
+      return false;
+    }
+    next = &turn->parent;
+  }
+  return false;
+}
+
 const TurnRecord* TurnIndex::Find(const std::string& id) const {
   const auto it = turns_.find(id);
   return it == turns_.end() ? nullptr : &it->second.record;
--- a/source/core/turn_index.h
+++ b/source/core/turn_index.h
@@ -17,7 +17,8 @@
 class TurnIndex {
  public:
   // Adds a turn. Returns false if the turn is already stored; its content then
-  // stays unchanged and only its expiry may be extended.
+  // stays unchanged and only its expiry may be extended. Nor is a turn added
+  // that would be its own ancestor.
   bool Put(TurnRecord record, std::int64_t segment = 0);
   const TurnRecord* Find(const std::string& id) const;
 
@@ -49,6 +50,9 @@
     std::int64_t segment = 0;
   };
 
+  // Whether the turn `id` is `ancestor` or follows it, as far as is stored
+  // here.
+  bool Descends(const std::string& id, const std::string& ancestor) const;
   void Erase(const std::string& id);
 
   std::unordered_map<std::string, StoredTurn> turns_;
--- a/tests/unit/turn_index_test.cc
+++ b/tests/unit/turn_index_test.cc
@@ -58,6 +58,19 @@
   BOOST_TEST(index.Find("a")->output == "out-a");
 }
 
+// Reading a chain that leads back to itself ended daemons for want of memory.
+BOOST_AUTO_TEST_CASE(a_turn_that_would_be_its_own_ancestor_is_not_added) {
+  TurnIndex index;
+  index.Put(MakeTurn("alone", "alone", milliseconds(100)));
+  BOOST_TEST(index.Chain("alone").empty());
+  // In either order.
+  index.Put(MakeTurn("a", "b", milliseconds(100)));
+  index.Put(MakeTurn("b", "c", milliseconds(100)));
+  index.Put(MakeTurn("c", "a", milliseconds(100)));
+  BOOST_TEST(index.Chain("a").size() == 2U);
+  BOOST_TEST(index.Chain("c").empty());
+}
+
 BOOST_AUTO_TEST_CASE(a_byte_limit_removes_turns_that_expire_first) {
   TurnIndex index;
   index.Put(MakeTurn("a", "", milliseconds(100)));
--- a/tests/vm/chains_test.cc
+++ b/tests/vm/chains_test.cc
@@ -13,23 +13,29 @@
 
 using std::chrono::milliseconds;
 
+// Returns the copy of the turn on a disk, if there is one.
+std::vector<TurnRecord> FetchFrom(Fiber& fiber,
+                                  VmDeployment& deployment,
+                                  const StorageMember& member,
+                                  const std::string& id) {
+  StorageRequest request;
+  request.operation = StorageOperation::kFetch;
+  request.ids = {id};
+  const auto reply = deployment.http().Send(
+      fiber, member.address,
+      {"POST", kStoragePath + member.disk, {}, Encode(request)});
+  return DecodeStorageReply(reply.body).turns;
+}
+
 // Returns when each copy of the turn on a disk of the list expires.
 std::vector<milliseconds> ExpiriesOf(Fiber& fiber,
                                      VmDeployment& deployment,
                                      const std::string& id) {
-  StorageRequest request;
-  request.operation = StorageOperation::kFetch;
-  request.ids = {id};
   std::vector<milliseconds> out;
   const auto list =
       DecodeStorageList(deployment.store().Value("comfreyfold/storage"));
   for (const auto& it : list.members) {
-    const auto reply = DecodeStorageReply(
-        deployment.http()
-            .Send(fiber, it.address,
-                  {"POST", kStoragePath + it.disk, {}, Encode(request)})
-            .body);
-    for (const auto& turn : reply.turns) {
+    for (const auto& turn : FetchFrom(fiber, deployment, it, id)) {
       out.push_back(turn.expires_at);
     }
   }
@@ -149,6 +155,34 @@
   });
 }
 
+// A client used the id of a turn again, behind a later turn of its chain. The
+// next daemon that read the chain never got to its beginning.
+BOOST_AUTO_TEST_CASE(chain_that_leads_back_to_itself_does_not_hang_a_daemon) {
+  WithTwoFrontDaemons([](Fiber& fiber, VmDeployment& deployment) {
+    SendTurn(fiber, deployment, "front-1", "a", "one;");
+    SendTurn(fiber, deployment, "front-1", "b", "two;", "a");
+    std::vector<std::string> holders;
+    const auto list =
+        DecodeStorageList(deployment.store().Value("comfreyfold/storage"));
+    for (const auto& it : list.members) {
+      if (!FetchFrom(fiber, deployment, it, "a").empty()) {
+        holders.push_back(it.vm);
+      }
+    }
+    BOOST_REQUIRE(holders.size() == 2U);
+    // The third disk has neither turn, and only it answers at the end.
+    deployment.StopVm(fiber, deployment.vm(holders.front()));
+    SendTurn(fiber, deployment, "front-1", "a", "again;", "b");
+    deployment.StopVm(fiber, deployment.vm(holders.back()));
+    for (const auto* previous : {"a", "b"}) {
+      BOOST_TEST(
+          SendTurn(fiber, deployment, "front-2", "c", "x", previous).status ==
+          503);
+    }
+    BOOST_TEST(deployment.IsReady(fiber, deployment.vm("front-2")));
+  });
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace
