Take no refusal without an id from a used connection

A faulty server wrote an earlier refusal once more on a kept connection. If it named no request, the request in flight there counted as not run: it ran at a further attempt too, or its client was told that it had not run. On a used connection such a reply now proves nothing: repeatable requests are tried elsewhere, others wait for the next reply. Connections with a reply to another request are not used again.

Evidence: refusal_without_id_does_not_refuse_a_later_request and refusal_without_id_that_ends_a_used_connection failed before (the request ran twice, 200 in place of 502); they pass now. Refusals with another id, copies on idle connections and heads that break off were tried too and did no harm; these tests stay as guards.

--- a/source/front/server_call.cc
+++ b/source/front/server_call.cc
@@ -35,6 +35,18 @@
                       deadline - std::chrono::steady_clock::now()));
 }
 
+// Handles a reply that names no request, on a connection that has carried
+// others. Servers echo the id, so this is probably a copy of an earlier reply:
+// a refusal of that kind does not say that this request has not run. One that
+// may run again is better tried elsewhere; for any other only the reply that
+// may follow tells the outcome.
+ReplyAction HandleUnnamed(bool repeatable) {
+  if (repeatable) {
+    throw HttpFailure("a reply on a used connection names no request", true);
+  }
+  return ReplyAction::kDiscard;
+}
+
 }  // namespace
 
 ServerCall::ServerCall(HttpClient& http,
@@ -143,19 +155,27 @@
   options.connect_timeout =
       std::min(kConnectTimeout, TimeoutUntil(input.deadline));
   options.idle_timeout = TimeoutUntil(input.deadline);
-  options.fresh_connection = input.repeated;
+  // Without an id, nothing tells the reply to this request from an earlier one.
+  options.fresh_connection = input.repeated || input.request_id.empty();
   options.body = &input.body;
   options.max_body_bytes = input.route.kind == RequestKind::kStream
                                ? kMaxStreamBytes
                                : kMaxAnswerBytes;
   options.max_idle_time =
       repeatable ? kMaxIdleRepeatable : kMaxIdleUnrepeatable;
-  options.on_sending = [this] {
+  bool reused = false;
+  options.on_sending = [this, &reused, opened = http_.connections_opened()] {
     may_have_sent_ = true;
+    // A kept connection is taken without a wait, in which others could open
+    // theirs.
+    reused = http_.connections_opened() == opened;
     progress_at_ = std::chrono::steady_clock::now();
   };
-  options.on_head = [this, &input](const HttpReply& reply) {
-    return HandleHead(reply, input);
+  options.on_head = [this, &input, &reused,
+                     repeatable](const HttpReply& reply) {
+    return reused && codec_.decode_answer(reply).request_id.empty()
+               ? HandleUnnamed(repeatable)
+               : HandleHead(reply, input);
   };
   options.on_collect = [this, &input](std::size_t n) {
     collected_bytes_ += n;
--- a/source/net/http_client.cc
+++ b/source/net/http_client.cc
@@ -327,15 +327,30 @@
           options_.on_head ? options_.on_head(reply) : ReplyAction::kAccept;
     }
     if (action == ReplyAction::kHeadOnly) {
-      keep_alive_ = DropBody(parser) && parser.get().keep_alive();
+      keep_alive_ =
+          DropBody(parser) && !distrusted_ && parser.get().keep_alive();
       return true;
     }
     const bool accepted = action == ReplyAction::kAccept;
+    if (!accepted && !IsInterim(reply.status)) {
+      Distrust(parser);
+    }
     ReadBody(parser, reply, accepted);
-    keep_alive_ = parser.get().keep_alive();
+    keep_alive_ = !distrusted_ && parser.get().keep_alive();
     return accepted;
   }
 
+  // A connection on which another request's reply came is not used again, and
+  // nothing follows a reply that ends it.
+  void Distrust(const Parser& parser) {
+    distrusted_ = true;
+    if (!parser.get().keep_alive()) {
+      throw HttpFailure(
+          "read from " + address_ + ": ended by a reply to another request",
+          true);
+    }
+  }
+
   // Reads the rest of a reply whose body is not needed. Returns whether its end
   // was reached.
   bool DropBody(Parser& parser) {
@@ -424,6 +439,7 @@
   ExchangeWatchdog& watchdog_;
   const HttpOptions& options_;
   bool keep_alive_ = false;
+  bool distrusted_ = false;
 };
 
 }  // namespace
