Use a new connection for a further attempt at the same address

Two registered ids can have one address. The attempt for the second id went over the connection on which the first had been refused, and a copy of that refusal, with the same request's id, counted as its answer: the request ran once more. Attempts are now told apart by address.

Evidence: copy_of_refusal_does_not_refuse_attempt_at_same_address failed before (four of six requests ran twice) and passes now.

--- a/source/front/call.h
+++ b/source/front/call.h
@@ -57,10 +57,11 @@
   int possible_runs = 0;  // Attempts that may have run at a server.
   int refusals = 0;       // Attempts that a server reported as not run.
   std::set<std::string> tried_server_ids;
+  std::set<std::string> tried_addresses;
   std::string last_server_id;               // Server of the latest attempt.
   std::chrono::milliseconds store_time{0};  // Waiting for disks.
   int store_tries = 0;
-  int store_answers = 0;  // Disks that have stored the turn.
+  int store_answers = 0;                    // Disks that have stored the turn.
   std::chrono::milliseconds queue_time{0};  // Waiting for a slot, in total.
   // Requests per slot at the servers of the service when the latest attempt
   // asked for a slot.
--- a/source/front/call_dispatcher.cc
+++ b/source/front/call_dispatcher.cc
@@ -163,7 +163,7 @@
       {*call.route, call.params.request_id, request,
        call.body ? *call.body : call.request.body, slot, call.arrived,
        call.deadline, stop_at_, call.max_events,
-       call.tried_server_ids.count(slot.server_id) > 0, call.answer_memory});
+       !call.tried_addresses.insert(slot.address).second, call.answer_memory});
   admission_.Release(call.service, slot, result.exchange, result.metadata.load,
                      std::chrono::duration_cast<std::chrono::milliseconds>(
                          std::chrono::steady_clock::now() - start));
--- a/tests/vm/foreign_answers_test.cc
+++ b/tests/vm/foreign_answers_test.cc
@@ -215,6 +215,45 @@
       });
 }
 
+// Two registered ids have one address. The copy bears the id of the request,
+// which the second attempt sends to the same process.
+BOOST_AUTO_TEST_CASE(copy_of_refusal_does_not_refuse_attempt_at_same_address) {
+  std::map<std::string, int> runs;
+  std::map<std::string, int> attempts;
+  std::string address;
+  WithRawServer(
+      [&](Fiber& fiber, RawServer::Peer& peer) {
+        std::string refused;
+        for (auto head = peer.ReadHead(); !head.empty();
+             head = peer.ReadHead()) {
+          const auto id = RequestIdOf(head);
+          if (++attempts[id] == 1 && id != "probe") {
+            refused = id;
+            peer.Write(Refusal(id));
+            continue;
+          }
+          ++runs[id];
+          if (!refused.empty()) {
+            peer.Write(Refusal(refused));
+            fiber.Sleep(milliseconds(20));
+          }
+          peer.Write(Answer(id, "answer to " + id));
+        }
+      },
+      [&](Fiber& fiber, VmDeployment& deployment,
+          const VmDeployment::Vm& front) {
+        deployment.store().Put("servers/raw2",
+                               deployment.store().Value("servers/raw"));
+        fiber.Sleep(milliseconds(300));
+        for (int n = 0; n < 6; ++n) {
+          const auto id = "r" + std::to_string(n);
+          BOOST_TEST(Receive(fiber, deployment, front, "/once/x", id).status ==
+                     200);
+          BOOST_TEST(runs[id] == 1);
+        }
+      });
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace
