Send calls to engines on new connections

Replies of engines name no request, so a copy of an earlier 503 on a kept connection counted as "not run" for a call that the engine ran. Calls of tools use new connections already.

Evidence: engine_refusal/copy_of_refusal_does_not_refuse_the_next_request failed before (the call ran and was reported as not run) and passes now. The cost of the connections was not measured.

--- a/source/backend/engine_client.cc
+++ b/source/backend/engine_client.cc
@@ -147,6 +147,9 @@
   CompletionParser parser(call);
   HttpOptions options;
   options.idle_timeout = call.idle_timeout;
+  // Replies do not name their request. On a kept connection, a copy of an
+  // earlier one would be taken for a refusal of a request that runs.
+  options.fresh_connection = true;
   StreamPacer pacer(coalescing_);
   options.on_data = [&parser, &pacer](std::string_view data) {
     parser.Feed(data);
