Pass on nothing but events in streams

Whatever ended with a blank line was passed on as an event: the head or the text of an error, or JSON, which a faulty server wrote into its stream. The stream then ended as complete. Such bytes now end the attempt after the events before them.

Evidence: error_written_into_stream_is_not_passed_on failed before for all six kinds of error, framed and not, in the packet of the events and after it; it passes now.

--- a/source/front/server_call.cc
+++ b/source/front/server_call.cc
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <utility>
 
+#include "core/event_check.h"
+
 namespace comfreyfold {
 
 namespace {
@@ -111,6 +113,10 @@
         if (!excess_.empty()) {
           return;
         }
+        if (!IsEvent(event.bytes)) {
+          excess_ = "bytes that are no event";
+          return;
+        }
         if (input.max_events > 0 && progress_.events >= input.max_events) {
           excess_ = "more events than the request's tokens allow";
           return;
