Keep the client's place in a stream that is resumed before an event

A client resumed a stream with Last-Event-Id and its first server broke off after the head: the next server was sent an empty Last-Event-Id and began at the start, so that the client received events twice.

Evidence: resumed_stream_keeps_the_client_s_place failed before and passes now.

--- a/source/front/call_handler.cc
+++ b/source/front/call_handler.cc
@@ -131,6 +131,10 @@
     return NotRunError(kNotFound, "no_route",
                        "no route for this host and path; check the address");
   }
+  // The client has the events up to this one.
+  if (call.route->Repeatable()) {
+    call.progress.last_event_id = call.params.last_event_id;
+  }
   const auto quarantine_left = crash_guard_.QuarantineLeft(call.fingerprint);
   if (quarantine_left.count() > 0) {
     return QuarantinedError(quarantine_left);
--- a/tests/vm/foreign_stream_bytes_test.cc
+++ b/tests/vm/foreign_stream_bytes_test.cc
@@ -111,6 +111,40 @@
       });
 }
 
+// The first server broke off before its first event, and the second was told to
+// begin at the start.
+BOOST_AUTO_TEST_CASE(resumed_stream_keeps_the_client_s_place) {
+  std::vector<std::string> asked;
+  WithRawServer(
+      [&asked](Fiber&, RawServer::Peer& peer) {
+        for (auto head = peer.ReadHead(); !head.empty();
+             head = peer.ReadHead()) {
+          const auto id = RequestIdOf(head);
+          if (id == "probe") {
+            peer.Write(Answer(id, ""));
+            continue;
+          }
+          const std::string name = "Last-Event-Id: ";
+          const auto n = head.find(name) + name.size();
+          asked.push_back(head.substr(n, head.find("\r\n", n) - n));
+          if (asked.size() == 1) {
+            peer.Write(ChunkedHead(id));
+            return;
+          }
+          peer.Write(WholeStream(id, std::atoi(asked.back().c_str()) + 1));
+        }
+      },
+      [&](Fiber& fiber, VmDeployment& deployment,
+          const VmDeployment::Vm& front) {
+        const auto reply = Receive(fiber, deployment, front, "/stream/x", "r1",
+                                   {{"Last-Event-Id", "2"}});
+        BOOST_TEST(reply.complete);
+        BOOST_TEST(reply.body == Events(3, kEvents));
+        BOOST_TEST(asked == (std::vector<std::string>{"2", "2"}),
+                   boost::test_tools::per_element());
+      });
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace
