End a stream at an event that the client has

A server that ignored Last-Event-Id began anew, and the client received events twice. An event whose numeric id is not above the last one ends the attempt.

--- a/source/front/server_call.cc
+++ b/source/front/server_call.cc
@@ -117,6 +117,10 @@
           excess_ = "bytes that are no event";
           return;
         }
+        if (IsOutOfOrder(event.id, progress_.last_event_id)) {
+          excess_ = "an event that the client has";
+          return;
+        }
         if (input.max_events > 0 && progress_.events >= input.max_events) {
           excess_ = "more events than the request's tokens allow";
           return;
