Take no empty continuation for the end of a stream

A server that closed an unframed continuation before its first event, or continued with an empty body of another type, ended the client's stream as complete.

--- a/source/front/server_call.cc
+++ b/source/front/server_call.cc
@@ -49,6 +49,11 @@
   return ReplyAction::kDiscard;
 }
 
+bool IsOfOtherKind(const HttpReply& reply) {
+  const auto type = reply.Header("Content-Type");
+  return !type.empty() && type.rfind("text/event-stream", 0) != 0;
+}
+
 }  // namespace
 
 ServerCall::ServerCall(HttpClient& http,
@@ -79,6 +84,9 @@
   streaming_ = input.route.kind == RequestKind::kStream &&
                reply.status / 100 == kSuccessClass && metadata_.is_signed &&
                metadata_.request_id == input.request_id;
+  if (progress_.head_sent && IsOfOtherKind(reply)) {
+    streaming_ = false;
+  }
   if (streaming_ && !progress_.head_sent) {
     progress_.head_sent = true;
     client_.Begin(reply.status, "", codec_.client_answer_headers(reply));
@@ -162,6 +170,7 @@
   ServerCallResult result;
   HttpOptions options;
   const bool repeatable = input.route.Repeatable();
+  const auto events_before = progress_.events;
   options.connect_timeout =
       std::min(kConnectTimeout, TimeoutUntil(input.deadline));
   options.idle_timeout = TimeoutUntil(input.deadline);
@@ -205,7 +214,10 @@
   };
   try {
     auto reply = http_.Send(fiber, input.slot.address, input.request, options);
-    if (streaming_ && IsCutShort()) {
+    // The events of earlier attempts do not make this answer complete.
+    const bool is_empty = framing_ == BodyFraming::kConnectionEnd &&
+                          progress_.events == events_before;
+    if (streaming_ && (is_empty || IsCutShort())) {
       throw HttpFailure("the stream ended before an event was complete", true);
     }
     ClassifyReply(std::move(reply), input, result);
--- a/tests/vm/foreign_stream_bytes_test.cc
+++ b/tests/vm/foreign_stream_bytes_test.cc
@@ -15,6 +15,13 @@
 
 BOOST_AUTO_TEST_SUITE(foreign_answers)
 
+// An answer to the second attempt at a stream, which is to go on after event 2.
+struct Continuation {
+  const char* name;
+  std::string bytes;  // Empty: as a sound server.
+  bool is_sound = false;
+};
+
 std::string Status(int status,
                    const std::string& headers,
                    const std::string& body = "it failed\n\nbadly\n\n") {
@@ -22,6 +29,47 @@
          "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
 }
 
+std::vector<Continuation> Continuations(const std::string& id) {
+  const std::string own = "Request-Id: " + id + "\r\n";
+  const std::string signature = "Response-Signature: s\r\n";
+  const std::string text = "the server failed\n\nand says so\n\n";
+  const auto head = ChunkedHead(id);
+  const auto unframed = SignedHead(id, "\r\n");
+  return {
+      {"sound", head + Chunk(Events(3, 4)) + "0\r\n\r\n", true},
+      {"500 signed", Status(500, own + signature)},
+      {"500 unsigned", Status(500, own)},
+      {"500 without id", Status(500, "")},
+      {"500 in chunks", "HTTP/1.1 500 X\r\n" + own + signature +
+                            "Transfer-Encoding: chunked\r\n\r\n" + Chunk(text) +
+                            "0\r\n\r\n"},
+      {"500 unframed", "HTTP/1.1 500 X\r\n" + own + signature + "\r\n" + text},
+      {"503 not run", Status(503, own + "Not-Executed: 1\r\n")},
+      {"404", Status(404, own + signature)},
+      {"200 unsigned", Status(200, own, Events(3, 4))},
+      {"200 without id", Status(200, signature, Events(3, 4))},
+      {"200 of another id",
+       Status(200, "Request-Id: other\r\n" + signature, Events(3, 4))},
+      {"200 with text", Status(200, own + signature, text)},
+      {"200 with text in chunks", head + Chunk(text) + "0\r\n\r\n"},
+      {"200 with text, unframed", unframed + text},
+      {"200 with JSON", Status(200, own + signature, "{\"a\": \"b\"}\n\n")},
+      {"200 of another kind, empty",
+       Status(200, own + signature + "Content-Type: text/plain\r\n", "")},
+      {"200 empty, unframed", unframed},
+      {"200 from event 1", WholeStream(id, 1)},
+      {"200 from event 2", WholeStream(id, 2)},
+      {"200 from event 1, unframed", unframed + Events(1, 4)},
+      {"error after event 3",
+       head + Chunk(Events(3, 3)) + Chunk(Status(500, own)) + "0\r\n\r\n"},
+      {"error in the packet of event 3",
+       head + Chunk(Events(3, 3) + Status(500, own)) + "0\r\n\r\n"},
+      {"head after event 3, unframed", unframed + Events(3, 3) + Refusal(id)},
+      {"head between chunks",
+       head + Chunk(Events(3, 3)) + Status(500, own + signature)},
+  };
+}
+
 // Runs a stream whose first server breaks off after two events and whose
 // further attempts get `second`, and checks that the client received nothing
 // but the start of the stream.
@@ -42,6 +90,42 @@
   }
 }
 
+BOOST_AUTO_TEST_CASE(stream_goes_on_with_its_own_events_or_ends_unfinished) {
+  const auto count = Continuations("").size();
+  std::vector<int> continued(count);
+  WithRawServer(
+      [&continued](Fiber&, RawServer::Peer& peer) {
+        for (auto head = peer.ReadHead(); !head.empty();
+             head = peer.ReadHead()) {
+          const auto id = RequestIdOf(head);
+          if (id == "probe") {
+            peer.Write(Answer(id, ""));
+            continue;
+          }
+          const auto n = std::stoul(id);
+          if (head.find("Last-Event-Id: ") == std::string::npos) {
+            peer.Write(ChunkedHead(id) + Chunk(Events(1, 2)));
+          } else {
+            ++continued[n];
+            peer.Write(Continuations(id)[n].bytes);
+          }
+          return;
+        }
+      },
+      [&](Fiber& fiber, VmDeployment& deployment,
+          const VmDeployment::Vm& front) {
+        for (std::size_t n = 0; n < count; ++n) {
+          const auto id = std::to_string(n);
+          BOOST_TEST_CONTEXT(Continuations(id)[n].name) {
+            Probe(fiber, deployment, front);
+            ExpectStartOfStream(fiber, deployment, front, "/stream/x", id,
+                                Continuations(id)[n].is_sound);
+            BOOST_TEST(continued[n] > 0);
+          }
+        }
+      });
+}
+
 // A whole error head, or its text, in the body of the stream itself.
 struct ErrorInStream {
   std::string error;
