--- a/source/front/call.h
+++ b/source/front/call.h
@@ -57,6 +57,7 @@
   int possible_runs = 0;  // Attempts that may have run at a server.
   int refusals = 0;       // Attempts that a server reported as not run.
   std::set<std::string> tried_server_ids;
+  std::set<std::string> tried_addresses;
   std::string last_server_id;               // Server of the latest attempt.
   std::chrono::milliseconds store_time{0};  // Waiting for disks.
   int store_tries = 0;
--- a/source/front/server_call.cc
+++ b/source/front/server_call.cc
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <utility>
 
+#include "core/event_check.h"
+
 namespace comfreyfold {
 
 namespace {
@@ -35,6 +37,23 @@
                       deadline - std::chrono::steady_clock::now()));
 }
 
+// Handles a reply that names no request, on a connection that has carried
+// others. Servers echo the id, so this is probably a copy of an earlier reply:
+// a refusal of that kind does not say that this request has not run. One that
+// may run again is better tried elsewhere; for any other only the reply that
+// may follow tells the outcome.
+ReplyAction HandleUnnamed(bool repeatable) {
+  if (repeatable) {
+    throw HttpFailure("a reply on a used connection names no request", true);
+  }
+  return ReplyAction::kDiscard;
+}
+
+bool IsOfOtherKind(const HttpReply& reply) {
+  const auto type = reply.Header("Content-Type");
+  return !type.empty() && type.rfind("text/event-stream", 0) != 0;
+}
+
 }  // namespace
 
 ServerCall::ServerCall(HttpClient& http,
@@ -65,6 +84,9 @@
   streaming_ = input.route.kind == RequestKind::kStream &&
                reply.status / 100 == kSuccessClass && metadata_.is_signed &&
                metadata_.request_id == input.request_id;
+  if (progress_.head_sent && IsOfOtherKind(reply)) {
+    streaming_ = false;
+  }
   if (streaming_ && !progress_.head_sent) {
     progress_.head_sent = true;
     client_.Begin(reply.status, "", codec_.client_answer_headers(reply));
@@ -99,6 +121,14 @@
         if (!excess_.empty()) {
           return;
         }
+        if (!IsEvent(event.bytes)) {
+          excess_ = "bytes that are no event";
+          return;
+        }
+        if (IsOutOfOrder(event.id, progress_.last_event_id)) {
+          excess_ = "an event that the client has";
+          return;
+        }
         if (input.max_events > 0 && progress_.events >= input.max_events) {
           excess_ = "more events than the request's tokens allow";
           return;
@@ -140,22 +170,31 @@
   ServerCallResult result;
   HttpOptions options;
   const bool repeatable = input.route.Repeatable();
+  const auto events_before = progress_.events;
   options.connect_timeout =
       std::min(kConnectTimeout, TimeoutUntil(input.deadline));
   options.idle_timeout = TimeoutUntil(input.deadline);
-  options.fresh_connection = input.repeated;
+  // Without an id, nothing tells the reply to this request from an earlier one.
+  options.fresh_connection = input.repeated || input.request_id.empty();
   options.body = &input.body;
   options.max_body_bytes = input.route.kind == RequestKind::kStream
                                ? kMaxStreamBytes
                                : kMaxAnswerBytes;
   options.max_idle_time =
       repeatable ? kMaxIdleRepeatable : kMaxIdleUnrepeatable;
-  options.on_sending = [this] {
+  bool reused = false;
+  options.on_sending = [this, &reused, opened = http_.connections_opened()] {
     may_have_sent_ = true;
+    // A kept connection is taken without a wait, in which others could open
+    // theirs.
+    reused = http_.connections_opened() == opened;
     progress_at_ = std::chrono::steady_clock::now();
   };
-  options.on_head = [this, &input](const HttpReply& reply) {
-    return HandleHead(reply, input);
+  options.on_head = [this, &input, &reused,
+                     repeatable](const HttpReply& reply) {
+    return reused && codec_.decode_answer(reply).request_id.empty()
+               ? HandleUnnamed(repeatable)
+               : HandleHead(reply, input);
   };
   options.on_collect = [this, &input](std::size_t n) {
     collected_bytes_ += n;
@@ -175,7 +214,10 @@
   };
   try {
     auto reply = http_.Send(fiber, input.slot.address, input.request, options);
-    if (streaming_ && IsCutShort()) {
+    // The events of earlier attempts do not make this answer complete.
+    const bool is_empty = framing_ == BodyFraming::kConnectionEnd &&
+                          progress_.events == events_before;
+    if (streaming_ && (is_empty || IsCutShort())) {
       throw HttpFailure("the stream ended before an event was complete", true);
     }
     ClassifyReply(std::move(reply), input, result);
