--- a/source/net/http_client.cc
+++ b/source/net/http_client.cc
@@ -8,8 +8,8 @@
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
-#include <boost/beast/http/span_body.hpp>
 
+#include "net/client_message.h"
 #include "net/endpoint.h"
 #include "net/exchange_watchdog.h"
 #include "net/loop_impl.h"
@@ -69,29 +69,6 @@
   return std::chrono::steady_clock::now() + timeout - kMargin;
 }
 
-// Refers to the body of the request instead of copying it.
-using Message = http::request<http::span_body<const char>>;
-
-Message ToBeast(const std::string& address,
-                const HttpRequest& request,
-                const std::string& body) {
-  Message out;
-  out.version(11);
-  out.method_string(request.method);
-  out.target(request.target);
-  out.set(http::field::host, address);
-  for (const auto& it : request.headers) {
-    if (beast::iequals(it.name, "host")) {
-      out.set(http::field::host, it.value);
-    } else {
-      out.insert(it.name, it.value);
-    }
-  }
-  out.body() = {body.data(), body.size()};
-  out.prepare_payload();
-  return out;
-}
-
 template <typename Parser>
 BodyFraming FramingOf(const Parser& parser) {
   if (parser.chunked()) {
@@ -159,10 +136,10 @@
   std::function<void(const HttpRequest&, std::size_t)> on_sent;
   std::int64_t connections_opened = 0;
 
-  Message BuildMessage(const std::string& address,
-                       const HttpRequest& request,
-                       const std::string& body) const {
-    auto out = ToBeast(address, request, body);
+  ClientMessage BuildMessage(const std::string& address,
+                             const HttpRequest& request,
+                             const std::string& body) const {
+    auto out = ToClientMessage(address, request, body);
     for (const auto& [prefix, header] : added_headers) {
       if (request.target.rfind(prefix, 0) == 0) {
         out.set(header.name, header.value);
--- a/source/storage/storage_node.cc
+++ b/source/storage/storage_node.cc
@@ -16,10 +16,9 @@
 constexpr const char* kListFile = "members";
 constexpr int kOk = 200;
 constexpr int kBadRequest = 400;
-// A write that is not synced within this time is reported as failed. It may
-// still reach the disk later, which is harmless. Other daemons decide
-// themselves how long they wait for a store: some have an answer ready that
-// cannot be delivered before.
+// A write that is not synced in time is reported as failed. It may still reach
+// the disk later, which is harmless. Other daemons decide themselves how long
+// they wait for a store: some have an answer ready.
 constexpr std::chrono::milliseconds kSyncTimeout{1500};
 constexpr std::chrono::milliseconds kMaxStoreTime{10000};
 // Turns may use 1/kMemoryDivisor of the VM's memory.
