--- a/source/front/call_handler.cc
+++ b/source/front/call_handler.cc
@@ -283,7 +283,10 @@
       // save it: only the end of the request's time ends the wait.
       std::max(TimeLeft(std::min(call.deadline, stop_at_)),
                kMinStoreTurnTimeout),
-      [&call] { return call.client.PeerGone(); });
+      [this, &call] {
+        return call.client.PeerGone() ||
+               std::chrono::steady_clock::now() >= stop_at_;
+      });
   const auto store_time = std::chrono::steady_clock::now() - start;
   metrics_.ObserveTurnStore(stored.durable, store_time);
   call.store_time =
@@ -307,9 +310,10 @@
   // The end of the stream tells the client that the turn can be continued, so
   // it is sent only after the turn has been stored.
   if (call.route->retains_context && !PersistTurn(fiber, call)) {
+    const bool client_left = call.client.PeerGone();
     call.client.Abort();
-    LogOutcome(call, "broken_off", "turn not stored on enough disks",
-               answer.status);
+    LogOutcome(call, client_left ? "client_left" : "broken_off",
+               "turn not stored on enough disks", answer.status);
     return;
   }
   call.client.Write(call.progress.trailing_bytes);
--- a/source/storage/disk_copier.cc
+++ b/source/storage/disk_copier.cc
@@ -213,7 +213,9 @@
 bool DiskCopier::AwaitsDigests(const StorageReplies& replies) const {
   return std::chrono::steady_clock::now() - copy_started_at_ < kMaxCopyTime &&
          std::any_of(replies.begin(), replies.end(), [](const auto& it) {
-           return it.second.status != StorageStatus::kDone;
+           // An emptied disk answers as another one, now and later.
+           return it.second.status != StorageStatus::kDone &&
+                  it.second.status != StorageStatus::kOtherDisk;
          });
 }
 
--- a/source/storage/storage_client.h
+++ b/source/storage/storage_client.h
@@ -93,8 +93,8 @@
   };
   // Stores `turn` on enough disks to survive the tolerated losses, each of
   // which then also has the turns `chain` (newest first) for as long as `turn`,
-  // and settles `use`. Tries again until `timeout` has passed or `abandoned`
-  // returns true.
+  // and settles `use`. Tries again until `timeout` has passed or, after a
+  // try, `abandoned` returns true.
   StoreTurnResult StoreTurn(Fiber& fiber,
                             TurnRecord turn,
                             const TokenUse& use,
--- a/source/storage/storage_client_turns.cc
+++ b/source/storage/storage_client_turns.cc
@@ -275,7 +275,8 @@
                       TimeLeft(settle_until));
   StoreTurnResult out;
   StorageReplies replies;
-  while (!out.durable && TimeLeft(deadline).count() > 0 && !abandoned()) {
+  while (!out.durable && TimeLeft(deadline).count() > 0 &&
+         (out.tries == 0 || !abandoned())) {
     if (out.tries > 0) {
       fiber.Sleep(std::min({kStoreRetryPause * out.tries, kMaxStoreRetryPause,
                             TimeLeft(deadline)}));
--- a/source/storage/storage_node.cc
+++ b/source/storage/storage_node.cc
@@ -17,10 +17,10 @@
 constexpr int kOk = 200;
 constexpr int kBadRequest = 400;
 // A write that is not synced in time is reported as failed. It may still reach
-// the disk later, which is harmless. Other daemons decide themselves how long
-// they wait for a store: some have an answer ready.
+// the disk later, which is harmless. A turn has run when it is stored, so that
+// its daemon decides how long to wait for it.
 constexpr std::chrono::milliseconds kSyncTimeout{1500};
-constexpr std::chrono::milliseconds kMaxStoreTime{10000};
+constexpr std::chrono::milliseconds kMaxTurnStoreTime{10000};
 // Turns may use 1/kMemoryDivisor of the VM's memory.
 constexpr int kMemoryDivisor = 3;
 // Turns may use 1/kDiskDivisor of the disk. The rest is needed because segments
@@ -261,7 +261,8 @@
     reply.uses = tokens_.ForProgram(request.program);
   }
   reply.ids = turns_.Missing(request.ids);
-  if (!AwaitWrite(fiber, write, kMaxStoreTime)) {
+  if (!AwaitWrite(fiber, write,
+                  request.turns.empty() ? kSyncTimeout : kMaxTurnStoreTime)) {
     log_.Write("store_failed", "",
                {{"reason", "write to disk failed or took too long"}});
     reply.status = StorageStatus::kFailed;
--- a/tests/vm/chains_test.cc
+++ b/tests/vm/chains_test.cc
@@ -189,8 +189,9 @@
     // The change is begun anew without the disk that was joining.
     BOOST_REQUIRE(
         deployment.WaitFor(fiber, [&] { return ListOf(deployment).recopies; }));
-    // The other disks have nothing to wait for but the slow one.
-    fiber.Sleep(milliseconds(1000));
+    // The other disks have nothing to wait for but the slow one, which refuses
+    // to list its turns after 1.5 s.
+    fiber.Sleep(milliseconds(4000));
     gate->Open();
     BOOST_REQUIRE(deployment.WaitFor(
         fiber, [&] { return !ListOf(deployment).changing(); }));
