--- a/tests/vm/chains_test.cc
+++ b/tests/vm/chains_test.cc
@@ -41,6 +41,23 @@
   return out;
 }
 
+// Has a disk join, and answers turns while the change cannot end because the
+// store is out. Returns the ids of the turns.
+std::vector<std::string> SendTurnsDuringJoin(Fiber& fiber,
+                                             VmDeployment& deployment) {
+  // Leaves time to see the change before its next step.
+  deployment.store().faults().Set("slow", -1, milliseconds(200));
+  deployment.AddVm("disk-4", true, false);
+  BOOST_REQUIRE(deployment.WaitFor(
+      fiber, [&] { return ListOf(deployment).next.size() == 4U; }));
+  deployment.store().faults().Set("out", -1);
+  deployment.store().faults().Set("slow", 0);
+  auto out = SendTurnsOfPrograms(fiber, deployment);
+  BOOST_REQUIRE(!out.empty());
+  BOOST_REQUIRE(ListOf(deployment).changing());
+  return out;
+}
+
 // Returns the copy of the turn on a disk, if there is one.
 std::vector<TurnRecord> FetchFrom(Fiber& fiber,
                                   VmDeployment& deployment,
@@ -139,18 +156,8 @@
 // is none.
 BOOST_AUTO_TEST_CASE(turns_survive_a_disk_that_is_lost_while_it_joins) {
   WithTwoFrontDaemons([](Fiber& fiber, VmDeployment& deployment) {
-    // Leaves time to see the change before its next step.
-    deployment.store().faults().Set("slow", -1, milliseconds(200));
-    auto& joining = deployment.AddVm("disk-4", true, false);
-    BOOST_REQUIRE(deployment.WaitFor(
-        fiber, [&] { return ListOf(deployment).next.size() == 4U; }));
-    // The change cannot end while the store is out.
-    deployment.store().faults().Set("out", -1);
-    deployment.store().faults().Set("slow", 0);
-    const auto answered = SendTurnsOfPrograms(fiber, deployment);
-    BOOST_REQUIRE(!answered.empty());
-    BOOST_REQUIRE(ListOf(deployment).changing());
-    deployment.StopVm(fiber, joining);
+    const auto answered = SendTurnsDuringJoin(fiber, deployment);
+    deployment.StopVm(fiber, deployment.vm("disk-4"));
     deployment.store().faults().Set("out", 0);
     BOOST_REQUIRE(deployment.WaitFor(fiber, [&] {
       const auto list = ListOf(deployment);
@@ -172,18 +179,8 @@
   WithTwoFrontDaemons([gate](Fiber& fiber, VmDeployment& deployment) {
     auto& slow = deployment.vm("disk-3");
     gate->Guard(slow);
-    // Leaves time to see the change before its next step.
-    deployment.store().faults().Set("slow", -1, milliseconds(200));
-    auto& joining = deployment.AddVm("disk-4", true, false);
-    BOOST_REQUIRE(deployment.WaitFor(
-        fiber, [&] { return ListOf(deployment).next.size() == 4U; }));
-    // The change cannot end while the store is out.
-    deployment.store().faults().Set("out", -1);
-    deployment.store().faults().Set("slow", 0);
-    const auto answered = SendTurnsOfPrograms(fiber, deployment);
-    BOOST_REQUIRE(!answered.empty());
-    BOOST_REQUIRE(ListOf(deployment).changing());
-    deployment.StopVm(fiber, joining);
+    const auto answered = SendTurnsDuringJoin(fiber, deployment);
+    deployment.StopVm(fiber, deployment.vm("disk-4"));
     gate->Close();
     deployment.store().faults().Set("out", 0);
     // The change is begun anew without the disk that was joining.
