--- a/source/core/known_room.cc
+++ b/source/core/known_room.cc
@@ -20,21 +20,32 @@
 void KnownRoom::Observe(const std::string& disk,
                         DiskRoom room,
                         std::chrono::milliseconds room_in,
-                        TimePoint now) {
-  if (room == DiskRoom::kNewTurns) {
+                        TimePoint now,
+                        std::chrono::milliseconds new_chains_in) {
+  if (room == DiskRoom::kNewChains) {
     reports_.erase(disk);
     return;
   }
-  const auto wait = room_in.count() > 0 ? room_in : kUnknownTime;
-  reports_[disk] = {room, now + wait, now, now};
+  const auto known = [](std::chrono::milliseconds time) {
+    return time.count() > 0 ? time : kUnknownTime;
+  };
+  const auto turns_at =
+      room == DiskRoom::kNewTurns ? now : now + known(room_in);
+  const auto chains_at = std::max(turns_at, room == DiskRoom::kNewTurns
+                                                ? now + known(new_chains_in)
+                                                : now + new_chains_in);
+  reports_[disk] = {room, turns_at, chains_at, now, now};
 }
 
 DiskRoom KnownRoom::Of(const std::string& disk, TimePoint now) const {
   const auto it = reports_.find(disk);
-  if (it == reports_.end() || it->second.until <= now) {
-    return DiskRoom::kNewTurns;
+  if (it == reports_.end() || it->second.new_chains_at <= now) {
+    return DiskRoom::kNewChains;
   }
   const auto& report = it->second;
+  if (report.new_turns_at <= now) {
+    return DiskRoom::kNewTurns;
+  }
   return now - report.reported_at < kMaxTimeOfNothing ? report.room
                                                       : DiskRoom::kEndedTurns;
 }
@@ -42,7 +53,8 @@
 std::chrono::milliseconds KnownRoom::RoomIn(
     const std::vector<std::string>& disks,
     std::size_t needed,
-    TimePoint now) const {
+    TimePoint now,
+    DiskRoom wanted) const {
   if (needed == 0 || disks.size() < needed) {
     return {};
   }
@@ -50,8 +62,10 @@
   waits.reserve(disks.size());
   for (const auto& disk : disks) {
     const auto it = reports_.find(disk);
-    const auto wait =
-        it == reports_.end() ? TimePoint::duration(0) : it->second.until - now;
+    const auto wait = it == reports_.end() ? TimePoint::duration(0)
+                      : wanted == DiskRoom::kNewChains
+                          ? it->second.new_chains_at - now
+                          : it->second.new_turns_at - now;
     waits.push_back(
         std::max(std::chrono::milliseconds(0),
                  std::chrono::ceil<std::chrono::milliseconds>(wait)));
@@ -64,7 +78,7 @@
   std::vector<std::string> out;
   for (auto it = reports_.begin(); it != reports_.end();) {
     auto& report = it->second;
-    if (report.until <= now) {
+    if (report.new_chains_at <= now) {
       it = reports_.erase(it);
       continue;
     }
--- a/source/core/known_room.h
+++ b/source/core/known_room.h
@@ -16,20 +16,23 @@
 // disk of which nothing is known counts as having room.
 class KnownRoom {
  public:
-  // Takes over what a disk has reported. `room_in` is the time until it has
-  // room for new turns again; 0 if it does not know.
+  // Takes over what a disk has reported. `room_in` and `new_chains_in` are the
+  // times until it has room for new turns and for new chains again; 0 if it
+  // has, or does not know.
   void Observe(const std::string& disk,
                DiskRoom room,
                std::chrono::milliseconds room_in,
-               TimePoint now);
+               TimePoint now,
+               std::chrono::milliseconds new_chains_in = {});
 
   DiskRoom Of(const std::string& disk, TimePoint now) const;
 
-  // Returns the time until `needed` of `disks` have room for new turns; 0 if
-  // they have, or there are fewer disks.
+  // Returns the time until `needed` of `disks` have the room `wanted`, either
+  // kNewTurns or kNewChains; 0 if they have, or there are fewer disks.
   std::chrono::milliseconds RoomIn(const std::vector<std::string>& disks,
                                    std::size_t needed,
-                                   TimePoint now) const;
+                                   TimePoint now,
+                                   DiskRoom wanted = DiskRoom::kNewTurns) const;
 
   // Returns the disks without room that have reported nothing for some time.
   // They count as asked then.
@@ -38,7 +41,9 @@
  private:
   struct Report {
     DiskRoom room = DiskRoom::kEndedTurns;
-    TimePoint until{};  // Room for new turns is expected then.
+    // When room for new turns and new chains is expected.
+    TimePoint new_turns_at{};
+    TimePoint new_chains_at{};
     TimePoint reported_at{};
     TimePoint asked_at{};
   };
--- a/source/core/turn_index.cc
+++ b/source/core/turn_index.cc
@@ -20,14 +20,68 @@
   if (Descends(record.parent, record.id)) {
     return false;
   }
-  bytes_ += record.bytes();
+  const auto bytes = record.bytes();
+  bytes_ += bytes;
+  content_bytes_ += bytes;
   ++segments_[segment];
   by_expiry_.emplace(record.expires_at, record.id);
   auto id = record.id;
-  turns_.emplace(std::move(id), StoredTurn{std::move(record), segment});
+  turns_.emplace(std::move(id), StoredTurn{std::move(record), segment, bytes});
   return true;
 }
 
+// The write that Put() belonged to may have failed, so the segment of the one
+// that succeeded counts.
+void TurnIndex::MarkStored(const std::string& id, const LogPosition& position) {
+  const auto it = turns_.find(id);
+  if (it == turns_.end() || it->second.position) {
+    return;
+  }
+  auto& turn = it->second;
+  turn.position = position;
+  ++segments_[position.segment];
+  LeaveSegment(turn.segment);
+  turn.segment = position.segment;
+  droppable_bytes_ += turn.bytes;
+  turn.droppable = droppable_.insert(droppable_.end(), &it->first);
+}
+
+bool TurnIndex::IsStored(const std::string& id) const {
+  const auto it = turns_.find(id);
+  return it != turns_.end() && it->second.position;
+}
+
+void TurnIndex::DropContents(std::size_t max_bytes) {
+  while (memory_bytes() > max_bytes && !droppable_.empty()) {
+    auto& turn = turns_.find(*droppable_.front())->second;
+    droppable_.pop_front();
+    turn.dropped = true;
+    turn.record.input = std::string();
+    turn.record.output = std::string();
+    content_bytes_ -= turn.bytes;
+    droppable_bytes_ -= turn.bytes;
+  }
+}
+
+std::size_t TurnIndex::BytesOf(const std::string& id) const {
+  const auto it = turns_.find(id);
+  return it == turns_.end() ? 0 : it->second.bytes;
+}
+
+std::optional<LogPosition> TurnIndex::PositionOfDropped(
+    const std::string& id) const {
+  const auto it = turns_.find(id);
+  return it != turns_.end() && it->second.dropped ? it->second.position
+                                                  : std::nullopt;
+}
+
+void TurnIndex::LeaveSegment(std::int64_t segment) {
+  const auto it = segments_.find(segment);
+  if (--it->second == 0) {
+    segments_.erase(it);
+  }
+}
+
 bool TurnIndex::Descends(const std::string& id,
                          const std::string& ancestor) const {
   const auto* next = &id;
@@ -91,7 +145,7 @@
   std::size_t seen = 0;
   for (const auto& [expires_at, id] : by_expiry_) {
     out = expires_at;
-    seen += Find(id)->bytes();
+    seen += turns_.find(id)->second.bytes;
     if (seen >= bytes) {
       break;
     }
@@ -105,11 +159,16 @@
       by_expiry_.equal_range(it->second.record.expires_at);
   by_expiry_.erase(std::find_if(
       first, last, [&id](const auto& entry) { return entry.second == id; }));
-  bytes_ -= it->second.record.bytes();
-  const auto segment = segments_.find(it->second.segment);
-  if (--segment->second == 0) {
-    segments_.erase(segment);
+  const auto& turn = it->second;
+  bytes_ -= turn.bytes;
+  if (!turn.dropped) {
+    content_bytes_ -= turn.bytes;
+    if (turn.position) {
+      droppable_bytes_ -= turn.bytes;
+      droppable_.erase(turn.droppable);
+    }
   }
+  LeaveSegment(turn.segment);
   turns_.erase(it);
 }
 
--- a/source/front/call_handler.cc
+++ b/source/front/call_handler.cc
@@ -178,7 +178,8 @@
   if (!call.route->retains_context) {
     return std::nullopt;
   }
-  const auto room_in = storage_.RoomForTurnIn();
+  const auto room_in =
+      storage_.RoomForTurnIn(call.params.previous_turn.empty());
   if (room_in.count() == 0) {
     return std::nullopt;
   }
--- a/source/storage/disk_copier.cc
+++ b/source/storage/disk_copier.cc
@@ -308,23 +308,17 @@
                            const StorageList& list,
                            const StorageMember& to,
                            const std::vector<std::string>& ids) {
-  StorageRequest request;
-  request.epoch = list.epoch;
-  std::size_t bytes = 0;
-  for (std::size_t n = 0; n < ids.size(); ++n) {
-    if (const auto* turn = node_.turns().Find(ids[n])) {
-      request.turns.push_back(*turn);
-      bytes += turn->bytes();
-    }
-    if (bytes < kMaxSentBytes && n + 1 < ids.size()) {
-      continue;
-    }
+  auto left = ids;
+  while (!left.empty()) {
+    StorageRequest request;
+    request.epoch = list.epoch;
+    const auto read =
+        node_.ReadTurns(fiber, left, kMaxSentBytes, request.turns);
     StorageReply reply;
-    if (!CallWithList(fiber, list, to, request, reply)) {
+    if (!read || !CallWithList(fiber, list, to, request, reply)) {
       return false;
     }
-    request.turns.clear();
-    bytes = 0;
+    left.erase(left.begin(), left.begin() + static_cast<std::ptrdiff_t>(*read));
   }
   return true;
 }
@@ -338,7 +332,8 @@
     const auto n = std::min(kMaxTurnsPerFetch, ids.size());
     request.ids.assign(ids.end() - static_cast<std::ptrdiff_t>(n), ids.end());
     StorageReply reply;
-    if (!replicas_.CallOne(fiber, from, request, kRequestTimeout, reply)) {
+    if (!replicas_.CallOne(fiber, from, request, kRequestTimeout, reply) ||
+        reply.status != StorageStatus::kDone) {
       return false;
     }
     std::set<std::string> fetched;
--- a/source/storage/disk_log.cc
+++ b/source/storage/disk_log.cc
@@ -10,10 +10,13 @@
 #include <deque>
 #include <filesystem>
 #include <fstream>
+#include <map>
 #include <mutex>
+#include <optional>
 #include <set>
 #include <sstream>
 #include <stdexcept>
+#include <string_view>
 #include <thread>
 #include <utility>
 #include <vector>
@@ -70,6 +73,25 @@
     }
   }
 
+  std::string Read(std::int64_t offset, std::int64_t length) const {
+    std::string out(static_cast<std::size_t>(length), '\0');
+    if (::lseek(fd_, offset, SEEK_SET) < 0) {
+      ThrowErrno("seek", path_);
+    }
+    std::size_t done = 0;
+    while (done < out.size()) {
+      const auto n = ::read(fd_, out.data() + done, out.size() - done);
+      if (n < 0 && errno == EINTR) {
+        continue;
+      }
+      if (n <= 0) {
+        ThrowErrno("read", path_);
+      }
+      done += static_cast<std::size_t>(n);
+    }
+    return out;
+  }
+
  private:
   std::string path_;
   int fd_;
@@ -88,27 +110,38 @@
   return out + entry;
 }
 
+// Returns the entry at the beginning of `bytes`; empty if it is damaged.
+std::string EntryIn(std::string_view bytes) {
+  std::uint32_t length = 0;
+  std::uint64_t checksum = 0;
+  if (bytes.size() < kHeaderBytes) {
+    return "";
+  }
+  std::memcpy(&length, bytes.data(), sizeof length);
+  std::memcpy(&checksum, bytes.data() + sizeof length, sizeof checksum);
+  if (length > kMaxEntryBytes || kHeaderBytes + length > bytes.size()) {
+    return "";
+  }
+  std::string out(bytes.substr(kHeaderBytes, length));
+  return Hash64(out) == checksum ? out : "";
+}
+
 // Passes the entries of a segment to `on_entry`, up to the first damaged one.
-void ReadEntries(const std::string& bytes,
-                 const std::function<void(const std::string&)>& on_entry) {
+void ReadEntries(std::int64_t segment,
+                 const std::string& bytes,
+                 const std::function<void(const LogPosition&,
+                                          const std::string&)>& on_entry) {
   std::size_t offset = 0;
-  while (offset + kHeaderBytes <= bytes.size()) {
-    std::uint32_t length = 0;
-    std::uint64_t checksum = 0;
-    std::memcpy(&length, bytes.data() + offset, sizeof length);
-    std::memcpy(&checksum, bytes.data() + offset + sizeof length,
-                sizeof checksum);
-    offset += kHeaderBytes;
-    if (length == 0 || length > kMaxEntryBytes ||
-        offset + length > bytes.size()) {
+  for (;;) {
+    const auto entry = EntryIn(std::string_view(bytes).substr(offset));
+    if (entry.empty()) {
       return;
     }
-    const auto entry = bytes.substr(offset, length);
-    if (Hash64(entry) != checksum) {
-      return;
-    }
-    on_entry(entry);
-    offset += length;
+    const auto size = kHeaderBytes + entry.size();
+    on_entry({segment, static_cast<std::int64_t>(offset),
+              static_cast<std::int64_t>(size)},
+             entry);
+    offset += size;
   }
 }
 
@@ -150,12 +183,19 @@
     std::function<void(bool)> done;
   };
 
+  struct Reading {
+    std::vector<LogPosition> positions;
+    std::function<void(std::vector<std::string>)> done;
+  };
+
   Impl(Loop& owner, std::string path) : loop(owner), folder(std::move(path)) {
     for (const auto& it : fs::directory_iterator(folder)) {
       const auto name = it.path().filename().string();
       if (name.rfind(kSegmentPrefix, 0) == 0) {
-        closed_segments.insert(
-            std::stoll(name.substr(std::strlen(kSegmentPrefix))));
+        const auto segment =
+            std::stoll(name.substr(std::strlen(kSegmentPrefix)));
+        closed_segments.insert(segment);
+        AddBytes(segment, static_cast<std::int64_t>(it.file_size()));
       }
     }
     // Each start opens a new segment: the end of the last one may have been
@@ -201,6 +241,53 @@
     }
   }
 
+  void AddBytes(std::int64_t segment, std::int64_t bytes) {
+    segment_bytes[segment] += bytes;
+    size_bytes += bytes;
+  }
+
+  void RunReader() {
+    for (;;) {
+      Reading reading;
+      {
+        std::unique_lock lock(mutex);
+        readings_available.wait(
+            lock, [this] { return stopping || !readings.empty(); });
+        if (stopping) {
+          return;
+        }
+        reading = std::move(readings.front());
+        readings.pop_front();
+      }
+      loop.Post([entries = ReadAll(reading.positions),
+                 done = std::move(reading.done)]() mutable {
+        done(std::move(entries));
+      });
+    }
+  }
+
+  std::vector<std::string> ReadAll(
+      const std::vector<LogPosition>& positions) const {
+    std::vector<std::string> out(positions.size());
+    std::optional<File> file;
+    std::int64_t opened = 0;
+    for (std::size_t n = 0; n < positions.size(); ++n) {
+      const auto& it = positions[n];
+      try {
+        if (it.segment != opened) {
+          opened = 0;
+          file.emplace(Path(it.segment), O_RDONLY);
+          opened = it.segment;
+        }
+        out[n] = EntryIn(file->Read(it.offset, it.length));
+      } catch (const std::exception&) {
+        // Empty tells the caller, which writes the log line.
+        out[n].clear();
+      }
+    }
+    return out;
+  }
+
   void RemoveFiles(const std::vector<std::int64_t>& numbers) const {
     for (const auto it : numbers) {
       std::error_code ec;
@@ -300,6 +387,8 @@
   std::set<std::int64_t> closed_segments;
   std::int64_t open_segment = 1;
   std::int64_t open_segment_bytes = 0;
+  std::map<std::int64_t, std::int64_t> segment_bytes;
+  std::int64_t size_bytes = 0;
   std::size_t pending = 0;  // Entries not synced yet.
   std::size_t pending_bytes = 0;
 
@@ -309,12 +398,15 @@
 
   std::mutex mutex;
   std::condition_variable work_available;
+  std::condition_variable readings_available;
+  std::deque<Reading> readings;                  // Guarded by `mutex`.
   std::deque<Entry> queue;                       // Guarded by `mutex`.
   std::vector<std::int64_t> segments_to_remove;  // Guarded by `mutex`.
   std::deque<FileReplacement> files_to_replace;  // Guarded by `mutex`.
   std::function<void()> before_write;            // Guarded by `mutex`.
   bool stopping = false;                         // Guarded by `mutex`.
   std::thread thread;
+  std::thread reader;  // Started by the first reading.
 };
 
 DiskLog::DiskLog(Loop& loop, std::string folder)
@@ -328,30 +420,47 @@
     impl_->stopping = true;
   }
   impl_->work_available.notify_all();
+  impl_->readings_available.notify_all();
   impl_->thread.join();
+  if (impl_->reader.joinable()) {
+    impl_->reader.join();
+  }
 }
 
-void DiskLog::Replay(
-    const std::function<void(std::int64_t, const std::string&)>& on_entry) {
+void DiskLog::Replay(const std::function<void(const LogPosition&,
+                                              const std::string&)>& on_entry) {
   for (const auto segment : impl_->closed_segments) {
     const auto path = impl_->Path(segment);
     File(path, O_RDWR).Sync();
-    ReadEntries(ReadWholeFile(path),
-                [&](const std::string& entry) { on_entry(segment, entry); });
+    ReadEntries(segment, ReadWholeFile(path), on_entry);
   }
   SyncFolder(impl_->folder);
 }
 
-std::int64_t DiskLog::Append(const std::string& entry,
-                             std::function<void(bool)> done) {
+void DiskLog::Read(std::vector<LogPosition> positions,
+                   std::function<void(std::vector<std::string>)> done) {
+  {
+    const std::lock_guard lock(impl_->mutex);
+    impl_->readings.push_back({std::move(positions), std::move(done)});
+  }
+  if (!impl_->reader.joinable()) {
+    impl_->reader = std::thread([impl = impl_.get()] { impl->RunReader(); });
+  }
+  impl_->readings_available.notify_all();
+}
+
+LogPosition DiskLog::Append(const std::string& entry,
+                            std::function<void(bool)> done) {
   auto bytes = AddHeader(entry);
+  const auto size = static_cast<std::int64_t>(bytes.size());
   if (impl_->open_segment_bytes > 0 &&
-      impl_->open_segment_bytes + static_cast<std::int64_t>(bytes.size()) >
-          kSegmentBytes) {
+      impl_->open_segment_bytes + size > kSegmentBytes) {
     impl_->OpenNextSegment();
   }
-  impl_->open_segment_bytes += static_cast<std::int64_t>(bytes.size());
   const auto segment = impl_->open_segment;
+  const LogPosition position{segment, impl_->open_segment_bytes, size};
+  impl_->open_segment_bytes += size;
+  impl_->AddBytes(segment, size);
   ++impl_->pending;
   impl_->pending_bytes += bytes.size();
   {
@@ -359,7 +468,7 @@
     impl_->queue.push_back({std::move(bytes), segment, std::move(done)});
   }
   impl_->work_available.notify_all();
-  return segment;
+  return position;
 }
 
 void DiskLog::ReplaceFile(const std::string& name,
@@ -381,6 +490,8 @@
   if (impl_->closed_segments.erase(segment) == 0) {
     return;
   }
+  impl_->size_bytes -= impl_->segment_bytes[segment];
+  impl_->segment_bytes.erase(segment);
   {
     const std::lock_guard lock(impl_->mutex);
     impl_->segments_to_remove.push_back(segment);
@@ -400,4 +511,8 @@
   return impl_->pending_bytes;
 }
 
+std::int64_t DiskLog::size_bytes() const {
+  return impl_->size_bytes;
+}
+
 }  // namespace comfreyfold
--- a/source/storage/disk_log.h
+++ b/source/storage/disk_log.h
@@ -5,15 +5,17 @@
 #include <functional>
 #include <memory>
 #include <string>
+#include <vector>
 
+#include "core/log_position.h"
 #include "net/loop.h"
 
 namespace comfreyfold {
 
 // An append-only log of checksummed entries, stored in segment files. After a
 // power failure, entries that were not synced may be missing or torn; reading a
-// segment stops at the first damaged entry. A dedicated thread writes and
-// syncs, so that a slow disk never blocks the event loop.
+// segment stops at the first damaged entry. Dedicated threads write and read,
+// so that a slow disk never blocks the event loop.
 class DiskLog {
  public:
   // Opens `folder`, which must exist. Throws std::runtime_error.
@@ -21,15 +23,20 @@
   ~DiskLog();
 
   // Reads the entries of all closed segments, oldest first, and passes each
-  // with its segment number to `on_entry`. Syncs the segments first, because a
-  // killed process may have left them unsynced.
-  void Replay(
-      const std::function<void(std::int64_t, const std::string&)>& on_entry);
+  // with its position to `on_entry`. Syncs the segments first, because a killed
+  // process may have left them unsynced.
+  void Replay(const std::function<void(const LogPosition&, const std::string&)>&
+                  on_entry);
 
   // Queues `entry` for writing. `done` runs on the event loop and receives
-  // whether the entry has been synced to disk. Returns the number of the
-  // segment that receives the entry.
-  std::int64_t Append(const std::string& entry, std::function<void(bool)> done);
+  // whether the entry has been synced to disk. Returns the position that
+  // receives the entry.
+  LogPosition Append(const std::string& entry, std::function<void(bool)> done);
+
+  // Reads the entries at `positions`. `done` runs on the event loop and
+  // receives them in this order; an entry that cannot be read is empty.
+  void Read(std::vector<LogPosition> positions,
+            std::function<void(std::vector<std::string>)> done);
 
   // Replaces the file `name` of the folder as WriteFileDurably() does, without
   // blocking the event loop. `done` runs on the event loop and receives whether
@@ -50,6 +57,8 @@
   // Number of entries whose write or sync has not finished.
   std::size_t backlog() const;
   std::size_t backlog_bytes() const;
+  // Bytes of all segments, with what is still to be written.
+  std::int64_t size_bytes() const;
 
  private:
   struct Impl;
--- a/source/storage/replica_replies.cc
+++ b/source/storage/replica_replies.cc
@@ -32,7 +32,11 @@
   if (reply.overfull) {
     return DiskRoom::kNothing;
   }
-  return reply.full ? DiskRoom::kEndedTurns : DiskRoom::kNewTurns;
+  if (reply.full) {
+    return DiskRoom::kEndedTurns;
+  }
+  return reply.new_chains_in.count() > 0 ? DiskRoom::kNewTurns
+                                         : DiskRoom::kNewChains;
 }
 
 std::vector<StorageMember> MembersIn(const StorageList& list,
--- a/source/storage/storage_client.cc
+++ b/source/storage/storage_client.cc
@@ -41,11 +41,11 @@
       cache_bytes_(cache_bytes),
       settlements_(max_settlement_time * kSettlementDelayPercent / 100) {
   replicas_.SetRelays([this] { return view_.client_daemons(); });
-  replicas_.OnReply(
-      [this](const StorageMember& member, const StorageReply& reply) {
-        known_room_.Observe(member.disk, RoomIn(reply), reply.room_in,
-                            std::chrono::steady_clock::now());
-      });
+  replicas_.OnReply([this](const StorageMember& member,
+                           const StorageReply& reply) {
+    known_room_.Observe(member.disk, RoomIn(reply), reply.room_in,
+                        std::chrono::steady_clock::now(), reply.new_chains_in);
+  });
   replicas_.OnReachabilityChange(
       [this](const StorageMember& member, bool answered) {
         log_.Write(answered ? "storage_regained" : "storage_lost", "",
--- a/source/storage/storage_client.h
+++ b/source/storage/storage_client.h
@@ -106,8 +106,9 @@
                             const std::function<bool()>& abandoned);
 
   // Returns the time until enough disks have room for a turn that is yet to
-  // run; 0 if they have, as far as is known.
-  std::chrono::milliseconds RoomForTurnIn() const;
+  // run; 0 if they have, as far as is known. A turn that begins a chain leaves
+  // room for the loss of disks, unless one is lost.
+  std::chrono::milliseconds RoomForTurnIn(bool begins_chain) const;
 
   // Sends due settlements at regular intervals. Does not return.
   void Run(Fiber& fiber);
@@ -148,6 +149,8 @@
                   TokenQuorum& quorum);
   // Asks disks without room that have reported nothing for some time.
   void AskFullDisks();
+  // Whether no disk is lost or being replaced, as far as is known.
+  bool HasAllDisks() const;
   // Whether a disk takes no turn, even one that has run.
   bool HasDiskWithoutRoom() const;
   // Puts disks without room after others and failing ones last, and leaves out
--- a/source/storage/storage_client_room.cc
+++ b/source/storage/storage_client_room.cc
@@ -15,8 +15,19 @@
 
 }  // namespace
 
+bool StorageClient::HasAllDisks() const {
+  const auto& list = view_.storage_list();
+  return !list.changing() &&
+         std::none_of(
+             list.members.begin(), list.members.end(),
+             [this](const auto& it) { return replicas_.IsFailing(it); });
+}
+
 // The room of a dead disk is of no use to a turn.
-std::chrono::milliseconds StorageClient::RoomForTurnIn() const {
+std::chrono::milliseconds StorageClient::RoomForTurnIn(
+    bool begins_chain) const {
+  const auto wanted = begins_chain && HasAllDisks() ? DiskRoom::kNewChains
+                                                    : DiskRoom::kNewTurns;
   std::vector<std::string> all;
   std::vector<std::string> alive;
   for (const auto& it : view_.storage_list().Writable()) {
@@ -27,8 +38,8 @@
   }
   const auto copies = static_cast<std::size_t>(tolerated_losses_) + 1;
   const auto now = std::chrono::steady_clock::now();
-  const auto room_in = known_room_.RoomIn(alive, copies, now);
-  const auto with_failing = known_room_.RoomIn(all, copies, now);
+  const auto room_in = known_room_.RoomIn(alive, copies, now, wanted);
+  const auto with_failing = known_room_.RoomIn(all, copies, now, wanted);
   return room_in <= with_failing
              ? room_in
              : std::min(room_in, std::max(with_failing, kFailingRetryTime));
@@ -69,7 +80,7 @@
     return room(it) == DiskRoom::kNothing;
   });
   const auto rank = [this, &room](const StorageMember& it) {
-    return std::pair(replicas_.IsFailing(it), room(it) != DiskRoom::kNewTurns);
+    return std::pair(replicas_.IsFailing(it), room(it) > DiskRoom::kNewTurns);
   };
   std::stable_sort(
       members.begin(), members.end(),
--- a/source/storage/storage_node.cc
+++ b/source/storage/storage_node.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <iterator>
+#include <limits>
 #include <utility>
 
 #include "clients/base64.h"
@@ -27,6 +28,8 @@
 // kRoomEstimateTime, since it takes a look at many turns.
 constexpr std::int64_t kRoomMarginDivisor = 32;
 constexpr std::chrono::milliseconds kRoomEstimateTime{500};
+// For contents of turns that are read from the disk.
+constexpr std::chrono::milliseconds kReadTimeout{1000};
 // Limits of a reply with turns or uses, which many disks may request from this
 // one at the same time. The requesting disk asks for the rest again.
 constexpr std::size_t kMaxReplyBytes = 256 * 1024;
@@ -41,6 +44,24 @@
   return disk;
 }
 
+// Sets the content of `turn` to that in an entry of the log. Returns false if
+// the entry does not have it.
+bool TakeContent(const std::string& entry, TurnRecord& turn) {
+  if (entry.empty()) {
+    return false;
+  }
+  auto request = DecodeStorageRequest(entry);
+  const auto it =
+      std::find_if(request.turns.begin(), request.turns.end(),
+                   [&turn](const auto& other) { return other.id == turn.id; });
+  if (it == request.turns.end()) {
+    return false;
+  }
+  turn.input = std::move(it->input);
+  turn.output = std::move(it->output);
+  return true;
+}
+
 }  // namespace
 
 StorageNode::StorageNode(Loop& loop,
@@ -58,12 +79,17 @@
       room_limits_(memory_bytes, disk_bytes),
       disk_(ReadOrCreateDiskId(folder)),
       disk_log_(loop, folder),
-      unwritten_(std::make_shared<UnwrittenRecords>()) {
+      self_(std::make_shared<StorageNode*>(this)) {
   std::int64_t entries = 0;
   disk_log_.Replay(
-      [this, &entries](std::int64_t segment, const std::string& entry) {
+      [this, &entries](const LogPosition& position, const std::string& entry) {
         ++entries;
-        Apply(segment, DecodeStorageRequest(entry));
+        const auto request = DecodeStorageRequest(entry);
+        Apply(position, request);
+        for (const auto& it : request.turns) {
+          turns_.MarkStored(it.id, position);
+        }
+        LimitContents();
       });
   const auto list = ReadWholeFile(folder + "/" + kListFile);
   if (!list.empty()) {
@@ -77,9 +103,15 @@
               {"list_version", view_.storage_list().version}});
 }
 
+StorageNode::~StorageNode() {
+  *self_ = nullptr;
+}
+
 // Records that are known already count for the segment as well: the earlier
 // write may have failed, or say an earlier expiry.
-void StorageNode::Apply(std::int64_t segment, const StorageRequest& request) {
+void StorageNode::Apply(const LogPosition& position,
+                        const StorageRequest& request) {
+  const auto segment = position.segment;
   auto& needed = needed_until_[segment];
   for (const auto& it : request.turns) {
     if (!turns_.Put(it, segment)) {
@@ -95,12 +127,35 @@
   }
 }
 
-// State of one write to the disk, shared with its completion callback.
+void StorageNode::LimitContents() {
+  if (room_limits_.content_bytes() > 0) {
+    turns_.DropContents(static_cast<std::size_t>(room_limits_.content_bytes()));
+  }
+}
+
+// State of one write to the disk, shared with its completion callbacks.
 struct StorageNode::Write {
   explicit Write(Loop& loop) : changed(loop) {}
   Condition changed;
+  int entries = 0;  // Of the log, not ended.
+  bool failed = false;
   bool ended = false;
   bool durable = false;
+
+  void End(bool written) {
+    failed = failed || !written;
+    ended = --entries <= 0;
+    durable = ended && !failed;
+    changed.NotifyAll();
+  }
+};
+
+// State of one reading from the disk, shared with its completion callback.
+struct StorageNode::Reading {
+  explicit Reading(Loop& loop) : changed(loop) {}
+  Condition changed;
+  bool ended = false;
+  std::vector<std::string> entries;
 };
 
 bool StorageNode::Adopt(Fiber& fiber, const StorageList& list) {
@@ -134,9 +189,7 @@
                                 {{"list_version", list.version},
                                  {"reason", "the disk refused the write"}});
                           }
-                          write->ended = true;
-                          write->durable = replaced;
-                          write->changed.NotifyAll();
+                          write->End(replaced);
                         });
   return list_write_;
 }
@@ -190,7 +243,7 @@
       reply = Store(fiber, request, encoded);
       break;
     case StorageOperation::kChain:
-      reply = AnswerChain(request);
+      reply = AnswerChain(fiber, request);
       break;
     case StorageOperation::kUses:
       reply.uses = tokens_.ForProgram(request.program);
@@ -199,7 +252,7 @@
       reply = AnswerDigest();
       break;
     case StorageOperation::kFetch:
-      reply = AnswerFetch(request);
+      reply = AnswerFetch(fiber, request);
       break;
     case StorageOperation::kSomeUses:
       reply = AnswerSomeUses(request);
@@ -216,12 +269,15 @@
 DiskUse StorageNode::Use() const {
   return {static_cast<std::int64_t>(turns_.bytes()),
           static_cast<std::int64_t>(disk_log_.backlog_bytes()),
-          disk_log_.backlog()};
+          disk_log_.backlog(), static_cast<std::int64_t>(turns_.pinned_bytes()),
+          disk_log_.size_bytes()};
 }
 
 DiskRoom StorageNode::Room() {
+  room_limits_.SetDisks(view_.storage_list().Writable().size(),
+                        static_cast<std::size_t>(tolerated_losses_));
   const auto room = room_limits_.RoomWith(Use());
-  if (room == DiskRoom::kNewTurns) {
+  if (room == DiskRoom::kNewChains) {
     return room;
   }
   turns_.Expire(WallNow());
@@ -235,32 +291,38 @@
   auto use = Use();
   if (request.turns.empty()) {
     use.turn_bytes = 0;
+    use.memory_bytes = 0;
     return room_limits_.RoomWith(use) != DiskRoom::kNothing;
   }
   return Room() != DiskRoom::kNothing;
 }
 
-std::chrono::milliseconds StorageNode::RoomIn() {
-  const auto used = static_cast<std::int64_t>(turns_.bytes());
-  const auto limit = room_limits_.new_turn_bytes();
-  if (limit == 0 || used < limit) {
+std::chrono::milliseconds StorageNode::RoomIn(DiskRoom room) {
+  const auto use = Use();
+  const auto excess = room_limits_.ExcessFor(room, use);
+  if (excess == 0) {
     return {};
   }
   const auto now = WallNow();
-  if (now - room_estimated_at_ >= kRoomEstimateTime) {
-    room_estimated_at_ = now;
-    room_at_ = turns_.ExpiryOf(
-        static_cast<std::size_t>(used - limit + limit / kRoomMarginDivisor));
+  auto& [room_at, estimated_at] = room_estimates_[room];
+  if (now - estimated_at >= kRoomEstimateTime) {
+    estimated_at = now;
+    room_at = turns_.ExpiryOf(
+        static_cast<std::size_t>(excess + use.turn_bytes / kRoomMarginDivisor));
   }
-  return std::max(room_at_ - now, std::chrono::milliseconds(1));
+  return std::max(room_at - now, std::chrono::milliseconds(1));
 }
 
 void StorageNode::ReportRoom(StorageReply& reply) {
   const auto room = Room();
-  reply.full = room != DiskRoom::kNewTurns;
+  reply.full = room > DiskRoom::kNewTurns;
   reply.overfull = room == DiskRoom::kNothing;
   if (reply.full) {
-    reply.room_in = RoomIn();
+    reply.room_in = RoomIn(DiskRoom::kNewTurns);
+  }
+  if (room > DiskRoom::kNewChains) {
+    reply.new_chains_in =
+        std::max(RoomIn(DiskRoom::kNewChains), std::chrono::milliseconds(1));
   }
 }
 
@@ -268,22 +330,54 @@
     const StorageRequest& request,
     const std::string& encoded) {
   auto write = std::make_shared<Write>(loop_);
-  const auto segment = disk_log_.Append(
-      encoded, [write, unwritten = unwritten_,
+  last_write_ = write;
+  if (request.turns.size() <= 1) {
+    AppendTo(write, request, encoded);
+    return write;
+  }
+  // Each turn can be read alone then.
+  for (const auto& it : request.turns) {
+    StorageRequest part;
+    part.turns = {it};
+    AppendTo(write, part, Encode(part));
+  }
+  if (!request.uses.empty() || !request.ids.empty()) {
+    auto rest = request;
+    rest.turns.clear();
+    AppendTo(write, rest, Encode(rest));
+  }
+  return write;
+}
+
+void StorageNode::AppendTo(const std::shared_ptr<Write>& write,
+                           const StorageRequest& request,
+                           const std::string& encoded) {
+  ++write->entries;
+  auto position = std::make_shared<LogPosition>();
+  *position = disk_log_.Append(
+      encoded, [write, position, self = self_,
                 summary = UnwrittenRecords::SummaryOf(request)](bool written) {
-        if (written) {
-          unwritten->Remove(summary);
-        } else {
-          unwritten->Add(summary);
+        if (auto* node = *self) {
+          node->EndEntry(*position, summary, written);
         }
-        write->ended = true;
-        write->durable = written;
-        write->changed.NotifyAll();
+        write->End(written);
       });
   // Other requests may see the records before they are synced, which is safe.
-  Apply(segment, request);
-  last_write_ = write;
-  return write;
+  Apply(*position, request);
+}
+
+void StorageNode::EndEntry(const LogPosition& position,
+                           const UnwrittenRecords::Summary& summary,
+                           bool written) {
+  if (!written) {
+    unwritten_.Add(summary);
+    return;
+  }
+  for (const auto& [id, expires_at] : summary.turns) {
+    turns_.MarkStored(id, position);
+  }
+  unwritten_.Remove(summary, turns_);
+  LimitContents();
 }
 
 bool StorageNode::AwaitWrite(Fiber& fiber,
@@ -296,11 +390,11 @@
 // Readers may see these records, and other disks count them, so that they must
 // not stay in memory alone.
 void StorageNode::WriteAgain() {
-  unwritten_->DropExpired(turns_, tokens_);
-  if (unwritten_->empty() || (second_write_ && !second_write_->ended)) {
+  unwritten_.DropExpired(turns_, tokens_);
+  if (unwritten_.empty() || (second_write_ && !second_write_->ended)) {
     return;
   }
-  const auto request = unwritten_->NextStore(turns_);
+  const auto request = unwritten_.NextStore(turns_);
   second_write_ = BeginWrite(request, Encode(request));
 }
 
@@ -309,7 +403,7 @@
   std::vector<std::string> out;
   std::copy_if(
       ids.begin(), ids.end(), std::back_inserter(out),
-      [this](const std::string& it) { return unwritten_->HasTurn(it); });
+      [this](const std::string& it) { return unwritten_.HasTurn(it); });
   return out;
 }
 
@@ -318,9 +412,12 @@
                                 const std::string& encoded) {
   StorageReply reply;
   if (!Takes(request)) {
+    const auto use = Use();
     log_.Write("store_refused", "",
                {{"reason", "write backlog, memory or disk limit reached"},
-                {"turn_bytes", static_cast<std::int64_t>(turns_.bytes())},
+                {"turn_bytes", use.turn_bytes},
+                {"memory_bytes", use.memory_bytes},
+                {"log_bytes", use.log_bytes},
                 {"backlog", static_cast<int>(disk_log_.backlog())}});
     reply.status = StorageStatus::kFailed;
     return reply;
@@ -362,7 +459,7 @@
   if (last && !AwaitWrite(fiber, last, kSyncTimeout) && !last->ended) {
     return false;
   }
-  for (WriteAgain(); !unwritten_->empty(); WriteAgain()) {
+  for (WriteAgain(); !unwritten_.empty(); WriteAgain()) {
     const auto write = second_write_;
     if (!AwaitWrite(fiber, write, kSyncTimeout)) {
       return false;
@@ -371,13 +468,76 @@
   return true;
 }
 
-StorageReply StorageNode::AnswerChain(const StorageRequest& request) const {
+std::optional<std::size_t> StorageNode::ReadTurns(
+    Fiber& fiber,
+    const std::vector<std::string>& ids,
+    std::size_t max_bytes,
+    std::vector<TurnRecord>& out) {
+  std::vector<LogPosition> positions;
+  std::vector<std::size_t> dropped;  // Where in `out` they belong.
+  std::size_t bytes = 0;
+  std::size_t n = 0;
+  for (; n < ids.size(); ++n) {
+    const auto* turn = turns_.Find(ids[n]);
+    if (turn == nullptr) {
+      continue;
+    }
+    const auto turn_bytes = turns_.BytesOf(ids[n]);
+    if (bytes > 0 && turn_bytes > max_bytes - std::min(max_bytes, bytes)) {
+      break;
+    }
+    bytes += turn_bytes;
+    if (const auto position = turns_.PositionOfDropped(ids[n])) {
+      positions.push_back(*position);
+      dropped.push_back(out.size());
+    }
+    out.push_back(*turn);
+  }
+  if (!positions.empty() && !ReadContents(fiber, positions, dropped, out)) {
+    return std::nullopt;
+  }
+  return n;
+}
+
+bool StorageNode::ReadContents(Fiber& fiber,
+                               const std::vector<LogPosition>& positions,
+                               const std::vector<std::size_t>& dropped,
+                               std::vector<TurnRecord>& turns) {
+  const auto reading = std::make_shared<Reading>(loop_);
+  disk_log_.Read(positions, [reading](std::vector<std::string> entries) {
+    reading->entries = std::move(entries);
+    reading->ended = true;
+    reading->changed.NotifyAll();
+  });
+  reading->changed.WaitUntil(fiber, kReadTimeout,
+                             [&reading] { return reading->ended; });
+  for (std::size_t n = 0; n < dropped.size(); ++n) {
+    auto& turn = turns[dropped[n]];
+    if (!reading->ended || !TakeContent(reading->entries[n], turn)) {
+      log_.Write("turn_not_read", turn.id,
+                 {{"reason", reading->ended ? "damaged or removed from the log"
+                                            : "the disk took too long"}});
+      return false;
+    }
+  }
+  return true;
+}
+
+StorageReply StorageNode::AnswerChain(Fiber& fiber,
+                                      const StorageRequest& request) {
   StorageReply reply;
+  std::vector<std::string> ids;
   if (!request.ids.empty()) {
     for (const auto* it : turns_.Chain(request.ids.front())) {
-      reply.turns.push_back(*it);
+      ids.push_back(it->id);
     }
   }
+  if (!ReadTurns(fiber, ids, std::numeric_limits<std::size_t>::max(),
+                 reply.turns)) {
+    // A reply without turns would say that the turn does not exist.
+    reply.turns.clear();
+    reply.status = StorageStatus::kFailed;
+  }
   return reply;
 }
 
@@ -424,19 +584,12 @@
   return reply;
 }
 
-StorageReply StorageNode::AnswerFetch(const StorageRequest& request) const {
+StorageReply StorageNode::AnswerFetch(Fiber& fiber,
+                                      const StorageRequest& request) {
   StorageReply reply;
-  std::size_t bytes = 0;
-  for (const auto& id : request.ids) {
-    const auto* turn = turns_.Find(id);
-    if (turn == nullptr) {
-      continue;
-    }
-    if (bytes > 0 && bytes + turn->bytes() > kMaxReplyBytes) {
-      break;
-    }
-    bytes += turn->bytes();
-    reply.turns.push_back(*turn);
+  if (!ReadTurns(fiber, request.ids, kMaxReplyBytes, reply.turns)) {
+    reply.turns.clear();
+    reply.status = StorageStatus::kFailed;
   }
   return reply;
 }
--- a/source/storage/storage_node.h
+++ b/source/storage/storage_node.h
@@ -5,6 +5,7 @@
 #include <cstdint>
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -33,6 +34,9 @@
               int tolerated_losses,
               std::int64_t disk_bytes,
               std::int64_t memory_bytes);
+  ~StorageNode();
+  StorageNode(const StorageNode&) = delete;
+  StorageNode& operator=(const StorageNode&) = delete;
 
   // Random id, created and stored when the disk is empty. A disk that was
   // emptied therefore gets a new id.
@@ -52,6 +56,7 @@
 
   // The log, which also replaces further files of the folder.
   DiskLog& disk_log() { return disk_log_; }
+  std::int64_t disk_log_bytes() const { return disk_log_.size_bytes(); }
 
   // Stores records copied from another disk. Returns whether they were synced
   // to this disk in time.
@@ -62,7 +67,17 @@
   // takes too long.
   bool AwaitDurable(Fiber& fiber);
 
+  // The turns stored here. Those whose contents are on the disk only have
+  // neither input nor output: see ReadTurns().
   const TurnIndex& turns() const { return turns_; }
+  // Adds the turns `ids` to `out` with their contents, in this order, as far as
+  // `max_bytes` allow, but at least one; unknown turns are left out. Returns
+  // how many of `ids` were dealt with, or nullopt if the disk did not return
+  // the content of one in time.
+  std::optional<std::size_t> ReadTurns(Fiber& fiber,
+                                       const std::vector<std::string>& ids,
+                                       std::size_t max_bytes,
+                                       std::vector<TurnRecord>& out);
   const RoomLimits& room_limits() const { return room_limits_; }
   const TokenLedgers& tokens() const { return tokens_; }
 
@@ -72,6 +87,7 @@
 
  private:
   struct Write;
+  struct Reading;
 
   StorageReply Answer(Fiber& fiber,
                       const StorageRequest& request,
@@ -79,23 +95,32 @@
   StorageReply Store(Fiber& fiber,
                      const StorageRequest& request,
                      const std::string& encoded);
-  StorageReply AnswerChain(const StorageRequest& request) const;
+  StorageReply AnswerChain(Fiber& fiber, const StorageRequest& request);
   StorageReply AnswerSomeUses(const StorageRequest& request);
   // Programs that `disk` gains in the current change of the list.
   const std::vector<std::string>& ProgramsGainedBy(const std::string& disk);
   StorageReply AnswerDigest() const;
-  StorageReply AnswerFetch(const StorageRequest& request) const;
+  StorageReply AnswerFetch(Fiber& fiber, const StorageRequest& request);
   // What the log, memory and disk have room for. Removes expired turns where
   // that gives room.
   DiskRoom Room();
   DiskUse Use() const;
   // Whether there is room for the records of a store.
   bool Takes(const StorageRequest& request);
-  // Time until turns that are yet to run have room again; 0 if unknown.
-  std::chrono::milliseconds RoomIn();
+  // Time until there is `room` again, as far as turns take it; 0 if unknown.
+  std::chrono::milliseconds RoomIn(DiskRoom room);
   // Tells the room in `reply`.
   void ReportRoom(StorageReply& reply);
-  void Apply(std::int64_t segment, const StorageRequest& request);
+  // Takes over what the entry of the log at `position` contains.
+  void Apply(const LogPosition& position, const StorageRequest& request);
+  // Reads the contents of `turns` with the indexes `dropped` from `positions`
+  // of the log. Returns false if one could not be read in time.
+  bool ReadContents(Fiber& fiber,
+                    const std::vector<LogPosition>& positions,
+                    const std::vector<std::size_t>& dropped,
+                    std::vector<TurnRecord>& turns);
+  // Drops contents of turns from memory beyond the share that they may use.
+  void LimitContents();
   // Writes the uses of the programs that still live and have uses in `segment`
   // to the current segment. Returns whether the disk has all of them there, or
   // there are none.
@@ -108,6 +133,14 @@
   // Applies `request` and queues it for writing; `encoded` is its encoding.
   std::shared_ptr<Write> BeginWrite(const StorageRequest& request,
                                     const std::string& encoded);
+  // Takes over that writing the entry at `position` of the log has ended.
+  void EndEntry(const LogPosition& position,
+                const UnwrittenRecords::Summary& summary,
+                bool written);
+  // Appends an entry to the log that `write` waits for.
+  void AppendTo(const std::shared_ptr<Write>& write,
+                const StorageRequest& request,
+                const std::string& encoded);
   // Waits for `write`. Returns whether it was synced to disk within a time
   // limit.
   static bool AwaitWrite(Fiber& fiber,
@@ -123,9 +156,12 @@
   std::string folder_;
   int tolerated_losses_;
   RoomLimits room_limits_;
-  // When turns that are yet to run have room, as of `room_estimated_at_`.
-  std::chrono::milliseconds room_at_{0};
-  std::chrono::milliseconds room_estimated_at_{0};
+  // When turns of each kind have room, as of `estimated_at`.
+  struct RoomEstimate {
+    std::chrono::milliseconds room_at{0};
+    std::chrono::milliseconds estimated_at{0};
+  };
+  std::map<DiskRoom, RoomEstimate> room_estimates_;
   std::string disk_;
   DiskLog disk_log_;
   TurnIndex turns_;
@@ -134,8 +170,9 @@
   // sorted by name.
   std::map<std::string, std::vector<std::string>> gained_;
   std::int64_t gained_epoch_ = 0;
-  // Shared with the writes under way.
-  std::shared_ptr<UnwrittenRecords> unwritten_;
+  UnwrittenRecords unwritten_;
+  // Null once this object is gone; writes under way may end later.
+  std::shared_ptr<StorageNode*> self_;
   std::shared_ptr<Write> last_write_;
   // The latest write of records that the disk had refused.
   std::shared_ptr<Write> second_write_;
--- a/source/storage/unwritten_records.cc
+++ b/source/storage/unwritten_records.cc
@@ -32,7 +32,6 @@
   return out;
 }
 
-// A turn whose expiry could not be extended is written again as a whole.
 void UnwrittenRecords::Add(const Summary& failed) {
   for (const auto* list : {&failed.turns, &failed.extended}) {
     for (const auto& [id, expires_at] : *list) {
@@ -52,14 +51,18 @@
   }
 }
 
-void UnwrittenRecords::Remove(const Summary& written) {
+// The expiry of a turn that the disk does not hold cannot be extended there.
+void UnwrittenRecords::Remove(const Summary& written, const TurnIndex& turns) {
   if (empty()) {
     return;
   }
-  for (const auto& [id, expires_at] : written.turns) {
-    const auto it = turns_.find(id);
-    if (it != turns_.end() && it->second <= expires_at) {
-      turns_.erase(it);
+  for (const auto* list : {&written.turns, &written.extended}) {
+    for (const auto& [id, expires_at] : *list) {
+      const auto it = turns_.find(id);
+      if (it != turns_.end() && it->second <= expires_at &&
+          turns.IsStored(id)) {
+        turns_.erase(it);
+      }
     }
   }
   for (const auto& it : written.uses) {
@@ -88,9 +91,15 @@
     if (turn == nullptr) {
       continue;
     }
-    out.turns.push_back(*turn);
     // The turn may have arrived after its expiry was to be extended.
-    out.turns.back().expires_at = std::max(turn->expires_at, expires_at);
+    const auto until = std::max(turn->expires_at, expires_at);
+    if (turns.IsStored(id)) {
+      out.ids.push_back(id);
+      out.keep_until = std::max(out.keep_until, until);
+      continue;
+    }
+    out.turns.push_back(*turn);
+    out.turns.back().expires_at = until;
     bytes += turn->bytes();
     if (bytes >= kMaxStoreBytes) {
       break;
--- a/source/storage/unwritten_records.h
+++ b/source/storage/unwritten_records.h
@@ -26,8 +26,9 @@
 
   // Takes in the records of a write that failed.
   void Add(const Summary& failed);
-  // Drops the records that a later write has brought to the disk.
-  void Remove(const Summary& written);
+  // Drops the records that a later write has brought to the disk; `turns` tells
+  // which turns the disk holds.
+  void Remove(const Summary& written, const TurnIndex& turns);
   // Drops the records that `turns` and `tokens` no longer have.
   void DropExpired(const TurnIndex& turns, const TokenLedgers& tokens);
 
@@ -35,7 +36,8 @@
   bool HasTurn(const std::string& id) const { return turns_.count(id) > 0; }
 
   // Returns a request to store records that are still unwritten; `turns` has
-  // the content of the turns. Large ones are left for the next request.
+  // the content of those that the disk does not hold. Large ones are left for
+  // the next request.
   StorageRequest NextStore(const TurnIndex& turns) const;
 
  private:
--- a/source/vm/storage_gauges.cc
+++ b/source/vm/storage_gauges.cc
@@ -12,6 +12,22 @@
       [&node] {
         return static_cast<double>(node.room_limits().new_turn_bytes());
       });
+  metrics.AddGauge(
+      "comfreyfold_chain_bytes_limit",
+      "Bytes of turns above which no new chain may begin while no disk is "
+      "lost; 0: no limit",
+      [&node] {
+        return static_cast<double>(node.room_limits().new_chain_bytes());
+      });
+  metrics.AddGauge(
+      "comfreyfold_turn_memory_bytes",
+      "Memory of the turns stored here; contents beyond a third of the VM's "
+      "memory stay on the disk",
+      [&node] { return static_cast<double>(node.turns().memory_bytes()); });
+  metrics.AddGauge(
+      "comfreyfold_disk_log_bytes",
+      "Bytes of the log on the disk, with records that are no longer needed",
+      [&node] { return static_cast<double>(node.disk_log_bytes()); });
 }
 
 }  // namespace comfreyfold
--- a/source/wire/comfreyfold.thrift
+++ b/source/wire/comfreyfold.thrift
@@ -265,6 +265,7 @@
   8: bool full, // No room for turns that have not run.
   9: bool overfull, // No room for turns that have run either.
   10: i64 room_in_ms, // Until there is room again, if full.
+  11: i64 new_chains_in_ms, // Until there is room for new chains; 0: there is.
 }
 
 struct RegisteredServer {
--- a/source/wire/gen/comfreyfold_types.cpp
+++ b/source/wire/gen/comfreyfold_types.cpp
@@ -5650,6 +5650,10 @@
 void StorageReply::__set_room_in_ms(const int64_t val) {
   this->room_in_ms = val;
 }
+
+void StorageReply::__set_new_chains_in_ms(const int64_t val) {
+  this->new_chains_in_ms = val;
+}
 std::ostream& operator<<(std::ostream& out, const StorageReply& obj)
 {
   obj.printTo(out);
@@ -5806,6 +5810,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 11:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->new_chains_in_ms);
+          this->__isset.new_chains_in_ms = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -5896,6 +5908,10 @@
   xfer += oprot->writeI64(this->room_in_ms);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("new_chains_in_ms", ::apache::thrift::protocol::T_I64, 11);
+  xfer += oprot->writeI64(this->new_chains_in_ms);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -5913,6 +5929,7 @@
   swap(a.full, b.full);
   swap(a.overfull, b.overfull);
   swap(a.room_in_ms, b.room_in_ms);
+  swap(a.new_chains_in_ms, b.new_chains_in_ms);
   swap(a.__isset, b.__isset);
 }
 
@@ -5927,6 +5944,7 @@
   full = other222.full;
   overfull = other222.overfull;
   room_in_ms = other222.room_in_ms;
+  new_chains_in_ms = other222.new_chains_in_ms;
   __isset = other222.__isset;
 }
 StorageReply& StorageReply::operator=(const StorageReply& other223) {
@@ -5940,6 +5958,7 @@
   full = other223.full;
   overfull = other223.overfull;
   room_in_ms = other223.room_in_ms;
+  new_chains_in_ms = other223.new_chains_in_ms;
   __isset = other223.__isset;
   return *this;
 }
@@ -5956,6 +5975,7 @@
   out << ", " << "full=" << to_string(full);
   out << ", " << "overfull=" << to_string(overfull);
   out << ", " << "room_in_ms=" << to_string(room_in_ms);
+  out << ", " << "new_chains_in_ms=" << to_string(new_chains_in_ms);
   out << ")";
 }
 
--- a/source/wire/gen/comfreyfold_types.h
+++ b/source/wire/gen/comfreyfold_types.h
@@ -2179,7 +2179,7 @@
 std::ostream& operator<<(std::ostream& out, const StorageRequest& obj);
 
 typedef struct _StorageReply__isset {
-  _StorageReply__isset() : status(false), whole(false), turns(false), uses(false), ids(false), members(false), expiries_ms(false), full(false), overfull(false), room_in_ms(false) {}
+  _StorageReply__isset() : status(false), whole(false), turns(false), uses(false), ids(false), members(false), expiries_ms(false), full(false), overfull(false), room_in_ms(false), new_chains_in_ms(false) {}
   bool status :1;
   bool whole :1;
   bool turns :1;
@@ -2190,6 +2190,7 @@
   bool full :1;
   bool overfull :1;
   bool room_in_ms :1;
+  bool new_chains_in_ms :1;
 } _StorageReply__isset;
 
 class StorageReply : public virtual ::apache::thrift::TBase {
@@ -2202,7 +2203,8 @@
                  whole(0),
                  full(0),
                  overfull(0),
-                 room_in_ms(0) {
+                 room_in_ms(0),
+                 new_chains_in_ms(0) {
   }
 
   virtual ~StorageReply() noexcept;
@@ -2216,6 +2218,7 @@
   bool full;
   bool overfull;
   int64_t room_in_ms;
+  int64_t new_chains_in_ms;
 
   _StorageReply__isset __isset;
 
@@ -2239,6 +2242,8 @@
 
   void __set_room_in_ms(const int64_t val);
 
+  void __set_new_chains_in_ms(const int64_t val);
+
   bool operator == (const StorageReply & rhs) const
   {
     if (!(status == rhs.status))
@@ -2263,6 +2268,8 @@
       return false;
     if (!(room_in_ms == rhs.room_in_ms))
       return false;
+    if (!(new_chains_in_ms == rhs.new_chains_in_ms))
+      return false;
     return true;
   }
   bool operator != (const StorageReply &rhs) const {
--- a/source/wire/storage_codec.cc
+++ b/source/wire/storage_codec.cc
@@ -146,6 +146,7 @@
   out.full = reply.full;
   out.overfull = reply.overfull;
   out.room_in_ms = reply.room_in.count();
+  out.new_chains_in_ms = reply.new_chains_in.count();
   if (reply.members) {
     out.__set_members(detail::ToWire(*reply.members));
   }
@@ -166,6 +167,7 @@
   out.full = in.full;
   out.overfull = in.overfull;
   out.room_in = std::chrono::milliseconds(in.room_in_ms);
+  out.new_chains_in = std::chrono::milliseconds(in.new_chains_in_ms);
   if (in.__isset.members) {
     out.members = detail::FromWire(in.members);
   }
--- a/source/wire/storage_messages.h
+++ b/source/wire/storage_messages.h
@@ -71,6 +71,9 @@
   bool overfull = false;
   // Until there will be room again for turns that are yet to run; 0: unknown.
   std::chrono::milliseconds room_in{0};
+  // Until there will be room for turns that begin chains; 0: there is, or
+  // `full` tells all that is known.
+  std::chrono::milliseconds new_chains_in{0};
 };
 
 // Thrift compact encoding. The Decode functions throw WireError.
--- a/tests/unit/known_room_test.cc
+++ b/tests/unit/known_room_test.cc
@@ -14,7 +14,7 @@
 
 BOOST_AUTO_TEST_CASE(disks_of_which_nothing_is_known_have_room) {
   const KnownRoom room;
-  BOOST_TEST((room.Of("a", kNow) == DiskRoom::kNewTurns));
+  BOOST_TEST((room.Of("a", kNow) == DiskRoom::kNewChains));
   BOOST_TEST(room.RoomIn(kDisks, 2, kNow).count() == 0);
   // Not a question of room.
   BOOST_TEST(room.RoomIn({"a"}, 2, kNow).count() == 0);
@@ -34,8 +34,28 @@
 BOOST_AUTO_TEST_CASE(disk_that_reports_room_has_it_at_once) {
   KnownRoom room;
   room.Observe("a", DiskRoom::kNothing, milliseconds(5000), kNow);
-  room.Observe("a", DiskRoom::kNewTurns, {}, kNow);
+  room.Observe("a", DiskRoom::kNewChains, {}, kNow);
+  BOOST_TEST((room.Of("a", kNow) == DiskRoom::kNewChains));
+}
+
+BOOST_AUTO_TEST_CASE(new_chains_wait_while_turns_of_known_chains_go_on) {
+  KnownRoom room;
+  for (const auto& it : kDisks) {
+    room.Observe(it, DiskRoom::kNewTurns, {}, kNow, milliseconds(3000));
+  }
+  const auto wait_for = [&room](DiskRoom wanted, milliseconds later) {
+    return room.RoomIn(kDisks, 2, kNow + later, wanted).count();
+  };
   BOOST_TEST((room.Of("a", kNow) == DiskRoom::kNewTurns));
+  BOOST_TEST(wait_for(DiskRoom::kNewTurns, milliseconds(0)) == 0);
+  BOOST_TEST(wait_for(DiskRoom::kNewChains, milliseconds(0)) == 3000);
+  BOOST_TEST(wait_for(DiskRoom::kNewChains, milliseconds(3000)) == 0);
+  // A full disk has room for known chains first.
+  room.Observe("a", DiskRoom::kEndedTurns, milliseconds(1000), kNow,
+               milliseconds(4000));
+  BOOST_TEST((room.Of("a", kNow) == DiskRoom::kEndedTurns));
+  BOOST_TEST((room.Of("a", kNow + milliseconds(1000)) == DiskRoom::kNewTurns));
+  BOOST_TEST((room.Of("a", kNow + milliseconds(4000)) == DiskRoom::kNewChains));
 }
 
 BOOST_AUTO_TEST_CASE(disk_without_room_for_ended_turns_is_tried_again_soon) {
--- a/tests/unit/turn_index_test.cc
+++ b/tests/unit/turn_index_test.cc
@@ -82,6 +82,50 @@
   BOOST_TEST(index.Chain("c").empty());
 }
 
+BOOST_AUTO_TEST_CASE(
+    contents_that_the_log_holds_leave_memory_first_stored_first) {
+  TurnIndex index;
+  for (const auto* id : {"a", "b", "c"}) {
+    index.Put(MakeTurn(id, "", milliseconds(100)), 1);
+  }
+  const auto bytes = index.bytes();
+  const auto all = index.memory_bytes();
+  BOOST_TEST(index.pinned_bytes() == all);
+  index.DropContents(1);
+  BOOST_TEST(index.memory_bytes() == all);
+  index.MarkStored("b", {1, 10, 20});
+  index.MarkStored("a", {1, 30, 20});
+  index.DropContents(all - 1);
+  BOOST_TEST(index.Find("b")->output.empty());
+  BOOST_TEST(index.Find("a")->output == "out-a");
+  BOOST_REQUIRE(index.PositionOfDropped("b").has_value());
+  BOOST_TEST(index.PositionOfDropped("b")->offset == 10);
+  BOOST_TEST(!index.PositionOfDropped("a").has_value());
+  index.DropContents(1);
+  BOOST_TEST(index.Find("c")->output == "out-c");
+  BOOST_TEST(index.memory_bytes() == index.pinned_bytes());
+  // All turns are still known.
+  BOOST_TEST(index.bytes() == bytes);
+  BOOST_TEST(index.BytesOf("b") == index.BytesOf("c"));
+  index.Expire(milliseconds(101));
+  BOOST_TEST(index.bytes() == 0U);
+  BOOST_TEST(index.memory_bytes() == 0U);
+  BOOST_TEST(index.pinned_bytes() == 0U);
+}
+
+// The segment of the write that failed may have nothing of the turn.
+BOOST_AUTO_TEST_CASE(a_turn_uses_the_segment_that_holds_it) {
+  TurnIndex index;
+  index.Put(MakeTurn("a", "", milliseconds(100)), 7);
+  index.MarkStored("a", {8, 0, 20});
+  BOOST_TEST(!index.UsesSegment(7));
+  BOOST_TEST(index.UsesSegment(8));
+  index.MarkStored("a", {9, 0, 20});
+  BOOST_TEST(index.UsesSegment(8));
+  index.Expire(milliseconds(101));
+  BOOST_TEST(!index.UsesSegment(8));
+}
+
 BOOST_AUTO_TEST_CASE(a_byte_limit_removes_turns_that_expire_first) {
   TurnIndex index;
   index.Put(MakeTurn("a", "", milliseconds(100)));
--- a/tests/vm/dead_disk_room_test.cc
+++ b/tests/vm/dead_disk_room_test.cc
@@ -55,9 +55,9 @@
   milliseconds before{-1};
   milliseconds after{-1};
   loop->Spawn([&](Fiber& fiber) {
-    before = client->RoomForTurnIn();
+    before = client->RoomForTurnIn(false);
     client->LoadChain(fiber, "t1", milliseconds(1000));
-    after = client->RoomForTurnIn();
+    after = client->RoomForTurnIn(false);
     loop->Stop();
   });
   loop->Run();
--- a/tests/vm/disk_log_test.cc
+++ b/tests/vm/disk_log_test.cc
@@ -60,8 +60,9 @@
   Loop loop;
   DiskLog log(loop, folder.path());
   std::vector<std::string> out;
-  log.Replay(
-      [&out](std::int64_t, const std::string& entry) { out.push_back(entry); });
+  log.Replay([&out](const LogPosition&, const std::string& entry) {
+    out.push_back(entry);
+  });
   return out;
 }
 
@@ -103,6 +104,56 @@
              boost::test_tools::per_element());
 }
 
+BOOST_AUTO_TEST_CASE(entries_are_read_at_their_positions_also_after_a_restart) {
+  const TempFolder folder;
+  const std::vector<std::string> entries{"one", "twotwo", "three"};
+  const auto read = [&](const std::vector<LogPosition>& positions) {
+    Loop loop;
+    DiskLog log(loop, folder.path());
+    std::vector<std::string> out;
+    log.Read(positions, [&](std::vector<std::string> found) {
+      out = std::move(found);
+      loop.Stop();
+    });
+    loop.Spawn([](Fiber& fiber) { fiber.Sleep(std::chrono::seconds(20)); });
+    loop.Run();
+    return out;
+  };
+  std::vector<LogPosition> appended;
+  {
+    Loop loop;
+    DiskLog log(loop, folder.path());
+    std::size_t left = entries.size();
+    for (const auto& it : entries) {
+      appended.push_back(log.Append(it, [&](bool) {
+        if (--left == 0) {
+          loop.Stop();
+        }
+      }));
+    }
+    loop.Spawn([](Fiber& fiber) { fiber.Sleep(std::chrono::seconds(20)); });
+    loop.Run();
+    BOOST_TEST(log.size_bytes() ==
+               static_cast<std::int64_t>(fs::file_size(folder.Segment())));
+  }
+  BOOST_TEST(read(appended) == entries, boost::test_tools::per_element());
+  std::vector<LogPosition> replayed;
+  {
+    Loop loop;
+    DiskLog log(loop, folder.path());
+    log.Replay([&](const LogPosition& position, const std::string&) {
+      replayed.push_back(position);
+    });
+  }
+  BOOST_TEST(read({replayed[2], replayed[0]}) ==
+                 (std::vector<std::string>{"three", "one"}),
+             boost::test_tools::per_element());
+  // Neither a damaged entry nor a missing segment hides the others.
+  BOOST_TEST(read({{1, 1, 10}, {77, 0, 10}, replayed[1]}) ==
+                 (std::vector<std::string>{"", "", "twotwo"}),
+             boost::test_tools::per_element());
+}
+
 BOOST_AUTO_TEST_CASE(file_is_replaced_atomically) {
   const TempFolder folder;
   WriteFileDurably(folder.path(), "disk", "first");
--- a/tests/vm/storage_node_test.cc
+++ b/tests/vm/storage_node_test.cc
@@ -70,9 +70,11 @@
     Restart();
   }
 
-  void Restart() {
+  // `memory_bytes` 0: no limit.
+  void Restart(std::int64_t memory_bytes = 0) {
     node_.reset();
-    node_ = std::make_unique<StorageNode>(loop_, view_, log_, folder_, 1, 0, 0);
+    node_ = std::make_unique<StorageNode>(loop_, view_, log_, folder_, 1, 0,
+                                          memory_bytes);
     node_->disk_log().BeforeWrite([this] {
       if (refuses_) {
         throw std::runtime_error("refused");
@@ -313,6 +315,100 @@
   });
 }
 
+// Disks had no room for turns that exceeded their memory.
+BOOST_AUTO_TEST_CASE(contents_beyond_the_memory_are_read_from_the_disk) {
+  constexpr std::int64_t kMemory = 512L * 1024;
+  WithOneDisk([](Fiber& fiber, OneDisk& disk) {
+    disk.Restart(kMemory);
+    StorageRequest request;
+    request.operation = StorageOperation::kStore;
+    std::string parent;
+    for (int n = 0; n < 40; ++n) {
+      const auto id = "t" + std::to_string(n);
+      request.turns = {{id, parent, std::string(20000, 'a' + n % 26),
+                        "out" + id, WallNow() + milliseconds(60000)}};
+      request.ids = parent.empty() ? std::vector<std::string>{}
+                                   : std::vector<std::string>{parent};
+      request.keep_until = request.turns.front().expires_at;
+      BOOST_TEST((disk.Store(fiber, request).status == StorageStatus::kDone));
+      parent = id;
+    }
+    for (const bool restarts : {false, true}) {
+      if (restarts) {
+        disk.Restart(kMemory);
+      }
+      BOOST_TEST(disk.node().turns().memory_bytes() <=
+                 static_cast<std::size_t>(kMemory / 3));
+      StorageRequest question;
+      question.operation = StorageOperation::kChain;
+      question.ids = {"t39"};
+      const auto reply = disk.Store(fiber, question);
+      BOOST_TEST((reply.status == StorageStatus::kDone));
+      BOOST_REQUIRE(reply.turns.size() == 40U);
+      for (int n = 0; n < 40; ++n) {
+        const auto& turn = reply.turns[static_cast<std::size_t>(39 - n)];
+        BOOST_TEST(turn.input == std::string(20000, 'a' + n % 26));
+        BOOST_TEST(turn.output == "out" + turn.id);
+      }
+    }
+  });
+}
+
+BOOST_AUTO_TEST_CASE(turn_that_cannot_be_read_is_not_reported_as_absent) {
+  constexpr std::int64_t kMemory = 3000;
+  WithOneDisk([](Fiber& fiber, OneDisk& disk) {
+    disk.Restart(kMemory);
+    StorageRequest request;
+    request.turns = {{"t1", "", std::string(2000, 'x'), "out",
+                      WallNow() + milliseconds(60000)}};
+    BOOST_TEST((disk.Store(fiber, request).status == StorageStatus::kDone));
+    std::filesystem::remove(
+        disk.folder() + "/segment-" +
+        std::to_string(disk.node().disk_log().current_segment()));
+    for (const auto operation :
+         {StorageOperation::kChain, StorageOperation::kFetch}) {
+      StorageRequest question;
+      question.operation = operation;
+      question.ids = {"t1"};
+      BOOST_TEST(
+          (disk.Store(fiber, question).status == StorageStatus::kFailed));
+    }
+  });
+}
+
+// Its content is no longer in memory to be written again.
+BOOST_AUTO_TEST_CASE(failed_extension_of_a_turn_on_the_disk_is_written_alone) {
+  constexpr std::int64_t kMemory = 6000;
+  WithOneDisk([](Fiber& fiber, OneDisk& disk) {
+    disk.Restart(kMemory);
+    StorageRequest request;
+    request.turns = {{"t1", "", std::string(2000, 'x'), "out",
+                      WallNow() + milliseconds(200)}};
+    BOOST_TEST((disk.Store(fiber, request).status == StorageStatus::kDone));
+    BOOST_TEST(disk.node().turns().PositionOfDropped("t1").has_value());
+    StorageRequest extension;
+    extension.ids = {"t1"};
+    extension.keep_until = WallNow() + milliseconds(60000);
+    disk.Refuse(true);
+    BOOST_TEST((disk.Store(fiber, extension).status == StorageStatus::kFailed));
+    disk.Refuse(false);
+    bool durable = false;
+    fiber.loop().Spawn(
+        [&](Fiber& child) { durable = disk.node().AwaitDurable(child); });
+    OneDisk::Await(fiber, [&] { return durable; });
+    OneDisk::Await(
+        fiber, [&] { return WallNow() > request.turns.front().expires_at; });
+    disk.Restart(kMemory);
+    disk.node().Expire();
+    StorageRequest question;
+    question.operation = StorageOperation::kChain;
+    question.ids = {"t1"};
+    const auto reply = disk.Store(fiber, question);
+    BOOST_REQUIRE(reply.turns.size() == 1U);
+    BOOST_TEST(reply.turns.front().input == request.turns.front().input);
+  });
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace
--- a/tests/vm/vm_deployment.cc
+++ b/tests/vm/vm_deployment.cc
@@ -110,6 +110,7 @@
   settings.tolerated_losses = 1;
   settings.memory_bytes = 100L * 1024 * 1024;
   if (has_disk) {
+    settings.memory_bytes = storage_memory_bytes_;
     settings.disk_bytes = disk_bytes_;
     settings.data_folder = (folder_ / name).string();
     std::filesystem::remove_all(settings.data_folder);
--- a/tests/vm/vm_deployment.h
+++ b/tests/vm/vm_deployment.h
@@ -44,6 +44,8 @@
   void WriteConfig(std::int64_t version, int retention_seconds = 60);
   // Sets the size of the disks of VMs that are added from now on.
   void SetDiskBytes(std::int64_t bytes) { disk_bytes_ = bytes; }
+  // Sets the memory of storage VMs that are added from now on.
+  void SetStorageMemory(std::int64_t bytes) { storage_memory_bytes_ = bytes; }
   Server& AddServer(const std::string& id, std::chrono::milliseconds work = {});
   void RegisterServer(const std::string& id,
                       const std::string& state = "ready",
@@ -96,6 +98,7 @@
   std::map<std::string, std::unique_ptr<Vm>> vms_;
   std::filesystem::path folder_;
   std::int64_t disk_bytes_ = 0;
+  std::int64_t storage_memory_bytes_ = 100L * 1024 * 1024;
 };
 
 // Runs `body` in a coroutine with a new deployment.
