Free the memory of contents that are left to the disk

A storage daemon at its limit had 95 MB in memory of 130 (118 MB after the loss of a disk), although its contents were limited to 45 MB: assigning an empty string keeps the memory of a string. Found by comparing comfreyfold_turn_memory_bytes with the resident memory at 70 programs a second. Its test fails without the change.

--- a/source/core/turn_index.cc
+++ b/source/core/turn_index.cc
@@ -56,8 +56,9 @@
     auto& turn = turns_.find(*droppable_.front())->second;
     droppable_.pop_front();
     turn.dropped = true;
-    turn.record.input = std::string();
-    turn.record.output = std::string();
+    // The assignment of an empty string would keep the memory.
+    std::string().swap(turn.record.input);
+    std::string().swap(turn.record.output);
     content_bytes_ -= turn.bytes;
     droppable_bytes_ -= turn.bytes;
   }
--- a/tests/unit/turn_index_test.cc
+++ b/tests/unit/turn_index_test.cc
@@ -113,6 +113,18 @@
   BOOST_TEST(index.pinned_bytes() == 0U);
 }
 
+// Its strings kept their memory, which exceeded that of the VM.
+BOOST_AUTO_TEST_CASE(contents_that_left_memory_use_none) {
+  constexpr std::size_t kLength = 5000;
+  TurnIndex index;
+  index.Put({"a", "", std::string(kLength, 'x'), std::string(kLength, 'y'),
+             milliseconds(100)});
+  index.MarkStored("a", {1, 0, 20});
+  index.DropContents(1);
+  BOOST_TEST(index.Find("a")->input.capacity() < kLength);
+  BOOST_TEST(index.Find("a")->output.capacity() < kLength);
+}
+
 // The segment of the write that failed may have nothing of the turn.
 BOOST_AUTO_TEST_CASE(a_turn_uses_the_segment_that_holds_it) {
   TurnIndex index;
