Tests keep their files in memory, not on the machine's disk

Cause: the tests' files were on the disk that builds and other runs write to, and daemons report a write as failed that is not synced in time, as they should.

With the files in memory the suites storage_change, foreign_answers, storage_node, full_disks, slow_disks, start, spool, spool_calls and outage passed at 20 s a sync. No bound is changed: how daemons bear slow disks is tested with held writes (vm/disk_gate.h) and in the soak.

Where there is no such file system, or with TMPDIR, the files are where they were. The soak's folder of its own accord is there as well.

--- a/tests/harness/cluster.cc
+++ b/tests/harness/cluster.cc
@@ -10,6 +10,7 @@
 
 #include "clients/base64.h"
 #include "core/hash.h"
+#include "harness/test_folder.h"
 
 namespace comfreyfold::harness {
 
@@ -30,15 +31,6 @@
          "/" + name;
 }
 
-std::string MakeTemporaryFolder() {
-  std::string name =
-      (std::filesystem::temp_directory_path() / "comfreyfold-XXXXXX").string();
-  if (mkdtemp(name.data()) == nullptr) {
-    throw std::runtime_error("cannot create a temporary folder");
-  }
-  return name;
-}
-
 std::unique_ptr<Process> StartStandIn(
     const std::string& kind,
     const std::vector<std::string>& extra_arguments = {}) {
@@ -62,7 +54,7 @@
     : fiber_(fiber),
       options_(std::move(options)),
       http_(fiber.loop()),
-      folder_(MakeTemporaryFolder()) {
+      folder_(MakeTestFolder()) {
   kv_ = StartStandIn("kv");
   vms_ = StartStandIn("vms");
   if (options_.weight_store) {
--- a/tests/lane/in_process_holders.cc
+++ b/tests/lane/in_process_holders.cc
@@ -1,7 +1,6 @@
 #include "lane/in_process_holders.h"
 
-#include <stdexcept>
-
+#include "harness/test_folder.h"
 #include "wire/codec.h"
 
 namespace comfreyfold::lane {
@@ -12,13 +11,7 @@
 constexpr std::chrono::milliseconds kRequestDelay{1};
 }  // namespace
 
-ScratchFolder::ScratchFolder() {
-  std::string name = (fs::temp_directory_path() / "spool-XXXXXX").string();
-  if (mkdtemp(name.data()) == nullptr) {
-    throw std::runtime_error("cannot create a temporary folder");
-  }
-  path_ = name;
-}
+ScratchFolder::ScratchFolder() : path_(harness::MakeTestFolder()) {}
 
 ScratchFolder::~ScratchFolder() {
   std::error_code ec;
--- a/tests/process/contract_files.cc
+++ b/tests/process/contract_files.cc
@@ -1,20 +1,14 @@
 #include "process/contract_files.h"
 
-#include <cstdlib>
 #include <filesystem>
 #include <fstream>
-#include <stdexcept>
 #include <system_error>
 
+#include "harness/test_folder.h"
+
 namespace comfreyfold::process {
 
-ContractFiles::ContractFiles()
-    : folder_((std::filesystem::temp_directory_path() / "contracts-XXXXXX")
-                  .string()) {
-  if (mkdtemp(folder_.data()) == nullptr) {
-    throw std::runtime_error("no temporary folder");
-  }
-}
+ContractFiles::ContractFiles() : folder_(harness::MakeTestFolder()) {}
 
 ContractFiles::~ContractFiles() {
   std::error_code ec;
--- a/tests/soak/main.cc
+++ b/tests/soak/main.cc
@@ -8,6 +8,7 @@
 
 #include <cxxopts.hpp>
 
+#include "harness/test_folder.h"
 #include "soak/soak_clients.h"
 #include "soak/soak_faults.h"
 #include "soak/soak_fleet.h"
@@ -148,9 +149,9 @@
       cxxopts::value<std::string>()->default_value(COMFREYFOLD_SOAK_PRELOAD))(
       "folder", "where disks and logs go",
       cxxopts::value<std::string>()->default_value(
-          (std::filesystem::temp_directory_path() / "comfreyfold-soak")
-              .string()))("first", "the first seed",
-                          cxxopts::value<std::uint64_t>()->default_value("1"))(
+          (harness::TestRoot() / "comfreyfold-soak").string()))(
+      "first", "the first seed",
+      cxxopts::value<std::uint64_t>()->default_value("1"))(
       "seeds", "how many seeds",
       cxxopts::value<std::uint64_t>()->default_value("1"))(
       "seconds", "how long faults are injected for each seed",
--- a/tests/vm/disk_log_test.cc
+++ b/tests/vm/disk_log_test.cc
@@ -1,11 +1,10 @@
-#include <stdlib.h>
-
 #include <filesystem>
 #include <fstream>
 #include <vector>
 
 #include <boost/test/unit_test.hpp>
 
+#include "harness/test_folder.h"
 #include "storage/disk_log.h"
 
 namespace comfreyfold {
@@ -15,11 +14,7 @@
 
 class TempFolder {
  public:
-  TempFolder() {
-    std::string name =
-        (fs::temp_directory_path() / "comfreyfold-log-XXXXXX").string();
-    path_ = mkdtemp(name.data());
-  }
+  TempFolder() : path_(harness::MakeTestFolder()) {}
   ~TempFolder() { fs::remove_all(path_); }
   std::string path() const { return path_.string(); }
 
--- a/tests/vm/failing_steps_test.cc
+++ b/tests/vm/failing_steps_test.cc
@@ -1,13 +1,12 @@
 // Loops of a daemon that must go on after an exception that nobody expects.
 
-#include <stdlib.h>
-
 #include <filesystem>
 #include <stdexcept>
 
 #include <boost/test/unit_test.hpp>
 
 #include "fleet/fleet_sync.h"
+#include "harness/test_folder.h"
 #include "storage/storage_membership_manager.h"
 
 namespace comfreyfold {
@@ -127,9 +126,7 @@
 
 // The disk took no further part in changes of the list.
 BOOST_AUTO_TEST_CASE(disk_takes_part_in_changes_after_a_step_that_threw) {
-  std::string name =
-      (std::filesystem::temp_directory_path() / "comfreyfold-XXXXXX").string();
-  const std::string folder = mkdtemp(name.data());
+  const std::string folder = harness::MakeTestFolder();
   Loop loop;
   HttpClient http(loop);
   FleetView view;
--- a/tests/vm/start_test.cc
+++ b/tests/vm/start_test.cc
@@ -10,6 +10,7 @@
 
 #include "harness/deployment.h"
 #include "harness/process.h"
+#include "harness/test_folder.h"
 #include "net/http_server.h"
 
 namespace comfreyfold {
@@ -23,9 +24,7 @@
 BOOST_AUTO_TEST_SUITE(start)
 
 BOOST_AUTO_TEST_CASE(reload_while_settings_are_read_does_not_end_the_process) {
-  std::string folder =
-      (std::filesystem::temp_directory_path() / "comfreyfold-XXXXXX").string();
-  BOOST_REQUIRE(::mkdtemp(folder.data()) != nullptr);
+  const std::string folder = harness::MakeTestFolder();
   const auto path = folder + "/settings";
   BOOST_REQUIRE_EQUAL(::mkfifo(path.c_str(), S_IRUSR | S_IWUSR), 0);
   harness::Process daemon(
@@ -42,9 +41,7 @@
 
 // The daemon logged the reload and kept asking at the old address.
 BOOST_AUTO_TEST_CASE(reload_with_another_address_of_the_store_is_followed) {
-  std::string folder =
-      (std::filesystem::temp_directory_path() / "comfreyfold-XXXXXX").string();
-  BOOST_REQUIRE(::mkdtemp(folder.data()) != nullptr);
+  const std::string folder = harness::MakeTestFolder();
   const auto path = folder + "/settings";
   Loop loop;
   const auto internal = harness::FreeAddress(loop, "127.0.0.1");
--- a/tests/vm/storage_change_test.cc
+++ b/tests/vm/storage_change_test.cc
@@ -1,7 +1,5 @@
 // A change of the storage members beside disks that are slow, silent or gone.
 
-#include <stdlib.h>
-
 #include <filesystem>
 #include <functional>
 #include <limits>
@@ -11,6 +9,7 @@
 #include <boost/test/unit_test.hpp>
 
 #include "harness/deployment.h"
+#include "harness/test_folder.h"
 #include "platform/store_client.h"
 #include "standins/platform_store.h"
 #include "storage/storage_membership_manager.h"
@@ -66,10 +65,7 @@
         client_(http_, store_server_.Listen("127.0.0.1:0"), milliseconds(700)),
         log_("disk"),
         prompt_(loop, 0) {
-    std::string name =
-        (std::filesystem::temp_directory_path() / "comfreyfold-XXXXXX")
-            .string();
-    folder_ = mkdtemp(name.data());
+    folder_ = harness::MakeTestFolder();
     node_ = std::make_unique<StorageNode>(loop, view_, log_, folder_, 1, 0, 0);
   }
 
--- a/tests/vm/storage_node_test.cc
+++ b/tests/vm/storage_node_test.cc
@@ -1,7 +1,5 @@
 // One disk: what a restart finds after old segments of its log were removed.
 
-#include <stdlib.h>
-
 #include <algorithm>
 #include <atomic>
 #include <filesystem>
@@ -13,6 +11,7 @@
 #include <boost/test/unit_test.hpp>
 
 #include "core/wall_clock.h"
+#include "harness/test_folder.h"
 #include "storage/replica_client.h"
 #include "storage/storage_node.h"
 #include "vm/disk_gate.h"
@@ -63,10 +62,7 @@
             }),
         address_(server_.Listen("127.0.0.1:0")),
         log_("disk") {
-    std::string name =
-        (std::filesystem::temp_directory_path() / "comfreyfold-XXXXXX")
-            .string();
-    folder_ = mkdtemp(name.data());
+    folder_ = harness::MakeTestFolder();
     Restart();
   }
 
@@ -148,9 +144,7 @@
 // Segments were removed when the uses in them had expired, although a program
 // lived on by later uses. After a restart it got its budget again.
 BOOST_AUTO_TEST_CASE(restart_knows_all_uses_of_a_program_that_lives) {
-  std::string name =
-      (std::filesystem::temp_directory_path() / "comfreyfold-XXXXXX").string();
-  const std::string folder = mkdtemp(name.data());
+  const std::string folder = harness::MakeTestFolder();
   Loop loop;
   FleetView view;
   DecisionLog log("disk");
--- a/tests/vm/unsynced_copies_test.cc
+++ b/tests/vm/unsynced_copies_test.cc
@@ -1,7 +1,5 @@
 // A disk that copies records while its own writes take long.
 
-#include <stdlib.h>
-
 #include <condition_variable>
 #include <filesystem>
 #include <functional>
@@ -13,6 +11,7 @@
 #include <boost/test/unit_test.hpp>
 
 #include "core/wall_clock.h"
+#include "harness/test_folder.h"
 #include "storage/disk_copier.h"
 
 namespace comfreyfold {
@@ -23,12 +22,6 @@
 // Uses of one program, more than a page has.
 constexpr int kUsesOfProgram = 1001;
 
-std::string NewFolder() {
-  std::string name =
-      (std::filesystem::temp_directory_path() / "comfreyfold-XXXXXX").string();
-  return mkdtemp(name.data());
-}
-
 // Holds the writes of a disk while it is closed.
 class WriteGate {
  public:
@@ -63,8 +56,8 @@
             }),
         address_(server_.Listen("127.0.0.1:0")),
         log_("disk"),
-        source_folder_(NewFolder()),
-        folder_(NewFolder()) {
+        source_folder_(harness::MakeTestFolder()),
+        folder_(harness::MakeTestFolder()) {
     source_ = std::make_unique<StorageNode>(loop, source_view_, log_,
                                             source_folder_, 1, 0, 0);
     Restart();
--- a/tests/vm/vm_deployment.cc
+++ b/tests/vm/vm_deployment.cc
@@ -1,10 +1,9 @@
 #include "vm/vm_deployment.h"
 
-#include <stdlib.h>
-
 #include <nlohmann/json.hpp>
 
 #include "harness/deployment.h"
+#include "harness/test_folder.h"
 #include "platform/registry_decoder.h"
 #include "platform/request_headers.h"
 #include "wire/storage_messages.h"
@@ -35,9 +34,7 @@
                       store_.Handle(fiber, request, exchange);
                     }) {
   store_address_ = store_server_.Listen("127.0.0.1:0");
-  std::string name =
-      (std::filesystem::temp_directory_path() / "comfreyfold-XXXXXX").string();
-  folder_ = mkdtemp(name.data());
+  folder_ = harness::MakeTestFolder();
 }
 
 VmDeployment::~VmDeployment() {
