Regression test for the sort of disks, which ended daemons by signal 11

replica_client/disk_that_ends_to_be_suspected_during_a_sort sorts with a clock that takes a step at each reading, so that a disk stops counting as suspected at each point of the sort in turn.

--- a/tests/vm/replica_client_test.cc
+++ b/tests/vm/replica_client_test.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <memory>
+#include <string>
 #include <vector>
 
 #include <boost/test/unit_test.hpp>
@@ -9,6 +10,7 @@
 #include "core/wall_clock.h"
 #include "net/http_server.h"
 #include "storage/replica_client.h"
+#include "vm/stepping_clock.h"
 #include "wire/codec.h"
 
 namespace comfreyfold {
@@ -109,6 +111,20 @@
         [wanted](const StorageReplies& it) { return it.size() >= wanted; });
   }
 
+  // Has a request to the daemon with that index end without an answer.
+  void Fail(Fiber& fiber, std::size_t index) {
+    all[index]->Silence();
+    StorageRequest request;
+    request.operation = StorageOperation::kChain;
+    StorageReply reply;
+    BOOST_TEST(!client.CallOne(fiber, all[index]->member(), request,
+                               milliseconds(50), reply));
+    // Its request ends beside the call.
+    while (!client.IsFailing(all[index]->member())) {
+      fiber.Sleep(milliseconds(1));
+    }
+  }
+
   Loop& loop;
   HttpClient http;
   ReplicaClient client;
@@ -129,6 +145,15 @@
   loop->Run();
 }
 
+std::vector<std::string> Disks(const std::vector<StorageMember>& members) {
+  std::vector<std::string> out;
+  out.reserve(members.size());
+  for (const auto& it : members) {
+    out.push_back(it.disk);
+  }
+  return out;
+}
+
 BOOST_AUTO_TEST_SUITE(replica_client)
 
 BOOST_AUTO_TEST_CASE(chains_are_read_directly_while_disks_do_not_sync) {
@@ -217,6 +242,45 @@
   });
 }
 
+// The sort ran over the beginning of the list.
+BOOST_AUTO_TEST_CASE(disk_that_ends_to_be_suspected_during_a_sort) {
+  WithDaemons([](Fiber& fiber, Daemons& daemons) {
+    const auto& first = daemons.all[0]->member();
+    const auto& second = daemons.all[1]->member();
+    const auto& early = daemons.all[2]->member();
+    const auto began = std::chrono::steady_clock::now();
+    daemons.Fail(fiber, 2);
+    const auto ended = std::chrono::steady_clock::now();
+    // The others are suspected for longer than any clock below.
+    fiber.Sleep(milliseconds(300));
+    daemons.Fail(fiber, 0);
+    daemons.Fail(fiber, 1);
+    const std::vector<StorageMember> suspected{first, second, early,
+                                               first, second, early};
+    const std::vector<StorageMember> trusted{early,  early, first,
+                                             second, first, second};
+    constexpr milliseconds kSuspicion{1000};
+    constexpr milliseconds kStep{5};
+    constexpr milliseconds kSort{200};  // More readings than a sort takes.
+    bool was_suspected = false;
+    bool was_trusted = false;
+    for (auto at = began + kSuspicion - kSort; at <= ended + kSuspicion + kStep;
+         at += milliseconds(1)) {
+      std::vector<StorageMember> sorted;
+      {
+        const SteppingClock clock(at, kStep);
+        sorted = daemons.client.SortByPreference(suspected);
+      }
+      BOOST_REQUIRE((Disks(sorted) == Disks(suspected) ||
+                     Disks(sorted) == Disks(trusted)));
+      was_suspected = was_suspected || Disks(sorted) == Disks(suspected);
+      was_trusted = was_trusted || Disks(sorted) == Disks(trusted);
+    }
+    BOOST_TEST(was_suspected);
+    BOOST_TEST(was_trusted);
+  });
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace
