--- a/source/fleet/fleet_sync.cc
+++ b/source/fleet/fleet_sync.cc
@@ -31,6 +31,18 @@
       std::chrono::steady_clock::now() - at);
 }
 
+// Adds those of `addresses` that are not in `out`, up to kMaxPeersReported.
+void AddOthers(const std::vector<std::string>& addresses,
+               const std::string& excluded,
+               std::vector<std::string>& out) {
+  for (const auto& it : addresses) {
+    if (out.size() < kMaxPeersReported && it != excluded &&
+        std::find(out.begin(), out.end(), it) == out.end()) {
+      out.push_back(it);
+    }
+  }
+}
+
 void Append(std::vector<SuspectRun> runs, std::vector<SuspectRun>& out) {
   out.insert(out.end(), runs.begin(), runs.end());
 }
@@ -290,14 +302,15 @@
 }
 
 // Returns a few daemons at a time and others each time, which is enough to find
-// a path around a broken connection.
-std::vector<std::string> FleetSync::RecentPeers(const std::string& excluded) {
+// a path around a broken connection. A daemon needs some of other data centres,
+// because it may be the only one of its own.
+std::vector<std::string> FleetSync::PeersFor(const std::string& asker) {
   std::erase_if(recent_peers_, [](const auto& it) {
     return AgeOf(it.second) > kPeerRetention;
   });
   std::vector<std::string> all;
   for (const auto& [address, at] : recent_peers_) {
-    if (address != excluded) {
+    if (address != asker) {
       all.push_back(address);
     }
   }
@@ -306,6 +319,11 @@
     out.push_back(all[(next_peer_ + n) % all.size()]);
   }
   ++next_peer_;
+  // What hubs tell each other comes from the peers alone, so that the addresses
+  // of daemons that have gone do not circulate.
+  if (!asker.empty()) {
+    AddOthers(view_.client_daemons(), asker, out);
+  }
   return out;
 }
 
@@ -350,8 +368,8 @@
   view_.RecordSuspectRuns(question.suspect_runs, ReportSource::kLocal);
   if (!question.address.empty()) {
     recent_peers_[question.address] = now;
-    news.daemons = RecentPeers(question.address);
   }
+  news.daemons = PeersFor(question.address);
   if (question.loads_within.count() > 0) {
     const auto since = now - question.loads_within;
     news.loads = view_.loads().RecordedSince(since, now);
--- a/source/fleet/fleet_sync.h
+++ b/source/fleet/fleet_sync.h
@@ -33,7 +33,8 @@
 
   // Exchanges server loads with other daemons: sends the loads that this daemon
   // has recorded, and calls `on_load` for each newer load received from others.
-  // `address` is the one at which other daemons reach this daemon.
+  // `address` is the one at which other daemons reach this daemon; empty if it
+  // serves no clients.
   void ShareLoads(std::string address,
                   std::function<void(const LoadReport&)> on_load) {
     address_ = std::move(address);
@@ -93,8 +94,9 @@
   // The time for which a source tells this daemon what it has heard.
   std::chrono::milliseconds ReportWindow(const std::string& address,
                                          TimePoint now) const;
-  // Returns some of the daemons that sent queries recently, except `excluded`.
-  std::vector<std::string> RecentPeers(const std::string& excluded);
+  // Returns some of the daemons that serve clients, for the one at `asker`,
+  // which is empty if it serves none.
+  std::vector<std::string> PeersFor(const std::string& asker);
   void Apply(const FleetNews& news, const std::string& address);
   void ApplyConfig(const FleetNews& news, const std::string& address);
   void ApplyReports(const FleetNews& news);
--- a/source/vm/vm_daemon.cc
+++ b/source/vm/vm_daemon.cc
@@ -138,7 +138,7 @@
 void VmDaemon::StartStorage() {
   // A storage daemon forwards the server loads that the daemons serving clients
   // report, but does not use them.
-  fleet_sync_.ShareLoads(PeerAddress(), [](const LoadReport&) {});
+  fleet_sync_.ShareLoads("", [](const LoadReport&) {});
   storage_node_ = std::make_unique<StorageNode>(
       loop_, view_, log_, settings_.data_folder, settings_.tolerated_losses,
       settings_.disk_bytes, settings_.memory_bytes);
--- a/tests/vm/fleet_test.cc
+++ b/tests/vm/fleet_test.cc
@@ -236,9 +236,6 @@
   });
 }
 
-// Every call to the store is wasted during an outage. Daemons that serve
-// clients therefore leave the calls to the storage daemons at first and start
-// to call the store one after the other.
 // Storage daemons are no relays: a daemon that is cut off reaches none of them.
 BOOST_AUTO_TEST_CASE(daemon_alone_in_its_data_centre_knows_relays_in_others) {
   RunWithDeployment([](Fiber& fiber, VmDeployment& deployment) {
@@ -266,6 +263,9 @@
   });
 }
 
+// Every call to the store is wasted during an outage. Daemons that serve
+// clients therefore leave the calls to the storage daemons at first and start
+// to call the store one after the other.
 BOOST_AUTO_TEST_CASE(few_daemons_call_store_during_outage) {
   RunWithDeployment([](Fiber& fiber, VmDeployment& deployment) {
     constexpr int kFrontDaemons = 10;
