--- a/tests/harness/cluster.cc
+++ b/tests/harness/cluster.cc
@@ -2,7 +2,6 @@
 
 #include <algorithm>
 #include <cstdio>
-#include <cstdlib>
 #include <filesystem>
 #include <fstream>
 #include <sstream>
@@ -10,6 +9,7 @@
 
 #include "clients/base64.h"
 #include "core/hash.h"
+#include "harness/test_folder.h"
 
 namespace comfreyfold::harness {
 
@@ -18,9 +18,6 @@
 using nlohmann::json;
 
 constexpr std::chrono::milliseconds kPollInterval{20};
-// If this environment variable is set, the temporary folder with the daemons'
-// logs is not removed.
-constexpr char kKeepLogsVariable[] = "COMFREYFOLD_KEEP_LOGS";
 const char* const kDataCentres[] = {"dc-a", "dc-b", "dc-c"};
 
 std::string BinaryPath(const std::string& name) {
@@ -30,15 +27,6 @@
          "/" + name;
 }
 
-std::string MakeTemporaryFolder() {
-  std::string name =
-      (std::filesystem::temp_directory_path() / "comfreyfold-XXXXXX").string();
-  if (mkdtemp(name.data()) == nullptr) {
-    throw std::runtime_error("cannot create a temporary folder");
-  }
-  return name;
-}
-
 std::unique_ptr<Process> StartStandIn(
     const std::string& kind,
     const std::vector<std::string>& extra_arguments = {}) {
@@ -62,7 +50,7 @@
     : fiber_(fiber),
       options_(std::move(options)),
       http_(fiber.loop()),
-      folder_(MakeTemporaryFolder()) {
+      folder_(MakeTestFolder()) {
   kv_ = StartStandIn("kv");
   vms_ = StartStandIn("vms");
   if (options_.weight_store) {
@@ -86,7 +74,7 @@
 
 Cluster::~Cluster() {
   daemons_.clear();
-  if (std::getenv(kKeepLogsVariable) != nullptr) {
+  if (KeepsTestFolders()) {
     return;
   }
   std::error_code ec;
