Storage daemon without memory for a body is not taken for dead

What callers saw: nothing reported; found by reading (review of the incident of full disks). Stores over 64 KB that found no memory for their bodies at the storage daemons, or no connection, made their sender send all requests, chains too, through relays only, until a probe was answered.

Cause: the HTTP server answers such a request with 503, and ReplicaClient counted each answer other than 200 as none.

A 503 of the storage daemon itself is an answer: the request has failed, the daemon is avoided for a second like a slow one, and counts as reachable. A relay answers 503 where it does not reach the daemon, so that its 503 keeps its meaning.

Test: replica_client/daemons_without_memory_for_stores_are_not_taken_for_dead (5 checks failed before: three daemons failing, no answer to a chain, two requests to relays).

--- a/source/storage/replica_client.cc
+++ b/source/storage/replica_client.cc
@@ -10,6 +10,7 @@
 namespace {
 
 constexpr int kOk = 200;
+constexpr int kUnavailable = 503;
 // If the targets called so far have not satisfied the call within this time,
 // the next target is called as well. Covers several disk syncs and round trips
 // between data centres.
@@ -103,7 +104,8 @@
 
 void ReplicaClient::RecordResult(const StorageMember& member,
                                  SendResult result) {
-  const bool answered = result == SendResult::kAnswered;
+  const bool answered =
+      result == SendResult::kAnswered || result == SendResult::kBusy;
   const bool was_unreachable = last_failures_.count(member.address) > 0;
   if (answered) {
     last_failures_.erase(member.address);
@@ -191,6 +193,10 @@
   }
   try {
     const auto http_reply = http_.Send(fiber, address, request, options);
+    // A relay sends it if it does not reach the target.
+    if (http_reply.status == kUnavailable && relay_time.empty()) {
+      return SendResult::kBusy;
+    }
     if (http_reply.status != kOk) {
       return SendResult::kNoAnswer;
     }
@@ -258,6 +264,9 @@
       !call.states[n].suspected) {
     slow_at_.erase(target.address);
   }
+  if (result == SendResult::kBusy) {
+    slow_at_[target.address] = now;
+  }
   RecordResult(target, result);
 }
 
--- a/source/storage/replica_client.h
+++ b/source/storage/replica_client.h
@@ -100,6 +100,7 @@
     kAnswered,
     kNoConnection,  // Not sent. Other daemons may still reach the target.
     kNoAnswer,      // Sent, but the target is slow, frozen or dead.
+    kBusy,  // The target has no memory or connection for the request now.
   };
   struct Failure {
     TimePoint at;
--- a/tests/vm/replica_client_test.cc
+++ b/tests/vm/replica_client_test.cc
@@ -36,6 +36,8 @@
   const StorageMember& member() const { return member_; }
   // Its disk no longer syncs.
   void Stall() { stalled_ = true; }
+  // It has no memory for the bodies of stores.
+  void RefuseStores() { refuses_stores_ = true; }
   // It answers nothing, like one whose packets are dropped.
   void Silence() { silent_ = true; }
   // Answers requests again. Those that came before are never answered.
@@ -54,6 +56,10 @@
     const bool store = decoded.operation == StorageOperation::kStore;
     relayed_ += request.Header(kRelayHeader).empty() ? 0 : 1;
     stores_ += store ? 1 : 0;
+    if (refuses_stores_ && store) {
+      exchange.Reply(kUnavailable, "", "");
+      return;
+    }
     if (silent_ || (stalled_ && store)) {
       opened_.WaitUntil(fiber, milliseconds(10000), [] { return false; });
     }
@@ -65,6 +71,7 @@
   StorageMember member_;
   bool stalled_ = false;
   bool silent_ = false;
+  bool refuses_stores_ = false;
   int relayed_ = 0;
   int stores_ = 0;
 };
@@ -161,6 +168,22 @@
   });
 }
 
+BOOST_AUTO_TEST_CASE(daemons_without_memory_for_stores_are_not_taken_for_dead) {
+  WithDaemons([](Fiber& fiber, Daemons& daemons) {
+    for (const auto& it : daemons.all) {
+      it->RefuseStores();
+    }
+    daemons.Call(fiber, StorageOperation::kStore, milliseconds(500), 2);
+    for (const auto& it : daemons.all) {
+      BOOST_TEST(!daemons.client.IsFailing(it->member()));
+    }
+    const auto after =
+        daemons.Call(fiber, StorageOperation::kChain, milliseconds(500), 3);
+    BOOST_TEST(after.size() == 3U);
+    BOOST_TEST(daemons.relay_requests == 0);
+  });
+}
+
 BOOST_AUTO_TEST_CASE(relays_are_used_soon_after_all_daemons_fell_silent) {
   WithDaemons([](Fiber& fiber, Daemons& daemons) {
     for (const auto& it : daemons.all) {
