Join and leave remove only disks that are dead

What callers saw: nothing reported; found by reading (review of the incident of slow disks). A disk that was slow for 0.7 s while another joined or left lost its place: its turns had one copy less until others had copied them.

Cause: one probe without an answer was enough, while a change under way takes a disk for dead only after two probes without a connection or four without an answer.

A join or leave now applies that rule and waits while it is uncertain. A disk whose VM answers with another disk is lost, and removed at once, so that an emptied disk joins as fast as before. One that answers that it could not store the list is slow, and stays.

Tests: storage_change/disk_that_answers_late_remains_when_another_joins and ..._leaves failed before. disk_that_is_gone_is_removed_when_another_joins_or_leaves and disk_that_was_replaced_is_removed_at_once_by_a_join passed before too.

--- a/source/storage/storage_membership_manager.cc
+++ b/source/storage/storage_membership_manager.cc
@@ -183,7 +183,7 @@
   Propose(fiber, list, "first start");
 }
 
-std::vector<StorageMember> StorageMembershipManager::ReachableMembers(
+StorageReplies StorageMembershipManager::Probe(
     Fiber& fiber,
     const std::vector<StorageMember>& members,
     std::chrono::milliseconds timeout) {
@@ -198,10 +198,17 @@
   }
   plan.initial_targets = plan.targets.size();
   plan.timeout = timeout;
-  const auto replies =
-      replicas_.Call(fiber, plan, request, [&plan](const StorageReplies& it) {
-        return it.size() == plan.targets.size();
-      });
+  return replicas_.Call(fiber, plan, request,
+                        [&plan](const StorageReplies& it) {
+                          return it.size() == plan.targets.size();
+                        });
+}
+
+std::vector<StorageMember> StorageMembershipManager::ReachableMembers(
+    Fiber& fiber,
+    const std::vector<StorageMember>& members,
+    std::chrono::milliseconds timeout) {
+  const auto replies = Probe(fiber, members, timeout);
   std::vector<StorageMember> out;
   for (const auto& it : members) {
     const auto reply = replies.find(it.disk);
@@ -214,11 +221,30 @@
   return out;
 }
 
-bool StorageMembershipManager::EnoughReachable(
-    const std::vector<StorageMember>& members,
-    const std::vector<StorageMember>& reachable) const {
-  return reachable.size() + static_cast<std::size_t>(tolerated_losses_) >=
-         members.size();
+// A disk that is only slow must not lose its place for one probe. One whose VM
+// has another disk now is lost.
+std::optional<std::vector<std::string>> StorageMembershipManager::DeadMembers(
+    Fiber& fiber,
+    const std::vector<StorageMember>& members) {
+  const auto replies = Probe(fiber, members, kProbeTimeout);
+  std::vector<std::string> out;
+  bool certain = true;
+  for (const auto& it : members) {
+    const auto reply = replies.find(it.disk);
+    const bool answered = reply != replies.end();
+    if (it.disk == self_.disk ||
+        (answered && reply->second.status != StorageStatus::kOtherDisk)) {
+      unanswered_probes_.erase(it.disk);
+    } else if (answered || IsDead(fiber, it)) {
+      out.push_back(it.disk);
+    } else {
+      certain = false;
+    }
+  }
+  if (!certain || out.size() > static_cast<std::size_t>(tolerated_losses_)) {
+    return std::nullopt;
+  }
+  return out;
 }
 
 // Disks that start at the same time join in one change: each announces itself
@@ -231,19 +257,19 @@
     return;
   }
   const auto list = view_.storage_list();
-  const auto reachable = ReachableMembers(fiber, list.members, kProbeTimeout);
-  if (!EnoughReachable(list.members, reachable)) {
+  const auto dead = DeadMembers(fiber, list.members);
+  if (!dead) {
     log_.Write("join_delayed", "",
                {{"members", static_cast<int>(list.members.size())},
-                {"reachable", static_cast<int>(reachable.size())}});
+                {"silent", static_cast<int>(unanswered_probes_.size())}});
     fiber.Sleep(kStepInterval);
     return;
   }
-  Propose(fiber,
-          list.WithChange(
-              ReachableMembers(fiber, AnnouncedDisks(fiber), kProbeTimeout),
-              MissingDisks(list.members, reachable)),
-          "join");
+  Propose(
+      fiber,
+      list.WithChange(
+          ReachableMembers(fiber, AnnouncedDisks(fiber), kProbeTimeout), *dead),
+      "join");
 }
 
 void StorageMembershipManager::Announce(Fiber& fiber) {
@@ -290,19 +316,18 @@
     }
     return;
   }
-  const auto reachable = ReachableMembers(fiber, list.members, kProbeTimeout);
-  auto removed = MissingDisks(list.members, reachable);
-  removed.push_back(self_.disk);
-  const auto remaining = list.members.size() - removed.size();
-  if (!EnoughReachable(list.members, reachable) ||
-      remaining < static_cast<std::size_t>(tolerated_losses_) + 1) {
+  auto removed = DeadMembers(fiber, list.members);
+  const auto others = list.members.size() - 1;
+  if (!removed || others < static_cast<std::size_t>(tolerated_losses_) + 1 +
+                               removed->size()) {
     log_.Write("leave_delayed", "",
                {{"members", static_cast<int>(list.members.size())},
-                {"left", static_cast<int>(remaining)}});
+                {"silent", static_cast<int>(unanswered_probes_.size())}});
     fiber.Sleep(kStepInterval);
     return;
   }
-  Propose(fiber, list.WithChange({}, removed), "leave");
+  removed->push_back(self_.disk);
+  Propose(fiber, list.WithChange({}, *removed), "leave");
 }
 
 bool StorageMembershipManager::IsDead(Fiber& fiber, const StorageMember& disk) {
--- a/source/storage/storage_membership_manager.h
+++ b/source/storage/storage_membership_manager.h
@@ -4,6 +4,7 @@
 #include <chrono>
 #include <functional>
 #include <map>
+#include <optional>
 #include <random>
 #include <string>
 #include <vector>
@@ -71,14 +72,20 @@
   // Writes `list` if it is newer than the one in the key-value service and that
   // one has not changed since it was read. Returns whether it was written.
   bool Propose(Fiber& fiber, const StorageList& list, const char* reason);
-  // Sends the current list to `members` and returns those that answered.
+  // Sends the current list to `members`, but not to this VM's disk.
+  StorageReplies Probe(Fiber& fiber,
+                       const std::vector<StorageMember>& members,
+                       std::chrono::milliseconds timeout);
+  // Does the same and returns those that have the list now.
   std::vector<StorageMember> ReachableMembers(
       Fiber& fiber,
       const std::vector<StorageMember>& members,
       std::chrono::milliseconds timeout);
-  // Whether at most the tolerated losses of `members` are unreachable.
-  bool EnoughReachable(const std::vector<StorageMember>& members,
-                       const std::vector<StorageMember>& reachable) const;
+  // Probes `members` once and returns those that are dead. Returns null while
+  // that is uncertain for one of them, or more than the tolerated losses are.
+  std::optional<std::vector<std::string>> DeadMembers(
+      Fiber& fiber,
+      const std::vector<StorageMember>& members);
 
   Loop& loop_;
   HttpClient& http_;
--- a/tests/vm/storage_change_test.cc
+++ b/tests/vm/storage_change_test.cc
@@ -25,27 +25,40 @@
 // More than the time for one probe.
 constexpr milliseconds kSlowAnswer{3000};
 
+// Those that the client sends to a disk that does not answer a probe.
+constexpr int kRequestsOfOneProbe = 4;
+
 // A disk's daemon that answers its first `slow` requests late.
 class Disk {
  public:
   Disk(Loop& loop, int slow)
       : server_(loop,
                 [this, slow](Fiber& fiber,
-                             const HttpRequest& /*request*/,
+                             const HttpRequest& request,
                              HttpExchange& exchange) {
+                  const auto decoded = DecodeStorageRequest(request.body);
+                  probes_ += decoded.operation == StorageOperation::kAdopt;
                   if (++requests_ <= slow) {
                     fiber.Sleep(kSlowAnswer);
                   }
-                  exchange.Reply(200, "", Encode(StorageReply{}));
+                  StorageReply reply;
+                  reply.status = status_;
+                  exchange.Reply(200, "", Encode(reply));
                   ++answers_;
                 }),
         address_(server_.Listen("127.0.0.1:0")) {}
   const std::string& address() const { return address_; }
+  // Requests that tell the disk of a list and ask for nothing.
+  int probes() const { return probes_; }
   int answers() const { return answers_; }
+  // The disk was replaced by another.
+  void Replace() { status_ = StorageStatus::kOtherDisk; }
 
  private:
   HttpServer server_;
+  StorageStatus status_ = StorageStatus::kDone;
   int requests_ = 0;
+  int probes_ = 0;
   int answers_ = 0;
   std::string address_;
 };
@@ -75,23 +88,23 @@
 
   // Starts the change; `third` is the address of the disk that it waits for.
   void Start(Fiber& fiber, const std::string& third) {
-    const StorageMember self{node_->disk(), "vm-1", "127.0.0.1:1", "north"};
-    StorageList list;
-    list.version = 5;
-    list.epoch = 3;
-    list.members = {self,
-                    {"prompt", "vm-2", prompt_.address(), "north"},
-                    {"third", "vm-3", third, "north"}};
+    auto list = ListWith(third);
+    list.members.push_back(Self());
     list.next = list.members;
-    list.synced = {self.disk, "prompt"};
-    store_.Put(kStorageListKey, Encode(list));
-    BOOST_REQUIRE(node_->Adopt(fiber, list));
-    manager_ = std::make_unique<StorageMembershipManager>(
-        loop_, http_, client_, view_, *node_, log_, self, 1, false);
-    loop_.Spawn([this](Fiber& run_fiber) {
-      manager_->Run(run_fiber);
-      ended_ = true;
-    });
+    list.synced = {node_->disk(), "prompt"};
+    Run(fiber, list);
+  }
+  // Has the disk of the manager join the prompt one and `third`.
+  void Join(Fiber& fiber, const std::string& third) {
+    Run(fiber, ListWith(third));
+  }
+  // Has it leave them and one more.
+  void Leave(Fiber& fiber, const std::string& third) {
+    auto list = ListWith(third);
+    list.members.push_back({"fourth", "vm-4", prompt_.address(), "north"});
+    list.members.push_back(Self());
+    Run(fiber, list);
+    manager_->Leave([](Fiber&) {});
   }
   void Stop(Fiber& fiber) {
     manager_->Stop();
@@ -105,12 +118,36 @@
     }
     return condition();
   }
-  bool HasThird() const {
-    return DecodeStorageList(store_.Value(kStorageListKey))
-        .IsNextMember("third");
-  }
+  bool HasThird() const { return List().IsNextMember("third"); }
+  // Whether the disk of the manager has begun to join or to leave.
+  bool HasBegun() const { return List().changing(); }
 
  private:
+  StorageMember Self() const {
+    return {node_->disk(), "vm-1", "127.0.0.1:1", "north"};
+  }
+  StorageList ListWith(const std::string& third) const {
+    StorageList out;
+    out.version = 5;
+    out.epoch = 3;
+    out.members = {{"prompt", "vm-2", prompt_.address(), "north"},
+                   {"third", "vm-3", third, "north"}};
+    return out;
+  }
+  StorageList List() const {
+    return DecodeStorageList(store_.Value(kStorageListKey));
+  }
+  void Run(Fiber& fiber, const StorageList& list) {
+    store_.Put(kStorageListKey, Encode(list));
+    BOOST_REQUIRE(node_->Adopt(fiber, list));
+    manager_ = std::make_unique<StorageMembershipManager>(
+        loop_, http_, client_, view_, *node_, log_, Self(), 1, false);
+    loop_.Spawn([this](Fiber& run_fiber) {
+      manager_->Run(run_fiber);
+      ended_ = true;
+    });
+  }
+
   Loop& loop_;
   HttpClient http_;
   standins::PlatformStore store_;
@@ -125,6 +162,25 @@
   bool ended_ = false;
 };
 
+// Has the manager's disk begin to join or to leave beside the disk with the
+// address `third`. Returns whether that one remains in the list.
+bool RemainsAfter(void (Change::*begin)(Fiber&, const std::string&),
+                  const std::function<std::string(Loop&)>& third) {
+  // Never destroyed: requests under way refer to both.
+  auto* loop = new Loop;
+  auto* change = new Change(*loop);
+  bool remains = false;
+  loop->Spawn([&](Fiber& fiber) {
+    (change->*begin)(fiber, third(*loop));
+    BOOST_TEST(Change::WaitFor(fiber, [&] { return change->HasBegun(); }));
+    remains = change->HasThird();
+    change->Stop(fiber);
+    loop->Stop();
+  });
+  loop->Run();
+  return remains;
+}
+
 // Returns whether the disk with the address `third` is still in the change when
 // `until` holds or the disk has left.
 bool StaysInChange(const std::function<std::string(Loop&)>& third,
@@ -171,6 +227,41 @@
       [] { return false; }));
 }
 
+// One probe without an answer within 0.7 s removed it.
+BOOST_AUTO_TEST_CASE(disk_that_answers_late_remains_when_another_joins) {
+  BOOST_TEST(RemainsAfter(&Change::Join, [](Loop& loop) {
+    return (new Disk(loop, kRequestsOfOneProbe))->address();
+  }));
+}
+
+BOOST_AUTO_TEST_CASE(disk_that_answers_late_remains_when_another_leaves) {
+  BOOST_TEST(RemainsAfter(&Change::Leave, [](Loop& loop) {
+    return (new Disk(loop, kRequestsOfOneProbe))->address();
+  }));
+}
+
+BOOST_AUTO_TEST_CASE(
+    disk_that_is_gone_is_removed_when_another_joins_or_leaves) {
+  for (const auto begin : {&Change::Join, &Change::Leave}) {
+    BOOST_TEST(!RemainsAfter(
+        begin, [](Loop& loop) { return harness::FreeAddress(loop); }));
+    BOOST_TEST(!RemainsAfter(begin, [](Loop& loop) {
+      return (new Disk(loop, std::numeric_limits<int>::max()))->address();
+    }));
+  }
+}
+
+// Its VM has an emptied disk now: no further probe can find it.
+BOOST_AUTO_TEST_CASE(disk_that_was_replaced_is_removed_at_once_by_a_join) {
+  Disk* disk = nullptr;
+  BOOST_TEST(!RemainsAfter(&Change::Join, [&disk](Loop& loop) {
+    disk = new Disk(loop, 0);
+    disk->Replace();
+    return disk->address();
+  }));
+  BOOST_TEST(disk->probes() == 1);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace
