Requests do not wait for a disk that stores a new list

What callers saw: reservations refused with 503 (budget_unknown) after 1.2 s and turns stored 1 s late (1,022 ms in one run of daemons in one process) during a change of the list with one slow disk, although the others were enough. Found by reading.

Cause: a reply that the disk has an older list ended the round at once; the list was then sent to such disks one after the other, with 1 s for each, and the next round met the same reply first.

The list is sent to all of them at once, beside the next round, which leaves them out. Only where the others are not enough does the request wait, until one of them has the list. A change of the list during a request is counted as before; rounds that only leave out slow disks are bounded by their number.

--- a/source/storage/storage_client.cc
+++ b/source/storage/storage_client.cc
@@ -1,6 +1,7 @@
 #include "storage/storage_client.h"
 
 #include <algorithm>
+#include <set>
 #include <utility>
 
 #include "net/repeat.h"
@@ -22,6 +23,8 @@
 // Retries of a request because the list of storage members changed meanwhile.
 // More than one is rarely needed.
 constexpr int kMaxListChanges = 4;
+// A disk that stores the list within this time is asked again with the others.
+constexpr std::chrono::milliseconds kPromptListTime{50};
 
 }  // namespace
 
@@ -53,31 +56,56 @@
       });
 }
 
-bool StorageClient::UpdateLists(Fiber& fiber, const StorageReplies& replies) {
+struct StorageClient::SentList {
+  explicit SentList(Loop& loop) : changed(loop) {}
+  Condition changed;
+  std::set<std::string> behind;  // Disks that have not adopted it yet.
+  int under_way = 0;
+  int adopted = 0;
+};
+
+bool StorageClient::TakeLists(const StorageReplies& replies) {
   bool out = false;
   for (const auto& [disk, reply] : replies) {
     if (reply.members) {
       out = view_.ApplyStorageList(*reply.members) || out;
     }
   }
+  return out;
+}
+
+bool StorageClient::SendList(const StorageReplies& replies,
+                             const std::shared_ptr<SentList>& sent) {
+  bool out = false;
   for (const auto& [disk, reply] : replies) {
     const auto* member = view_.storage_list().Find(disk);
-    if (reply.status != StorageStatus::kNewEpoch || member == nullptr) {
+    if (reply.status != StorageStatus::kNewEpoch || member == nullptr ||
+        !sent->behind.insert(disk).second) {
       continue;
     }
+    out = true;
+    ++sent->under_way;
     // The replica has not received the list from the key-value service yet.
-    StorageRequest adopt;
-    adopt.operation = StorageOperation::kAdopt;
-    adopt.members = view_.storage_list();
-    StorageReply answer;
-    const bool adopted =
-        replicas_.CallOne(fiber, *member, adopt, kSettlementTimeout, answer) &&
-        answer.status == StorageStatus::kDone;
-    out = adopted || out;
+    loop_.Spawn([this, sent, target = *member](Fiber& child) {
+      StorageRequest adopt;
+      adopt.operation = StorageOperation::kAdopt;
+      adopt.members = view_.storage_list();
+      StorageReply answer;
+      if (replicas_.CallOne(child, target, adopt, kSettlementTimeout, answer) &&
+          answer.status == StorageStatus::kDone) {
+        sent->behind.erase(target.disk);
+        ++sent->adopted;
+      }
+      --sent->under_way;
+      sent->changed.NotifyAll();
+    });
   }
   return out;
 }
 
+// A disk that is slow to store the list is left out until it has: the others
+// may be enough. If they are not, or one of them is dead, the request is sent
+// again as soon as the disk has the list.
 StorageReplies StorageClient::CallWithCurrentList(
     Fiber& fiber,
     StorageRequest& request,
@@ -86,24 +114,43 @@
     const std::function<bool(const StorageList&, const StorageReplies&)>&
         enough) {
   const auto deadline = std::chrono::steady_clock::now() + timeout;
-  for (int n = 0;; ++n) {
+  // The HTTP client takes 0 for no limit.
+  const auto time_left = [deadline] {
+    return std::max(TimeLeft(deadline), std::chrono::milliseconds(1));
+  };
+  auto sent = std::make_shared<SentList>(loop_);
+  for (int list_changes = 0;;) {
     const auto list = view_.storage_list();
+    const auto adopted_before = sent->adopted;
     request.epoch = list.epoch;
     auto current_plan = plan(list);
-    // The HTTP client takes 0 for no limit.
-    current_plan.timeout =
-        std::max(TimeLeft(deadline), std::chrono::milliseconds(1));
+    std::erase_if(current_plan.targets, [&sent](const auto& it) {
+      return sent->behind.count(it.disk) > 0;
+    });
+    current_plan.timeout = time_left();
     auto replies = replicas_.Call(
         fiber, current_plan, request, [&](const StorageReplies& it) {
-          return enough(list, it) || HasOtherEpoch(it);
+          return enough(list, it) || HasOtherEpoch(it) ||
+                 sent->adopted > adopted_before;
         });
-    if (enough(list, replies) || n == kMaxListChanges ||
-        std::chrono::steady_clock::now() >= deadline) {
+    if (enough(list, replies) || std::chrono::steady_clock::now() >= deadline) {
       return replies;
     }
     // A concurrent request may have taken over the newer list.
-    if (!UpdateLists(fiber, replies) &&
-        view_.storage_list().epoch == list.epoch) {
+    if (TakeLists(replies) || view_.storage_list().epoch != list.epoch) {
+      if (++list_changes > kMaxListChanges) {
+        return replies;
+      }
+      sent = std::make_shared<SentList>(loop_);
+      continue;
+    }
+    const bool sent_now = SendList(replies, sent);
+    sent->changed.WaitUntil(
+        fiber, sent_now ? std::min(kPromptListTime, time_left()) : time_left(),
+        [&sent, adopted_before] {
+          return sent->adopted > adopted_before || sent->under_way == 0;
+        });
+    if (!sent_now && sent->adopted == adopted_before) {
       return replies;
     }
   }
--- a/source/storage/storage_client.h
+++ b/source/storage/storage_client.h
@@ -134,9 +134,14 @@
       const std::function<ReplicaClient::Plan(const StorageList&)>& plan,
       const std::function<bool(const StorageList&, const StorageReplies&)>&
           enough);
-  // Takes over newer lists from `replies`, and sends this daemon's list to
-  // replicas with an older one. Returns whether either succeeded.
-  bool UpdateLists(Fiber& fiber, const StorageReplies& replies);
+  // Takes over newer lists from `replies`. Returns whether there was one.
+  bool TakeLists(const StorageReplies& replies);
+  // Disks that a call has sent the list of members.
+  struct SentList;
+  // Sends the list to the replicas that, by `replies`, have an older one, each
+  // in a coroutine of its own. Returns whether there was one.
+  bool SendList(const StorageReplies& replies,
+                const std::shared_ptr<SentList>& sent);
   // Whether the replies prove that no disk of `list` holds the requested turn.
   bool IsAbsent(const StorageList& list, const StorageReplies& replies) const;
   // Sends `request` to the replicas of `program` and adds the uses that they
