Refuse requests while answers under way have half of their memory

What callers saw: nothing reported; found by reading (review of the incident of full disks). While turns waited for slow disks, each with its output, the memory for answers ran out and streams of further turns were cut after they had run.

Cause: the memory for answers, an eighth of the VM's, was a bound without admission: requests were sent to servers until nothing was left.

A request whose answer has to be held (all but streams that keep no context) is refused with 503 no_memory, not run, while half of that memory is taken. The other half is for answers under way.

--- a/source/core/memory_budget.h
+++ b/source/core/memory_budget.h
@@ -18,6 +18,9 @@
   void GiveBack(std::size_t bytes) { used_ -= bytes; }
 
   std::size_t used() const { return used_; }
+  // Whether half of it or more is taken. What is left then is for requests
+  // under way that need more as they go on.
+  bool half_used() const { return limit_ > 0 && used_ >= limit_ / 2; }
 
  private:
   std::size_t limit_;
--- a/source/front/call_handler.cc
+++ b/source/front/call_handler.cc
@@ -155,6 +155,9 @@
                        call.arrived);
   }
   call.service = call.route->Choose(random_());
+  if (auto error = CheckAnswerMemory(call)) {
+    return error;
+  }
   if (auto error = CheckRoom(call)) {
     return error;
   }
@@ -172,6 +175,21 @@
   return CheckRoom(call);
 }
 
+// Answers that have begun need more memory as they go on, and are cut if there
+// is none. Streams that keep no context are passed on and not held.
+std::optional<CallError> CallHandler::CheckAnswerMemory(
+    const Call& call) const {
+  const bool held =
+      call.route->kind != RequestKind::kStream || call.route->retains_context;
+  if (!held || !answers_->half_used()) {
+    return std::nullopt;
+  }
+  return NotRunError(kUnavailable, "no_memory",
+                     "this daemon has no memory for a further answer now; "
+                     "retry, or use another daemon",
+                     kNoMemoryRetryAfter);
+}
+
 // Only turns that have not run can be refused, so that this is asked before
 // they are sent to a server.
 std::optional<CallError> CallHandler::CheckRoom(const Call& call) const {
--- a/source/front/call_handler.h
+++ b/source/front/call_handler.h
@@ -51,6 +51,9 @@
  private:
   std::optional<CallError> Prepare(Fiber& fiber, Call& call);
   std::optional<CallError> LoadContext(Fiber& fiber, Call& call);
+  // Returns the error for a request whose answer would have to be held while
+  // there is little memory for answers.
+  std::optional<CallError> CheckAnswerMemory(const Call& call) const;
   // Returns the error for a turn for which the disks have no room.
   std::optional<CallError> CheckRoom(const Call& call) const;
   std::optional<CallError> ReserveTokens(Fiber& fiber, Call& call);
--- a/tests/standins/platform_server.cc
+++ b/tests/standins/platform_server.cc
@@ -134,7 +134,7 @@
   const int last_received = std::atoi(request.Header("Last-Event-Id").c_str());
   for (int n = last_received + 1; n <= kEvents; ++n) {
     exchange.Write("id: " + std::to_string(n) + "\ndata: event-" +
-                   std::to_string(n) + "\n\n");
+                   std::to_string(n) + std::string(event_bytes_, '.') + "\n\n");
     if (faults_.Trigger("cut")) {
       exchange.Abort();
       return;
--- a/tests/standins/platform_server.h
+++ b/tests/standins/platform_server.h
@@ -38,6 +38,8 @@
   void SetWorkTime(std::chrono::milliseconds work_time) {
     work_time_ = work_time;
   }
+  // Makes the data of each event longer by this number of bytes.
+  void SetEventBytes(std::size_t bytes) { event_bytes_ = bytes; }
   int RunsOf(const std::string& request_id) const;
   // Makes the server crash when it begins to run a request whose body ends with
   // `body`: it breaks off all answers and calls `stop_listening`.
@@ -71,6 +73,7 @@
   Loop& loop_;
   std::string id_;
   std::chrono::milliseconds work_time_;
+  std::size_t event_bytes_ = 0;
   Faults faults_;
   std::vector<Run> runs_;
   std::string crashing_body_;  // Empty: no request crashes the server.
--- a/tests/unit/memory_budget_test.cc
+++ b/tests/unit/memory_budget_test.cc
@@ -30,6 +30,19 @@
   BOOST_TEST(all.Grow(1UL << 40));
 }
 
+BOOST_AUTO_TEST_CASE(half_of_the_limit_is_told) {
+  const auto budget = std::make_shared<MemoryBudget>(100);
+  MemoryReservation taken(budget);
+  BOOST_TEST(taken.Grow(49));
+  BOOST_TEST(!budget->half_used());
+  BOOST_TEST(taken.Grow(1));
+  BOOST_TEST(budget->half_used());
+  const auto unlimited = std::make_shared<MemoryBudget>(0);
+  MemoryReservation all(unlimited);
+  BOOST_TEST(all.Grow(100));
+  BOOST_TEST(!unlimited->half_used());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace
--- a/tests/vm/memory_test.cc
+++ b/tests/vm/memory_test.cc
@@ -5,7 +5,8 @@
 
 #include <boost/test/unit_test.hpp>
 
-#include "vm/vm_deployment.h"
+#include "vm/disk_gate.h"
+#include "vm/turn_requests.h"
 
 namespace comfreyfold {
 namespace {
@@ -14,6 +15,9 @@
 
 constexpr std::size_t kBodyBytes = 90000;  // The deployment allows 100000.
 constexpr int kRequests = 400;
+// A stream has four events, and an eighth of 100 MiB is for answers.
+constexpr std::size_t kEventBytes = 200000;
+constexpr int kLongTurns = 24;
 
 BOOST_AUTO_TEST_SUITE(memory)
 
@@ -63,6 +67,48 @@
   });
 }
 
+// What a server sends is held until the turn is stored. When the memory for it
+// was used up, streams of turns that had run were cut.
+BOOST_AUTO_TEST_CASE(
+    turns_are_refused_before_the_output_of_others_has_no_room) {
+  auto* gate = new DiskGate;  // The daemons are never destroyed.
+  WithTwoFrontDaemons([gate](Fiber& fiber, VmDeployment& deployment) {
+    for (const auto* it : {"disk-1", "disk-2", "disk-3"}) {
+      gate->Guard(deployment.vm(it));
+    }
+    auto& server = *deployment.server("s1").service;
+    server.SetEventBytes(kEventBytes);
+    gate->Close();
+    std::vector<HttpReply> replies;
+    int sent = 0;
+    // Half as many again as there is memory for, or until one has ended.
+    for (; sent < kLongTurns && replies.empty(); ++sent) {
+      const auto id = "t" + std::to_string(sent);
+      fiber.loop().Spawn([&, id](Fiber& child) {
+        replies.push_back(SendTurn(child, deployment, "front-1", id, "in;"));
+      });
+      BOOST_REQUIRE(deployment.WaitFor(fiber, [&] {
+        return !replies.empty() ||
+               (server.RunsOf(id) == 1 && server.runs().back().ended);
+      }));
+    }
+    BOOST_REQUIRE(replies.size() == 1U);
+    BOOST_TEST(replies.front().status == 503);
+    BOOST_TEST(replies.front().body.find("no_memory") != std::string::npos);
+    BOOST_TEST(!replies.front().Header("Retry-After").empty());
+    gate->Open();
+    BOOST_REQUIRE(deployment.WaitFor(fiber, [&] {
+      return replies.size() == static_cast<std::size_t>(sent);
+    }));
+    BOOST_TEST(std::count_if(replies.begin(), replies.end(),
+                             [](const auto& it) { return it.status == 200; }) ==
+               sent - 1);
+    server.SetEventBytes(0);
+    BOOST_TEST(SendTurn(fiber, deployment, "front-1", "last", "in;").status ==
+               200);
+  });
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace
