Close idle connections to addresses that are out of use

What callers saw: nothing reported; found by reading (independent review). Descriptors of connections to servers that had left stayed open until the daemon ended.

Cause: idle connections were closed only when another one to the same address became idle.

At most every 10 s, when a connection becomes idle, all that have been idle for 10 s are closed, whatever their address.

Test: idle_connections/connections_to_addresses_out_of_use_are_closed failed with the call taken out.

--- a/source/net/http_client.cc
+++ b/source/net/http_client.cc
@@ -23,9 +23,6 @@
 
 namespace {
 
-// Connections idle for longer than this are closed when another connection to
-// the same address returns to the pool.
-constexpr std::chrono::seconds kIdleEvictionTime{10};
 // Bytes that may wait for the end of an element that is parsed as a whole, such
 // as the line before a chunk or the trailers. A faulty server may never send
 // that end.
@@ -127,11 +124,14 @@
 }  // namespace
 
 struct HttpClient::Impl {
-  Impl(Loop& owner, std::size_t max_idle)
-      : loop(owner), idle_per_address(max_idle) {}
+  Impl(Loop& owner, std::size_t max_idle, std::chrono::milliseconds max_time)
+      : loop(owner), idle_per_address(max_idle), idle_time(max_time) {}
+
+  using Pool = std::vector<std::unique_ptr<Connection>>;
 
   Loop& loop;
   std::size_t idle_per_address;
+  std::chrono::milliseconds idle_time;
   std::vector<std::pair<std::string, HttpHeader>> added_headers;
   std::function<void(const HttpRequest&, std::size_t)> on_sent;
   std::int64_t connections_opened = 0;
@@ -147,7 +147,8 @@
     }
     return out;
   }
-  std::map<std::string, std::vector<std::unique_ptr<Connection>>> idle;
+  std::map<std::string, Pool> idle;
+  std::chrono::steady_clock::time_point all_evicted_at;
 
   std::unique_ptr<Connection> TakeIdle(
       const std::string& address,
@@ -200,17 +201,32 @@
     return connection;
   }
 
+  // TakeIdle takes from the back, so the longest idle connections are in front.
+  void Evict(Pool& pool, std::chrono::steady_clock::time_point now) const {
+    while (!pool.empty() && now - pool.front()->idle_since > idle_time) {
+      pool.erase(pool.begin());
+    }
+  }
+
+  // No connection returns to the pool of an address that is out of use.
+  void EvictFromAll(std::chrono::steady_clock::time_point now) {
+    if (now - all_evicted_at < idle_time) {
+      return;
+    }
+    all_evicted_at = now;
+    for (auto& [address, pool] : idle) {
+      Evict(pool, now);
+    }
+    std::erase_if(idle, [](const auto& it) { return it.second.empty(); });
+  }
+
   void ReturnToPool(const std::string& address,
                     std::unique_ptr<Connection> connection,
                     std::chrono::steady_clock::time_point usable_until) {
-    auto& pool = idle[address];
     const auto now = std::chrono::steady_clock::now();
-    // TakeIdle takes from the back, so the longest idle connections are in
-    // front.
-    while (!pool.empty() &&
-           now - pool.front()->idle_since > kIdleEvictionTime) {
-      pool.erase(pool.begin());
-    }
+    EvictFromAll(now);
+    auto& pool = idle[address];
+    Evict(pool, now);
     // A connection with data after the end of the reply is not reused, because
     // that data belongs to no request.
     if (connection->buf.size() == 0 && pool.size() < idle_per_address) {
@@ -222,8 +238,10 @@
   }
 };
 
-HttpClient::HttpClient(Loop& loop, std::size_t idle_per_address)
-    : impl_(std::make_shared<Impl>(loop, idle_per_address)) {}
+HttpClient::HttpClient(Loop& loop,
+                       std::size_t idle_per_address,
+                       std::chrono::milliseconds idle_time)
+    : impl_(std::make_shared<Impl>(loop, idle_per_address, idle_time)) {}
 HttpClient::~HttpClient() = default;
 
 void HttpClient::AddHeader(std::string prefix, HttpHeader header) {
--- a/source/net/http_client.h
+++ b/source/net/http_client.h
@@ -80,10 +80,13 @@
 class HttpClient {
  public:
   static constexpr std::size_t kIdlePerAddress = 64;
+  static constexpr std::chrono::milliseconds kIdleTime{10000};
 
-  // Keeps at most `idle_per_address` idle connections to each address.
+  // Keeps at most `idle_per_address` idle connections to each address, for
+  // `idle_time` or until another request ends, at most twice as long.
   explicit HttpClient(Loop& loop,
-                      std::size_t idle_per_address = kIdlePerAddress);
+                      std::size_t idle_per_address = kIdlePerAddress,
+                      std::chrono::milliseconds idle_time = kIdleTime);
   ~HttpClient();
 
   // Sends `request` to `address` ("ip:port") and waits for the reply.
