Log lines never exceed what a writable pipe takes

What callers saw: nothing reported; found by reading (independent review). A daemon whose log is read slowly stood still from a line of more than 4,096 bytes on until it was read.

Cause: a pipe that counts as writable takes PIPE_BUF bytes without a wait, and lines had texts of any length, of which clients choose some.

Texts are cut after 512 bytes. A line that is still longer, because it has to be escaped, is dropped and counted.

--- a/source/fleet/decision_log.cc
+++ b/source/fleet/decision_log.cc
@@ -1,5 +1,6 @@
 #include "fleet/decision_log.h"
 
+#include <limits.h>
 #include <poll.h>
 #include <unistd.h>
 
@@ -11,6 +12,15 @@
 
 // Limits the CPU time of logging under load; a line takes some microseconds.
 constexpr int kLinesPerSecond = 3000;
+// Of each text, some of which clients choose.
+constexpr std::size_t kMaxTextBytes = 512;
+
+std::string CutText(const std::string& text) {
+  return text.substr(0, kMaxTextBytes);
+}
+std::int64_t CutText(std::int64_t n) {
+  return n;
+}
 
 bool StdoutIsWritable() {
   pollfd out{STDOUT_FILENO, POLLOUT, 0};
@@ -43,24 +53,27 @@
   line["vm"] = vm_;
   line["event"] = event;
   if (!request.empty()) {
-    line["request"] = request;
+    line["request"] = CutText(request);
   }
   for (const auto& it : fields) {
-    std::visit([&line, &it](const auto& value) { line[it.name] = value; },
-               it.value);
+    std::visit(
+        [&line, &it](const auto& value) { line[it.name] = CutText(value); },
+        it.value);
   }
   if (dropped_ != dropped_reported_) {
     line["lines_dropped"] = dropped_ - dropped_reported_;
-    dropped_reported_ = dropped_;
   }
   auto text =
       line.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
   text += '\n';
   // Writes of up to PIPE_BUF bytes to a pipe are atomic, so a line is not
-  // split.
-  if (::write(STDOUT_FILENO, text.data(), text.size()) !=
-      static_cast<ssize_t>(text.size())) {
+  // split. A pipe that counts as writable takes as much without a wait.
+  if (text.size() > PIPE_BUF ||
+      ::write(STDOUT_FILENO, text.data(), text.size()) !=
+          static_cast<ssize_t>(text.size())) {
     ++dropped_;
+  } else {
+    dropped_reported_ = dropped_;
   }
 }
 
--- a/source/fleet/decision_log.h
+++ b/source/fleet/decision_log.h
@@ -31,7 +31,7 @@
 
 // Writes JSON lines to standard output without ever blocking on its reader.
 // Lines are dropped and counted if the pipe is full or the rate limit is
-// exceeded.
+// exceeded. Long texts are cut.
 class DecisionLog {
  public:
   explicit DecisionLog(std::string vm);
