Disk that was replaced during a change leaves it at the first probe

What callers saw: nothing reported; found by reading. A change of the list that waits for a disk which has been emptied gave it four probes, as one that may be slow, although its VM had answered that it has another disk.

Such a disk is dropped at the first probe, as joins and leaves do.

Test: storage_change/disk_that_was_replaced_leaves_the_change_at_once (4 probes before).

--- a/source/storage/storage_membership_manager.cc
+++ b/source/storage/storage_membership_manager.cc
@@ -40,18 +40,10 @@
                   kStepInterval * (1 << std::min(failures, 3)) / 2);
 }
 
-std::vector<std::string> MissingDisks(
-    const std::vector<StorageMember>& members,
-    const std::vector<StorageMember>& present) {
-  std::vector<std::string> out;
-  for (const auto& it : members) {
-    if (std::none_of(present.begin(), present.end(), [&it](const auto& other) {
-          return other.disk == it.disk;
-        })) {
-      out.push_back(it.disk);
-    }
-  }
-  return out;
+// Whether the disk's VM has another disk now.
+bool WasReplaced(const StorageReplies& replies, const StorageMember& member) {
+  const auto it = replies.find(member.disk);
+  return it != replies.end() && it->second.status == StorageStatus::kOtherDisk;
 }
 
 }  // namespace
@@ -221,8 +213,7 @@
   return out;
 }
 
-// A disk that is only slow must not lose its place for one probe. One whose VM
-// has another disk now is lost.
+// A disk that is only slow must not lose its place for one probe.
 std::optional<std::vector<std::string>> StorageMembershipManager::DeadMembers(
     Fiber& fiber,
     const std::vector<StorageMember>& members) {
@@ -230,12 +221,10 @@
   std::vector<std::string> out;
   bool certain = true;
   for (const auto& it : members) {
-    const auto reply = replies.find(it.disk);
-    const bool answered = reply != replies.end();
-    if (it.disk == self_.disk ||
-        (answered && reply->second.status != StorageStatus::kOtherDisk)) {
+    const bool replaced = WasReplaced(replies, it);
+    if (it.disk == self_.disk || (!replaced && replies.count(it.disk) > 0)) {
       unanswered_probes_.erase(it.disk);
-    } else if (answered || IsDead(fiber, it)) {
+    } else if (replaced || IsDead(fiber, it)) {
       out.push_back(it.disk);
     } else {
       certain = false;
@@ -340,28 +329,33 @@
 }
 
 // Replaces the current change by one without the disks that are dead. All disks
-// copy again then, so a disk that is only slow must not count as dead.
+// copy again then, so a disk that is only slow must not count as dead. One that
+// was replaced does not come back.
 void StorageMembershipManager::RestartChangeWithoutDead(Fiber& fiber) {
   const auto list = view_.storage_list();
   if (!list.IsMember(self_.disk) && !list.IsNextMember(self_.disk)) {
     return;
   }
-  const auto silent =
-      MissingDisks(list.next, ReachableMembers(fiber, list.next, kDeadTimeout));
-  if (silent.empty()) {
-    unanswered_probes_.clear();
-    change_waits_since_ = std::chrono::steady_clock::now();
-    return;
-  }
+  const auto replies = Probe(fiber, list.next, kDeadTimeout);
   std::vector<StorageMember> alive;
+  bool all_answered = true;
   for (const auto& it : list.next) {
-    if (std::find(silent.begin(), silent.end(), it.disk) == silent.end()) {
+    const auto reply = replies.find(it.disk);
+    const bool has_list =
+        it.disk == self_.disk || (reply != replies.end() &&
+                                  reply->second.status == StorageStatus::kDone);
+    all_answered = all_answered && has_list;
+    if (has_list) {
       unanswered_probes_.erase(it.disk);
-      alive.push_back(it);
-    } else if (!IsDead(fiber, it)) {
+    }
+    if (has_list || (!WasReplaced(replies, it) && !IsDead(fiber, it))) {
       alive.push_back(it);
     }
   }
+  if (all_answered) {
+    change_waits_since_ = std::chrono::steady_clock::now();
+    return;
+  }
   if (alive.size() == list.next.size() ||
       alive.size() < static_cast<std::size_t>(tolerated_losses_) + 1) {
     fiber.Sleep(kDeadProbePause);
--- a/tests/vm/storage_change_test.cc
+++ b/tests/vm/storage_change_test.cc
@@ -227,6 +227,19 @@
       [] { return false; }));
 }
 
+// Four probes were left for it to come back, as if it were slow.
+BOOST_AUTO_TEST_CASE(disk_that_was_replaced_leaves_the_change_at_once) {
+  Disk* disk = nullptr;
+  BOOST_TEST(!StaysInChange(
+      [&disk](Loop& loop) {
+        disk = new Disk(loop, 0);
+        disk->Replace();
+        return disk->address();
+      },
+      [] { return false; }));
+  BOOST_TEST(disk->probes() == 1);
+}
+
 // One probe without an answer within 0.7 s removed it.
 BOOST_AUTO_TEST_CASE(disk_that_answers_late_remains_when_another_joins) {
   BOOST_TEST(RemainsAfter(&Change::Join, [](Loop& loop) {
