Test that disks store a new list side by side

slow_disks/disks_store_a_list_side_by_side: three disks that take 700 ms to store a list of members. It failed before: a reservation had them store it one after the other, and its 1.2 s were over.

--- a/tests/vm/new_list_test.cc
+++ b/tests/vm/new_list_test.cc
@@ -117,6 +117,12 @@
   BOOST_TEST(IsGranted({kSlowListTime, milliseconds(0), prompt}));
 }
 
+// One after the other they took longer than a reservation may.
+BOOST_AUTO_TEST_CASE(disks_store_a_list_side_by_side) {
+  const milliseconds slow(700);
+  BOOST_TEST(IsGranted({slow, slow, slow}));
+}
+
 BOOST_AUTO_TEST_CASE(reservation_is_granted_once_a_disk_has_the_list) {
   const milliseconds late(200);
   BOOST_TEST(IsGranted({kNever, milliseconds(0), late}));
