--- a/source/storage/storage_membership_manager.cc
+++ b/source/storage/storage_membership_manager.cc
@@ -40,18 +40,10 @@
                   kStepInterval * (1 << std::min(failures, 3)) / 2);
 }
 
-std::vector<std::string> MissingDisks(
-    const std::vector<StorageMember>& members,
-    const std::vector<StorageMember>& present) {
-  std::vector<std::string> out;
-  for (const auto& it : members) {
-    if (std::none_of(present.begin(), present.end(), [&it](const auto& other) {
-          return other.disk == it.disk;
-        })) {
-      out.push_back(it.disk);
-    }
-  }
-  return out;
+// Whether the disk's VM has another disk now.
+bool WasReplaced(const StorageReplies& replies, const StorageMember& member) {
+  const auto it = replies.find(member.disk);
+  return it != replies.end() && it->second.status == StorageStatus::kOtherDisk;
 }
 
 }  // namespace
@@ -183,7 +175,7 @@
   Propose(fiber, list, "first start");
 }
 
-std::vector<StorageMember> StorageMembershipManager::ReachableMembers(
+StorageReplies StorageMembershipManager::Probe(
     Fiber& fiber,
     const std::vector<StorageMember>& members,
     std::chrono::milliseconds timeout) {
@@ -198,10 +190,17 @@
   }
   plan.initial_targets = plan.targets.size();
   plan.timeout = timeout;
-  const auto replies =
-      replicas_.Call(fiber, plan, request, [&plan](const StorageReplies& it) {
-        return it.size() == plan.targets.size();
-      });
+  return replicas_.Call(fiber, plan, request,
+                        [&plan](const StorageReplies& it) {
+                          return it.size() == plan.targets.size();
+                        });
+}
+
+std::vector<StorageMember> StorageMembershipManager::ReachableMembers(
+    Fiber& fiber,
+    const std::vector<StorageMember>& members,
+    std::chrono::milliseconds timeout) {
+  const auto replies = Probe(fiber, members, timeout);
   std::vector<StorageMember> out;
   for (const auto& it : members) {
     const auto reply = replies.find(it.disk);
@@ -214,11 +213,27 @@
   return out;
 }
 
-bool StorageMembershipManager::EnoughReachable(
-    const std::vector<StorageMember>& members,
-    const std::vector<StorageMember>& reachable) const {
-  return reachable.size() + static_cast<std::size_t>(tolerated_losses_) >=
-         members.size();
+// A disk that is only slow must not lose its place for one probe.
+std::optional<std::vector<std::string>> StorageMembershipManager::DeadMembers(
+    Fiber& fiber,
+    const std::vector<StorageMember>& members) {
+  const auto replies = Probe(fiber, members, kProbeTimeout);
+  std::vector<std::string> out;
+  bool certain = true;
+  for (const auto& it : members) {
+    const bool replaced = WasReplaced(replies, it);
+    if (it.disk == self_.disk || (!replaced && replies.count(it.disk) > 0)) {
+      unanswered_probes_.erase(it.disk);
+    } else if (replaced || IsDead(fiber, it)) {
+      out.push_back(it.disk);
+    } else {
+      certain = false;
+    }
+  }
+  if (!certain || out.size() > static_cast<std::size_t>(tolerated_losses_)) {
+    return std::nullopt;
+  }
+  return out;
 }
 
 // Disks that start at the same time join in one change: each announces itself
@@ -231,19 +246,19 @@
     return;
   }
   const auto list = view_.storage_list();
-  const auto reachable = ReachableMembers(fiber, list.members, kProbeTimeout);
-  if (!EnoughReachable(list.members, reachable)) {
+  const auto dead = DeadMembers(fiber, list.members);
+  if (!dead) {
     log_.Write("join_delayed", "",
                {{"members", static_cast<int>(list.members.size())},
-                {"reachable", static_cast<int>(reachable.size())}});
+                {"silent", static_cast<int>(unanswered_probes_.size())}});
     fiber.Sleep(kStepInterval);
     return;
   }
-  Propose(fiber,
-          list.WithChange(
-              ReachableMembers(fiber, AnnouncedDisks(fiber), kProbeTimeout),
-              MissingDisks(list.members, reachable)),
-          "join");
+  Propose(
+      fiber,
+      list.WithChange(
+          ReachableMembers(fiber, AnnouncedDisks(fiber), kProbeTimeout), *dead),
+      "join");
 }
 
 void StorageMembershipManager::Announce(Fiber& fiber) {
@@ -290,19 +305,18 @@
     }
     return;
   }
-  const auto reachable = ReachableMembers(fiber, list.members, kProbeTimeout);
-  auto removed = MissingDisks(list.members, reachable);
-  removed.push_back(self_.disk);
-  const auto remaining = list.members.size() - removed.size();
-  if (!EnoughReachable(list.members, reachable) ||
-      remaining < static_cast<std::size_t>(tolerated_losses_) + 1) {
+  auto removed = DeadMembers(fiber, list.members);
+  const auto others = list.members.size() - 1;
+  if (!removed || others < static_cast<std::size_t>(tolerated_losses_) + 1 +
+                               removed->size()) {
     log_.Write("leave_delayed", "",
                {{"members", static_cast<int>(list.members.size())},
-                {"left", static_cast<int>(remaining)}});
+                {"silent", static_cast<int>(unanswered_probes_.size())}});
     fiber.Sleep(kStepInterval);
     return;
   }
-  Propose(fiber, list.WithChange({}, removed), "leave");
+  removed->push_back(self_.disk);
+  Propose(fiber, list.WithChange({}, *removed), "leave");
 }
 
 bool StorageMembershipManager::IsDead(Fiber& fiber, const StorageMember& disk) {
@@ -315,28 +329,33 @@
 }
 
 // Replaces the current change by one without the disks that are dead. All disks
-// copy again then, so a disk that is only slow must not count as dead.
+// copy again then, so a disk that is only slow must not count as dead. One that
+// was replaced does not come back.
 void StorageMembershipManager::RestartChangeWithoutDead(Fiber& fiber) {
   const auto list = view_.storage_list();
   if (!list.IsMember(self_.disk) && !list.IsNextMember(self_.disk)) {
     return;
   }
-  const auto silent =
-      MissingDisks(list.next, ReachableMembers(fiber, list.next, kDeadTimeout));
-  if (silent.empty()) {
-    unanswered_probes_.clear();
-    change_waits_since_ = std::chrono::steady_clock::now();
-    return;
-  }
+  const auto replies = Probe(fiber, list.next, kDeadTimeout);
   std::vector<StorageMember> alive;
+  bool all_answered = true;
   for (const auto& it : list.next) {
-    if (std::find(silent.begin(), silent.end(), it.disk) == silent.end()) {
+    const auto reply = replies.find(it.disk);
+    const bool has_list =
+        it.disk == self_.disk || (reply != replies.end() &&
+                                  reply->second.status == StorageStatus::kDone);
+    all_answered = all_answered && has_list;
+    if (has_list) {
       unanswered_probes_.erase(it.disk);
-      alive.push_back(it);
-    } else if (!IsDead(fiber, it)) {
+    }
+    if (has_list || (!WasReplaced(replies, it) && !IsDead(fiber, it))) {
       alive.push_back(it);
     }
   }
+  if (all_answered) {
+    change_waits_since_ = std::chrono::steady_clock::now();
+    return;
+  }
   if (alive.size() == list.next.size() ||
       alive.size() < static_cast<std::size_t>(tolerated_losses_) + 1) {
     fiber.Sleep(kDeadProbePause);
