Disks tell each other their turns in a form that takes little processor time

A disk asked each other for the ids of all its turns, which were encoded anew for each of eight, decoded to strings, merged in a hash map of vectors and looked at in one go. The disk log was read with a virtual call per byte.

- A digest has 128 bits of hash and the expiry of each turn, is made once a second at most, and is asked for by a flag that daemons of older builds ignore; their ids are hashed on arrival.
- The choice is in a core class that merges sorted vectors in steps; other requests are answered between the steps.
Receivers are the same as before.
- Turns are fetched from up to three disks at a time, from the holders in turn rather than from the first one, and from another one at the next try.
- Uses that are known already are not written again: three to five disks return the same.
- The event 'copied' tells the time of each step.

--- a/source/core/hash.cc
+++ b/source/core/hash.cc
@@ -17,6 +17,10 @@
   return static_cast<int>(hash % static_cast<std::uint64_t>(lanes));
 }
 
+std::uint64_t RendezvousWeight(std::uint64_t key_hash, std::string_view node) {
+  return Hash64(node, key_hash);
+}
+
 std::vector<std::string> RendezvousOrder(std::string_view key,
                                          std::vector<std::string> nodes) {
   // The weights are computed once, because the sort compares each node several
@@ -25,7 +29,7 @@
   std::vector<std::pair<std::uint64_t, std::string>> weighted;
   weighted.reserve(nodes.size());
   for (auto& it : nodes) {
-    const auto weight = Hash64(it, seed);
+    const auto weight = RendezvousWeight(seed, it);
     weighted.emplace_back(weight, std::move(it));
   }
   std::sort(weighted.begin(), weighted.end(), [](const auto& a, const auto& b) {
--- a/source/core/hash.h
+++ b/source/core/hash.h
@@ -15,6 +15,10 @@
 // Returns the lane to which a customer's program belongs.
 int LaneOf(std::string_view customer, std::string_view program, int lanes);
 
+// Returns the preference of rendezvous hashing for `node` and the key whose
+// Hash64() is `key_hash`.
+std::uint64_t RendezvousWeight(std::uint64_t key_hash, std::string_view node);
+
 // Returns `nodes` in decreasing order of preference for `key` by rendezvous
 // hashing. Adding or removing a node moves only that node's keys.
 std::vector<std::string> RendezvousOrder(std::string_view key,
--- a/source/storage/disk_copier.cc
+++ b/source/storage/disk_copier.cc
@@ -4,11 +4,8 @@
 #include <chrono>
 #include <map>
 #include <memory>
-#include <tuple>
 #include <utility>
 
-#include "core/hash.h"
-
 namespace comfreyfold {
 
 namespace {
@@ -20,9 +17,30 @@
 constexpr std::chrono::milliseconds kMaxCopyTime{10000};
 // Turns per request. The replying node also limits the bytes of a reply.
 constexpr std::size_t kMaxTurnsPerFetch = 500;
+// Disks that turns are fetched from at the same time.
+constexpr std::size_t kMaxParallelFetches = 3;
+// Turns that the plan looks at before other requests are answered.
+constexpr std::size_t kMaxTurnsPerStep = 1000;
 // Bytes of turns per request that this disk sends.
 constexpr std::size_t kMaxSentBytes = 256 * 1024;
 
+// Adds the time of its life to `total`.
+class StepTime {
+ public:
+  explicit StepTime(std::chrono::milliseconds& total) : total_(total) {}
+  ~StepTime() {
+    total_ += std::chrono::duration_cast<std::chrono::milliseconds>(
+        std::chrono::steady_clock::now() - start_);
+  }
+  StepTime(const StepTime&) = delete;
+  StepTime& operator=(const StepTime&) = delete;
+
+ private:
+  std::chrono::milliseconds& total_;
+  std::chrono::steady_clock::time_point start_ =
+      std::chrono::steady_clock::now();
+};
+
 }  // namespace
 
 DiskCopier::DiskCopier(Loop& loop,
@@ -50,8 +68,12 @@
 bool DiskCopier::Copy(Fiber& fiber, const StorageList& list) {
   const bool returns = !list.IsMember(disk_) && node_.turns().size() > 0;
   const bool copies_turns = !list.OnlyAddsMembers() || list.recopies || returns;
-  return CopyUses(fiber, list) && (!copies_turns || CopyTurns(fiber, list)) &&
-         node_.AwaitDurable(fiber);
+  progress_ = {};
+  if (!CopyUses(fiber, list) || (copies_turns && !CopyTurns(fiber, list))) {
+    return false;
+  }
+  const StepTime time(progress_.sync_time);
+  return node_.AwaitDurable(fiber);
 }
 
 bool DiskCopier::CallWithList(Fiber& fiber,
@@ -76,6 +98,7 @@
 // delay the others. A member whose uses have been copied completely is not
 // asked again in the same epoch.
 bool DiskCopier::CopyUses(Fiber& fiber, const StorageList& list) {
+  const StepTime time(progress_.uses_time);
   if (uses_copied_epoch_ != list.epoch) {
     uses_copied_epoch_ = list.epoch;
     uses_copied_from_ = {disk_};
@@ -135,6 +158,7 @@
     }
     StorageRequest store_request;
     store_request.uses = std::move(reply.uses);
+    progress_.uses += static_cast<int>(store_request.uses.size());
     const bool synced = store_request.uses.empty() ||
                         node_.StoreCopied(fiber, std::move(store_request));
     if (reply.ids.empty()) {
@@ -151,24 +175,33 @@
   }
 }
 
-// The retention of a turn is extended on as many disks as a record needs, so
-// other copies of it may expire early. They do not count.
-void DiskCopier::DropShortLived(std::vector<TurnCopy>& copies) {
-  // No value compares as less than any.
-  const auto last = std::max_element(
-      copies.begin(), copies.end(),
-      [](const auto& a, const auto& b) { return a.expires_at < b.expires_at; });
-  std::erase_if(copies, [until = last->expires_at](const auto& it) {
-    return it.expires_at && it.expires_at < until;
-  });
+void DiskCopier::TakeDigest(std::size_t member,
+                            const StorageReply& reply,
+                            Digests& digests) {
+  if (!reply.digest.empty()) {
+    digests.by_member[member] = UnpackDigest(reply.digest);
+    return;
+  }
+  auto& ids = digests.ids[member];
+  auto& digest = digests.by_member[member];
+  for (std::size_t n = 0; n < reply.ids.size(); ++n) {
+    const auto key = TurnKey::Of(reply.ids[n]);
+    const auto known = n < reply.expiries.size();
+    digest.push_back(
+        {key, known ? reply.expiries[n] : std::chrono::milliseconds(0)});
+    ids.emplace(key, reply.ids[n]);
+  }
+  std::sort(digest.begin(), digest.end(),
+            [](const auto& a, const auto& b) { return a.key < b.key; });
 }
 
 bool DiskCopier::FindHolders(Fiber& fiber,
                              const StorageList& list,
-                             Holders& holders,
-                             std::set<std::string>& answered) {
+                             Digests& digests) {
+  const StepTime time(progress_.digests_time);
   StorageRequest request;
   request.operation = StorageOperation::kDigest;
+  request.packs = true;
   request.epoch = list.epoch;
   request.members = list;
   const auto all = list.AllMembers();
@@ -205,26 +238,15 @@
   for (std::size_t n = 0; n < all.size(); ++n) {
     const auto reply = replies.find(all[n].disk);
     if (all[n].disk == disk_) {
-      for (const auto& id : node_.turns().Ids()) {
-        holders[id].push_back({n, node_.turns().Find(id)->expires_at});
-      }
+      digests.by_member[n] = node_.TurnsByKey();
     } else if (reply != replies.end() &&
                reply->second.status == StorageStatus::kDone) {
-      answered.insert(all[n].disk);
-      const auto& [ids, expiries] =
-          std::tie(reply->second.ids, reply->second.expiries);
-      for (std::size_t i = 0; i < ids.size(); ++i) {
-        TurnCopy copy{n, {}};
-        if (i < expiries.size()) {
-          copy.expires_at = expiries[i];
-        }
-        holders[ids[i]].push_back(copy);
-      }
+      digests.answered.insert(all[n].disk);
+      TakeDigest(n, reply->second, digests);
+      // Other requests are answered in between.
+      fiber.Sleep(std::chrono::milliseconds(0));
     }
   }
-  for (auto& [id, copies] : holders) {
-    DropShortLived(copies);
-  }
   return enough(replies);
 }
 
@@ -240,70 +262,77 @@
          });
 }
 
-// Copies turns that have too few copies in the next set. The disks that receive
-// the missing copies are chosen by rendezvous hashing of the turn's id, so that
-// all disks choose the same ones independently, and fetch them. A disk that had
-// copied before this one answered fetches no more, so this one sends it what it
-// is the first to have.
 bool DiskCopier::CopyTurns(Fiber& fiber, const StorageList& list) {
-  const auto& current = view_.storage_list();
-  const std::set<std::string> copied(current.synced.begin(),
-                                     current.synced.end());
-  Holders holders;
-  std::set<std::string> answered;
-  if (!FindHolders(fiber, list, holders, answered)) {
+  const auto copied = view_.storage_list().synced;
+  Digests digests;
+  if (!FindHolders(fiber, list, digests)) {
     return false;
   }
-  const auto all = list.AllMembers();
-  const auto copies = static_cast<std::size_t>(tolerated_losses_) + 1;
-  // Maps the index of the source disk to the ids of the turns to fetch.
-  std::map<std::size_t, std::vector<std::string>> turns_to_fetch;
-  // The same by the disk that is to receive them.
-  std::map<std::string, std::vector<std::string>> turns_to_send;
-  for (const auto& [id, disks] : holders) {
-    std::vector<std::string> missing;
-    std::size_t held = 0;
-    for (std::size_t n = 0; n < all.size(); ++n) {
-      if (!list.IsNextMember(all[n].disk)) {
-        continue;
-      }
-      if (std::any_of(disks.begin(), disks.end(),
-                      [n](const auto& it) { return it.member == n; })) {
-        ++held;
-      } else {
-        missing.push_back(all[n].disk);
-      }
-    }
-    if (held >= copies) {
-      continue;
-    }
-    const auto order = RendezvousOrder(id, std::move(missing));
-    for (std::size_t n = 0; held + n < copies && n < order.size(); ++n) {
-      if (order[n] == disk_) {
-        turns_to_fetch[disks.front().member].push_back(id);
-      }
-    }
-    if (all[disks.front().member].disk != disk_) {
-      continue;
-    }
-    for (const auto& it : order) {
-      if (held < copies && copied.count(it) > 0 && answered.count(it) > 0) {
-        turns_to_send[it].push_back(id);
-        ++held;
-      }
+  std::set<std::string> reachable;
+  for (const auto& it : copied) {
+    if (digests.answered.count(it) > 0) {
+      reachable.insert(it);
     }
   }
-  for (auto& [source, ids] : turns_to_fetch) {
-    if (!FetchTurns(fiber, all[source], std::move(ids))) {
-      return false;
-    }
+  CopyPlan plan(list, disk_, tolerated_losses_, reachable, attempts_++);
+  for (auto& [member, digest] : digests.by_member) {
+    plan.Add(member, std::move(digest));
   }
+  MakePlan(fiber, plan);
+  const StepTime time(progress_.turns_time);
+  if (!FetchAll(fiber, list, plan, digests)) {
+    return false;
+  }
+  const auto all = list.AllMembers();
   return std::all_of(
-      turns_to_send.begin(), turns_to_send.end(), [&](const auto& it) {
-        return SendTurns(fiber, list, *list.Find(it.first), it.second);
+      plan.sends().begin(), plan.sends().end(), [&](const auto& it) {
+        return SendTurns(fiber, list, *list.Find(all[it.first].disk),
+                         node_.IdsOf(it.second));
       });
 }
 
+void DiskCopier::MakePlan(Fiber& fiber, CopyPlan& plan) {
+  const StepTime time(progress_.plan_time);
+  while (plan.Advance(kMaxTurnsPerStep)) {
+    fiber.Sleep(std::chrono::milliseconds(0));
+  }
+}
+
+// What one disk does not return must not keep the turns of the others from
+// being copied.
+bool DiskCopier::FetchAll(Fiber& fiber,
+                          const StorageList& list,
+                          const CopyPlan& plan,
+                          const Digests& digests) {
+  struct Fetches {
+    explicit Fetches(Loop& loop) : changed(loop) {}
+    Condition changed;
+    std::size_t running = 0;
+    bool failed = false;
+  };
+  const auto fetches = std::make_shared<Fetches>(loop_);
+  const auto all = list.AllMembers();
+  for (const auto& [source, keys] : plan.fetches()) {
+    fetches->changed.WaitUntil(fiber, kMaxCopyTime, [&fetches] {
+      return fetches->running < kMaxParallelFetches;
+    });
+    const auto ids = digests.ids.find(source);
+    ++fetches->running;
+    loop_.Spawn([this, fetches, from = all[source], wanted = keys,
+                 ids = ids == digests.ids.end()
+                           ? std::map<TurnKey, std::string>()
+                           : ids->second](Fiber& fetch_fiber) {
+      const bool fetched = FetchTurns(fetch_fiber, from, wanted, ids);
+      fetches->failed = fetches->failed || !fetched;
+      --fetches->running;
+      fetches->changed.NotifyAll();
+    });
+  }
+  return fetches->changed.WaitUntil(fiber, kMaxCopyTime, [&fetches] {
+    return fetches->running == 0;
+  }) && !fetches->failed;
+}
+
 bool DiskCopier::SendTurns(Fiber& fiber,
                            const StorageList& list,
                            const StorageMember& to,
@@ -325,35 +354,46 @@
 
 bool DiskCopier::FetchTurns(Fiber& fiber,
                             const StorageMember& from,
-                            std::vector<std::string> ids) {
-  while (!ids.empty()) {
+                            std::vector<TurnKey> keys,
+                            const std::map<TurnKey, std::string>& ids) {
+  while (!keys.empty()) {
     StorageRequest request;
     request.operation = StorageOperation::kFetch;
-    const auto n = std::min(kMaxTurnsPerFetch, ids.size());
-    request.ids.assign(ids.end() - static_cast<std::ptrdiff_t>(n), ids.end());
+    const auto n = std::min(kMaxTurnsPerFetch, keys.size());
+    request.keys.assign(keys.end() - static_cast<std::ptrdiff_t>(n),
+                        keys.end());
+    for (const auto& it : request.keys) {
+      if (const auto id = ids.find(it); id != ids.end()) {
+        request.ids.push_back(id->second);
+      }
+    }
+    if (!request.ids.empty()) {
+      request.keys.clear();
+    }
     StorageReply reply;
     if (!replicas_.CallOne(fiber, from, request, kRequestTimeout, reply) ||
         reply.status != StorageStatus::kDone) {
       return false;
     }
-    std::set<std::string> fetched;
+    std::set<TurnKey> fetched;
     for (const auto& it : reply.turns) {
-      fetched.insert(it.id);
+      fetched.insert(TurnKey::Of(it.id));
     }
     // An incomplete reply was truncated by size, and the missing turns are
     // requested again. Turns missing from an empty reply have expired.
     const bool truncated = !reply.turns.empty() && fetched.size() < n;
     StorageRequest store_request;
     store_request.turns = std::move(reply.turns);
+    progress_.turns += static_cast<int>(store_request.turns.size());
     if (!store_request.turns.empty() &&
         !node_.StoreCopied(fiber, std::move(store_request))) {
       return false;
     }
     if (truncated) {
       std::erase_if(
-          ids, [&fetched](const auto& id) { return fetched.count(id) > 0; });
+          keys, [&fetched](const auto& key) { return fetched.count(key) > 0; });
     } else {
-      ids.resize(ids.size() - n);
+      keys.resize(keys.size() - n);
     }
   }
   return true;
--- a/source/storage/disk_copier.h
+++ b/source/storage/disk_copier.h
@@ -4,13 +4,13 @@
 #include <cstddef>
 #include <cstdint>
 #include <map>
-#include <optional>
 #include <set>
 #include <string>
-#include <unordered_map>
 #include <vector>
 
+#include "core/copy_plan.h"
 #include "core/storage_list.h"
+#include "core/turn_digest.h"
 #include "fleet/fleet_view.h"
 #include "storage/replica_client.h"
 #include "storage/storage_node.h"
@@ -32,6 +32,18 @@
   // requires of it.
   bool Copy(Fiber& fiber, const StorageList& list);
 
+  // What the last Copy() did, and how long its steps took.
+  struct Progress {
+    std::chrono::milliseconds uses_time{0};
+    std::chrono::milliseconds digests_time{0};
+    std::chrono::milliseconds plan_time{0};
+    std::chrono::milliseconds turns_time{0};
+    std::chrono::milliseconds sync_time{0};
+    int uses = 0;
+    int turns = 0;
+  };
+  const Progress& progress() const { return progress_; }
+
  private:
   // Copies token uses from all members except the tolerated losses. Returns
   // false when fewer members answered.
@@ -41,20 +53,18 @@
                   const StorageList& list,
                   const StorageMember& member);
   bool CopyTurns(Fiber& fiber, const StorageList& list);
-  struct TurnCopy {
-    std::size_t member = 0;  // Index into `list.AllMembers()`.
-    // Unknown of members with an older build.
-    std::optional<std::chrono::milliseconds> expires_at;
+  // What the disks hold, by their index in `list.AllMembers()`.
+  struct Digests {
+    std::map<std::size_t, TurnDigest> by_member;
+    std::set<std::string> answered;  // Disks other than this one.
+    // Ids of the turns of disks that do not return turns by their keys.
+    std::map<std::size_t, std::map<TurnKey, std::string>> ids;
   };
-  // Maps the id of a turn to its copies.
-  using Holders = std::unordered_map<std::string, std::vector<TurnCopy>>;
-  // Drops the copies that expire earlier than others.
-  static void DropShortLived(std::vector<TurnCopy>& copies);
-  // `answered` receives the disks that have told what they hold.
-  bool FindHolders(Fiber& fiber,
-                   const StorageList& list,
-                   Holders& holders,
-                   std::set<std::string>& answered);
+  // Returns false when too few disks have told what they hold.
+  bool FindHolders(Fiber& fiber, const StorageList& list, Digests& digests);
+  static void TakeDigest(std::size_t member,
+                         const StorageReply& reply,
+                         Digests& digests);
   // Whether the turns of a disk that has answered are still to be learned.
   bool AwaitsDigests(const StorageReplies& replies) const;
   // Sends `request` to `member`. A member that reports an older epoch is sent
@@ -64,10 +74,19 @@
                     const StorageMember& member,
                     const StorageRequest& request,
                     StorageReply& reply);
-  // Copies the turns `ids` from `from`, in several requests if necessary.
+  // Lets other requests be answered in between.
+  void MakePlan(Fiber& fiber, CopyPlan& plan);
+  // Fetches what `plan` says from several disks at the same time.
+  bool FetchAll(Fiber& fiber,
+                const StorageList& list,
+                const CopyPlan& plan,
+                const Digests& digests);
+  // Copies the turns `keys` from `from`, in several requests if necessary.
+  // `ids` are their ids, if `from` does not return turns by their keys.
   bool FetchTurns(Fiber& fiber,
                   const StorageMember& from,
-                  std::vector<std::string> ids);
+                  std::vector<TurnKey> keys,
+                  const std::map<TurnKey, std::string>& ids);
   // Sends the turns `ids` to `to`, in several requests if necessary.
   bool SendTurns(Fiber& fiber,
                  const StorageList& list,
@@ -86,6 +105,8 @@
   std::map<std::string, std::string> uses_copied_up_to_;
   std::int64_t uses_copied_epoch_ = 0;
   TimePoint copy_started_at_{};  // In this epoch.
+  std::size_t attempts_ = 0;
+  Progress progress_;
 };
 
 }  // namespace comfreyfold
--- a/source/storage/storage_membership_manager.cc
+++ b/source/storage/storage_membership_manager.cc
@@ -352,7 +352,12 @@
     ++failed_copies_;
     const auto pause = CopyPause(failed_copies_);
     log_.Write("copy_delayed", "",
-               {{"list_version", list.version}, {"pause_ms", pause}});
+               {{"list_version", list.version},
+                {"pause_ms", pause},
+                {"uses_ms", copier_.progress().uses_time},
+                {"digests_ms", copier_.progress().digests_time},
+                {"turns_ms", copier_.progress().turns_time},
+                {"sync_ms", copier_.progress().sync_time}});
     fiber.Sleep(pause);
     return;
   }
@@ -362,7 +367,14 @@
               {"turns", static_cast<int>(node_.turns().size())},
               {"programs", static_cast<int>(node_.tokens().size())},
               {"took_ms", std::chrono::duration_cast<std::chrono::milliseconds>(
-                              std::chrono::steady_clock::now() - start)}});
+                              std::chrono::steady_clock::now() - start)},
+              {"uses_received", copier_.progress().uses},
+              {"turns_received", copier_.progress().turns},
+              {"uses_ms", copier_.progress().uses_time},
+              {"digests_ms", copier_.progress().digests_time},
+              {"plan_ms", copier_.progress().plan_time},
+              {"turns_ms", copier_.progress().turns_time},
+              {"sync_ms", copier_.progress().sync_time}});
   // Other disks finish at the same time, so the proposal may lose against
   // theirs.
   while (
--- a/source/storage/storage_node.cc
+++ b/source/storage/storage_node.cc
@@ -34,6 +34,8 @@
 // one at the same time. The requesting disk asks for the rest again.
 constexpr std::size_t kMaxReplyBytes = 256 * 1024;
 constexpr std::size_t kMaxReplyUses = 1000;
+// A reply that is on its way for as long still counts.
+constexpr std::chrono::milliseconds kMaxDigestAge{1000};
 
 std::string ReadOrCreateDiskId(const std::string& folder) {
   auto disk = ReadWholeFile(folder + "/" + kDiskFile);
@@ -249,7 +251,7 @@
       reply.uses = tokens_.ForProgram(request.program);
       break;
     case StorageOperation::kDigest:
-      reply = AnswerDigest();
+      reply = AnswerDigest(request);
       break;
     case StorageOperation::kFetch:
       reply = AnswerFetch(fiber, request);
@@ -448,8 +450,14 @@
   return reply;
 }
 
+// Several disks return the same uses. AwaitDurable() waits for those that are
+// known already.
 bool StorageNode::StoreCopied(Fiber& fiber, StorageRequest request) {
   request.operation = StorageOperation::kStore;
+  request.uses = tokens_.Merge(request.uses);
+  if (request.uses.empty() && request.turns.empty()) {
+    return true;
+  }
   return AwaitWrite(fiber, BeginWrite(request, Encode(request)), kSyncTimeout);
 }
 
@@ -575,8 +583,78 @@
   return reply;
 }
 
-StorageReply StorageNode::AnswerDigest() const {
+// Holds for one epoch: what a disk stores after it has adopted a list is
+// written to enough disks of the next set.
+struct StorageNode::KeptDigest {
+  std::int64_t epoch = 0;
+  std::chrono::steady_clock::time_point made_at;
+  TurnDigest entries;
+  std::vector<std::string> ids;  // In the order of `entries`.
+  std::string packed;
+};
+
+const StorageNode::KeptDigest& StorageNode::Digest() {
+  const auto now = std::chrono::steady_clock::now();
+  const auto epoch = view_.storage_list().epoch;
+  if (digest_ && digest_->epoch == epoch &&
+      now - digest_->made_at < kMaxDigestAge) {
+    return *digest_;
+  }
+  std::vector<std::pair<DigestEntry, std::string>> turns;
+  turns.reserve(turns_.size());
+  for (auto& id : turns_.Ids()) {
+    const DigestEntry entry{TurnKey::Of(id), turns_.Find(id)->expires_at};
+    turns.emplace_back(entry, std::move(id));
+  }
+  std::sort(turns.begin(), turns.end(), [](const auto& a, const auto& b) {
+    return a.first.key < b.first.key;
+  });
+  digest_ = std::make_unique<KeptDigest>();
+  digest_->epoch = epoch;
+  digest_->made_at = now;
+  for (auto& [entry, id] : turns) {
+    digest_->entries.push_back(entry);
+    digest_->ids.push_back(std::move(id));
+  }
+  digest_->packed = PackDigest(digest_->entries);
+  return *digest_;
+}
+
+TurnDigest StorageNode::TurnsByKey() {
+  digest_ = nullptr;
+  return Digest().entries;
+}
+
+std::vector<std::string> StorageNode::IdsOf(const std::vector<TurnKey>& keys) {
+  const auto& digest = Digest();
+  std::vector<std::string> out;
+  for (const auto& key : keys) {
+    const auto it = std::lower_bound(
+        digest.entries.begin(), digest.entries.end(), key,
+        [](const DigestEntry& a, const TurnKey& b) { return a.key < b; });
+    if (it != digest.entries.end() && it->key == key) {
+      out.push_back(digest.ids[static_cast<std::size_t>(
+          std::distance(digest.entries.begin(), it))]);
+    }
+  }
+  return out;
+}
+
+std::vector<std::string> StorageNode::WantedIds(const StorageRequest& request) {
+  auto out = request.ids;
+  if (!request.keys.empty()) {
+    auto ids = IdsOf(request.keys);
+    std::move(ids.begin(), ids.end(), std::back_inserter(out));
+  }
+  return out;
+}
+
+StorageReply StorageNode::AnswerDigest(const StorageRequest& request) {
   StorageReply reply;
+  if (request.packs) {
+    reply.digest = Digest().packed;
+    return reply;
+  }
   reply.ids = turns_.Ids();
   for (const auto& id : reply.ids) {
     reply.expiries.push_back(turns_.Find(id)->expires_at);
@@ -587,7 +665,7 @@
 StorageReply StorageNode::AnswerFetch(Fiber& fiber,
                                       const StorageRequest& request) {
   StorageReply reply;
-  if (!ReadTurns(fiber, request.ids, kMaxReplyBytes, reply.turns)) {
+  if (!ReadTurns(fiber, WantedIds(request), kMaxReplyBytes, reply.turns)) {
     reply.turns.clear();
     reply.status = StorageStatus::kFailed;
   }
@@ -626,6 +704,9 @@
   turns_.Expire(now);
   tokens_.Expire(now);
   WriteAgain();
+  if (!view_.storage_list().changing()) {
+    digest_ = nullptr;
+  }
   for (auto it = needed_until_.begin(); it != needed_until_.end();) {
     const bool needed = it->second >= now || turns_.UsesSegment(it->first) ||
                         it->first >= disk_log_.current_segment();
--- a/source/storage/storage_node.h
+++ b/source/storage/storage_node.h
@@ -78,6 +78,10 @@
                                        const std::vector<std::string>& ids,
                                        std::size_t max_bytes,
                                        std::vector<TurnRecord>& out);
+  // Returns the turns stored here, at this moment, as digests tell them.
+  TurnDigest TurnsByKey();
+  // Returns the ids of the turns `keys`, as far as they are stored here.
+  std::vector<std::string> IdsOf(const std::vector<TurnKey>& keys);
   const RoomLimits& room_limits() const { return room_limits_; }
   const TokenLedgers& tokens() const { return tokens_; }
 
@@ -99,8 +103,13 @@
   StorageReply AnswerSomeUses(const StorageRequest& request);
   // Programs that `disk` gains in the current change of the list.
   const std::vector<std::string>& ProgramsGainedBy(const std::string& disk);
-  StorageReply AnswerDigest() const;
+  StorageReply AnswerDigest(const StorageRequest& request);
   StorageReply AnswerFetch(Fiber& fiber, const StorageRequest& request);
+  // The turns stored here, as of at most kMaxDigestAge ago.
+  struct KeptDigest;
+  const KeptDigest& Digest();
+  // Returns the ids of the turns that a kFetch asks for.
+  std::vector<std::string> WantedIds(const StorageRequest& request);
   // What the log, memory and disk have room for. Removes expired turns where
   // that gives room.
   DiskRoom Room();
@@ -166,6 +175,8 @@
   DiskLog disk_log_;
   TurnIndex turns_;
   TokenLedgers tokens_;
+  // All disks that copy ask for the same digest.
+  std::unique_ptr<KeptDigest> digest_;
   // Programs that each disk gains in the change with epoch `gained_epoch_`,
   // sorted by name.
   std::map<std::string, std::vector<std::string>> gained_;
--- a/source/wire/comfreyfold.thrift
+++ b/source/wire/comfreyfold.thrift
@@ -252,6 +252,8 @@
   6: i64 keep_until_ms,
   7: string program,
   8: optional StorageList members,
+  16: optional bool packs, // The digest is wanted as 'digest', not as 'ids'.
+  17: optional binary keys, // Packed keys of the turns to return.
 }
 
 struct StorageReply {
@@ -266,6 +268,7 @@
   9: bool overfull, // No room for turns that have run either.
   10: i64 room_in_ms, // Until there is room again, if full.
   11: i64 new_chains_in_ms, // Until there is room for new chains; 0: there is.
+  16: optional binary digest, // Packed keys and expiries of turns.
 }
 
 struct RegisteredServer {
--- a/source/wire/compact.h
+++ b/source/wire/compact.h
@@ -11,12 +11,16 @@
 
 namespace comfreyfold::detail {
 
+// Calls its transport directly; TCompactProtocol makes a virtual call per byte.
+using CompactProtocol = apache::thrift::protocol::TCompactProtocolT<
+    apache::thrift::transport::TMemoryBuffer>;
+
 // Returns the Thrift compact encoding of a generated struct.
 template <typename T>
 std::string Write(const T& value) {
   const auto memory =
       std::make_shared<apache::thrift::transport::TMemoryBuffer>();
-  apache::thrift::protocol::TCompactProtocol protocol(memory);
+  CompactProtocol protocol(memory);
   value.write(&protocol);
   return memory->getBufferAsString();
 }
@@ -30,7 +34,7 @@
   const auto memory =
       std::make_shared<apache::thrift::transport::TMemoryBuffer>(
           data, static_cast<std::uint32_t>(buf.size()));
-  apache::thrift::protocol::TCompactProtocol protocol(memory);
+  CompactProtocol protocol(memory);
   T out;
   try {
     out.read(&protocol);
--- a/source/wire/gen/comfreyfold_types.cpp
+++ b/source/wire/gen/comfreyfold_types.cpp
@@ -5348,6 +5348,16 @@
   this->members = val;
 __isset.members = true;
 }
+
+void StorageRequest::__set_packs(const bool val) {
+  this->packs = val;
+__isset.packs = true;
+}
+
+void StorageRequest::__set_keys(const std::string& val) {
+  this->keys = val;
+__isset.keys = true;
+}
 std::ostream& operator<<(std::ostream& out, const StorageRequest& obj)
 {
   obj.printTo(out);
@@ -5476,6 +5486,22 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 16:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->packs);
+          this->__isset.packs = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 17:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readBinary(this->keys);
+          this->__isset.keys = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -5550,6 +5576,16 @@
     xfer += this->members.write(oprot);
     xfer += oprot->writeFieldEnd();
   }
+  if (this->__isset.packs) {
+    xfer += oprot->writeFieldBegin("packs", ::apache::thrift::protocol::T_BOOL, 16);
+    xfer += oprot->writeBool(this->packs);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.keys) {
+    xfer += oprot->writeFieldBegin("keys", ::apache::thrift::protocol::T_STRING, 17);
+    xfer += oprot->writeBinary(this->keys);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -5565,6 +5601,8 @@
   swap(a.keep_until_ms, b.keep_until_ms);
   swap(a.program, b.program);
   swap(a.members, b.members);
+  swap(a.packs, b.packs);
+  swap(a.keys, b.keys);
   swap(a.__isset, b.__isset);
 }
 
@@ -5577,6 +5615,8 @@
   keep_until_ms = other196.keep_until_ms;
   program = other196.program;
   members = other196.members;
+  packs = other196.packs;
+  keys = other196.keys;
   __isset = other196.__isset;
 }
 StorageRequest& StorageRequest::operator=(const StorageRequest& other197) {
@@ -5588,6 +5628,8 @@
   keep_until_ms = other197.keep_until_ms;
   program = other197.program;
   members = other197.members;
+  packs = other197.packs;
+  keys = other197.keys;
   __isset = other197.__isset;
   return *this;
 }
@@ -5602,6 +5644,8 @@
   out << ", " << "keep_until_ms=" << to_string(keep_until_ms);
   out << ", " << "program=" << to_string(program);
   out << ", " << "members="; (__isset.members ? (out << to_string(members)) : (out << "<null>"));
+  out << ", " << "packs="; (__isset.packs ? (out << to_string(packs)) : (out << "<null>"));
+  out << ", " << "keys="; (__isset.keys ? (out << to_string(keys)) : (out << "<null>"));
   out << ")";
 }
 
@@ -5654,6 +5698,11 @@
 void StorageReply::__set_new_chains_in_ms(const int64_t val) {
   this->new_chains_in_ms = val;
 }
+
+void StorageReply::__set_digest(const std::string& val) {
+  this->digest = val;
+__isset.digest = true;
+}
 std::ostream& operator<<(std::ostream& out, const StorageReply& obj)
 {
   obj.printTo(out);
@@ -5818,6 +5867,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 16:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readBinary(this->digest);
+          this->__isset.digest = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -5912,6 +5969,11 @@
   xfer += oprot->writeI64(this->new_chains_in_ms);
   xfer += oprot->writeFieldEnd();
 
+  if (this->__isset.digest) {
+    xfer += oprot->writeFieldBegin("digest", ::apache::thrift::protocol::T_STRING, 16);
+    xfer += oprot->writeBinary(this->digest);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -5930,6 +5992,7 @@
   swap(a.overfull, b.overfull);
   swap(a.room_in_ms, b.room_in_ms);
   swap(a.new_chains_in_ms, b.new_chains_in_ms);
+  swap(a.digest, b.digest);
   swap(a.__isset, b.__isset);
 }
 
@@ -5945,6 +6008,7 @@
   overfull = other222.overfull;
   room_in_ms = other222.room_in_ms;
   new_chains_in_ms = other222.new_chains_in_ms;
+  digest = other222.digest;
   __isset = other222.__isset;
 }
 StorageReply& StorageReply::operator=(const StorageReply& other223) {
@@ -5959,6 +6023,7 @@
   overfull = other223.overfull;
   room_in_ms = other223.room_in_ms;
   new_chains_in_ms = other223.new_chains_in_ms;
+  digest = other223.digest;
   __isset = other223.__isset;
   return *this;
 }
@@ -5976,6 +6041,7 @@
   out << ", " << "overfull=" << to_string(overfull);
   out << ", " << "room_in_ms=" << to_string(room_in_ms);
   out << ", " << "new_chains_in_ms=" << to_string(new_chains_in_ms);
+  out << ", " << "digest="; (__isset.digest ? (out << to_string(digest)) : (out << "<null>"));
   out << ")";
 }
 
--- a/source/wire/gen/comfreyfold_types.h
+++ b/source/wire/gen/comfreyfold_types.h
@@ -2089,7 +2089,7 @@
 std::ostream& operator<<(std::ostream& out, const StorageList& obj);
 
 typedef struct _StorageRequest__isset {
-  _StorageRequest__isset() : operation(false), epoch(false), turns(false), uses(false), ids(false), keep_until_ms(false), program(false), members(false) {}
+  _StorageRequest__isset() : operation(false), epoch(false), turns(false), uses(false), ids(false), keep_until_ms(false), program(false), members(false), packs(false), keys(false) {}
   bool operation :1;
   bool epoch :1;
   bool turns :1;
@@ -2098,6 +2098,8 @@
   bool keep_until_ms :1;
   bool program :1;
   bool members :1;
+  bool packs :1;
+  bool keys :1;
 } _StorageRequest__isset;
 
 class StorageRequest : public virtual ::apache::thrift::TBase {
@@ -2109,7 +2111,9 @@
                  : operation(0),
                    epoch(0),
                    keep_until_ms(0),
-                   program() {
+                   program(),
+                   packs(0),
+                   keys() {
   }
 
   virtual ~StorageRequest() noexcept;
@@ -2121,6 +2125,8 @@
   int64_t keep_until_ms;
   std::string program;
   StorageList members;
+  bool packs;
+  std::string keys;
 
   _StorageRequest__isset __isset;
 
@@ -2140,6 +2146,10 @@
 
   void __set_members(const StorageList& val);
 
+  void __set_packs(const bool val);
+
+  void __set_keys(const std::string& val);
+
   bool operator == (const StorageRequest & rhs) const
   {
     if (!(operation == rhs.operation))
@@ -2160,6 +2170,14 @@
       return false;
     else if (__isset.members && !(members == rhs.members))
       return false;
+    if (__isset.packs != rhs.__isset.packs)
+      return false;
+    else if (__isset.packs && !(packs == rhs.packs))
+      return false;
+    if (__isset.keys != rhs.__isset.keys)
+      return false;
+    else if (__isset.keys && !(keys == rhs.keys))
+      return false;
     return true;
   }
   bool operator != (const StorageRequest &rhs) const {
@@ -2179,7 +2197,7 @@
 std::ostream& operator<<(std::ostream& out, const StorageRequest& obj);
 
 typedef struct _StorageReply__isset {
-  _StorageReply__isset() : status(false), whole(false), turns(false), uses(false), ids(false), members(false), expiries_ms(false), full(false), overfull(false), room_in_ms(false), new_chains_in_ms(false) {}
+  _StorageReply__isset() : status(false), whole(false), turns(false), uses(false), ids(false), members(false), expiries_ms(false), full(false), overfull(false), room_in_ms(false), new_chains_in_ms(false), digest(false) {}
   bool status :1;
   bool whole :1;
   bool turns :1;
@@ -2191,6 +2209,7 @@
   bool overfull :1;
   bool room_in_ms :1;
   bool new_chains_in_ms :1;
+  bool digest :1;
 } _StorageReply__isset;
 
 class StorageReply : public virtual ::apache::thrift::TBase {
@@ -2204,7 +2223,8 @@
                  full(0),
                  overfull(0),
                  room_in_ms(0),
-                 new_chains_in_ms(0) {
+                 new_chains_in_ms(0),
+                 digest() {
   }
 
   virtual ~StorageReply() noexcept;
@@ -2219,6 +2239,7 @@
   bool overfull;
   int64_t room_in_ms;
   int64_t new_chains_in_ms;
+  std::string digest;
 
   _StorageReply__isset __isset;
 
@@ -2244,6 +2265,8 @@
 
   void __set_new_chains_in_ms(const int64_t val);
 
+  void __set_digest(const std::string& val);
+
   bool operator == (const StorageReply & rhs) const
   {
     if (!(status == rhs.status))
@@ -2270,6 +2293,10 @@
       return false;
     if (!(new_chains_in_ms == rhs.new_chains_in_ms))
       return false;
+    if (__isset.digest != rhs.__isset.digest)
+      return false;
+    else if (__isset.digest && !(digest == rhs.digest))
+      return false;
     return true;
   }
   bool operator != (const StorageReply &rhs) const {
--- a/source/wire/storage_codec.cc
+++ b/source/wire/storage_codec.cc
@@ -1,3 +1,5 @@
+#include <utility>
+
 #include "wire/compact.h"
 #include "wire/gen/comfreyfold_types.h"
 #include "wire/storage_messages.h"
@@ -21,8 +23,9 @@
   return out;
 }
 
-TurnRecord FromWire(const wire::TurnRecord& turn) {
-  return {turn.id, turn.parent, turn.input, turn.output,
+TurnRecord FromWire(wire::TurnRecord&& turn) {
+  return {std::move(turn.id), std::move(turn.parent), std::move(turn.input),
+          std::move(turn.output),
           std::chrono::milliseconds(turn.expires_at_ms)};
 }
 
@@ -37,13 +40,13 @@
   return out;
 }
 
-TokenUse FromWire(const wire::TokenUse& use) {
-  return {use.program,
-          use.request,
+TokenUse FromWire(wire::TokenUse&& use) {
+  return {std::move(use.program),
+          std::move(use.request),
           use.tokens,
           use.settled,
           std::chrono::milliseconds(use.expires_at_ms),
-          use.server};
+          std::move(use.server)};
 }
 
 wire::StorageMember ToWire(const StorageMember& member) {
@@ -70,6 +73,17 @@
   return out;
 }
 
+// The same for messages that are no longer needed.
+template <typename Out, typename In>
+std::vector<Out> MoveAll(std::vector<In>& in) {
+  std::vector<Out> out;
+  out.reserve(in.size());
+  for (auto& it : in) {
+    out.push_back(FromWire(std::move(it)));
+  }
+  return out;
+}
+
 }  // namespace
 
 namespace detail {
@@ -114,22 +128,32 @@
   if (request.members) {
     out.__set_members(detail::ToWire(*request.members));
   }
+  if (request.packs) {
+    out.__set_packs(true);
+  }
+  if (!request.keys.empty()) {
+    out.__set_keys(PackKeys(request.keys));
+  }
   return Write(out);
 }
 
 StorageRequest DecodeStorageRequest(const std::string& buf) {
-  const auto in = Read<wire::StorageRequest>(buf);
+  auto in = Read<wire::StorageRequest>(buf);
   StorageRequest out;
   out.operation = ToEnum(in.operation, kLastStorageOperation);
   out.epoch = in.epoch;
-  out.turns = ConvertAll<TurnRecord, wire::TurnRecord>(in.turns, FromWire);
-  out.uses = ConvertAll<TokenUse, wire::TokenUse>(in.uses, FromWire);
-  out.ids = in.ids;
+  out.turns = MoveAll<TurnRecord>(in.turns);
+  out.uses = MoveAll<TokenUse>(in.uses);
+  out.ids = std::move(in.ids);
   out.keep_until = std::chrono::milliseconds(in.keep_until_ms);
-  out.program = in.program;
+  out.program = std::move(in.program);
   if (in.__isset.members) {
     out.members = detail::FromWire(in.members);
   }
+  out.packs = in.__isset.packs && in.packs;
+  if (in.__isset.keys) {
+    out.keys = UnpackKeys(in.keys);
+  }
   return out;
 }
 
@@ -150,17 +174,20 @@
   if (reply.members) {
     out.__set_members(detail::ToWire(*reply.members));
   }
+  if (!reply.digest.empty()) {
+    out.__set_digest(reply.digest);
+  }
   return Write(out);
 }
 
 StorageReply DecodeStorageReply(const std::string& buf) {
-  const auto in = Read<wire::StorageReply>(buf);
+  auto in = Read<wire::StorageReply>(buf);
   StorageReply out;
   out.status = ToEnum(in.status, kLastStorageStatus);
   out.whole = in.whole;
-  out.turns = ConvertAll<TurnRecord, wire::TurnRecord>(in.turns, FromWire);
-  out.uses = ConvertAll<TokenUse, wire::TokenUse>(in.uses, FromWire);
-  out.ids = in.ids;
+  out.turns = MoveAll<TurnRecord>(in.turns);
+  out.uses = MoveAll<TokenUse>(in.uses);
+  out.ids = std::move(in.ids);
   for (const auto it : in.expiries_ms) {
     out.expiries.emplace_back(it);
   }
@@ -171,6 +198,9 @@
   if (in.__isset.members) {
     out.members = detail::FromWire(in.members);
   }
+  if (in.__isset.digest) {
+    out.digest = std::move(in.digest);
+  }
   return out;
 }
 
--- a/source/wire/storage_messages.h
+++ b/source/wire/storage_messages.h
@@ -9,6 +9,7 @@
 
 #include "core/storage_list.h"
 #include "core/token_ledger.h"
+#include "core/turn_digest.h"
 #include "core/turn_record.h"
 
 namespace comfreyfold {
@@ -51,6 +52,11 @@
   std::chrono::milliseconds keep_until{0};  // Expiry of the turns `ids`.
   std::string program;
   std::optional<StorageList> members;
+  // kDigest: reply with `digest` instead of `ids` and `expiries`. Daemons of an
+  // older build don't.
+  bool packs = false;
+  // kFetch: turns to return beside `ids`.
+  std::vector<TurnKey> keys;
 };
 
 struct StorageReply {
@@ -74,6 +80,7 @@
   // Until there will be room for turns that begin chains; 0: there is, or
   // `full` tells all that is known.
   std::chrono::milliseconds new_chains_in{0};
+  std::string digest;  // See PackDigest().
 };
 
 // Thrift compact encoding. The Decode functions throw WireError.
