Copy uses and turns at the same time; test of requests beside a large copy

A digest of 30,000 turns is made without moving their ids in the sort. turns_are_copied_from_a_disk_of_an_older_build guards the change of the wire.

--- a/source/core/turn_digest.cc
+++ b/source/core/turn_digest.cc
@@ -17,10 +17,15 @@
 constexpr std::uint64_t kByteMask = 0xFF;
 
 // Little endian on every machine.
-void Append(std::uint64_t word, std::string& out) {
+char* Append(std::uint64_t word, char* out) {
   for (std::size_t n = 0; n < kWordBytes; ++n) {
-    out.push_back(static_cast<char>((word >> (n * kBitsPerByte)) & kByteMask));
+    out[n] = static_cast<char>((word >> (n * kBitsPerByte)) & kByteMask);
   }
+  return out + kWordBytes;
+}
+
+char* Append(const TurnKey& key, char* out) {
+  return Append(key.second, Append(key.first, out));
 }
 
 std::uint64_t WordAt(std::string_view buf, std::size_t offset) {
@@ -43,12 +48,11 @@
 }
 
 std::string PackDigest(const TurnDigest& digest) {
-  std::string out;
-  out.reserve(digest.size() * kEntryBytes);
+  std::string out(digest.size() * kEntryBytes, '\0');
+  auto* end = out.data();
   for (const auto& it : digest) {
-    Append(it.key.first, out);
-    Append(it.key.second, out);
-    Append(static_cast<std::uint64_t>(it.expires_at.count()), out);
+    end = Append(static_cast<std::uint64_t>(it.expires_at.count()),
+                 Append(it.key, end));
   }
   return out;
 }
@@ -71,11 +75,10 @@
 }
 
 std::string PackKeys(const std::vector<TurnKey>& keys) {
-  std::string out;
-  out.reserve(keys.size() * kKeyBytes);
+  std::string out(keys.size() * kKeyBytes, '\0');
+  auto* end = out.data();
   for (const auto& it : keys) {
-    Append(it.first, out);
-    Append(it.second, out);
+    end = Append(it, end);
   }
   return out;
 }
--- a/source/core/turn_index.cc
+++ b/source/core/turn_index.cc
@@ -183,6 +183,15 @@
   return out;
 }
 
+std::vector<const TurnRecord*> TurnIndex::Turns() const {
+  std::vector<const TurnRecord*> out;
+  out.reserve(turns_.size());
+  for (const auto& [id, it] : turns_) {
+    out.push_back(&it.record);
+  }
+  return out;
+}
+
 std::vector<std::string> TurnIndex::Ids() const {
   std::vector<std::string> out;
   out.reserve(turns_.size());
--- a/source/core/turn_index.h
+++ b/source/core/turn_index.h
@@ -63,6 +63,8 @@
     return segments_.count(segment) > 0;
   }
   std::vector<std::string> Ids() const;
+  // All turns, in no order. Valid until the next change.
+  std::vector<const TurnRecord*> Turns() const;
   // Returns those of `ids` that are not stored here.
   std::vector<std::string> Missing(const std::vector<std::string>& ids) const;
   std::size_t size() const { return turns_.size(); }
--- a/source/storage/disk_copier.cc
+++ b/source/storage/disk_copier.cc
@@ -69,13 +69,40 @@
   const bool returns = !list.IsMember(disk_) && node_.turns().size() > 0;
   const bool copies_turns = !list.OnlyAddsMembers() || list.recopies || returns;
   progress_ = {};
-  if (!CopyUses(fiber, list) || (copies_turns && !CopyTurns(fiber, list))) {
+  if (!(copies_turns ? CopyAll(fiber, list) : CopyUses(fiber, list))) {
     return false;
   }
   const StepTime time(progress_.sync_time);
   return node_.AwaitDurable(fiber);
 }
 
+// Uses take the processor's time and turns that of the network, so that both
+// are copied at the same time.
+bool DiskCopier::CopyAll(Fiber& fiber, const StorageList& list) {
+  struct Turns {
+    explicit Turns(Loop& loop) : changed(loop) {}
+    Condition changed;
+    bool ended = false;
+    bool copied = false;
+  };
+  const auto turns = std::make_shared<Turns>(loop_);
+  loop_.Spawn([this, turns, list](Fiber& turns_fiber) {
+    try {
+      turns->copied = CopyTurns(turns_fiber, list);
+    } catch (const std::exception&) {
+      // The copy is tried again.
+      turns->copied = false;
+    }
+    turns->ended = true;
+    turns->changed.NotifyAll();
+  });
+  const bool uses_copied = CopyUses(fiber, list);
+  while (!turns->ended) {
+    turns->changed.Wait(fiber, kMaxCopyTime);
+  }
+  return uses_copied && turns->copied;
+}
+
 bool DiskCopier::CallWithList(Fiber& fiber,
                               const StorageList& list,
                               const StorageMember& member,
@@ -322,7 +349,13 @@
                  ids = ids == digests.ids.end()
                            ? std::map<TurnKey, std::string>()
                            : ids->second](Fiber& fetch_fiber) {
-      const bool fetched = FetchTurns(fetch_fiber, from, wanted, ids);
+      bool fetched = false;
+      try {
+        fetched = FetchTurns(fetch_fiber, from, wanted, ids);
+      } catch (const std::exception&) {
+        // The next try asks another disk.
+        fetched = false;
+      }
       fetches->failed = fetches->failed || !fetched;
       --fetches->running;
       fetches->changed.NotifyAll();
--- a/source/storage/storage_node.cc
+++ b/source/storage/storage_node.cc
@@ -600,11 +600,10 @@
       now - digest_->made_at < kMaxDigestAge) {
     return *digest_;
   }
-  std::vector<std::pair<DigestEntry, std::string>> turns;
+  std::vector<std::pair<DigestEntry, const std::string*>> turns;
   turns.reserve(turns_.size());
-  for (auto& id : turns_.Ids()) {
-    const DigestEntry entry{TurnKey::Of(id), turns_.Find(id)->expires_at};
-    turns.emplace_back(entry, std::move(id));
+  for (const auto* it : turns_.Turns()) {
+    turns.push_back({{TurnKey::Of(it->id), it->expires_at}, &it->id});
   }
   std::sort(turns.begin(), turns.end(), [](const auto& a, const auto& b) {
     return a.first.key < b.first.key;
@@ -612,9 +611,11 @@
   digest_ = std::make_unique<KeptDigest>();
   digest_->epoch = epoch;
   digest_->made_at = now;
-  for (auto& [entry, id] : turns) {
+  digest_->entries.reserve(turns.size());
+  digest_->ids.reserve(turns.size());
+  for (const auto& [entry, id] : turns) {
     digest_->entries.push_back(entry);
-    digest_->ids.push_back(std::move(id));
+    digest_->ids.push_back(*id);
   }
   digest_->packed = PackDigest(digest_->entries);
   return *digest_;
--- a/tests/vm/unsynced_copies_test.cc
+++ b/tests/vm/unsynced_copies_test.cc
@@ -22,6 +22,10 @@
 
 // Uses of one program, more than a page has.
 constexpr int kUsesOfProgram = 1001;
+constexpr int kTurnsOfLargeDisk = 30000;
+constexpr int kTurnsPerStore = 1000;
+// Other coroutines run at least once while the copier looks at as many turns.
+constexpr int kMaxTurnsPerStep = 2000;
 
 std::string NewFolder() {
   std::string name =
@@ -58,8 +62,11 @@
         server_(
             loop,
             [this](Fiber& fiber, const HttpRequest& request, HttpExchange& it) {
-              CountFirstPages(request);
-              source_->Handle(fiber, request, it);
+              const auto operation = Count(request);
+              source_->Handle(fiber, AsSourceReads(request), it);
+              if (operation == StorageOperation::kDigest) {
+                turns_at_digest_ = loop_turns_;
+              }
             }),
         address_(server_.Listen("127.0.0.1:0")),
         log_("disk"),
@@ -108,17 +115,44 @@
   StorageNode& node() { return *node_; }
   WriteGate& gate() { return gate_; }
   int first_pages() const { return first_pages_; }
+  void SetSourceIsOlder() { source_is_older_ = true; }
+  // Counts how often other coroutines run, until the first turn is fetched.
+  void CountLoopTurns() {
+    loop_.Spawn([this](Fiber& fiber) {
+      while (turns_until_fetch_ < 0) {
+        fiber.Sleep(milliseconds(0));
+        ++loop_turns_;
+      }
+    });
+  }
+  // How often others ran between the digest and the first fetch.
+  int turns_until_fetch() const { return turns_until_fetch_; }
   void RemoveFolders() const {
     std::filesystem::remove_all(source_folder_);
     std::filesystem::remove_all(folder_);
   }
 
  private:
-  void CountFirstPages(const HttpRequest& request) {
+  // An older build does not know of keys.
+  HttpRequest AsSourceReads(HttpRequest request) const {
+    if (source_is_older_) {
+      auto decoded = DecodeStorageRequest(request.body);
+      decoded.packs = false;
+      decoded.keys.clear();
+      request.body = Encode(decoded);
+    }
+    return request;
+  }
+  StorageOperation Count(const HttpRequest& request) {
     const auto decoded = DecodeStorageRequest(request.body);
     const bool first = decoded.operation == StorageOperation::kSomeUses &&
                        decoded.program.empty();
     first_pages_ += first ? 1 : 0;
+    if (decoded.operation == StorageOperation::kFetch &&
+        turns_until_fetch_ < 0) {
+      turns_until_fetch_ = loop_turns_ - turns_at_digest_;
+    }
+    return decoded.operation;
   }
 
   Loop& loop_;
@@ -137,6 +171,10 @@
   std::unique_ptr<StorageNode> node_;
   std::unique_ptr<DiskCopier> copier_;
   int first_pages_ = 0;
+  bool source_is_older_ = false;
+  int loop_turns_ = 0;
+  int turns_at_digest_ = 0;
+  int turns_until_fetch_ = -1;
 };
 
 void WithJoin(const std::function<void(Fiber&, Join&)>& body) {
@@ -217,6 +255,38 @@
   });
 }
 
+BOOST_AUTO_TEST_CASE(turns_are_copied_from_a_disk_of_an_older_build) {
+  WithJoin([](Fiber& fiber, Join& join) {
+    BOOST_REQUIRE(join.source().StoreCopied(fiber, TurnToStore()));
+    join.SetSourceIsOlder();
+    join.Begin(fiber);
+    BOOST_TEST(CopyWhole(fiber, join));
+    BOOST_TEST(join.node().turns().Find("t1") != nullptr);
+  });
+}
+
+// A daemon has a sixth of a processor, so that long steps delay all requests.
+BOOST_AUTO_TEST_CASE(requests_are_answered_while_a_large_copy_is_computed) {
+  WithJoin([](Fiber& fiber, Join& join) {
+    BOOST_REQUIRE(join.source().StoreCopied(fiber, TurnToStore()));
+    StorageRequest request;
+    for (int n = 1; n <= kTurnsOfLargeDisk; ++n) {
+      request.turns.push_back({"own" + std::to_string(n), "", "in", "out",
+                               WallNow() + milliseconds(600000)});
+      if (n % kTurnsPerStore == 0) {
+        BOOST_REQUIRE(join.node().StoreCopied(fiber, request));
+        request.turns.clear();
+      }
+    }
+    join.Begin(fiber);
+    join.CountLoopTurns();
+    BOOST_TEST(CopyWhole(fiber, join));
+    BOOST_TEST(join.turns_until_fetch() >=
+               kTurnsOfLargeDisk / kMaxTurnsPerStep);
+    BOOST_TEST(join.node().turns().Find("t1") != nullptr);
+  });
+}
+
 // The others had dropped it while it did not answer.
 BOOST_AUTO_TEST_CASE(turn_that_only_a_returning_disk_has_gets_a_second_copy) {
   WithJoin([](Fiber& fiber, Join& join) {
