--- a/source/storage/disk_copier.cc
+++ b/source/storage/disk_copier.cc
@@ -69,40 +69,13 @@
   const bool returns = !list.IsMember(disk_) && node_.turns().size() > 0;
   const bool copies_turns = !list.OnlyAddsMembers() || list.recopies || returns;
   progress_ = {};
-  if (!(copies_turns ? CopyAll(fiber, list) : CopyUses(fiber, list))) {
+  if (!CopyUses(fiber, list) || (copies_turns && !CopyTurns(fiber, list))) {
     return false;
   }
   const StepTime time(progress_.sync_time);
   return node_.AwaitDurable(fiber);
 }
 
-// Uses take the processor's time and turns that of the network, so that both
-// are copied at the same time.
-bool DiskCopier::CopyAll(Fiber& fiber, const StorageList& list) {
-  struct Turns {
-    explicit Turns(Loop& loop) : changed(loop) {}
-    Condition changed;
-    bool ended = false;
-    bool copied = false;
-  };
-  const auto turns = std::make_shared<Turns>(loop_);
-  loop_.Spawn([this, turns, list](Fiber& turns_fiber) {
-    try {
-      turns->copied = CopyTurns(turns_fiber, list);
-    } catch (const std::exception&) {
-      // The copy is tried again.
-      turns->copied = false;
-    }
-    turns->ended = true;
-    turns->changed.NotifyAll();
-  });
-  const bool uses_copied = CopyUses(fiber, list);
-  while (!turns->ended) {
-    turns->changed.Wait(fiber, kMaxCopyTime);
-  }
-  return uses_copied && turns->copied;
-}
-
 bool DiskCopier::CallWithList(Fiber& fiber,
                               const StorageList& list,
                               const StorageMember& member,
--- a/source/storage/disk_copier.h
+++ b/source/storage/disk_copier.h
@@ -45,8 +45,6 @@
   const Progress& progress() const { return progress_; }
 
  private:
-  // Copies uses and turns.
-  bool CopyAll(Fiber& fiber, const StorageList& list);
   // Copies token uses from all members except the tolerated losses. Returns
   // false when fewer members answered.
   bool CopyUses(Fiber& fiber, const StorageList& list);
