Entries queued behind a failed write are not stored at another place

Callers: a turn that a disk had reported as stored could not be read once its content had left the memory: turn_not_read, and chain_unknown if the other copy was lost.

Cause: a batch that fails in one segment leaves out its entries of the next one. Entries queued for that segment before the loop opened a new one were then written at the beginning of the file, though they had been given offsets after those that are missing. Replay finds them; a read at the position does not.

--- a/source/storage/disk_log.cc
+++ b/source/storage/disk_log.cc
@@ -1,6 +1,7 @@
 #include "storage/disk_log.h"
 
 #include <fcntl.h>
+#include <sys/stat.h>
 #include <unistd.h>
 
 #include <algorithm>
@@ -73,6 +74,14 @@
     }
   }
 
+  std::int64_t Size() const {
+    struct stat status {};
+    if (::fstat(fd_, &status) != 0) {
+      ThrowErrno("stat", path_);
+    }
+    return status.st_size;
+  }
+
   std::string Read(std::int64_t offset, std::int64_t length) const {
     std::string out(static_cast<std::size_t>(length), '\0');
     if (::lseek(fd_, offset, SEEK_SET) < 0) {
@@ -174,6 +183,7 @@
   struct Entry {
     std::string bytes;
     std::int64_t segment;
+    std::int64_t offset;
     std::function<void(bool)> done;
   };
 
@@ -334,10 +344,11 @@
       while (first < batch.size()) {
         std::string bytes;
         const auto segment = batch[first].segment;
+        const auto offset = batch[first].offset;
         while (first < batch.size() && batch[first].segment == segment) {
           bytes += batch[first++].bytes;
         }
-        WriteSegment(segment, bytes);
+        WriteSegment(segment, offset, bytes);
       }
     } catch (const std::exception&) {
       synced = false;
@@ -360,13 +371,19 @@
   }
 
   // Entries after a damaged one cannot be read, so nothing is added to a
-  // segment after a failed write. Entries may still be queued for it.
-  void WriteSegment(std::int64_t segment, const std::string& bytes) {
+  // segment after a failed write. Entries may still be queued for it, and for
+  // a later one without those that failed with this one.
+  void WriteSegment(std::int64_t segment,
+                    std::int64_t offset,
+                    const std::string& bytes) {
     if (segment == damaged_segment) {
       throw std::runtime_error(Path(segment) + ": an earlier write failed");
     }
     damaged_segment = segment;
     const File file(Path(segment), O_WRONLY | O_CREAT | O_APPEND);
+    if (file.Size() != offset) {
+      throw std::runtime_error(Path(segment) + ": an entry is missing");
+    }
     file.Write(bytes);
     file.Sync();
     if (segment != named_segment) {
@@ -465,7 +482,7 @@
   impl_->pending_bytes += bytes.size();
   {
     const std::lock_guard lock(impl_->mutex);
-    impl_->queue.push_back({std::move(bytes), segment, std::move(done)});
+    impl_->queue.push_back({std::move(bytes), segment, position.offset, std::move(done)});
   }
   impl_->work_available.notify_all();
   return position;
--- a/tests/vm/disk_log_test.cc
+++ b/tests/vm/disk_log_test.cc
@@ -1,7 +1,10 @@
 #include <stdlib.h>
 
+#include <atomic>
 #include <filesystem>
 #include <fstream>
+#include <functional>
+#include <thread>
 #include <vector>
 
 #include <boost/test/unit_test.hpp>
@@ -154,6 +157,62 @@
              boost::test_tools::per_element());
 }
 
+// Holds up a thread that writes, call by call.
+class StepwiseWriter {
+ public:
+  explicit StepwiseWriter(DiskLog& log) {
+    log.BeforeWrite([this] {
+      const auto call = ++begun_;
+      while (allowed_ < call) {
+        std::this_thread::yield();
+      }
+    });
+  }
+  void AwaitCall(int call) const {
+    while (begun_ < call) {
+      std::this_thread::yield();
+    }
+  }
+  void Allow(int calls) { allowed_ = calls; }
+
+ private:
+  std::atomic<int> begun_{0};
+  std::atomic<int> allowed_{0};
+};
+
+// It was reported as stored at an offset where the segment has nothing.
+BOOST_AUTO_TEST_CASE(entry_after_one_that_was_not_written_is_at_its_position) {
+  constexpr int kCalls = 3;
+  const TempFolder folder;
+  Loop loop;
+  DiskLog log(loop, folder.path());
+  StepwiseWriter writer(log);
+  const auto ignore = [](bool) {};
+  log.ReplaceFile("members", "", ignore);
+  writer.AwaitCall(1);
+  // A write to this one fails, and the entry of the next segment with it.
+  fs::create_directory(folder.path() + "/segment-1");
+  log.Append(std::string(5000000, 'a'), ignore);
+  BOOST_TEST(log.Append("two", ignore).segment == 2);
+  writer.Allow(1);
+  writer.AwaitCall(2);
+  bool stored = false;
+  std::string found;
+  LogPosition position;
+  position = log.Append("three", [&](bool written) {
+    stored = written;
+    log.Read({position}, [&](std::vector<std::string> entries) {
+      found = entries.front();
+      loop.Stop();
+    });
+  });
+  BOOST_TEST(position.segment == 2);
+  writer.Allow(kCalls);
+  loop.Spawn([](Fiber& fiber) { fiber.Sleep(std::chrono::seconds(20)); });
+  loop.Run();
+  BOOST_TEST(found == (stored ? "three" : ""));
+}
+
 BOOST_AUTO_TEST_CASE(file_is_replaced_atomically) {
   const TempFolder folder;
   WriteFileDurably(folder.path(), "disk", "first");
