Disks do not read contents that nobody waits for any more

Callers: after a stall of a disk, chain_unknown from it for longer than the stall.

Cause: a request gives up after 1 s, but its reading stayed queued. After a stall the reading thread did all of them, oldest first, so that those of new requests waited for them beyond their time, for as long as more come in than the disk can read meanwhile.

Evidence: by reading; reading_is_left_out_once_its_time_is_over fails without the check of the time and passes with it.

--- a/source/storage/disk_log.cc
+++ b/source/storage/disk_log.cc
@@ -195,6 +195,7 @@
 
   struct Reading {
     std::vector<LogPosition> positions;
+    TimePoint until;
     std::function<void(std::vector<std::string>)> done;
   };
 
@@ -269,7 +270,7 @@
         reading = std::move(readings.front());
         readings.pop_front();
       }
-      loop.Post([entries = ReadAll(reading.positions),
+      loop.Post([entries = ReadAll(reading.positions, reading.until),
                  done = std::move(reading.done)]() mutable {
         done(std::move(entries));
       });
@@ -277,12 +278,17 @@
   }
 
   std::vector<std::string> ReadAll(
-      const std::vector<LogPosition>& positions) const {
+      const std::vector<LogPosition>& positions,
+      TimePoint until) const {
     std::vector<std::string> out(positions.size());
     std::optional<File> file;
     std::int64_t opened = 0;
     for (std::size_t n = 0; n < positions.size(); ++n) {
       const auto& it = positions[n];
+      // After a stall, what nobody waits for any more would delay the rest.
+      if (std::chrono::steady_clock::now() >= until) {
+        break;
+      }
       try {
         if (it.segment != opened) {
           opened = 0;
@@ -455,10 +461,12 @@
 }
 
 void DiskLog::Read(std::vector<LogPosition> positions,
+                   TimePoint until,
                    std::function<void(std::vector<std::string>)> done) {
   {
     const std::lock_guard lock(impl_->mutex);
-    impl_->readings.push_back({std::move(positions), std::move(done)});
+    impl_->readings.push_back(
+        {std::move(positions), until, std::move(done)});
   }
   if (!impl_->reader.joinable()) {
     impl_->reader = std::thread([impl = impl_.get()] { impl->RunReader(); });
--- a/source/storage/disk_log.h
+++ b/source/storage/disk_log.h
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include "core/log_position.h"
+#include "core/time_point.h"
 #include "net/loop.h"
 
 namespace comfreyfold {
@@ -34,8 +35,10 @@
   LogPosition Append(const std::string& entry, std::function<void(bool)> done);
 
   // Reads the entries at `positions`. `done` runs on the event loop and
-  // receives them in this order; an entry that cannot be read is empty.
+  // receives them in this order; an entry that cannot be read, or whose turn
+  // has not come by `until`, is empty.
   void Read(std::vector<LogPosition> positions,
+            TimePoint until,
             std::function<void(std::vector<std::string>)> done);
 
   // Replaces the file `name` of the folder as WriteFileDurably() does, without
--- a/source/storage/storage_node.cc
+++ b/source/storage/storage_node.cc
@@ -504,11 +504,12 @@
                                const std::vector<std::size_t>& dropped,
                                std::vector<TurnRecord>& turns) {
   const auto reading = std::make_shared<Reading>(loop_);
-  disk_log_.Read(positions, [reading](std::vector<std::string> entries) {
-    reading->entries = std::move(entries);
-    reading->ended = true;
-    reading->changed.NotifyAll();
-  });
+  disk_log_.Read(positions, std::chrono::steady_clock::now() + kReadTimeout,
+                 [reading](std::vector<std::string> entries) {
+                   reading->entries = std::move(entries);
+                   reading->ended = true;
+                   reading->changed.NotifyAll();
+                 });
   reading->changed.WaitUntil(fiber, kReadTimeout,
                              [&reading] { return reading->ended; });
   for (std::size_t n = 0; n < dropped.size(); ++n) {
--- a/tests/vm/disk_log_test.cc
+++ b/tests/vm/disk_log_test.cc
@@ -1,6 +1,8 @@
 #include <stdlib.h>
+#include <sys/stat.h>
 
 #include <atomic>
+#include <chrono>
 #include <filesystem>
 #include <fstream>
 #include <functional>
@@ -40,6 +42,10 @@
   fs::path path_;
 };
 
+TimePoint Soon() {
+  return std::chrono::steady_clock::now() + std::chrono::seconds(20);
+}
+
 // Appends `entries` and waits until all of them are on disk.
 void AppendEntries(const TempFolder& folder,
                    const std::vector<std::string>& entries) {
@@ -114,7 +120,7 @@
     Loop loop;
     DiskLog log(loop, folder.path());
     std::vector<std::string> out;
-    log.Read(positions, [&](std::vector<std::string> found) {
+    log.Read(positions, Soon(), [&](std::vector<std::string> found) {
       out = std::move(found);
       loop.Stop();
     });
@@ -201,7 +207,7 @@
   LogPosition position;
   position = log.Append("three", [&](bool written) {
     stored = written;
-    log.Read({position}, [&](std::vector<std::string> entries) {
+    log.Read({position}, Soon(), [&](std::vector<std::string> entries) {
       found = entries.front();
       loop.Stop();
     });
@@ -213,6 +219,35 @@
   BOOST_TEST(found == (stored ? "three" : ""));
 }
 
+// Readings that nobody waited for any more kept those of later requests waiting
+// after a stall of the disk, beyond their time too.
+BOOST_AUTO_TEST_CASE(reading_is_left_out_once_its_time_is_over) {
+  const TempFolder folder;
+  const auto stalled = folder.path() + "/segment-77";
+  Loop loop;
+  DiskLog log(loop, folder.path());
+  BOOST_REQUIRE(mkfifo(stalled.c_str(), S_IRUSR | S_IWUSR) == 0);
+  std::string late = "none";
+  std::string in_time = "none";
+  LogPosition position;
+  position = log.Append("one", [&](bool written) {
+    BOOST_TEST(written);
+    log.Read({{77, 0, 10}}, Soon(), [](const auto&) {});
+    log.Read({position}, std::chrono::steady_clock::now(),
+             [&](const auto& entries) { late = entries.front(); });
+    log.Read({position}, Soon(), [&](const auto& entries) {
+      in_time = entries.front();
+      loop.Stop();
+    });
+    // Ends the stall: to open it for reading waits for this.
+    const std::ofstream file(stalled);
+  });
+  loop.Spawn([](Fiber& fiber) { fiber.Sleep(std::chrono::seconds(20)); });
+  loop.Run();
+  BOOST_TEST(late.empty());
+  BOOST_TEST(in_time == "one");
+}
+
 BOOST_AUTO_TEST_CASE(file_is_replaced_atomically) {
   const TempFolder folder;
   WriteFileDurably(folder.path(), "disk", "first");
