New chains are stored on disks with room for them first

Callers: where disks are used unevenly, as those of a data centre with most of the traffic, the loss of another disk could still bring storage_full for all turns.

Cause: a new chain is admitted once enough disks have room for it, but its turns went to the near disk as long as that took any, and used up what it had left for the copies that follow a loss.

Evidence: new_chains_go_to_disks_with_room_for_them: the near disk got the second chain before, and gets only the turn that goes on with its first chain now.

--- a/source/storage/storage_client.h
+++ b/source/storage/storage_client.h
@@ -153,12 +153,15 @@
   bool HasAllDisks() const;
   // Whether a disk takes no turn, even one that has run.
   bool HasDiskWithoutRoom() const;
-  // Puts disks without room after others and failing ones last, and leaves out
-  // those that take no turn.
-  std::vector<StorageMember> SortByRoom(
-      std::vector<StorageMember> members) const;
-  // `root` is the id of the first turn of the chain.
+  // The room that a disk should have for a turn.
+  DiskRoom RoomWanted(bool begins_chain) const;
+  // Puts disks without the room `wanted` after others and failing ones last,
+  // and leaves out those that take no turn.
+  std::vector<StorageMember> SortByRoom(std::vector<StorageMember> members,
+                                        DiskRoom wanted) const;
+  // `root` is the id of the first turn of the chain of the turn `id`.
   ReplicaClient::Plan PlanForTurn(const StorageList& list,
+                                  const std::string& id,
                                   const std::string& root,
                                   const TokenUse& use) const;
   // Loads `turn` and the turns before it, newest first. Returns no turn if one
--- a/source/storage/storage_client_room.cc
+++ b/source/storage/storage_client_room.cc
@@ -23,11 +23,17 @@
              [this](const auto& it) { return replicas_.IsFailing(it); });
 }
 
+// A turn that begins a chain leaves room for the loss of disks, unless one is
+// lost.
+DiskRoom StorageClient::RoomWanted(bool begins_chain) const {
+  return begins_chain && HasAllDisks() ? DiskRoom::kNewChains
+                                       : DiskRoom::kNewTurns;
+}
+
 // The room of a dead disk is of no use to a turn.
 std::chrono::milliseconds StorageClient::RoomForTurnIn(
     bool begins_chain) const {
-  const auto wanted = begins_chain && HasAllDisks() ? DiskRoom::kNewChains
-                                                    : DiskRoom::kNewTurns;
+  const auto wanted = RoomWanted(begins_chain);
   std::vector<std::string> all;
   std::vector<std::string> alive;
   for (const auto& it : view_.storage_list().Writable()) {
@@ -71,7 +77,8 @@
 }
 
 std::vector<StorageMember> StorageClient::SortByRoom(
-    std::vector<StorageMember> members) const {
+    std::vector<StorageMember> members,
+    DiskRoom wanted) const {
   const auto now = std::chrono::steady_clock::now();
   const auto room = [this, now](const StorageMember& it) {
     return known_room_.Of(it.disk, now);
@@ -79,8 +86,8 @@
   std::erase_if(members, [&room](const auto& it) {
     return room(it) == DiskRoom::kNothing;
   });
-  const auto rank = [this, &room](const StorageMember& it) {
-    return std::pair(replicas_.IsFailing(it), room(it) > DiskRoom::kNewTurns);
+  const auto rank = [this, &room, wanted](const StorageMember& it) {
+    return std::pair(replicas_.IsFailing(it), room(it) > wanted);
   };
   std::stable_sort(
       members.begin(), members.end(),
--- a/source/storage/storage_client_turns.cc
+++ b/source/storage/storage_client_turns.cc
@@ -125,6 +125,7 @@
 // program's budget come before the other disks, and SortByPreference() then
 // puts near disks that answer first.
 ReplicaClient::Plan StorageClient::PlanForTurn(const StorageList& list,
+                                               const std::string& id,
                                                const std::string& root,
                                                const TokenUse& use) const {
   const auto replica_disks =
@@ -141,7 +142,8 @@
                replica_disks.end();
       });
   ReplicaClient::Plan plan;
-  plan.targets = SortByRoom(replicas_.SortByPreference(std::move(members)));
+  plan.targets = SortByRoom(replicas_.SortByPreference(std::move(members)),
+                            RoomWanted(id == root));
   plan.initial_targets = static_cast<std::size_t>(tolerated_losses_) + 1;
   return plan;
 }
@@ -283,7 +285,9 @@
   }
   request.ids = chain;
   const auto settlement =
-      BeginSettlement(use, PlanForTurn(view_.storage_list(), root, use),
+      BeginSettlement(use,
+                      PlanForTurn(view_.storage_list(),
+                                  request.turns.front().id, root, use),
                       TimeLeft(settle_until));
   StoreTurnResult out;
   StorageReplies replies;
@@ -328,8 +332,9 @@
   const auto copies = static_cast<std::size_t>(tolerated_losses_) + 1;
   replies = CallWithCurrentList(
       fiber, request, TimeLeft(deadline),
-      [this, &root, &use](const StorageList& list) {
-        return PlanForTurn(list, root, use);
+      [this, &id = request.turns.front().id, &root,
+       &use](const StorageList& list) {
+        return PlanForTurn(list, id, root, use);
       },
       [copies](const StorageList& list, const StorageReplies& it) {
         return !list.members.empty() && CountAllDone(it) >= copies;
