--- a/source/storage/storage_client_turns.cc
+++ b/source/storage/storage_client_turns.cc
@@ -284,11 +284,10 @@
     request.uses = {use};
   }
   request.ids = chain;
-  const auto settlement =
-      BeginSettlement(use,
-                      PlanForTurn(view_.storage_list(),
-                                  request.turns.front().id, root, use),
-                      TimeLeft(settle_until));
+  const auto settlement = BeginSettlement(
+      use,
+      PlanForTurn(view_.storage_list(), request.turns.front().id, root, use),
+      TimeLeft(settle_until));
   StoreTurnResult out;
   StorageReplies replies;
   while (!out.durable && TimeLeft(deadline).count() > 0 &&
@@ -332,10 +331,8 @@
   const auto copies = static_cast<std::size_t>(tolerated_losses_) + 1;
   replies = CallWithCurrentList(
       fiber, request, TimeLeft(deadline),
-      [this, &id = request.turns.front().id, &root,
-       &use](const StorageList& list) {
-        return PlanForTurn(list, id, root, use);
-      },
+      [this, &id = request.turns.front().id, &root, &use](
+          const StorageList& list) { return PlanForTurn(list, id, root, use); },
       [copies](const StorageList& list, const StorageReplies& it) {
         return !list.members.empty() && CountAllDone(it) >= copies;
       });
--- a/tests/vm/dead_disk_room_test.cc
+++ b/tests/vm/dead_disk_room_test.cc
@@ -85,16 +85,16 @@
   for (const auto* disk : {"near", "far-1", "far-2"}) {
     const std::string name = disk;
     const bool near = name == "near";
-    auto* server = new HttpServer(*loop, [&stored, name, near](
-                                             Fiber&, const HttpRequest& request,
-                                             HttpExchange& it) {
-      for (const auto& turn : DecodeStorageRequest(request.body).turns) {
-        stored[name].push_back(turn.id);
-      }
-      StorageReply reply;
-      reply.new_chains_in = near ? kRoomIn : milliseconds(0);
-      it.Reply(200, "", Encode(reply));
-    });
+    auto* server = new HttpServer(
+        *loop, [&stored, name, near](Fiber&, const HttpRequest& request,
+                                     HttpExchange& it) {
+          for (const auto& turn : DecodeStorageRequest(request.body).turns) {
+            stored[name].push_back(turn.id);
+          }
+          StorageReply reply;
+          reply.new_chains_in = near ? kRoomIn : milliseconds(0);
+          it.Reply(200, "", Encode(reply));
+        });
     list.members.push_back(
         {name, name, server->Listen("127.0.0.1:0"), near ? "north" : "south"});
   }
