--- a/tests/vm/disk_log_test.cc
+++ b/tests/vm/disk_log_test.cc
@@ -1,5 +1,11 @@
+#include <sys/stat.h>
+
+#include <atomic>
+#include <chrono>
 #include <filesystem>
 #include <fstream>
+#include <functional>
+#include <thread>
 #include <vector>
 
 #include <boost/test/unit_test.hpp>
@@ -32,6 +38,10 @@
   fs::path path_;
 };
 
+TimePoint Soon() {
+  return std::chrono::steady_clock::now() + std::chrono::seconds(20);
+}
+
 // Appends `entries` and waits until all of them are on disk.
 void AppendEntries(const TempFolder& folder,
                    const std::vector<std::string>& entries) {
@@ -106,7 +116,7 @@
     Loop loop;
     DiskLog log(loop, folder.path());
     std::vector<std::string> out;
-    log.Read(positions, [&](std::vector<std::string> found) {
+    log.Read(positions, Soon(), [&](std::vector<std::string> found) {
       out = std::move(found);
       loop.Stop();
     });
@@ -149,6 +159,91 @@
              boost::test_tools::per_element());
 }
 
+// Holds up a thread that writes, call by call.
+class StepwiseWriter {
+ public:
+  explicit StepwiseWriter(DiskLog& log) {
+    log.BeforeWrite([this] {
+      const auto call = ++begun_;
+      while (allowed_ < call) {
+        std::this_thread::yield();
+      }
+    });
+  }
+  void AwaitCall(int call) const {
+    while (begun_ < call) {
+      std::this_thread::yield();
+    }
+  }
+  void Allow(int calls) { allowed_ = calls; }
+
+ private:
+  std::atomic<int> begun_{0};
+  std::atomic<int> allowed_{0};
+};
+
+// It was reported as stored at an offset where the segment has nothing.
+BOOST_AUTO_TEST_CASE(entry_after_one_that_was_not_written_is_at_its_position) {
+  constexpr int kCalls = 3;
+  const TempFolder folder;
+  Loop loop;
+  DiskLog log(loop, folder.path());
+  StepwiseWriter writer(log);
+  const auto ignore = [](bool) {};
+  log.ReplaceFile("members", "", ignore);
+  writer.AwaitCall(1);
+  // A write to this one fails, and the entry of the next segment with it.
+  fs::create_directory(folder.path() + "/segment-1");
+  log.Append(std::string(5000000, 'a'), ignore);
+  BOOST_TEST(log.Append("two", ignore).segment == 2);
+  writer.Allow(1);
+  writer.AwaitCall(2);
+  bool stored = false;
+  std::string found;
+  LogPosition position;
+  position = log.Append("three", [&](bool written) {
+    stored = written;
+    log.Read({position}, Soon(), [&](std::vector<std::string> entries) {
+      found = entries.front();
+      loop.Stop();
+    });
+  });
+  BOOST_TEST(position.segment == 2);
+  writer.Allow(kCalls);
+  loop.Spawn([](Fiber& fiber) { fiber.Sleep(std::chrono::seconds(20)); });
+  loop.Run();
+  BOOST_TEST(found == (stored ? "three" : ""));
+}
+
+// Readings that nobody waited for any more kept those of later requests waiting
+// after a stall of the disk, beyond their time too.
+BOOST_AUTO_TEST_CASE(reading_is_left_out_once_its_time_is_over) {
+  const TempFolder folder;
+  const auto stalled = folder.path() + "/segment-77";
+  Loop loop;
+  DiskLog log(loop, folder.path());
+  BOOST_REQUIRE(mkfifo(stalled.c_str(), S_IRUSR | S_IWUSR) == 0);
+  std::string late = "none";
+  std::string in_time = "none";
+  LogPosition position;
+  position = log.Append("one", [&](bool written) {
+    BOOST_TEST(written);
+    log.Read({{77, 0, 10}}, Soon(), [](const auto&) {});
+    log.Read({position}, std::chrono::steady_clock::now(),
+             [&](const auto& entries) { late = entries.front(); });
+    log.Read({position}, Soon(), [&](const auto& entries) {
+      in_time = entries.front();
+      loop.Stop();
+    });
+    // Ends the stall: to open it for reading waits for this.
+    const std::ofstream file(stalled);
+  });
+  loop.Spawn([](Fiber& fiber) { fiber.Sleep(std::chrono::seconds(20)); });
+  loop.Run();
+  BOOST_TEST(late.empty());
+  BOOST_TEST(in_time == "one");
+}
+
 BOOST_AUTO_TEST_CASE(file_is_replaced_atomically) {
   const TempFolder folder;
   WriteFileDurably(folder.path(), "disk", "first");
