--- a/source/storage/replica_client.cc
+++ b/source/storage/replica_client.cc
@@ -213,6 +213,7 @@
     return;
   }
   probed_at = now;
+  ++counts_.probes;
   // After a failure the probe opens a connection first.
   const auto limit = last_failures_.count(member.address) > 0
                          ? std::max(timeout, kConnectTimeout)
@@ -305,6 +306,7 @@
     }
     ++call->ended;
     call->failed += answered ? 0 : 1;
+    counts_.failed += answered ? 0 : 1;
     state.ended = true;
     call->changed.NotifyAll();
   });
@@ -316,16 +318,20 @@
     const auto it = regained_at_.find(call->plan.targets[n].address);
     if (!state.ended && state.sends < kMaxSends && it != regained_at_.end() &&
         it->second > state.started_at) {
+      ++counts_.resent;
       Send(call, n);
     }
   }
 }
 
-void ReplicaClient::StartNext(const std::shared_ptr<MultiCall>& call,
-                              std::size_t n) {
+int ReplicaClient::StartNext(const std::shared_ptr<MultiCall>& call,
+                             std::size_t n) {
+  int started = 0;
   for (; n > 0 && call->started < call->plan.targets.size(); --n) {
     StartSend(call, call->started);
+    ++started;
   }
+  return started;
 }
 
 void ReplicaClient::SuspectOverdue(MultiCall& call) {
@@ -359,6 +365,7 @@
   auto probe_at = started_at + kProbeDelay;
   for (std::size_t n = 0; n < std::min(plan.initial_targets, count); ++n) {
     hedge_budget_.OnRequestSent();
+    ++counts_.first;
     StartSend(call, n);
   }
   std::size_t replacements = 0;
@@ -368,10 +375,12 @@
     // each hedge delay, as far as the hedge budget permits.
     while (call->started < count && replacements < call->failed) {
       ++replacements;
+      ++counts_.widened;
       StartSend(call, call->started);
     }
     if (call->ended == call->started) {
-      StartNext(call, std::max<std::size_t>(1, call->started * kWidenFactor));
+      counts_.widened += StartNext(
+          call, std::max<std::size_t>(1, call->started * kWidenFactor));
     }
     if (now >= probe_at) {
       probe_at = now + kProbeInterval;
@@ -381,11 +390,12 @@
     if (now >= overdue_at) {
       overdue_at = now + kOverdueTime;
       SuspectOverdue(*call);
-      StartNext(call, 1);
+      counts_.overdue += StartNext(call, 1);
     }
     if (call->started < count && now >= hedge_at) {
       hedge_at = now + kHedgeDelay;
       if (hedge_budget_.TrySpend()) {
+        ++counts_.hedges;
         StartSend(call, call->started);
       }
     }
--- a/source/storage/replica_client.h
+++ b/source/storage/replica_client.h
@@ -5,6 +5,7 @@
 #include <functional>
 #include <map>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "core/hedge_budget.h"
@@ -12,6 +13,7 @@
 #include "core/time_point.h"
 #include "net/http_client.h"
 #include "net/loop.h"
+#include "storage/send_counts.h"
 #include "wire/storage_messages.h"
 
 namespace comfreyfold {
@@ -74,6 +76,9 @@
   // budget.
   bool TakeRetry() { return hedge_budget_.TrySpend(); }
 
+  // Returns the requests sent since the last call.
+  SendCounts TakeCounts() { return std::exchange(counts_, {}); }
+
   // Sets a function that returns the addresses of daemons that can forward a
   // request when a storage daemon cannot be reached directly.
   void SetRelays(std::function<std::vector<std::string>()> relays) {
@@ -106,8 +111,8 @@
     SendResult result = SendResult::kNoAnswer;
   };
 
-  // Starts `n` further targets, as far as there are any.
-  void StartNext(const std::shared_ptr<MultiCall>& call, std::size_t n);
+  // Starts `n` further targets, as far as there are any. Returns how many.
+  int StartNext(const std::shared_ptr<MultiCall>& call, std::size_t n);
   // Makes other calls prefer other targets to those that have not answered for
   // long. Such a target counts as failed unless the request needs the disk.
   void SuspectOverdue(MultiCall& call);
@@ -175,6 +180,7 @@
   std::map<std::string, TimePoint> relay_failed_at_;  // By address.
   TimePoint answered_at_{};  // When any member last answered directly.
   HedgeBudget hedge_budget_;
+  SendCounts counts_;
   std::function<void(const StorageMember&, bool)> on_reachability_change_;
   std::function<void(const StorageMember&, const StorageReply&)> on_reply_;
 };
--- a/source/storage/replica_client_relays.cc
+++ b/source/storage/replica_client_relays.cc
@@ -61,6 +61,7 @@
       return false;
     }
     ++tries;
+    ++counts_.relayed;
     const auto limit = std::min(
         remaining,
         stores_turns ? std::max(kRelayTimeout, remaining / 2) : kRelayTimeout);
--- a/source/storage/storage_client.h
+++ b/source/storage/storage_client.h
@@ -115,6 +115,8 @@
   // Sends all settlements without waiting for the programs' next reservations,
   // before a planned stop.
   void SendQueuedSettlements();
+  // Logs how many requests were sent, and why, since the last call.
+  void LogSent();
   // Whether settlements are queued or being sent.
   bool sending() const {
     return settlements_.size() > 0 || sent_settlements_ > 0;
--- a/source/storage/storage_node.cc
+++ b/source/storage/storage_node.cc
@@ -152,6 +152,8 @@
     exchange.Reply(kBadRequest, "text/plain", e.what());
     return;
   }
+  counts_.Add(decoded);
+  counts_.abandoned += exchange.PeerGone() ? 1 : 0;
   StorageReply reply;
   if (request.Path() != kStoragePath + disk_) {
     reply.status = StorageStatus::kOtherDisk;
--- a/source/storage/storage_node.h
+++ b/source/storage/storage_node.h
@@ -7,6 +7,7 @@
 #include <memory>
 #include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "core/room_limits.h"
@@ -16,6 +17,7 @@
 #include "fleet/fleet_view.h"
 #include "net/http_server.h"
 #include "storage/disk_log.h"
+#include "storage/request_counts.h"
 #include "storage/unwritten_records.h"
 #include "wire/storage_messages.h"
 
@@ -66,6 +68,9 @@
   const RoomLimits& room_limits() const { return room_limits_; }
   const TokenLedgers& tokens() const { return tokens_; }
 
+  // Returns the requests received since the last call.
+  RequestCounts TakeCounts() { return std::exchange(counts_, {}); }
+
   // Removes expired turns and token uses, and closed log segments that are no
   // longer needed. Writes again what the disk refused.
   void Expire();
@@ -127,6 +132,7 @@
   std::chrono::milliseconds room_at_{0};
   std::chrono::milliseconds room_estimated_at_{0};
   std::string disk_;
+  RequestCounts counts_;
   DiskLog disk_log_;
   TurnIndex turns_;
   TokenLedgers tokens_;
--- a/source/vm/vm_daemon.cc
+++ b/source/vm/vm_daemon.cc
@@ -5,6 +5,7 @@
 
 #include "core/hash.h"
 #include "net/repeat.h"
+#include "vm/load_log.h"
 #include "vm/memory_shares.h"
 #include "vm/storage_gauges.h"
 #include "vm/storage_relay.h"
@@ -132,6 +133,11 @@
   fleet_sync_.SetInterval([this] { return FleetSyncInterval(); });
   fleet_sync_.SetSources([this] { return FleetSyncSources(); });
   loop_.Spawn([this](Fiber& fiber) { fleet_sync_.Run(fiber); });
+  loop_.Spawn([this](Fiber& fiber) { loop_delay_.Run(fiber); });
+  loop_.Spawn([this](Fiber& fiber) {
+    LogLoad(fiber, log_, loop_delay_, storage_node_.get(),
+            storage_client_.get());
+  });
   store_watcher_.Start();
 }
 
--- a/source/vm/vm_daemon.h
+++ b/source/vm/vm_daemon.h
@@ -20,6 +20,7 @@
 #include "log/metrics.h"
 #include "net/http_client.h"
 #include "net/http_server.h"
+#include "net/loop_delay.h"
 #include "storage/fleet_state_file.h"
 #include "storage/storage_client.h"
 #include "storage/storage_membership_manager.h"
@@ -101,6 +102,7 @@
   std::shared_ptr<MemoryBudget> answers_memory_;
   std::shared_ptr<MemoryBudget> peer_bodies_memory_;
   Metrics metrics_;
+  LoopDelay loop_delay_;
   FleetView view_;
   StoreWatcher store_watcher_;
   FleetSync fleet_sync_;
