Accept waiting connections together

What is sent to a daemon that has just failed opens a connection, and an acceptor took one connection in a turn of the loop, behind all other work: requests waited in the backlog longer than a probe waits, so that the daemon counted as failing again.

An acceptor now takes up to 64 waiting connections at once.

That this is the cause of all abandoned requests is suspected, not yet shown.

--- a/source/net/http_server.cc
+++ b/source/net/http_server.cc
@@ -24,6 +24,8 @@
 namespace {
 
 constexpr std::chrono::milliseconds kAcceptRetryDelay{50};
+// Connections accepted before the loop does other work.
+constexpr int kMaxAcceptedTogether = 64;
 constexpr std::chrono::seconds kDiscardTimeout{1};
 constexpr std::chrono::milliseconds kConnectionLimitRetryAfter{1000};
 // How often a connection without a request is checked for one at the end of a
@@ -112,6 +114,7 @@
     acceptor.async_accept(socket, YieldToken(fiber)[ec]);
     if (!ec) {
       StartSession(std::move(socket));
+      AcceptWaiting();
     } else if (!draining) {
       // The process is probably out of file descriptors: wait until some
       // connections have been closed.
@@ -140,17 +143,31 @@
         [this, counted](Fiber& child) { ServeConnection(child, counted); });
   }
 
-  // Accepts the connections that clients have opened already: closing the
+  // Accepts further connections that clients have opened already. One at a
+  // time, each would wait for all that the loop has to do in between.
+  void AcceptWaiting() {
+    boost::system::error_code ec;
+    acceptor.non_blocking(true, ec);
+    for (int n = 0; !ec && n < kMaxAcceptedTogether; ++n) {
+      AcceptNow(ec);
+    }
+  }
+
+  // Accepts all connections that clients have opened already: closing the
   // acceptor would reset them.
   void AcceptQueued() {
     boost::system::error_code ec;
     acceptor.non_blocking(true, ec);
     while (!ec) {
-      tcp::socket socket(loop.impl().io);
-      acceptor.accept(socket, ec);
-      if (!ec) {
-        StartSession(std::move(socket));
-      }
+      AcceptNow(ec);
+    }
+  }
+
+  void AcceptNow(boost::system::error_code& ec) {
+    tcp::socket socket(loop.impl().io);
+    acceptor.accept(socket, ec);
+    if (!ec) {
+      StartSession(std::move(socket));
     }
   }
 
