Bound all repeats of storage requests by one budget; adapt probes to load

Cause: metastable overload. Once storage daemons answered late, a probe that took 150 ms made a daemon unreachable, its next answer made it reachable, and all waiting requests were sent to it once more: 9,734 and 11,856 requests in 2 s beside 15,000 to 17,000 first ones ("resent" in storage_sent), 3,500 probes, 17,000 by relays. An overdue target was replaced every 200 ms whatever the budget. Each request to a daemon that had failed opened a connection.

All repeats now draw on the hedge budget, a part of which is kept for targets that are overdue or were unreachable. The time after which a probe counts as missed follows the answers of the daemon, up to 1 s, and late daemons are probed less often. A failure closes the idle connections to the daemon instead of having each request open one until it answers.

Tests: vm_replica_client, repeats_stay_few_while_all_daemons_are_late: 338 requests before, at most 260 allowed; adaptive_timeout.

--- a/source/net/http_client.cc
+++ b/source/net/http_client.cc
@@ -230,6 +230,10 @@
   impl_->added_headers.emplace_back(std::move(prefix), std::move(header));
 }
 
+void HttpClient::CloseIdle(const std::string& address) {
+  impl_->idle.erase(address);
+}
+
 void HttpClient::OnSent(
     std::function<void(const HttpRequest&, std::size_t)> hook) {
   impl_->on_sent = std::move(hook);
--- a/source/net/http_client.h
+++ b/source/net/http_client.h
@@ -99,6 +99,9 @@
                            const std::string& address,
                            std::chrono::milliseconds timeout);
 
+  // Closes the idle connections to `address`, which may be dead.
+  void CloseIdle(const std::string& address);
+
   // Adds `header` to each request whose target starts with `prefix`.
   void AddHeader(std::string prefix, HttpHeader header);
 
--- a/source/storage/replica_client.cc
+++ b/source/storage/replica_client.cc
@@ -16,8 +16,8 @@
 constexpr std::chrono::milliseconds kHedgeDelay{40};
 constexpr std::chrono::milliseconds kConnectTimeout{300};
 // A target that has not answered by then is avoided by further calls. Another
-// target is then called even if the hedge budget is spent: a call must not wait
-// for a disk that has just died until its timeout.
+// target is then called from the reserve of the hedge budget: a call must not
+// wait for a disk that has just died until its timeout.
 constexpr std::chrono::milliseconds kOverdueTime{200};
 // Further targets per target called so far, when all of these have answered and
 // it is not enough: one, then four more, then all.
@@ -27,10 +27,14 @@
 constexpr int kFailuresWhenCutOff = 2;
 // Targets that do not answer a request that needs the disk are probed after
 // this time, again after the interval, and are unreachable if no answer comes.
-// A frozen or disconnected one is known about as soon as kOverdueTime.
+// A frozen or disconnected one is known about as soon as kOverdueTime. One that
+// answers late for lack of processor time is given longer, and probed as many
+// times less often.
 constexpr std::chrono::milliseconds kProbeDelay{100};
 constexpr std::chrono::milliseconds kProbeInterval{300};
 constexpr std::chrono::milliseconds kProbeTimeout{150};
+constexpr std::chrono::milliseconds kMaxProbeTimeout{1000};
+constexpr int kTimeoutsPerProbe = 2;
 // Sends of a request to one target. A daemon that is short of processor time
 // may fail and regain often.
 constexpr int kMaxSends = 2;
@@ -68,8 +72,9 @@
   struct Target {
     TimePoint started_at{};  // Of the last send.
     int sends = 0;
-    bool ended = false;      // Has answered or failed.
-    bool suspected = false;  // Is overdue.
+    bool ended = false;        // Has answered or failed.
+    bool suspected = false;    // Is overdue.
+    bool unreachable = false;  // Has been reported to be.
   };
   std::vector<Target> states;  // Of the started targets.
 };
@@ -113,6 +118,8 @@
     }
   } else {
     last_failures_[member.address] = {std::chrono::steady_clock::now(), result};
+    // The connections in the pool may be dead although a new one works.
+    http_.CloseIdle(member.address);
   }
   if (on_reachability_change_ && was_unreachable == answered) {
     on_reachability_change_(member, answered);
@@ -182,8 +189,6 @@
   options.connect_timeout = std::min(kConnectTimeout, timeout);
   options.idle_timeout = timeout;
   options.total_timeout = timeout;
-  // After a failure the pooled connection may be dead although a new one works.
-  options.fresh_connection = last_failures_.count(address) > 0;
   options.body = &body;
   HttpRequest request{"POST", kStoragePath + disk, {}, ""};
   if (!relay_time.empty()) {
@@ -218,12 +223,19 @@
   const auto limit = last_failures_.count(member.address) > 0
                          ? std::max(timeout, kConnectTimeout)
                          : timeout;
-  loop_.Spawn([this, member, limit](Fiber& fiber) {
+  loop_.Spawn([this, member, limit, now](Fiber& fiber) {
     StorageRequest probe_request;
     probe_request.operation = StorageOperation::kAdopt;
     StorageReply reply;
     const auto result = SendTo(fiber, member.address, member.disk,
                                Encode(probe_request), {}, limit, reply);
+    auto& time = AnswerTime(member.address);
+    if (result == SendResult::kAnswered) {
+      time.OnAnswer(std::chrono::duration_cast<std::chrono::milliseconds>(
+          std::chrono::steady_clock::now() - now));
+    } else if (result == SendResult::kNoAnswer && limit >= time.Get()) {
+      time.OnMiss();
+    }
     RecordResult(member, result);
     if (result == SendResult::kAnswered && on_reply_) {
       on_reply_(member, reply);
@@ -231,10 +243,20 @@
   });
 }
 
+AdaptiveTimeout& ReplicaClient::AnswerTime(const std::string& address) {
+  return answer_times_.try_emplace(address, kProbeTimeout, kMaxProbeTimeout)
+      .first->second;
+}
+
+void ReplicaClient::ProbeLate(const StorageMember& member) {
+  const auto timeout = AnswerTime(member.address).Get();
+  Probe(member, std::max(kProbeInterval, kTimeoutsPerProbe * timeout), timeout);
+}
+
 void ReplicaClient::ProbeWaiting(const MultiCall& call) {
   for (std::size_t n = 0; n < call.states.size(); ++n) {
     if (!call.states[n].ended) {
-      Probe(call.plan.targets[n], kProbeInterval, kProbeTimeout);
+      ProbeLate(call.plan.targets[n]);
     }
   }
 }
@@ -252,12 +274,17 @@
       result == SendResult::kNoAnswer && now - sent_at >= call.plan.timeout;
   if (call.needs_disk && timed_out) {
     slow_at_[target.address] = now;
-    Probe(target, kProbeInterval, kProbeTimeout);
+    ProbeLate(target);
     return;
   }
-  if (call.needs_disk && result == SendResult::kAnswered &&
-      !call.states[n].suspected) {
-    slow_at_.erase(target.address);
+  if (result == SendResult::kAnswered && !call.states[n].suspected) {
+    if (call.needs_disk) {
+      slow_at_.erase(target.address);
+    } else {
+      AnswerTime(target.address)
+          .OnAnswer(std::chrono::duration_cast<std::chrono::milliseconds>(
+              now - sent_at));
+    }
   }
   RecordResult(target, result);
 }
@@ -317,7 +344,7 @@
     const auto& state = call->states[n];
     const auto it = regained_at_.find(call->plan.targets[n].address);
     if (!state.ended && state.sends < kMaxSends && it != regained_at_.end() &&
-        it->second > state.started_at) {
+        it->second > state.started_at && hedge_budget_.TrySpendReserve()) {
       ++counts_.resent;
       Send(call, n);
     }
@@ -338,16 +365,21 @@
   const auto now = std::chrono::steady_clock::now();
   for (std::size_t n = 0; n < call.states.size(); ++n) {
     auto& state = call.states[n];
-    if (state.ended || state.suspected ||
-        now - state.started_at < kOverdueTime) {
+    const auto& target = call.plan.targets[n];
+    const auto late = now - state.started_at;
+    if (state.ended || late < kOverdueTime) {
       continue;
     }
-    state.suspected = true;
-    if (call.needs_disk) {
-      slow_at_[call.plan.targets[n].address] = now;
-    } else {
-      RecordResult(call.plan.targets[n], SendResult::kNoAnswer);
+    if (!state.suspected) {
+      slow_at_[target.address] = now;
     }
+    const bool unreachable =
+        !call.needs_disk && late >= AnswerTime(target.address).Get();
+    if (unreachable && !state.unreachable) {
+      RecordResult(target, SendResult::kNoAnswer);
+    }
+    state.suspected = true;
+    state.unreachable = state.unreachable || unreachable;
   }
 }
 
@@ -390,7 +422,9 @@
     if (now >= overdue_at) {
       overdue_at = now + kOverdueTime;
       SuspectOverdue(*call);
-      counts_.overdue += StartNext(call, 1);
+      if (call->started < count && hedge_budget_.TrySpendReserve()) {
+        counts_.overdue += StartNext(call, 1);
+      }
     }
     if (call->started < count && now >= hedge_at) {
       hedge_at = now + kHedgeDelay;
--- a/source/storage/replica_client.h
+++ b/source/storage/replica_client.h
@@ -8,6 +8,7 @@
 #include <utility>
 #include <vector>
 
+#include "core/adaptive_timeout.h"
 #include "core/hedge_budget.h"
 #include "core/storage_list.h"
 #include "core/time_point.h"
@@ -151,6 +152,10 @@
   void Probe(const StorageMember& member,
              std::chrono::milliseconds interval,
              std::chrono::milliseconds timeout);
+  // Tests whether `member`, which owes an answer, can be reached.
+  void ProbeLate(const StorageMember& member);
+  // The time within which `address` answers what needs no disk.
+  AdaptiveTimeout& AnswerTime(const std::string& address);
   // Whether a request to `member` failed or was slow recently.
   bool IsSuspected(const StorageMember& member, TimePoint now) const;
   // Whether `member` can be reached through relays only: the last direct
@@ -170,7 +175,8 @@
   std::string data_centre_;
   // The last failure of each address that has not answered since.
   std::map<std::string, Failure> last_failures_;
-  std::map<std::string, TimePoint> probed_at_;  // By address.
+  std::map<std::string, TimePoint> probed_at_;           // By address.
+  std::map<std::string, AdaptiveTimeout> answer_times_;  // By address.
   // When a request that needs the disk was last overdue, by address.
   std::map<std::string, TimePoint> slow_at_;
   // When a failing member last answered again, by address.
--- a/tests/vm/replica_client_test.cc
+++ b/tests/vm/replica_client_test.cc
@@ -38,6 +38,8 @@
   void Stall() { stalled_ = true; }
   // It answers nothing, like one whose packets are dropped.
   void Silence() { silent_ = true; }
+  // It answers late, for lack of processor time.
+  void Delay(milliseconds time) { delay_ = time; }
   // Answers requests again. Those that came before are never answered.
   void Regain() {
     stalled_ = false;
@@ -45,6 +47,8 @@
   }
   int relayed() const { return relayed_; }
   int stores() const { return stores_; }
+  // Requests other than probes.
+  int requests() const { return requests_; }
 
  private:
   void Handle(Fiber& fiber,
@@ -54,6 +58,10 @@
     const bool store = decoded.operation == StorageOperation::kStore;
     relayed_ += request.Header(kRelayHeader).empty() ? 0 : 1;
     stores_ += store ? 1 : 0;
+    requests_ += decoded.operation == StorageOperation::kAdopt ? 0 : 1;
+    if (delay_.count() > 0) {
+      fiber.Sleep(delay_);
+    }
     if (silent_ || (stalled_ && store)) {
       opened_.WaitUntil(fiber, milliseconds(10000), [] { return false; });
     }
@@ -67,6 +75,8 @@
   bool silent_ = false;
   int relayed_ = 0;
   int stores_ = 0;
+  int requests_ = 0;
+  milliseconds delay_{0};
 };
 
 struct Daemons {
@@ -217,6 +227,33 @@
   });
 }
 
+// Each repeated request made the others later still.
+BOOST_AUTO_TEST_CASE(repeats_stay_few_while_all_daemons_are_late) {
+  WithDaemons([](Fiber& fiber, Daemons& daemons) {
+    constexpr int kCalls = 100;
+    constexpr int kMaxRequests = kCalls * 2 * 130 / 100;
+    for (const auto& it : daemons.all) {
+      it->Delay(milliseconds(300));
+    }
+    int ended = 0;
+    for (int n = 0; n < kCalls; ++n) {
+      daemons.loop.Spawn([&](Fiber& child) {
+        daemons.Call(child, StorageOperation::kChain, milliseconds(1200), 2);
+        ++ended;
+      });
+      fiber.Sleep(milliseconds(5));
+    }
+    while (ended < kCalls) {
+      fiber.Sleep(milliseconds(5));
+    }
+    int requests = 0;
+    for (const auto& it : daemons.all) {
+      requests += it->requests();
+    }
+    BOOST_TEST(requests <= kMaxRequests);
+  });
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace
