Don't handle storage requests whose sender has given up

Nobody waits for these, and the others waited for them. Turns that have run, settlements and lists are stored all the same.

Test: storage_node/reservation_whose_sender_has_given_up_is_not_stored fails before (1 program, 0 expected).

--- a/source/storage/request_counts.h
+++ b/source/storage/request_counts.h
@@ -16,7 +16,7 @@
   int uses = 0;
   int probes = 0;
   int copies = 0;     // Requests of disks that copy, and storage lists.
-  int abandoned = 0;  // The sender had gone before the request was handled.
+  int abandoned = 0;  // Not handled because the sender had gone.
 };
 
 }  // namespace comfreyfold
--- a/source/storage/storage_node.cc
+++ b/source/storage/storage_node.cc
@@ -41,6 +41,15 @@
   return disk;
 }
 
+// Whether a request is of no use once its sender has given up. A turn that has
+// run, a settlement or a list is.
+bool IsForSenderOnly(const StorageRequest& request) {
+  if (request.operation == StorageOperation::kStore) {
+    return request.turns.empty() && !request.program.empty();
+  }
+  return !request.members;
+}
+
 }  // namespace
 
 StorageNode::StorageNode(Loop& loop,
@@ -153,7 +162,10 @@
     return;
   }
   counts_.Add(decoded);
-  counts_.abandoned += exchange.PeerGone() ? 1 : 0;
+  if (IsForSenderOnly(decoded) && exchange.PeerGone()) {
+    ++counts_.abandoned;
+    return;
+  }
   StorageReply reply;
   if (request.Path() != kStoragePath + disk_) {
     reply.status = StorageStatus::kOtherDisk;
--- a/tests/vm/storage_node_test.cc
+++ b/tests/vm/storage_node_test.cc
@@ -10,12 +10,17 @@
 #include <optional>
 #include <stdexcept>
 
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/write.hpp>
 #include <boost/test/unit_test.hpp>
 
 #include "core/wall_clock.h"
+#include "net/endpoint.h"
+#include "net/loop_impl.h"
 #include "storage/replica_client.h"
 #include "storage/storage_node.h"
 #include "vm/disk_gate.h"
+#include "wire/codec.h"
 
 namespace comfreyfold {
 namespace {
@@ -108,6 +113,19 @@
     }
     BOOST_REQUIRE(what());
   }
+  // Sends `request` and closes the connection before it can be answered.
+  void SendAndLeave(const StorageRequest& request) {
+    const auto endpoint = ParseEndpoint(address_);
+    const auto body = Encode(request);
+    boost::asio::ip::tcp::socket socket(loop_.impl().io);
+    socket.connect(
+        {boost::asio::ip::make_address(endpoint->ip), endpoint->port});
+    boost::asio::write(socket,
+                       boost::asio::buffer(
+                           "POST " + std::string(kStoragePath) + node_->disk() +
+                           " HTTP/1.1\r\nHost: a\r\nContent-Length: " +
+                           std::to_string(body.size()) + "\r\n\r\n" + body));
+  }
   // Has the log remove what it no longer needs, as time passes.
   void ExpireForAWhile(Fiber& fiber) {
     constexpr int kRounds = 20;
@@ -313,6 +331,32 @@
   });
 }
 
+BOOST_AUTO_TEST_CASE(reservation_whose_sender_has_given_up_is_not_stored) {
+  WithOneDisk([](Fiber& fiber, OneDisk& disk) {
+    StorageRequest reservation;
+    reservation.program = "p";
+    reservation.uses = {UseOf("r", WallNow() + milliseconds(60000))};
+    reservation.uses.front().settled = false;
+    disk.SendAndLeave(reservation);
+    StorageRequest turn;
+    turn.turns = {{"t", "", "in", "out", WallNow() + milliseconds(60000)}};
+    disk.SendAndLeave(turn);
+    OneDisk::Await(fiber,
+                   [&] { return disk.node().turns().Find("t") != nullptr; });
+    BOOST_TEST(disk.node().tokens().size() == 0U);
+  });
+}
+
+// It is true whether or not the sender hears that it is stored.
+BOOST_AUTO_TEST_CASE(settlement_whose_sender_has_given_up_is_stored) {
+  WithOneDisk([](Fiber& fiber, OneDisk& disk) {
+    StorageRequest settlement;
+    settlement.uses = {UseOf("r", WallNow() + milliseconds(60000))};
+    disk.SendAndLeave(settlement);
+    OneDisk::Await(fiber, [&] { return disk.node().tokens().size() == 1U; });
+  });
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace
