Send reservations to quorums only while the disks change

It now goes to the first disks that are a quorum of each set together; the others follow as hedges.

Test: replica_client/disks_in_old_and_new_set_count_for_both_quorums.

--- a/source/storage/replica_replies.cc
+++ b/source/storage/replica_replies.cc
@@ -1,6 +1,8 @@
 #include "storage/replica_replies.h"
 
 #include <algorithm>
+#include <iterator>
+#include <utility>
 
 namespace comfreyfold {
 
@@ -51,6 +53,35 @@
   return out;
 }
 
+// While the list changes, the old and the new set have most disks in common.
+std::size_t MoveQuorumsToFront(const std::vector<ReplicaSet>& sets,
+                               std::vector<StorageMember>& members) {
+  std::vector<std::size_t> missing;  // Of each set.
+  missing.reserve(sets.size());
+  for (const auto& it : sets) {
+    missing.push_back(it.quorum);
+  }
+  std::vector<StorageMember> first;
+  std::vector<StorageMember> others;
+  for (auto& member : members) {
+    bool needed = false;
+    for (std::size_t n = 0; n < sets.size(); ++n) {
+      const auto& disks = sets[n].disks;
+      if (missing[n] > 0 &&
+          std::find(disks.begin(), disks.end(), member.disk) != disks.end()) {
+        --missing[n];
+        needed = true;
+      }
+    }
+    (needed ? first : others).push_back(std::move(member));
+  }
+  const auto count = first.size();
+  first.insert(first.end(), std::make_move_iterator(others.begin()),
+               std::make_move_iterator(others.end()));
+  members = std::move(first);
+  return count;
+}
+
 bool HasQuorums(const std::vector<ReplicaSet>& sets,
                 const StorageReplies& replies) {
   return !sets.empty() &&
--- a/source/storage/replica_replies.h
+++ b/source/storage/replica_replies.h
@@ -29,6 +29,11 @@
 // Returns what the disk that replied has room for.
 DiskRoom RoomIn(const StorageReply& reply);
 
+// Moves the first of `members` that are a quorum of each set together to the
+// front, in the same order. Returns how many these are.
+std::size_t MoveQuorumsToFront(const std::vector<ReplicaSet>& sets,
+                               std::vector<StorageMember>& members);
+
 // Returns the members of `list` that belong to one of `sets`.
 std::vector<StorageMember> MembersIn(const StorageList& list,
                                      const std::vector<ReplicaSet>& sets);
--- a/source/storage/storage_client.cc
+++ b/source/storage/storage_client.cc
@@ -121,8 +121,7 @@
         const auto sets = list.ReplicasOf(program, tolerated_losses_);
         ReplicaClient::Plan plan;
         plan.targets = replicas_.SortByPreference(MembersIn(list, sets));
-        plan.initial_targets =
-            list.changing() ? plan.targets.size() : sets.front().quorum;
+        plan.initial_targets = MoveQuorumsToFront(sets, plan.targets);
         return plan;
       },
       [this, &program, &complete](const StorageList& list,
