Refuse requests early while storage daemons answer too few in time

A daemon that serves clients now compares how many of its latest requests the storage daemons answered in time with how many there were, and refuses the rest at once with 503 storage_overloaded, those that begin a program first. The requests were sent to no server. Retry-After grows with the share refused, and is spread. Disks that refuse connections do not count as overloaded.

--- a/source/front/call_handler.cc
+++ b/source/front/call_handler.cc
@@ -24,6 +24,7 @@
 constexpr std::chrono::milliseconds kRetentionMargin{30000};
 constexpr std::chrono::milliseconds kNoConfigRetryAfter{200};
 constexpr std::chrono::milliseconds kStorageRetryAfter{150};
+constexpr double kMinRetrySpread = 0.5;
 // Another daemon can take the request at once.
 constexpr std::chrono::milliseconds kStoppingRetryAfter{50};
 // Kept free at the end of a planned stop for the answers to calls that are cut.
@@ -158,12 +159,15 @@
   if (auto error = CheckRoom(call)) {
     return error;
   }
+  if (auto error = CheckStorageLoad(call)) {
+    return error;
+  }
   if (call.route->retains_context) {
     if (auto error = LoadContext(fiber, call)) {
       return error;
     }
   }
-  if (call.params.token_budget && call.route->kind == RequestKind::kStream) {
+  if (ReservesTokens(call)) {
     if (auto error = ReserveTokens(fiber, call)) {
       return error;
     }
@@ -188,13 +192,56 @@
                      room_in);
 }
 
+bool CallHandler::ReservesTokens(const Call& call) {
+  return call.params.token_budget && call.route->kind == RequestKind::kStream;
+}
+
+// A request that waited for overloaded disks in vain would have cost them as
+// much as one that they answered, and its client would return as soon.
+std::optional<CallError> CallHandler::CheckStorageLoad(const Call& call) {
+  if (!ReservesTokens(call) && call.params.previous_turn.empty()) {
+    return std::nullopt;
+  }
+  const auto now = std::chrono::steady_clock::now();
+  const auto importance = call.params.previous_turn.empty()
+                              ? AdaptiveThrottle::Importance::kNewWork
+                              : AdaptiveThrottle::Importance::kStartedWork;
+  std::uniform_real_distribution<double> uniform(0, 1);
+  if (storage_throttle_.Admit(importance, uniform(random_), now)) {
+    return std::nullopt;
+  }
+  // Clients that were refused together do not return together.
+  const auto spread = kMinRetrySpread + uniform(random_);
+  return NotRunError(kUnavailable, "storage_overloaded",
+                     "the storage daemons are overloaded; retry later",
+                     std::chrono::duration_cast<std::chrono::milliseconds>(
+                         storage_throttle_.RetryAfter(now) * spread));
+}
+
+// Disks that refused connections are dead or cut off, not overloaded.
+void CallHandler::ObserveStorage(bool answered,
+                                 TimePoint start,
+                                 std::chrono::milliseconds timeout) {
+  const auto now = std::chrono::steady_clock::now();
+  if (answered) {
+    storage_throttle_.OnAnswered(now);
+  } else if (now - start >= timeout) {
+    storage_throttle_.OnTimeout(now);
+  }
+}
+
 std::optional<CallError> CallHandler::LoadContext(Fiber& fiber, Call& call) {
   if (call.params.previous_turn.empty()) {
     return std::nullopt;
   }
+  const auto start = std::chrono::steady_clock::now();
   auto chain =
       storage_.LoadChain(fiber, call.params.previous_turn,
                          std::min(kLoadChainTimeout, TimeLeft(call.deadline)));
+  // A reservation that follows tells more.
+  if (chain.found == Tristate::kUnknown || !ReservesTokens(call)) {
+    ObserveStorage(chain.found != Tristate::kUnknown, start, kLoadChainTimeout);
+  }
   if (chain.found == Tristate::kNo) {
     return NotRunError(
         kNotFound, "no_such_turn",
@@ -236,9 +283,13 @@
   use.tokens = (call.params.max_output_tokens + event_tokens - 1) /
                event_tokens * event_tokens;
   use.expires_at = WallNow() + call.route->retention + kRetentionMargin;
+  using Outcome = StorageClient::ReserveOutcome;
+  const auto start = std::chrono::steady_clock::now();
   const auto reservation =
       storage_.Reserve(fiber, use, *call.params.token_budget,
                        std::min(kReserveTimeout, TimeLeft(call.deadline)));
+  ObserveStorage(reservation.outcome != Outcome::kUnknown, start,
+                 kReserveTimeout);
   call.cached_server_id = reservation.last_server;
   if (call.params.previous_turn.empty() && reservation.used == 0) {
     call.stage =
@@ -248,7 +299,6 @@
                           reservation.program_age);
     }
   }
-  using Outcome = StorageClient::ReserveOutcome;
   if (reservation.outcome == Outcome::kGranted) {
     call.reserved_tokens = use;
     call.max_events = use.tokens / event_tokens;
--- a/source/front/call_handler.h
+++ b/source/front/call_handler.h
@@ -9,6 +9,7 @@
 #include <string>
 #include <vector>
 
+#include "core/adaptive_throttle.h"
 #include "core/call_error.h"
 #include "core/memory_budget.h"
 #include "core/program_slack.h"
@@ -57,6 +58,15 @@
   void Finish(Fiber& fiber, Call& call, const HttpReply& answer);
   // Returns false if the turn could not be stored on enough disks.
   bool PersistTurn(Fiber& fiber, Call& call);
+  static bool ReservesTokens(const Call& call);
+  // Returns an error if the request would only add to the overload of the
+  // storage daemons.
+  std::optional<CallError> CheckStorageLoad(const Call& call);
+  // Records whether storage daemons answered a request that was sent at `start`
+  // and is given up after `timeout`, or sooner if its client has less time.
+  void ObserveStorage(bool answered,
+                      TimePoint start,
+                      std::chrono::milliseconds timeout);
   static std::int64_t TokensPerEvent(const Call& call);
   // The reservation of `call`, settled with the tokens that the client
   // received.
@@ -83,6 +93,7 @@
   TimePoint stop_at_ = TimePoint::max();
   bool stopping_ = false;
   std::mt19937_64 random_;
+  AdaptiveThrottle storage_throttle_;
 };
 
 }  // namespace comfreyfold
--- a/source/vm/load_log.cc
+++ b/source/vm/load_log.cc
@@ -1,7 +1,5 @@
 #include "vm/load_log.h"
 
-#include <ctime>
-
 #include "net/repeat.h"
 
 namespace comfreyfold {
@@ -10,14 +8,7 @@
 
 constexpr std::chrono::milliseconds kInterval{2000};
 
-std::chrono::milliseconds ProcessorTime() {
-  return std::chrono::milliseconds(std::clock() / (CLOCKS_PER_SEC / 1000));
-}
-
-void LogReceived(DecisionLog& log,
-                 LoopDelay& delay,
-                 StorageNode& node,
-                 std::chrono::milliseconds processor_time) {
+void LogReceived(DecisionLog& log, LoopDelay& delay, StorageNode& node) {
   const auto counts = node.TakeCounts();
   log.Write("storage_received", "",
             {{"turns", counts.turns},
@@ -29,7 +20,6 @@
              {"copies", counts.copies},
              {"abandoned", counts.abandoned},
              {"delay_ms", delay.TakeLongest()},
-             {"processor_ms", processor_time},
              {"stored_turns", static_cast<int>(node.turns().size())}});
 }
 
@@ -40,13 +30,10 @@
              LoopDelay& delay,
              StorageNode* node,
              StorageClient* client) {
-  auto used = ProcessorTime();
   RepeatForever(fiber, "the log of the load", [&] {
     fiber.Sleep(kInterval);
-    const auto before = used;
-    used = ProcessorTime();
     if (node != nullptr) {
-      LogReceived(log, delay, *node, used - before);
+      LogReceived(log, delay, *node);
     }
     if (client != nullptr) {
       client->LogSent();
--- a/tests/vm/slow_disks_test.cc
+++ b/tests/vm/slow_disks_test.cc
@@ -44,6 +44,18 @@
   return out;
 }
 
+HttpReply SendNewProgram(Fiber& fiber,
+                         VmDeployment& deployment,
+                         const std::string& id) {
+  return deployment.Send(fiber, deployment.vm("front-1"),
+                         {"/talk/stream/x",
+                          id,
+                          "in;",
+                          {{"Program-Id", "program-" + id},
+                           {"Token-Budget", "64"},
+                           {"Token-Usage", "10,32"}}});
+}
+
 BOOST_AUTO_TEST_SUITE(slow_disks)
 
 BOOST_AUTO_TEST_CASE(stream_of_ended_turn_is_not_cut_before_its_time_is_over) {
@@ -113,6 +125,38 @@
   });
 }
 
+// Every request waited for 1.2 s and came back soon, so that the disks never
+// caught up.
+BOOST_AUTO_TEST_CASE(requests_are_refused_at_once_after_disks_answered_none) {
+  WithGuardedDisks([](Fiber& fiber, VmDeployment& deployment, DiskGate& gate) {
+    constexpr int kTurns = 30;
+    gate.Close();
+    int ended = 0;
+    for (int n = 0; n < kTurns; ++n) {
+      deployment.loop().Spawn([&, n](Fiber& child) {
+        SendNewProgram(child, deployment, "a" + std::to_string(n));
+        ++ended;
+      });
+    }
+    BOOST_REQUIRE(deployment.WaitFor(fiber, [&] { return ended == kTurns; }));
+    std::vector<HttpReply> refused;
+    for (int n = 0; n < kTurns; ++n) {
+      deployment.loop().Spawn([&, n](Fiber& child) {
+        auto reply = SendNewProgram(child, deployment, "b" + std::to_string(n));
+        if (reply.body.find("storage_overloaded") != std::string::npos) {
+          refused.push_back(std::move(reply));
+        }
+      });
+    }
+    fiber.Sleep(milliseconds(200));
+    BOOST_TEST(refused.size() > kTurns / 2);
+    for (const auto& it : refused) {
+      BOOST_TEST(it.status == 503);
+      BOOST_TEST(std::stod(it.Header("Retry-After")) >= 0.15);
+    }
+  });
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace
