--- a/source/storage/replica_client.h
+++ b/source/storage/replica_client.h
@@ -5,13 +5,16 @@
 #include <functional>
 #include <map>
 #include <string>
+#include <utility>
 #include <vector>
 
+#include "core/adaptive_timeout.h"
 #include "core/hedge_budget.h"
 #include "core/storage_list.h"
 #include "core/time_point.h"
 #include "net/http_client.h"
 #include "net/loop.h"
+#include "storage/send_counts.h"
 #include "wire/storage_messages.h"
 
 namespace comfreyfold {
@@ -74,6 +77,9 @@
   // budget.
   bool TakeRetry() { return hedge_budget_.TrySpend(); }
 
+  // Returns the requests sent since the last call.
+  SendCounts TakeCounts() { return std::exchange(counts_, {}); }
+
   // Sets a function that returns the addresses of daemons that can forward a
   // request when a storage daemon cannot be reached directly.
   void SetRelays(std::function<std::vector<std::string>()> relays) {
@@ -107,8 +113,8 @@
     SendResult result = SendResult::kNoAnswer;
   };
 
-  // Starts `n` further targets, as far as there are any.
-  void StartNext(const std::shared_ptr<MultiCall>& call, std::size_t n);
+  // Starts `n` further targets, as far as there are any. Returns how many.
+  int StartNext(const std::shared_ptr<MultiCall>& call, std::size_t n);
   // Makes other calls prefer other targets to those that have not answered for
   // long. Such a target counts as failed unless the request needs the disk.
   void SuspectOverdue(MultiCall& call);
@@ -147,6 +153,10 @@
   void Probe(const StorageMember& member,
              std::chrono::milliseconds interval,
              std::chrono::milliseconds timeout);
+  // Tests whether `member`, which owes an answer, can be reached.
+  void ProbeLate(const StorageMember& member);
+  // The time within which `address` answers what needs no disk.
+  AdaptiveTimeout& AnswerTime(const std::string& address);
   // Whether a request to `member` failed or was slow recently.
   bool IsSuspected(const StorageMember& member, TimePoint now) const;
   // Whether `member` can be reached through relays only: the last direct
@@ -166,7 +176,8 @@
   std::string data_centre_;
   // The last failure of each address that has not answered since.
   std::map<std::string, Failure> last_failures_;
-  std::map<std::string, TimePoint> probed_at_;  // By address.
+  std::map<std::string, TimePoint> probed_at_;           // By address.
+  std::map<std::string, AdaptiveTimeout> answer_times_;  // By address.
   // When a request that needs the disk was last overdue, by address.
   std::map<std::string, TimePoint> slow_at_;
   // When a failing member last answered again, by address.
@@ -176,6 +187,7 @@
   std::map<std::string, TimePoint> relay_failed_at_;  // By address.
   TimePoint answered_at_{};  // When any member last answered directly.
   HedgeBudget hedge_budget_;
+  SendCounts counts_;
   std::function<void(const StorageMember&, bool)> on_reachability_change_;
   std::function<void(const StorageMember&, const StorageReply&)> on_reply_;
 };
--- a/source/storage/storage_node.cc
+++ b/source/storage/storage_node.cc
@@ -64,6 +64,15 @@
   return true;
 }
 
+// Whether a request is of no use once its sender has given up. A turn that has
+// run, a settlement or a list is.
+bool IsForSenderOnly(const StorageRequest& request) {
+  if (request.operation == StorageOperation::kStore) {
+    return request.turns.empty() && !request.program.empty();
+  }
+  return !request.members;
+}
+
 }  // namespace
 
 StorageNode::StorageNode(Loop& loop,
@@ -207,6 +216,11 @@
     exchange.Reply(kBadRequest, "text/plain", e.what());
     return;
   }
+  counts_.Add(decoded);
+  if (IsForSenderOnly(decoded) && exchange.PeerGone()) {
+    ++counts_.abandoned;
+    return;
+  }
   StorageReply reply;
   if (request.Path() != kStoragePath + disk_) {
     reply.status = StorageStatus::kOtherDisk;
