--- a/tests/vm/replica_client_test.cc
+++ b/tests/vm/replica_client_test.cc
@@ -94,12 +94,13 @@
   StorageReplies Call(Fiber& fiber,
                       StorageOperation operation,
                       milliseconds timeout,
-                      std::size_t wanted) {
+                      std::size_t wanted,
+                      std::size_t initial_targets = 2) {
     ReplicaClient::Plan plan;
     for (const auto& it : all) {
       plan.targets.push_back(it->member());
     }
-    plan.initial_targets = 2;
+    plan.initial_targets = initial_targets;
     plan.timeout = timeout;
     StorageRequest request;
     request.operation = operation;
@@ -242,6 +243,32 @@
   });
 }
 
+// The calls waited for the dead one until their time was over.
+BOOST_AUTO_TEST_CASE(
+    dead_daemon_is_passed_over_when_the_hedge_budget_is_spent) {
+  WithDaemons([](Fiber& fiber, Daemons& daemons) {
+    constexpr milliseconds kTimeout{4000};
+    constexpr std::size_t kCalls = 8;
+    daemons.all[0]->Silence();
+    while (daemons.client.TakeRetry()) {
+    }
+    const auto start = std::chrono::steady_clock::now();
+    std::size_t ended = 0;
+    for (std::size_t n = 0; n < kCalls; ++n) {
+      daemons.loop.Spawn([&](Fiber& child) {
+        const auto replies =
+            daemons.Call(child, StorageOperation::kChain, kTimeout, 1, 1);
+        BOOST_TEST(replies.size() == 1U);
+        ++ended;
+      });
+    }
+    while (ended < kCalls) {
+      fiber.Sleep(milliseconds(5));
+    }
+    BOOST_TEST((std::chrono::steady_clock::now() - start < kTimeout / 2));
+  });
+}
+
 // The sort ran over the beginning of the list.
 BOOST_AUTO_TEST_CASE(disk_that_ends_to_be_suspected_during_a_sort) {
   WithDaemons([](Fiber& fiber, Daemons& daemons) {
