Soak keeps its files in memory and counts each process that outlives its stop

The files are in memory now, as those of the tests, so that the check is the strict one again.

Test folders are removed when the program ends, at the latest: most deployments are never destroyed. COMFREYFOLD_KEEP_LOGS keeps them, as it did for one kind of test.

--- a/tests/harness/cluster.cc
+++ b/tests/harness/cluster.cc
@@ -2,7 +2,6 @@
 
 #include <algorithm>
 #include <cstdio>
-#include <cstdlib>
 #include <filesystem>
 #include <fstream>
 #include <sstream>
@@ -19,9 +18,6 @@
 using nlohmann::json;
 
 constexpr std::chrono::milliseconds kPollInterval{20};
-// If this environment variable is set, the temporary folder with the daemons'
-// logs is not removed.
-constexpr char kKeepLogsVariable[] = "COMFREYFOLD_KEEP_LOGS";
 const char* const kDataCentres[] = {"dc-a", "dc-b", "dc-c"};
 
 std::string BinaryPath(const std::string& name) {
@@ -78,7 +74,7 @@
 
 Cluster::~Cluster() {
   daemons_.clear();
-  if (std::getenv(kKeepLogsVariable) != nullptr) {
+  if (KeepsTestFolders()) {
     return;
   }
   std::error_code ec;
--- a/tests/harness/test_folder.h
+++ b/tests/harness/test_folder.h
@@ -9,8 +9,10 @@
 // such a file system.
 std::filesystem::path TestRoot();
 
-// Creates a folder there, for the caller to remove.
+// Creates a folder there, which is removed when the program ends, at the
+// latest. If the environment variable COMFREYFOLD_KEEP_LOGS is set, it stays.
 std::filesystem::path MakeTestFolder();
+bool KeepsTestFolders();
 
 }  // namespace comfreyfold::harness
 
--- a/tests/soak/main.cc
+++ b/tests/soak/main.cc
@@ -1,6 +1,8 @@
 // A randomized soak of the daemons as real processes:
 //   comfreyfold_soak --daemon build/bin/comfreyfold-vm --first 1 --seeds 50
 
+#include <unistd.h>
+
 #include <csignal>
 #include <cstdlib>
 #include <filesystem>
@@ -147,9 +149,8 @@
                         cxxopts::value<std::string>())(
       "preload", "path of the library that notes what is synced",
       cxxopts::value<std::string>()->default_value(COMFREYFOLD_SOAK_PRELOAD))(
-      "folder", "where disks and logs go",
-      cxxopts::value<std::string>()->default_value(
-          (harness::TestRoot() / "comfreyfold-soak").string()))(
+      "folder", "where disks and logs go; empty: a new folder in memory",
+      cxxopts::value<std::string>()->default_value(""))(
       "first", "the first seed",
       cxxopts::value<std::uint64_t>()->default_value("1"))(
       "seeds", "how many seeds",
@@ -160,15 +161,21 @@
   std::signal(SIGPIPE, SIG_IGN);
   const auto first = args["first"].as<std::uint64_t>();
   const auto count = args["seeds"].as<std::uint64_t>();
+  const auto chosen = args["folder"].as<std::string>();
+  const std::filesystem::path folder =
+      chosen.empty() ? harness::TestRoot() /
+                           ("comfreyfold-soak-" + std::to_string(::getpid()))
+                     : std::filesystem::path(chosen);
   std::uint64_t kept = 0;
   for (auto seed = first; seed < first + count; ++seed) {
     kept += RunSeed({args["daemon"].as<std::string>(),
                      args["preload"].as<std::string>()},
-                    args["folder"].as<std::string>(), seed,
-                    seconds(args["seconds"].as<int>()))
+                    folder.string(), seed, seconds(args["seconds"].as<int>()))
                 ? 1
                 : 0;
   }
+  std::error_code ec;
+  std::filesystem::remove(folder, ec);  // Unless a seed has left its files.
   std::cout << "soak: " << kept << " of " << count
             << " seeds kept every promise" << std::endl;
   return kept == count ? EXIT_SUCCESS : EXIT_FAILURE;
--- a/tests/soak/soak_faults.cc
+++ b/tests/soak/soak_faults.cc
@@ -177,14 +177,12 @@
   busy_.push_back(vm.name);
   Beside("stop " + vm.name, [this, &vm](Fiber& fiber) {
     vm.stopped = std::chrono::steady_clock::now();
-    const auto log_bytes = fleet_.LogBytes(vm);
     vm.process->Signal(SIGTERM);
     const auto until = std::chrono::steady_clock::now() + kStopGrace;
     while (!SoakFleet::Ended(vm) && std::chrono::steady_clock::now() < until) {
       fiber.Sleep(kLook);
     }
-    if (planned_ && !SoakFleet::Ended(vm) &&
-        !fleet_.EndedItsStop(vm, log_bytes)) {
+    if (planned_ && !SoakFleet::Ended(vm)) {
       clients_.Violated(vm.name + ": runs " +
                         std::to_string(kStopGrace.count()) +
                         " ms after SIGTERM");
--- a/tests/soak/soak_fleet.cc
+++ b/tests/soak/soak_fleet.cc
@@ -199,23 +199,6 @@
          info.si_pid != 0;
 }
 
-std::uintmax_t SoakFleet::LogBytes(const Vm& vm) const {
-  std::error_code ec;
-  const auto bytes = fs::file_size(folder_ + "/" + vm.name + ".log", ec);
-  return ec ? 0 : bytes;
-}
-
-bool SoakFleet::EndedItsStop(const Vm& vm, std::uintmax_t offset) const {
-  std::ifstream in(folder_ + "/" + vm.name + ".log");
-  in.seekg(static_cast<std::streamoff>(offset));
-  for (std::string line; std::getline(in, line);) {
-    if (line.find("\"event\":\"stopped\"") != std::string::npos) {
-      return true;
-    }
-  }
-  return false;
-}
-
 bool SoakFleet::TakesReloads(const Vm& vm) {
   constexpr unsigned long long kHangUp = 1ULL << (SIGHUP - 1);
   std::ifstream in("/proc/" + std::to_string(vm.process->pid()) + "/status");
--- a/tests/soak/soak_fleet.h
+++ b/tests/soak/soak_fleet.h
@@ -66,11 +66,6 @@
   // SIGKILL.
   static void Kill(Vm& vm);
   static bool Ended(const Vm& vm);
-  // Bytes that the VM has logged.
-  std::uintmax_t LogBytes(const Vm& vm) const;
-  // Whether the VM has ended a planned stop, by its log after `offset`. The
-  // system may take longer to end the process while its files are written.
-  bool EndedItsStop(const Vm& vm, std::uintmax_t offset) const;
   // Whether SIGHUP does not end it, as it does while a process is loaded.
   static bool TakesReloads(const Vm& vm);
   // Empties the disk of a VM that does not run.
