Turns of long chains do not keep the whole log

Callers: storage_full for all turns while the disks hold few, from the moment the log had five eighths of the disk, until the long chains expired; before that limit the disk itself ran full.

Cause: a segment of the log stays as long as one of its turns, and turns of a chain live as long as the chain goes on. Programs that last for minutes each keep 4 MB for every segment that one of their turns is in.

Now, from half of the disk on, the turns of the closed segment that they need least, at most half of it, are written again at the end of the log, with their present expiry; each counts for its new place once it is synced there, and the old segment is removed then.

Evidence: few_turns_that_live_long_do_not_fill_the_disk: without the move, 12 turns of 2 KB filled a disk of 40 MB up to 32.5 MB of log and two stores of them were refused; passes now.

--- a/source/core/room_limits.cc
+++ b/source/core/room_limits.cc
@@ -17,6 +17,7 @@
 constexpr std::int64_t kLogDivisor = 8;
 constexpr std::int64_t kNewTurnsLogShare = 5;
 constexpr std::int64_t kEndedTurnsLogShare = 6;
+constexpr std::int64_t kCompactionLogShare = 4;
 // Entries that wait for a stalled disk, whose bytes may use the memory divided
 // by these numbers.
 constexpr std::size_t kNewTurnsEntries = 4096;
@@ -63,6 +64,10 @@
   return memory_bytes_ / kNewTurnsDivisor;
 }
 
+std::int64_t RoomLimits::compaction_bytes() const {
+  return disk_bytes_ / kLogDivisor * kCompactionLogShare;
+}
+
 RoomLimits::Limits RoomLimits::LimitsFor(DiskRoom room) const {
   const auto memory = memory_bytes_ / kNewTurnsDivisor;
   const auto log = disk_bytes_ / kLogDivisor * kNewTurnsLogShare;
--- a/source/core/room_limits.h
+++ b/source/core/room_limits.h
@@ -51,6 +51,10 @@
   std::int64_t new_turn_bytes() const;
   std::int64_t ended_turn_bytes() const;
 
+  // Size of the log from which on segments that are mostly unused are freed; 0:
+  // no limit.
+  std::int64_t compaction_bytes() const;
+
   // Memory that turns may use with their contents; 0: no limit.
   std::int64_t content_bytes() const;
 
--- a/source/core/turn_index.cc
+++ b/source/core/turn_index.cc
@@ -46,6 +46,38 @@
   turn.droppable = droppable_.insert(droppable_.end(), &it->first);
 }
 
+void TurnIndex::Move(const std::string& id, const LogPosition& position) {
+  const auto it = turns_.find(id);
+  if (it == turns_.end() || !it->second.position) {
+    return;
+  }
+  auto& turn = it->second;
+  turn.position = position;
+  ++segments_[position.segment];
+  LeaveSegment(turn.segment);
+  turn.segment = position.segment;
+}
+
+std::map<std::int64_t, std::int64_t> TurnIndex::StoredBytesBySegment() const {
+  std::map<std::int64_t, std::int64_t> out;
+  for (const auto& [id, it] : turns_) {
+    if (it.position) {
+      out[it.segment] += static_cast<std::int64_t>(it.bytes);
+    }
+  }
+  return out;
+}
+
+std::vector<std::string> TurnIndex::StoredIn(std::int64_t segment) const {
+  std::vector<std::string> out;
+  for (const auto& [id, it] : turns_) {
+    if (it.position && it.segment == segment) {
+      out.push_back(id);
+    }
+  }
+  return out;
+}
+
 bool TurnIndex::IsStored(const std::string& id) const {
   const auto it = turns_.find(id);
   return it != turns_.end() && it->second.position;
--- a/source/core/turn_index.h
+++ b/source/core/turn_index.h
@@ -32,6 +32,9 @@
   // Takes over that the log holds the turn at `position`, unless it is known to
   // hold it elsewhere.
   void MarkStored(const std::string& id, const LogPosition& position);
+  // Takes over that the log holds the turn at `position` as well, whose place
+  // was known before, and that this copy counts.
+  void Move(const std::string& id, const LogPosition& position);
   // Whether the log is known to hold the turn.
   bool IsStored(const std::string& id) const;
   // Drops contents that the log holds, those stored first first, until
@@ -62,6 +65,10 @@
   bool UsesSegment(std::int64_t segment) const {
     return segments_.count(segment) > 0;
   }
+  // Bytes of the turns in each segment that the log is known to hold.
+  std::map<std::int64_t, std::int64_t> StoredBytesBySegment() const;
+  // Returns the turns in the segment that the log is known to hold.
+  std::vector<std::string> StoredIn(std::int64_t segment) const;
   std::vector<std::string> Ids() const;
   // Returns those of `ids` that are not stored here.
   std::vector<std::string> Missing(const std::vector<std::string>& ids) const;
--- a/source/storage/disk_log.cc
+++ b/source/storage/disk_log.cc
@@ -277,9 +277,8 @@
     }
   }
 
-  std::vector<std::string> ReadAll(
-      const std::vector<LogPosition>& positions,
-      TimePoint until) const {
+  std::vector<std::string> ReadAll(const std::vector<LogPosition>& positions,
+                                   TimePoint until) const {
     std::vector<std::string> out(positions.size());
     std::optional<File> file;
     std::int64_t opened = 0;
@@ -465,8 +464,7 @@
                    std::function<void(std::vector<std::string>)> done) {
   {
     const std::lock_guard lock(impl_->mutex);
-    impl_->readings.push_back(
-        {std::move(positions), until, std::move(done)});
+    impl_->readings.push_back({std::move(positions), until, std::move(done)});
   }
   if (!impl_->reader.joinable()) {
     impl_->reader = std::thread([impl = impl_.get()] { impl->RunReader(); });
@@ -490,7 +488,8 @@
   impl_->pending_bytes += bytes.size();
   {
     const std::lock_guard lock(impl_->mutex);
-    impl_->queue.push_back({std::move(bytes), segment, position.offset, std::move(done)});
+    impl_->queue.push_back(
+        {std::move(bytes), segment, position.offset, std::move(done)});
   }
   impl_->work_available.notify_all();
   return position;
@@ -536,6 +535,11 @@
   return impl_->pending_bytes;
 }
 
+std::int64_t DiskLog::SegmentBytes(std::int64_t segment) const {
+  const auto it = impl_->segment_bytes.find(segment);
+  return it == impl_->segment_bytes.end() ? 0 : it->second;
+}
+
 std::int64_t DiskLog::size_bytes() const {
   return impl_->size_bytes;
 }
--- a/source/storage/disk_log.h
+++ b/source/storage/disk_log.h
@@ -60,6 +60,8 @@
   // Number of entries whose write or sync has not finished.
   std::size_t backlog() const;
   std::size_t backlog_bytes() const;
+  // Bytes of a segment, with what is still to be written.
+  std::int64_t SegmentBytes(std::int64_t segment) const;
   // Bytes of all segments, with what is still to be written.
   std::int64_t size_bytes() const;
 
--- a/source/storage/storage_node.cc
+++ b/source/storage/storage_node.cc
@@ -351,29 +351,41 @@
 
 void StorageNode::AppendTo(const std::shared_ptr<Write>& write,
                            const StorageRequest& request,
-                           const std::string& encoded) {
+                           const std::string& encoded,
+                           EntryKind kind) {
   ++write->entries;
   auto position = std::make_shared<LogPosition>();
   *position = disk_log_.Append(
-      encoded, [write, position, self = self_,
+      encoded, [write, position, kind, self = self_,
                 summary = UnwrittenRecords::SummaryOf(request)](bool written) {
         if (auto* node = *self) {
-          node->EndEntry(*position, summary, written);
+          node->EndEntry(*position, summary, kind, written);
         }
         write->End(written);
       });
+  if (kind == EntryKind::kMoved) {
+    // The turns count for this segment once they are in it.
+    needed_until_.try_emplace(position->segment, 0);
+    return;
+  }
   // Other requests may see the records before they are synced, which is safe.
   Apply(*position, request);
 }
 
 void StorageNode::EndEntry(const LogPosition& position,
                            const UnwrittenRecords::Summary& summary,
+                           EntryKind kind,
                            bool written) {
   if (!written) {
-    unwritten_.Add(summary);
+    if (kind != EntryKind::kMoved) {
+      unwritten_.Add(summary);
+    }
     return;
   }
   for (const auto& [id, expires_at] : summary.turns) {
+    if (kind == EntryKind::kMoved) {
+      turns_.Move(id, position);
+    }
     turns_.MarkStored(id, position);
   }
   unwritten_.Remove(summary, turns_);
@@ -622,11 +634,69 @@
   return false;
 }
 
+// Turns of long chains would keep the segments of all that was stored with
+// them, until the log takes the whole disk.
+void StorageNode::Compact() {
+  const auto limit = room_limits_.compaction_bytes();
+  if (compacting_ || limit == 0 || disk_log_.size_bytes() < limit) {
+    return;
+  }
+  std::int64_t segment = 0;
+  std::int64_t least = 0;
+  for (const auto& [it, bytes] : turns_.StoredBytesBySegment()) {
+    if (it < disk_log_.current_segment() &&
+        bytes <= disk_log_.SegmentBytes(it) / 2 &&
+        (segment == 0 || bytes < least)) {
+      segment = it;
+      least = bytes;
+    }
+  }
+  if (segment == 0) {
+    return;
+  }
+  compacting_ = true;
+  loop_.Spawn([this, self = self_, segment](Fiber& fiber) {
+    MoveTurns(fiber, segment);
+    if (*self != nullptr) {
+      compacting_ = false;
+    }
+  });
+}
+
+void StorageNode::MoveTurns(Fiber& fiber, std::int64_t segment) {
+  const auto self = self_;
+  auto left = turns_.StoredIn(segment);
+  while (*self != nullptr && !left.empty()) {
+    std::vector<TurnRecord> turns;
+    const auto read = ReadTurns(fiber, left, kMaxReplyBytes, turns);
+    if (!read || *self == nullptr) {
+      return;
+    }
+    const auto write = std::make_shared<Write>(loop_);
+    for (auto& it : turns) {
+      // Extended meanwhile, by an entry that is replayed before this one.
+      const auto* known = turns_.Find(it.id);
+      if (known == nullptr) {
+        continue;
+      }
+      StorageRequest request;
+      it.expires_at = known->expires_at;
+      request.turns = {std::move(it)};
+      AppendTo(write, request, Encode(request), EntryKind::kMoved);
+    }
+    if (write->entries > 0 && !AwaitWrite(fiber, write, kMaxTurnStoreTime)) {
+      return;
+    }
+    left.erase(left.begin(), left.begin() + static_cast<std::ptrdiff_t>(*read));
+  }
+}
+
 void StorageNode::Expire() {
   const auto now = WallNow();
   turns_.Expire(now);
   tokens_.Expire(now);
   WriteAgain();
+  Compact();
   for (auto it = needed_until_.begin(); it != needed_until_.end();) {
     const bool needed = it->second >= now || turns_.UsesSegment(it->first) ||
                         it->first >= disk_log_.current_segment();
--- a/source/storage/storage_node.h
+++ b/source/storage/storage_node.h
@@ -82,12 +82,19 @@
   const TokenLedgers& tokens() const { return tokens_; }
 
   // Removes expired turns and token uses, and closed log segments that are no
-  // longer needed. Writes again what the disk refused.
+  // longer needed. Writes again what the disk refused. Begins to free a segment
+  // that few turns need if the log is large.
   void Expire();
+  // Whether turns are being moved to free a segment.
+  bool compacting() const { return compacting_; }
 
  private:
   struct Write;
   struct Reading;
+  enum class EntryKind {
+    kStored,
+    kMoved,  // Turns that an earlier segment holds as well.
+  };
 
   StorageReply Answer(Fiber& fiber,
                       const StorageRequest& request,
@@ -125,6 +132,11 @@
   // to the current segment. Returns whether the disk has all of them there, or
   // there are none.
   bool MoveLivingPrograms(std::int64_t segment);
+  // Begins to free the closed segment that the least bytes of turns need, if
+  // the log is large and less than half of the segment is needed.
+  void Compact();
+  // Writes the turns of the segment to the current one.
+  void MoveTurns(Fiber& fiber, std::int64_t segment);
   // Begins to write again what the disk refused, unless that is under way.
   void WriteAgain();
   // Returns those of `ids` whose last write failed.
@@ -136,11 +148,13 @@
   // Takes over that writing the entry at `position` of the log has ended.
   void EndEntry(const LogPosition& position,
                 const UnwrittenRecords::Summary& summary,
+                EntryKind kind,
                 bool written);
   // Appends an entry to the log that `write` waits for.
   void AppendTo(const std::shared_ptr<Write>& write,
                 const StorageRequest& request,
-                const std::string& encoded);
+                const std::string& encoded,
+                EntryKind kind = EntryKind::kStored);
   // Waits for `write`. Returns whether it was synced to disk within a time
   // limit.
   static bool AwaitWrite(Fiber& fiber,
@@ -179,6 +193,7 @@
   // The latest write of a list, and the version of that list.
   std::shared_ptr<Write> list_write_;
   std::int64_t list_write_version_ = 0;
+  bool compacting_ = false;
   // Time until which each segment is needed for records other than turns.
   std::map<std::int64_t, std::chrono::milliseconds> needed_until_;
   // Programs with uses in each segment.
--- a/tests/vm/storage_node_test.cc
+++ b/tests/vm/storage_node_test.cc
@@ -70,11 +70,11 @@
     Restart();
   }
 
-  // `memory_bytes` 0: no limit.
-  void Restart(std::int64_t memory_bytes = 0) {
+  // 0: no limit.
+  void Restart(std::int64_t memory_bytes = 0, std::int64_t disk_bytes = 0) {
     node_.reset();
-    node_ = std::make_unique<StorageNode>(loop_, view_, log_, folder_, 1, 0,
-                                          memory_bytes);
+    node_ = std::make_unique<StorageNode>(loop_, view_, log_, folder_, 1,
+                                          disk_bytes, memory_bytes);
     node_->disk_log().BeforeWrite([this] {
       if (refuses_) {
         throw std::runtime_error("refused");
@@ -354,6 +354,40 @@
   });
 }
 
+// Each kept the segment that it was stored in, until the disk refused all.
+BOOST_AUTO_TEST_CASE(few_turns_that_live_long_do_not_fill_the_disk) {
+  constexpr std::int64_t kMemory = 24000;
+  constexpr std::int64_t kDisk = 40L * 1024 * 1024;
+  constexpr int kTurns = 12;
+  WithOneDisk([](Fiber& fiber, OneDisk& disk) {
+    disk.Restart(kMemory, kDisk);
+    const std::string input(2000, 'x');
+    std::vector<std::string> ids;
+    for (int n = 0; n < kTurns; ++n) {
+      StorageRequest request;
+      ids.push_back("live" + std::to_string(n));
+      request.turns = {{ids.back(), "", input + std::to_string(n), "out",
+                        WallNow() + milliseconds(60000)}};
+      BOOST_TEST((disk.Store(fiber, request).status == StorageStatus::kDone));
+      FillSegments(fiber, disk.node());
+      disk.ExpireForAWhile(fiber);
+    }
+    BOOST_TEST(disk.node().disk_log_bytes() < kDisk / 8 * 5);
+    OneDisk::Await(fiber, [&] { return !disk.node().compacting(); });
+    disk.Restart(kMemory, kDisk);
+    disk.node().Expire();
+    OneDisk::Await(fiber, [&] { return !disk.node().compacting(); });
+    StorageRequest question;
+    question.operation = StorageOperation::kFetch;
+    question.ids = ids;
+    const auto reply = disk.Store(fiber, question);
+    BOOST_REQUIRE(reply.turns.size() == ids.size());
+    for (std::size_t n = 0; n < ids.size(); ++n) {
+      BOOST_TEST(reply.turns[n].input == input + std::to_string(n));
+    }
+  });
+}
+
 BOOST_AUTO_TEST_CASE(turn_that_cannot_be_read_is_not_reported_as_absent) {
   constexpr std::int64_t kMemory = 3000;
   WithOneDisk([](Fiber& fiber, OneDisk& disk) {
