Segments without a readable entry are removed

Callers: none seen. A segment whose first entry was torn by a loss of power had no record that told until when it is needed, so that it stayed and counted for the limit of the log. segment_without_a_readable_entry_is_removed failed before and passes now.

--- a/source/storage/disk_log.cc
+++ b/source/storage/disk_log.cc
@@ -523,6 +523,10 @@
   impl_->work_available.notify_all();
 }
 
+std::vector<std::int64_t> DiskLog::ClosedSegments() const {
+  return {impl_->closed_segments.begin(), impl_->closed_segments.end()};
+}
+
 std::int64_t DiskLog::current_segment() const {
   return impl_->open_segment;
 }
--- a/source/storage/disk_log.h
+++ b/source/storage/disk_log.h
@@ -57,6 +57,7 @@
   void Remove(std::int64_t segment);
 
   std::int64_t current_segment() const;
+  std::vector<std::int64_t> ClosedSegments() const;
   // Number of entries whose write or sync has not finished.
   std::size_t backlog() const;
   std::size_t backlog_bytes() const;
--- a/source/storage/storage_node.cc
+++ b/source/storage/storage_node.cc
@@ -91,6 +91,10 @@
         }
         LimitContents();
       });
+  // Those without a readable entry are to be removed too.
+  for (const auto it : disk_log_.ClosedSegments()) {
+    needed_until_.try_emplace(it, 0);
+  }
   const auto list = ReadWholeFile(folder + "/" + kListFile);
   if (!list.empty()) {
     view_.ApplyStorageList(DecodeStorageList(list));
--- a/tests/vm/storage_node_test.cc
+++ b/tests/vm/storage_node_test.cc
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <atomic>
 #include <filesystem>
+#include <fstream>
 #include <functional>
 #include <memory>
 #include <optional>
@@ -354,6 +355,20 @@
   });
 }
 
+// It took room of the log for ever.
+BOOST_AUTO_TEST_CASE(segment_without_a_readable_entry_is_removed) {
+  WithOneDisk([](Fiber& fiber, OneDisk& disk) {
+    disk.End();
+    const auto torn = disk.folder() + "/segment-1";
+    std::ofstream(torn) << "torn";
+    disk.Restart();
+    BOOST_TEST(disk.node().disk_log_bytes() == 4);
+    disk.ExpireForAWhile(fiber);
+    BOOST_TEST(disk.node().disk_log_bytes() == 0);
+    OneDisk::Await(fiber, [&] { return !std::filesystem::exists(torn); });
+  });
+}
+
 // Each kept the segment that it was stored in, until the disk refused all.
 BOOST_AUTO_TEST_CASE(few_turns_that_live_long_do_not_fill_the_disk) {
   constexpr std::int64_t kMemory = 24000;
