--- a/source/storage/disk_log.cc
+++ b/source/storage/disk_log.cc
@@ -523,6 +523,10 @@
   impl_->work_available.notify_all();
 }
 
+std::vector<std::int64_t> DiskLog::ClosedSegments() const {
+  return {impl_->closed_segments.begin(), impl_->closed_segments.end()};
+}
+
 std::int64_t DiskLog::current_segment() const {
   return impl_->open_segment;
 }
@@ -535,6 +539,11 @@
   return impl_->pending_bytes;
 }
 
+std::int64_t DiskLog::SegmentBytes(std::int64_t segment) const {
+  const auto it = impl_->segment_bytes.find(segment);
+  return it == impl_->segment_bytes.end() ? 0 : it->second;
+}
+
 std::int64_t DiskLog::size_bytes() const {
   return impl_->size_bytes;
 }
--- a/source/storage/disk_log.h
+++ b/source/storage/disk_log.h
@@ -57,9 +57,12 @@
   void Remove(std::int64_t segment);
 
   std::int64_t current_segment() const;
+  std::vector<std::int64_t> ClosedSegments() const;
   // Number of entries whose write or sync has not finished.
   std::size_t backlog() const;
   std::size_t backlog_bytes() const;
+  // Bytes of a segment, with what is still to be written.
+  std::int64_t SegmentBytes(std::int64_t segment) const;
   // Bytes of all segments, with what is still to be written.
   std::int64_t size_bytes() const;
 
