--- a/source/storage/replica_client.cc
+++ b/source/storage/replica_client.cc
@@ -230,10 +230,11 @@
     const auto result = SendTo(fiber, member.address, member.disk,
                                Encode(probe_request), {}, limit, reply);
     auto& time = AnswerTime(member.address);
+    const auto took = std::chrono::duration_cast<std::chrono::milliseconds>(
+        std::chrono::steady_clock::now() - now);
     if (result == SendResult::kAnswered) {
-      time.OnAnswer(std::chrono::duration_cast<std::chrono::milliseconds>(
-          std::chrono::steady_clock::now() - now));
-    } else if (result == SendResult::kNoAnswer && limit >= time.Get()) {
+      time.OnAnswer(took);
+    } else if (result == SendResult::kNoAnswer && took >= time.Get()) {
       time.OnMiss();
     }
     RecordResult(member, result);
