Plan calls without the disks that do not have the list yet

Found by a review, by reading: while the list changes, the disks that are a quorum of the old and of the new set together were chosen first, and those that had not stored the list yet were taken out afterwards. They are left out before the choice now.

Requests sent again to a daemon that is back may use the reserve of the hedge budget only for turns that have run: daemons that come and go had spent what is kept for a dead disk.

No test of its own; replica_client, slow_disks, storage_change, chains and turns passed.

--- a/source/storage/replica_client.cc
+++ b/source/storage/replica_client.cc
@@ -354,7 +354,9 @@
     const auto& state = call->states[n];
     const auto it = regained_at_.find(call->plan.targets[n].address);
     if (!state.ended && state.sends < kMaxSends && it != regained_at_.end() &&
-        it->second > state.started_at && hedge_budget_.TrySpendReserve()) {
+        it->second > state.started_at &&
+        (call->stores_turns ? hedge_budget_.TrySpendReserve()
+                            : hedge_budget_.TrySpend())) {
       ++counts_.resent;
       Send(call, n);
     }
--- a/source/storage/storage_client.cc
+++ b/source/storage/storage_client.cc
@@ -110,7 +110,7 @@
     Fiber& fiber,
     StorageRequest& request,
     std::chrono::milliseconds timeout,
-    const std::function<ReplicaClient::Plan(const StorageList&)>& plan,
+    const PlanMaker& plan,
     const std::function<bool(const StorageList&, const StorageReplies&)>&
         enough) {
   const auto deadline = std::chrono::steady_clock::now() + timeout;
@@ -123,8 +123,7 @@
     const auto list = view_.storage_list();
     const auto adopted_before = sent->adopted;
     request.epoch = list.epoch;
-    auto current_plan = plan(list);
-    std::erase_if(current_plan.targets, [&sent](const auto& it) {
+    auto current_plan = plan(list, [&sent](const StorageMember& it) {
       return sent->behind.count(it.disk) > 0;
     });
     current_plan.timeout = time_left();
@@ -164,10 +163,11 @@
   bool complete = false;
   const auto replies = CallWithCurrentList(
       fiber, request, timeout,
-      [this, &program](const StorageList& list) {
+      [this, &program](const StorageList& list, const MemberTest& is_behind) {
         const auto sets = list.ReplicasOf(program, tolerated_losses_);
         ReplicaClient::Plan plan;
         plan.targets = replicas_.SortByPreference(MembersIn(list, sets));
+        std::erase_if(plan.targets, is_behind);
         plan.initial_targets = MoveQuorumsToFront(sets, plan.targets);
         return plan;
       },
--- a/source/storage/storage_client.h
+++ b/source/storage/storage_client.h
@@ -125,6 +125,12 @@
 
  private:
   using Enough = std::function<bool(const StorageReplies&)>;
+  using MemberTest = std::function<bool(const StorageMember&)>;
+  // Returns the plan for a list without the members that are behind: they do
+  // not have the list yet.
+  using PlanMaker =
+      std::function<ReplicaClient::Plan(const StorageList&,
+                                        const MemberTest& is_behind)>;
 
   // Sends `request` according to the current list of storage members, whose
   // epoch it gets. If a replica has a list of another epoch, brings the older
@@ -133,7 +139,7 @@
       Fiber& fiber,
       StorageRequest& request,
       std::chrono::milliseconds timeout,
-      const std::function<ReplicaClient::Plan(const StorageList&)>& plan,
+      const PlanMaker& plan,
       const std::function<bool(const StorageList&, const StorageReplies&)>&
           enough);
   // Takes over newer lists from `replies`. Returns whether there was one.
--- a/source/storage/storage_client_turns.cc
+++ b/source/storage/storage_client_turns.cc
@@ -66,9 +66,10 @@
     request.ids = {next_turn};
     const auto replies = CallWithCurrentList(
         fiber, request, TimeLeft(deadline),
-        [this](const StorageList& list) {
+        [this](const StorageList& list, const MemberTest& is_behind) {
           ReplicaClient::Plan plan;
           plan.targets = replicas_.SpreadOverDataCentres(list.AllMembers());
+          std::erase_if(plan.targets, is_behind);
           return plan;
         },
         [this](const StorageList& list, const StorageReplies& it) {
@@ -332,7 +333,11 @@
   replies = CallWithCurrentList(
       fiber, request, TimeLeft(deadline),
       [this, &id = request.turns.front().id, &root, &use](
-          const StorageList& list) { return PlanForTurn(list, id, root, use); },
+          const StorageList& list, const MemberTest& is_behind) {
+        auto plan = PlanForTurn(list, id, root, use);
+        std::erase_if(plan.targets, is_behind);
+        return plan;
+      },
       [copies](const StorageList& list, const StorageReplies& it) {
         return !list.members.empty() && CountAllDone(it) >= copies;
       });
