--- a/tests/unit/room_limits_test.cc
+++ b/tests/unit/room_limits_test.cc
@@ -40,6 +40,23 @@
   BOOST_TEST((limits.RoomWith({48000, 0, 0}) == DiskRoom::kNewChains));
 }
 
+BOOST_AUTO_TEST_CASE(smaller_of_memory_and_disk_counts) {
+  BOOST_TEST(RoomLimits(kMemory, 3000).new_turn_bytes() == 1000);
+  BOOST_TEST(RoomLimits(kMemory, 3000).ended_turn_bytes() == 1500);
+  BOOST_TEST(RoomLimits(0, kDisk).new_turn_bytes() == 32000);
+  BOOST_TEST(RoomLimits(3000, kDisk).content_bytes() == 1000);
+  const RoomLimits little_disk(kMemory, 3000);
+  BOOST_TEST(
+      (little_disk.RoomWith({1000, 0, 0, 1000, 0}) == DiskRoom::kEndedTurns));
+  BOOST_TEST(
+      (little_disk.RoomWith({1500, 0, 0, 1500, 0}) == DiskRoom::kNothing));
+  const RoomLimits little_memory(3000, kDisk);
+  BOOST_TEST(
+      (little_memory.RoomWith({1000, 0, 0, 1000, 0}) == DiskRoom::kEndedTurns));
+  BOOST_TEST(
+      (little_memory.RoomWith({1500, 0, 0, 1500, 0}) == DiskRoom::kNothing));
+}
+
 BOOST_AUTO_TEST_CASE(records_that_are_no_longer_needed_use_the_disk_too) {
   const RoomLimits limits(0, kDisk);
   BOOST_TEST((limits.RoomWith(UseOfLog(59999)) == DiskRoom::kNewChains));
