--- a/source/storage/storage_node.cc
+++ b/source/storage/storage_node.cc
@@ -2,7 +2,6 @@
 
 #include <algorithm>
 #include <iterator>
-#include <limits>
 #include <utility>
 
 #include "clients/base64.h"
@@ -23,19 +22,8 @@
 // its daemon decides how long to wait for it.
 constexpr std::chrono::milliseconds kSyncTimeout{1500};
 constexpr std::chrono::milliseconds kMaxTurnStoreTime{10000};
-// A full disk has room again once expired turns have made room for some further
-// ones: this part of the limit. How long that takes is computed anew after
-// kRoomEstimateTime, since it takes a look at many turns.
-constexpr std::int64_t kRoomMarginDivisor = 32;
-constexpr std::chrono::milliseconds kRoomEstimateTime{500};
-// For contents of turns that are read from the disk.
-constexpr std::chrono::milliseconds kReadTimeout{1000};
-// Limits of a reply with turns or uses, which many disks may request from this
-// one at the same time. The requesting disk asks for the rest again.
-constexpr std::size_t kMaxReplyBytes = 256 * 1024;
-constexpr std::size_t kMaxReplyUses = 1000;
-// A reply that is on its way for as long still counts.
-constexpr std::chrono::milliseconds kMaxDigestAge{1000};
+// Bytes of turns that are moved within the log in one step.
+constexpr std::size_t kMaxMovedBytes = 256 * 1024;
 
 std::string ReadOrCreateDiskId(const std::string& folder) {
   auto disk = ReadWholeFile(folder + "/" + kDiskFile);
@@ -46,24 +34,6 @@
   return disk;
 }
 
-// Sets the content of `turn` to that in an entry of the log. Returns false if
-// the entry does not have it.
-bool TakeContent(const std::string& entry, TurnRecord& turn) {
-  if (entry.empty()) {
-    return false;
-  }
-  auto request = DecodeStorageRequest(entry);
-  const auto it =
-      std::find_if(request.turns.begin(), request.turns.end(),
-                   [&turn](const auto& other) { return other.id == turn.id; });
-  if (it == request.turns.end()) {
-    return false;
-  }
-  turn.input = std::move(it->input);
-  turn.output = std::move(it->output);
-  return true;
-}
-
 // Whether a request is of no use once its sender has given up. A turn that has
 // run, a settlement or a list is.
 bool IsForSenderOnly(const StorageRequest& request) {
@@ -165,14 +135,6 @@
   }
 };
 
-// State of one reading from the disk, shared with its completion callback.
-struct StorageNode::Reading {
-  explicit Reading(Loop& loop) : changed(loop) {}
-  Condition changed;
-  bool ended = false;
-  std::vector<std::string> entries;
-};
-
 bool StorageNode::Adopt(Fiber& fiber, const StorageList& list) {
   if (list.version > view_.storage_list().version) {
     AwaitWrite(fiber, StoreList(list), kSyncTimeout);
@@ -286,66 +248,6 @@
   return reply;
 }
 
-DiskUse StorageNode::Use() const {
-  return {static_cast<std::int64_t>(turns_.bytes()),
-          static_cast<std::int64_t>(disk_log_.backlog_bytes()),
-          disk_log_.backlog(), static_cast<std::int64_t>(turns_.pinned_bytes()),
-          disk_log_.size_bytes()};
-}
-
-DiskRoom StorageNode::Room() {
-  room_limits_.SetDisks(view_.storage_list().Writable().size(),
-                        static_cast<std::size_t>(tolerated_losses_));
-  const auto room = room_limits_.RoomWith(Use());
-  if (room == DiskRoom::kNewChains) {
-    return room;
-  }
-  turns_.Expire(WallNow());
-  return room_limits_.RoomWith(Use());
-}
-
-// Turns that are yet to run are refused by the daemons that serve clients. All
-// that is stored here belongs to turns that have run, or is small: uses of
-// tokens need no room among the turns.
-bool StorageNode::Takes(const StorageRequest& request) {
-  auto use = Use();
-  if (request.turns.empty()) {
-    use.turn_bytes = 0;
-    use.memory_bytes = 0;
-    return room_limits_.RoomWith(use) != DiskRoom::kNothing;
-  }
-  return Room() != DiskRoom::kNothing;
-}
-
-std::chrono::milliseconds StorageNode::RoomIn(DiskRoom room) {
-  const auto use = Use();
-  const auto excess = room_limits_.ExcessFor(room, use);
-  if (excess == 0) {
-    return {};
-  }
-  const auto now = WallNow();
-  auto& [room_at, estimated_at] = room_estimates_[room];
-  if (now - estimated_at >= kRoomEstimateTime) {
-    estimated_at = now;
-    room_at = turns_.ExpiryOf(
-        static_cast<std::size_t>(excess + use.turn_bytes / kRoomMarginDivisor));
-  }
-  return std::max(room_at - now, std::chrono::milliseconds(1));
-}
-
-void StorageNode::ReportRoom(StorageReply& reply) {
-  const auto room = Room();
-  reply.full = room > DiskRoom::kNewTurns;
-  reply.overfull = room == DiskRoom::kNothing;
-  if (reply.full) {
-    reply.room_in = RoomIn(DiskRoom::kNewTurns);
-  }
-  if (room > DiskRoom::kNewChains) {
-    reply.new_chains_in =
-        std::max(RoomIn(DiskRoom::kNewChains), std::chrono::milliseconds(1));
-  }
-}
-
 std::shared_ptr<StorageNode::Write> StorageNode::BeginWrite(
     const StorageRequest& request,
     const std::string& encoded) {
@@ -506,204 +408,6 @@
   return true;
 }
 
-std::optional<std::size_t> StorageNode::ReadTurns(
-    Fiber& fiber,
-    const std::vector<std::string>& ids,
-    std::size_t max_bytes,
-    std::vector<TurnRecord>& out) {
-  std::vector<LogPosition> positions;
-  std::vector<std::size_t> dropped;  // Where in `out` they belong.
-  std::size_t bytes = 0;
-  std::size_t n = 0;
-  for (; n < ids.size(); ++n) {
-    const auto* turn = turns_.Find(ids[n]);
-    if (turn == nullptr) {
-      continue;
-    }
-    const auto turn_bytes = turns_.BytesOf(ids[n]);
-    if (bytes > 0 && turn_bytes > max_bytes - std::min(max_bytes, bytes)) {
-      break;
-    }
-    bytes += turn_bytes;
-    if (const auto position = turns_.PositionOfDropped(ids[n])) {
-      positions.push_back(*position);
-      dropped.push_back(out.size());
-    }
-    out.push_back(*turn);
-  }
-  if (!positions.empty() && !ReadContents(fiber, positions, dropped, out)) {
-    return std::nullopt;
-  }
-  return n;
-}
-
-bool StorageNode::ReadContents(Fiber& fiber,
-                               const std::vector<LogPosition>& positions,
-                               const std::vector<std::size_t>& dropped,
-                               std::vector<TurnRecord>& turns) {
-  const auto reading = std::make_shared<Reading>(loop_);
-  disk_log_.Read(positions, std::chrono::steady_clock::now() + kReadTimeout,
-                 [reading](std::vector<std::string> entries) {
-                   reading->entries = std::move(entries);
-                   reading->ended = true;
-                   reading->changed.NotifyAll();
-                 });
-  reading->changed.WaitUntil(fiber, kReadTimeout,
-                             [&reading] { return reading->ended; });
-  for (std::size_t n = 0; n < dropped.size(); ++n) {
-    auto& turn = turns[dropped[n]];
-    if (!reading->ended || !TakeContent(reading->entries[n], turn)) {
-      log_.Write("turn_not_read", turn.id,
-                 {{"reason", reading->ended ? "damaged or removed from the log"
-                                            : "the disk took too long"}});
-      return false;
-    }
-  }
-  return true;
-}
-
-StorageReply StorageNode::AnswerChain(Fiber& fiber,
-                                      const StorageRequest& request) {
-  StorageReply reply;
-  std::vector<std::string> ids;
-  if (!request.ids.empty()) {
-    for (const auto* it : turns_.Chain(request.ids.front())) {
-      ids.push_back(it->id);
-    }
-  }
-  if (!ReadTurns(fiber, ids, std::numeric_limits<std::size_t>::max(),
-                 reply.turns)) {
-    // A reply without turns would say that the turn does not exist.
-    reply.turns.clear();
-    reply.status = StorageStatus::kFailed;
-  }
-  return reply;
-}
-
-// Computed once per epoch for all disks that copy. Programs that are added
-// later need no copying, because they are stored on quorums of the next set as
-// well.
-const std::vector<std::string>& StorageNode::ProgramsGainedBy(
-    const std::string& disk) {
-  const auto& list = view_.storage_list();
-  if (gained_epoch_ != list.epoch) {
-    gained_epoch_ = list.epoch;
-    gained_.clear();
-    for (const auto& program : tokens_.Programs()) {
-      for (const auto& it : list.NewReplicasOf(program, tolerated_losses_)) {
-        gained_[it].push_back(program);
-      }
-    }
-  }
-  return gained_[disk];
-}
-
-StorageReply StorageNode::AnswerSomeUses(const StorageRequest& request) {
-  StorageReply reply;
-  const auto& programs =
-      ProgramsGainedBy(request.ids.empty() ? "" : request.ids.front());
-  auto it = std::upper_bound(programs.begin(), programs.end(), request.program);
-  for (; it != programs.end() && reply.uses.size() < kMaxReplyUses; ++it) {
-    for (auto& use : tokens_.ForProgram(*it)) {
-      reply.uses.push_back(std::move(use));
-    }
-  }
-  if (it != programs.end()) {
-    reply.ids = {*std::prev(it)};
-  }
-  return reply;
-}
-
-// Holds for one epoch: what a disk stores after it has adopted a list is
-// written to enough disks of the next set.
-struct StorageNode::KeptDigest {
-  std::int64_t epoch = 0;
-  std::chrono::steady_clock::time_point made_at;
-  TurnDigest entries;
-  std::vector<std::string> ids;  // In the order of `entries`.
-  std::string packed;
-};
-
-const StorageNode::KeptDigest& StorageNode::Digest() {
-  const auto now = std::chrono::steady_clock::now();
-  const auto epoch = view_.storage_list().epoch;
-  if (digest_ && digest_->epoch == epoch &&
-      now - digest_->made_at < kMaxDigestAge) {
-    return *digest_;
-  }
-  std::vector<std::pair<DigestEntry, const std::string*>> turns;
-  turns.reserve(turns_.size());
-  for (const auto* it : turns_.Turns()) {
-    turns.push_back({{TurnKey::Of(it->id), it->expires_at}, &it->id});
-  }
-  std::sort(turns.begin(), turns.end(), [](const auto& a, const auto& b) {
-    return a.first.key < b.first.key;
-  });
-  digest_ = std::make_unique<KeptDigest>();
-  digest_->epoch = epoch;
-  digest_->made_at = now;
-  digest_->entries.reserve(turns.size());
-  digest_->ids.reserve(turns.size());
-  for (const auto& [entry, id] : turns) {
-    digest_->entries.push_back(entry);
-    digest_->ids.push_back(*id);
-  }
-  digest_->packed = PackDigest(digest_->entries);
-  return *digest_;
-}
-
-TurnDigest StorageNode::TurnsByKey() {
-  digest_ = nullptr;
-  return Digest().entries;
-}
-
-std::vector<std::string> StorageNode::IdsOf(const std::vector<TurnKey>& keys) {
-  const auto& digest = Digest();
-  std::vector<std::string> out;
-  for (const auto& key : keys) {
-    const auto it = std::lower_bound(
-        digest.entries.begin(), digest.entries.end(), key,
-        [](const DigestEntry& a, const TurnKey& b) { return a.key < b; });
-    if (it != digest.entries.end() && it->key == key) {
-      out.push_back(digest.ids[static_cast<std::size_t>(
-          std::distance(digest.entries.begin(), it))]);
-    }
-  }
-  return out;
-}
-
-std::vector<std::string> StorageNode::WantedIds(const StorageRequest& request) {
-  auto out = request.ids;
-  if (!request.keys.empty()) {
-    auto ids = IdsOf(request.keys);
-    std::move(ids.begin(), ids.end(), std::back_inserter(out));
-  }
-  return out;
-}
-
-StorageReply StorageNode::AnswerDigest(const StorageRequest& request) {
-  StorageReply reply;
-  if (request.packs) {
-    reply.digest = Digest().packed;
-    return reply;
-  }
-  reply.ids = turns_.Ids();
-  for (const auto& id : reply.ids) {
-    reply.expiries.push_back(turns_.Find(id)->expires_at);
-  }
-  return reply;
-}
-
-StorageReply StorageNode::AnswerFetch(Fiber& fiber,
-                                      const StorageRequest& request) {
-  StorageReply reply;
-  if (!ReadTurns(fiber, WantedIds(request), kMaxReplyBytes, reply.turns)) {
-    reply.turns.clear();
-    reply.status = StorageStatus::kFailed;
-  }
-  return reply;
-}
-
 // A program's uses count until the last of them expires, which may be in a much
 // later segment.
 bool StorageNode::MoveLivingPrograms(std::int64_t segment) {
@@ -765,7 +469,7 @@
   auto left = turns_.StoredIn(segment);
   while (*self != nullptr && !left.empty()) {
     std::vector<TurnRecord> turns;
-    const auto read = ReadTurns(fiber, left, kMaxReplyBytes, turns);
+    const auto read = ReadTurns(fiber, left, kMaxMovedBytes, turns);
     if (!read || *self == nullptr) {
       return;
     }
--- a/source/storage/storage_node.h
+++ b/source/storage/storage_node.h
@@ -196,7 +196,7 @@
   TurnIndex turns_;
   TokenLedgers tokens_;
   // All disks that copy ask for the same digest.
-  std::unique_ptr<KeptDigest> digest_;
+  std::shared_ptr<KeptDigest> digest_;
   // Programs that each disk gains in the change with epoch `gained_epoch_`,
   // sorted by name.
   std::map<std::string, std::vector<std::string>> gained_;
