--- a/source/core/client_call.h
+++ b/source/core/client_call.h
@@ -44,6 +44,12 @@
   bool not_run = false;  // The server says that it did not run the request.
   bool leaving = false;  // The server takes no new requests from now on.
   std::optional<ServerLoad> load;
+  // Whether the answer is the server's own, so that a limit that it does not
+  // name is over.
+  bool tells_limit = false;
+  // Requests per second that the server takes from all daemons together.
+  std::optional<double> limit_per_second;
+  std::string unreadable_limit;  // The text of a limit that cannot be read.
 };
 
 }  // namespace comfreyfold
--- a/source/core/server_pool.cc
+++ b/source/core/server_pool.cc
@@ -4,6 +4,7 @@
 #include <cmath>
 
 #include "core/hash.h"
+#include "core/moving_average.h"
 
 namespace comfreyfold {
 
@@ -37,7 +38,6 @@
 // A request waits at most this long for the server that has its session cached
 // while other servers are free.
 constexpr std::chrono::milliseconds kMaxWaitForCachedServer{150};
-constexpr double kNewestWeight = 0.1;  // In moving averages.
 // A server is avoided when its latency exceeds the median by this factor.
 constexpr double kSlowLatencyFactor = 2.5;
 constexpr int kRefusalLoadMargin = 1;
@@ -54,19 +54,16 @@
   return value * std::exp2(-age.count() / kLoadHalfLife.count());
 }
 
-double MovingAverage(double mean, double newest) {
-  return mean == 0 ? newest
-                   : mean * (1 - kNewestWeight) + newest * kNewestWeight;
-}
-
 }  // namespace
 
 ServerPool::ServerPool(std::string data_centre,
                        bool is_engine,
-                       std::uint64_t seed)
+                       std::uint64_t seed,
+                       PermitWallet* permits)
     : data_centre_(std::move(data_centre)),
       is_engine_(is_engine),
-      random_(seed) {}
+      random_(seed),
+      permits_(permits) {}
 
 void ServerPool::Update(const std::vector<BackendServer>& servers,
                         TimePoint now) {
@@ -277,6 +274,7 @@
   }
   Server* best = nullptr;
   double best_cost = 0;
+  bool best_has_permit = true;
   const auto* home = is_engine_ ? HomeServer(request, now) : nullptr;
   const bool free_servers_only =
       request.stage != ProgramStage::kStarted ||
@@ -287,21 +285,31 @@
         (!has_room && (free_servers_only || !is_engine_))) {
       continue;
     }
+    const auto permit_wait = PermitWaitMs(it, now);
+    if (!permit_wait) {
+      continue;
+    }
     const double cost =
         Cost(it, request, &it == home, now) +
         (request.excluded.count(id) > 0 ? kExcludedServerCost : 0) +
-        ExpectedWaitMs(it, now);
+        ExpectedWaitMs(it, now) + *permit_wait;
     if (best == nullptr || cost < best_cost) {
       best = &it;
       best_cost = cost;
+      best_has_permit = *permit_wait == 0;
     }
   }
+  if (best != nullptr && !best_has_permit) {
+    ++claims_[best->info.id];
+    return nullptr;
+  }
   return best != nullptr && HasRoom(*best, now) ? best : nullptr;
 }
 
 AcquiredSlot ServerPool::Acquire(Server& server,
                                  const SlotRequest& request,
                                  TimePoint now) {
+  UsePermit(server, now);
   server.used_at = now;
   shared_parts_.Record(request.session, request.prompt);
   AcquiredSlot out;
@@ -311,6 +319,7 @@
   out.in_other_data_centre = server.info.data_centre != data_centre_;
   server.cache.RecordUse(request.prompt);
   out.acquired_at = now;
+  out.server_started = server.info.started;
   ++server.own_requests;
   out.is_probe = server.health.RecordSend(now, random_);
   return out;
@@ -321,6 +330,7 @@
   if (!MayBegin(request, now)) {
     return std::nullopt;
   }
+  claims_.clear();
   const bool is_first = std::all_of(
       waiting_.begin(), waiting_.end(),
       [&request](const auto& it) { return GoesBefore(request, it); });
@@ -339,6 +349,7 @@
 
 std::vector<ServerPool::Assignment> ServerPool::AssignSlots(TimePoint now) {
   std::vector<Assignment> out;
+  claims_.clear();
   waiting_.sort(GoesBefore);
   for (auto it = waiting_.begin(); it != waiting_.end();) {
     auto* server = MayBegin(*it, now) ? ChooseServer(*it, now) : nullptr;
@@ -349,6 +360,7 @@
     out.push_back({it->ticket, Acquire(*server, *it, now)});
     it = waiting_.erase(it);
   }
+  UpdateWantedPermits(now);
   return out;
 }
 
@@ -358,7 +370,7 @@
   server.other_requests =
       std::max(0, load.running + load.waiting - server.own_requests);
   server.reported_at = now;
-  level_.Record(load.running + load.waiting, load.slots, now);
+  RecordLevel(server, load.running + load.waiting, load.slots, now);
   if (load.waiting * kSlotsPerWaitingRequest > load.slots &&
       IsDataCentreFull(now)) {
     window_.OnCongestion(in_use(), now);
@@ -373,7 +385,7 @@
     return;
   }
   ObserveAnswer(it->second, now - report.age);
-  level_.Record(report.requests, it->second.info.slots, now);
+  RecordLevel(it->second, report.requests, it->second.info.slots, now);
   it->second.other_requests =
       std::max(0, report.requests - it->second.own_requests);
   it->second.reported_at = now - report.age;
@@ -453,7 +465,7 @@
   double own_requests = 0;
   bool any_room = false;
   for (const auto& [id, it] : servers_) {
-    if (IsUsable(it, now)) {
+    if (IsUsable(it, now) && !IsExhausted(it, now)) {
       any_room = any_room || HasRoom(it, now);
       own_requests += std::max(1, it.own_requests);
     }
@@ -464,6 +476,11 @@
   const auto ahead = std::count_if(
       waiting_.begin(), waiting_.end(),
       [&request](const SlotRequest& it) { return !GoesBefore(request, it); });
+  if (own_requests == 0) {
+    if (const auto wait = ExpectedPermitWait(ahead, now)) {
+      return *wait;
+    }
+  }
   const double held = mean_held_ms_ > 0 ? mean_held_ms_ : kDefaultHeldMs;
   // Assumes that this daemon's slots are released at an even rate.
   return std::chrono::milliseconds(static_cast<std::int64_t>(
--- a/source/core/server_pool.h
+++ b/source/core/server_pool.h
@@ -17,6 +17,7 @@
 #include "core/client_call.h"
 #include "core/load_level.h"
 #include "core/load_report_table.h"
+#include "core/permit_wallet.h"
 #include "core/prompt_cache_view.h"
 #include "core/request_window.h"
 #include "core/server_fault_table.h"
@@ -35,6 +36,7 @@
   bool in_other_data_centre = false;
   TimePoint acquired_at{};
   bool is_probe = false;  // Tests a server that has failed.
+  std::chrono::milliseconds server_started{0};  // Since the Unix epoch.
 };
 
 // The outcome of an exchange with a server.
@@ -54,8 +56,12 @@
 // load. The caller passes the time; the class does no I/O.
 class ServerPool {
  public:
-  // `seed` spreads the trials of faulty servers over the daemons.
-  ServerPool(std::string data_centre, bool is_engine, std::uint64_t seed = 0);
+  // `seed` spreads the trials of faulty servers over the daemons. `permits` are
+  // those for servers with a limit; null: limits are not heeded.
+  ServerPool(std::string data_centre,
+             bool is_engine,
+             std::uint64_t seed = 0,
+             PermitWallet* permits = nullptr);
 
   // Replaces the set of registered servers.
   void Update(const std::vector<BackendServer>& servers, TimePoint now);
@@ -130,6 +136,26 @@
   static bool IsUsable(const Server& server, TimePoint now);
   void NotifyFaultyChange(const Server& server, bool faulty) const;
   void ObserveAnswer(Server& server, TimePoint at);
+  // Whether the server takes requests with a permit only.
+  bool NeedsPermit(const Server& server) const;
+  // Whether it does, and no permit can be had soon.
+  bool IsExhausted(const Server& server, TimePoint now) const;
+  // Milliseconds until a request can have a permit of the server, 0 if it needs
+  // none. Null if no permit can be had soon.
+  std::optional<double> PermitWaitMs(const Server& server, TimePoint now) const;
+  // How long a request behind `ahead` others waits for a permit of any server.
+  // Null if no usable server needs one.
+  std::optional<std::chrono::milliseconds> ExpectedPermitWait(
+      std::ptrdiff_t ahead,
+      TimePoint now) const;
+  void UsePermit(const Server& server, TimePoint now);
+  // Asks for permits for the requests that wait.
+  void UpdateWantedPermits(TimePoint now);
+  bool IsOnlyLimited(TimePoint now) const;
+  void RecordLevel(const Server& server,
+                   int requests,
+                   int slots,
+                   TimePoint now);
   double LoadOf(const Server& server, TimePoint now) const;
   int SlotsOf(const Server& server) const;
   bool HasRoom(const Server& server, TimePoint now) const;
@@ -160,6 +186,11 @@
   LoadLevel level_;
   double mean_held_ms_ = 0;  // Moving average of the time a slot is held.
   std::mt19937_64 random_;
+  PermitWallet* permits_;
+  // Requests that wait for a permit, by server.
+  std::map<std::string, int> claims_;
+  double permit_interval_ms_ = 0;  // Moving average, between permits used.
+  TimePoint permit_used_at_{};
   std::function<void(const std::string&, bool)> on_faulty_change_;
 };
 
--- a/source/fleet/fleet_sync.cc
+++ b/source/fleet/fleet_sync.cc
@@ -170,6 +170,11 @@
     question.address = address_;
   }
   question.blamed_hash = view_.quarantine().HashOfBlamed();
+  question.limits_hash = view_.limits().Hash();
+  const auto limit_changes = view_.limits().changes();
+  if (limits_differ_ || limit_changes != limits_sent_) {
+    question.limits = view_.limits().All(queried_at);
+  }
   HttpOptions options;
   options.connect_timeout = kQueryTimeout;
   options.idle_timeout = kQueryTimeout;
@@ -183,6 +188,7 @@
     const bool was_fresh = IsFresh();
     Apply(DecodeFleetNews(reply.body), address);
     loads_sent_until_ = queried_at;
+    limits_sent_ = limit_changes;
     last_source_ = address;
     last_queried_at_ = queried_at;
     if (!was_fresh && IsFresh()) {
@@ -271,6 +277,17 @@
   quarantine_differs_ = news.blamed_hash != view_.quarantine().HashOfBlamed();
 }
 
+void FleetSync::RecordLimits(const std::vector<ServerLimit>& limits) {
+  const auto now = std::chrono::steady_clock::now();
+  bool changed = false;
+  for (const auto& it : limits) {
+    changed = view_.limits().Record(it, now) || changed;
+  }
+  if (changed && on_limits_) {
+    on_limits_();
+  }
+}
+
 void FleetSync::Apply(const FleetNews& news, const std::string& address) {
   const auto now = std::chrono::steady_clock::now();
   if (news.config_version > 0) {
@@ -286,6 +303,8 @@
   }
   ApplyReports(news);
   ApplySuspectRuns(news);
+  RecordLimits(news.limits);
+  limits_differ_ = news.limits_hash != view_.limits().Hash();
   if (!news.daemons.empty()) {
     view_.SetClientDaemons(news.daemons);
   }
@@ -380,6 +399,11 @@
   if (news.blamed_hash != question.blamed_hash) {
     Append(view_.quarantine().BlamedRuns(now), news.suspect_runs);
   }
+  RecordLimits(question.limits);
+  news.limits_hash = view_.limits().Hash();
+  if (news.limits_hash != question.limits_hash) {
+    news.limits = view_.limits().All(now);
+  }
   exchange.Reply(kOk, "", Encode(news));
 }
 
--- a/source/fleet/fleet_sync.h
+++ b/source/fleet/fleet_sync.h
@@ -45,6 +45,10 @@
     on_fault_ = std::move(hook);
   }
 
+  // Sets a function that is called when other daemons have told of limits of
+  // servers that differ from what this daemon knew.
+  void OnLimits(std::function<void()> hook) { on_limits_ = std::move(hook); }
+
   // Sets what the disk `disk` of this daemon keeps, for daemons that start
   // while the key-value service does not answer.
   void OfferKept(std::string disk, std::function<KeptFleet()> kept) {
@@ -101,6 +105,7 @@
   void ApplyConfig(const FleetNews& news, const std::string& address);
   void ApplyReports(const FleetNews& news);
   void ApplySuspectRuns(const FleetNews& news);
+  void RecordLimits(const std::vector<ServerLimit>& limits);
   // Takes over what enough disks keep, if this daemon has no configuration.
   void ApplyKept();
 
@@ -116,6 +121,10 @@
   TimePoint loads_sent_until_{};
   // The daemon that answered last has quarantined other requests.
   bool quarantine_differs_ = false;
+  // The daemon that answered last knows other limits of servers.
+  bool limits_differ_ = false;
+  std::uint64_t limits_sent_ = 0;  // Changes that were sent to it.
+  std::function<void()> on_limits_;
   // The source that answered last, and when it was queried.
   std::string last_source_;
   TimePoint last_queried_at_{};
--- a/source/fleet/fleet_view.h
+++ b/source/fleet/fleet_view.h
@@ -14,6 +14,7 @@
 #include "core/routing.h"
 #include "core/server_directory.h"
 #include "core/server_fault_table.h"
+#include "core/server_limit_table.h"
 #include "core/storage_list.h"
 #include "core/time_point.h"
 
@@ -71,6 +72,9 @@
   // that these saw.
   LoadReportTable& loads() { return loads_; }
   ServerFaultTable& faults() { return faults_; }
+  // Limits that servers named to this daemon or to others.
+  ServerLimitTable& limits() { return limits_; }
+  const ServerLimitTable& limits() const { return limits_; }
 
   // Requests that crash servers, as this daemon and others have seen.
   const RequestQuarantine& quarantine() const { return quarantine_; }
@@ -113,6 +117,7 @@
   std::function<void(const StorageList&)> store_list_;
   LoadReportTable loads_;
   ServerFaultTable faults_;
+  ServerLimitTable limits_;
   RequestQuarantine quarantine_;
   std::vector<std::string> client_daemons_;
   std::set<std::string> retiring_;
--- a/source/front/call_dispatcher.cc
+++ b/source/front/call_dispatcher.cc
@@ -150,6 +150,7 @@
   const auto events_before = call.progress.events;
   ServerCall server_call(http_, codec_, call.client, call.progress);
   server_call.OnHead([this, &call, &slot, start](const ServerAnswer& metadata) {
+    admission_.ObserveLimit(slot, metadata);
     if (!metadata.not_run) {
       admission_.ObserveResponseStart(
           call.service, slot, metadata.load,
@@ -181,6 +182,7 @@
               {"address", slot.address},
               {"uncached_tokens", slot.uncached_tokens},
               {"far", slot.in_other_data_centre ? 1 : 0},
+              {"limit_per_second", LimitText(result.metadata.limit_per_second)},
               {"waited_ms", slot_result.queue_time},
               {"slack_ms", slack_.Remaining(call.params.program)},
               {"stage", ToString(call.stage)},
--- a/source/front/server_admission.cc
+++ b/source/front/server_admission.cc
@@ -15,6 +15,8 @@
 constexpr std::chrono::milliseconds kPollInterval{25};
 constexpr std::chrono::milliseconds kSilenceCheckInterval{100};
 
+constexpr std::size_t kMaxUnreadableLimits = 1000;
+
 std::chrono::milliseconds TimeBetween(TimePoint later, TimePoint earlier) {
   return std::chrono::duration_cast<std::chrono::milliseconds>(later - earlier);
 }
@@ -29,6 +31,7 @@
       view_(view),
       log_(log),
       data_centre_(std::move(data_centre)),
+      permits_(view.limits()),
       origin_(std::random_device{}()) {
   view_.OnChange([this] { UpdateServers(); });
   loop_.Spawn([this](Fiber& fiber) { WatchForSilence(fiber); });
@@ -71,7 +74,8 @@
     const auto it = config->services.find(service);
     const bool is_engine =
         it != config->services.end() && it->second.engine.has_value();
-    out = std::make_unique<ServiceQueue>(data_centre_, is_engine, origin_);
+    out = std::make_unique<ServiceQueue>(data_centre_, is_engine, origin_,
+                                         permits_);
     out->pool.OnFaultyChange([this](const std::string& server, bool faulty) {
       log_.Write(faulty ? "server_avoided" : "server_regained", "",
                  {{"server", server}});
@@ -99,14 +103,18 @@
 }
 
 void ServerAdmission::AssignSlots(ServiceQueue& queue) {
-  if (queue.waiters.empty()) {
+  if (queue.waiters.empty() && !permits_.AnyLimits()) {
     return;
   }
-  for (auto& it : queue.pool.AssignSlots(std::chrono::steady_clock::now())) {
+  const auto now = std::chrono::steady_clock::now();
+  for (auto& it : queue.pool.AssignSlots(now)) {
     auto& waiter = queue.waiters.at(it.ticket);
     waiter->slot = std::move(it.slot);
     waiter->changed.NotifyAll();
   }
+  if (on_permits_wanted_ && permits_.AnyLimits() && permits_.HasWants(now)) {
+    on_permits_wanted_();
+  }
 }
 
 SlotResult ServerAdmission::Acquire(Fiber& fiber,
@@ -170,6 +178,48 @@
   }
 }
 
+void ServerAdmission::ObserveLimit(const AcquiredSlot& slot,
+                                   const ServerAnswer& answer) {
+  if (!answer.tells_limit) {
+    return;
+  }
+  if (!answer.unreadable_limit.empty()) {
+    if (unreadable_limits_.size() >= kMaxUnreadableLimits) {
+      unreadable_limits_.clear();
+    }
+    if (unreadable_limits_.insert(slot.server_id).second) {
+      log_.Write(
+          "server_limit_unreadable", "",
+          {{"server", slot.server_id}, {"text", answer.unreadable_limit}});
+    }
+    return;
+  }
+  const auto now = std::chrono::steady_clock::now();
+  const bool changed =
+      answer.limit_per_second
+          ? view_.limits().Record({slot.server_id,
+                                   slot.server_started,
+                                   answer.limit_per_second,
+                                   {}},
+                                  now)
+          : view_.limits().RecordUnlimited(slot.server_id, slot.server_started,
+                                           slot.acquired_at, now);
+  if (changed) {
+    log_.Write("server_limit", "",
+               {{"server", slot.server_id},
+                {"per_second", LimitText(answer.limit_per_second)}});
+    OnLimitsChanged();
+  }
+}
+
+void ServerAdmission::OnLimitsChanged() {
+  for (auto& [service, queue] : queues_) {
+    if (queue) {
+      AssignSlots(*queue);
+    }
+  }
+}
+
 // The answer may come from a server that has taken over the address.
 void ServerAdmission::ObserveLeaving(const AcquiredSlot& slot) {
   if (view_.MarkServerLeaving(slot.address)) {
--- a/source/front/server_admission.h
+++ b/source/front/server_admission.h
@@ -6,8 +6,11 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 
+#include "core/client_call.h"
+#include "core/permit_wallet.h"
 #include "core/server_pool.h"
 #include "fleet/decision_log.h"
 #include "fleet/fleet_view.h"
@@ -53,6 +56,17 @@
                             const AcquiredSlot& slot,
                             const std::optional<ServerLoad>& load,
                             std::chrono::milliseconds first_byte);
+  // Records what the head of a server's answer said about its limit.
+  void ObserveLimit(const AcquiredSlot& slot, const ServerAnswer& answer);
+  // Records that the limits of servers or the permits have changed.
+  void OnLimitsChanged();
+  // Sets a function that is called when requests wait for permits.
+  void OnPermitsWanted(std::function<void()> hook) {
+    on_permits_wanted_ = std::move(hook);
+  }
+  // The permits for servers with a limit.
+  PermitWallet& permits() { return permits_; }
+
   // Records that the server at the slot's address says that it is leaving.
   void ObserveLeaving(const AcquiredSlot& slot);
   // Gives a slot back after the exchange with its server has ended.
@@ -79,8 +93,9 @@
   struct ServiceQueue {
     ServiceQueue(const std::string& data_centre,
                  bool is_engine,
-                 std::uint64_t seed)
-        : pool(data_centre, is_engine, seed) {}
+                 std::uint64_t seed,
+                 PermitWallet& permits)
+        : pool(data_centre, is_engine, seed, &permits) {}
     ServerPool pool;
     std::map<std::uint64_t, std::shared_ptr<Waiter>> waiters;  // By ticket.
   };
@@ -100,6 +115,9 @@
   FleetView& view_;
   DecisionLog& log_;
   std::string data_centre_;
+  PermitWallet permits_;
+  std::function<void()> on_permits_wanted_;
+  std::set<std::string> unreadable_limits_;  // Servers that were logged.
   std::map<std::string, std::unique_ptr<ServiceQueue>> queues_;
   std::uint64_t next_ticket_ = 1;
   const std::uint64_t origin_;  // Identifies the faults that this daemon sees.
--- a/source/log/metrics.cc
+++ b/source/log/metrics.cc
@@ -38,8 +38,34 @@
     std::function<double()> read;
   };
 
+  struct CallbackGauges {
+    prometheus::Family<prometheus::Gauge>& family;
+    std::string label;
+    std::function<std::map<std::string, double>()> read;
+    std::map<std::string, prometheus::Gauge*> gauges;  // By label value.
+
+    void Update() {
+      const auto values = read();
+      std::erase_if(gauges, [this, &values](const auto& it) {
+        if (values.count(it.first) > 0) {
+          return false;
+        }
+        family.Remove(it.second);
+        return true;
+      });
+      for (const auto& [value, n] : values) {
+        auto& gauge = gauges[value];
+        if (gauge == nullptr) {
+          gauge = &family.Add({{label, value}});
+        }
+        gauge->Set(n);
+      }
+    }
+  };
+
   prometheus::Registry registry;
   std::vector<CallbackGauge> callback_gauges;
+  std::vector<CallbackGauges> labelled_gauges;
 
   prometheus::Family<prometheus::Counter>& Counter(const char* name,
                                                    const char* help) {
@@ -161,7 +187,19 @@
   impl_->callback_gauges.push_back({gauge, std::move(read)});
 }
 
+void Metrics::AddGauges(const std::string& name,
+                        const std::string& help,
+                        const std::string& label,
+                        std::function<std::map<std::string, double>()> read) {
+  auto& family =
+      prometheus::BuildGauge().Name(name).Help(help).Register(impl_->registry);
+  impl_->labelled_gauges.push_back({family, label, std::move(read), {}});
+}
+
 std::string Metrics::Scrape() {
+  for (auto& it : impl_->labelled_gauges) {
+    it.Update();
+  }
   for (const auto& it : impl_->callback_gauges) {
     it.gauge.Set(it.read());
   }
--- a/source/log/metrics.h
+++ b/source/log/metrics.h
@@ -4,6 +4,7 @@
 #include <chrono>
 #include <cstddef>
 #include <functional>
+#include <map>
 #include <memory>
 #include <string>
 
@@ -45,6 +46,12 @@
                 const std::string& help,
                 std::function<double()> read);
 
+  // Registers a gauge with one value for each value of the label `label`.
+  void AddGauges(const std::string& name,
+                 const std::string& help,
+                 const std::string& label,
+                 std::function<std::map<std::string, double>()> read);
+
   // Returns all metrics in the Prometheus text format.
   std::string Scrape();
 
--- a/source/vm/vm_daemon.cc
+++ b/source/vm/vm_daemon.cc
@@ -154,6 +154,7 @@
       view_, log_, storage_node_->disk_log(), settings_.data_folder);
   fleet_sync_.OfferKept(storage_node_->disk(),
                         [this] { return fleet_state_file_->kept(); });
+  permit_service_ = std::make_unique<PermitService>(view_, PeerAddress());
   AddStorageGauges(metrics_, *storage_node_);
   membership_manager_ = std::make_unique<StorageMembershipManager>(
       loop_, http_, platform_.store, view_, *storage_node_, log_,
@@ -182,6 +183,7 @@
   });
   fleet_sync_.OnFault(
       [this](const ServerFault& fault) { admission_->ObserveFault(fault); });
+  ShareLimits();
   fleet_sync_.UseKept(settings_.tolerated_losses);
   crash_guard_ = std::make_unique<CrashGuard>(loop_, http_, view_, log_);
   call_handler_ = std::make_unique<CallHandler>(
@@ -218,6 +220,36 @@
                     });
 }
 
+void VmDaemon::ShareLimits() {
+  permit_client_ =
+      std::make_unique<PermitClient>(loop_, http_, view_, admission_->permits(),
+                                     PeerAddress(), settings_.data_centre);
+  admission_->OnPermitsWanted([this] { permit_client_->Ask(); });
+  permit_client_->OnChange([this] { admission_->OnLimitsChanged(); });
+  permit_client_->OnLimits([this] { admission_->OnLimitsChanged(); });
+  fleet_sync_.OnLimits([this] { admission_->OnLimitsChanged(); });
+  metrics_.AddGauges("comfreyfold_server_limit",
+                     "Requests per second that a server takes from all daemons",
+                     "server", [this] {
+                       std::map<std::string, double> out;
+                       for (const auto& it : view_.limits().All(
+                                std::chrono::steady_clock::now())) {
+                         if (it.per_second) {
+                           out[it.server_id] = *it.per_second;
+                         }
+                       }
+                       return out;
+                     });
+  metrics_.AddGauges("comfreyfold_server_permits",
+                     "Requests that this daemon may send to a server with a "
+                     "limit now or soon",
+                     "server", [this] { return admission_->permits().Held(); });
+  metrics_.AddGauges("comfreyfold_server_permits_used",
+                     "Requests that this daemon has sent to a server with a "
+                     "limit",
+                     "server", [this] { return admission_->permits().Used(); });
+}
+
 void VmDaemon::StartMetrics() {
   metrics_.AddGauge("comfreyfold_log_lines_dropped",
                     "Log lines dropped for want of room or rate",
@@ -247,6 +279,8 @@
                               HttpExchange& exchange) {
   if (request.Path() == kFleetPath) {
     fleet_sync_.Handle(request, exchange);
+  } else if (request.Path() == kPermitPath && permit_service_) {
+    permit_service_->Handle(request, exchange);
   } else if (!request.Header(kRelayHeader).empty()) {
     RelayStorageRequest(fiber, http_, view_, request, exchange);
   } else if (storage_node_ && request.target.rfind(kStoragePath, 0) == 0) {
--- a/source/vm/vm_daemon.h
+++ b/source/vm/vm_daemon.h
@@ -12,6 +12,8 @@
 #include "fleet/decision_log.h"
 #include "fleet/fleet_sync.h"
 #include "fleet/fleet_view.h"
+#include "fleet/permit_client.h"
+#include "fleet/permit_service.h"
 #include "fleet/store_watcher.h"
 #include "fleet/vm_settings.h"
 #include "front/call_handler.h"
@@ -66,6 +68,7 @@
  private:
   void StartStorage();
   void StartClientService();
+  void ShareLimits();
   void StartMetrics();
   void HandleInternal(Fiber& fiber,
                       const HttpRequest& request,
@@ -110,7 +113,9 @@
   std::unique_ptr<FleetStateFile> fleet_state_file_;
   std::unique_ptr<StorageMembershipManager> membership_manager_;
   std::unique_ptr<StorageClient> storage_client_;
+  std::unique_ptr<PermitService> permit_service_;
   std::unique_ptr<ServerAdmission> admission_;
+  std::unique_ptr<PermitClient> permit_client_;
   std::unique_ptr<CrashGuard> crash_guard_;
   std::unique_ptr<CallHandler> call_handler_;
   std::unique_ptr<HttpServer> internal_server_;
--- a/source/wire/comfreyfold.thrift
+++ b/source/wire/comfreyfold.thrift
@@ -306,6 +306,39 @@
   6: bool any_body, // The fingerprint is that of the target.
 }
 
+// What a backend server said about the rate of requests that it takes.
+struct ServerLimit {
+  1: string server,
+  2: i64 started_ms,
+  3: optional double per_second, // Missing: the server names no limit.
+  4: i64 age_ms,
+}
+
+// A daemon's request for permits, each for one request to a server with a
+// limit, and the reply of an issuer.
+struct PermitRequest {
+  1: string server,
+  2: i32 wanted,
+}
+
+struct PermitQuestion {
+  1: list<PermitRequest> requests,
+  2: list<ServerLimit> limits, // Of these servers.
+  3: string address, // Of the sender.
+}
+
+struct PermitReply {
+  1: string server,
+  2: list<i64> valid_in_ms, // For each permit that is granted.
+  3: i64 retry_in_ms,
+}
+
+struct PermitNews {
+  1: list<PermitReply> replies,
+  2: list<ServerLimit> limits, // Those that the sender does not know.
+  3: i32 daemons, // Number of daemons that ask this issuer.
+}
+
 // A daemon's request for the state of the deployment. It says what the sender
 // already has, so that FleetNews can leave that out.
 struct FleetQuestion {
@@ -318,6 +351,8 @@
   7: list<ServerFault> faults,
   8: list<SuspectRun> suspect_runs,
   9: i64 blamed_hash, // Of the requests that the sender has quarantined.
+  10: list<ServerLimit> limits,
+  11: i64 limits_hash, // Of the servers' limits that the sender knows.
 }
 
 // What a storage daemon keeps on its disk for starts at which the key-value
@@ -347,4 +382,6 @@
   14: list<SuspectRun> suspect_runs,
   15: i64 blamed_hash,
   16: i64 retiring_revision, // Of the store, when 'retiring' was read.
+  17: list<ServerLimit> limits,
+  18: i64 limits_hash,
 }
--- a/source/wire/fleet_codec.cc
+++ b/source/wire/fleet_codec.cc
@@ -2,6 +2,7 @@
 #include "wire/compact.h"
 #include "wire/fleet_messages.h"
 #include "wire/gen/comfreyfold_types.h"
+#include "wire/limit_wire.h"
 #include "wire/storage_wire.h"
 
 namespace comfreyfold {
@@ -157,6 +158,8 @@
   out.faults = ToWire(question.faults);
   out.suspect_runs = ToWire(question.suspect_runs);
   out.blamed_hash = static_cast<std::int64_t>(question.blamed_hash);
+  out.limits = detail::ToWire(question.limits);
+  out.limits_hash = static_cast<std::int64_t>(question.limits_hash);
   return Write(out);
 }
 
@@ -170,7 +173,9 @@
           in.address,
           FromWire(in.faults),
           FromWire(in.suspect_runs),
-          static_cast<std::uint64_t>(in.blamed_hash)};
+          static_cast<std::uint64_t>(in.blamed_hash),
+          detail::FromWire(in.limits),
+          static_cast<std::uint64_t>(in.limits_hash)};
 }
 
 std::string Encode(const FleetNews& news) {
@@ -197,6 +202,8 @@
   out.faults = ToWire(news.faults);
   out.suspect_runs = ToWire(news.suspect_runs);
   out.blamed_hash = static_cast<std::int64_t>(news.blamed_hash);
+  out.limits = detail::ToWire(news.limits);
+  out.limits_hash = static_cast<std::int64_t>(news.limits_hash);
   if (news.kept) {
     out.__set_kept(ToWire(*news.kept));
   }
@@ -228,6 +235,8 @@
   out.faults = FromWire(in.faults);
   out.suspect_runs = FromWire(in.suspect_runs);
   out.blamed_hash = static_cast<std::uint64_t>(in.blamed_hash);
+  out.limits = detail::FromWire(in.limits);
+  out.limits_hash = static_cast<std::uint64_t>(in.limits_hash);
   if (in.__isset.kept) {
     out.kept = FromWire(in.kept);
   }
--- a/source/wire/fleet_messages.h
+++ b/source/wire/fleet_messages.h
@@ -13,6 +13,7 @@
 #include "core/load_report_table.h"
 #include "core/request_quarantine.h"
 #include "core/server_fault_table.h"
+#include "core/server_limit_table.h"
 #include "core/storage_list.h"
 
 namespace comfreyfold {
@@ -33,6 +34,8 @@
   // Hash of the requests that the sender has quarantined. If the receiver has
   // quarantined others, they tell each other all runs of these requests.
   std::uint64_t blamed_hash = 0;
+  std::vector<ServerLimit> limits;  // If the receiver may know others.
+  std::uint64_t limits_hash = 0;    // Of all that the sender knows.
 };
 
 // The state of the deployment as far as the replying daemon knows it, without
@@ -58,6 +61,9 @@
   std::string disk;  // Id of the replying daemon's disk; empty if it has none.
   std::vector<SuspectRun> suspect_runs;
   std::uint64_t blamed_hash = 0;
+  std::vector<ServerLimit>
+      limits;  // If the sender of the request knows others.
+  std::uint64_t limits_hash = 0;
 };
 
 // Thrift compact encoding. The Decode functions throw WireError.
--- a/source/wire/gen/comfreyfold_types.cpp
+++ b/source/wire/gen/comfreyfold_types.cpp
@@ -6754,6 +6754,768 @@
 }
 
 
+ServerLimit::~ServerLimit() noexcept {
+}
+
+
+void ServerLimit::__set_server(const std::string& val) {
+  this->server = val;
+}
+
+void ServerLimit::__set_started_ms(const int64_t val) {
+  this->started_ms = val;
+}
+
+void ServerLimit::__set_per_second(const double val) {
+  this->per_second = val;
+__isset.per_second = true;
+}
+
+void ServerLimit::__set_age_ms(const int64_t val) {
+  this->age_ms = val;
+}
+std::ostream& operator<<(std::ostream& out, const ServerLimit& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t ServerLimit::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->server);
+          this->__isset.server = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->started_ms);
+          this->__isset.started_ms = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_DOUBLE) {
+          xfer += iprot->readDouble(this->per_second);
+          this->__isset.per_second = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->age_ms);
+          this->__isset.age_ms = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t ServerLimit::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("ServerLimit");
+
+  xfer += oprot->writeFieldBegin("server", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->server);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("started_ms", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->started_ms);
+  xfer += oprot->writeFieldEnd();
+
+  if (this->__isset.per_second) {
+    xfer += oprot->writeFieldBegin("per_second", ::apache::thrift::protocol::T_DOUBLE, 3);
+    xfer += oprot->writeDouble(this->per_second);
+    xfer += oprot->writeFieldEnd();
+  }
+  xfer += oprot->writeFieldBegin("age_ms", ::apache::thrift::protocol::T_I64, 4);
+  xfer += oprot->writeI64(this->age_ms);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(ServerLimit &a, ServerLimit &b) {
+  using ::std::swap;
+  swap(a.server, b.server);
+  swap(a.started_ms, b.started_ms);
+  swap(a.per_second, b.per_second);
+  swap(a.age_ms, b.age_ms);
+  swap(a.__isset, b.__isset);
+}
+
+ServerLimit::ServerLimit(const ServerLimit& other232) {
+  server = other232.server;
+  started_ms = other232.started_ms;
+  per_second = other232.per_second;
+  age_ms = other232.age_ms;
+  __isset = other232.__isset;
+}
+ServerLimit& ServerLimit::operator=(const ServerLimit& other233) {
+  server = other233.server;
+  started_ms = other233.started_ms;
+  per_second = other233.per_second;
+  age_ms = other233.age_ms;
+  __isset = other233.__isset;
+  return *this;
+}
+void ServerLimit::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "ServerLimit(";
+  out << "server=" << to_string(server);
+  out << ", " << "started_ms=" << to_string(started_ms);
+  out << ", " << "per_second="; (__isset.per_second ? (out << to_string(per_second)) : (out << "<null>"));
+  out << ", " << "age_ms=" << to_string(age_ms);
+  out << ")";
+}
+
+
+PermitRequest::~PermitRequest() noexcept {
+}
+
+
+void PermitRequest::__set_server(const std::string& val) {
+  this->server = val;
+}
+
+void PermitRequest::__set_wanted(const int32_t val) {
+  this->wanted = val;
+}
+std::ostream& operator<<(std::ostream& out, const PermitRequest& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t PermitRequest::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->server);
+          this->__isset.server = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->wanted);
+          this->__isset.wanted = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t PermitRequest::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("PermitRequest");
+
+  xfer += oprot->writeFieldBegin("server", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->server);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("wanted", ::apache::thrift::protocol::T_I32, 2);
+  xfer += oprot->writeI32(this->wanted);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(PermitRequest &a, PermitRequest &b) {
+  using ::std::swap;
+  swap(a.server, b.server);
+  swap(a.wanted, b.wanted);
+  swap(a.__isset, b.__isset);
+}
+
+PermitRequest::PermitRequest(const PermitRequest& other234) {
+  server = other234.server;
+  wanted = other234.wanted;
+  __isset = other234.__isset;
+}
+PermitRequest& PermitRequest::operator=(const PermitRequest& other235) {
+  server = other235.server;
+  wanted = other235.wanted;
+  __isset = other235.__isset;
+  return *this;
+}
+void PermitRequest::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "PermitRequest(";
+  out << "server=" << to_string(server);
+  out << ", " << "wanted=" << to_string(wanted);
+  out << ")";
+}
+
+
+PermitQuestion::~PermitQuestion() noexcept {
+}
+
+
+void PermitQuestion::__set_requests(const std::vector<PermitRequest> & val) {
+  this->requests = val;
+}
+
+void PermitQuestion::__set_limits(const std::vector<ServerLimit> & val) {
+  this->limits = val;
+}
+
+void PermitQuestion::__set_address(const std::string& val) {
+  this->address = val;
+}
+std::ostream& operator<<(std::ostream& out, const PermitQuestion& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t PermitQuestion::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->requests.clear();
+            uint32_t _size236;
+            ::apache::thrift::protocol::TType _etype239;
+            xfer += iprot->readListBegin(_etype239, _size236);
+            this->requests.resize(_size236);
+            uint32_t _i240;
+            for (_i240 = 0; _i240 < _size236; ++_i240)
+            {
+              xfer += this->requests[_i240].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.requests = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->limits.clear();
+            uint32_t _size241;
+            ::apache::thrift::protocol::TType _etype244;
+            xfer += iprot->readListBegin(_etype244, _size241);
+            this->limits.resize(_size241);
+            uint32_t _i245;
+            for (_i245 = 0; _i245 < _size241; ++_i245)
+            {
+              xfer += this->limits[_i245].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.limits = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->address);
+          this->__isset.address = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t PermitQuestion::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("PermitQuestion");
+
+  xfer += oprot->writeFieldBegin("requests", ::apache::thrift::protocol::T_LIST, 1);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->requests.size()));
+    std::vector<PermitRequest> ::const_iterator _iter246;
+    for (_iter246 = this->requests.begin(); _iter246 != this->requests.end(); ++_iter246)
+    {
+      xfer += (*_iter246).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("limits", ::apache::thrift::protocol::T_LIST, 2);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->limits.size()));
+    std::vector<ServerLimit> ::const_iterator _iter247;
+    for (_iter247 = this->limits.begin(); _iter247 != this->limits.end(); ++_iter247)
+    {
+      xfer += (*_iter247).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("address", ::apache::thrift::protocol::T_STRING, 3);
+  xfer += oprot->writeString(this->address);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(PermitQuestion &a, PermitQuestion &b) {
+  using ::std::swap;
+  swap(a.requests, b.requests);
+  swap(a.limits, b.limits);
+  swap(a.address, b.address);
+  swap(a.__isset, b.__isset);
+}
+
+PermitQuestion::PermitQuestion(const PermitQuestion& other248) {
+  requests = other248.requests;
+  limits = other248.limits;
+  address = other248.address;
+  __isset = other248.__isset;
+}
+PermitQuestion& PermitQuestion::operator=(const PermitQuestion& other249) {
+  requests = other249.requests;
+  limits = other249.limits;
+  address = other249.address;
+  __isset = other249.__isset;
+  return *this;
+}
+void PermitQuestion::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "PermitQuestion(";
+  out << "requests=" << to_string(requests);
+  out << ", " << "limits=" << to_string(limits);
+  out << ", " << "address=" << to_string(address);
+  out << ")";
+}
+
+
+PermitReply::~PermitReply() noexcept {
+}
+
+
+void PermitReply::__set_server(const std::string& val) {
+  this->server = val;
+}
+
+void PermitReply::__set_valid_in_ms(const std::vector<int64_t> & val) {
+  this->valid_in_ms = val;
+}
+
+void PermitReply::__set_retry_in_ms(const int64_t val) {
+  this->retry_in_ms = val;
+}
+std::ostream& operator<<(std::ostream& out, const PermitReply& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t PermitReply::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->server);
+          this->__isset.server = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->valid_in_ms.clear();
+            uint32_t _size250;
+            ::apache::thrift::protocol::TType _etype253;
+            xfer += iprot->readListBegin(_etype253, _size250);
+            this->valid_in_ms.resize(_size250);
+            uint32_t _i254;
+            for (_i254 = 0; _i254 < _size250; ++_i254)
+            {
+              xfer += iprot->readI64(this->valid_in_ms[_i254]);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.valid_in_ms = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->retry_in_ms);
+          this->__isset.retry_in_ms = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t PermitReply::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("PermitReply");
+
+  xfer += oprot->writeFieldBegin("server", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->server);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("valid_in_ms", ::apache::thrift::protocol::T_LIST, 2);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I64, static_cast<uint32_t>(this->valid_in_ms.size()));
+    std::vector<int64_t> ::const_iterator _iter255;
+    for (_iter255 = this->valid_in_ms.begin(); _iter255 != this->valid_in_ms.end(); ++_iter255)
+    {
+      xfer += oprot->writeI64((*_iter255));
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("retry_in_ms", ::apache::thrift::protocol::T_I64, 3);
+  xfer += oprot->writeI64(this->retry_in_ms);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(PermitReply &a, PermitReply &b) {
+  using ::std::swap;
+  swap(a.server, b.server);
+  swap(a.valid_in_ms, b.valid_in_ms);
+  swap(a.retry_in_ms, b.retry_in_ms);
+  swap(a.__isset, b.__isset);
+}
+
+PermitReply::PermitReply(const PermitReply& other256) {
+  server = other256.server;
+  valid_in_ms = other256.valid_in_ms;
+  retry_in_ms = other256.retry_in_ms;
+  __isset = other256.__isset;
+}
+PermitReply& PermitReply::operator=(const PermitReply& other257) {
+  server = other257.server;
+  valid_in_ms = other257.valid_in_ms;
+  retry_in_ms = other257.retry_in_ms;
+  __isset = other257.__isset;
+  return *this;
+}
+void PermitReply::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "PermitReply(";
+  out << "server=" << to_string(server);
+  out << ", " << "valid_in_ms=" << to_string(valid_in_ms);
+  out << ", " << "retry_in_ms=" << to_string(retry_in_ms);
+  out << ")";
+}
+
+
+PermitNews::~PermitNews() noexcept {
+}
+
+
+void PermitNews::__set_replies(const std::vector<PermitReply> & val) {
+  this->replies = val;
+}
+
+void PermitNews::__set_limits(const std::vector<ServerLimit> & val) {
+  this->limits = val;
+}
+
+void PermitNews::__set_daemons(const int32_t val) {
+  this->daemons = val;
+}
+std::ostream& operator<<(std::ostream& out, const PermitNews& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t PermitNews::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->replies.clear();
+            uint32_t _size258;
+            ::apache::thrift::protocol::TType _etype261;
+            xfer += iprot->readListBegin(_etype261, _size258);
+            this->replies.resize(_size258);
+            uint32_t _i262;
+            for (_i262 = 0; _i262 < _size258; ++_i262)
+            {
+              xfer += this->replies[_i262].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.replies = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->limits.clear();
+            uint32_t _size263;
+            ::apache::thrift::protocol::TType _etype266;
+            xfer += iprot->readListBegin(_etype266, _size263);
+            this->limits.resize(_size263);
+            uint32_t _i267;
+            for (_i267 = 0; _i267 < _size263; ++_i267)
+            {
+              xfer += this->limits[_i267].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.limits = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->daemons);
+          this->__isset.daemons = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t PermitNews::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("PermitNews");
+
+  xfer += oprot->writeFieldBegin("replies", ::apache::thrift::protocol::T_LIST, 1);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->replies.size()));
+    std::vector<PermitReply> ::const_iterator _iter268;
+    for (_iter268 = this->replies.begin(); _iter268 != this->replies.end(); ++_iter268)
+    {
+      xfer += (*_iter268).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("limits", ::apache::thrift::protocol::T_LIST, 2);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->limits.size()));
+    std::vector<ServerLimit> ::const_iterator _iter269;
+    for (_iter269 = this->limits.begin(); _iter269 != this->limits.end(); ++_iter269)
+    {
+      xfer += (*_iter269).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("daemons", ::apache::thrift::protocol::T_I32, 3);
+  xfer += oprot->writeI32(this->daemons);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(PermitNews &a, PermitNews &b) {
+  using ::std::swap;
+  swap(a.replies, b.replies);
+  swap(a.limits, b.limits);
+  swap(a.daemons, b.daemons);
+  swap(a.__isset, b.__isset);
+}
+
+PermitNews::PermitNews(const PermitNews& other270) {
+  replies = other270.replies;
+  limits = other270.limits;
+  daemons = other270.daemons;
+  __isset = other270.__isset;
+}
+PermitNews& PermitNews::operator=(const PermitNews& other271) {
+  replies = other271.replies;
+  limits = other271.limits;
+  daemons = other271.daemons;
+  __isset = other271.__isset;
+  return *this;
+}
+void PermitNews::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "PermitNews(";
+  out << "replies=" << to_string(replies);
+  out << ", " << "limits=" << to_string(limits);
+  out << ", " << "daemons=" << to_string(daemons);
+  out << ")";
+}
+
+
 FleetQuestion::~FleetQuestion() noexcept {
 }
 
@@ -6793,6 +7555,14 @@
 void FleetQuestion::__set_blamed_hash(const int64_t val) {
   this->blamed_hash = val;
 }
+
+void FleetQuestion::__set_limits(const std::vector<ServerLimit> & val) {
+  this->limits = val;
+}
+
+void FleetQuestion::__set_limits_hash(const int64_t val) {
+  this->limits_hash = val;
+}
 std::ostream& operator<<(std::ostream& out, const FleetQuestion& obj)
 {
   obj.printTo(out);
@@ -6849,14 +7619,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->loads.clear();
-            uint32_t _size232;
-            ::apache::thrift::protocol::TType _etype235;
-            xfer += iprot->readListBegin(_etype235, _size232);
-            this->loads.resize(_size232);
-            uint32_t _i236;
-            for (_i236 = 0; _i236 < _size232; ++_i236)
+            uint32_t _size272;
+            ::apache::thrift::protocol::TType _etype275;
+            xfer += iprot->readListBegin(_etype275, _size272);
+            this->loads.resize(_size272);
+            uint32_t _i276;
+            for (_i276 = 0; _i276 < _size272; ++_i276)
             {
-              xfer += this->loads[_i236].read(iprot);
+              xfer += this->loads[_i276].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -6885,14 +7655,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->faults.clear();
-            uint32_t _size237;
-            ::apache::thrift::protocol::TType _etype240;
-            xfer += iprot->readListBegin(_etype240, _size237);
-            this->faults.resize(_size237);
-            uint32_t _i241;
-            for (_i241 = 0; _i241 < _size237; ++_i241)
+            uint32_t _size277;
+            ::apache::thrift::protocol::TType _etype280;
+            xfer += iprot->readListBegin(_etype280, _size277);
+            this->faults.resize(_size277);
+            uint32_t _i281;
+            for (_i281 = 0; _i281 < _size277; ++_i281)
             {
-              xfer += this->faults[_i241].read(iprot);
+              xfer += this->faults[_i281].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -6905,14 +7675,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->suspect_runs.clear();
-            uint32_t _size242;
-            ::apache::thrift::protocol::TType _etype245;
-            xfer += iprot->readListBegin(_etype245, _size242);
-            this->suspect_runs.resize(_size242);
-            uint32_t _i246;
-            for (_i246 = 0; _i246 < _size242; ++_i246)
+            uint32_t _size282;
+            ::apache::thrift::protocol::TType _etype285;
+            xfer += iprot->readListBegin(_etype285, _size282);
+            this->suspect_runs.resize(_size282);
+            uint32_t _i286;
+            for (_i286 = 0; _i286 < _size282; ++_i286)
             {
-              xfer += this->suspect_runs[_i246].read(iprot);
+              xfer += this->suspect_runs[_i286].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -6929,6 +7699,34 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 10:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->limits.clear();
+            uint32_t _size287;
+            ::apache::thrift::protocol::TType _etype290;
+            xfer += iprot->readListBegin(_etype290, _size287);
+            this->limits.resize(_size287);
+            uint32_t _i291;
+            for (_i291 = 0; _i291 < _size287; ++_i291)
+            {
+              xfer += this->limits[_i291].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.limits = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 11:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->limits_hash);
+          this->__isset.limits_hash = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -6961,10 +7759,10 @@
   xfer += oprot->writeFieldBegin("loads", ::apache::thrift::protocol::T_LIST, 4);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->loads.size()));
-    std::vector<LoadNote> ::const_iterator _iter247;
-    for (_iter247 = this->loads.begin(); _iter247 != this->loads.end(); ++_iter247)
+    std::vector<LoadNote> ::const_iterator _iter292;
+    for (_iter292 = this->loads.begin(); _iter292 != this->loads.end(); ++_iter292)
     {
-      xfer += (*_iter247).write(oprot);
+      xfer += (*_iter292).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -6981,10 +7779,10 @@
   xfer += oprot->writeFieldBegin("faults", ::apache::thrift::protocol::T_LIST, 7);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->faults.size()));
-    std::vector<ServerFault> ::const_iterator _iter248;
-    for (_iter248 = this->faults.begin(); _iter248 != this->faults.end(); ++_iter248)
+    std::vector<ServerFault> ::const_iterator _iter293;
+    for (_iter293 = this->faults.begin(); _iter293 != this->faults.end(); ++_iter293)
     {
-      xfer += (*_iter248).write(oprot);
+      xfer += (*_iter293).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -6993,10 +7791,10 @@
   xfer += oprot->writeFieldBegin("suspect_runs", ::apache::thrift::protocol::T_LIST, 8);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->suspect_runs.size()));
-    std::vector<SuspectRun> ::const_iterator _iter249;
-    for (_iter249 = this->suspect_runs.begin(); _iter249 != this->suspect_runs.end(); ++_iter249)
+    std::vector<SuspectRun> ::const_iterator _iter294;
+    for (_iter294 = this->suspect_runs.begin(); _iter294 != this->suspect_runs.end(); ++_iter294)
     {
-      xfer += (*_iter249).write(oprot);
+      xfer += (*_iter294).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -7006,6 +7804,22 @@
   xfer += oprot->writeI64(this->blamed_hash);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("limits", ::apache::thrift::protocol::T_LIST, 10);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->limits.size()));
+    std::vector<ServerLimit> ::const_iterator _iter295;
+    for (_iter295 = this->limits.begin(); _iter295 != this->limits.end(); ++_iter295)
+    {
+      xfer += (*_iter295).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("limits_hash", ::apache::thrift::protocol::T_I64, 11);
+  xfer += oprot->writeI64(this->limits_hash);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -7022,32 +7836,38 @@
   swap(a.faults, b.faults);
   swap(a.suspect_runs, b.suspect_runs);
   swap(a.blamed_hash, b.blamed_hash);
+  swap(a.limits, b.limits);
+  swap(a.limits_hash, b.limits_hash);
   swap(a.__isset, b.__isset);
 }
 
-FleetQuestion::FleetQuestion(const FleetQuestion& other250) {
-  config_version = other250.config_version;
-  list_version = other250.list_version;
-  servers_hash = other250.servers_hash;
-  loads = other250.loads;
-  loads_within_ms = other250.loads_within_ms;
-  address = other250.address;
-  faults = other250.faults;
-  suspect_runs = other250.suspect_runs;
-  blamed_hash = other250.blamed_hash;
-  __isset = other250.__isset;
-}
-FleetQuestion& FleetQuestion::operator=(const FleetQuestion& other251) {
-  config_version = other251.config_version;
-  list_version = other251.list_version;
-  servers_hash = other251.servers_hash;
-  loads = other251.loads;
-  loads_within_ms = other251.loads_within_ms;
-  address = other251.address;
-  faults = other251.faults;
-  suspect_runs = other251.suspect_runs;
-  blamed_hash = other251.blamed_hash;
-  __isset = other251.__isset;
+FleetQuestion::FleetQuestion(const FleetQuestion& other296) {
+  config_version = other296.config_version;
+  list_version = other296.list_version;
+  servers_hash = other296.servers_hash;
+  loads = other296.loads;
+  loads_within_ms = other296.loads_within_ms;
+  address = other296.address;
+  faults = other296.faults;
+  suspect_runs = other296.suspect_runs;
+  blamed_hash = other296.blamed_hash;
+  limits = other296.limits;
+  limits_hash = other296.limits_hash;
+  __isset = other296.__isset;
+}
+FleetQuestion& FleetQuestion::operator=(const FleetQuestion& other297) {
+  config_version = other297.config_version;
+  list_version = other297.list_version;
+  servers_hash = other297.servers_hash;
+  loads = other297.loads;
+  loads_within_ms = other297.loads_within_ms;
+  address = other297.address;
+  faults = other297.faults;
+  suspect_runs = other297.suspect_runs;
+  blamed_hash = other297.blamed_hash;
+  limits = other297.limits;
+  limits_hash = other297.limits_hash;
+  __isset = other297.__isset;
   return *this;
 }
 void FleetQuestion::printTo(std::ostream& out) const {
@@ -7062,6 +7882,8 @@
   out << ", " << "faults=" << to_string(faults);
   out << ", " << "suspect_runs=" << to_string(suspect_runs);
   out << ", " << "blamed_hash=" << to_string(blamed_hash);
+  out << ", " << "limits=" << to_string(limits);
+  out << ", " << "limits_hash=" << to_string(limits_hash);
   out << ")";
 }
 
@@ -7137,14 +7959,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->servers.clear();
-            uint32_t _size252;
-            ::apache::thrift::protocol::TType _etype255;
-            xfer += iprot->readListBegin(_etype255, _size252);
-            this->servers.resize(_size252);
-            uint32_t _i256;
-            for (_i256 = 0; _i256 < _size252; ++_i256)
+            uint32_t _size298;
+            ::apache::thrift::protocol::TType _etype301;
+            xfer += iprot->readListBegin(_etype301, _size298);
+            this->servers.resize(_size298);
+            uint32_t _i302;
+            for (_i302 = 0; _i302 < _size298; ++_i302)
             {
-              xfer += this->servers[_i256].read(iprot);
+              xfer += this->servers[_i302].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -7165,14 +7987,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->suspect_runs.clear();
-            uint32_t _size257;
-            ::apache::thrift::protocol::TType _etype260;
-            xfer += iprot->readListBegin(_etype260, _size257);
-            this->suspect_runs.resize(_size257);
-            uint32_t _i261;
-            for (_i261 = 0; _i261 < _size257; ++_i261)
+            uint32_t _size303;
+            ::apache::thrift::protocol::TType _etype306;
+            xfer += iprot->readListBegin(_etype306, _size303);
+            this->suspect_runs.resize(_size303);
+            uint32_t _i307;
+            for (_i307 = 0; _i307 < _size303; ++_i307)
             {
-              xfer += this->suspect_runs[_i261].read(iprot);
+              xfer += this->suspect_runs[_i307].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -7209,10 +8031,10 @@
   xfer += oprot->writeFieldBegin("servers", ::apache::thrift::protocol::T_LIST, 3);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->servers.size()));
-    std::vector<RegisteredServer> ::const_iterator _iter262;
-    for (_iter262 = this->servers.begin(); _iter262 != this->servers.end(); ++_iter262)
+    std::vector<RegisteredServer> ::const_iterator _iter308;
+    for (_iter308 = this->servers.begin(); _iter308 != this->servers.end(); ++_iter308)
     {
-      xfer += (*_iter262).write(oprot);
+      xfer += (*_iter308).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -7225,10 +8047,10 @@
   xfer += oprot->writeFieldBegin("suspect_runs", ::apache::thrift::protocol::T_LIST, 5);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->suspect_runs.size()));
-    std::vector<SuspectRun> ::const_iterator _iter263;
-    for (_iter263 = this->suspect_runs.begin(); _iter263 != this->suspect_runs.end(); ++_iter263)
+    std::vector<SuspectRun> ::const_iterator _iter309;
+    for (_iter309 = this->suspect_runs.begin(); _iter309 != this->suspect_runs.end(); ++_iter309)
     {
-      xfer += (*_iter263).write(oprot);
+      xfer += (*_iter309).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -7249,21 +8071,21 @@
   swap(a.__isset, b.__isset);
 }
 
-KeptFleet::KeptFleet(const KeptFleet& other264) {
-  config_version = other264.config_version;
-  config_text = other264.config_text;
-  servers = other264.servers;
-  kept_at_ms = other264.kept_at_ms;
-  suspect_runs = other264.suspect_runs;
-  __isset = other264.__isset;
-}
-KeptFleet& KeptFleet::operator=(const KeptFleet& other265) {
-  config_version = other265.config_version;
-  config_text = other265.config_text;
-  servers = other265.servers;
-  kept_at_ms = other265.kept_at_ms;
-  suspect_runs = other265.suspect_runs;
-  __isset = other265.__isset;
+KeptFleet::KeptFleet(const KeptFleet& other310) {
+  config_version = other310.config_version;
+  config_text = other310.config_text;
+  servers = other310.servers;
+  kept_at_ms = other310.kept_at_ms;
+  suspect_runs = other310.suspect_runs;
+  __isset = other310.__isset;
+}
+KeptFleet& KeptFleet::operator=(const KeptFleet& other311) {
+  config_version = other311.config_version;
+  config_text = other311.config_text;
+  servers = other311.servers;
+  kept_at_ms = other311.kept_at_ms;
+  suspect_runs = other311.suspect_runs;
+  __isset = other311.__isset;
   return *this;
 }
 void KeptFleet::printTo(std::ostream& out) const {
@@ -7348,6 +8170,14 @@
 void FleetNews::__set_retiring_revision(const int64_t val) {
   this->retiring_revision = val;
 }
+
+void FleetNews::__set_limits(const std::vector<ServerLimit> & val) {
+  this->limits = val;
+}
+
+void FleetNews::__set_limits_hash(const int64_t val) {
+  this->limits_hash = val;
+}
 std::ostream& operator<<(std::ostream& out, const FleetNews& obj)
 {
   obj.printTo(out);
@@ -7420,14 +8250,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->servers.clear();
-            uint32_t _size266;
-            ::apache::thrift::protocol::TType _etype269;
-            xfer += iprot->readListBegin(_etype269, _size266);
-            this->servers.resize(_size266);
-            uint32_t _i270;
-            for (_i270 = 0; _i270 < _size266; ++_i270)
+            uint32_t _size312;
+            ::apache::thrift::protocol::TType _etype315;
+            xfer += iprot->readListBegin(_etype315, _size312);
+            this->servers.resize(_size312);
+            uint32_t _i316;
+            for (_i316 = 0; _i316 < _size312; ++_i316)
             {
-              xfer += this->servers[_i270].read(iprot);
+              xfer += this->servers[_i316].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -7448,15 +8278,15 @@
         if (ftype == ::apache::thrift::protocol::T_SET) {
           {
             this->retiring.clear();
-            uint32_t _size271;
-            ::apache::thrift::protocol::TType _etype274;
-            xfer += iprot->readSetBegin(_etype274, _size271);
-            uint32_t _i275;
-            for (_i275 = 0; _i275 < _size271; ++_i275)
+            uint32_t _size317;
+            ::apache::thrift::protocol::TType _etype320;
+            xfer += iprot->readSetBegin(_etype320, _size317);
+            uint32_t _i321;
+            for (_i321 = 0; _i321 < _size317; ++_i321)
             {
-              std::string _elem276;
-              xfer += iprot->readString(_elem276);
-              this->retiring.insert(_elem276);
+              std::string _elem322;
+              xfer += iprot->readString(_elem322);
+              this->retiring.insert(_elem322);
             }
             xfer += iprot->readSetEnd();
           }
@@ -7469,14 +8299,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->loads.clear();
-            uint32_t _size277;
-            ::apache::thrift::protocol::TType _etype280;
-            xfer += iprot->readListBegin(_etype280, _size277);
-            this->loads.resize(_size277);
-            uint32_t _i281;
-            for (_i281 = 0; _i281 < _size277; ++_i281)
+            uint32_t _size323;
+            ::apache::thrift::protocol::TType _etype326;
+            xfer += iprot->readListBegin(_etype326, _size323);
+            this->loads.resize(_size323);
+            uint32_t _i327;
+            for (_i327 = 0; _i327 < _size323; ++_i327)
             {
-              xfer += this->loads[_i281].read(iprot);
+              xfer += this->loads[_i327].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -7489,14 +8319,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->daemons.clear();
-            uint32_t _size282;
-            ::apache::thrift::protocol::TType _etype285;
-            xfer += iprot->readListBegin(_etype285, _size282);
-            this->daemons.resize(_size282);
-            uint32_t _i286;
-            for (_i286 = 0; _i286 < _size282; ++_i286)
+            uint32_t _size328;
+            ::apache::thrift::protocol::TType _etype331;
+            xfer += iprot->readListBegin(_etype331, _size328);
+            this->daemons.resize(_size328);
+            uint32_t _i332;
+            for (_i332 = 0; _i332 < _size328; ++_i332)
             {
-              xfer += iprot->readString(this->daemons[_i286]);
+              xfer += iprot->readString(this->daemons[_i332]);
             }
             xfer += iprot->readListEnd();
           }
@@ -7509,14 +8339,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->faults.clear();
-            uint32_t _size287;
-            ::apache::thrift::protocol::TType _etype290;
-            xfer += iprot->readListBegin(_etype290, _size287);
-            this->faults.resize(_size287);
-            uint32_t _i291;
-            for (_i291 = 0; _i291 < _size287; ++_i291)
+            uint32_t _size333;
+            ::apache::thrift::protocol::TType _etype336;
+            xfer += iprot->readListBegin(_etype336, _size333);
+            this->faults.resize(_size333);
+            uint32_t _i337;
+            for (_i337 = 0; _i337 < _size333; ++_i337)
             {
-              xfer += this->faults[_i291].read(iprot);
+              xfer += this->faults[_i337].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -7545,14 +8375,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->suspect_runs.clear();
-            uint32_t _size292;
-            ::apache::thrift::protocol::TType _etype295;
-            xfer += iprot->readListBegin(_etype295, _size292);
-            this->suspect_runs.resize(_size292);
-            uint32_t _i296;
-            for (_i296 = 0; _i296 < _size292; ++_i296)
+            uint32_t _size338;
+            ::apache::thrift::protocol::TType _etype341;
+            xfer += iprot->readListBegin(_etype341, _size338);
+            this->suspect_runs.resize(_size338);
+            uint32_t _i342;
+            for (_i342 = 0; _i342 < _size338; ++_i342)
             {
-              xfer += this->suspect_runs[_i296].read(iprot);
+              xfer += this->suspect_runs[_i342].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -7577,6 +8407,34 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 17:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->limits.clear();
+            uint32_t _size343;
+            ::apache::thrift::protocol::TType _etype346;
+            xfer += iprot->readListBegin(_etype346, _size343);
+            this->limits.resize(_size343);
+            uint32_t _i347;
+            for (_i347 = 0; _i347 < _size343; ++_i347)
+            {
+              xfer += this->limits[_i347].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.limits = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 18:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->limits_hash);
+          this->__isset.limits_hash = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -7618,10 +8476,10 @@
     xfer += oprot->writeFieldBegin("servers", ::apache::thrift::protocol::T_LIST, 6);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->servers.size()));
-      std::vector<RegisteredServer> ::const_iterator _iter297;
-      for (_iter297 = this->servers.begin(); _iter297 != this->servers.end(); ++_iter297)
+      std::vector<RegisteredServer> ::const_iterator _iter348;
+      for (_iter348 = this->servers.begin(); _iter348 != this->servers.end(); ++_iter348)
       {
-        xfer += (*_iter297).write(oprot);
+        xfer += (*_iter348).write(oprot);
       }
       xfer += oprot->writeListEnd();
     }
@@ -7635,10 +8493,10 @@
   xfer += oprot->writeFieldBegin("retiring", ::apache::thrift::protocol::T_SET, 8);
   {
     xfer += oprot->writeSetBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->retiring.size()));
-    std::set<std::string> ::const_iterator _iter298;
-    for (_iter298 = this->retiring.begin(); _iter298 != this->retiring.end(); ++_iter298)
+    std::set<std::string> ::const_iterator _iter349;
+    for (_iter349 = this->retiring.begin(); _iter349 != this->retiring.end(); ++_iter349)
     {
-      xfer += oprot->writeString((*_iter298));
+      xfer += oprot->writeString((*_iter349));
     }
     xfer += oprot->writeSetEnd();
   }
@@ -7647,10 +8505,10 @@
   xfer += oprot->writeFieldBegin("loads", ::apache::thrift::protocol::T_LIST, 9);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->loads.size()));
-    std::vector<LoadNote> ::const_iterator _iter299;
-    for (_iter299 = this->loads.begin(); _iter299 != this->loads.end(); ++_iter299)
+    std::vector<LoadNote> ::const_iterator _iter350;
+    for (_iter350 = this->loads.begin(); _iter350 != this->loads.end(); ++_iter350)
     {
-      xfer += (*_iter299).write(oprot);
+      xfer += (*_iter350).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -7659,10 +8517,10 @@
   xfer += oprot->writeFieldBegin("daemons", ::apache::thrift::protocol::T_LIST, 10);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->daemons.size()));
-    std::vector<std::string> ::const_iterator _iter300;
-    for (_iter300 = this->daemons.begin(); _iter300 != this->daemons.end(); ++_iter300)
+    std::vector<std::string> ::const_iterator _iter351;
+    for (_iter351 = this->daemons.begin(); _iter351 != this->daemons.end(); ++_iter351)
     {
-      xfer += oprot->writeString((*_iter300));
+      xfer += oprot->writeString((*_iter351));
     }
     xfer += oprot->writeListEnd();
   }
@@ -7671,10 +8529,10 @@
   xfer += oprot->writeFieldBegin("faults", ::apache::thrift::protocol::T_LIST, 11);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->faults.size()));
-    std::vector<ServerFault> ::const_iterator _iter301;
-    for (_iter301 = this->faults.begin(); _iter301 != this->faults.end(); ++_iter301)
+    std::vector<ServerFault> ::const_iterator _iter352;
+    for (_iter352 = this->faults.begin(); _iter352 != this->faults.end(); ++_iter352)
     {
-      xfer += (*_iter301).write(oprot);
+      xfer += (*_iter352).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -7692,10 +8550,10 @@
   xfer += oprot->writeFieldBegin("suspect_runs", ::apache::thrift::protocol::T_LIST, 14);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->suspect_runs.size()));
-    std::vector<SuspectRun> ::const_iterator _iter302;
-    for (_iter302 = this->suspect_runs.begin(); _iter302 != this->suspect_runs.end(); ++_iter302)
+    std::vector<SuspectRun> ::const_iterator _iter353;
+    for (_iter353 = this->suspect_runs.begin(); _iter353 != this->suspect_runs.end(); ++_iter353)
     {
-      xfer += (*_iter302).write(oprot);
+      xfer += (*_iter353).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -7709,6 +8567,22 @@
   xfer += oprot->writeI64(this->retiring_revision);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("limits", ::apache::thrift::protocol::T_LIST, 17);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->limits.size()));
+    std::vector<ServerLimit> ::const_iterator _iter354;
+    for (_iter354 = this->limits.begin(); _iter354 != this->limits.end(); ++_iter354)
+    {
+      xfer += (*_iter354).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("limits_hash", ::apache::thrift::protocol::T_I64, 18);
+  xfer += oprot->writeI64(this->limits_hash);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -7732,46 +8606,52 @@
   swap(a.suspect_runs, b.suspect_runs);
   swap(a.blamed_hash, b.blamed_hash);
   swap(a.retiring_revision, b.retiring_revision);
+  swap(a.limits, b.limits);
+  swap(a.limits_hash, b.limits_hash);
   swap(a.__isset, b.__isset);
 }
 
-FleetNews::FleetNews(const FleetNews& other303) {
-  config_version = other303.config_version;
-  config_age_ms = other303.config_age_ms;
-  config_text = other303.config_text;
-  servers_age_ms = other303.servers_age_ms;
-  servers_hash = other303.servers_hash;
-  servers = other303.servers;
-  members = other303.members;
-  retiring = other303.retiring;
-  loads = other303.loads;
-  daemons = other303.daemons;
-  faults = other303.faults;
-  kept = other303.kept;
-  disk = other303.disk;
-  suspect_runs = other303.suspect_runs;
-  blamed_hash = other303.blamed_hash;
-  retiring_revision = other303.retiring_revision;
-  __isset = other303.__isset;
-}
-FleetNews& FleetNews::operator=(const FleetNews& other304) {
-  config_version = other304.config_version;
-  config_age_ms = other304.config_age_ms;
-  config_text = other304.config_text;
-  servers_age_ms = other304.servers_age_ms;
-  servers_hash = other304.servers_hash;
-  servers = other304.servers;
-  members = other304.members;
-  retiring = other304.retiring;
-  loads = other304.loads;
-  daemons = other304.daemons;
-  faults = other304.faults;
-  kept = other304.kept;
-  disk = other304.disk;
-  suspect_runs = other304.suspect_runs;
-  blamed_hash = other304.blamed_hash;
-  retiring_revision = other304.retiring_revision;
-  __isset = other304.__isset;
+FleetNews::FleetNews(const FleetNews& other355) {
+  config_version = other355.config_version;
+  config_age_ms = other355.config_age_ms;
+  config_text = other355.config_text;
+  servers_age_ms = other355.servers_age_ms;
+  servers_hash = other355.servers_hash;
+  servers = other355.servers;
+  members = other355.members;
+  retiring = other355.retiring;
+  loads = other355.loads;
+  daemons = other355.daemons;
+  faults = other355.faults;
+  kept = other355.kept;
+  disk = other355.disk;
+  suspect_runs = other355.suspect_runs;
+  blamed_hash = other355.blamed_hash;
+  retiring_revision = other355.retiring_revision;
+  limits = other355.limits;
+  limits_hash = other355.limits_hash;
+  __isset = other355.__isset;
+}
+FleetNews& FleetNews::operator=(const FleetNews& other356) {
+  config_version = other356.config_version;
+  config_age_ms = other356.config_age_ms;
+  config_text = other356.config_text;
+  servers_age_ms = other356.servers_age_ms;
+  servers_hash = other356.servers_hash;
+  servers = other356.servers;
+  members = other356.members;
+  retiring = other356.retiring;
+  loads = other356.loads;
+  daemons = other356.daemons;
+  faults = other356.faults;
+  kept = other356.kept;
+  disk = other356.disk;
+  suspect_runs = other356.suspect_runs;
+  blamed_hash = other356.blamed_hash;
+  retiring_revision = other356.retiring_revision;
+  limits = other356.limits;
+  limits_hash = other356.limits_hash;
+  __isset = other356.__isset;
   return *this;
 }
 void FleetNews::printTo(std::ostream& out) const {
@@ -7793,6 +8673,8 @@
   out << ", " << "suspect_runs=" << to_string(suspect_runs);
   out << ", " << "blamed_hash=" << to_string(blamed_hash);
   out << ", " << "retiring_revision=" << to_string(retiring_revision);
+  out << ", " << "limits=" << to_string(limits);
+  out << ", " << "limits_hash=" << to_string(limits_hash);
   out << ")";
 }
 
--- a/source/wire/gen/comfreyfold_types.h
+++ b/source/wire/gen/comfreyfold_types.h
@@ -89,6 +89,16 @@
 
 class SuspectRun;
 
+class ServerLimit;
+
+class PermitRequest;
+
+class PermitQuestion;
+
+class PermitReply;
+
+class PermitNews;
+
 class FleetQuestion;
 
 class KeptFleet;
@@ -2606,8 +2616,290 @@
 
 std::ostream& operator<<(std::ostream& out, const SuspectRun& obj);
 
+typedef struct _ServerLimit__isset {
+  _ServerLimit__isset() : server(false), started_ms(false), per_second(false), age_ms(false) {}
+  bool server :1;
+  bool started_ms :1;
+  bool per_second :1;
+  bool age_ms :1;
+} _ServerLimit__isset;
+
+class ServerLimit : public virtual ::apache::thrift::TBase {
+ public:
+
+  ServerLimit(const ServerLimit&);
+  ServerLimit& operator=(const ServerLimit&);
+  ServerLimit() noexcept
+              : server(),
+                started_ms(0),
+                per_second(0),
+                age_ms(0) {
+  }
+
+  virtual ~ServerLimit() noexcept;
+  std::string server;
+  int64_t started_ms;
+  double per_second;
+  int64_t age_ms;
+
+  _ServerLimit__isset __isset;
+
+  void __set_server(const std::string& val);
+
+  void __set_started_ms(const int64_t val);
+
+  void __set_per_second(const double val);
+
+  void __set_age_ms(const int64_t val);
+
+  bool operator == (const ServerLimit & rhs) const
+  {
+    if (!(server == rhs.server))
+      return false;
+    if (!(started_ms == rhs.started_ms))
+      return false;
+    if (__isset.per_second != rhs.__isset.per_second)
+      return false;
+    else if (__isset.per_second && !(per_second == rhs.per_second))
+      return false;
+    if (!(age_ms == rhs.age_ms))
+      return false;
+    return true;
+  }
+  bool operator != (const ServerLimit &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const ServerLimit & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(ServerLimit &a, ServerLimit &b);
+
+std::ostream& operator<<(std::ostream& out, const ServerLimit& obj);
+
+typedef struct _PermitRequest__isset {
+  _PermitRequest__isset() : server(false), wanted(false) {}
+  bool server :1;
+  bool wanted :1;
+} _PermitRequest__isset;
+
+class PermitRequest : public virtual ::apache::thrift::TBase {
+ public:
+
+  PermitRequest(const PermitRequest&);
+  PermitRequest& operator=(const PermitRequest&);
+  PermitRequest() noexcept
+                : server(),
+                  wanted(0) {
+  }
+
+  virtual ~PermitRequest() noexcept;
+  std::string server;
+  int32_t wanted;
+
+  _PermitRequest__isset __isset;
+
+  void __set_server(const std::string& val);
+
+  void __set_wanted(const int32_t val);
+
+  bool operator == (const PermitRequest & rhs) const
+  {
+    if (!(server == rhs.server))
+      return false;
+    if (!(wanted == rhs.wanted))
+      return false;
+    return true;
+  }
+  bool operator != (const PermitRequest &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const PermitRequest & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(PermitRequest &a, PermitRequest &b);
+
+std::ostream& operator<<(std::ostream& out, const PermitRequest& obj);
+
+typedef struct _PermitQuestion__isset {
+  _PermitQuestion__isset() : requests(false), limits(false), address(false) {}
+  bool requests :1;
+  bool limits :1;
+  bool address :1;
+} _PermitQuestion__isset;
+
+class PermitQuestion : public virtual ::apache::thrift::TBase {
+ public:
+
+  PermitQuestion(const PermitQuestion&);
+  PermitQuestion& operator=(const PermitQuestion&);
+  PermitQuestion() noexcept
+                 : address() {
+  }
+
+  virtual ~PermitQuestion() noexcept;
+  std::vector<PermitRequest>  requests;
+  std::vector<ServerLimit>  limits;
+  std::string address;
+
+  _PermitQuestion__isset __isset;
+
+  void __set_requests(const std::vector<PermitRequest> & val);
+
+  void __set_limits(const std::vector<ServerLimit> & val);
+
+  void __set_address(const std::string& val);
+
+  bool operator == (const PermitQuestion & rhs) const
+  {
+    if (!(requests == rhs.requests))
+      return false;
+    if (!(limits == rhs.limits))
+      return false;
+    if (!(address == rhs.address))
+      return false;
+    return true;
+  }
+  bool operator != (const PermitQuestion &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const PermitQuestion & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(PermitQuestion &a, PermitQuestion &b);
+
+std::ostream& operator<<(std::ostream& out, const PermitQuestion& obj);
+
+typedef struct _PermitReply__isset {
+  _PermitReply__isset() : server(false), valid_in_ms(false), retry_in_ms(false) {}
+  bool server :1;
+  bool valid_in_ms :1;
+  bool retry_in_ms :1;
+} _PermitReply__isset;
+
+class PermitReply : public virtual ::apache::thrift::TBase {
+ public:
+
+  PermitReply(const PermitReply&);
+  PermitReply& operator=(const PermitReply&);
+  PermitReply() noexcept
+              : server(),
+                retry_in_ms(0) {
+  }
+
+  virtual ~PermitReply() noexcept;
+  std::string server;
+  std::vector<int64_t>  valid_in_ms;
+  int64_t retry_in_ms;
+
+  _PermitReply__isset __isset;
+
+  void __set_server(const std::string& val);
+
+  void __set_valid_in_ms(const std::vector<int64_t> & val);
+
+  void __set_retry_in_ms(const int64_t val);
+
+  bool operator == (const PermitReply & rhs) const
+  {
+    if (!(server == rhs.server))
+      return false;
+    if (!(valid_in_ms == rhs.valid_in_ms))
+      return false;
+    if (!(retry_in_ms == rhs.retry_in_ms))
+      return false;
+    return true;
+  }
+  bool operator != (const PermitReply &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const PermitReply & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(PermitReply &a, PermitReply &b);
+
+std::ostream& operator<<(std::ostream& out, const PermitReply& obj);
+
+typedef struct _PermitNews__isset {
+  _PermitNews__isset() : replies(false), limits(false), daemons(false) {}
+  bool replies :1;
+  bool limits :1;
+  bool daemons :1;
+} _PermitNews__isset;
+
+class PermitNews : public virtual ::apache::thrift::TBase {
+ public:
+
+  PermitNews(const PermitNews&);
+  PermitNews& operator=(const PermitNews&);
+  PermitNews() noexcept
+             : daemons(0) {
+  }
+
+  virtual ~PermitNews() noexcept;
+  std::vector<PermitReply>  replies;
+  std::vector<ServerLimit>  limits;
+  int32_t daemons;
+
+  _PermitNews__isset __isset;
+
+  void __set_replies(const std::vector<PermitReply> & val);
+
+  void __set_limits(const std::vector<ServerLimit> & val);
+
+  void __set_daemons(const int32_t val);
+
+  bool operator == (const PermitNews & rhs) const
+  {
+    if (!(replies == rhs.replies))
+      return false;
+    if (!(limits == rhs.limits))
+      return false;
+    if (!(daemons == rhs.daemons))
+      return false;
+    return true;
+  }
+  bool operator != (const PermitNews &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const PermitNews & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(PermitNews &a, PermitNews &b);
+
+std::ostream& operator<<(std::ostream& out, const PermitNews& obj);
+
 typedef struct _FleetQuestion__isset {
-  _FleetQuestion__isset() : config_version(false), list_version(false), servers_hash(false), loads(false), loads_within_ms(false), address(false), faults(false), suspect_runs(false), blamed_hash(false) {}
+  _FleetQuestion__isset() : config_version(false), list_version(false), servers_hash(false), loads(false), loads_within_ms(false), address(false), faults(false), suspect_runs(false), blamed_hash(false), limits(false), limits_hash(false) {}
   bool config_version :1;
   bool list_version :1;
   bool servers_hash :1;
@@ -2617,6 +2909,8 @@
   bool faults :1;
   bool suspect_runs :1;
   bool blamed_hash :1;
+  bool limits :1;
+  bool limits_hash :1;
 } _FleetQuestion__isset;
 
 class FleetQuestion : public virtual ::apache::thrift::TBase {
@@ -2630,7 +2924,8 @@
                   servers_hash(0),
                   loads_within_ms(0),
                   address(),
-                  blamed_hash(0) {
+                  blamed_hash(0),
+                  limits_hash(0) {
   }
 
   virtual ~FleetQuestion() noexcept;
@@ -2643,6 +2938,8 @@
   std::vector<ServerFault>  faults;
   std::vector<SuspectRun>  suspect_runs;
   int64_t blamed_hash;
+  std::vector<ServerLimit>  limits;
+  int64_t limits_hash;
 
   _FleetQuestion__isset __isset;
 
@@ -2664,6 +2961,10 @@
 
   void __set_blamed_hash(const int64_t val);
 
+  void __set_limits(const std::vector<ServerLimit> & val);
+
+  void __set_limits_hash(const int64_t val);
+
   bool operator == (const FleetQuestion & rhs) const
   {
     if (!(config_version == rhs.config_version))
@@ -2684,6 +2985,10 @@
       return false;
     if (!(blamed_hash == rhs.blamed_hash))
       return false;
+    if (!(limits == rhs.limits))
+      return false;
+    if (!(limits_hash == rhs.limits_hash))
+      return false;
     return true;
   }
   bool operator != (const FleetQuestion &rhs) const {
@@ -2772,7 +3077,7 @@
 std::ostream& operator<<(std::ostream& out, const KeptFleet& obj);
 
 typedef struct _FleetNews__isset {
-  _FleetNews__isset() : config_version(false), config_age_ms(false), config_text(false), servers_age_ms(false), servers_hash(false), servers(false), members(false), retiring(false), loads(false), daemons(false), faults(false), kept(false), disk(false), suspect_runs(false), blamed_hash(false), retiring_revision(false) {}
+  _FleetNews__isset() : config_version(false), config_age_ms(false), config_text(false), servers_age_ms(false), servers_hash(false), servers(false), members(false), retiring(false), loads(false), daemons(false), faults(false), kept(false), disk(false), suspect_runs(false), blamed_hash(false), retiring_revision(false), limits(false), limits_hash(false) {}
   bool config_version :1;
   bool config_age_ms :1;
   bool config_text :1;
@@ -2789,6 +3094,8 @@
   bool suspect_runs :1;
   bool blamed_hash :1;
   bool retiring_revision :1;
+  bool limits :1;
+  bool limits_hash :1;
 } _FleetNews__isset;
 
 class FleetNews : public virtual ::apache::thrift::TBase {
@@ -2804,7 +3111,8 @@
               servers_hash(0),
               disk(),
               blamed_hash(0),
-              retiring_revision(0) {
+              retiring_revision(0),
+              limits_hash(0) {
   }
 
   virtual ~FleetNews() noexcept;
@@ -2824,6 +3132,8 @@
   std::vector<SuspectRun>  suspect_runs;
   int64_t blamed_hash;
   int64_t retiring_revision;
+  std::vector<ServerLimit>  limits;
+  int64_t limits_hash;
 
   _FleetNews__isset __isset;
 
@@ -2859,6 +3169,10 @@
 
   void __set_retiring_revision(const int64_t val);
 
+  void __set_limits(const std::vector<ServerLimit> & val);
+
+  void __set_limits_hash(const int64_t val);
+
   bool operator == (const FleetNews & rhs) const
   {
     if (!(config_version == rhs.config_version))
@@ -2899,6 +3213,10 @@
       return false;
     if (!(retiring_revision == rhs.retiring_revision))
       return false;
+    if (!(limits == rhs.limits))
+      return false;
+    if (!(limits_hash == rhs.limits_hash))
+      return false;
     return true;
   }
   bool operator != (const FleetNews &rhs) const {
--- a/tests/standins/platform_server.cc
+++ b/tests/standins/platform_server.cc
@@ -29,6 +29,31 @@
   if (leaving_) {
     out.push_back({"Server-Leaving", "1"});
   }
+  if (!limit_.empty()) {
+    out.push_back({"Server-Limit", limit_});
+  }
+  return out;
+}
+
+int PlatformServer::RunsSince(
+    std::chrono::steady_clock::time_point since) const {
+  return static_cast<int>(std::count_if(
+      runs_.begin(), runs_.end(),
+      [since](const auto& it) { return it.received_at >= since; }));
+}
+
+int PlatformServer::MostRunsWithin(
+    std::chrono::milliseconds period,
+    std::chrono::steady_clock::time_point since) const {
+  int out = 0;
+  for (auto first = runs_.begin(); first != runs_.end(); ++first) {
+    if (first->received_at >= since) {
+      const auto n = std::count_if(first, runs_.end(), [&](const auto& it) {
+        return it.received_at < first->received_at + period;
+      });
+      out = std::max(out, static_cast<int>(n));
+    }
+  }
   return out;
 }
 
--- a/tests/standins/platform_server.h
+++ b/tests/standins/platform_server.h
@@ -33,6 +33,8 @@
     HttpRequest request;
     bool client_disconnected = false;
     bool ended = false;  // The server is no longer at work on it.
+    std::chrono::steady_clock::time_point received_at =
+        std::chrono::steady_clock::now();
   };
   const std::vector<Run>& runs() const { return runs_; }
   void SetWorkTime(std::chrono::milliseconds work_time) {
@@ -49,6 +51,13 @@
   }
   // Makes the server say in its answers that it is leaving.
   void SetLeaving(bool leaving) { leaving_ = leaving; }
+  // Makes the server name this limit in its answers; empty: none.
+  void SetLimit(std::string limit) { limit_ = std::move(limit); }
+  // The most requests that the server ran within any period of this length,
+  // and the number since `since`.
+  int MostRunsWithin(std::chrono::milliseconds period,
+                     std::chrono::steady_clock::time_point since) const;
+  int RunsSince(std::chrono::steady_clock::time_point since) const;
   bool crashed() const { return crashed_; }
   Faults& faults() { return faults_; }
   static constexpr int kEvents = 4;  // Events per stream.
@@ -80,6 +89,7 @@
   std::function<void()> stop_listening_;
   bool crashed_ = false;
   bool leaving_ = false;
+  std::string limit_;
 };
 
 }  // namespace comfreyfold::standins
--- /dev/null
+++ b/tests/unit/server_pool_permits_test.cc
@@ -0,0 +1,113 @@
+#include <boost/test/unit_test.hpp>
+
+#include "core/server_pool.h"
+
+namespace comfreyfold {
+namespace {
+
+using std::chrono::milliseconds;
+
+struct Fixture {
+  BackendServer MakeServer(const std::string& id) {
+    BackendServer out;
+    out.id = id;
+    out.service = "model";
+    out.address = "10.0.0.1:" + id;
+    out.data_centre = "north";
+    out.slots = 8;
+    return out;
+  }
+  SlotRequest MakeRequest(int priority = 0) {
+    SlotRequest out;
+    out.ticket = ++tickets;
+    out.priority = priority;
+    out.arrived = now;
+    out.acquire_by = now + milliseconds(2000);
+    return out;
+  }
+  void Limit(const std::string& id) { limits.Record({id, {}, 1.0, {}}, now); }
+  void Reply(std::vector<milliseconds> valid_in, milliseconds retry_in) {
+    const auto question = wallet.NextQuestion(now);
+    BOOST_REQUIRE(question.has_value());
+    std::vector<PermitReply> replies;
+    for (const auto& it : question->requests) {
+      replies.push_back({it.server_id, valid_in, retry_in});
+    }
+    wallet.Apply(*question, replies, 1, now);
+  }
+
+  Fixture() { wallet.SetIssuers({"a"}); }
+
+  TimePoint now{milliseconds(100000)};
+  std::uint64_t tickets = 0;
+  ServerLimitTable limits;
+  PermitWallet wallet{limits};
+  ServerPool pool{"north", false, 0, &wallet};
+};
+
+BOOST_FIXTURE_TEST_SUITE(server_pool_permits, Fixture)
+
+BOOST_AUTO_TEST_CASE(limited_server_gets_no_request_without_a_permit) {
+  pool.Update({MakeServer("s")}, now);
+  Limit("s");
+  BOOST_TEST(!pool.TryAcquire(MakeRequest(), now).has_value());
+  pool.Enqueue(MakeRequest());
+  BOOST_TEST(pool.AssignSlots(now).empty());
+  Reply({milliseconds(0)}, milliseconds(500));
+  BOOST_TEST(pool.AssignSlots(now).size() == 1);
+  BOOST_TEST(!pool.TryAcquire(MakeRequest(), now).has_value());
+}
+
+BOOST_AUTO_TEST_CASE(request_goes_to_another_server_when_there_is_no_permit) {
+  pool.Update({MakeServer("s"), MakeServer("t")}, now);
+  Limit("s");
+  std::vector<std::string> served;
+  for (int n = 0; n < 8; ++n) {
+    pool.Enqueue(MakeRequest());
+    for (const auto& it : pool.AssignSlots(now)) {
+      served.push_back(it.slot.server_id);
+    }
+    if (wallet.HasWants(now)) {
+      Reply({}, milliseconds(500));
+    }
+    for (const auto& it : pool.AssignSlots(now)) {
+      served.push_back(it.slot.server_id);
+    }
+  }
+  BOOST_TEST(served.size() == 8);
+  BOOST_TEST(std::count(served.begin(), served.end(), "t") == 8);
+}
+
+BOOST_AUTO_TEST_CASE(most_urgent_waiting_request_gets_the_permit) {
+  pool.Update({MakeServer("s")}, now);
+  Limit("s");
+  pool.Enqueue(MakeRequest(3));
+  pool.Enqueue(MakeRequest(0));
+  pool.AssignSlots(now);
+  Reply({milliseconds(0)}, milliseconds(500));
+  const auto assigned = pool.AssignSlots(now);
+  BOOST_REQUIRE(assigned.size() == 1);
+  BOOST_TEST(assigned[0].ticket == 2);
+}
+
+BOOST_AUTO_TEST_CASE(expected_wait_tells_when_a_permit_may_come) {
+  pool.Update({MakeServer("s")}, now);
+  Limit("s");
+  pool.Enqueue(MakeRequest());
+  pool.AssignSlots(now);
+  Reply({}, milliseconds(700));
+  BOOST_TEST(pool.ExpectedWait(MakeRequest(), now).count() >= 700);
+}
+
+BOOST_AUTO_TEST_CASE(server_is_used_as_before_when_its_limit_has_ended) {
+  pool.Update({MakeServer("s")}, now);
+  Limit("s");
+  BOOST_TEST(!pool.TryAcquire(MakeRequest(), now).has_value());
+  limits.RecordUnlimited("s", {}, now + milliseconds(1), now + milliseconds(2));
+  BOOST_TEST(pool.TryAcquire(MakeRequest(), now).has_value());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace
+}  // namespace comfreyfold
--- a/tests/vm/decoders_test.cc
+++ b/tests/vm/decoders_test.cc
@@ -181,6 +181,51 @@
   BOOST_TEST(DecodeAnswer(other).not_run);
 }
 
+HttpReply AnswerWithLimit(const std::vector<std::string>& limits) {
+  HttpReply out;
+  out.status = 200;
+  out.headers = {{"Request-Id", "r"}, {"Response-Signature", "x"}};
+  for (const auto& it : limits) {
+    out.headers.push_back({"Server-Limit", it});
+  }
+  return out;
+}
+
+BOOST_AUTO_TEST_CASE(limit_of_a_server_is_decoded) {
+  BOOST_TEST(*DecodeAnswer(AnswerWithLimit({"2.75"})).limit_per_second == 2.75);
+  BOOST_TEST(*DecodeAnswer(AnswerWithLimit({"0"})).limit_per_second == 0);
+  BOOST_TEST(*DecodeAnswer(AnswerWithLimit({" 4 "})).limit_per_second == 4);
+  // Of several, the lowest.
+  BOOST_TEST(*DecodeAnswer(AnswerWithLimit({"4", "3"})).limit_per_second == 3);
+  BOOST_TEST(*DecodeAnswer(AnswerWithLimit({"4, 2"})).limit_per_second == 2);
+  const auto none = DecodeAnswer(AnswerWithLimit({}));
+  BOOST_TEST(none.tells_limit);
+  BOOST_TEST(!none.limit_per_second.has_value());
+}
+
+BOOST_AUTO_TEST_CASE(limit_with_an_odd_value_is_no_limit) {
+  for (const auto* it :
+       {"-1", "nan", "inf", "", "4x", "0x10", "1e400", "4,,3", "9;8", "four"}) {
+    const auto answer = DecodeAnswer(AnswerWithLimit({it}));
+    BOOST_TEST_CONTEXT("limit '" << it << "'") {
+      BOOST_TEST(!answer.limit_per_second.has_value());
+      BOOST_TEST(!answer.unreadable_limit.empty());
+    }
+  }
+  const auto huge = DecodeAnswer(AnswerWithLimit({std::string(500, '9')}));
+  BOOST_TEST(*huge.limit_per_second >= 1e6);
+}
+
+BOOST_AUTO_TEST_CASE(only_the_servers_own_answer_tells_of_its_limit) {
+  auto other = AnswerWithLimit({"1"});
+  other.status = 421;
+  BOOST_TEST(!DecodeAnswer(other).tells_limit);
+  BOOST_TEST(!DecodeAnswer(other).limit_per_second.has_value());
+  HttpReply unsigned_answer;
+  unsigned_answer.status = 502;
+  BOOST_TEST(!DecodeAnswer(unsigned_answer).tells_limit);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace
