Count servers as loaded while their permits have to be waited for

Programs began at servers whose limit was reached, and each of their turns then waited for a permit there, while others had room.

--- a/source/core/server_pool.cc
+++ b/source/core/server_pool.cc
@@ -228,8 +228,10 @@
 double ServerPool::Cost(const Server& server,
                         const SlotRequest& request,
                         bool is_home,
+                        double permit_wait_ms,
                         TimePoint now) const {
-  const double load = LoadOf(server, now);
+  const double load =
+      std::max(LoadOf(server, now), LoadByPermits(server, permit_wait_ms));
   double out =
       server.info.data_centre == data_centre_ ? 0 : kOtherDataCentreCost;
   if (now - server.used_at > kConnectionIdleTime) {
@@ -274,7 +276,7 @@
   }
   Server* best = nullptr;
   double best_cost = 0;
-  bool best_has_permit = true;
+  double best_permit_wait = 0;
   const auto* home = is_engine_ ? HomeServer(request, now) : nullptr;
   const bool free_servers_only =
       request.stage != ProgramStage::kStarted ||
@@ -290,16 +292,16 @@
       continue;
     }
     const double cost =
-        Cost(it, request, &it == home, now) +
+        Cost(it, request, &it == home, *permit_wait, now) +
         (request.excluded.count(id) > 0 ? kExcludedServerCost : 0) +
         ExpectedWaitMs(it, now) + *permit_wait;
     if (best == nullptr || cost < best_cost) {
       best = &it;
       best_cost = cost;
-      best_has_permit = *permit_wait == 0;
+      best_permit_wait = *permit_wait;
     }
   }
-  if (best != nullptr && !best_has_permit) {
+  if (best_permit_wait > 0) {
     ++claims_[best->info.id];
     return nullptr;
   }
@@ -360,7 +362,6 @@
     out.push_back({it->ticket, Acquire(*server, *it, now)});
     it = waiting_.erase(it);
   }
-  UpdateWantedPermits(now);
   return out;
 }
 
--- a/source/core/server_pool.h
+++ b/source/core/server_pool.h
@@ -80,6 +80,9 @@
   // Assigns free slots to waiting requests, the most urgent first.
   std::vector<Assignment> AssignSlots(TimePoint now);
 
+  // Tells the wallet which permits the requests of this daemon need.
+  void UpdateWantedPermits(TimePoint now);
+
   // Returns an acquired slot at the end of its exchange.
   void Release(const AcquiredSlot& slot,
                ExchangeResult result,
@@ -138,6 +141,8 @@
   void ObserveAnswer(Server& server, TimePoint at);
   // Whether the server takes requests with a permit only.
   bool NeedsPermit(const Server& server) const;
+  // The load at which a server without a limit would have such a wait.
+  static double LoadByPermits(const Server& server, double permit_wait_ms);
   // Whether it does, and no permit can be had soon.
   bool IsExhausted(const Server& server, TimePoint now) const;
   // Milliseconds until a request can have a permit of the server, 0 if it needs
@@ -149,8 +154,6 @@
       std::ptrdiff_t ahead,
       TimePoint now) const;
   void UsePermit(const Server& server, TimePoint now);
-  // Asks for permits for the requests that wait.
-  void UpdateWantedPermits(TimePoint now);
   bool IsOnlyLimited(TimePoint now) const;
   void RecordLevel(const Server& server,
                    int requests,
@@ -166,6 +169,7 @@
   double Cost(const Server& server,
               const SlotRequest& request,
               bool is_home,
+              double permit_wait_ms,
               TimePoint now) const;
   double ExpectedWaitMs(const Server& server, TimePoint now) const;
   Server* ChooseServer(const SlotRequest& request, TimePoint now);
--- a/source/front/server_admission.cc
+++ b/source/front/server_admission.cc
@@ -112,7 +112,16 @@
     waiter->slot = std::move(it.slot);
     waiter->changed.NotifyAll();
   }
-  if (on_permits_wanted_ && permits_.AnyLimits() && permits_.HasWants(now)) {
+  AskForPermits(queue);
+}
+
+void ServerAdmission::AskForPermits(ServiceQueue& queue) {
+  if (!permits_.AnyLimits()) {
+    return;
+  }
+  const auto now = std::chrono::steady_clock::now();
+  queue.pool.UpdateWantedPermits(now);
+  if (on_permits_wanted_ && permits_.HasWants(now)) {
     on_permits_wanted_();
   }
 }
@@ -128,6 +137,7 @@
   out.load_level = queue.pool.LevelAt(start);
   out.slot = queue.pool.TryAcquire(request, start);
   if (out.slot) {
+    AskForPermits(queue);
     return out;
   }
   out.expected_wait = queue.pool.ExpectedWait(request, start);
--- a/source/front/server_admission.h
+++ b/source/front/server_admission.h
@@ -110,6 +110,8 @@
   void WatchForSilence(Fiber& fiber);
   // Hands free slots to waiting requests and wakes them.
   void AssignSlots(ServiceQueue& queue);
+  // Asks for the permits that the requests of a service need.
+  void AskForPermits(ServiceQueue& queue);
 
   Loop& loop_;
   FleetView& view_;
