Keep programs that begin from servers whose permits have to be waited for

The load by the wait for permits also moved turns away from the servers that have their sessions cached; the engines without a limit then read so many prompts again that they were full.

It counts for programs that begin only, and in whole.

--- a/source/core/server_pool.cc
+++ b/source/core/server_pool.cc
@@ -228,10 +228,15 @@
 double ServerPool::Cost(const Server& server,
                         const SlotRequest& request,
                         bool is_home,
-                        double permit_wait_ms,
+                        bool waits_for_permit,
                         TimePoint now) const {
+  // A program that begins where permits have to be waited for would wait for
+  // them with its later turns, too.
+  const bool counts_as_full =
+      waits_for_permit && request.stage != ProgramStage::kStarted;
   const double load =
-      std::max(LoadOf(server, now), LoadByPermits(server, permit_wait_ms));
+      counts_as_full ? std::max<double>(LoadOf(server, now), SlotsOf(server))
+                     : LoadOf(server, now);
   double out =
       server.info.data_centre == data_centre_ ? 0 : kOtherDataCentreCost;
   if (now - server.used_at > kConnectionIdleTime) {
@@ -292,7 +297,7 @@
       continue;
     }
     const double cost =
-        Cost(it, request, &it == home, *permit_wait, now) +
+        Cost(it, request, &it == home, *permit_wait > 0, now) +
         (request.excluded.count(id) > 0 ? kExcludedServerCost : 0) +
         ExpectedWaitMs(it, now) + *permit_wait;
     if (best == nullptr || cost < best_cost) {
--- a/source/core/server_pool.h
+++ b/source/core/server_pool.h
@@ -141,8 +141,6 @@
   void ObserveAnswer(Server& server, TimePoint at);
   // Whether the server takes requests with a permit only.
   bool NeedsPermit(const Server& server) const;
-  // The load at which a server without a limit would have such a wait.
-  static double LoadByPermits(const Server& server, double permit_wait_ms);
   // Whether it does, and no permit can be had soon.
   bool IsExhausted(const Server& server, TimePoint now) const;
   // Milliseconds until a request can have a permit of the server, 0 if it needs
@@ -169,7 +167,7 @@
   double Cost(const Server& server,
               const SlotRequest& request,
               bool is_home,
-              double permit_wait_ms,
+              bool waits_for_permit,
               TimePoint now) const;
   double ExpectedWaitMs(const Server& server, TimePoint now) const;
   Server* ChooseServer(const SlotRequest& request, TimePoint now);
--- a/source/core/server_pool_permits.cc
+++ b/source/core/server_pool_permits.cc
@@ -10,9 +10,6 @@
 // A longer time without a permit tells of little demand, not of few permits.
 constexpr std::chrono::milliseconds kMaxPermitInterval{2000};
 
-// Wait for a permit, in milliseconds, from which on a server counts as full.
-constexpr double kFullPermitWait = 150;
-
 }  // namespace
 
 bool ServerPool::NeedsPermit(const Server& server) const {
@@ -20,12 +17,6 @@
          permits_->NeedsPermit(server.info.id, server.info.started);
 }
 
-// A program that begins at a server whose limit is reached needs permits of it
-// for its later turns, too.
-double ServerPool::LoadByPermits(const Server& server, double permit_wait_ms) {
-  return server.info.slots * std::min(1.0, permit_wait_ms / kFullPermitWait);
-}
-
 bool ServerPool::IsExhausted(const Server& server, TimePoint now) const {
   return NeedsPermit(server) &&
          !permits_->WaitFor(server.info.id, 0, now).has_value();
