Permit tests tell the wallet what waits, as admission does

Four cases of server_pool_permits_test.cc failed at (five checks): ServerPool no longer passes its claims on by itself, and the cases did not call UpdateWantedPermits() as ServerAdmission::AskForPermits() does. What they check is unchanged; they pass now.

--- a/tests/unit/server_pool_permits_test.cc
+++ b/tests/unit/server_pool_permits_test.cc
@@ -27,6 +27,7 @@
   }
   void Limit(const std::string& id) { limits.Record({id, {}, 1.0, {}}, now); }
   void Reply(std::vector<milliseconds> valid_in, milliseconds retry_in) {
+    pool.UpdateWantedPermits(now);
     const auto question = wallet.NextQuestion(now);
     BOOST_REQUIRE(question.has_value());
     std::vector<PermitReply> replies;
@@ -67,6 +68,7 @@
     for (const auto& it : pool.AssignSlots(now)) {
       served.push_back(it.slot.server_id);
     }
+    pool.UpdateWantedPermits(now);
     if (wallet.HasWants(now)) {
       Reply({}, milliseconds(500));
     }
