Forget limits that no server names any more

Callers saw: a daemon with an old limit and no new words kept it for ever, and after 10 min told it at each exchange to daemons that had forgotten it, which counted a change, called their hooks and told the next ones. Cause: entries expired only in Record(), which also took words past their age. Record() and All() now leave out what is too old; FleetSync drops it. The hash is computed on changes only, not for each answer of a limited server. Evidence: the new case of server_limit_table_test.cc passes (the case needs DropOld(), so it was not run on the code before).

--- a/source/core/server_limit_table.cc
+++ b/source/core/server_limit_table.cc
@@ -14,10 +14,18 @@
 // An ended limit is remembered until all daemons have heard of its end.
 constexpr std::chrono::seconds kUnlimitedLifetime{60};
 
+std::chrono::milliseconds LifetimeOf(const std::optional<double>& per_second) {
+  return per_second ? std::chrono::milliseconds(kLifetime)
+                    : std::chrono::milliseconds(kUnlimitedLifetime);
+}
+
 }  // namespace
 
 bool ServerLimitTable::Record(const ServerLimit& limit, TimePoint now) {
   const auto named_at = now - limit.age;
+  if (limit.age > LifetimeOf(limit.per_second)) {
+    return false;
+  }
   const auto [it, inserted] = entries_.try_emplace(limit.server_id);
   auto& entry = it->second;
   if (!inserted && std::tie(limit.started, named_at) <=
@@ -27,10 +35,12 @@
   const auto before = inserted || entry.started != limit.started
                           ? std::nullopt
                           : entry.per_second;
-  entry = {limit.started, limit.per_second, named_at};
-  Expire(now);
-  UpdateHash();
   const bool changed = before != limit.per_second;
+  const bool hash_changed = changed || entry.started != limit.started;
+  entry = {limit.started, limit.per_second, named_at};
+  if (Expire(now) || hash_changed) {
+    UpdateHash();
+  }
   changes_ += changed ? 1 : 0;
   return changed;
 }
@@ -66,9 +76,11 @@
   std::vector<ServerLimit> out;
   out.reserve(entries_.size());
   for (const auto& [id, it] : entries_) {
-    out.push_back({id, it.started, it.per_second,
-                   std::chrono::duration_cast<std::chrono::milliseconds>(
-                       now - it.named_at)});
+    const auto age = std::chrono::duration_cast<std::chrono::milliseconds>(
+        now - it.named_at);
+    if (age <= LifetimeOf(it.per_second)) {
+      out.push_back({id, it.started, it.per_second, age});
+    }
   }
   return out;
 }
@@ -77,13 +89,17 @@
   return per_second ? std::to_string(*per_second) : "";
 }
 
-void ServerLimitTable::Expire(TimePoint now) {
-  std::erase_if(entries_, [now](const auto& it) {
-    const auto age = now - it.second.named_at;
-    return age > (it.second.per_second
-                      ? std::chrono::milliseconds(kLifetime)
-                      : std::chrono::milliseconds(kUnlimitedLifetime));
+void ServerLimitTable::DropOld(TimePoint now) {
+  if (Expire(now)) {
+    UpdateHash();
+  }
+}
+
+bool ServerLimitTable::Expire(TimePoint now) {
+  const auto erased = std::erase_if(entries_, [now](const auto& it) {
+    return now - it.second.named_at > LifetimeOf(it.second.per_second);
   });
+  return erased > 0;
 }
 
 void ServerLimitTable::UpdateHash() {
--- a/source/core/server_limit_table.h
+++ b/source/core/server_limit_table.h
@@ -45,6 +45,10 @@
   // The limit of the server's newest start.
   std::optional<double> Find(const std::string& server_id) const;
 
+  // Drops words that are too old to count. Without it they would stay until the
+  // next word arrives.
+  void DropOld(TimePoint now);
+
   // Everything known, for daemons that know other limits.
   std::vector<ServerLimit> All(TimePoint now) const;
   // A hash of the servers and their limits, not of the age of the words.
@@ -61,7 +65,8 @@
     TimePoint named_at{};
   };
 
-  void Expire(TimePoint now);
+  // Returns whether anything was dropped.
+  bool Expire(TimePoint now);
   void UpdateHash();
 
   std::map<std::string, Entry> entries_;
--- a/source/fleet/fleet_sync.cc
+++ b/source/fleet/fleet_sync.cc
@@ -170,6 +170,7 @@
     question.address = address_;
   }
   question.blamed_hash = view_.quarantine().HashOfBlamed();
+  view_.limits().DropOld(queried_at);
   question.limits_hash = view_.limits().Hash();
   const auto limit_changes = view_.limits().changes();
   if (limits_differ_ || limit_changes != limits_sent_) {
@@ -399,6 +400,7 @@
   if (news.blamed_hash != question.blamed_hash) {
     Append(view_.quarantine().BlamedRuns(now), news.suspect_runs);
   }
+  view_.limits().DropOld(now);
   RecordLimits(question.limits);
   news.limits_hash = view_.limits().Hash();
   if (news.limits_hash != question.limits_hash) {
--- a/tests/unit/server_limit_table_test.cc
+++ b/tests/unit/server_limit_table_test.cc
@@ -72,6 +72,22 @@
   BOOST_TEST(!other.Find("s").has_value());
 }
 
+// A daemon whose table no word reaches any more would keep the limit and tell
+// it to others, who have forgotten it.
+BOOST_AUTO_TEST_CASE(limit_that_nobody_names_any_more_is_forgotten) {
+  limits.Record({"s", {}, 4.0, {}}, now);
+  const auto later = now + std::chrono::minutes(11);
+  BOOST_TEST(limits.All(later).empty());
+  ServerLimitTable other;
+  const milliseconds age = std::chrono::minutes(11);
+  BOOST_TEST(!other.Record({"s", {}, 4.0, age}, later));
+  BOOST_TEST(other.changes() == 0);
+  limits.DropOld(later);
+  BOOST_TEST(!limits.Find("s").has_value());
+  BOOST_TEST(limits.limited() == 0);
+  BOOST_TEST(limits.Hash() == other.Hash());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace
