Ask for no permits of servers that have left

Callers saw: while other requests came, a daemon kept asking the issuers for a server that had left with requests waiting, and used up permits of it. Cause: UpdateWantedPermits() visits present servers only, so that the last number wanted stayed. Evidence: nothing_is_asked_for_a_server_that_has_left fails without the change.

--- a/source/core/server_pool.cc
+++ b/source/core/server_pool.cc
@@ -84,8 +84,12 @@
     }
     server.info = it;
   }
-  std::erase_if(servers_, [&present](const auto& it) {
-    return present.count(it.first) == 0;
+  std::erase_if(servers_, [this, &present, now](const auto& it) {
+    const bool has_left = present.count(it.first) == 0;
+    if (has_left && permits_ != nullptr) {
+      permits_->SetWanted(it.first, 0, now);
+    }
+    return has_left;
   });
   int total_slots = 0;
   for (const auto& [id, it] : servers_) {
--- a/tests/unit/server_pool_permits_test.cc
+++ b/tests/unit/server_pool_permits_test.cc
@@ -109,6 +109,19 @@
   BOOST_TEST(pool.TryAcquire(MakeRequest(), now).has_value());
 }
 
+BOOST_AUTO_TEST_CASE(nothing_is_asked_for_a_server_that_has_left) {
+  pool.Update({MakeServer("s")}, now);
+  Limit("s");
+  pool.Enqueue(MakeRequest());
+  pool.AssignSlots(now);
+  pool.UpdateWantedPermits(now);
+  BOOST_TEST(wallet.HasWants(now));
+  pool.Update({MakeServer("t")}, now);
+  pool.AssignSlots(now);
+  pool.UpdateWantedPermits(now);
+  BOOST_TEST(!wallet.HasWants(now));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace
