Use limited servers without issuers, and not all at once

Three faults of a daemon that no issuer answers: - With an empty list of issuers it never used a limited server. Nothing was wanted before an entry existed, and no entry existed before. - While three issuers are silent (questions of 150 ms, pauses of 300 ms) one can always be asked, so that WaitFor() never came to the daemon's own part. - Daemons that lost the issuers together sent at the same moment, one request each: 7 daemons and a limit of 0.3 a second were over 6.8 in 4 s. The own part now comes before another question while issuers are silent, and its intervals are drawn from 0.5 to 1.25. Evidence: the two cases of server_pool_permits_test.cc (0 sent) and the new property (limit 0.3, 7 daemons) failed on the code before; they pass now, with the other properties.

--- a/source/core/permit_wallet.cc
+++ b/source/core/permit_wallet.cc
@@ -43,6 +43,24 @@
   return unanswered_since_ && now - *unanswered_since_ >= kAloneAfter;
 }
 
+// Daemons that lose the issuers at the same time would otherwise all send at
+// the same time.
+double PermitWallet::DrawAloneFactor() {
+  return std::uniform_real_distribution<>(0.5, 1.25)(random_);
+}
+
+PermitWallet::Server& PermitWallet::EntryOf(const std::string& server_id) {
+  const auto [it, inserted] = servers_.try_emplace(server_id);
+  if (inserted) {
+    it->second.alone_factor = DrawAloneFactor();
+  }
+  return it->second;
+}
+
+bool PermitWallet::IsSilenceRecent(TimePoint now) const {
+  return issuers_.empty() || now - silent_at_ < kAloneAfter;
+}
+
 TimePoint PermitWallet::AloneAt(const std::string& server_id,
                                 const Server& server) const {
   const auto limit = limits_.Find(server_id).value_or(0);
@@ -54,16 +72,18 @@
   // A daemon that has just become alone may still have used permits.
   const auto from = std::max(server.last_used_alone,
                              unanswered_since_.value_or(kDistantPast));
-  return from + std::chrono::duration_cast<TimePoint::duration>(interval);
+  return from + std::chrono::duration_cast<TimePoint::duration>(
+                    interval * server.alone_factor);
 }
 
 bool PermitWallet::Take(const std::string& server_id, TimePoint now) {
-  auto& server = servers_[server_id];
+  auto& server = EntryOf(server_id);
   DropExpired(server, now);
   if (!server.permits.empty() && server.permits.front().valid_from <= now) {
     server.permits.pop_front();
   } else if (is_alone(now) && AloneAt(server_id, server) <= now) {
     server.last_used_alone = now;
+    server.alone_factor = DrawAloneFactor();
   } else {
     return false;
   }
@@ -91,11 +111,9 @@
     const std::string& server_id,
     int claims,
     TimePoint now) const {
+  static const Server kUnused;
   const auto it = servers_.find(server_id);
-  if (it == servers_.end()) {
-    return issuers_.empty() ? std::nullopt : std::optional(kReplyTime);
-  }
-  const auto& server = it->second;
+  const auto& server = it == servers_.end() ? kUnused : it->second;
   int ahead = claims;
   for (const auto& permit : server.permits) {
     if (permit.expires_at > now && ahead-- == 0) {
@@ -103,12 +121,14 @@
                       CeilMs(permit.valid_from - now));
     }
   }
+  // Silent issuers are asked one after the other without a pause.
+  if (IsSilenceRecent(now) && is_alone(now) &&
+      AloneAt(server_id, server) <= now) {
+    return std::chrono::milliseconds(0);
+  }
   if (ahead < server.asked || CanAsk(server, now)) {
     return kReplyTime;
   }
-  if (is_alone(now) && AloneAt(server_id, server) <= now) {
-    return std::chrono::milliseconds(0);
-  }
   return std::nullopt;
 }
 
@@ -140,17 +160,17 @@
 void PermitWallet::SetWanted(const std::string& server_id,
                              int wanted,
                              TimePoint now) {
+  if (issuers_.empty() && !unanswered_since_) {
+    unanswered_since_ = now;
+  }
   const auto it = servers_.find(server_id);
   if (it == servers_.end() && wanted == 0) {
     return;
   }
   Forget(now);
-  auto& server = servers_[server_id];
+  auto& server = EntryOf(server_id);
   DropExpired(server, now);
   server.wanted = wanted;
-  if (wanted > 0 && issuers_.empty() && !unanswered_since_) {
-    unanswered_since_ = now;
-  }
 }
 
 bool PermitWallet::HasWants(TimePoint now) const {
@@ -207,7 +227,7 @@
   daemons_ = std::max(1, daemons);
   std::set<std::string> asked;
   for (const auto& it : question.requests) {
-    auto& server = servers_[it.server_id];
+    auto& server = EntryOf(it.server_id);
     server.asked -= it.wanted;
     server.retry_at[question.issuer] = now + kMinRetryTime;
     asked.insert(it.server_id);
@@ -216,7 +236,7 @@
     if (asked.count(it.server_id) == 0) {
       continue;
     }
-    auto& server = servers_[it.server_id];
+    auto& server = EntryOf(it.server_id);
     for (const auto& valid_in : it.valid_in) {
       const auto valid_from = now + valid_in;
       server.permits.push_back({valid_from, valid_from + kPermitLifetime});
@@ -232,8 +252,9 @@
 void PermitWallet::OnSilence(const Question& question, TimePoint now) {
   busy_[question.issuer] = false;
   silent_until_[question.issuer] = now + kSilentTime;
+  silent_at_ = now;
   for (const auto& it : question.requests) {
-    servers_[it.server_id].asked -= it.wanted;
+    EntryOf(it.server_id).asked -= it.wanted;
   }
 }
 
--- a/source/core/permit_wallet.h
+++ b/source/core/permit_wallet.h
@@ -6,6 +6,7 @@
 #include <deque>
 #include <map>
 #include <optional>
+#include <random>
 #include <string>
 #include <vector>
 
@@ -19,7 +20,9 @@
 // asks the issuers for.
 class PermitWallet {
  public:
-  explicit PermitWallet(const ServerLimitTable& limits) : limits_(limits) {}
+  // Daemons with different seeds use servers on their own at different times.
+  explicit PermitWallet(const ServerLimitTable& limits, std::uint64_t seed = 0)
+      : limits_(limits), random_(seed) {}
 
   // Whether the server takes requests with a permit only.
   bool NeedsPermit(const std::string& server_id,
@@ -83,6 +86,7 @@
     std::map<std::string, TimePoint> retry_at;  // By issuer.
     std::int64_t used = 0;
     TimePoint last_used_alone = kDistantPast;
+    double alone_factor = 1;  // Intervals from then to the next use.
   };
 
   static void DropExpired(Server& server, TimePoint now);
@@ -90,14 +94,20 @@
               const std::string& issuer,
               TimePoint now) const;
   bool CanAsk(const Server& server, TimePoint now) const;
+  double DrawAloneFactor();
+  Server& EntryOf(const std::string& server_id);
+  // Whether an issuer did not reply lately, or there is none.
+  bool IsSilenceRecent(TimePoint now) const;
   // When this daemon may use the server without a permit.
   TimePoint AloneAt(const std::string& server_id, const Server& server) const;
   void Forget(TimePoint now);
 
   const ServerLimitTable& limits_;
+  std::mt19937_64 random_;
   std::vector<std::string> issuers_;
   std::map<std::string, Server> servers_;
   std::map<std::string, TimePoint> silent_until_;  // By issuer.
+  TimePoint silent_at_ = kDistantPast;  // When one did not reply.
   std::map<std::string, bool> busy_;               // A question is under way.
   int daemons_ = 0;  // As last told by an issuer; 0: not yet.
   // When the questions that no issuer has replied to began.
--- a/source/front/server_admission.cc
+++ b/source/front/server_admission.cc
@@ -31,7 +31,7 @@
       view_(view),
       log_(log),
       data_centre_(std::move(data_centre)),
-      permits_(view.limits()),
+      permits_(view.limits(), std::random_device{}()),
       origin_(std::random_device{}()) {
   view_.OnChange([this] { UpdateServers(); });
   loop_.Spawn([this](Fiber& fiber) { WatchForSilence(fiber); });
--- a/tests/limit_property/limit_property_test.cc
+++ b/tests/limit_property/limit_property_test.cc
@@ -116,6 +116,25 @@
   RC_ASSERT(IsWithinLimit(fleet, limit));
 }
 
+RC_BOOST_PROP(daemons_without_issuers_do_not_send_all_at_once, ()) {
+  const int daemons = *rc::gen::inRange(2, 20);
+  const auto limit = *rc::gen::element(0.3, 1.0, 1.7);
+  LimitedFleet fleet(daemons, limit, *rc::gen::arbitrary<std::uint64_t>());
+  const std::vector<double> demand(daemons, 0.1);
+  fleet.Run(milliseconds(2000), demand);
+  for (int n = 0; n < daemons; ++n) {
+    for (int issuer = 0; issuer < LimitedFleet::kIssuers; ++issuer) {
+      fleet.Cut(n, issuer, true);
+    }
+  }
+  // Each may send one request in 2 x daemons x issuers / limit.
+  const int before = fleet.sent();
+  const double seconds = 1.5 * 2 * daemons * LimitedFleet::kIssuers / limit;
+  fleet.Run(milliseconds(static_cast<int>(seconds * 1000)), demand);
+  RC_ASSERT(fleet.sent() - before >= daemons);
+  RC_ASSERT(IsWithinLimit(fleet, limit));
+}
+
 RC_BOOST_PROP(server_whose_limit_is_zero_is_still_asked, ()) {
   const int daemons = *rc::gen::inRange(1, 13);
   LimitedFleet fleet(daemons, 0, *rc::gen::arbitrary<std::uint64_t>());
--- a/tests/limit_property/limited_fleet.cc
+++ b/tests/limit_property/limited_fleet.cc
@@ -39,7 +39,7 @@
 std::shared_ptr<LimitedFleet::Daemon> LimitedFleet::MakeDaemon() {
   auto out = std::make_shared<Daemon>();
   out->limits.Record({kServer, {}, per_second_, {}}, now_);
-  out->wallet = std::make_unique<PermitWallet>(out->limits);
+  out->wallet = std::make_unique<PermitWallet>(out->limits, random_());
   out->wallet->SetIssuers(IssuerNames(kIssuers));
   return out;
 }
--- a/tests/unit/server_pool_permits_test.cc
+++ b/tests/unit/server_pool_permits_test.cc
@@ -109,6 +109,51 @@
   BOOST_TEST(pool.TryAcquire(MakeRequest(), now).has_value());
 }
 
+BOOST_AUTO_TEST_CASE(limited_server_is_still_used_without_any_issuer) {
+  wallet.SetIssuers({});
+  pool.Update({MakeServer("s")}, now);
+  Limit("s");
+  int sent = 0;
+  for (const auto end = now + std::chrono::minutes(5); now < end;
+       now += milliseconds(25)) {
+    if (pool.waiting() == 0) {
+      pool.Enqueue(MakeRequest());
+    }
+    sent += static_cast<int>(pool.AssignSlots(now).size());
+    pool.UpdateWantedPermits(now);
+  }
+  BOOST_TEST(sent > 0);
+  BOOST_TEST(sent <= 300 / 2);
+}
+
+// Each question takes its whole time limit, as if packets were dropped.
+BOOST_AUTO_TEST_CASE(limited_server_is_still_used_while_issuers_are_silent) {
+  wallet.SetIssuers({"a", "b", "c"});
+  pool.Update({MakeServer("s")}, now);
+  Limit("s");
+  int sent = 0;
+  std::optional<PermitWallet::Question> asked;
+  TimePoint asked_until;
+  for (const auto end = now + std::chrono::minutes(10); now < end;
+       now += milliseconds(25)) {
+    if (pool.waiting() == 0) {
+      pool.Enqueue(MakeRequest());
+    }
+    if (asked && asked_until <= now) {
+      wallet.OnSilence(*asked, now);
+      asked.reset();
+    }
+    sent += static_cast<int>(pool.AssignSlots(now).size());
+    pool.UpdateWantedPermits(now);
+    if (!asked) {
+      asked = wallet.NextQuestion(now);
+      asked_until = now + milliseconds(150);
+    }
+  }
+  BOOST_TEST(sent > 0);
+  BOOST_TEST(sent <= 600 / 2);
+}
+
 BOOST_AUTO_TEST_CASE(nothing_is_asked_for_a_server_that_has_left) {
   pool.Update({MakeServer("s")}, now);
   Limit("s");
