--- a/tests/unit/server_pool_permits_test.cc
+++ b/tests/unit/server_pool_permits_test.cc
@@ -27,6 +27,7 @@
   }
   void Limit(const std::string& id) { limits.Record({id, {}, 1.0, {}}, now); }
   void Reply(std::vector<milliseconds> valid_in, milliseconds retry_in) {
+    pool.UpdateWantedPermits(now);
     const auto question = wallet.NextQuestion(now);
     BOOST_REQUIRE(question.has_value());
     std::vector<PermitReply> replies;
@@ -67,6 +68,7 @@
     for (const auto& it : pool.AssignSlots(now)) {
       served.push_back(it.slot.server_id);
     }
+    pool.UpdateWantedPermits(now);
     if (wallet.HasWants(now)) {
       Reply({}, milliseconds(500));
     }
@@ -107,6 +109,64 @@
   BOOST_TEST(pool.TryAcquire(MakeRequest(), now).has_value());
 }
 
+BOOST_AUTO_TEST_CASE(limited_server_is_still_used_without_any_issuer) {
+  wallet.SetIssuers({});
+  pool.Update({MakeServer("s")}, now);
+  Limit("s");
+  int sent = 0;
+  for (const auto end = now + std::chrono::minutes(5); now < end;
+       now += milliseconds(25)) {
+    if (pool.waiting() == 0) {
+      pool.Enqueue(MakeRequest());
+    }
+    sent += static_cast<int>(pool.AssignSlots(now).size());
+    pool.UpdateWantedPermits(now);
+  }
+  BOOST_TEST(sent > 0);
+  BOOST_TEST(sent <= 300 / 2);
+}
+
+// Each question takes its whole time limit, as if packets were dropped.
+BOOST_AUTO_TEST_CASE(limited_server_is_still_used_while_issuers_are_silent) {
+  wallet.SetIssuers({"a", "b", "c"});
+  pool.Update({MakeServer("s")}, now);
+  Limit("s");
+  int sent = 0;
+  std::optional<PermitWallet::Question> asked;
+  TimePoint asked_until;
+  for (const auto end = now + std::chrono::minutes(10); now < end;
+       now += milliseconds(25)) {
+    if (pool.waiting() == 0) {
+      pool.Enqueue(MakeRequest());
+    }
+    if (asked && asked_until <= now) {
+      wallet.OnSilence(*asked, now);
+      asked.reset();
+    }
+    sent += static_cast<int>(pool.AssignSlots(now).size());
+    pool.UpdateWantedPermits(now);
+    if (!asked) {
+      asked = wallet.NextQuestion(now);
+      asked_until = now + milliseconds(150);
+    }
+  }
+  BOOST_TEST(sent > 0);
+  BOOST_TEST(sent <= 600 / 2);
+}
+
+BOOST_AUTO_TEST_CASE(nothing_is_asked_for_a_server_that_has_left) {
+  pool.Update({MakeServer("s")}, now);
+  Limit("s");
+  pool.Enqueue(MakeRequest());
+  pool.AssignSlots(now);
+  pool.UpdateWantedPermits(now);
+  BOOST_TEST(wallet.HasWants(now));
+  pool.Update({MakeServer("t")}, now);
+  pool.AssignSlots(now);
+  pool.UpdateWantedPermits(now);
+  BOOST_TEST(!wallet.HasWants(now));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace
