Remove no segment of the log that is still written to

Seen by tests, not known from users: a turn that had been answered was in neither segment of its disk after a move. A move writes its copy without counting it for the new segment until it is synced. If that segment was full before the sync (the next entry needs more than is left of 4 MB), and nothing else in it was needed, Expire() queued its removal behind the write; the turn then counted for the removed file, and the old segment went too. Turns far below 1 MB hardly meet this: it is not the cause of the users' cases on small sites, as far as is known.

DiskLog tells the first segment with an entry that is still to be written, and segments from there on stay.

--- a/source/storage/disk_log.cc
+++ b/source/storage/disk_log.cc
@@ -362,6 +362,7 @@
       self->pending -= batch.size();
       for (const auto& it : batch) {
         self->pending_bytes -= it.bytes.size();
+        self->EndEntryOf(it.segment);
       }
       if (!synced) {
         // Entries after a failed write in the same segment could not be read.
@@ -398,6 +399,13 @@
     damaged_segment = 0;
   }
 
+  void EndEntryOf(std::int64_t segment) {
+    const auto it = pending_by_segment.find(segment);
+    if (--it->second == 0) {
+      pending_by_segment.erase(it);
+    }
+  }
+
   void OpenNextSegment() {
     closed_segments.insert(open_segment);
     ++open_segment;
@@ -413,6 +421,7 @@
   std::int64_t size_bytes = 0;
   std::size_t pending = 0;  // Entries not synced yet.
   std::size_t pending_bytes = 0;
+  std::map<std::int64_t, std::size_t> pending_by_segment;
 
   // Used by the writer thread only.
   std::int64_t damaged_segment = 0;  // 0: none.
@@ -485,6 +494,7 @@
   impl_->open_segment_bytes += size;
   impl_->AddBytes(segment, size);
   ++impl_->pending;
+  ++impl_->pending_by_segment[segment];
   impl_->pending_bytes += bytes.size();
   {
     const std::lock_guard lock(impl_->mutex);
@@ -531,6 +541,11 @@
   return impl_->open_segment;
 }
 
+std::int64_t DiskLog::first_unwritten_segment() const {
+  const auto& pending = impl_->pending_by_segment;
+  return pending.empty() ? impl_->open_segment : pending.begin()->first;
+}
+
 std::size_t DiskLog::backlog() const {
   return impl_->pending;
 }
--- a/source/storage/disk_log.h
+++ b/source/storage/disk_log.h
@@ -57,6 +57,9 @@
   void Remove(std::int64_t segment);
 
   std::int64_t current_segment() const;
+  // Returns the first segment that an entry is still to be written to, or the
+  // open one if that is none.
+  std::int64_t first_unwritten_segment() const;
   std::vector<std::int64_t> ClosedSegments() const;
   // Number of entries whose write or sync has not finished.
   std::size_t backlog() const;
--- a/source/storage/storage_node.cc
+++ b/source/storage/storage_node.cc
@@ -503,7 +503,7 @@
   Compact();
   for (auto it = needed_until_.begin(); it != needed_until_.end();) {
     const bool needed = it->second >= now || turns_.UsesSegment(it->first) ||
-                        it->first >= disk_log_.current_segment();
+                        it->first >= disk_log_.first_unwritten_segment();
     if (needed || !MoveLivingPrograms(it->first)) {
       ++it;
       continue;
