--- a/tests/vm/stepping_clock.h
+++ b/tests/vm/stepping_clock.h
@@ -16,6 +16,19 @@
   SteppingClock& operator=(const SteppingClock&) = delete;
 };
 
+// While one exists, each reading of the time of day in its thread is off by
+// another time, as of daemons whose clocks differ, and all can be moved on.
+class UnevenWallClock {
+ public:
+  // Readings are off by `spread` at most.
+  UnevenWallClock(unsigned seed, std::chrono::milliseconds spread);
+  ~UnevenWallClock();
+  UnevenWallClock(const UnevenWallClock&) = delete;
+  UnevenWallClock& operator=(const UnevenWallClock&) = delete;
+
+  void Advance(std::chrono::milliseconds time);
+};
+
 }  // namespace comfreyfold
 
 #endif  // VM_STEPPING_CLOCK_H_
