Let a retirement wait for room for its copies

Cause: a disk that was to be emptied left the list whatever room the others had, and copies are taken without a limit.

Replies to probes tell the room of a disk already. The change now begins once every member has room for new chains, the limit that keeps the room that a lost disk's turns take. Until then the status stays `running`, new chains are refused by the disks beyond that limit, and turns expire. Losses and joins do not wait.

All 10 cases of storage_change passed, linked with the suite's objects that they need.

--- a/source/storage/storage_membership_manager.cc
+++ b/source/storage/storage_membership_manager.cc
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include "net/repeat.h"
+#include "storage/replica_replies.h"
 
 namespace comfreyfold {
 
@@ -216,8 +217,8 @@
 // A disk that is only slow must not lose its place for one probe.
 std::optional<std::vector<std::string>> StorageMembershipManager::DeadMembers(
     Fiber& fiber,
-    const std::vector<StorageMember>& members) {
-  const auto replies = Probe(fiber, members, kProbeTimeout);
+    const std::vector<StorageMember>& members,
+    const StorageReplies& replies) {
   std::vector<std::string> out;
   bool certain = true;
   for (const auto& it : members) {
@@ -246,7 +247,8 @@
     return;
   }
   const auto list = view_.storage_list();
-  const auto dead = DeadMembers(fiber, list.members);
+  const auto dead = DeadMembers(fiber, list.members,
+                                Probe(fiber, list.members, kProbeTimeout));
   if (!dead) {
     log_.Write("join_delayed", "",
                {{"members", static_cast<int>(list.members.size())},
@@ -296,6 +298,17 @@
   store_.Commit(fiber, txn);
 }
 
+// The limit for new chains leaves room for what the others take over when a
+// disk is lost, which is what they take over when it leaves. Beyond it, turns
+// expire while new chains are refused.
+bool StorageMembershipManager::HaveRoomForCopies(
+    const StorageReplies& replies) const {
+  return node_.Room() == DiskRoom::kNewChains &&
+         std::all_of(replies.begin(), replies.end(), [](const auto& it) {
+           return RoomIn(it.second) == DiskRoom::kNewChains;
+         });
+}
+
 void StorageMembershipManager::LeaveList(Fiber& fiber) {
   const auto list = view_.storage_list();
   if (!list.IsMember(self_.disk)) {
@@ -305,13 +318,17 @@
     }
     return;
   }
-  auto removed = DeadMembers(fiber, list.members);
+  const auto replies = Probe(fiber, list.members, kProbeTimeout);
+  auto removed = DeadMembers(fiber, list.members, replies);
   const auto others = list.members.size() - 1;
-  if (!removed || others < static_cast<std::size_t>(tolerated_losses_) + 1 +
-                               removed->size()) {
+  const bool has_room = HaveRoomForCopies(replies);
+  if (!removed || !has_room ||
+      others <
+          static_cast<std::size_t>(tolerated_losses_) + 1 + removed->size()) {
     log_.Write("leave_delayed", "",
                {{"members", static_cast<int>(list.members.size())},
-                {"silent", static_cast<int>(unanswered_probes_.size())}});
+                {"silent", static_cast<int>(unanswered_probes_.size())},
+                {"room", has_room}});
     fiber.Sleep(kStepInterval);
     return;
   }
--- a/source/storage/storage_membership_manager.h
+++ b/source/storage/storage_membership_manager.h
@@ -81,11 +81,16 @@
       Fiber& fiber,
       const std::vector<StorageMember>& members,
       std::chrono::milliseconds timeout);
-  // Probes `members` once and returns those that are dead. Returns null while
-  // that is uncertain for one of them, or more than the tolerated losses are.
+  // Returns those of `members` that are dead, after a probe with `replies`.
+  // Returns null while that is uncertain for one of them, or more than the
+  // tolerated losses are.
   std::optional<std::vector<std::string>> DeadMembers(
       Fiber& fiber,
-      const std::vector<StorageMember>& members);
+      const std::vector<StorageMember>& members,
+      const StorageReplies& replies);
+  // Whether this VM's disk and those with `replies` have room for the copies of
+  // a change without one of them.
+  bool HaveRoomForCopies(const StorageReplies& replies) const;
 
   Loop& loop_;
   HttpClient& http_;
--- a/source/storage/storage_node.h
+++ b/source/storage/storage_node.h
@@ -84,6 +84,9 @@
   TurnDigest TurnsByKey();
   // Returns the ids of the turns `keys`, as far as they are stored here.
   std::vector<std::string> IdsOf(const std::vector<TurnKey>& keys);
+  // What the log, memory and disk have room for. Removes expired turns where
+  // that gives room.
+  DiskRoom Room();
   const RoomLimits& room_limits() const { return room_limits_; }
   const TokenLedgers& tokens() const { return tokens_; }
 
@@ -122,9 +125,6 @@
   const KeptDigest& Digest();
   // Returns the ids of the turns that a kFetch asks for.
   std::vector<std::string> WantedIds(const StorageRequest& request);
-  // What the log, memory and disk have room for. Removes expired turns where
-  // that gives room.
-  DiskRoom Room();
   DiskUse Use() const;
   // Whether there is room for the records of a store.
   bool Takes(const StorageRequest& request);
--- a/tests/vm/storage_change_test.cc
+++ b/tests/vm/storage_change_test.cc
@@ -42,6 +42,7 @@
                   }
                   StorageReply reply;
                   reply.status = status_;
+                  reply.new_chains_in = new_chains_in_;
                   exchange.Reply(200, "", Encode(reply));
                   ++answers_;
                 }),
@@ -52,10 +53,13 @@
   int answers() const { return answers_; }
   // The disk was replaced by another.
   void Replace() { status_ = StorageStatus::kOtherDisk; }
+  // Sets the time after which the disk has room for new chains; 0 if it has.
+  void SetRoomIn(milliseconds time) { new_chains_in_ = time; }
 
  private:
   HttpServer server_;
   StorageStatus status_ = StorageStatus::kDone;
+  milliseconds new_chains_in_{0};
   int requests_ = 0;
   int probes_ = 0;
   int answers_ = 0;
@@ -114,6 +118,8 @@
     }
     return condition();
   }
+  // Sets when the disk that answers has room for new chains.
+  void SetPromptRoomIn(milliseconds time) { prompt_.SetRoomIn(time); }
   bool HasThird() const { return List().IsNextMember("third"); }
   // Whether the disk of the manager has begun to join or to leave.
   bool HasBegun() const { return List().changing(); }
@@ -271,6 +277,45 @@
   BOOST_TEST(disk->probes() == 1);
 }
 
+// The copies filled the other disks beyond the limit for turns under way.
+BOOST_AUTO_TEST_CASE(disk_leaves_once_the_others_have_room_for_the_copies) {
+  constexpr int kProbes = 5;
+  // Never destroyed: requests under way refer to both.
+  auto* loop = new Loop;
+  auto* change = new Change(*loop);
+  loop->Spawn([&](Fiber& fiber) {
+    auto* disk = new Disk(*loop, 0);
+    disk->SetRoomIn(milliseconds(1000));
+    change->Leave(fiber, disk->address());
+    BOOST_TEST(Change::WaitFor(fiber, [&] {
+      return disk->probes() >= kProbes || change->HasBegun();
+    }));
+    BOOST_TEST(!change->HasBegun());
+    disk->SetRoomIn(milliseconds(0));
+    BOOST_TEST(Change::WaitFor(fiber, [&] { return change->HasBegun(); }));
+    change->Stop(fiber);
+    loop->Stop();
+  });
+  loop->Run();
+}
+
+// The loss of a disk needs the copies, however little room there is.
+BOOST_AUTO_TEST_CASE(lost_disk_is_removed_while_the_others_have_no_room) {
+  constexpr milliseconds kRoomIn{60000};
+  // Never destroyed: requests under way refer to both.
+  auto* loop = new Loop;
+  auto* change = new Change(*loop);
+  loop->Spawn([&](Fiber& fiber) {
+    change->SetPromptRoomIn(kRoomIn);
+    change->Join(fiber, harness::FreeAddress(*loop));
+    BOOST_TEST(Change::WaitFor(fiber, [&] { return change->HasBegun(); }));
+    BOOST_TEST(!change->HasThird());
+    change->Stop(fiber);
+    loop->Stop();
+  });
+  loop->Run();
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace
