Admit started programs once the storage answers again

Callers saw 503 storage_overloaded on turns of known chains for four seconds after the last time-outs, while the reservations that were sent were answered.

Cause: refused requests count as sent, so that clients that return keep the share that is let through small long after the storage has recovered.

--- a/source/core/adaptive_throttle.cc
+++ b/source/core/adaptive_throttle.cc
@@ -14,6 +14,9 @@
 constexpr double kStartedWorkRatio = 2.0;
 // A few time-outs alone are no overload: a disk may just have died.
 constexpr double kMinRequests = 4;
+// A service that answered a request so long after the last time-out, which
+// tells of a request sent well before, is no longer overloaded.
+constexpr std::chrono::milliseconds kRecoveryTime{1200};
 constexpr std::chrono::milliseconds kMinRetryAfter{150};
 constexpr std::chrono::milliseconds kMaxRetryAfter{1500};
 
@@ -29,6 +32,10 @@
 
 double AdaptiveThrottle::RefusedShare(Importance importance, TimePoint now) {
   Decay(now);
+  if (importance == Importance::kStartedWork &&
+      answered_at_ - timed_out_at_ >= kRecoveryTime) {
+    return 0;
+  }
   const auto ratio =
       importance == Importance::kNewWork ? kNewWorkRatio : kStartedWorkRatio;
   return std::max(0.0,
@@ -51,11 +58,13 @@
   Decay(now);
   requests_ += 1;
   answers_ += 1;
+  answered_at_ = now;
 }
 
 void AdaptiveThrottle::OnTimeout(TimePoint now) {
   Decay(now);
   requests_ += 1;
+  timed_out_at_ = now;
 }
 
 std::chrono::milliseconds AdaptiveThrottle::RetryAfter(TimePoint now) {
--- a/source/core/adaptive_throttle.h
+++ b/source/core/adaptive_throttle.h
@@ -38,6 +38,8 @@
   double requests_ = 0;
   double answers_ = 0;
   TimePoint decayed_at_{};
+  TimePoint timed_out_at_ = kDistantPast;
+  TimePoint answered_at_ = kDistantPast;
 };
 
 }  // namespace comfreyfold
--- a/tests/unit/adaptive_throttle_test.cc
+++ b/tests/unit/adaptive_throttle_test.cc
@@ -110,6 +110,23 @@
   BOOST_TEST(load.Play(milliseconds(2000), 200).sent > 190);
 }
 
+// Turns of known chains were refused for seconds though all sent were answered.
+BOOST_AUTO_TEST_CASE(started_programs_are_sent_soon_after_the_last_timeout) {
+  Load load;
+  load.Play(milliseconds(10000), 0);
+  load.Play(milliseconds(2500), 200);
+  const auto outcome = load.Play(milliseconds(1000), 200);
+  BOOST_TEST(outcome.started_sent == outcome.started_requests);
+}
+
+BOOST_AUTO_TEST_CASE(started_programs_are_refused_again_after_a_timeout) {
+  Load load;
+  load.Play(milliseconds(10000), 0);
+  load.Play(milliseconds(2500), 200);
+  const auto outcome = load.Play(milliseconds(5000), 0);
+  BOOST_TEST(outcome.started_sent < outcome.started_requests / 2);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace
