--- a/source/core/time_point.h
+++ b/source/core/time_point.h
@@ -12,10 +12,9 @@
 inline constexpr TimePoint kDistantPast{TimePoint::min().time_since_epoch() /
                                         2};
 
-// Milliseconds until `deadline`, rounded up: a wait for them does not end
-// before it. Not positive when it has passed.
+// Whole milliseconds until `deadline`; negative when it has passed.
 inline std::chrono::milliseconds TimeLeft(TimePoint deadline) {
-  return std::chrono::ceil<std::chrono::milliseconds>(
+  return std::chrono::duration_cast<std::chrono::milliseconds>(
       deadline - std::chrono::steady_clock::now());
 }
 
