--- a/source/core/permit_wallet.cc
+++ b/source/core/permit_wallet.cc
@@ -111,9 +111,9 @@
     const std::string& server_id,
     int claims,
     TimePoint now) const {
-  static const Server kUnused;
+  static const Server unused;
   const auto it = servers_.find(server_id);
-  const auto& server = it == servers_.end() ? kUnused : it->second;
+  const auto& server = it == servers_.end() ? unused : it->second;
   int ahead = claims;
   for (const auto& permit : server.permits) {
     if (permit.expires_at > now && ahead-- == 0) {
