--- a/tests/limit_property/limit_property_test.cc
+++ b/tests/limit_property/limit_property_test.cc
@@ -28,6 +28,7 @@
 
 std::vector<double> DrawDemand(int daemons) {
   std::vector<double> out;
+  out.reserve(static_cast<std::size_t>(daemons));
   for (int n = 0; n < daemons; ++n) {
     out.push_back(*rc::gen::element(0.0, 0.02, 0.1, 0.5));
   }
--- a/tests/unit/server_pool_permits_test.cc
+++ b/tests/unit/server_pool_permits_test.cc
@@ -26,7 +26,7 @@
     return out;
   }
   void Limit(const std::string& id) { limits.Record({id, {}, 1.0, {}}, now); }
-  void Reply(std::vector<milliseconds> valid_in, milliseconds retry_in) {
+  void Reply(const std::vector<milliseconds>& valid_in, milliseconds retry_in) {
     pool.UpdateWantedPermits(now);
     const auto question = wallet.NextQuestion(now);
     BOOST_REQUIRE(question.has_value());
