Keep streams at the software version that began them

Cause: nothing read the version of a registration or the header that names the attempt which began a stream, so that each attempt chose a server anew.

The version of a stream that may be resumed is now stored with the reservation of its tokens, before a server is chosen, and replaced on a quorum, before the first event leaves, if the stream begins at another version. The reservation of a resuming request reads it back. It binds the choice of a server; where no server in service has it, or it is not known, the request is refused at once as not run, with a reason of its own. A server that goes on with a stream is asked on the same connection whether its process is the registered one.

--- a/source/core/backend_server.h
+++ b/source/core/backend_server.h
@@ -15,6 +15,7 @@
   std::string service;
   std::string address;  // ip:port
   std::string data_centre;
+  std::string version;  // Of its software; empty: unknown.
   int slots = 1;
   bool leaving = false;  // Takes no new requests.
   // How much longer the server is slow after its start.
--- a/source/core/client_call.h
+++ b/source/core/client_call.h
@@ -32,6 +32,9 @@
   std::optional<std::int64_t> expected_output_tokens;
   std::string previous_turn;  // Request id of the previous turn, or empty.
   std::string last_event_id;  // Set when a client resumes a stream.
+  // Request id of the attempt that brought the first event of the stream that
+  // the client resumes; empty if it does not tell.
+  std::string resumed_request;
   std::string affinity_key;
   std::vector<PromptPart> prompt;
 };
--- a/source/core/server_pool.cc
+++ b/source/core/server_pool.cc
@@ -31,6 +31,8 @@
 constexpr double kNewConnectionCost = 3;
 constexpr std::chrono::milliseconds kConnectionIdleTime{4000};
 constexpr double kColdServerCost = 50;
+// Cost of recording that a stream begins at another version than was planned.
+constexpr double kOtherVersionCost = 30;
 // Cost of a full server of a plain service, compared with an idle one.
 constexpr double kFullServerCost = 60;
 // Makes a server that failed the same request the last resort.
@@ -102,6 +104,38 @@
   return !server.info.leaving && server.health.IsUsable(now);
 }
 
+bool ServerPool::Matches(const Server& server, const SlotRequest& request) {
+  return !request.version ||
+         (!request.version->empty() && server.info.version == *request.version);
+}
+
+bool ServerPool::HasVersionFor(const SlotRequest& request) const {
+  return !request.version ||
+         std::any_of(servers_.begin(), servers_.end(), [&](const auto& it) {
+           return !it.second.info.leaving && Matches(it.second, request);
+         });
+}
+
+std::string ServerPool::PreferredVersion(const std::string& session,
+                                         TimePoint now) const {
+  std::map<std::string, std::uint64_t> slots;
+  std::uint64_t all_slots = 0;
+  for (const auto& [id, it] : servers_) {
+    if (IsUsable(it, now)) {
+      slots[it.info.version] += static_cast<std::uint64_t>(it.info.slots);
+      all_slots += static_cast<std::uint64_t>(it.info.slots);
+    }
+  }
+  auto draw = all_slots == 0 ? 0 : Hash64(session) % all_slots;
+  for (const auto& [version, n] : slots) {
+    if (draw < n) {
+      return version;
+    }
+    draw -= n;
+  }
+  return "";
+}
+
 void ServerPool::NotifyFaultyChange(const Server& server, bool faulty) const {
   if (on_faulty_change_) {
     on_faulty_change_(server.info.id, faulty);
@@ -205,7 +239,8 @@
 const ServerPool::Server* ServerPool::HomeServer(const SlotRequest& request,
                                                  TimePoint now) const {
   const auto known = servers_.find(request.cached_at);
-  if (known != servers_.end() && IsUsable(known->second, now)) {
+  if (known != servers_.end() && IsUsable(known->second, now) &&
+      Matches(known->second, request)) {
     return &known->second;
   }
   const Server* out = nullptr;
@@ -217,7 +252,8 @@
   }
   const auto seed = Hash64(request.session);
   for (const auto& [id, it] : servers_) {
-    if (it.info.data_centre != data_centre_ || !IsUsable(it, now)) {
+    if (it.info.data_centre != data_centre_ || !IsUsable(it, now) ||
+        !Matches(it, request)) {
       continue;
     }
     const auto weight = Hash64(id, seed);
@@ -249,6 +285,10 @@
   if (server.info.cold_remaining.count() > 0) {
     out += kColdServerCost;
   }
+  if (!request.preferred_version.empty() &&
+      server.info.version != request.preferred_version) {
+    out += kOtherVersionCost;
+  }
   if (is_engine_) {
     // Prefilling a prompt delays all requests of the batch.
     out +=
@@ -292,7 +332,7 @@
       now - request.arrived > kMaxWaitForCachedServer;
   for (auto& [id, it] : servers_) {
     const bool has_room = HasRoom(it, now);
-    if (!IsUsable(it, now) ||
+    if (!IsUsable(it, now) || !Matches(it, request) ||
         (!has_room && (free_servers_only || !is_engine_))) {
       continue;
     }
@@ -331,6 +371,7 @@
   server.cache.RecordUse(request.prompt);
   out.acquired_at = now;
   out.server_started = server.info.started;
+  out.server_version = server.info.version;
   ++server.own_requests;
   out.is_probe = server.health.RecordSend(now, random_);
   return out;
@@ -475,7 +516,7 @@
   double own_requests = 0;
   bool any_room = false;
   for (const auto& [id, it] : servers_) {
-    if (IsUsable(it, now) && !IsExhausted(it, now)) {
+    if (IsUsable(it, now) && Matches(it, request) && !IsExhausted(it, now)) {
       any_room = any_room || HasRoom(it, now);
       own_requests += std::max(1, it.own_requests);
     }
--- a/source/core/server_pool.h
+++ b/source/core/server_pool.h
@@ -37,6 +37,7 @@
   TimePoint acquired_at{};
   bool is_probe = false;  // Tests a server that has failed.
   std::chrono::milliseconds server_started{0};  // Since the Unix epoch.
+  std::string server_version;                   // Of its software.
 };
 
 // The outcome of an exchange with a server.
@@ -121,6 +122,13 @@
   // Requests per slot, averaged over the servers' recent reports.
   double LevelAt(TimePoint now) const { return level_.At(now); }
   bool empty() const { return servers_.empty(); }
+  // Whether a server that is not leaving, healthy or not, has the software
+  // version that the request needs, if it needs one.
+  bool HasVersionFor(const SlotRequest& request) const;
+  // Returns the software version at which the streams of `session` preferably
+  // begin: the same one for all of them while the usable servers stay the same,
+  // and each version for its share of the slots. Empty if there is none.
+  std::string PreferredVersion(const std::string& session, TimePoint now) const;
   std::size_t waiting() const { return waiting_.size(); }
   int in_use() const;
 
@@ -137,6 +145,8 @@
   };
 
   static bool IsUsable(const Server& server, TimePoint now);
+  // Whether the server has the software version that the request needs.
+  static bool Matches(const Server& server, const SlotRequest& request);
   void NotifyFaultyChange(const Server& server, bool faulty) const;
   void ObserveAnswer(Server& server, TimePoint at);
   // Whether the server takes requests with a permit only.
--- a/source/core/slot_request.h
+++ b/source/core/slot_request.h
@@ -2,6 +2,7 @@
 #define CORE_SLOT_REQUEST_H_
 
 #include <cstdint>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -35,6 +36,11 @@
   std::string session;    // Its requests share most of their prompts.
   std::string cached_at;  // The server that ran its last turn, or empty.
   std::set<std::string> excluded;  // Servers that failed this request.
+  // The software version that must go on with a stream; null: any server may
+  // run the request.
+  std::optional<std::string> version;
+  // The software version that its stream preferably begins at; empty: any.
+  std::string preferred_version;
 };
 
 // Whether `a` gets a slot before `b`.
--- a/source/core/token_ledger.cc
+++ b/source/core/token_ledger.cc
@@ -1,6 +1,7 @@
 #include "core/token_ledger.h"
 
 #include <algorithm>
+#include <tuple>
 
 namespace comfreyfold {
 
@@ -21,6 +22,11 @@
     known.tokens = std::max(known.tokens, use.tokens);
     known.server = std::max(known.server, use.server);
   }
+  const auto choice = std::tie(use.version_choice, use.version);
+  if (choice > std::tie(known.version_choice, known.version)) {
+    known.version_choice = use.version_choice;
+    known.version = use.version;
+  }
   return known != before;
 }
 
@@ -70,6 +76,11 @@
   return last == nullptr ? std::string() : last->server;
 }
 
+TokenUse TokenLedger::UseOf(const std::string& request) const {
+  const auto it = uses_.find(request);
+  return it == uses_.end() ? TokenUse{} : it->second;
+}
+
 bool TokenLedger::Expired(std::chrono::milliseconds now) const {
   return std::all_of(uses_.begin(), uses_.end(), [now](const auto& it) {
     return it.second.expires_at < now;
--- a/source/core/token_ledger.h
+++ b/source/core/token_ledger.h
@@ -20,6 +20,10 @@
   std::chrono::milliseconds expires_at{0};  // Since the Unix epoch.
   // Server that generated the tokens; empty until the use is settled.
   std::string server;
+  // Software version of the server at which the request's stream begins, and
+  // the number of times it was chosen. The last choice counts; 0: none.
+  std::string version;
+  std::int32_t version_choice = 0;
 
   friend bool operator==(const TokenUse&, const TokenUse&) = default;
 };
@@ -38,6 +42,8 @@
   std::int64_t ReservedByOthers(const TokenUse& use,
                                 std::chrono::milliseconds age) const;
   const std::map<std::string, TokenUse>& uses() const { return uses_; }
+  // Returns the use of `request`, an empty one if it is not known.
+  TokenUse UseOf(const std::string& request) const;
   // Returns how long before `use` the first request of the program began.
   std::chrono::milliseconds ProgramAgeAt(const TokenUse& use) const;
   // Returns the server of the newest settled use, which is likely to have the
--- a/source/front/call.h
+++ b/source/front/call.h
@@ -20,6 +20,7 @@
 #include "core/token_ledger.h"
 #include "front/server_call.h"
 #include "net/http_server.h"
+#include "storage/storage_client.h"
 
 namespace comfreyfold {
 
@@ -51,6 +52,13 @@
   std::vector<std::string> chain_turn_ids;  // Earlier turns, newest first.
   std::optional<TokenUse> reserved_tokens;
   std::int64_t max_events = 0;  // That the reserved tokens allow; 0: any.
+  // The software version of the server that wrote the events which the client
+  // has; null: it has none, or does not tell who wrote them.
+  std::optional<std::string> version;
+  // What is recorded of the version at which the stream begins.
+  TokenUse version_record;
+  // The last store of that record alone; null: none was needed.
+  std::shared_ptr<StorageClient::PendingStore> version_store;
   ProgramStage stage = ProgramStage::kStarted;
   std::string cached_server_id;  // The server that last served the program.
   StreamProgress progress;
--- a/source/front/call_dispatcher.cc
+++ b/source/front/call_dispatcher.cc
@@ -48,13 +48,15 @@
                                DecisionLog& log,
                                const RequestCodec& codec,
                                const ProgramSlack& slack,
-                               CrashGuard& crash_guard)
+                               CrashGuard& crash_guard,
+                               VersionGuard& version_guard)
     : http_(http),
       admission_(admission),
       log_(log),
       codec_(codec),
       slack_(slack),
       crash_guard_(crash_guard),
+      version_guard_(version_guard),
       random_(std::random_device{}()) {}
 
 TimePoint CallDispatcher::EndOf(const Call& call) const {
@@ -92,6 +94,8 @@
   request.session = call.params.program;
   request.cached_at = call.cached_server_id;
   request.excluded = call.tried_server_ids;
+  request.version = call.version;
+  request.preferred_version = call.version_record.version;
   slot_result = admission_.Acquire(
       fiber, call.service, std::move(request), [this, &call] {
         return call.client.PeerGone() ||
@@ -113,6 +117,9 @@
                        "no server of the service is available; retry",
                        kNoServerRetryAfter);
   }
+  if (slot_result.reason == SlotFailure::kNoVersion) {
+    return VersionGoneError();
+  }
   return NotRunError(kUnavailable, "no_place",
                      "no server will have a free place in time; retry later",
                      retry);
@@ -148,6 +155,7 @@
       codec_.encode_server_request(call.request, server_params);
   const auto start = std::chrono::steady_clock::now();
   const auto events_before = call.progress.events;
+  const auto await_record = version_guard_.BeginAt(call, slot);
   ServerCall server_call(http_, codec_, call.client, call.progress);
   server_call.OnHead([this, &call, &slot, start](const ServerAnswer& metadata) {
     admission_.ObserveLimit(slot, metadata);
@@ -160,11 +168,14 @@
   });
   server_call.OnLeaving([this, &slot] { admission_.ObserveLeaving(slot); });
   auto result = server_call.Run(
-      fiber,
-      {*call.route, call.params.request_id, request,
-       call.body ? *call.body : call.request.body, slot, call.arrived,
-       call.deadline, stop_at_, call.max_events,
-       !call.tried_addresses.insert(slot.address).second, call.answer_memory});
+      fiber, {*call.route, call.params.request_id, request,
+              call.body ? *call.body : call.request.body, slot, call.arrived,
+              call.deadline, stop_at_, call.max_events,
+              !call.tried_addresses.insert(slot.address).second, await_record,
+              call.version.has_value(), call.answer_memory});
+  if (call.progress.events > events_before) {
+    call.version = slot.server_version;
+  }
   admission_.Release(call.service, slot, result.exchange, result.metadata.load,
                      std::chrono::duration_cast<std::chrono::milliseconds>(
                          std::chrono::steady_clock::now() - start));
@@ -180,6 +191,7 @@
               {"target_hash", FingerprintText(call.fingerprint.target)},
               {"server", slot.server_id},
               {"address", slot.address},
+              {"version", slot.server_version},
               {"uncached_tokens", slot.uncached_tokens},
               {"far", slot.in_other_data_centre ? 1 : 0},
               {"limit_per_second", LimitText(result.metadata.limit_per_second)},
@@ -217,9 +229,14 @@
     }
     if (error) {
       if (call.possible_runs > 0) {
-        error = CallError(kBadGateway, "server_failed",
-                          "the server failed and no other server was free",
-                          Verdict::kMayHaveRun);
+        const bool is_version_gone =
+            slot_result.reason == SlotFailure::kNoVersion && !slot_result.slot;
+        error = CallError(
+            kBadGateway, is_version_gone ? "version_gone" : "server_failed",
+            is_version_gone
+                ? "the server failed, and no other has its software version"
+                : "the server failed and no other server was free",
+            Verdict::kMayHaveRun);
       }
       return {{}, std::move(error)};
     }
--- a/source/front/call_dispatcher.h
+++ b/source/front/call_dispatcher.h
@@ -12,6 +12,7 @@
 #include "front/request_codec.h"
 #include "front/server_admission.h"
 #include "front/server_call.h"
+#include "front/version_guard.h"
 #include "net/http_client.h"
 
 namespace comfreyfold {
@@ -26,7 +27,8 @@
                  DecisionLog& log,
                  const RequestCodec& codec,
                  const ProgramSlack& slack,
-                 CrashGuard& crash_guard);
+                 CrashGuard& crash_guard,
+                 VersionGuard& version_guard);
 
   // Sets when the daemon stops: calls that are not over by then are answered.
   void StopAt(TimePoint time) { stop_at_ = time; }
@@ -58,6 +60,7 @@
   const RequestCodec& codec_;
   const ProgramSlack& slack_;
   CrashGuard& crash_guard_;
+  VersionGuard& version_guard_;
   TimePoint stop_at_ = TimePoint::max();
   std::mt19937_64 random_;
 };
--- a/source/front/call_handler.cc
+++ b/source/front/call_handler.cc
@@ -78,7 +78,14 @@
       bodies_(std::move(bodies)),
       answers_(std::move(answers)),
       codec_(std::move(codec)),
-      dispatcher_(http, admission, log, codec_, slack_, crash_guard),
+      version_guard_(view, storage, admission, log),
+      dispatcher_(http,
+                  admission,
+                  log,
+                  codec_,
+                  slack_,
+                  crash_guard,
+                  version_guard_),
       random_(std::random_device{}()) {}
 
 void CallHandler::StopAt(TimePoint time) {
@@ -174,6 +181,10 @@
     if (auto error = ReserveTokens(fiber, call)) {
       return error;
     }
+  } else if (ContinuesKnownAttempt(call)) {
+    if (auto error = version_guard_.FindAndResume(fiber, call)) {
+      return error;
+    }
   }
   // The replies of the disks may have told that they are full.
   return CheckRoom(call);
@@ -302,11 +313,13 @@
   use.tokens = (call.params.max_output_tokens + event_tokens - 1) /
                event_tokens * event_tokens;
   use.expires_at = WallNow() + call.route->retention + kRetentionMargin;
+  version_guard_.Plan(call, use);
   using Outcome = StorageClient::ReserveOutcome;
   const auto start = std::chrono::steady_clock::now();
   const auto reservation =
       storage_.Reserve(fiber, use, *call.params.token_budget,
-                       std::min(kReserveTimeout, TimeLeft(call.deadline)));
+                       std::min(kReserveTimeout, TimeLeft(call.deadline)),
+                       call.params.resumed_request);
   ObserveStorage(reservation.outcome != Outcome::kUnknown, start,
                  kReserveTimeout);
   call.cached_server_id = reservation.last_server;
@@ -320,8 +333,11 @@
   }
   if (reservation.outcome == Outcome::kGranted) {
     call.reserved_tokens = use;
+    call.version_record = use;
     call.max_events = use.tokens / event_tokens;
-    return std::nullopt;
+    return ContinuesKnownAttempt(call)
+               ? version_guard_.Resume(call, reservation.resumed_use)
+               : std::nullopt;
   }
   log_.Write("tokens_refused", call.params.request_id,
              {{"program", call.params.program},
@@ -353,6 +369,8 @@
 
 TokenUse CallHandler::SettledUse(const Call& call) const {
   auto use = *call.reserved_tokens;
+  use.version = call.version_record.version;
+  use.version_choice = call.version_record.version_choice;
   const auto event_tokens = TokensPerEvent(call);
   use.tokens = call.progress.events * event_tokens;
   use.settled = true;
@@ -459,6 +477,8 @@
        {"route", call.route == nullptr ? "" : call.route->name},
        {"program", call.params.program},
        {"server", call.last_server_id},
+       {"version", call.version.value_or("")},
+       {"resumes", call.params.resumed_request},
        {"config_version", call.config ? call.config->version : 0},
        {"servers_age_ms",
         std::chrono::duration_cast<std::chrono::milliseconds>(
--- a/source/front/call_handler.h
+++ b/source/front/call_handler.h
@@ -92,6 +92,7 @@
   std::shared_ptr<MemoryBudget> answers_;
   RequestCodec codec_;
   ProgramSlack slack_;
+  VersionGuard version_guard_;
   CallDispatcher dispatcher_;
   TimePoint stop_at_ = TimePoint::max();
   bool stopping_ = false;
--- a/source/front/request_codec.h
+++ b/source/front/request_codec.h
@@ -28,6 +28,12 @@
   std::function<HttpRequest(const HttpRequest&, const ServerRequestParams&)>
       encode_server_request;
   std::function<ServerAnswer(const HttpReply&)> decode_answer;
+  // The request that asks a server for its state.
+  HttpRequest state_request;
+  // Returns when the process that sent this reply to `state_request` started,
+  // since the Unix epoch; null if it does not tell.
+  std::function<std::optional<std::chrono::milliseconds>(const HttpReply&)>
+      decode_process_start;
   // Returns the headers of a server's answer that are passed to the client.
   std::function<std::vector<HttpHeader>(const HttpReply&)>
       client_answer_headers;
--- a/source/front/server_admission.cc
+++ b/source/front/server_admission.cc
@@ -146,6 +146,10 @@
     out.reason = SlotFailure::kNoServers;
     return out;
   }
+  if (!queue.pool.HasVersionFor(request)) {
+    out.reason = SlotFailure::kNoVersion;
+    return out;
+  }
   out.reason = SlotFailure::kWaitTooLong;
   if (!queue.pool.MayBegin(request, start) ||
       out.expected_wait > TimeBetween(request.acquire_by, start)) {
@@ -167,6 +171,10 @@
       out.reason = SlotFailure::kClientLeft;
       break;
     }
+    if (!waiter->slot && !queue.pool.HasVersionFor(request)) {
+      out.reason = SlotFailure::kNoVersion;
+      break;
+    }
     AssignSlots(queue);
   }
   queue.pool.Cancel(request.ticket);
@@ -262,6 +270,12 @@
   AssignSlots(queue);
 }
 
+std::string ServerAdmission::PreferredVersion(const std::string& service,
+                                              const std::string& session) {
+  return QueueOf(service).pool.PreferredVersion(
+      session, std::chrono::steady_clock::now());
+}
+
 std::size_t ServerAdmission::waiting() const {
   std::size_t out = 0;
   for (const auto& [service, it] : queues_) {
--- a/source/front/server_admission.h
+++ b/source/front/server_admission.h
@@ -21,6 +21,7 @@
 // Why a request got no slot at a server.
 enum class SlotFailure {
   kNoServers,    // No server of the service is registered.
+  kNoVersion,    // None has the version that must go on with the stream.
   kWaitTooLong,  // No slot is expected to become free in time, or none did.
   kClientLeft,   // The client closed its connection while waiting.
 };
@@ -81,6 +82,10 @@
   // Records a server's fault that another daemon has seen.
   void ObserveFault(const ServerFault& fault);
 
+  // See ServerPool::PreferredVersion.
+  std::string PreferredVersion(const std::string& service,
+                               const std::string& session);
+
   // Number of requests that wait for a slot.
   std::size_t waiting() const;
 
--- a/source/front/server_call.cc
+++ b/source/front/server_call.cc
@@ -111,10 +111,33 @@
   }
 }
 
-void ServerCall::HandleData(std::string_view data, const Input& input) {
+// The registration may be old: a server can start anew under its id, with
+// another version of its software.
+bool ServerCall::IsRegisteredProcess(const HttpReply& state,
+                                     const Input& input) {
+  const auto started = codec_.decode_process_start(state);
+  other_process_ = started && *started != input.slot.server_started;
+  return !other_process_;
+}
+
+void ServerCall::AwaitRecord(Fiber& fiber, const Input& input) {
+  if (recorded_ || !input.await_record) {
+    return;
+  }
+  recorded_ = input.await_record(fiber);
+  if (!recorded_) {
+    withheld_ = true;
+    throw HttpFailure("the stream's version is not on enough disks", true);
+  }
+}
+
+void ServerCall::HandleData(Fiber& fiber,
+                            std::string_view data,
+                            const Input& input) {
   if (!streaming_) {
     return;
   }
+  AwaitRecord(fiber, input);
   std::string complete_events;
   events_.Feed(
       data, [this, &complete_events, &input](const StreamEvent& event) {
@@ -204,8 +227,14 @@
     CheckLeaving(codec_.decode_answer(reply));
   };
   if (input.route.kind == RequestKind::kStream) {
-    options.on_data = [this, &input](std::string_view data) {
-      HandleData(data, input);
+    options.on_data = [this, &fiber, &input](std::string_view data) {
+      HandleData(fiber, data, input);
+    };
+  }
+  if (input.checks_process) {
+    options.peer_check = &codec_.state_request;
+    options.accept_peer = [this, &input](const HttpReply& state) {
+      return IsRegisteredProcess(state, input);
     };
   }
   options.cancelled = [this, &input] {
@@ -225,7 +254,10 @@
     result.failure = e.what();
     result.verdict = may_have_sent_ ? Verdict::kMayHaveRun : Verdict::kNotRun;
     const auto now = std::chrono::steady_clock::now();
-    if (!client_.broken() && now < input.deadline && now < input.stop_at) {
+    if (withheld_ || other_process_) {
+      result.exchange = ExchangeResult::kAbandoned;
+    } else if (!client_.broken() && now < input.deadline &&
+               now < input.stop_at) {
       result.exchange = ExchangeResult::kFailed;
     } else if (may_have_sent_ && now - progress_at_ > kStallTime) {
       result.exchange = ExchangeResult::kStalled;
--- a/source/front/server_call.h
+++ b/source/front/server_call.h
@@ -62,6 +62,12 @@
     // The server has had this request before. A second copy of its answer may
     // still arrive on the connection used then, under the same request id.
     bool repeated = false;
+    // Waits until it is recorded where the stream begins, before its first
+    // event is passed on; null: nothing to wait for. Returns false if it could
+    // not be recorded, which ends the exchange.
+    std::function<bool(Fiber&)> await_record;
+    // Whether the server must be the process that is registered at the address.
+    bool checks_process = false;
     // Takes what is held of the answer: the body, or the output of a turn.
     MemoryReservation& memory;
   };
@@ -85,7 +91,9 @@
  private:
   void CheckLeaving(const ServerAnswer& metadata) const;
   ReplyAction HandleHead(const HttpReply& reply, const Input& input);
-  void HandleData(std::string_view data, const Input& input);
+  bool IsRegisteredProcess(const HttpReply& state, const Input& input);
+  void AwaitRecord(Fiber& fiber, const Input& input);
+  void HandleData(Fiber& fiber, std::string_view data, const Input& input);
   // Keeps the data of an event, as a part of the turn's output.
   void KeepOutput(const std::string& data, const Input& input);
   // Whether the stream that has ended lacks a part.
@@ -109,6 +117,9 @@
   // When the request was sent or its answer last got on by an event.
   TimePoint progress_at_ = std::chrono::steady_clock::now();
   bool streaming_ = false;
+  bool recorded_ = false;       // See Input::await_record.
+  bool withheld_ = false;       // It could not be recorded.
+  bool other_process_ = false;  // Than the registered one is at the address.
   bool may_have_sent_ = false;
 };
 
--- a/source/net/http_client.cc
+++ b/source/net/http_client.cc
@@ -441,6 +441,39 @@
   bool distrusted_ = false;
 };
 
+// Throws HttpFailure unless the process at the other end is accepted.
+void CheckPeer(Fiber& fiber,
+               const std::string& address,
+               Connection& connection,
+               ExchangeWatchdog& watchdog,
+               const ClientMessage& message,
+               const HttpOptions& options) {
+  constexpr std::chrono::milliseconds kMaxTime{500};
+  constexpr std::uint64_t kMaxBytes = 1024UL * 1024;
+  HttpOptions check_options;
+  check_options.idle_timeout = std::min(options.idle_timeout, kMaxTime);
+  check_options.max_body_bytes = kMaxBytes;
+  check_options.cancelled = options.cancelled;
+  connection.stream.expires_after(check_options.idle_timeout);
+  bool accepted = false;
+  try {
+    boost::system::error_code ec;
+    http::async_write(connection.stream, message, YieldToken(fiber)[ec]);
+    if (ec) {
+      ThrowFailure("write to", address, ec);
+    }
+    HttpReply reply;
+    ReplyReader reader(fiber, address, connection, watchdog, check_options);
+    reader.Read(reply);
+    accepted = reader.keep_alive() && options.accept_peer(reply);
+  } catch (const HttpFailure& e) {
+    throw HttpFailure(e.what(), false);
+  }
+  if (!accepted) {
+    throw HttpFailure(address + " is not the expected process", false);
+  }
+}
+
 }  // namespace
 
 HttpReply HttpClient::Send(Fiber& fiber,
@@ -464,6 +497,10 @@
 
   ExchangeWatchdog watchdog(impl_->loop.impl().io, stream, options.cancelled,
                             options.total_timeout);
+  if (options.peer_check != nullptr) {
+    CheckPeer(fiber, address, *connection, watchdog,
+              impl_->BuildMessage(address, *options.peer_check, ""), options);
+  }
   const auto message = impl_->BuildMessage(
       address, request, options.body != nullptr ? *options.body : request.body);
   if (options.on_sending) {
--- a/source/net/http_client.h
+++ b/source/net/http_client.h
@@ -65,6 +65,12 @@
   // Called after a small piece has been passed to `on_data`. Returns how long
   // to pause reading: data that arrives meanwhile is delivered as one piece.
   std::function<std::chrono::milliseconds()> read_pause;
+  // Sent before the request on the same connection, unless null, to learn which
+  // process answers there. The exchange ends with HttpFailure before the
+  // request is sent if `accept_peer` returns false for the reply, or there is
+  // none.
+  const HttpRequest* peer_check = nullptr;
+  std::function<bool(const HttpReply&)> accept_peer;
   // Polled during the exchange; returning true abandons it with HttpFailure.
   std::function<bool()> cancelled;
 };
--- a/source/storage/storage_client.cc
+++ b/source/storage/storage_client.cc
@@ -194,7 +194,8 @@
     Fiber& fiber,
     const TokenUse& use,
     std::int64_t budget,
-    std::chrono::milliseconds timeout) {
+    std::chrono::milliseconds timeout,
+    const std::string& resumed_request) {
   const auto deadline = std::chrono::steady_clock::now() + timeout;
   Reservation out;
   TokenQuorum quorum;
@@ -228,6 +229,7 @@
     }
   }
   out.last_server = ledger.LastServer();
+  out.resumed_use = ledger.UseOf(resumed_request);
   out.program_age = ledger.ProgramAgeAt(use);
   out.is_first =
       std::all_of(ledger.uses().begin(), ledger.uses().end(),
@@ -241,6 +243,37 @@
   return out;
 }
 
+std::shared_ptr<StorageClient::PendingStore> StorageClient::BeginStoreUse(
+    const TokenUse& use,
+    std::chrono::milliseconds timeout) {
+  auto store = std::make_shared<PendingStore>(loop_);
+  loop_.Spawn([this, store, use, timeout](Fiber& child) {
+    StorageRequest request;
+    request.operation = StorageOperation::kStore;
+    request.uses = {use};
+    TokenQuorum ignored;
+    store->stored = CallQuorum(child, use.program, request, timeout, ignored);
+    store->ended = true;
+    store->changed.NotifyAll();
+  });
+  return store;
+}
+
+std::optional<TokenUse> StorageClient::FindUse(
+    Fiber& fiber,
+    const std::string& program,
+    const std::string& request,
+    std::chrono::milliseconds timeout) {
+  StorageRequest read;
+  read.operation = StorageOperation::kUses;
+  read.program = program;
+  TokenQuorum quorum;
+  if (!CallQuorum(fiber, program, read, timeout, quorum)) {
+    return std::nullopt;
+  }
+  return quorum.ledger().UseOf(request);
+}
+
 // A request that used no tokens was refused. Its settlement is sent at once,
 // because the client is likely to retry soon through another daemon and must
 // find the budget free.
--- a/source/storage/storage_client.h
+++ b/source/storage/storage_client.h
@@ -5,6 +5,7 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -69,6 +70,8 @@
     std::chrono::milliseconds program_age{0};
     // The server that last generated tokens for the program; empty if unknown.
     std::string last_server;
+    // The use of `resumed_request`; without a version if that is not known.
+    TokenUse resumed_use;
     int rounds = 1;  // Round trips to a quorum.
   };
   // Reserves `use.tokens` if this amount plus the tokens that other requests
@@ -77,7 +80,26 @@
   Reservation Reserve(Fiber& fiber,
                       const TokenUse& use,
                       std::int64_t budget,
-                      std::chrono::milliseconds timeout);
+                      std::chrono::milliseconds timeout,
+                      const std::string& resumed_request = {});
+
+  // A record that is being stored on a quorum of a program's replicas.
+  struct PendingStore {
+    explicit PendingStore(Loop& loop) : changed(loop) {}
+    Condition changed;
+    bool ended = false;
+    bool stored = false;
+  };
+  // Begins to store `use` on a quorum of its program's replicas.
+  std::shared_ptr<PendingStore> BeginStoreUse(
+      const TokenUse& use,
+      std::chrono::milliseconds timeout);
+  // Returns the use of `request`, without a version if it is not known. Null if
+  // no quorum of the replicas has answered.
+  std::optional<TokenUse> FindUse(Fiber& fiber,
+                                  const std::string& program,
+                                  const std::string& request,
+                                  std::chrono::milliseconds timeout);
   // Replaces a reservation by the tokens that were actually used. The
   // settlement is sent with the program's next reservation through this daemon,
   // or separately if there is none within a part of `max_settlement_time`.
@@ -208,8 +230,7 @@
   // Starts to store the settled `use` on the replicas of its program, in a
   // coroutine of its own. Returns null if the disks of `plan` include a quorum
   // of them, because the store of the turn carries the settlement then.
-  struct PendingSettlement;
-  std::shared_ptr<PendingSettlement> BeginSettlement(
+  std::shared_ptr<PendingStore> BeginSettlement(
       const TokenUse& use,
       const ReplicaClient::Plan& plan,
       std::chrono::milliseconds timeout);
--- a/source/storage/storage_client_turns.cc
+++ b/source/storage/storage_client_turns.cc
@@ -149,17 +149,10 @@
   return plan;
 }
 
-struct StorageClient::PendingSettlement {
-  explicit PendingSettlement(Loop& loop) : changed(loop) {}
-  Condition changed;
-  bool ended = false;
-  bool certain = false;
-};
-
-std::shared_ptr<StorageClient::PendingSettlement>
-StorageClient::BeginSettlement(const TokenUse& use,
-                               const ReplicaClient::Plan& plan,
-                               std::chrono::milliseconds timeout) {
+std::shared_ptr<StorageClient::PendingStore> StorageClient::BeginSettlement(
+    const TokenUse& use,
+    const ReplicaClient::Plan& plan,
+    std::chrono::milliseconds timeout) {
   StorageReplies expected;
   for (std::size_t n = 0;
        n < std::min(plan.initial_targets, plan.targets.size()); ++n) {
@@ -170,18 +163,7 @@
   if (use.request.empty() || HasQuorums(sets, expected)) {
     return nullptr;
   }
-  auto settlement = std::make_shared<PendingSettlement>(loop_);
-  loop_.Spawn([this, settlement, use, timeout](Fiber& child) {
-    StorageRequest request;
-    request.operation = StorageOperation::kStore;
-    request.uses = {use};
-    TokenQuorum ignored;
-    settlement->certain =
-        CallQuorum(child, use.program, request, timeout, ignored);
-    settlement->ended = true;
-    settlement->changed.NotifyAll();
-  });
-  return settlement;
+  return BeginStoreUse(use, timeout);
 }
 
 bool StorageClient::SendTurns(Fiber& fiber,
@@ -310,7 +292,7 @@
     settlement->changed.WaitUntil(
         fiber, std::max(TimeLeft(settle_until), std::chrono::milliseconds(0)),
         [&settlement] { return settlement->ended; });
-    out.settled = settlement->certain;
+    out.settled = settlement->stored;
   } else {
     out.settled = HasQuorums(
         view_.storage_list().ReplicasOf(use.program, tolerated_losses_),
--- a/source/wire/comfreyfold.thrift
+++ b/source/wire/comfreyfold.thrift
@@ -224,6 +224,8 @@
   4: bool settled,
   5: i64 expires_at_ms,
   6: string server,
+  7: string software_version, // Of the server that the request's stream begins at.
+  8: i32 version_choice,
 }
 
 struct StorageMember {
@@ -280,6 +282,7 @@
   6: bool leaving,
   7: i64 cold_left_ms,
   8: i64 started_ms,
+  9: string software_version,
 }
 
 struct LoadNote {
--- a/source/wire/fleet_codec.cc
+++ b/source/wire/fleet_codec.cc
@@ -22,6 +22,7 @@
   out.leaving = server.leaving;
   out.cold_left_ms = server.cold_remaining.count();
   out.started_ms = server.started.count();
+  out.software_version = server.version;
   return out;
 }
 
@@ -35,6 +36,7 @@
   out.leaving = server.leaving;
   out.cold_remaining = std::chrono::milliseconds(server.cold_left_ms);
   out.started = std::chrono::milliseconds(server.started_ms);
+  out.version = server.software_version;
   return out;
 }
 
--- a/source/wire/gen/comfreyfold_types.cpp
+++ b/source/wire/gen/comfreyfold_types.cpp
@@ -4743,6 +4743,14 @@
 void TokenUse::__set_server(const std::string& val) {
   this->server = val;
 }
+
+void TokenUse::__set_software_version(const std::string& val) {
+  this->software_version = val;
+}
+
+void TokenUse::__set_version_choice(const int32_t val) {
+  this->version_choice = val;
+}
 std::ostream& operator<<(std::ostream& out, const TokenUse& obj)
 {
   obj.printTo(out);
@@ -4819,6 +4827,22 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 7:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->software_version);
+          this->__isset.software_version = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 8:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->version_choice);
+          this->__isset.version_choice = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -4860,6 +4884,14 @@
   xfer += oprot->writeString(this->server);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("software_version", ::apache::thrift::protocol::T_STRING, 7);
+  xfer += oprot->writeString(this->software_version);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("version_choice", ::apache::thrift::protocol::T_I32, 8);
+  xfer += oprot->writeI32(this->version_choice);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -4873,6 +4905,8 @@
   swap(a.settled, b.settled);
   swap(a.expires_at_ms, b.expires_at_ms);
   swap(a.server, b.server);
+  swap(a.software_version, b.software_version);
+  swap(a.version_choice, b.version_choice);
   swap(a.__isset, b.__isset);
 }
 
@@ -4883,6 +4917,8 @@
   settled = other154.settled;
   expires_at_ms = other154.expires_at_ms;
   server = other154.server;
+  software_version = other154.software_version;
+  version_choice = other154.version_choice;
   __isset = other154.__isset;
 }
 TokenUse& TokenUse::operator=(const TokenUse& other155) {
@@ -4892,6 +4928,8 @@
   settled = other155.settled;
   expires_at_ms = other155.expires_at_ms;
   server = other155.server;
+  software_version = other155.software_version;
+  version_choice = other155.version_choice;
   __isset = other155.__isset;
   return *this;
 }
@@ -4904,6 +4942,8 @@
   out << ", " << "settled=" << to_string(settled);
   out << ", " << "expires_at_ms=" << to_string(expires_at_ms);
   out << ", " << "server=" << to_string(server);
+  out << ", " << "software_version=" << to_string(software_version);
+  out << ", " << "version_choice=" << to_string(version_choice);
   out << ")";
 }
 
@@ -6081,6 +6121,10 @@
 void RegisteredServer::__set_started_ms(const int64_t val) {
   this->started_ms = val;
 }
+
+void RegisteredServer::__set_software_version(const std::string& val) {
+  this->software_version = val;
+}
 std::ostream& operator<<(std::ostream& out, const RegisteredServer& obj)
 {
   obj.printTo(out);
@@ -6173,6 +6217,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 9:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->software_version);
+          this->__isset.software_version = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -6222,6 +6274,10 @@
   xfer += oprot->writeI64(this->started_ms);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("software_version", ::apache::thrift::protocol::T_STRING, 9);
+  xfer += oprot->writeString(this->software_version);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -6237,6 +6293,7 @@
   swap(a.leaving, b.leaving);
   swap(a.cold_left_ms, b.cold_left_ms);
   swap(a.started_ms, b.started_ms);
+  swap(a.software_version, b.software_version);
   swap(a.__isset, b.__isset);
 }
 
@@ -6249,6 +6306,7 @@
   leaving = other224.leaving;
   cold_left_ms = other224.cold_left_ms;
   started_ms = other224.started_ms;
+  software_version = other224.software_version;
   __isset = other224.__isset;
 }
 RegisteredServer& RegisteredServer::operator=(const RegisteredServer& other225) {
@@ -6260,6 +6318,7 @@
   leaving = other225.leaving;
   cold_left_ms = other225.cold_left_ms;
   started_ms = other225.started_ms;
+  software_version = other225.software_version;
   __isset = other225.__isset;
   return *this;
 }
@@ -6274,6 +6333,7 @@
   out << ", " << "leaving=" << to_string(leaving);
   out << ", " << "cold_left_ms=" << to_string(cold_left_ms);
   out << ", " << "started_ms=" << to_string(started_ms);
+  out << ", " << "software_version=" << to_string(software_version);
   out << ")";
 }
 
--- a/source/wire/gen/comfreyfold_types.h
+++ b/source/wire/gen/comfreyfold_types.h
@@ -1882,13 +1882,15 @@
 std::ostream& operator<<(std::ostream& out, const TurnRecord& obj);
 
 typedef struct _TokenUse__isset {
-  _TokenUse__isset() : program(false), request(false), tokens(false), settled(false), expires_at_ms(false), server(false) {}
+  _TokenUse__isset() : program(false), request(false), tokens(false), settled(false), expires_at_ms(false), server(false), software_version(false), version_choice(false) {}
   bool program :1;
   bool request :1;
   bool tokens :1;
   bool settled :1;
   bool expires_at_ms :1;
   bool server :1;
+  bool software_version :1;
+  bool version_choice :1;
 } _TokenUse__isset;
 
 class TokenUse : public virtual ::apache::thrift::TBase {
@@ -1902,7 +1904,9 @@
              tokens(0),
              settled(0),
              expires_at_ms(0),
-             server() {
+             server(),
+             software_version(),
+             version_choice(0) {
   }
 
   virtual ~TokenUse() noexcept;
@@ -1912,6 +1916,8 @@
   bool settled;
   int64_t expires_at_ms;
   std::string server;
+  std::string software_version;
+  int32_t version_choice;
 
   _TokenUse__isset __isset;
 
@@ -1927,6 +1933,10 @@
 
   void __set_server(const std::string& val);
 
+  void __set_software_version(const std::string& val);
+
+  void __set_version_choice(const int32_t val);
+
   bool operator == (const TokenUse & rhs) const
   {
     if (!(program == rhs.program))
@@ -1941,6 +1951,10 @@
       return false;
     if (!(server == rhs.server))
       return false;
+    if (!(software_version == rhs.software_version))
+      return false;
+    if (!(version_choice == rhs.version_choice))
+      return false;
     return true;
   }
   bool operator != (const TokenUse &rhs) const {
@@ -2326,7 +2340,7 @@
 std::ostream& operator<<(std::ostream& out, const StorageReply& obj);
 
 typedef struct _RegisteredServer__isset {
-  _RegisteredServer__isset() : id(false), service_name(false), address(false), data_centre(false), slots(false), leaving(false), cold_left_ms(false), started_ms(false) {}
+  _RegisteredServer__isset() : id(false), service_name(false), address(false), data_centre(false), slots(false), leaving(false), cold_left_ms(false), started_ms(false), software_version(false) {}
   bool id :1;
   bool service_name :1;
   bool address :1;
@@ -2335,6 +2349,7 @@
   bool leaving :1;
   bool cold_left_ms :1;
   bool started_ms :1;
+  bool software_version :1;
 } _RegisteredServer__isset;
 
 class RegisteredServer : public virtual ::apache::thrift::TBase {
@@ -2350,7 +2365,8 @@
                      slots(0),
                      leaving(0),
                      cold_left_ms(0),
-                     started_ms(0) {
+                     started_ms(0),
+                     software_version() {
   }
 
   virtual ~RegisteredServer() noexcept;
@@ -2362,6 +2378,7 @@
   bool leaving;
   int64_t cold_left_ms;
   int64_t started_ms;
+  std::string software_version;
 
   _RegisteredServer__isset __isset;
 
@@ -2381,6 +2398,8 @@
 
   void __set_started_ms(const int64_t val);
 
+  void __set_software_version(const std::string& val);
+
   bool operator == (const RegisteredServer & rhs) const
   {
     if (!(id == rhs.id))
@@ -2399,6 +2418,8 @@
       return false;
     if (!(started_ms == rhs.started_ms))
       return false;
+    if (!(software_version == rhs.software_version))
+      return false;
     return true;
   }
   bool operator != (const RegisteredServer &rhs) const {
--- a/source/wire/storage_codec.cc
+++ b/source/wire/storage_codec.cc
@@ -37,6 +37,8 @@
   out.settled = use.settled;
   out.expires_at_ms = use.expires_at.count();
   out.server = use.server;
+  out.software_version = use.version;
+  out.version_choice = use.version_choice;
   return out;
 }
 
@@ -46,7 +48,9 @@
           use.tokens,
           use.settled,
           std::chrono::milliseconds(use.expires_at_ms),
-          std::move(use.server)};
+          std::move(use.server),
+          std::move(use.software_version),
+          use.version_choice};
 }
 
 wire::StorageMember ToWire(const StorageMember& member) {
--- a/tests/standins/platform_server.cc
+++ b/tests/standins/platform_server.cc
@@ -71,6 +71,14 @@
   exchange.Reply(kOk, "application/json", out.dump());
 }
 
+void PlatformServer::ReplyState(HttpExchange& exchange) const {
+  nlohmann::json out = {{"running", 0}, {"waiting", 0}};
+  if (started_.count() != 0) {
+    out["born"] = started_.count();
+  }
+  exchange.Reply(kOk, "application/json", out.dump());
+}
+
 bool PlatformServer::SimulateWork(Fiber& fiber,
                                   HttpExchange& exchange,
                                   std::size_t n) {
@@ -106,6 +114,10 @@
     ReplyAudit(exchange);
     return;
   }
+  if (request.Path() == "/api/report") {
+    ReplyState(exchange);
+    return;
+  }
   const auto request_id = request.Header("Request-Id");
   auto headers = ResponseHeaders(request_id);
   if (request.Header("Expect-Instance") != id_) {
--- a/tests/standins/platform_server.h
+++ b/tests/standins/platform_server.h
@@ -18,6 +18,7 @@
 // each run. It has two faults in addition to those in faults.h:
 //   stranger     sends the answer to another request before its own
 //   unsigned     omits the signature from the answer
+// GET /api/report reports when the process started.
 // GET /audit reports the number of runs by request id as JSON.
 class PlatformServer : public Service {
  public:
@@ -51,6 +52,8 @@
   }
   // Makes the server say in its answers that it is leaving.
   void SetLeaving(bool leaving) { leaving_ = leaving; }
+  // Makes the server report this start of its process; 0: none.
+  void SetStarted(std::chrono::milliseconds started) { started_ = started; }
   // Makes the server name this limit in its answers; empty: none.
   void SetLimit(std::string limit) { limit_ = std::move(limit); }
   // The most requests that the server ran within any period of this length,
@@ -78,6 +81,7 @@
   // server crashes meanwhile.
   bool SimulateWork(Fiber& fiber, HttpExchange& exchange, std::size_t n);
   void ReplyAudit(HttpExchange& exchange) const;
+  void ReplyState(HttpExchange& exchange) const;
 
   Loop& loop_;
   std::string id_;
@@ -90,6 +94,7 @@
   bool crashed_ = false;
   bool leaving_ = false;
   std::string limit_;
+  std::chrono::milliseconds started_{0};
 };
 
 }  // namespace comfreyfold::standins
--- a/tests/unit/server_pool_test.cc
+++ b/tests/unit/server_pool_test.cc
@@ -418,6 +418,61 @@
   BOOST_TEST(pool.waiting() == 0U);
 }
 
+BOOST_AUTO_TEST_CASE(bound_request_gets_only_servers_of_its_version) {
+  auto old_server = MakeServer("a", "north", 1);
+  old_server.version = "v1";
+  auto new_server = MakeServer("b", "north", 1);
+  new_server.version = "v2";
+  auto nameless = MakeServer("c", "north", 1);
+  engines.Update({old_server, new_server, nameless}, now);
+  auto bound = MakeRequest(1, now);
+  bound.version = "v1";
+  BOOST_TEST(engines.TryAcquire(bound, now)->server_id == "a");
+  bound.ticket = 2;
+  BOOST_TEST(!engines.TryAcquire(bound, now).has_value());
+  BOOST_TEST(engines.HasVersionFor(bound));
+  bound.version = "v3";
+  BOOST_TEST(!engines.HasVersionFor(bound));
+  bound.version = "";
+  BOOST_TEST(!engines.HasVersionFor(bound));
+}
+
+BOOST_AUTO_TEST_CASE(waiting_bound_request_does_not_hold_up_others) {
+  auto old_server = MakeServer("a", "north", 1);
+  old_server.version = "v1";
+  auto new_server = MakeServer("b", "north", 1);
+  new_server.version = "v2";
+  engines.Update({old_server, new_server}, now);
+  auto bound = MakeRequest(1, now);
+  bound.version = "v1";
+  BOOST_TEST(engines.TryAcquire(bound, now).has_value());
+  bound.ticket = 2;
+  engines.Enqueue(bound);
+  engines.Enqueue(MakeRequest(3, now, 5));
+  const auto assigned = engines.AssignSlots(now);
+  BOOST_REQUIRE(assigned.size() == 1U);
+  BOOST_TEST(assigned.front().ticket == 3U);
+  BOOST_TEST(assigned.front().slot.server_version == "v2");
+}
+
+BOOST_AUTO_TEST_CASE(sessions_prefer_versions_by_their_share_of_slots) {
+  auto old_server = MakeServer("a", "north", 3);
+  old_server.version = "v1";
+  auto new_server = MakeServer("b", "north", 1);
+  new_server.version = "v2";
+  pool.Update({old_server, new_server}, now);
+  std::map<std::string, int> sessions;
+  for (int n = 0; n < 400; ++n) {
+    const auto session = "s" + std::to_string(n);
+    const auto version = pool.PreferredVersion(session, now);
+    BOOST_TEST(version == pool.PreferredVersion(session, now));
+    ++sessions[version];
+  }
+  BOOST_TEST(sessions["v1"] > 250);
+  BOOST_TEST(sessions["v2"] > 50);
+  BOOST_TEST(sessions["v1"] + sessions["v2"] == 400);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace
--- a/tests/vm/vm_deployment.cc
+++ b/tests/vm/vm_deployment.cc
@@ -64,8 +64,10 @@
 }
 
 VmDeployment::Server& VmDeployment::AddServer(const std::string& id,
-                                              milliseconds work) {
+                                              milliseconds work,
+                                              const std::string& version) {
   auto& out = servers_[id];
+  out.version = version;
   out.service = std::make_unique<standins::PlatformServer>(loop_, id, work);
   out.http = std::make_unique<HttpServer>(
       loop_,
@@ -84,7 +86,7 @@
   const json entry = {{"service", "app"},
                       {"address", servers_.at(id).address},
                       {"zone", "north"},
-                      {"version", "v1"},
+                      {"version", servers_.at(id).version},
                       {"slots", 8},
                       {"state", state},
                       {"cold_remaining_ms", 0},
--- a/tests/vm/vm_deployment.h
+++ b/tests/vm/vm_deployment.h
@@ -30,6 +30,7 @@
     std::unique_ptr<standins::PlatformServer> service;
     std::unique_ptr<HttpServer> http;
     std::string address;
+    std::string version = "v1";  // Of its software, as it registers it.
   };
   struct Vm {
     VmSettings settings;
@@ -46,7 +47,9 @@
   void SetDiskBytes(std::int64_t bytes) { disk_bytes_ = bytes; }
   // Sets the memory of storage VMs that are added from now on.
   void SetStorageMemory(std::int64_t bytes) { storage_memory_bytes_ = bytes; }
-  Server& AddServer(const std::string& id, std::chrono::milliseconds work = {});
+  Server& AddServer(const std::string& id,
+                    std::chrono::milliseconds work = {},
+                    const std::string& version = "v1");
   void RegisterServer(const std::string& id,
                       const std::string& state = "ready",
                       int started_ms = 1);
