Take a head with an invalid status for no reply

A server in trouble answered with status 000, 099, 600, 700 or 999, with the id and a signature, and clients got that as an answer. Beside Not-Executed it counted as a refusal: a request that may run once was sent four times and answered 503.

The parser takes any three digits for a status, and no user of the HTTP client checked it. The client now fails the exchange as sent before any hook sees the head, and closes the connection, so that streams, whole answers, the store, other daemons, engines and tools treat it as any broken answer.

--- a/source/net/http_client.cc
+++ b/source/net/http_client.cc
@@ -273,6 +273,13 @@
   return status / 100 == 1;
 }
 
+// The parser takes any three digits for a status.
+bool IsHttpStatus(int status) {
+  constexpr int kFirst = 100;
+  constexpr int kLast = 599;
+  return status >= kFirst && status <= kLast;
+}
+
 // Reads the reply to a request. Afterwards `keep_alive` tells whether the
 // connection may be reused.
 class ReplyReader {
@@ -315,6 +322,13 @@
     }
     reply = {};
     reply.status = parser.get().result_int();
+    if (!IsHttpStatus(reply.status)) {
+      // Nothing else in such a head counts, not even a refusal, and no hook
+      // sees it. The connection is closed.
+      throw HttpFailure("read from " + address_ + ": status " +
+                            std::to_string(reply.status) + " is no HTTP status",
+                        true);
+    }
     reply.framing = FramingOf(parser);
     CopyHeaders(parser.get(), reply.headers);
     if (IsInterim(reply.status) && options_.on_interim) {
