Send nothing after the head of an answer without a body

A stream that a server answered with 204 was passed on in chunks. A response with that status has no body, so the end of the chunks stood where the client expected the next response on its connection.

ServerExchange::Begin() now omits the chunks for 204 and 304, as Reply() does.

--- a/source/net/server_exchange.cc
+++ b/source/net/server_exchange.cc
@@ -10,6 +10,17 @@
 
 namespace http = boost::beast::http;
 
+namespace {
+
+// Whatever follows the head of such a response belongs to the next one.
+bool HasBody(int status) {
+  constexpr int kNoContent = 204;
+  constexpr int kNotModified = 304;
+  return status != kNoContent && status != kNotModified;
+}
+
+}  // namespace
+
 template <typename Message>
 void ServerExchange::SetHeader(Message& message,
                                int status,
@@ -49,7 +60,8 @@
                            const std::vector<HttpHeader>& headers) {
   http::response<http::empty_body> message;
   SetHeader(message, status, content_type, headers);
-  message.chunked(true);
+  has_body_ = HasBody(status);
+  message.chunked(has_body_);
   begun_ = true;
   http::response_serializer<http::empty_body> serializer(message);
   boost::system::error_code ec;
@@ -60,7 +72,7 @@
 }
 
 void ServerExchange::Write(std::string_view piece) {
-  if (broken_ || piece.empty()) {
+  if (broken_ || !has_body_ || piece.empty()) {
     return;
   }
   const auto chunk = http::make_chunk(boost::asio::buffer(piece));
@@ -87,7 +99,7 @@
 }
 
 void ServerExchange::End() {
-  if (broken_) {
+  if (broken_ || !has_body_) {
     return;
   }
   boost::system::error_code ec;
--- a/source/net/server_exchange.h
+++ b/source/net/server_exchange.h
@@ -84,6 +84,7 @@
   std::function<bool()> keep_alive_;
   bool kept_alive_ = false;
   bool begun_ = false;
+  bool has_body_ = true;
   bool broken_ = false;
   std::size_t sent_bytes_ = 0;
 };
--- a/tests/vm/invalid_status_test.cc
+++ b/tests/vm/invalid_status_test.cc
@@ -1,4 +1,4 @@
-// Answers of servers whose status is none of HTTP.
+// Answers of servers whose status is none of HTTP, or one without a body.
 
 #include <map>
 #include <string>
@@ -7,6 +7,7 @@
 #include <boost/test/unit_test.hpp>
 #include <nlohmann/json.hpp>
 
+#include "vm/raw_client.h"
 #include "vm/received_answers.h"
 
 namespace comfreyfold {
@@ -231,6 +232,56 @@
   }
 }
 
+// Statuses without a body, with bytes in its place; the client keeps its
+// connection and sends a second request there.
+BOOST_AUTO_TEST_CASE(status_without_body_leaves_no_bytes_to_the_client) {
+  const std::vector<Rest> rests = {
+      {"length", "Content-Length: 4\r\n\r\ntext"},
+      {"chunks", "Transfer-Encoding: chunked\r\n\r\n4\r\ntext\r\n0\r\n\r\n"},
+      {"no length", "\r\n"},
+  };
+  std::string status;
+  std::string bytes;
+  WithRawServer(
+      [&](Fiber&, RawServer::Peer& peer) {
+        for (auto head = peer.ReadHead(); !head.empty();
+             head = peer.ReadHead()) {
+          const auto id = RequestIdOf(head);
+          peer.Write(id == "r1" ? AnswerOf(status, id, bytes)
+                                : Answer(id, "answer to " + id));
+        }
+      },
+      [&](Fiber& fiber, VmDeployment& deployment,
+          const VmDeployment::Vm& front) {
+        for (const auto* it : {"204", "304"}) {
+          status = it;
+          for (const auto& rest : rests) {
+            bytes = rest.bytes;
+            for (const std::string path :
+                 {"/plain/x", "/once/x", "/stream/x", "/talk/stream/x"}) {
+              BOOST_TEST_CONTEXT(status << " " << rest.name << " " << path) {
+                Probe(fiber, deployment, front);
+                RawClient client(fiber, deployment, front);
+                const std::string headers =
+                    " HTTP/1.1\r\nHost: shop\r\nRequest-Deadline-Ms: 3000\r\n";
+                client.Write("POST " + path + headers +
+                             "Request-Id: r1\r\nContent-Length: 0\r\n\r\n" +
+                             "POST /plain/x" + headers +
+                             "Request-Id: r2\r\nConnection: close\r\n"
+                             "Content-Length: 0\r\n\r\n");
+                const auto received = client.ReadToEnd();
+                const auto end = received.find("\r\n\r\n");
+                BOOST_REQUIRE(end != std::string::npos);
+                BOOST_TEST(received.substr(0, 12) == "HTTP/1.1 " + status);
+                BOOST_TEST(received.substr(end + 4, 12) == "HTTP/1.1 200");
+                BOOST_TEST(received.find("text") == std::string::npos);
+              }
+            }
+          }
+        }
+      });
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace
