--- a/tests/vm/store_client_test.cc
+++ b/tests/vm/store_client_test.cc
@@ -2,6 +2,7 @@
 
 #include <functional>
 #include <string>
+#include <vector>
 
 #include <boost/test/unit_test.hpp>
 
@@ -39,8 +40,37 @@
          body;
 }
 
+std::string Page(const std::string& key, bool has_more) {
+  return Reply(R"({"items":[{"key":")" + key +
+               R"(","value":"","revision":1}],"has_more":)" +
+               (has_more ? "true" : "false") + R"(,"store_revision":1})");
+}
+
 BOOST_AUTO_TEST_SUITE(store_client)
 
+// The odd key of another writer broke the request for the next page.
+BOOST_AUTO_TEST_CASE(odd_key_at_end_of_page_does_not_end_the_reading) {
+  std::vector<std::string> lines;
+  WithStore(
+      [&lines](Fiber&, RawServer::Peer& peer) {
+        for (auto head = peer.ReadHead(); !head.empty();
+             head = peer.ReadHead()) {
+          lines.push_back(head.substr(0, head.find("\r\n")));
+          peer.Write(lines.size() == 1
+                         ? Page("servers/a b&c=d#%\\r\\n\\u00e9", true)
+                         : Page("servers/z", false));
+        }
+      },
+      [](Fiber& fiber, StoreClient& store, const RawServer&) {
+        BOOST_TEST(store.Prefix(fiber, "servers/").items.size() == 2U);
+      });
+  BOOST_REQUIRE(lines.size() == 2U);
+  BOOST_TEST(lines[0] == "GET /api/kv-range?prefix=servers/ HTTP/1.1");
+  BOOST_TEST(lines[1] ==
+             "GET /api/kv-range?prefix=servers/&after="
+             "servers/a%20b%26c%3Dd%23%25%0D%0A%C3%A9 HTTP/1.1");
+}
+
 BOOST_AUTO_TEST_CASE(change_answered_with_invalid_status_may_have_been_made) {
   for (const std::string status : {"000", "099", "600", "700", "999"}) {
     WithStore(
