--- a/tests/vm/store_client_test.cc
+++ b/tests/vm/store_client_test.cc
@@ -71,6 +71,25 @@
              "servers/a%20b%26c%3Dd%23%25%0D%0A%C3%A9 HTTP/1.1");
 }
 
+// The same page was read again and again, and kept each time.
+BOOST_AUTO_TEST_CASE(pages_that_do_not_advance_end_the_reading) {
+  constexpr int kPages = 20;
+  for (const auto* key : {"servers/a", "other"}) {
+    int pages = 0;
+    WithStore(
+        [&pages, key](Fiber&, RawServer::Peer& peer) {
+          while (pages < kPages && !peer.ReadHead().empty()) {
+            ++pages;
+            peer.Write(Page(key, true));
+          }
+        },
+        [](Fiber& fiber, StoreClient& store, const RawServer&) {
+          BOOST_CHECK_THROW(store.Prefix(fiber, "servers/"), KvUnavailable);
+        });
+    BOOST_TEST(pages <= 2);
+  }
+}
+
 BOOST_AUTO_TEST_CASE(change_answered_with_invalid_status_may_have_been_made) {
   for (const std::string status : {"000", "099", "600", "700", "999"}) {
     WithStore(
