--- a/tests/vm/store_client_test.cc
+++ b/tests/vm/store_client_test.cc
@@ -1,4 +1,4 @@
-// Answers of the platform's store that are odd.
+// Answers of the platform's store that are odd, or do not end.
 
 #include <functional>
 #include <string>
@@ -17,6 +17,8 @@
 using std::chrono::milliseconds;
 
 constexpr milliseconds kTimeout{2000};
+// The largest answer that is read, and what the sockets' buffers take.
+constexpr std::uint64_t kMaxTakenBytes = 24ULL * 1024 * 1024;
 
 // Runs `body` with a client of a store that handles each connection with
 // `serve`.
@@ -90,6 +92,22 @@
   }
 }
 
+// Up to 256 MiB were kept, more than a VM's memory.
+BOOST_AUTO_TEST_CASE(body_without_end_is_not_kept) {
+  WithStore(
+      [](Fiber&, RawServer::Peer& peer) {
+        peer.ReadHead();
+        peer.Write("HTTP/1.1 200 OK\r\n\r\n");
+        const std::string piece(16UL * 1024, 'x');
+        while (peer.Write(piece)) {
+        }
+      },
+      [](Fiber& fiber, StoreClient& store, const RawServer& server) {
+        BOOST_CHECK_THROW(store.Prefix(fiber, "servers/"), KvUnavailable);
+        BOOST_TEST(server.written() < kMaxTakenBytes);
+      });
+}
+
 BOOST_AUTO_TEST_CASE(change_answered_with_invalid_status_may_have_been_made) {
   for (const std::string status : {"000", "099", "600", "700", "999"}) {
     WithStore(
