--- a/tests/vm/decoders_test.cc
+++ b/tests/vm/decoders_test.cc
@@ -115,6 +115,50 @@
   BOOST_TEST(rejected == 3);
 }
 
+BOOST_AUTO_TEST_CASE(registration_with_odd_fields_is_rejected_or_harmless) {
+  const auto entry = [](const std::string& fields) {
+    return R"({"service":"a","zone":"north","state":"ready","slots":8,)"
+           R"("address":"1.1.1.1:2")" +
+           fields + "}";
+  };
+  for (const std::string it : {R"(,"born":"1")",
+                               R"(,"born":[1])",
+                               R"(,"born":{"a":1})",
+                               R"(,"born":1e400)",
+                               R"(,"born":-1e400)",
+                               R"(,"x":1e400)",
+                               R"(,"slots":[8])",
+                               R"(,"slots":null)",
+                               R"(,"zone":7)",
+                               R"(,"zone":"")",
+                               R"(,"zone":"a\u0000b")",
+                               R"(,"zone":"a\nb")",
+                               R"(,"state":"gone")",
+                               R"(,"address":"1.1.1.1:65536")",
+                               R"(,"address":"1.1.1.1:+1")",
+                               R"(,"address":"1.1.1.1: 1")",
+                               R"(,"address":["1.1.1.1:2"])",
+                               ",\"zone\":\"\xff\"",
+                               ",\"x\":\"\xc3(\"",
+                               ",\"x\":\"\xed\xa0\x80\"",
+                               R"(,"cold_remaining_ms":"5")",
+                               R"(,"x":)",
+                               R"(,)"}) {
+    BOOST_TEST_CONTEXT(it) {
+      BOOST_CHECK_THROW(DecodeServer("servers/i-1", entry(it)), DecodeError);
+    }
+  }
+  for (const std::string it :
+       {R"(,"x":[[[1]]])", R"(,"x":"\u0000")", R"(,"slots":1,"slots":8)",
+        R"(,"born":null)", R"(,"x":-99999999999999999999999)"}) {
+    BOOST_TEST_CONTEXT(it) {
+      BOOST_TEST(DecodeServer("servers/i-1", entry(it)).slots == 8);
+    }
+  }
+  const std::string long_id(201, 'x');
+  BOOST_CHECK_THROW(DecodeServer("servers/" + long_id, entry("")), DecodeError);
+}
+
 // Such registrations were used, with a truncated port or an overflowing time.
 BOOST_AUTO_TEST_CASE(registration_with_values_out_of_range_is_rejected) {
   const auto entry = [](const std::string& fields) {
