--- a/tests/operations/documents_test.cc
+++ b/tests/operations/documents_test.cc
@@ -126,6 +126,30 @@
   CheckDocumented(page, FindNames(sources, R"re("(comfreyfold_\w+)")re"));
 }
 
+// New suites were left out of the list of tests and never ran.
+BOOST_AUTO_TEST_CASE(every_suite_of_daemons_is_run_by_ci) {
+  for (const std::string folder : {"vm", "process"}) {
+    std::set<std::string> suites;
+    for (const auto& it :
+         std::filesystem::directory_iterator(kRoot / "tests" / folder)) {
+      suites.merge(
+          FindNames(ReadFile(std::filesystem::relative(it.path(), kRoot)),
+                    R"re(BOOST_AUTO_TEST_SUITE\((\w+)\))re"));
+    }
+    const auto lists = FindNames(
+        ReadFile("tests/CMakeLists.txt"),
+        R"re(foreach\(suite([^)]*)\)\s*add_test\(\S+ \S+ COMMAND comfreyfold_)re" +
+            folder + "_test");
+    BOOST_REQUIRE(lists.size() == 1U);
+    const auto listed = FindNames(*lists.begin(), R"re((\w+))re");
+    BOOST_TEST(suites.size() > 1U);
+    for (const auto& it : suites) {
+      BOOST_TEST(listed.count(it) == 1U,
+                 "the suite " << it << " of tests/" << folder << " is not run");
+    }
+  }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace
