--- a/source/storage/disk_log.cc
+++ b/source/storage/disk_log.cc
@@ -5,6 +5,7 @@
 #include <unistd.h>
 
 #include <algorithm>
+#include <atomic>
 #include <cerrno>
 #include <condition_variable>
 #include <cstring>
@@ -36,6 +37,8 @@
 constexpr std::uint32_t kMaxEntryBytes = 64 * 1024 * 1024;
 constexpr const char* kSegmentPrefix = "segment-";
 constexpr int kFileMode = 0644;
+// Of the file and of the folder.
+constexpr int kSyncsPerReplacement = 2;
 
 [[noreturn]] void ThrowErrno(const std::string& what, const std::string& path) {
   throw std::runtime_error(path + ": " + what + ": " + std::strerror(errno) +
@@ -185,6 +188,9 @@
     std::int64_t segment;
     std::int64_t offset;
     std::function<void(bool)> done;
+    WriteKind kind;
+    TimePoint queued_at;
+    int syncs_before;  // Of the writer thread when the entry was queued.
   };
 
   struct FileReplacement {
@@ -330,6 +336,8 @@
     try {
       RefuseIf(refused);
       WriteFileDurably(folder, replacement.name, replacement.text);
+      CountSyncs(kSyncsPerReplacement);
+      ++files_replaced;
     } catch (const std::exception&) {
       // The caller, which is told, writes the log line.
       replaced = false;
@@ -358,6 +366,7 @@
     } catch (const std::exception&) {
       synced = false;
     }
+    Count(batch);
     loop.Post([self = shared_from_this(), synced, batch = std::move(batch)] {
       self->pending -= batch.size();
       for (const auto& it : batch) {
@@ -392,13 +401,29 @@
     }
     file.Write(bytes);
     file.Sync();
+    CountSyncs(1);
     if (segment != named_segment) {
       SyncFolder(folder);
+      CountSyncs(1);
       named_segment = segment;
     }
     damaged_segment = 0;
   }
 
+  void CountSyncs(int n) { syncs += n; }
+
+  void Count(const std::vector<Entry>& batch) {
+    const auto now = std::chrono::steady_clock::now();
+    const std::lock_guard lock(mutex);
+    for (const auto& it : batch) {
+      counts.Of(it.kind).Add(
+          static_cast<std::int64_t>(it.bytes.size()),
+          std::chrono::duration_cast<std::chrono::milliseconds>(now -
+                                                                it.queued_at),
+          syncs - it.syncs_before);
+    }
+  }
+
   void EndEntryOf(std::int64_t segment) {
     const auto it = pending_by_segment.find(segment);
     if (--it->second == 0) {
@@ -435,7 +460,12 @@
   std::vector<std::int64_t> segments_to_remove;  // Guarded by `mutex`.
   std::deque<FileReplacement> files_to_replace;  // Guarded by `mutex`.
   std::function<void()> before_write;            // Guarded by `mutex`.
-  bool stopping = false;                         // Guarded by `mutex`.
+  DiskWriteCounts counts;                        // Guarded by `mutex`.
+  std::atomic<int> syncs{0};                     // Since the start.
+  std::atomic<int> files_replaced{0};
+  int counted_syncs = 0;  // Those told by TakeWriteCounts().
+  int counted_files = 0;
+  bool stopping = false;  // Guarded by `mutex`.
   std::thread thread;
   std::thread reader;  // Started by the first reading.
 };
@@ -482,7 +512,8 @@
 }
 
 LogPosition DiskLog::Append(const std::string& entry,
-                            std::function<void(bool)> done) {
+                            std::function<void(bool)> done,
+                            WriteKind kind) {
   auto bytes = AddHeader(entry);
   const auto size = static_cast<std::int64_t>(bytes.size());
   if (impl_->open_segment_bytes > 0 &&
@@ -498,8 +529,9 @@
   impl_->pending_bytes += bytes.size();
   {
     const std::lock_guard lock(impl_->mutex);
-    impl_->queue.push_back(
-        {std::move(bytes), segment, position.offset, std::move(done)});
+    impl_->queue.push_back({std::move(bytes), segment, position.offset,
+                            std::move(done), kind,
+                            std::chrono::steady_clock::now(), impl_->syncs});
   }
   impl_->work_available.notify_all();
   return position;
@@ -520,6 +552,19 @@
   impl_->before_write = std::move(hook);
 }
 
+DiskWriteCounts DiskLog::TakeWriteCounts() {
+  DiskWriteCounts out;
+  {
+    const std::lock_guard lock(impl_->mutex);
+    out = std::exchange(impl_->counts, {});
+  }
+  const int syncs = impl_->syncs;
+  const int files = impl_->files_replaced;
+  out.syncs = syncs - std::exchange(impl_->counted_syncs, syncs);
+  out.files = files - std::exchange(impl_->counted_files, files);
+  return out;
+}
+
 void DiskLog::Remove(std::int64_t segment) {
   if (impl_->closed_segments.erase(segment) == 0) {
     return;
--- a/source/storage/disk_log.h
+++ b/source/storage/disk_log.h
@@ -10,6 +10,7 @@
 #include "core/log_position.h"
 #include "core/time_point.h"
 #include "net/loop.h"
+#include "storage/disk_write_counts.h"
 
 namespace comfreyfold {
 
@@ -32,7 +33,9 @@
   // Queues `entry` for writing. `done` runs on the event loop and receives
   // whether the entry has been synced to disk. Returns the position that
   // receives the entry.
-  LogPosition Append(const std::string& entry, std::function<void(bool)> done);
+  LogPosition Append(const std::string& entry,
+                     std::function<void(bool)> done,
+                     WriteKind kind = WriteKind::kForeground);
 
   // Reads the entries at `positions`. `done` runs on the event loop and
   // receives them in this order; an entry that cannot be read, or whose turn
@@ -53,6 +56,9 @@
   // a std::exception, the write fails.
   void BeforeWrite(std::function<void()> hook);
 
+  // Returns what was written since the last call.
+  DiskWriteCounts TakeWriteCounts();
+
   // Removes a closed segment. Does nothing for the open segment.
   void Remove(std::int64_t segment);
 
--- a/source/storage/storage_node.cc
+++ b/source/storage/storage_node.cc
@@ -250,23 +250,24 @@
 
 std::shared_ptr<StorageNode::Write> StorageNode::BeginWrite(
     const StorageRequest& request,
-    const std::string& encoded) {
+    const std::string& encoded,
+    WriteKind kind) {
   auto write = std::make_shared<Write>(loop_);
   last_write_ = write;
   if (request.turns.size() <= 1) {
-    AppendTo(write, request, encoded);
+    AppendTo(write, request, encoded, kind);
     return write;
   }
   // Each turn can be read alone then.
   for (const auto& it : request.turns) {
     StorageRequest part;
     part.turns = {it};
-    AppendTo(write, part, Encode(part));
+    AppendTo(write, part, Encode(part), kind);
   }
   if (!request.uses.empty() || !request.ids.empty()) {
     auto rest = request;
     rest.turns.clear();
-    AppendTo(write, rest, Encode(rest));
+    AppendTo(write, rest, Encode(rest), kind);
   }
   return write;
 }
@@ -274,17 +275,20 @@
 void StorageNode::AppendTo(const std::shared_ptr<Write>& write,
                            const StorageRequest& request,
                            const std::string& encoded,
+                           WriteKind write_kind,
                            EntryKind kind) {
   ++write->entries;
   auto position = std::make_shared<LogPosition>();
   *position = disk_log_.Append(
-      encoded, [write, position, kind, self = self_,
-                summary = UnwrittenRecords::SummaryOf(request)](bool written) {
+      encoded,
+      [write, position, kind, self = self_,
+       summary = UnwrittenRecords::SummaryOf(request)](bool written) {
         if (auto* node = *self) {
           node->EndEntry(*position, summary, kind, written);
         }
         write->End(written);
-      });
+      },
+      write_kind);
   if (kind == EntryKind::kMoved) {
     // The turns count for this segment once they are in it.
     needed_until_.try_emplace(position->segment, 0);
@@ -329,7 +333,7 @@
     return;
   }
   const auto request = unwritten_.NextStore(turns_);
-  second_write_ = BeginWrite(request, Encode(request));
+  second_write_ = BeginWrite(request, Encode(request), WriteKind::kBackground);
 }
 
 std::vector<std::string> StorageNode::UnwrittenOf(
@@ -356,7 +360,7 @@
     reply.status = StorageStatus::kFailed;
     return reply;
   }
-  const auto write = BeginWrite(request, encoded);
+  const auto write = BeginWrite(request, encoded, WriteKind::kForeground);
   if (!request.program.empty()) {
     // Read before waiting for the disk: TokenQuorum relies on the uses as of
     // the moment of the store. Reservations that arrive during the wait see
@@ -390,7 +394,9 @@
   if (request.uses.empty() && request.turns.empty()) {
     return true;
   }
-  return AwaitWrite(fiber, BeginWrite(request, Encode(request)), kSyncTimeout);
+  return AwaitWrite(
+      fiber, BeginWrite(request, Encode(request), WriteKind::kBackground),
+      kSyncTimeout);
 }
 
 // Writes end in the order in which they began.
@@ -431,7 +437,8 @@
   if (request.uses.empty()) {
     return true;
   }
-  moves_[segment] = BeginWrite(request, Encode(request));
+  moves_[segment] =
+      BeginWrite(request, Encode(request), WriteKind::kBackground);
   return false;
 }
 
@@ -483,7 +490,8 @@
       StorageRequest request;
       it.expires_at = known->expires_at;
       request.turns = {std::move(it)};
-      AppendTo(write, request, Encode(request), EntryKind::kMoved);
+      AppendTo(write, request, Encode(request), WriteKind::kBackground,
+               EntryKind::kMoved);
     }
     if (write->entries > 0 && !AwaitWrite(fiber, write, kMaxTurnStoreTime)) {
       return;
--- a/source/storage/storage_node.h
+++ b/source/storage/storage_node.h
@@ -158,7 +158,8 @@
       const std::vector<std::string>& ids) const;
   // Applies `request` and queues it for writing; `encoded` is its encoding.
   std::shared_ptr<Write> BeginWrite(const StorageRequest& request,
-                                    const std::string& encoded);
+                                    const std::string& encoded,
+                                    WriteKind kind);
   // Takes over that writing the entry at `position` of the log has ended.
   void EndEntry(const LogPosition& position,
                 const UnwrittenRecords::Summary& summary,
@@ -168,6 +169,7 @@
   void AppendTo(const std::shared_ptr<Write>& write,
                 const StorageRequest& request,
                 const std::string& encoded,
+                WriteKind write_kind,
                 EntryKind kind = EntryKind::kStored);
   // Waits for `write`. Returns whether it was synced to disk within a time
   // limit.
--- a/source/vm/load_log.cc
+++ b/source/vm/load_log.cc
@@ -23,6 +23,21 @@
              {"stored_turns", static_cast<int>(node.turns().size())}});
 }
 
+void LogWritten(DecisionLog& log, StorageNode& node) {
+  const auto counts = node.disk_log().TakeWriteCounts();
+  log.Write("disk_written", "",
+            {{"syncs", counts.syncs},
+             {"files", counts.files},
+             {"entries", counts.foreground.entries},
+             {"bytes", counts.foreground.bytes},
+             {"wait_ms", counts.foreground.longest_wait},
+             {"wait_syncs", counts.foreground.most_syncs},
+             {"background_entries", counts.background.entries},
+             {"background_bytes", counts.background.bytes},
+             {"background_wait_ms", counts.background.longest_wait},
+             {"background_wait_syncs", counts.background.most_syncs}});
+}
+
 }  // namespace
 
 void LogLoad(Fiber& fiber,
@@ -34,6 +49,7 @@
     fiber.Sleep(kInterval);
     if (node != nullptr) {
       LogReceived(log, delay, *node);
+      LogWritten(log, *node);
     }
     if (client != nullptr) {
       client->LogSent();
