Write requests, copies and files of a disk side by side

While the list changes, both old disks have to answer each reservation within 1.2 s.

Cause: one thread wrote all that a disk had to write. A reservation waited for the round under way, for every list and fleet file before it (two syncs each), and for the copies that shared its batch and filled segments (three syncs for a batch that crosses one). The class: background work in front of foreground work in one queue without priorities.

Entries of requests, entries of the background (copies, moves, second writes; 1 MiB a batch) and replaced files have a thread each, the two kinds of entries a segment each. A request waits for the sync under way of its own kind and for its own. Nothing counts as stored before its own sync. What relied on one order of all writes: - a store answers that a disk lacks the turns whose copies are not synced yet, and not only those whose write failed; - a copy ends when the last writes of both kinds have ended; - a replay applies extensions of turns that stand in a later segment at its end (the merge of uses depends on no order); - a segment is removed when it is closed and has no entry to be written, whatever is before it.

--- a/source/storage/disk_log.cc
+++ b/source/storage/disk_log.cc
@@ -1,29 +1,23 @@
 #include "storage/disk_log.h"
 
 #include <fcntl.h>
-#include <sys/stat.h>
-#include <unistd.h>
 
 #include <algorithm>
+#include <array>
 #include <atomic>
-#include <cerrno>
-#include <condition_variable>
 #include <cstring>
-#include <deque>
 #include <filesystem>
-#include <fstream>
+#include <limits>
 #include <map>
 #include <mutex>
 #include <optional>
 #include <set>
-#include <sstream>
-#include <stdexcept>
 #include <string_view>
-#include <thread>
 #include <utility>
-#include <vector>
 
 #include "core/hash.h"
+#include "storage/job_thread.h"
+#include "storage/segment_writer.h"
 
 namespace comfreyfold {
 
@@ -32,87 +26,15 @@
 namespace fs = std::filesystem;
 
 constexpr std::int64_t kSegmentBytes = 4 * 1024 * 1024;
+// A large sync in the background would slow the others of the device down.
+constexpr std::size_t kMaxBackgroundBatch = 1024 * 1024;
 // Each entry is preceded by its length and its checksum in host byte order.
 constexpr std::size_t kHeaderBytes = 4 + 8;
 constexpr std::uint32_t kMaxEntryBytes = 64 * 1024 * 1024;
 constexpr const char* kSegmentPrefix = "segment-";
-constexpr int kFileMode = 0644;
 // Of the file and of the folder.
 constexpr int kSyncsPerReplacement = 2;
 
-[[noreturn]] void ThrowErrno(const std::string& what, const std::string& path) {
-  throw std::runtime_error(path + ": " + what + ": " + std::strerror(errno) +
-                           "; check the disk");
-}
-
-class File {
- public:
-  File(const std::string& path, int flags)
-      : path_(path), fd_(::open(path.c_str(), flags | O_CLOEXEC, kFileMode)) {
-    if (fd_ < 0) {
-      ThrowErrno("open", path_);
-    }
-  }
-  ~File() { ::close(fd_); }
-  File(const File&) = delete;
-  File& operator=(const File&) = delete;
-
-  void Write(const std::string& bytes) const {
-    std::size_t done = 0;
-    while (done < bytes.size()) {
-      const auto n = ::write(fd_, bytes.data() + done, bytes.size() - done);
-      if (n < 0 && errno == EINTR) {
-        continue;
-      }
-      if (n <= 0) {
-        ThrowErrno("write", path_);
-      }
-      done += static_cast<std::size_t>(n);
-    }
-  }
-
-  void Sync() const {
-    if (::fsync(fd_) != 0) {
-      ThrowErrno("sync", path_);
-    }
-  }
-
-  std::int64_t Size() const {
-    struct stat status {};
-    if (::fstat(fd_, &status) != 0) {
-      ThrowErrno("stat", path_);
-    }
-    return status.st_size;
-  }
-
-  std::string Read(std::int64_t offset, std::int64_t length) const {
-    std::string out(static_cast<std::size_t>(length), '\0');
-    if (::lseek(fd_, offset, SEEK_SET) < 0) {
-      ThrowErrno("seek", path_);
-    }
-    std::size_t done = 0;
-    while (done < out.size()) {
-      const auto n = ::read(fd_, out.data() + done, out.size() - done);
-      if (n < 0 && errno == EINTR) {
-        continue;
-      }
-      if (n <= 0) {
-        ThrowErrno("read", path_);
-      }
-      done += static_cast<std::size_t>(n);
-    }
-    return out;
-  }
-
- private:
-  std::string path_;
-  int fd_;
-};
-
-void SyncFolder(const std::string& folder) {
-  File(folder, O_RDONLY | O_DIRECTORY).Sync();
-}
-
 std::string AddHeader(const std::string& entry) {
   const auto length = static_cast<std::uint32_t>(entry.size());
   const auto checksum = Hash64(entry);
@@ -159,50 +81,14 @@
 
 }  // namespace
 
-std::string ReadWholeFile(const std::string& path) {
-  std::ifstream in(path, std::ios::binary);
-  std::ostringstream out;
-  out << in.rdbuf();
-  return out.str();
-}
-
-void WriteFileDurably(const std::string& folder,
-                      const std::string& name,
-                      const std::string& text) {
-  const auto path = folder + "/" + name;
-  const auto temporary_path = path + ".new";
-  {
-    const File file(temporary_path, O_WRONLY | O_CREAT | O_TRUNC);
-    file.Write(text);
-    file.Sync();
-  }
-  if (::rename(temporary_path.c_str(), path.c_str()) != 0) {
-    ThrowErrno("rename", path);
-  }
-  SyncFolder(folder);
-}
-
+// Entries of each kind have a thread and an open segment of their own, and the
+// files that are replaced another thread: a sync of one does not wait for those
+// of the others.
 struct DiskLog::Impl : std::enable_shared_from_this<DiskLog::Impl> {
-  struct Entry {
-    std::string bytes;
-    std::int64_t segment;
-    std::int64_t offset;
-    std::function<void(bool)> done;
-    WriteKind kind;
-    TimePoint queued_at;
-    int syncs_before;  // Of the writer thread when the entry was queued.
-  };
-
-  struct FileReplacement {
-    std::string name;
-    std::string text;
-    std::function<void(bool)> done;
-  };
-
-  struct Reading {
-    std::vector<LogPosition> positions;
-    TimePoint until;
-    std::function<void(std::vector<std::string>)> done;
+  struct Lane {
+    std::unique_ptr<SegmentWriter> writer;
+    std::int64_t segment = 0;  // The open one; 0: none.
+    std::int64_t bytes = 0;    // Of the open segment.
   };
 
   Impl(Loop& owner, std::string path) : loop(owner), folder(std::move(path)) {
@@ -215,78 +101,38 @@
         AddBytes(segment, static_cast<std::int64_t>(it.file_size()));
       }
     }
-    // Each start opens a new segment: the end of the last one may have been
+    // Each start opens new segments: the end of the last ones may have been
     // torn by a crash, and entries after a damaged one cannot be read.
-    open_segment = closed_segments.empty() ? 1 : *closed_segments.rbegin() + 1;
-  }
-
-  std::string Path(std::int64_t segment) const {
-    return folder + "/" + kSegmentPrefix + std::to_string(segment);
-  }
-
-  void RunWriter() {
-    for (;;) {
-      std::vector<Entry> batch;
-      std::vector<std::int64_t> removals;
-      std::deque<FileReplacement> replacements;
-      std::function<void()> hook;
-      {
-        std::unique_lock lock(mutex);
-        work_available.wait(lock, [this] {
-          return stopping || !queue.empty() || !segments_to_remove.empty() ||
-                 !files_to_replace.empty();
-        });
-        if (stopping) {
-          return;
-        }
-        batch.assign(std::make_move_iterator(queue.begin()),
-                     std::make_move_iterator(queue.end()));
-        queue.clear();
-        removals.swap(segments_to_remove);
-        replacements.swap(files_to_replace);
-        hook = before_write;
-      }
-      RemoveFiles(removals);
-      const bool refused = hook && (!replacements.empty() || !batch.empty()) &&
-                           IsRefusedBy(hook);
-      for (auto& it : replacements) {
-        Replace(std::move(it), refused);
-      }
-      if (!batch.empty()) {
-        Write(std::move(batch), refused);
-      }
+    if (!closed_segments.empty()) {
+      last_segment = *closed_segments.rbegin();
     }
+    MakeLane(WriteKind::kForeground, std::numeric_limits<std::size_t>::max());
+    MakeLane(WriteKind::kBackground, kMaxBackgroundBatch);
+  }
+
+  // The writers have been stopped when this object ends.
+  void MakeLane(WriteKind kind, std::size_t max_batch_bytes) {
+    Of(kind).writer = std::make_unique<SegmentWriter>(
+        folder, max_batch_bytes, [this, kind] { return IsRefused(kind); },
+        [this, kind](std::vector<SegmentWriter::Entry> batch, bool synced) {
+          loop.Post([self = shared_from_this(), kind, synced,
+                     entries = std::move(batch)] {
+            self->EndBatch(kind, entries, synced);
+          });
+        });
   }
 
+  Lane& Of(WriteKind kind) { return lanes.at(static_cast<std::size_t>(kind)); }
+
   void AddBytes(std::int64_t segment, std::int64_t bytes) {
     segment_bytes[segment] += bytes;
     size_bytes += bytes;
   }
 
-  void RunReader() {
-    for (;;) {
-      Reading reading;
-      {
-        std::unique_lock lock(mutex);
-        readings_available.wait(
-            lock, [this] { return stopping || !readings.empty(); });
-        if (stopping) {
-          return;
-        }
-        reading = std::move(readings.front());
-        readings.pop_front();
-      }
-      loop.Post([entries = ReadAll(reading.positions, reading.until),
-                 done = std::move(reading.done)]() mutable {
-        done(std::move(entries));
-      });
-    }
-  }
-
   std::vector<std::string> ReadAll(const std::vector<LogPosition>& positions,
                                    TimePoint until) const {
     std::vector<std::string> out(positions.size());
-    std::optional<File> file;
+    std::optional<DiskFile> file;
     std::int64_t opened = 0;
     for (std::size_t n = 0; n < positions.size(); ++n) {
       const auto& it = positions[n];
@@ -297,7 +143,7 @@
       try {
         if (it.segment != opened) {
           opened = 0;
-          file.emplace(Path(it.segment), O_RDONLY);
+          file.emplace(SegmentPath(folder, it.segment), O_RDONLY);
           opened = it.segment;
         }
         out[n] = EntryIn(file->Read(it.offset, it.length));
@@ -309,190 +155,102 @@
     return out;
   }
 
-  void RemoveFiles(const std::vector<std::int64_t>& numbers) const {
-    for (const auto it : numbers) {
-      std::error_code ec;
-      fs::remove(Path(it), ec);
+  bool IsRefused(WriteKind kind) {
+    std::function<void(WriteKind)> hook;
+    {
+      const std::lock_guard lock(mutex);
+      hook = before_write;
     }
-  }
-
-  static bool IsRefusedBy(const std::function<void()>& hook) {
     try {
-      hook();
+      if (hook) {
+        hook(kind);
+      }
     } catch (const std::exception&) {
       return true;
     }
     return false;
   }
 
-  void RefuseIf(bool refused) const {
-    if (refused) {
-      throw std::runtime_error(folder + ": the write was refused");
+  bool Replace(const std::string& name, const std::string& text) {
+    if (IsRefused(WriteKind::kFile)) {
+      return false;
     }
-  }
-
-  void Replace(FileReplacement replacement, bool refused) {
-    bool replaced = true;
     try {
-      RefuseIf(refused);
-      WriteFileDurably(folder, replacement.name, replacement.text);
-      CountSyncs(kSyncsPerReplacement);
-      ++files_replaced;
+      WriteFileDurably(folder, name, text);
     } catch (const std::exception&) {
       // The caller, which is told, writes the log line.
-      replaced = false;
+      return false;
     }
-    loop.Post([replaced, done = std::move(replacement.done)] {
-      if (done) {
-        done(replaced);
-      }
-    });
+    ++files_replaced;
+    return true;
   }
 
-  void Write(std::vector<Entry> batch, bool refused) {
-    bool synced = true;
-    try {
-      RefuseIf(refused);
-      std::size_t first = 0;
-      while (first < batch.size()) {
-        std::string bytes;
-        const auto segment = batch[first].segment;
-        const auto offset = batch[first].offset;
-        while (first < batch.size() && batch[first].segment == segment) {
-          bytes += batch[first++].bytes;
-        }
-        WriteSegment(segment, offset, bytes);
-      }
-    } catch (const std::exception&) {
-      synced = false;
-    }
-    Count(batch);
-    loop.Post([self = shared_from_this(), synced, batch = std::move(batch)] {
-      self->pending -= batch.size();
-      for (const auto& it : batch) {
-        self->pending_bytes -= it.bytes.size();
-        self->EndEntryOf(it.segment);
-      }
-      if (!synced) {
-        // Entries after a failed write in the same segment could not be read.
-        self->OpenNextSegment();
-      }
-      for (const auto& it : batch) {
-        if (it.done) {
-          it.done(synced);
-        }
+  void EndBatch(WriteKind kind,
+                const std::vector<SegmentWriter::Entry>& batch,
+                bool synced) {
+    pending -= batch.size();
+    for (const auto& it : batch) {
+      pending_bytes -= it.bytes.size();
+      const auto left = pending_by_segment.find(it.segment);
+      if (--left->second == 0) {
+        pending_by_segment.erase(left);
       }
-    });
-  }
-
-  // Entries after a damaged one cannot be read, so nothing is added to a
-  // segment after a failed write. Entries may still be queued for it, and for
-  // a later one without those that failed with this one.
-  void WriteSegment(std::int64_t segment,
-                    std::int64_t offset,
-                    const std::string& bytes) {
-    if (segment == damaged_segment) {
-      throw std::runtime_error(Path(segment) + ": an earlier write failed");
-    }
-    damaged_segment = segment;
-    const File file(Path(segment), O_WRONLY | O_CREAT | O_APPEND);
-    if (file.Size() != offset) {
-      throw std::runtime_error(Path(segment) + ": an entry is missing");
     }
-    file.Write(bytes);
-    file.Sync();
-    CountSyncs(1);
-    if (segment != named_segment) {
-      SyncFolder(folder);
-      CountSyncs(1);
-      named_segment = segment;
+    if (!synced) {
+      // Entries after a failed write in the same segment could not be read.
+      OpenNextSegment(Of(kind));
     }
-    damaged_segment = 0;
-  }
-
-  void CountSyncs(int n) { syncs += n; }
-
-  void Count(const std::vector<Entry>& batch) {
-    const auto now = std::chrono::steady_clock::now();
-    const std::lock_guard lock(mutex);
     for (const auto& it : batch) {
-      counts.Of(it.kind).Add(
-          static_cast<std::int64_t>(it.bytes.size()),
-          std::chrono::duration_cast<std::chrono::milliseconds>(now -
-                                                                it.queued_at),
-          syncs - it.syncs_before);
+      if (it.done) {
+        it.done(synced);
+      }
     }
   }
 
-  void EndEntryOf(std::int64_t segment) {
-    const auto it = pending_by_segment.find(segment);
-    if (--it->second == 0) {
-      pending_by_segment.erase(it);
+  void OpenNextSegment(Lane& lane) {
+    if (lane.segment != 0) {
+      closed_segments.insert(lane.segment);
     }
-  }
-
-  void OpenNextSegment() {
-    closed_segments.insert(open_segment);
-    ++open_segment;
-    open_segment_bytes = 0;
+    lane.segment = ++last_segment;
+    lane.bytes = 0;
   }
 
   Loop& loop;
   std::string folder;
   std::set<std::int64_t> closed_segments;
-  std::int64_t open_segment = 1;
-  std::int64_t open_segment_bytes = 0;
+  std::int64_t last_segment = 0;  // The newest one; 0: none.
   std::map<std::int64_t, std::int64_t> segment_bytes;
   std::int64_t size_bytes = 0;
   std::size_t pending = 0;  // Entries not synced yet.
   std::size_t pending_bytes = 0;
   std::map<std::int64_t, std::size_t> pending_by_segment;
-
-  // Used by the writer thread only.
-  std::int64_t damaged_segment = 0;  // 0: none.
-  std::int64_t named_segment = 0;    // The last one whose name is durable.
-
-  std::mutex mutex;
-  std::condition_variable work_available;
-  std::condition_variable readings_available;
-  std::deque<Reading> readings;                  // Guarded by `mutex`.
-  std::deque<Entry> queue;                       // Guarded by `mutex`.
-  std::vector<std::int64_t> segments_to_remove;  // Guarded by `mutex`.
-  std::deque<FileReplacement> files_to_replace;  // Guarded by `mutex`.
-  std::function<void()> before_write;            // Guarded by `mutex`.
-  DiskWriteCounts counts;                        // Guarded by `mutex`.
-  std::atomic<int> syncs{0};                     // Since the start.
-  std::atomic<int> files_replaced{0};
   int counted_syncs = 0;  // Those told by TakeWriteCounts().
   int counted_files = 0;
-  bool stopping = false;  // Guarded by `mutex`.
-  std::thread thread;
-  std::thread reader;  // Started by the first reading.
+
+  std::atomic<int> files_replaced{0};
+  std::mutex mutex;
+  std::function<void(WriteKind)> before_write;  // Guarded by `mutex`.
+  std::array<Lane, 2> lanes;
+  JobThread file_writer;
+  JobThread reader;
 };
 
 DiskLog::DiskLog(Loop& loop, std::string folder)
-    : impl_(std::make_shared<Impl>(loop, std::move(folder))) {
-  impl_->thread = std::thread([impl = impl_.get()] { impl->RunWriter(); });
-}
+    : impl_(std::make_shared<Impl>(loop, std::move(folder))) {}
 
 DiskLog::~DiskLog() {
-  {
-    const std::lock_guard lock(impl_->mutex);
-    impl_->stopping = true;
-  }
-  impl_->work_available.notify_all();
-  impl_->readings_available.notify_all();
-  impl_->thread.join();
-  if (impl_->reader.joinable()) {
-    impl_->reader.join();
+  for (auto& it : impl_->lanes) {
+    it.writer->Stop();
   }
+  impl_->file_writer.Stop();
+  impl_->reader.Stop();
 }
 
 void DiskLog::Replay(const std::function<void(const LogPosition&,
                                               const std::string&)>& on_entry) {
   for (const auto segment : impl_->closed_segments) {
-    const auto path = impl_->Path(segment);
-    File(path, O_RDWR).Sync();
+    const auto path = SegmentPath(impl_->folder, segment);
+    DiskFile(path, O_RDWR).Sync();
     ReadEntries(segment, ReadWholeFile(path), on_entry);
   }
   SyncFolder(impl_->folder);
@@ -501,81 +259,77 @@
 void DiskLog::Read(std::vector<LogPosition> positions,
                    TimePoint until,
                    std::function<void(std::vector<std::string>)> done) {
-  {
-    const std::lock_guard lock(impl_->mutex);
-    impl_->readings.push_back({std::move(positions), until, std::move(done)});
-  }
-  if (!impl_->reader.joinable()) {
-    impl_->reader = std::thread([impl = impl_.get()] { impl->RunReader(); });
-  }
-  impl_->readings_available.notify_all();
+  impl_->reader.Post([impl = impl_.get(), positions = std::move(positions),
+                      until, done = std::move(done)]() mutable {
+    impl->loop.Post(
+        [entries = impl->ReadAll(positions, until),
+         done = std::move(done)]() mutable { done(std::move(entries)); });
+  });
 }
 
 LogPosition DiskLog::Append(const std::string& entry,
                             std::function<void(bool)> done,
                             WriteKind kind) {
-  auto bytes = AddHeader(entry);
-  const auto size = static_cast<std::int64_t>(bytes.size());
-  if (impl_->open_segment_bytes > 0 &&
-      impl_->open_segment_bytes + size > kSegmentBytes) {
-    impl_->OpenNextSegment();
-  }
-  const auto segment = impl_->open_segment;
-  const LogPosition position{segment, impl_->open_segment_bytes, size};
-  impl_->open_segment_bytes += size;
-  impl_->AddBytes(segment, size);
+  SegmentWriter::Entry out;
+  out.bytes = AddHeader(entry);
+  out.done = std::move(done);
+  const auto size = static_cast<std::int64_t>(out.bytes.size());
+  auto& lane = impl_->Of(kind);
+  if (lane.segment == 0 ||
+      (lane.bytes > 0 && lane.bytes + size > kSegmentBytes)) {
+    impl_->OpenNextSegment(lane);
+  }
+  out.segment = lane.segment;
+  out.offset = lane.bytes;
+  const LogPosition position{out.segment, out.offset, size};
+  lane.bytes += size;
+  impl_->AddBytes(lane.segment, size);
   ++impl_->pending;
-  ++impl_->pending_by_segment[segment];
-  impl_->pending_bytes += bytes.size();
-  {
-    const std::lock_guard lock(impl_->mutex);
-    impl_->queue.push_back({std::move(bytes), segment, position.offset,
-                            std::move(done), kind,
-                            std::chrono::steady_clock::now(), impl_->syncs});
-  }
-  impl_->work_available.notify_all();
+  ++impl_->pending_by_segment[lane.segment];
+  impl_->pending_bytes += out.bytes.size();
+  lane.writer->Append(std::move(out));
   return position;
 }
 
 void DiskLog::ReplaceFile(const std::string& name,
                           const std::string& text,
                           std::function<void(bool)> done) {
-  {
-    const std::lock_guard lock(impl_->mutex);
-    impl_->files_to_replace.push_back({name, text, std::move(done)});
-  }
-  impl_->work_available.notify_all();
+  impl_->file_writer.Post(
+      [impl = impl_.get(), name, text, done = std::move(done)] {
+        const bool replaced = impl->Replace(name, text);
+        if (done) {
+          impl->loop.Post([replaced, done] { done(replaced); });
+        }
+      });
 }
 
-void DiskLog::BeforeWrite(std::function<void()> hook) {
+void DiskLog::BeforeWrite(std::function<void(WriteKind)> hook) {
   const std::lock_guard lock(impl_->mutex);
   impl_->before_write = std::move(hook);
 }
 
 DiskWriteCounts DiskLog::TakeWriteCounts() {
   DiskWriteCounts out;
-  {
-    const std::lock_guard lock(impl_->mutex);
-    out = std::exchange(impl_->counts, {});
-  }
-  const int syncs = impl_->syncs;
+  auto& foreground = *impl_->Of(WriteKind::kForeground).writer;
+  auto& background = *impl_->Of(WriteKind::kBackground).writer;
+  out.foreground = foreground.TakeCounts();
+  out.background = background.TakeCounts();
   const int files = impl_->files_replaced;
+  const int syncs =
+      foreground.syncs() + background.syncs() + files * kSyncsPerReplacement;
   out.syncs = syncs - std::exchange(impl_->counted_syncs, syncs);
   out.files = files - std::exchange(impl_->counted_files, files);
   return out;
 }
 
+// In the background: a file system may be slow to free the blocks.
 void DiskLog::Remove(std::int64_t segment) {
   if (impl_->closed_segments.erase(segment) == 0) {
     return;
   }
   impl_->size_bytes -= impl_->segment_bytes[segment];
   impl_->segment_bytes.erase(segment);
-  {
-    const std::lock_guard lock(impl_->mutex);
-    impl_->segments_to_remove.push_back(segment);
-  }
-  impl_->work_available.notify_all();
+  impl_->Of(WriteKind::kBackground).writer->Remove(segment);
 }
 
 std::vector<std::int64_t> DiskLog::ClosedSegments() const {
@@ -583,12 +337,16 @@
 }
 
 std::int64_t DiskLog::current_segment() const {
-  return impl_->open_segment;
+  const auto& lanes = impl_->lanes;
+  const bool is_open =
+      std::any_of(lanes.begin(), lanes.end(),
+                  [](const auto& it) { return it.segment != 0; });
+  return impl_->last_segment + (is_open ? 0 : 1);
 }
 
-std::int64_t DiskLog::first_unwritten_segment() const {
-  const auto& pending = impl_->pending_by_segment;
-  return pending.empty() ? impl_->open_segment : pending.begin()->first;
+bool DiskLog::IsWritten(std::int64_t segment) const {
+  return impl_->closed_segments.count(segment) > 0 &&
+         impl_->pending_by_segment.count(segment) == 0;
 }
 
 std::size_t DiskLog::backlog() const {
--- a/source/storage/disk_log.h
+++ b/source/storage/disk_log.h
@@ -10,6 +10,7 @@
 #include "core/log_position.h"
 #include "core/time_point.h"
 #include "net/loop.h"
+#include "storage/disk_file.h"
 #include "storage/disk_write_counts.h"
 
 namespace comfreyfold {
@@ -18,13 +19,18 @@
 // power failure, entries that were not synced may be missing or torn; reading a
 // segment stops at the first damaged entry. Dedicated threads write and read,
 // so that a slow disk never blocks the event loop.
+//
+// Entries of different kinds are written to different segments, side by side: a
+// foreground entry waits for no other kind. Entries of one kind are synced in
+// the order of the calls, those of different kinds in any order, and a replay
+// passes them by segment.
 class DiskLog {
  public:
   // Opens `folder`, which must exist. Throws std::runtime_error.
   DiskLog(Loop& loop, std::string folder);
   ~DiskLog();
 
-  // Reads the entries of all closed segments, oldest first, and passes each
+  // Reads the entries of all closed segments, by number, and passes each
   // with its position to `on_entry`. Syncs the segments first, because a killed
   // process may have left them unsynced.
   void Replay(const std::function<void(const LogPosition&, const std::string&)>&
@@ -51,21 +57,21 @@
                    const std::string& text,
                    std::function<void(bool)> done);
 
-  // Sets the hook that the writing thread calls before it writes entries or
-  // replaces a file, for instance to slow the disk down in a test. If it throws
-  // a std::exception, the write fails.
-  void BeforeWrite(std::function<void()> hook);
+  // Sets the hook that the writing threads call before they write entries of a
+  // kind or replace a file, for instance to slow the disk down in a test. If it
+  // throws a std::exception, the write fails.
+  void BeforeWrite(std::function<void(WriteKind)> hook);
 
   // Returns what was written since the last call.
   DiskWriteCounts TakeWriteCounts();
 
-  // Removes a closed segment. Does nothing for the open segment.
+  // Removes a closed segment. Does nothing for an open one.
   void Remove(std::int64_t segment);
 
+  // Returns the newest segment, or the next one if none was opened.
   std::int64_t current_segment() const;
-  // Returns the first segment that an entry is still to be written to, or the
-  // open one if that is none.
-  std::int64_t first_unwritten_segment() const;
+  // Whether the segment is closed and no entry is still to be written to it.
+  bool IsWritten(std::int64_t segment) const;
   std::vector<std::int64_t> ClosedSegments() const;
   // Number of entries whose write or sync has not finished.
   std::size_t backlog() const;
@@ -80,16 +86,6 @@
   std::shared_ptr<Impl> impl_;
 };
 
-// Replaces `folder`/`name` by a file with the content `text`. The replacement
-// is atomic and durable: after a power failure the file has either the old or
-// the new content. Throws std::runtime_error.
-void WriteFileDurably(const std::string& folder,
-                      const std::string& name,
-                      const std::string& text);
-
-// Returns the content of the file, or an empty string if it does not exist.
-std::string ReadWholeFile(const std::string& path);
-
 }  // namespace comfreyfold
 
 #endif  // STORAGE_DISK_LOG_H_
--- a/source/storage/disk_write_counts.h
+++ b/source/storage/disk_write_counts.h
@@ -7,10 +7,11 @@
 
 namespace comfreyfold {
 
-// Who waits for an entry of the log.
+// Why a disk is written to.
 enum class WriteKind {
-  kForeground,  // A request that is to be answered.
-  kBackground,  // A copy, a move within the log, or a second write.
+  kForeground,  // Entry of a request that is to be answered.
+  kBackground,  // Entry of a copy, a move within the log, or a second write.
+  kFile,        // File that is replaced as a whole.
 };
 
 // Entries of one kind that were written.
--- a/source/storage/storage_node.cc
+++ b/source/storage/storage_node.cc
@@ -61,25 +61,37 @@
       disk_(ReadOrCreateDiskId(folder)),
       disk_log_(loop, folder),
       self_(std::make_shared<StorageNode*>(this)) {
+  const auto list = ReadWholeFile(folder + "/" + kListFile);
+  if (!list.empty()) {
+    view_.ApplyStorageList(DecodeStorageList(list));
+  }
+  Replay();
+}
+
+// A turn may stand after an entry that extends its expiry: they may be of
+// different kinds.
+void StorageNode::Replay() {
   std::int64_t entries = 0;
-  disk_log_.Replay(
-      [this, &entries](const LogPosition& position, const std::string& entry) {
-        ++entries;
-        const auto request = DecodeStorageRequest(entry);
-        Apply(position, request);
-        for (const auto& it : request.turns) {
-          turns_.MarkStored(it.id, position);
-        }
-        LimitContents();
-      });
+  std::map<std::string, std::chrono::milliseconds> extended;
+  disk_log_.Replay([&](const LogPosition& position, const std::string& entry) {
+    ++entries;
+    const auto request = DecodeStorageRequest(entry);
+    for (const auto& it : turns_.Missing(request.ids)) {
+      extended[it] = std::max(extended[it], request.keep_until);
+    }
+    Apply(position, request);
+    for (const auto& it : request.turns) {
+      turns_.MarkStored(it.id, position);
+    }
+    LimitContents();
+  });
+  for (const auto& [id, until] : extended) {
+    turns_.ExtendExpiry({id}, until);
+  }
   // Those without a readable entry are to be removed too.
   for (const auto it : disk_log_.ClosedSegments()) {
     needed_until_.try_emplace(it, 0);
   }
-  const auto list = ReadWholeFile(folder + "/" + kListFile);
-  if (!list.empty()) {
-    view_.ApplyStorageList(DecodeStorageList(list));
-  }
   log_.Write("disk_read", "",
              {{"disk", disk_},
               {"entries", entries},
@@ -253,7 +265,7 @@
     const std::string& encoded,
     WriteKind kind) {
   auto write = std::make_shared<Write>(loop_);
-  last_write_ = write;
+  last_writes_[kind] = write;
   if (request.turns.size() <= 1) {
     AppendTo(write, request, encoded, kind);
     return write;
@@ -339,9 +351,10 @@
 std::vector<std::string> StorageNode::UnwrittenOf(
     const std::vector<std::string>& ids) const {
   std::vector<std::string> out;
-  std::copy_if(
-      ids.begin(), ids.end(), std::back_inserter(out),
-      [this](const std::string& it) { return unwritten_.HasTurn(it); });
+  std::copy_if(ids.begin(), ids.end(), std::back_inserter(out),
+               [this](const std::string& it) {
+                 return unwritten_.HasTurn(it) || !turns_.IsStored(it);
+               });
   return out;
 }
 
@@ -371,7 +384,7 @@
   reply.ids = turns_.Missing(request.ids);
   const bool stored = AwaitWrite(
       fiber, write, request.turns.empty() ? kSyncTimeout : kMaxTurnStoreTime);
-  // The writes before this one have ended as well.
+  // A copy that this disk has begun to write may not be synced yet.
   for (const auto& it : UnwrittenOf(request.ids)) {
     reply.ids.push_back(it);
   }
@@ -399,11 +412,13 @@
       kSyncTimeout);
 }
 
-// Writes end in the order in which they began.
+// Writes of one kind end in the order in which they began.
 bool StorageNode::AwaitDurable(Fiber& fiber) {
-  const auto last = last_write_;
-  if (last && !AwaitWrite(fiber, last, kSyncTimeout) && !last->ended) {
-    return false;
+  const auto writes = last_writes_;
+  for (const auto& [kind, last] : writes) {
+    if (!AwaitWrite(fiber, last, kSyncTimeout) && !last->ended) {
+      return false;
+    }
   }
   for (WriteAgain(); !unwritten_.empty(); WriteAgain()) {
     const auto write = second_write_;
@@ -452,8 +467,7 @@
   std::int64_t segment = 0;
   std::int64_t least = 0;
   for (const auto& [it, bytes] : turns_.StoredBytesBySegment()) {
-    if (it < disk_log_.current_segment() &&
-        bytes <= disk_log_.SegmentBytes(it) / 2 &&
+    if (disk_log_.IsWritten(it) && bytes <= disk_log_.SegmentBytes(it) / 2 &&
         (segment == 0 || bytes < least)) {
       segment = it;
       least = bytes;
@@ -511,7 +525,7 @@
   Compact();
   for (auto it = needed_until_.begin(); it != needed_until_.end();) {
     const bool needed = it->second >= now || turns_.UsesSegment(it->first) ||
-                        it->first >= disk_log_.first_unwritten_segment();
+                        !disk_log_.IsWritten(it->first);
     if (needed || !MoveLivingPrograms(it->first)) {
       ++it;
       continue;
--- a/source/storage/storage_node.h
+++ b/source/storage/storage_node.h
@@ -132,6 +132,8 @@
   std::chrono::milliseconds RoomIn(DiskRoom room);
   // Tells the room in `reply`.
   void ReportRoom(StorageReply& reply);
+  // Reads the log.
+  void Replay();
   // Takes over what the entry of the log at `position` contains.
   void Apply(const LogPosition& position, const StorageRequest& request);
   // Reads the contents of `turns` with the indexes `dropped` from `positions`
@@ -153,7 +155,8 @@
   void MoveTurns(Fiber& fiber, std::int64_t segment);
   // Begins to write again what the disk refused, unless that is under way.
   void WriteAgain();
-  // Returns those of `ids` whose last write failed.
+  // Returns those of `ids` that the disk does not hold, or not as long as it
+  // should.
   std::vector<std::string> UnwrittenOf(
       const std::vector<std::string>& ids) const;
   // Applies `request` and queues it for writing; `encoded` is its encoding.
@@ -206,7 +209,7 @@
   UnwrittenRecords unwritten_;
   // Null once this object is gone; writes under way may end later.
   std::shared_ptr<StorageNode*> self_;
-  std::shared_ptr<Write> last_write_;
+  std::map<WriteKind, std::shared_ptr<Write>> last_writes_;
   // The latest write of records that the disk had refused.
   std::shared_ptr<Write> second_write_;
   // The latest write of a list, and the version of that list.
--- a/source/vm/vm_daemon.cc
+++ b/source/vm/vm_daemon.cc
@@ -436,7 +436,7 @@
   settings_ = settings;
 }
 
-void VmDaemon::BeforeDiskWrite(std::function<void()> hook) {
+void VmDaemon::BeforeDiskWrite(std::function<void(WriteKind)> hook) {
   storage_node_->disk_log().BeforeWrite(std::move(hook));
 }
 
--- a/source/vm/vm_daemon.h
+++ b/source/vm/vm_daemon.h
@@ -59,7 +59,7 @@
 
   // Sets the hook that is called before each write to the disk, on the thread
   // that writes. The daemon must have a disk.
-  void BeforeDiskWrite(std::function<void()> hook);
+  void BeforeDiskWrite(std::function<void(WriteKind)> hook);
 
   // Planned stop: reports "not ready" to the load balancer, finishes requests
   // in flight, and calls `done`.
--- a/tests/vm/disk_log_test.cc
+++ b/tests/vm/disk_log_test.cc
@@ -5,6 +5,7 @@
 #include <filesystem>
 #include <fstream>
 #include <functional>
+#include <limits>
 #include <thread>
 #include <vector>
 
@@ -163,7 +164,7 @@
 class StepwiseWriter {
  public:
   explicit StepwiseWriter(DiskLog& log) {
-    log.BeforeWrite([this] {
+    log.BeforeWrite([this](WriteKind) {
       const auto call = ++begun_;
       while (allowed_ < call) {
         std::this_thread::yield();
@@ -215,6 +216,63 @@
   BOOST_TEST(found == (stored ? "three" : ""));
 }
 
+constexpr std::size_t kMegabyte = 1024 * 1024;
+// The sync under way and its own.
+constexpr int kMostSyncs = 2;
+
+void Await(Fiber& fiber, const bool& done) {
+  for (const auto until = Soon();
+       !done && std::chrono::steady_clock::now() < until;) {
+    fiber.Sleep(std::chrono::milliseconds(1));
+  }
+  BOOST_REQUIRE(done);
+}
+
+// Runs `body` with a log whose first segment has an entry of `bytes`.
+void WithOpenSegment(
+    std::size_t bytes,
+    const std::function<void(Fiber&, DiskLog&, StepwiseWriter&)>& body) {
+  const TempFolder folder;
+  Loop loop;
+  DiskLog log(loop, folder.path());
+  StepwiseWriter writer(log);
+  writer.Allow(1);
+  bool ended = false;
+  loop.Spawn([&](Fiber& fiber) {
+    bool stored = false;
+    log.Append(std::string(bytes, 'x'),
+               [&stored](bool written) { stored = written; });
+    Await(fiber, stored);
+    log.TakeWriteCounts();
+    body(fiber, log, writer);
+    ended = true;
+    writer.Allow(std::numeric_limits<int>::max());
+    loop.Stop();
+  });
+  loop.Run();
+  BOOST_TEST(ended);
+}
+
+// Reservations were given up behind copies and behind lists to store.
+BOOST_AUTO_TEST_CASE(store_waits_for_no_copies_and_no_replaced_files) {
+  WithOpenSegment(1, [](Fiber& fiber, DiskLog& log, StepwiseWriter& writer) {
+    const auto ignore = [](bool) {};
+    log.ReplaceFile("members", "one", ignore);
+    writer.AwaitCall(2);
+    log.ReplaceFile("fleet", "one", ignore);
+    log.ReplaceFile("members", "two", ignore);
+    for (int n = 0; n < 3; ++n) {
+      log.Append(std::string(3 * kMegabyte, 'c'), ignore,
+                 WriteKind::kBackground);
+    }
+    bool stored = false;
+    log.Append("store", [&stored](bool written) { stored = written; });
+    writer.Allow(std::numeric_limits<int>::max());
+    Await(fiber, stored);
+    BOOST_TEST(log.TakeWriteCounts().foreground.most_syncs <= kMostSyncs);
+  });
+}
+
 // Readings that nobody waited for any more kept those of later requests waiting
 // after a stall of the disk, beyond their time too.
 BOOST_AUTO_TEST_CASE(reading_is_left_out_once_its_time_is_over) {
--- a/tests/vm/segment_moves_test.cc
+++ b/tests/vm/segment_moves_test.cc
@@ -179,7 +179,7 @@
                   unsigned seed) {
   constexpr int kTurns = 60;
   std::mt19937 random(seed);
-  node.disk_log().BeforeWrite([&losses] { losses.BeforeWrite(); });
+  node.disk_log().BeforeWrite([&losses](WriteKind) { losses.BeforeWrite(); });
   int running = 0;
   for (int n = 0; n < kTurns; ++n) {
     const bool lives = random() % 3 == 0;
--- a/tests/vm/storage_node_test.cc
+++ b/tests/vm/storage_node_test.cc
@@ -77,7 +77,7 @@
     node_.reset();
     node_ = std::make_unique<StorageNode>(loop_, view_, log_, folder_, 1,
                                           disk_bytes, memory_bytes);
-    node_->disk_log().BeforeWrite([this] {
+    node_->disk_log().BeforeWrite([this](WriteKind) {
       if (refuses_) {
         throw std::runtime_error("refused");
       }
@@ -307,6 +307,83 @@
   });
 }
 
+// Reservations were given up behind copies and behind lists to store.
+BOOST_AUTO_TEST_CASE(store_is_answered_while_copies_and_lists_wait) {
+  WithOneDisk([](Fiber& fiber, OneDisk& disk) {
+    auto& gate = *new DiskGate;  // The disk is never destroyed.
+    gate.Guard(disk.node().disk_log(),
+               {WriteKind::kBackground, WriteKind::kFile});
+    gate.Close();
+    StorageList list;
+    list.version = 1;
+    disk.node().BeginAdopt(list);
+    bool copied = false;
+    fiber.loop().Spawn([&](Fiber& child) {
+      StorageRequest copy;
+      copy.uses = {UseOf("r1", WallNow() + milliseconds(60000))};
+      disk.node().StoreCopied(child, copy);
+      copied = true;
+    });
+    OneDisk::Await(fiber, [&] { return gate.waiting() == 1; });
+    StorageRequest request;
+    request.program = "p";
+    request.uses = {UseOf("r2", WallNow() + milliseconds(60000))};
+    const auto reply = disk.Store(fiber, request);
+    BOOST_TEST((reply.status == StorageStatus::kDone));
+    BOOST_TEST(reply.uses.size() == 2U);
+    BOOST_TEST(!copied);
+    gate.Open();
+    OneDisk::Await(fiber, [&] { return copied; });
+  });
+}
+
+// A later turn of its chain would be whole on a disk that loses this one.
+BOOST_AUTO_TEST_CASE(
+    turn_whose_copy_is_not_synced_does_not_count_with_a_later) {
+  WithOneDisk([](Fiber& fiber, OneDisk& disk) {
+    auto& gate = *new DiskGate;  // The disk is never destroyed.
+    gate.Guard(disk.node().disk_log(), {WriteKind::kBackground});
+    gate.Close();
+    StorageRequest copy;
+    copy.turns = {{"t1", "", "in", "out", WallNow() + milliseconds(60000)}};
+    bool copied = false;
+    fiber.loop().Spawn([&](Fiber& child) {
+      disk.node().StoreCopied(child, copy);
+      copied = true;
+    });
+    OneDisk::Await(fiber, [&] { return gate.waiting() == 1; });
+    StorageRequest later;
+    later.turns = {{"t2", "t1", "in", "out", WallNow() + milliseconds(60000)}};
+    later.ids = {"t1"};
+    later.keep_until = later.turns.front().expires_at;
+    const auto reply = disk.Store(fiber, later);
+    BOOST_TEST((reply.status == StorageStatus::kDone));
+    BOOST_TEST(reply.ids == later.ids, boost::test_tools::per_element());
+    gate.Open();
+    OneDisk::Await(fiber, [&] { return copied; });
+    BOOST_TEST(disk.Store(fiber, later).ids.empty());
+  });
+}
+
+// The log has the extension in a segment before that of the turn.
+BOOST_AUTO_TEST_CASE(expiry_extended_before_the_copy_is_synced_is_kept) {
+  WithOneDisk([](Fiber& fiber, OneDisk& disk) {
+    BOOST_REQUIRE((disk.StoreTurn(fiber, "before") == StorageStatus::kDone));
+    StorageRequest copy;
+    copy.turns = {{"t1", "", "in", "out", WallNow() + milliseconds(30000)}};
+    BOOST_REQUIRE(disk.node().StoreCopied(fiber, copy));
+    StorageRequest later;
+    later.turns = {{"t2", "t1", "in", "out", WallNow() + milliseconds(60000)}};
+    later.ids = {"t1"};
+    later.keep_until = later.turns.front().expires_at;
+    BOOST_REQUIRE((disk.Store(fiber, later).status == StorageStatus::kDone));
+    disk.Restart();
+    BOOST_REQUIRE(disk.node().turns().Find("t1") != nullptr);
+    BOOST_TEST(
+        (disk.node().turns().Find("t1")->expires_at == later.keep_until));
+  });
+}
+
 // The disk wrote the turn again without end.
 BOOST_AUTO_TEST_CASE(turn_that_arrives_after_its_failed_extension_is_written) {
   WithOneDisk([](Fiber& fiber, OneDisk& disk) {
--- a/tests/vm/unsynced_copies_test.cc
+++ b/tests/vm/unsynced_copies_test.cc
@@ -73,7 +73,7 @@
   void Restart() {
     node_.reset();
     node_ = std::make_unique<StorageNode>(loop_, view_, log_, folder_, 1, 0, 0);
-    node_->disk_log().BeforeWrite([this] { gate_.Pass(); });
+    node_->disk_log().BeforeWrite([this](WriteKind) { gate_.Pass(); });
   }
 
   StorageMember SourceMember() const {
