Do not count the answer of an emptied disk as one that is awaited

Cause, found by a run with a log line for each incomplete call: a disk that was emptied has a new id, and its VM answers requests for the old one within milliseconds with kOtherDisk. The old id is a member until the change ends. The class: an answer that cannot count taken for progress.

kOtherDisk and kFailed start a further target at once, as a failure to send does. A disk that was replaced is sorted behind all others until it answers again. A refusal no longer ends the mark of a slow disk.

Evidence: answer_of_an_emptied_disk_starts_the_next_target_at_once and emptied_disk_is_sorted_behind_slow_ones failed with the decisions before (the third disk was not called; the old id was first).

--- a/source/storage/replica_client.cc
+++ b/source/storage/replica_client.cc
@@ -1,6 +1,7 @@
 #include "storage/replica_client.h"
 
 #include <algorithm>
+#include <tuple>
 #include <utility>
 
 #include "wire/codec.h"
@@ -43,6 +44,13 @@
 // this time after a probe it is not probed again.
 constexpr std::chrono::milliseconds kSuspicionTime{1000};
 
+// Whether the answer may count for the call: not that of another disk than the
+// target's, nor of one that could not do what was asked.
+bool IsUsable(const StorageReply& reply) {
+  return reply.status != StorageStatus::kOtherDisk &&
+         reply.status != StorageStatus::kFailed;
+}
+
 // Whether the answer has to wait for the disk, which may take long although the
 // daemon can be reached.
 bool NeedsDisk(const StorageRequest& request) {
@@ -69,7 +77,7 @@
   StorageReplies replies;
   std::size_t started = 0;
   std::size_t ended = 0;
-  std::size_t failed = 0;
+  std::size_t unusable = 0;  // Ended without an answer that counts.
   struct Target {
     TimePoint started_at{};  // Of the last send.
     int sends = 0;
@@ -133,7 +141,8 @@
   // A rank that changed during the sort would break the order that it needs.
   const auto rank =
       [this, now = std::chrono::steady_clock::now()](const StorageMember& it) {
-        return std::pair(IsSuspected(it, now), it.data_centre != data_centre_);
+        return std::tuple(replaced_.count(it.disk) > 0, IsSuspected(it, now),
+                          it.data_centre != data_centre_);
       };
   std::stable_sort(
       members.begin(), members.end(),
@@ -146,11 +155,12 @@
   members = SortByPreference(std::move(members));
   const auto now = std::chrono::steady_clock::now();
   std::map<std::string, int> seen;  // Members before, by data centre.
-  std::vector<std::pair<std::pair<bool, int>, StorageMember>> ranked;
+  std::vector<std::pair<std::tuple<bool, bool, int>, StorageMember>> ranked;
   ranked.reserve(members.size());
   for (const auto& it : members) {
     const auto turn = seen[it.data_centre]++;
-    ranked.push_back({{IsSuspected(it, now), turn}, it});
+    ranked.push_back(
+        {{replaced_.count(it.disk) > 0, IsSuspected(it, now), turn}, it});
   }
   std::stable_sort(
       ranked.begin(), ranked.end(),
@@ -244,12 +254,24 @@
       time.OnMiss();
     }
     RecordResult(member, result);
-    if (result == SendResult::kAnswered && on_reply_) {
-      on_reply_(member, reply);
+    if (result == SendResult::kAnswered) {
+      ObserveDisk(member, reply);
     }
   });
 }
 
+void ReplicaClient::ObserveDisk(const StorageMember& member,
+                                const StorageReply& reply) {
+  if (reply.status == StorageStatus::kOtherDisk) {
+    replaced_.insert(member.disk);
+  } else {
+    replaced_.erase(member.disk);
+  }
+  if (on_reply_) {
+    on_reply_(member, reply);
+  }
+}
+
 AdaptiveTimeout& ReplicaClient::AnswerTime(const std::string& address) {
   return answer_times_.try_emplace(address, kProbeTimeout, kMaxProbeTimeout)
       .first->second;
@@ -274,7 +296,8 @@
 void ReplicaClient::RecordSent(const MultiCall& call,
                                std::size_t n,
                                TimePoint sent_at,
-                               SendResult result) {
+                               SendResult result,
+                               const StorageReply& reply) {
   const auto& target = call.plan.targets[n];
   const auto now = std::chrono::steady_clock::now();
   const bool timed_out =
@@ -286,7 +309,10 @@
   }
   if (result == SendResult::kAnswered && !call.states[n].suspected) {
     if (call.needs_disk) {
-      slow_at_.erase(target.address);
+      // A refusal tells nothing about the speed of the disk.
+      if (IsUsable(reply)) {
+        slow_at_.erase(target.address);
+      }
     } else {
       AnswerTime(target.address)
           .OnAnswer(std::chrono::duration_cast<std::chrono::milliseconds>(
@@ -322,16 +348,17 @@
     } else {
       const auto result = SendTo(fiber, target.address, target.disk, call->body,
                                  {}, call->plan.timeout, reply);
-      RecordSent(*call, n, sent_at, result);
+      RecordSent(*call, n, sent_at, result, reply);
       answered = result == SendResult::kAnswered;
     }
     answered =
         answered || (NeedsRelay(target) &&
                      SendByRelay(fiber, target, call->body, call->stores_turns,
                                  call->plan.timeout, reply));
-    if (answered && on_reply_) {
-      on_reply_(target, reply);
+    if (answered) {
+      ObserveDisk(target, reply);
     }
+    const bool usable = answered && IsUsable(reply);
     // The answer to an earlier send counts even if a later one has failed.
     if (answered && call->replies.count(target.disk) == 0) {
       call->replies[target.disk] = std::move(reply);
@@ -342,7 +369,7 @@
       return;
     }
     ++call->ended;
-    call->failed += answered ? 0 : 1;
+    call->unusable += usable ? 0 : 1;
     counts_.failed += answered ? 0 : 1;
     state.ended = true;
     call->changed.NotifyAll();
@@ -415,9 +442,10 @@
   std::size_t replacements = 0;
   while (!enough(call->replies)) {
     const auto now = std::chrono::steady_clock::now();
-    // Each failure starts a further target at once. A slow target starts one at
-    // each hedge delay, as far as the hedge budget permits.
-    while (call->started < count && replacements < call->failed) {
+    // Each failure, also one that the target answers, starts a further target
+    // at once. A slow target starts one at each hedge delay, as far as the
+    // hedge budget permits.
+    while (call->started < count && replacements < call->unusable) {
       ++replacements;
       ++counts_.widened;
       StartSend(call, call->started);
--- a/source/storage/replica_client.h
+++ b/source/storage/replica_client.h
@@ -4,6 +4,7 @@
 #include <chrono>
 #include <functional>
 #include <map>
+#include <set>
 #include <string>
 #include <utility>
 #include <vector>
@@ -124,7 +125,10 @@
   void RecordSent(const MultiCall& call,
                   std::size_t n,
                   TimePoint sent_at,
-                  SendResult result);
+                  SendResult result,
+                  const StorageReply& reply);
+  // Takes over what an answer tells about the disk of `member`.
+  void ObserveDisk(const StorageMember& member, const StorageReply& reply);
   // Calls target `n` for the first time.
   void StartSend(const std::shared_ptr<MultiCall>& call, std::size_t n);
   // Sends the request to target `n` in a coroutine of its own.
@@ -180,6 +184,9 @@
   std::map<std::string, AdaptiveTimeout> answer_times_;  // By address.
   // When a request that needs the disk was last overdue, by address.
   std::map<std::string, TimePoint> slow_at_;
+  // Disks whose VMs answered that they have another one. The lists name them
+  // until they are replaced there too.
+  std::set<std::string> replaced_;
   // When a failing member last answered again, by address.
   std::map<std::string, TimePoint> regained_at_;
   std::function<std::vector<std::string>()> relays_;
--- a/tests/vm/replica_client_test.cc
+++ b/tests/vm/replica_client_test.cc
@@ -73,7 +73,11 @@
     if (silent_ || (stalled_ && store)) {
       opened_.WaitUntil(fiber, milliseconds(10000), [] { return false; });
     }
-    exchange.Reply(kOk, "", Encode(StorageReply()));
+    StorageReply reply;
+    if (request.Path() != kStoragePath + member_.disk) {
+      reply.status = StorageStatus::kOtherDisk;
+    }
+    exchange.Reply(kOk, "", Encode(reply));
   }
 
   Condition opened_;
@@ -172,8 +176,79 @@
   return out;
 }
 
+// Returns the disk that the VM of `member` had before it was emptied.
+StorageMember Before(StorageMember member) {
+  member.disk += "-before";
+  return member;
+}
+
+// Has so many requests wait that no further ones are sent for late answers.
+void SpendHedges(Fiber& fiber, Daemons& daemons) {
+  constexpr int kCalls = 40;
+  int running = kCalls;
+  for (int n = 0; n < kCalls; ++n) {
+    fiber.loop().Spawn([&](Fiber& child) {
+      daemons.Call(child, StorageOperation::kStore, milliseconds(500), 4, 1);
+      --running;
+    });
+  }
+  while (running > 0) {
+    fiber.Sleep(milliseconds(1));
+  }
+}
+
 BOOST_AUTO_TEST_SUITE(replica_client)
 
+// Two slow disks were waited for one after the other beside an emptied one.
+BOOST_AUTO_TEST_CASE(answer_of_an_emptied_disk_starts_the_next_target_at_once) {
+  WithDaemons([](Fiber& fiber, Daemons& daemons) {
+    daemons.all[1]->Stall();
+    daemons.all[2]->Stall();
+    daemons.all[0]->Stall();
+    SpendHedges(fiber, daemons);
+    daemons.all[2]->Regain();
+    ReplicaClient::Plan plan;
+    plan.targets = {Before(daemons.all[0]->member()), daemons.all[1]->member(),
+                    daemons.all[2]->member()};
+    plan.initial_targets = 2;
+    plan.timeout = milliseconds(1500);
+    StorageRequest request;
+    daemons.all[0]->Regain();
+    const auto replies =
+        daemons.client.Call(fiber, plan, request,
+                            [](const auto& it) { return it.count("d3") > 0; });
+    BOOST_TEST(replies.count("d3") == 1U);
+  });
+}
+
+// It was among the first targets, as the only one that answers at once.
+BOOST_AUTO_TEST_CASE(emptied_disk_is_sorted_behind_slow_ones) {
+  WithDaemons([](Fiber& fiber, Daemons& daemons) {
+    for (const auto& it : daemons.all) {
+      it->Stall();
+    }
+    daemons.Call(fiber, StorageOperation::kStore, milliseconds(500), 4, 3);
+    daemons.all[0]->Regain();
+    const auto before = Before(daemons.all[0]->member());
+    auto now = daemons.all[0]->member();
+    now.data_centre = "south";
+    const auto other = daemons.all[1]->member();
+    StorageRequest request;
+    StorageReply reply;
+    BOOST_REQUIRE(daemons.client.CallOne(fiber, before, request,
+                                         milliseconds(5000), reply));
+    BOOST_TEST((reply.status == StorageStatus::kOtherDisk));
+    // The disk that took its place has not become fast by this.
+    BOOST_TEST(Disks(daemons.client.SortByPreference({before, other, now})) ==
+                   (std::vector<std::string>{"d2", "d1", "d1-before"}),
+               boost::test_tools::per_element());
+    BOOST_TEST(
+        Disks(daemons.client.SpreadOverDataCentres({before, other, now})) ==
+            (std::vector<std::string>{"d2", "d1", "d1-before"}),
+        boost::test_tools::per_element());
+  });
+}
+
 BOOST_AUTO_TEST_CASE(chains_are_read_directly_while_disks_do_not_sync) {
   WithDaemons([](Fiber& fiber, Daemons& daemons) {
     for (const auto& it : daemons.all) {
