Name the next segment ahead, and let waiting entries share one

Cause: the first write to a segment also syncs the folder, for its name, and a batch with entries of two segments syncs both.

When half of a segment is used, the next one is created and its name made durable beside the writes of files. A segment ends between two batches, unless it would grow by more than 512 KiB. If the name is not durable in time, the write syncs the folder as before.

--- a/source/storage/disk_log.cc
+++ b/source/storage/disk_log.cc
@@ -26,6 +26,9 @@
 namespace fs = std::filesystem;
 
 constexpr std::int64_t kSegmentBytes = 4 * 1024 * 1024;
+// A segment may be larger by this if that spares the entries that wait together
+// a sync of a second one.
+constexpr std::int64_t kMaxSegmentExcess = 512 * 1024;
 // A large sync in the background would slow the others of the device down.
 constexpr std::size_t kMaxBackgroundBatch = 1024 * 1024;
 // Each entry is preceded by its length and its checksum in host byte order.
@@ -33,7 +36,7 @@
 constexpr std::uint32_t kMaxEntryBytes = 64 * 1024 * 1024;
 constexpr const char* kSegmentPrefix = "segment-";
 // Of the file and of the folder.
-constexpr int kSyncsPerReplacement = 2;
+constexpr int kSyncsPerFile = 2;
 
 std::string AddHeader(const std::string& entry) {
   const auto length = static_cast<std::uint32_t>(entry.size());
@@ -89,6 +92,7 @@
     std::unique_ptr<SegmentWriter> writer;
     std::int64_t segment = 0;  // The open one; 0: none.
     std::int64_t bytes = 0;    // Of the open segment.
+    std::int64_t next = 0;     // Whose name is made durable ahead; 0: none.
   };
 
   Impl(Loop& owner, std::string path) : loop(owner), folder(std::move(path)) {
@@ -104,7 +108,7 @@
     // Each start opens new segments: the end of the last ones may have been
     // torn by a crash, and entries after a damaged one cannot be read.
     if (!closed_segments.empty()) {
-      last_segment = *closed_segments.rbegin();
+      last_segment = last_number = *closed_segments.rbegin();
     }
     MakeLane(WriteKind::kForeground, std::numeric_limits<std::size_t>::max());
     MakeLane(WriteKind::kBackground, kMaxBackgroundBatch);
@@ -211,14 +215,39 @@
     if (lane.segment != 0) {
       closed_segments.insert(lane.segment);
     }
-    lane.segment = ++last_segment;
+    lane.segment = lane.next != 0 ? std::exchange(lane.next, 0) : ++last_number;
     lane.bytes = 0;
+    last_segment = std::max(last_segment, lane.segment);
+  }
+
+  bool IsFull(const Lane& lane, std::int64_t size) const {
+    const auto bytes = lane.bytes + size;
+    return lane.bytes > 0 && bytes > kSegmentBytes &&
+           (bytes > kSegmentBytes + kMaxSegmentExcess ||
+            !lane.writer->HasQueued());
+  }
+
+  // The first entries of a segment would wait for a sync of the folder.
+  void NameNextSegment(Lane& lane) {
+    lane.next = ++last_number;
+    file_writer.Post([this, segment = lane.next, writer = lane.writer.get()] {
+      try {
+        DiskFile(SegmentPath(folder, segment), O_WRONLY | O_CREAT).Sync();
+        SyncFolder(folder);
+      } catch (const std::exception&) {
+        // The first write to the segment tries again.
+        return;
+      }
+      ++segments_named;
+      writer->MarkNamed(segment);
+    });
   }
 
   Loop& loop;
   std::string folder;
   std::set<std::int64_t> closed_segments;
-  std::int64_t last_segment = 0;  // The newest one; 0: none.
+  std::int64_t last_segment = 0;  // The newest that was opened; 0: none.
+  std::int64_t last_number = 0;   // Of a segment, also of one not opened yet.
   std::map<std::int64_t, std::int64_t> segment_bytes;
   std::int64_t size_bytes = 0;
   std::size_t pending = 0;  // Entries not synced yet.
@@ -228,6 +257,7 @@
   int counted_files = 0;
 
   std::atomic<int> files_replaced{0};
+  std::atomic<int> segments_named{0};  // Ahead.
   std::mutex mutex;
   std::function<void(WriteKind)> before_write;  // Guarded by `mutex`.
   std::array<Lane, 2> lanes;
@@ -275,14 +305,16 @@
   out.done = std::move(done);
   const auto size = static_cast<std::int64_t>(out.bytes.size());
   auto& lane = impl_->Of(kind);
-  if (lane.segment == 0 ||
-      (lane.bytes > 0 && lane.bytes + size > kSegmentBytes)) {
+  if (lane.segment == 0 || impl_->IsFull(lane, size)) {
     impl_->OpenNextSegment(lane);
   }
   out.segment = lane.segment;
   out.offset = lane.bytes;
   const LogPosition position{out.segment, out.offset, size};
   lane.bytes += size;
+  if (lane.next == 0 && lane.bytes >= kSegmentBytes / 2) {
+    impl_->NameNextSegment(lane);
+  }
   impl_->AddBytes(lane.segment, size);
   ++impl_->pending;
   ++impl_->pending_by_segment[lane.segment];
@@ -315,8 +347,8 @@
   out.foreground = foreground.TakeCounts();
   out.background = background.TakeCounts();
   const int files = impl_->files_replaced;
-  const int syncs =
-      foreground.syncs() + background.syncs() + files * kSyncsPerReplacement;
+  const int syncs = foreground.syncs() + background.syncs() +
+                    (files + impl_->segments_named) * kSyncsPerFile;
   out.syncs = syncs - std::exchange(impl_->counted_syncs, syncs);
   out.files = files - std::exchange(impl_->counted_files, files);
   return out;
--- a/source/storage/segment_writer.cc
+++ b/source/storage/segment_writer.cc
@@ -11,6 +11,11 @@
 
 namespace comfreyfold {
 
+namespace {
+// The open segment, the next one, and those that entries still wait for.
+constexpr std::size_t kMaxNamed = 16;
+}  // namespace
+
 std::string SegmentPath(const std::string& folder, std::int64_t segment) {
   return folder + "/segment-" + std::to_string(segment);
 }
@@ -34,6 +39,25 @@
   thread_.Post([this] { WriteQueued(); });
 }
 
+bool SegmentWriter::HasQueued() {
+  const std::lock_guard lock(mutex_);
+  return !queue_.empty();
+}
+
+void SegmentWriter::MarkNamed(std::int64_t segment) {
+  const std::lock_guard lock(mutex_);
+  // To forget one costs a further sync of the folder.
+  while (named_.size() >= kMaxNamed) {
+    named_.erase(named_.begin());
+  }
+  named_.insert(segment);
+}
+
+bool SegmentWriter::IsNamed(std::int64_t segment) {
+  const std::lock_guard lock(mutex_);
+  return named_.count(segment) > 0;
+}
+
 void SegmentWriter::Remove(std::int64_t segment) {
   thread_.Post([path = SegmentPath(folder_, segment)] {
     std::error_code ec;
@@ -108,10 +132,10 @@
   file.Write(bytes);
   file.Sync();
   ++syncs_;
-  if (segment != named_segment_) {
+  if (!IsNamed(segment)) {
     SyncFolder(folder_);
     ++syncs_;
-    named_segment_ = segment;
+    MarkNamed(segment);
   }
   damaged_segment_ = 0;
 }
--- a/source/storage/segment_writer.h
+++ b/source/storage/segment_writer.h
@@ -6,6 +6,7 @@
 #include <deque>
 #include <functional>
 #include <mutex>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -38,6 +39,11 @@
                 EndHook on_end);
 
   void Append(Entry entry);
+  // Whether an entry waits for the batch under way to end.
+  bool HasQueued();
+  // Takes over that the name of the segment's file is durable. Any thread may
+  // call this.
+  void MarkNamed(std::int64_t segment);
   // Removes the file of a segment before what is appended later is written.
   void Remove(std::int64_t segment);
   // Waits for the batch under way, and writes none after it.
@@ -54,6 +60,7 @@
   void WriteSegment(std::int64_t segment,
                     std::int64_t offset,
                     const std::string& bytes);
+  bool IsNamed(std::int64_t segment);
   void Count(const std::vector<Entry>& batch);
 
   const std::string folder_;
@@ -63,11 +70,12 @@
   std::atomic<int> syncs_{0};  // Since the start.
   // Used by the writing thread only.
   std::int64_t damaged_segment_ = 0;  // 0: none.
-  std::int64_t named_segment_ = 0;    // The last one whose name is durable.
 
   std::mutex mutex_;
   std::deque<Entry> queue_;  // Guarded by `mutex_`.
   EntryCounts counts_;       // Guarded by `mutex_`.
+  // Segments whose names are durable. Guarded by `mutex_`.
+  std::set<std::int64_t> named_;
   JobThread thread_;
 };
 
--- a/tests/vm/disk_log_test.cc
+++ b/tests/vm/disk_log_test.cc
@@ -273,6 +273,33 @@
   });
 }
 
+// A store that crossed a segment waited for three syncs more than others.
+BOOST_AUTO_TEST_CASE(store_that_crosses_a_segment_waits_for_no_further_sync) {
+  WithOpenSegment(
+      3 * kMegabyte, [](Fiber& fiber, DiskLog& log, StepwiseWriter& writer) {
+        writer.Allow(2);
+        bool replaced = false;
+        log.ReplaceFile("fleet", "", [&replaced](bool) { replaced = true; });
+        Await(fiber, replaced);
+        const auto ignore = [](bool) {};
+        log.Append(std::string(kMegabyte / 2, 'a'), ignore);
+        writer.AwaitCall(3);
+        log.Append(std::string(kMegabyte * 2 / 5, 'b'), ignore);
+        log.Append(std::string(kMegabyte / 3, 'c'), ignore);
+        writer.Allow(std::numeric_limits<int>::max());
+        bool stored = false;
+        log.Append("store", [&stored](bool written) { stored = written; });
+        Await(fiber, stored);
+        // The next segment, at the latest.
+        stored = false;
+        log.Append(std::string(kMegabyte, 'd'),
+                   [&stored](bool written) { stored = written; });
+        Await(fiber, stored);
+        BOOST_TEST(log.current_segment() == 2);
+        BOOST_TEST(log.TakeWriteCounts().foreground.most_syncs <= kMostSyncs);
+      });
+}
+
 // Readings that nobody waited for any more kept those of later requests waiting
 // after a stall of the disk, beyond their time too.
 BOOST_AUTO_TEST_CASE(reading_is_left_out_once_its_time_is_over) {
