Send a settlement again that a disk answered without taking it

What callers saw: nothing by itself; a program's next turns may be told budget_held or budget_spent although an earlier turn had settled, while a list still names an emptied disk.

Cause: any answer counted as delivered, also kOtherDisk of an emptied disk and kFailed of one that could not write.

Evidence: settlement_that_an_emptied_disk_refuses_goes_to_all_disks failed before (the third disk was not asked) and passes.

--- a/source/storage/storage_client.cc
+++ b/source/storage/storage_client.cc
@@ -299,7 +299,7 @@
       const bool answered =
           replicas_.CallOne(child, target, request, kSettlementTimeout, reply);
       --sent_settlements_;
-      if (answered) {
+      if (answered && reply.status == StorageStatus::kDone) {
         return;
       }
       // A lost settlement is safe: the tokens stay reserved.
--- /dev/null
+++ b/tests/vm/settlement_test.cc
@@ -0,0 +1,68 @@
+// Settlements that a disk does not take.
+
+#include <chrono>
+#include <map>
+#include <string>
+
+#include <boost/test/unit_test.hpp>
+
+#include "core/wall_clock.h"
+#include "net/http_server.h"
+#include "storage/storage_client.h"
+
+namespace comfreyfold {
+namespace {
+
+using std::chrono::milliseconds;
+
+BOOST_AUTO_TEST_SUITE(storage_change)
+
+// It counted as delivered, and the reservation stayed beside it.
+BOOST_AUTO_TEST_CASE(
+    settlement_that_an_emptied_disk_refuses_goes_to_all_disks) {
+  constexpr std::size_t kCacheBytes = 1024;
+  Loop loop;
+  HttpClient http(loop);
+  FleetView view;
+  DecisionLog log("front");
+  std::map<std::string, int> asked;  // By disk.
+  HttpServer server(loop, [&asked](Fiber&, const HttpRequest& request,
+                                   HttpExchange& exchange) {
+    const auto disk = request.Path().substr(std::string(kStoragePath).size());
+    ++asked[disk];
+    StorageReply reply;
+    reply.status =
+        disk == "d1" ? StorageStatus::kOtherDisk : StorageStatus::kDone;
+    exchange.Reply(200, "", Encode(reply));
+  });
+  const auto address = server.Listen("127.0.0.1:0");
+  StorageList list;
+  list.version = 1;
+  list.epoch = 1;
+  for (const auto* disk : {"d1", "d2", "d3"}) {
+    list.members.push_back({disk, disk, address, "north"});
+  }
+  view.ApplyStorageList(list);
+  StorageClient client(loop, http, view, log, "north", 1, kCacheBytes,
+                       milliseconds(1000));
+  TokenUse use;
+  use.program = "p";
+  use.request = "r1";
+  use.expires_at = WallNow() + milliseconds(60000);
+  loop.Spawn([&](Fiber& fiber) {
+    client.Settle(use);
+    const auto until =
+        std::chrono::steady_clock::now() + std::chrono::seconds(10);
+    while (asked["d3"] == 0 && std::chrono::steady_clock::now() < until) {
+      fiber.Sleep(milliseconds(1));
+    }
+    loop.Stop();
+  });
+  loop.Run();
+  BOOST_TEST(asked["d3"] > 0);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace
+}  // namespace comfreyfold
