Check the process that resumes a stream within limits of its own

- The time limit of the check of the process stayed in force for the exchange that followed, and ended it where the first event took longer.
- A late reply on a kept connection could pass for the report of the process.
The check now has a connection of its own, on which the request follows.
- A report that was slow, or closed its connection, counted as a fault of the server.
It only leads to another one now.
- A stream was refused if its server had ever started anew with another version; only a start at about the time of the stream's leaves a doubt.
- A stream without a reservation waited 1.2 s for its record and was cut without it; where no other version is recorded, it goes on after 0.2 s.
- A registration without a start time matched no process.

--- a/source/front/call.h
+++ b/source/front/call.h
@@ -24,6 +24,10 @@
 
 namespace comfreyfold {
 
+// Added to the retention of turns and reservations to allow for clock skew and
+// slow programs.
+inline constexpr std::chrono::milliseconds kRetentionMargin{30000};
+
 // State of one client request while the daemon handles it.
 struct Call {
   Call(const HttpRequest& client_request,
@@ -53,7 +57,8 @@
   std::optional<TokenUse> reserved_tokens;
   std::int64_t max_events = 0;  // That the reserved tokens allow; 0: any.
   // The software version of the server that wrote the events which the client
-  // has; null: it has none, or does not tell who wrote them.
+  // has, empty if that server tells none; null: it has no events, or does not
+  // tell who wrote them.
   std::optional<std::string> version;
   // What is recorded of the version at which the stream begins.
   TokenUse version_record;
--- a/source/front/call_handler.cc
+++ b/source/front/call_handler.cc
@@ -20,8 +20,6 @@
 constexpr std::chrono::milliseconds kDefaultTimeout{60000};
 constexpr std::chrono::milliseconds kLoadChainTimeout{1200};
 constexpr std::chrono::milliseconds kReserveTimeout{1200};
-// Added to a turn's retention to allow for clock skew and slow programs.
-constexpr std::chrono::milliseconds kRetentionMargin{30000};
 constexpr std::chrono::milliseconds kNoConfigRetryAfter{200};
 constexpr std::chrono::milliseconds kStorageRetryAfter{150};
 constexpr double kMinRetrySpread = 0.5;
@@ -34,6 +32,7 @@
 // About the duration of a turn.
 constexpr std::chrono::milliseconds kBudgetHeldRetryAfter{250};
 constexpr std::chrono::milliseconds kMinStoreTurnTimeout{50};
+constexpr std::size_t kMaxLoggedId = 200;
 
 const char* ToString(StorageClient::ReserveOutcome outcome) {
   switch (outcome) {
@@ -478,7 +477,7 @@
        {"program", call.params.program},
        {"server", call.last_server_id},
        {"version", call.version.value_or("")},
-       {"resumes", call.params.resumed_request},
+       {"resumes", call.params.resumed_request.substr(0, kMaxLoggedId)},
        {"config_version", call.config ? call.config->version : 0},
        {"servers_age_ms",
         std::chrono::duration_cast<std::chrono::milliseconds>(
--- a/source/front/server_call.cc
+++ b/source/front/server_call.cc
@@ -114,10 +114,10 @@
 // The registration may be old: a server can start anew under its id, with
 // another version of its software.
 bool ServerCall::IsRegisteredProcess(const HttpReply& state,
-                                     const Input& input) {
+                                     const Input& input) const {
+  const auto registered = input.slot.server_started;
   const auto started = codec_.decode_process_start(state);
-  other_process_ = started && *started != input.slot.server_started;
-  return !other_process_;
+  return !started || registered.count() == 0 || *started == registered;
 }
 
 void ServerCall::AwaitRecord(Fiber& fiber, const Input& input) {
@@ -198,7 +198,10 @@
       std::min(kConnectTimeout, TimeoutUntil(input.deadline));
   options.idle_timeout = TimeoutUntil(input.deadline);
   // Without an id, nothing tells the reply to this request from an earlier one.
-  options.fresh_connection = input.repeated || input.request_id.empty();
+  // Nor can anything tell a late reply from the one to the check of the
+  // process.
+  options.fresh_connection =
+      input.repeated || input.request_id.empty() || input.checks_process;
   options.body = &input.body;
   options.max_body_bytes = input.route.kind == RequestKind::kStream
                                ? kMaxStreamBytes
@@ -206,11 +209,12 @@
   options.max_idle_time =
       repeatable ? kMaxIdleRepeatable : kMaxIdleUnrepeatable;
   bool reused = false;
-  options.on_sending = [this, &reused, opened = http_.connections_opened()] {
+  options.on_sending = [this, &input, &reused,
+                        opened = http_.connections_opened()] {
     may_have_sent_ = true;
     // A kept connection is taken without a wait, in which others could open
     // theirs.
-    reused = http_.connections_opened() == opened;
+    reused = input.checks_process || http_.connections_opened() == opened;
     progress_at_ = std::chrono::steady_clock::now();
   };
   options.on_head = [this, &input, &reused,
@@ -252,9 +256,12 @@
     ClassifyReply(std::move(reply), input, result);
   } catch (const HttpFailure& e) {
     result.failure = e.what();
+    // Says nothing about the registered server.
+    const bool is_not_accepted =
+        dynamic_cast<const PeerNotAccepted*>(&e) != nullptr;
     result.verdict = may_have_sent_ ? Verdict::kMayHaveRun : Verdict::kNotRun;
     const auto now = std::chrono::steady_clock::now();
-    if (withheld_ || other_process_) {
+    if (withheld_ || is_not_accepted) {
       result.exchange = ExchangeResult::kAbandoned;
     } else if (!client_.broken() && now < input.deadline &&
                now < input.stop_at) {
--- a/source/front/server_call.h
+++ b/source/front/server_call.h
@@ -91,7 +91,7 @@
  private:
   void CheckLeaving(const ServerAnswer& metadata) const;
   ReplyAction HandleHead(const HttpReply& reply, const Input& input);
-  bool IsRegisteredProcess(const HttpReply& state, const Input& input);
+  bool IsRegisteredProcess(const HttpReply& state, const Input& input) const;
   void AwaitRecord(Fiber& fiber, const Input& input);
   void HandleData(Fiber& fiber, std::string_view data, const Input& input);
   // Keeps the data of an event, as a part of the turn's output.
@@ -117,9 +117,8 @@
   // When the request was sent or its answer last got on by an event.
   TimePoint progress_at_ = std::chrono::steady_clock::now();
   bool streaming_ = false;
-  bool recorded_ = false;       // See Input::await_record.
-  bool withheld_ = false;       // It could not be recorded.
-  bool other_process_ = false;  // Than the registered one is at the address.
+  bool recorded_ = false;  // See Input::await_record.
+  bool withheld_ = false;  // It could not be recorded.
   bool may_have_sent_ = false;
 };
 
--- a/source/front/version_guard.cc
+++ b/source/front/version_guard.cc
@@ -14,6 +14,11 @@
 constexpr std::chrono::milliseconds kStorageRetryAfter{150};
 // Clients resume a stream within the time limit of its request.
 constexpr std::chrono::milliseconds kMinRecordTime{60000};
+// From the reservation to the server's start to run it, with clock skew.
+constexpr std::chrono::milliseconds kMaxBeginDelay{2000};
+// How long a healthy stream may wait for a record without which it cannot be
+// resumed.
+constexpr std::chrono::milliseconds kFirstRecordWait{200};
 
 bool MayBeResumed(const Call& call) {
   return call.route->kind == RequestKind::kStream && call.route->resumable;
@@ -47,17 +52,20 @@
   if (!MayBeResumed(call) || !call.params.last_event_id.empty()) {
     return;
   }
-  use.version = admission_.PreferredVersion(call.service, call.params.program);
+  use.version = admission_.PreferredVersion(
+      call.service, RecordKey(call, call.params.request_id));
   use.version_choice = use.version.empty() ? 0 : 1;
 }
 
 std::optional<CallError> VersionGuard::Resume(Call& call, const TokenUse& use) {
-  // Started anew since with another version, the server may have written the
-  // events before or after that.
+  // Started anew with another version at about that time, the server may have
+  // written the events before or after its start.
   const auto& servers = view_.servers().servers();
   const auto it = servers.find(use.server);
   const bool has_changed =
-      it != servers.end() && it->second.version != use.version;
+      it != servers.end() && it->second.version != use.version &&
+      it->second.started < use.expires_at - call.route->retention -
+                               kRetentionMargin + kMaxBeginDelay;
   if (use.version.empty() || has_changed) {
     return NotRunError(kUnavailable, "version_unknown",
                        "the software version that began this stream is not "
@@ -105,9 +113,12 @@
   call.version_store = store;
   log_.Write("stream_version", call.params.request_id,
              {{"version", record.version}, {"choice", record.version_choice}});
-  return [store, timeout](Fiber& fiber) {
-    store->changed.WaitUntil(fiber, timeout, [&store] { return store->ended; });
-    return store->stored;
+  // As long as no other version is recorded, a reader finds this one or none.
+  const bool is_first = record.version_choice == 1;
+  const auto wait = is_first ? std::min(kFirstRecordWait, timeout) : timeout;
+  return [store, wait, is_first](Fiber& fiber) {
+    store->changed.WaitUntil(fiber, wait, [&store] { return store->ended; });
+    return store->stored || is_first;
   };
 }
 
--- a/source/net/http_client.cc
+++ b/source/net/http_client.cc
@@ -455,19 +455,22 @@
   bool distrusted_ = false;
 };
 
-// Throws HttpFailure unless the process at the other end is accepted.
+// Throws PeerNotAccepted unless the process at the other end is accepted. The
+// time limits of the check must not hold for the exchange that follows.
 void CheckPeer(Fiber& fiber,
                const std::string& address,
                Connection& connection,
-               ExchangeWatchdog& watchdog,
+               boost::asio::io_context& io,
                const ClientMessage& message,
                const HttpOptions& options) {
   constexpr std::chrono::milliseconds kMaxTime{500};
-  constexpr std::uint64_t kMaxBytes = 1024UL * 1024;
+  constexpr std::uint64_t kMaxBytes = 64UL * 1024;
   HttpOptions check_options;
   check_options.idle_timeout = std::min(options.idle_timeout, kMaxTime);
   check_options.max_body_bytes = kMaxBytes;
   check_options.cancelled = options.cancelled;
+  ExchangeWatchdog watchdog(io, connection.stream, check_options.cancelled,
+                            kMaxTime);
   connection.stream.expires_after(check_options.idle_timeout);
   bool accepted = false;
   try {
@@ -479,12 +482,14 @@
     HttpReply reply;
     ReplyReader reader(fiber, address, connection, watchdog, check_options);
     reader.Read(reply);
-    accepted = reader.keep_alive() && options.accept_peer(reply);
+    accepted = options.accept_peer(reply) && reader.keep_alive();
   } catch (const HttpFailure& e) {
-    throw HttpFailure(e.what(), false);
+    throw PeerNotAccepted(e.what());
   }
   if (!accepted) {
-    throw HttpFailure(address + " is not the expected process", false);
+    throw PeerNotAccepted(address +
+                          " is not the expected process, or closes the "
+                          "connection");
   }
 }
 
@@ -509,12 +514,12 @@
   }
   auto& stream = connection->stream;
 
-  ExchangeWatchdog watchdog(impl_->loop.impl().io, stream, options.cancelled,
-                            options.total_timeout);
   if (options.peer_check != nullptr) {
-    CheckPeer(fiber, address, *connection, watchdog,
+    CheckPeer(fiber, address, *connection, impl_->loop.impl().io,
               impl_->BuildMessage(address, *options.peer_check, ""), options);
   }
+  ExchangeWatchdog watchdog(impl_->loop.impl().io, stream, options.cancelled,
+                            options.total_timeout);
   const auto message = impl_->BuildMessage(
       address, request, options.body != nullptr ? *options.body : request.body);
   if (options.on_sending) {
--- a/source/net/http_client.h
+++ b/source/net/http_client.h
@@ -26,6 +26,14 @@
   bool sent_;
 };
 
+// Thrown when the process at the other end is not the one to send a request to,
+// or did not say so in time. Nothing of the request was sent.
+class PeerNotAccepted : public HttpFailure {
+ public:
+  explicit PeerNotAccepted(const std::string& what)
+      : HttpFailure(what, false) {}
+};
+
 // What to do with a reply whose status and headers have arrived.
 enum class ReplyAction {
   kAccept,    // Read it as the reply to this request.
@@ -66,7 +74,7 @@
   // to pause reading: data that arrives meanwhile is delivered as one piece.
   std::function<std::chrono::milliseconds()> read_pause;
   // Sent before the request on the same connection, unless null, to learn which
-  // process answers there. The exchange ends with HttpFailure before the
+  // process answers there. The exchange ends with PeerNotAccepted before the
   // request is sent if `accept_peer` returns false for the reply, or there is
   // none.
   const HttpRequest* peer_check = nullptr;
--- a/tests/vm/stream_versions_test.cc
+++ b/tests/vm/stream_versions_test.cc
@@ -222,6 +222,25 @@
   });
 }
 
+// The time limit of the check ended the exchange that followed it.
+BOOST_AUTO_TEST_CASE(slow_event_after_the_check_of_the_process_is_waited_for) {
+  WithTwoVersions([](Fiber& fiber, VmDeployment& deployment) {
+    BeginStreams(fiber, deployment, true);
+    for (const auto& id : kServers) {
+      deployment.server(id).service->SetStarted(std::chrono::milliseconds(1));
+      deployment.server(id).service->SetStateTime(
+          std::chrono::milliseconds(100));
+      deployment.server(id).service->SetWorkTime(
+          std::chrono::milliseconds(1000));
+    }
+    BOOST_TEST(
+        deployment
+            .Send(fiber, deployment.vm("front-2"), Resumed("r1+2", "r1", true))
+            .status == kOk);
+    BOOST_TEST(VersionsOf(deployment, "r1+2").size() == 1U);
+  });
+}
+
 BOOST_AUTO_TEST_CASE(stream_of_unknown_version_is_refused_as_not_run) {
   for (const bool has_program : {true, false}) {
     WithTwoVersions([has_program](Fiber& fiber, VmDeployment& deployment) {
