Fill segments of the lane that the storage tests are about

FillSegments wrote with StoreCopied, which writes to the background lane since that has segments of its own. The stores under test are foreground entries, so that their segment was never closed, and the following four tests passed whatever happens to a segment that is no longer needed: use_stored_again_after_a_failed_write_stays_on_disk, turn_stored_again_after_a_failed_write_stays_on_disk, turn_stored_again_for_longer_outlives_its_first_segment and few_turns_that_live_long_do_not_fill_the_disk.

They fill segments with stores now. The test about copied uses keeps copies.

--- a/tests/vm/storage_node_test.cc
+++ b/tests/vm/storage_node_test.cc
@@ -40,8 +40,10 @@
   return out;
 }
 
-// Writes turns that have expired, until a later segment of the log is written.
-void FillSegments(Fiber& fiber, StorageNode& node) {
+// Passes turns that have expired to `store`, until a later segment of the log
+// is written.
+void FillSegments(StorageNode& node,
+                  const std::function<bool(const StorageRequest&)>& store) {
   const auto first = node.disk_log().current_segment();
   for (int n = 0; node.disk_log().current_segment() < first + kSegmentsFilled;
        ++n) {
@@ -49,11 +51,17 @@
     request.turns.push_back({"t" + std::to_string(first) + std::to_string(n),
                              "", std::string(kTurnBytes, 'x'), "",
                              WallNow() - milliseconds(1)});
-    const bool stored = node.StoreCopied(fiber, std::move(request));
-    BOOST_REQUIRE(stored);
+    BOOST_REQUIRE(store(request));
   }
 }
 
+// The same with copies, which are written to segments of their own.
+void FillCopiedSegments(Fiber& fiber, StorageNode& node) {
+  FillSegments(node, [&](const StorageRequest& request) {
+    return node.StoreCopied(fiber, request);
+  });
+}
+
 // One disk that answers requests. It may refuse writes.
 class OneDisk {
  public:
@@ -160,6 +168,12 @@
   std::filesystem::remove_all(disk->folder());
 }
 
+void FillSegments(Fiber& fiber, OneDisk& disk) {
+  FillSegments(disk.node(), [&](const StorageRequest& request) {
+    return disk.Store(fiber, request).status == StorageStatus::kDone;
+  });
+}
+
 BOOST_AUTO_TEST_SUITE(storage_node)
 
 // Segments were removed when the uses in them had expired, although a program
@@ -179,7 +193,7 @@
     early.uses = {UseOf("r1", WallNow() + milliseconds(1))};
     BOOST_REQUIRE(node->StoreCopied(fiber, early));
     const auto first = node->disk_log().current_segment();
-    FillSegments(fiber, *node);
+    FillCopiedSegments(fiber, *node);
     StorageRequest late;
     late.uses = {UseOf("r2", WallNow() + milliseconds(60000))};
     BOOST_REQUIRE(node->StoreCopied(fiber, late));
@@ -210,7 +224,7 @@
     BOOST_TEST((disk.Store(fiber, request).status == StorageStatus::kFailed));
     disk.Refuse(false);
     BOOST_TEST((disk.Store(fiber, request).status == StorageStatus::kDone));
-    FillSegments(fiber, disk.node());
+    FillSegments(fiber, disk);
     disk.ExpireForAWhile(fiber);
     disk.Restart();
     BOOST_TEST(disk.node().tokens().ForProgram("p").size() == 1U);
@@ -223,7 +237,7 @@
     BOOST_TEST((disk.StoreTurn(fiber, "t1") == StorageStatus::kFailed));
     disk.Refuse(false);
     BOOST_TEST((disk.StoreTurn(fiber, "t1") == StorageStatus::kDone));
-    FillSegments(fiber, disk.node());
+    FillSegments(fiber, disk);
     disk.ExpireForAWhile(fiber);
     disk.Restart();
     BOOST_TEST(disk.node().turns().Find("t1") != nullptr);
@@ -234,9 +248,9 @@
   WithOneDisk([](Fiber& fiber, OneDisk& disk) {
     const milliseconds first{1};
     BOOST_TEST((disk.StoreTurn(fiber, "t1", first) == StorageStatus::kDone));
-    FillSegments(fiber, disk.node());
+    FillSegments(fiber, disk);
     BOOST_TEST((disk.StoreTurn(fiber, "t1") == StorageStatus::kDone));
-    FillSegments(fiber, disk.node());
+    FillSegments(fiber, disk);
     disk.ExpireForAWhile(fiber);
     disk.Restart();
     disk.node().Expire();
@@ -473,7 +487,7 @@
       request.turns = {{ids.back(), "", input + std::to_string(n), "out",
                         WallNow() + milliseconds(60000)}};
       BOOST_TEST((disk.Store(fiber, request).status == StorageStatus::kDone));
-      FillSegments(fiber, disk.node());
+      FillSegments(fiber, disk);
       disk.ExpireForAWhile(fiber);
     }
     BOOST_TEST(disk.node().disk_log_bytes() < kDisk / 8 * 5);
