End a batch of entries with its segment

A batch that crossed a segment was synced segment by segment and ended as a whole. A reservation in the first segment waited for the sync of the second one, which may be several megabytes, and was reported as failed, although it had been synced, when the write to the second one failed: the caller gave it up, and the disk wrote it a second time.

No entry of another segment joins a batch now. IsFull() is unchanged: entries that wait together still share a segment up to kMaxSegmentExcess, and store_that_crosses_a_segment_waits_for_no_further_sync holds.

--- a/source/storage/segment_writer.cc
+++ b/source/storage/segment_writer.cc
@@ -81,13 +81,15 @@
   on_end_(std::move(batch), synced);
 }
 
+// Entries of one segment do not wait for the sync of another, nor fail with it.
 std::vector<SegmentWriter::Entry> SegmentWriter::TakeBatch() {
   std::vector<Entry> out;
   std::size_t bytes = 0;
   const std::lock_guard lock(mutex_);
   while (!queue_.empty() &&
          (out.empty() ||
-          bytes + queue_.front().bytes.size() <= max_batch_bytes_)) {
+          (queue_.front().segment == out.front().segment &&
+           bytes + queue_.front().bytes.size() <= max_batch_bytes_))) {
     bytes += queue_.front().bytes.size();
     out.push_back(std::move(queue_.front()));
     queue_.pop_front();
@@ -97,16 +99,11 @@
 
 bool SegmentWriter::Write(const std::vector<Entry>& batch) {
   try {
-    std::size_t first = 0;
-    while (first < batch.size()) {
-      std::string bytes;
-      const auto segment = batch[first].segment;
-      const auto offset = batch[first].offset;
-      while (first < batch.size() && batch[first].segment == segment) {
-        bytes += batch[first++].bytes;
-      }
-      WriteSegment(segment, offset, bytes);
+    std::string bytes;
+    for (const auto& it : batch) {
+      bytes += it.bytes;
     }
+    WriteSegment(batch.front().segment, batch.front().offset, bytes);
   } catch (const std::exception&) {
     // The callers, who are told, write the log lines.
     return false;
--- a/source/storage/segment_writer.h
+++ b/source/storage/segment_writer.h
@@ -17,8 +17,8 @@
 namespace comfreyfold {
 
 // Appends entries to segment files in a thread of its own, in the order in
-// which they were queued. All that is queued while a sync is under way shares
-// the next one, as far as the size of a batch allows.
+// which they were queued. All that is queued for one segment while a sync is
+// under way shares the next one, as far as the size of a batch allows.
 class SegmentWriter {
  public:
   struct Entry {
@@ -29,7 +29,8 @@
     TimePoint queued_at{};  // Set by Append().
     int syncs_before = 0;   // The same.
   };
-  // Receives, in the writing thread, a batch and whether it has been synced.
+  // Receives, in the writing thread, a batch, all of one segment, and whether
+  // it has been synced.
   using EndHook = std::function<void(std::vector<Entry>, bool)>;
 
   // `is_refused` is asked before each batch, in the writing thread.
--- a/tests/vm/disk_log_test.cc
+++ b/tests/vm/disk_log_test.cc
@@ -307,6 +307,31 @@
       });
 }
 
+// They waited for both syncs, and failed with the later one.
+BOOST_AUTO_TEST_CASE(entries_of_a_segment_end_before_the_next_one_is_synced) {
+  WithOpenSegment(1, [](Fiber& fiber, DiskLog& log, StepwiseWriter& writer) {
+    constexpr int kLateCall = 4;
+    log.Append("one", [](bool) {});
+    writer.AwaitCall(2);
+    bool early_stored = false;
+    log.Append("early", [&](bool written) { early_stored = written; });
+    bool late_ended = false;
+    bool late_stored = false;
+    const auto late = log.Append(std::string(5 * kMegabyte, 'l'), [&](bool it) {
+      late_ended = true;
+      late_stored = it;
+    });
+    BOOST_TEST(late.segment == 2);
+    writer.Refuse(kLateCall);
+    writer.Allow(kLateCall - 1);
+    Await(fiber, early_stored);
+    BOOST_TEST(!late_ended);
+    writer.Allow(std::numeric_limits<int>::max());
+    Await(fiber, late_ended);
+    BOOST_TEST(!late_stored);
+  });
+}
+
 // Readings that nobody waited for any more kept those of later requests waiting
 // after a stall of the disk, beyond their time too.
 BOOST_AUTO_TEST_CASE(reading_is_left_out_once_its_time_is_over) {
