Name segments ahead in a thread of its own

The next segment of a lane was named, with a sync of the file and one of the folder, in the thread that replaces files. A storage list (`members`), which the whole deployment waits for when it changes, could wait for two syncs more for each lane whose segment was half full.

Naming has a thread of its own. DiskLog::BeforeWrite stays as it is: the test holds the naming up with a FIFO at the path of the next segment, which a writer opens only once it is read.

--- a/source/storage/disk_log.cc
+++ b/source/storage/disk_log.cc
@@ -84,9 +84,9 @@
 
 }  // namespace
 
-// Entries of each kind have a thread and an open segment of their own, and the
-// files that are replaced another thread: a sync of one does not wait for those
-// of the others.
+// Entries of each kind have a thread and an open segment of their own, the
+// files that are replaced another thread, and so have the segments that are
+// named ahead: a sync of one does not wait for those of the others.
 struct DiskLog::Impl : std::enable_shared_from_this<DiskLog::Impl> {
   struct Lane {
     std::unique_ptr<SegmentWriter> writer;
@@ -230,7 +230,7 @@
   // The first entries of a segment would wait for a sync of the folder.
   void NameNextSegment(Lane& lane) {
     lane.next = ++last_number;
-    file_writer.Post([this, segment = lane.next, writer = lane.writer.get()] {
+    namer.Post([this, segment = lane.next, writer = lane.writer.get()] {
       try {
         DiskFile(SegmentPath(folder, segment), O_WRONLY | O_CREAT).Sync();
         SyncFolder(folder);
@@ -262,6 +262,7 @@
   std::function<void(WriteKind)> before_write;  // Guarded by `mutex`.
   std::array<Lane, 2> lanes;
   JobThread file_writer;
+  JobThread namer;
   JobThread reader;
 };
 
@@ -273,6 +274,7 @@
     it.writer->Stop();
   }
   impl_->file_writer.Stop();
+  impl_->namer.Stop();
   impl_->reader.Stop();
 }
 
--- a/tests/vm/disk_log_test.cc
+++ b/tests/vm/disk_log_test.cc
@@ -227,12 +227,16 @@
 // The sync under way and its own.
 constexpr int kMostSyncs = 2;
 
-void Await(Fiber& fiber, const bool& done) {
+bool Wait(Fiber& fiber, const bool& done) {
   for (const auto until = Soon();
        !done && std::chrono::steady_clock::now() < until;) {
     fiber.Sleep(std::chrono::milliseconds(1));
   }
-  BOOST_REQUIRE(done);
+  return done;
+}
+
+void Await(Fiber& fiber, const bool& done) {
+  BOOST_REQUIRE(Wait(fiber, done));
 }
 
 // Runs `body` with a log whose first segment has an entry of `bytes`.
@@ -307,6 +311,27 @@
       });
 }
 
+// The storage list, which all wait for, was stored after two syncs more.
+BOOST_AUTO_TEST_CASE(file_is_replaced_while_a_segment_is_named) {
+  const TempFolder folder;
+  const auto named = folder.path() + "/segment-2";
+  Loop loop;
+  DiskLog log(loop, folder.path());
+  BOOST_REQUIRE(mkfifo(named.c_str(), S_IRUSR | S_IWUSR) == 0);
+  bool replaced = false;
+  loop.Spawn([&](Fiber& fiber) {
+    // Has the next segment named.
+    log.Append(std::string(3 * kMegabyte, 'x'), [](bool) {});
+    log.ReplaceFile("members", "", [&replaced](bool it) { replaced = it; });
+    Wait(fiber, replaced);
+    BOOST_TEST(replaced);
+    // Ends the naming: to open the file for writing waits for this.
+    const std::ifstream file(named);
+    loop.Stop();
+  });
+  loop.Run();
+}
+
 // They waited for both syncs, and failed with the later one.
 BOOST_AUTO_TEST_CASE(entries_of_a_segment_end_before_the_next_one_is_synced) {
   WithOpenSegment(1, [](Fiber& fiber, DiskLog& log, StepwiseWriter& writer) {
