Do not sort a disk last that has moved to another address

ReplicaClient remembered by the id of a disk alone that the daemon at its address has another one. Only an answer of that disk cleared this, and as it was sorted behind all others, slow and failing ones too, it was seldom asked: a disk that was brought up at another address could stay last for as long as the client ran.

The address belongs to the key now. An answer clears the entry of its own address only.

--- a/source/storage/replica_client.cc
+++ b/source/storage/replica_client.cc
@@ -102,6 +102,11 @@
          (slow != slow_at_.end() && now - slow->second < kSuspicionTime);
 }
 
+// Its disk may have moved to another address.
+bool ReplicaClient::IsReplaced(const StorageMember& member) const {
+  return replaced_.count({member.disk, member.address}) > 0;
+}
+
 bool ReplicaClient::NeedsRelay(const StorageMember& member) const {
   const auto it = last_failures_.find(member.address);
   return relays_ && it != last_failures_.end() &&
@@ -141,7 +146,7 @@
   // A rank that changed during the sort would break the order that it needs.
   const auto rank =
       [this, now = std::chrono::steady_clock::now()](const StorageMember& it) {
-        return std::tuple(replaced_.count(it.disk) > 0, IsSuspected(it, now),
+        return std::tuple(IsReplaced(it), IsSuspected(it, now),
                           it.data_centre != data_centre_);
       };
   std::stable_sort(
@@ -159,8 +164,7 @@
   ranked.reserve(members.size());
   for (const auto& it : members) {
     const auto turn = seen[it.data_centre]++;
-    ranked.push_back(
-        {{replaced_.count(it.disk) > 0, IsSuspected(it, now), turn}, it});
+    ranked.push_back({{IsReplaced(it), IsSuspected(it, now), turn}, it});
   }
   std::stable_sort(
       ranked.begin(), ranked.end(),
@@ -263,9 +267,9 @@
 void ReplicaClient::ObserveDisk(const StorageMember& member,
                                 const StorageReply& reply) {
   if (reply.status == StorageStatus::kOtherDisk) {
-    replaced_.insert(member.disk);
+    replaced_.insert({member.disk, member.address});
   } else {
-    replaced_.erase(member.disk);
+    replaced_.erase({member.disk, member.address});
   }
   if (on_reply_) {
     on_reply_(member, reply);
--- a/source/storage/replica_client.h
+++ b/source/storage/replica_client.h
@@ -163,6 +163,8 @@
   AdaptiveTimeout& AnswerTime(const std::string& address);
   // Whether a request to `member` failed or was slow recently.
   bool IsSuspected(const StorageMember& member, TimePoint now) const;
+  // Whether the daemon at the address of `member` has another disk.
+  bool IsReplaced(const StorageMember& member) const;
   // Whether `member` can be reached through relays only: the last direct
   // attempt found no connection, or this daemon is cut off.
   bool NeedsRelay(const StorageMember& member) const;
@@ -184,9 +186,9 @@
   std::map<std::string, AdaptiveTimeout> answer_times_;  // By address.
   // When a request that needs the disk was last overdue, by address.
   std::map<std::string, TimePoint> slow_at_;
-  // Disks whose VMs answered that they have another one. The lists name them
-  // until they are replaced there too.
-  std::set<std::string> replaced_;
+  // Disks, with the addresses that answered that they have another one. The
+  // lists name them until they are replaced there too.
+  std::set<std::pair<std::string, std::string>> replaced_;
   // When a failing member last answered again, by address.
   std::map<std::string, TimePoint> regained_at_;
   std::function<std::vector<std::string>()> relays_;
--- a/tests/vm/replica_client_test.cc
+++ b/tests/vm/replica_client_test.cc
@@ -249,6 +249,31 @@
   });
 }
 
+// It was sorted behind the others for as long as the client ran.
+BOOST_AUTO_TEST_CASE(disk_that_moved_to_another_address_is_not_sorted_last) {
+  WithDaemons([](Fiber& fiber, Daemons& daemons) {
+    const auto before = Before(daemons.all[0]->member());
+    const auto other = daemons.all[1]->member();
+    auto moved = before;
+    moved.address = daemons.all[2]->member().address;
+    StorageRequest request;
+    StorageReply reply;
+    BOOST_REQUIRE(daemons.client.CallOne(fiber, before, request,
+                                         milliseconds(5000), reply));
+    BOOST_TEST((reply.status == StorageStatus::kOtherDisk));
+    const std::vector<std::string> expected{"d1-before", "d2"};
+    BOOST_TEST(
+        Disks(daemons.client.SortByPreference({moved, other})) == expected,
+        boost::test_tools::per_element());
+    BOOST_TEST(
+        Disks(daemons.client.SpreadOverDataCentres({moved, other})) == expected,
+        boost::test_tools::per_element());
+    BOOST_TEST(Disks(daemons.client.SortByPreference({before, other})) ==
+                   (std::vector<std::string>{"d2", "d1-before"}),
+               boost::test_tools::per_element());
+  });
+}
+
 BOOST_AUTO_TEST_CASE(chains_are_read_directly_while_disks_do_not_sync) {
   WithDaemons([](Fiber& fiber, Daemons& daemons) {
     for (const auto& it : daemons.all) {
