--- a/tests/vm/disk_log_test.cc
+++ b/tests/vm/disk_log_test.cc
@@ -6,6 +6,7 @@
 #include <fstream>
 #include <functional>
 #include <limits>
+#include <stdexcept>
 #include <thread>
 #include <vector>
 
@@ -169,6 +170,9 @@
       while (allowed_ < call) {
         std::this_thread::yield();
       }
+      if (call == refused_) {
+        throw std::runtime_error("refused");
+      }
     });
   }
   void AwaitCall(int call) const {
@@ -177,10 +181,13 @@
     }
   }
   void Allow(int calls) { allowed_ = calls; }
+  // Has the write of that call fail.
+  void Refuse(int call) { refused_ = call; }
 
  private:
   std::atomic<int> begun_{0};
   std::atomic<int> allowed_{0};
+  std::atomic<int> refused_{0};
 };
 
 // It was reported as stored at an offset where the segment has nothing.
@@ -191,16 +198,14 @@
   DiskLog log(loop, folder.path());
   StepwiseWriter writer(log);
   const auto ignore = [](bool) {};
-  log.ReplaceFile("members", "", ignore);
+  log.Append("one", ignore);
   writer.AwaitCall(1);
-  // A write to this one fails, and the entry of the next segment with it.
-  fs::create_directory(folder.path() + "/segment-1");
-  log.Append(std::string(5000000, 'a'), ignore);
-  BOOST_TEST(log.Append("two", ignore).segment == 2);
+  log.Append("two", ignore);
+  writer.Refuse(2);
   writer.Allow(1);
   writer.AwaitCall(2);
-  bool stored = false;
-  std::string found;
+  bool stored = true;
+  std::string found = "none";
   LogPosition position;
   position = log.Append("three", [&](bool written) {
     stored = written;
@@ -209,23 +214,29 @@
       loop.Stop();
     });
   });
-  BOOST_TEST(position.segment == 2);
+  // The same segment as before the failure.
+  BOOST_TEST(position.segment == 1);
   writer.Allow(kCalls);
   loop.Spawn([](Fiber& fiber) { fiber.Sleep(std::chrono::seconds(20)); });
   loop.Run();
-  BOOST_TEST(found == (stored ? "three" : ""));
+  BOOST_TEST(!stored);
+  BOOST_TEST(found.empty());
 }
 
 constexpr std::size_t kMegabyte = 1024 * 1024;
 // The sync under way and its own.
 constexpr int kMostSyncs = 2;
 
-void Await(Fiber& fiber, const bool& done) {
+bool Wait(Fiber& fiber, const bool& done) {
   for (const auto until = Soon();
        !done && std::chrono::steady_clock::now() < until;) {
     fiber.Sleep(std::chrono::milliseconds(1));
   }
-  BOOST_REQUIRE(done);
+  return done;
+}
+
+void Await(Fiber& fiber, const bool& done) {
+  BOOST_REQUIRE(Wait(fiber, done));
 }
 
 // Runs `body` with a log whose first segment has an entry of `bytes`.
@@ -300,6 +311,52 @@
       });
 }
 
+// The storage list, which all wait for, was stored after two syncs more.
+BOOST_AUTO_TEST_CASE(file_is_replaced_while_a_segment_is_named) {
+  const TempFolder folder;
+  const auto named = folder.path() + "/segment-2";
+  Loop loop;
+  DiskLog log(loop, folder.path());
+  BOOST_REQUIRE(mkfifo(named.c_str(), S_IRUSR | S_IWUSR) == 0);
+  bool replaced = false;
+  loop.Spawn([&](Fiber& fiber) {
+    // Has the next segment named.
+    log.Append(std::string(3 * kMegabyte, 'x'), [](bool) {});
+    log.ReplaceFile("members", "", [&replaced](bool it) { replaced = it; });
+    Wait(fiber, replaced);
+    BOOST_TEST(replaced);
+    // Ends the naming: to open the file for writing waits for this.
+    const std::ifstream file(named);
+    loop.Stop();
+  });
+  loop.Run();
+}
+
+// They waited for both syncs, and failed with the later one.
+BOOST_AUTO_TEST_CASE(entries_of_a_segment_end_before_the_next_one_is_synced) {
+  WithOpenSegment(1, [](Fiber& fiber, DiskLog& log, StepwiseWriter& writer) {
+    constexpr int kLateCall = 4;
+    log.Append("one", [](bool) {});
+    writer.AwaitCall(2);
+    bool early_stored = false;
+    log.Append("early", [&](bool written) { early_stored = written; });
+    bool late_ended = false;
+    bool late_stored = false;
+    const auto late = log.Append(std::string(5 * kMegabyte, 'l'), [&](bool it) {
+      late_ended = true;
+      late_stored = it;
+    });
+    BOOST_TEST(late.segment == 2);
+    writer.Refuse(kLateCall);
+    writer.Allow(kLateCall - 1);
+    Await(fiber, early_stored);
+    BOOST_TEST(!late_ended);
+    writer.Allow(std::numeric_limits<int>::max());
+    Await(fiber, late_ended);
+    BOOST_TEST(!late_stored);
+  });
+}
+
 // Readings that nobody waited for any more kept those of later requests waiting
 // after a stall of the disk, beyond their time too.
 BOOST_AUTO_TEST_CASE(reading_is_left_out_once_its_time_is_over) {
