Ask only engines for their state before a stream goes on

Plain services do not report their state. The servers of foreign_answers and broken_answers, which write raw bytes, took the request for the state for one of the test's own and ended: they answer it like a probe. The checks are unchanged.

--- a/source/front/call_dispatcher.cc
+++ b/source/front/call_dispatcher.cc
@@ -139,6 +139,12 @@
   return QuarantinedError(left);
 }
 
+// Only engines report their state.
+bool CallDispatcher::IsEngineCall(const Call& call) {
+  const auto it = call.config->services.find(call.service);
+  return it != call.config->services.end() && it->second.engine.has_value();
+}
+
 ServerCallResult CallDispatcher::Send(Fiber& fiber,
                                       Call& call,
                                       const SlotResult& slot_result) {
@@ -168,11 +174,12 @@
   });
   server_call.OnLeaving([this, &slot] { admission_.ObserveLeaving(slot); });
   auto result = server_call.Run(
-      fiber, {*call.route, call.params.request_id, request,
-              call.body ? *call.body : call.request.body, slot, call.arrived,
-              call.deadline, stop_at_, call.max_events,
-              !call.tried_addresses.insert(slot.address).second, await_record,
-              call.version.has_value(), call.answer_memory});
+      fiber,
+      {*call.route, call.params.request_id, request,
+       call.body ? *call.body : call.request.body, slot, call.arrived,
+       call.deadline, stop_at_, call.max_events,
+       !call.tried_addresses.insert(slot.address).second, await_record,
+       call.version.has_value() && IsEngineCall(call), call.answer_memory});
   if (call.progress.events > events_before) {
     call.version = slot.server_version;
   }
--- a/source/front/call_dispatcher.h
+++ b/source/front/call_dispatcher.h
@@ -51,6 +51,7 @@
                         Call& call,
                         const SlotResult& slot_result);
   bool MayRetry(const Call& call, const ServerCallResult& result) const;
+  static bool IsEngineCall(const Call& call);
   // The end of the call's time: its deadline, or the stop of the daemon.
   TimePoint EndOf(const Call& call) const;
 
--- a/tests/vm/raw_answers.cc
+++ b/tests/vm/raw_answers.cc
@@ -8,6 +8,10 @@
 namespace comfreyfold {
 
 std::string RequestIdOf(const std::string& head) {
+  // Asks for the server's state, before a stream goes on there.
+  if (head.rfind("GET /api/report ", 0) == 0) {
+    return "probe";
+  }
   const std::string name = "Request-Id: ";
   const auto n = head.find(name);
   return n == std::string::npos
