--- a/tests/vm/settlement_test.cc
+++ b/tests/vm/settlement_test.cc
@@ -21,13 +21,16 @@
 BOOST_AUTO_TEST_CASE(
     settlement_that_an_emptied_disk_refuses_goes_to_all_disks) {
   constexpr std::size_t kCacheBytes = 1024;
-  Loop loop;
-  HttpClient http(loop);
-  FleetView view;
-  DecisionLog log("front");
-  std::map<std::string, int> asked;  // By disk.
-  HttpServer server(loop, [&asked](Fiber&, const HttpRequest& request,
-                                   HttpExchange& exchange) {
+  // Coroutines that have not ended refer to these objects, which are never
+  // destroyed.
+  auto& loop = *new Loop;
+  auto& http = *new HttpClient(loop);
+  auto& view = *new FleetView;
+  auto& log = *new DecisionLog("front");
+  auto& asked = *new std::map<std::string, int>;  // By disk.
+  auto& server = *new HttpServer(loop, [&asked](Fiber&,
+                                                const HttpRequest& request,
+                                                HttpExchange& exchange) {
     const auto disk = request.Path().substr(std::string(kStoragePath).size());
     ++asked[disk];
     StorageReply reply;
@@ -43,8 +46,8 @@
     list.members.push_back({disk, disk, address, "north"});
   }
   view.ApplyStorageList(list);
-  StorageClient client(loop, http, view, log, "north", 1, kCacheBytes,
-                       milliseconds(1000));
+  auto& client = *new StorageClient(loop, http, view, log, "north", 1,
+                                    kCacheBytes, milliseconds(1000));
   TokenUse use;
   use.program = "p";
   use.request = "r1";
