--- a/review/harness-2/fleet.cc
+++ b/review/harness-2/fleet.cc
@@ -126,15 +126,7 @@
                         int fronts_per_zone) {
   zones_ = zones;
   for (const auto& zone : zones) {
-    auto storage = std::make_unique<Machine>();
-    storage->name = "storage-" + zone + "-1";
-    storage->zone = zone;
-    storage->ip = NextIp();
-    storage->data_folder = (folder_ / storage->name).string();
-    fs::create_directories(storage->data_folder);
-    storage->control = FreeAddressAt(storage->ip);
-    storage->internal = FreeAddressAt(storage->ip);
-    machines_[storage->name] = std::move(storage);
+    AddStorage(zone, "storage-" + zone + "-1");
     for (int n = 1; n <= fronts_per_zone; ++n) {
       auto front = std::make_unique<Machine>();
       front->name = "front-" + zone + "-" + std::to_string(n);
@@ -148,6 +140,25 @@
   }
 }
 
+Fleet::Machine& Fleet::AddStorage(const std::string& zone,
+                                  const std::string& name) {
+  auto& out = machines_[name];
+  out = std::make_unique<Machine>();
+  out->name = name;
+  out->zone = zone;
+  out->ip = NextIp();
+  out->data_folder = (folder_ / name).string();
+  fs::create_directories(out->data_folder);
+  out->control = FreeAddressAt(out->ip);
+  out->internal = FreeAddressAt(out->ip);
+  return *out;
+}
+
+void Fleet::Wipe(const Machine& machine) {
+  fs::remove_all(machine.data_folder);
+  fs::create_directories(machine.data_folder);
+}
+
 Fleet::Machine& Fleet::FrontOf(const std::string& zone, int n) {
   return machine("front-" + zone + "-" + std::to_string(n));
 }
--- a/review/harness-2/fleet.h
+++ b/review/harness-2/fleet.h
@@ -105,6 +105,10 @@
   // One front machine and one storage machine in each zone.
   void AddMachines(const std::vector<std::string>& zones,
                    int fronts_per_zone = 1);
+  // A further storage machine, which is not started yet.
+  Machine& AddStorage(const std::string& zone, const std::string& name);
+  // Removes all files of a machine whose process has ended.
+  static void Wipe(const Machine& machine);
   void WriteConfig(int version,
                    const std::vector<RouteSpec>& routes,
                    const std::vector<ServiceSpec>& services);
--- a/review/harness-2/main.cc
+++ b/review/harness-2/main.cc
@@ -2,11 +2,13 @@
 //   review-2 server --id ID --version V --born MS --slots N --listen IP:PORT
 //   review-2 budget RECORD
 //   review-2 versions RECORD
+//   review-2 replacement RECORD
 
 #include <cstdio>
 #include <string>
 
 #include "budget_case.h"
+#include "replacement_case.h"
 #include "server.h"
 #include "versions_case.h"
 
@@ -23,6 +25,9 @@
     if (what == "versions" && argc > 2) {
       return RunVersionsCase(argv[2]);
     }
+    if (what == "replacement" && argc > 2) {
+      return RunReplacementCase(argv[2]);
+    }
   } catch (const std::exception& e) {
     std::fprintf(stderr, "%s\n", e.what());
   }
