--- a/review/harness-2/budget_case.cc
+++ b/review/harness-2/budget_case.cc
@@ -21,6 +21,9 @@
 constexpr int kTriesAfterSpent = 3;
 constexpr int kMaxTurns = 12;
 constexpr milliseconds kTurnPause{150};
+constexpr milliseconds kTimeLimit{4000};
+// By when the program should be finished, from its start.
+constexpr milliseconds kAim{110000};
 constexpr milliseconds kFirstReturn{45000};
 constexpr milliseconds kSecondReturn{97000};
 constexpr milliseconds kKillBeforeReturn{1200};
@@ -30,6 +33,8 @@
   std::string name;
   std::string first_zone;
   std::string later_zone;
+  std::chrono::steady_clock::time_point started =
+      std::chrono::steady_clock::now();
   int requests = 0;
   int tokens = 0;  // Handed to clients, in complete events.
   int spent_answers = 0;
@@ -49,18 +54,21 @@
     turn.path = "/chat/stream/x";
     turn.id = program.name + "-turn-" + std::to_string(++program.requests);
     turn.body = "input of " + turn.id;
+    const auto left = std::chrono::duration_cast<milliseconds>(
+        program.started + kAim - std::chrono::steady_clock::now());
     turn.headers = {{"Program-Id", program.name},
                     {"Session-Id", turn.id},
-                    {"Finish-Deadline-Ms", "60000"},
+                    {"Finish-Deadline-Ms", std::to_string(left.count())},
                     {"Token-Budget", std::to_string(kBudget)},
                     {"Token-Usage", "100," + std::to_string(kMostOfOneTurn)},
+                    {"Prompt-Prefix", PromptParts(turn.id)},
                     {"Model-Id", "m"}};
     const auto answer = fleet.Send(fiber, fleet.FrontOf(zone), turn);
     program.tokens += static_cast<int>(answer.events.size()) * kTokensPerEvent;
     program.has_run = program.has_run || !answer.events.empty();
     spent += answer.status == kBudgetSpent ? 1 : 0;
     program.spent_answers += answer.status == kBudgetSpent ? 1 : 0;
-    fiber.Sleep(kTurnPause);
+    fiber.Sleep(PauseAfter(answer, kTurnPause, kTimeLimit));
   }
 }
 
@@ -101,7 +109,6 @@
     return 2;
   }
   const auto members = fleet.MembersInOrder();
-  fiber.Sleep(milliseconds(500));
   std::vector<Program> programs;
   for (std::size_t n = 0; n < zones.size(); ++n) {
     for (int copy = 0; copy < kProgramsPerWay; ++copy) {
--- a/review/harness-2/fleet.cc
+++ b/review/harness-2/fleet.cc
@@ -2,8 +2,11 @@
 
 #include <unistd.h>
 
+#include <algorithm>
+#include <cstdio>
 #include <cstdlib>
 #include <fstream>
+#include <functional>
 #include <stdexcept>
 #include <utility>
 
@@ -29,6 +32,8 @@
 constexpr const char* kHost = "shop.example";
 constexpr milliseconds kHeartbeat{1200};
 constexpr milliseconds kStartTimeout{20000};
+// Traffic starts 10 s after the machines do (SYSTEM.md).
+constexpr milliseconds kTrafficDelay{10000};
 constexpr milliseconds kPoll{50};
 constexpr int kOk = 200;
 
@@ -74,6 +79,20 @@
   return value == nullptr || std::string(value) != "0";
 }
 
+std::string PromptParts(const std::string& session) {
+  char own[17];
+  std::snprintf(own, sizeof own, "%016zx", std::hash<std::string>{}(session));
+  return std::string("5c1e07a2:60,") + own + ":40";
+}
+
+milliseconds PauseAfter(const Answer& answer,
+                        milliseconds pause,
+                        milliseconds time_left) {
+  const milliseconds asked(static_cast<std::int64_t>(
+      std::strtod(answer.retry_after.c_str(), nullptr) * 1000));
+  return std::max(pause, std::min(asked, time_left / 3));
+}
+
 Fleet::Fleet(Loop& loop, Record& record)
     : loop_(loop),
       record_(record),
@@ -393,13 +412,13 @@
   for (auto& [name, it] : machines_) {
     StartMachine(*it);
   }
-  const auto deadline = std::chrono::steady_clock::now() + kStartTimeout;
-  while (std::chrono::steady_clock::now() < deadline) {
+  const auto started = std::chrono::steady_clock::now();
+  while (std::chrono::steady_clock::now() < started + kStartTimeout) {
     bool ready = MembersInOrder().size() == zones_.size();
     for (auto& [name, it] : machines_) {
       ready = ready && (it->ready.empty() || IsReady(fiber, *it));
     }
-    if (ready) {
+    if (ready && std::chrono::steady_clock::now() >= started + kTrafficDelay) {
       return true;
     }
     fiber.Sleep(kPoll);
--- a/review/harness-2/fleet.h
+++ b/review/harness-2/fleet.h
@@ -120,7 +120,8 @@
   void Register(Server& server);
 
   // Starts all machines and waits until every front machine is ready and the
-  // storage machines are members. Returns false if that takes too long.
+  // storage machines are members, and until traffic may start: 10 s after the
+  // machines. Returns false if that takes too long.
   bool Start(Fiber& fiber);
   void StartMachine(Machine& machine);
   bool IsReady(Fiber& fiber, const Machine& machine);
@@ -158,6 +159,16 @@
   std::map<std::string, std::unique_ptr<Server>> servers_;
 };
 
+// The value of Prompt-Prefix for a prompt of 100 tokens, 60 of which all
+// requests share.
+std::string PromptParts(const std::string& session);
+
+// How long a client waits before it tries again: at least `pause`, and as long
+// as the answer asks for, up to a third of the time that it has left.
+std::chrono::milliseconds PauseAfter(const Answer& answer,
+                                     std::chrono::milliseconds pause,
+                                     std::chrono::milliseconds time_left);
+
 // Runs `body` in a coroutine and returns its result.
 int RunInLoop(const std::function<int(Fiber&, Loop&)>& body);
 
--- a/review/harness-2/versions_case.cc
+++ b/review/harness-2/versions_case.cc
@@ -18,7 +18,8 @@
 constexpr int kMostTokens = 64;  // 16 events.
 constexpr milliseconds kTimeLimit{4000};
 constexpr milliseconds kClientPause{60};
-constexpr milliseconds kWarmUp{5000};
+constexpr milliseconds kWarmUp{3000};
+constexpr milliseconds kAim{20000};
 // A server is down for this long, serves as the new version for kUpTime, and
 // crashes.
 constexpr milliseconds kDownTime{100};
@@ -54,9 +55,10 @@
   attempt.body = "prompt of " + name;
   attempt.headers = {{"Program-Id", "program-" + name},
                      {"Session-Id", name},
-                     {"Finish-Deadline-Ms", "20000"},
+                     {"Finish-Deadline-Ms", std::to_string(kAim.count())},
                      {"Token-Budget", "1000"},
                      {"Token-Usage", "100," + std::to_string(kMostTokens)},
+                     {"Prompt-Prefix", PromptParts(name)},
                      {"Model-Id", "m"}};
   auto answer = fleet.Send(fiber, fleet.FrontOf(first_zone), attempt);
   auto events = answer.events;
@@ -66,9 +68,14 @@
     again.id = name + "-2";
     again.headers.push_back({"Last-Event-Id", answer.last_event_id});
     again.headers.push_back({"Resumes", attempt.id});
-    again.time_limit =
-        kTimeLimit - std::chrono::duration_cast<milliseconds>(
-                         std::chrono::steady_clock::now() - started);
+    const auto passed = std::chrono::duration_cast<milliseconds>(
+        std::chrono::steady_clock::now() - started);
+    again.time_limit = kTimeLimit - passed;
+    for (auto& it : again.headers) {
+      if (it.name == "Finish-Deadline-Ms") {
+        it.value = std::to_string((kAim - passed).count());
+      }
+    }
     answer = fleet.Send(fiber, fleet.FrontOf(other_zone), again);
     events.insert(events.end(), answer.events.begin(), answer.events.end());
   }
@@ -119,7 +126,6 @@
     fleet.record().Write("the deployment did not start");
     return 2;
   }
-  fiber.Sleep(milliseconds(500));
   Clients clients;
   for (std::size_t n = 0; n < zones.size(); ++n) {
     for (int copy = 0; copy < kClientsPerFront; ++copy) {
