Remove storage members that are gone for good

What callers saw: after a planned replacement of a storage VM nothing was wrong until the next disk was lost or replaced.

Cause: only a disk that joins or leaves removed dead members. The successor of a planned replacement joins before the old disk is stopped, so nobody removed that one or copied what it held, and the next disk found more dead members than are tolerated.

Change: members watch each other and remove those that are gone. A daemon that stops announces it, and is removed after half of the catch-up time if it is not back; an absence without announcement has 15 s. Decisions about the list move to StorageChangePlanner, which does no I/O. Log lines name each change, what it waits for and for how long.

--- a/source/fleet/vm_settings.h
+++ b/source/fleet/vm_settings.h
@@ -36,6 +36,8 @@
   std::chrono::milliseconds config_apply_time{2000};
   // Time until tokens that were reserved but not used can be reserved again.
   std::chrono::milliseconds max_settlement_time{1000};
+  // Time that a disk which joins has to copy what it lacks.
+  std::chrono::milliseconds catch_up_time{5000};
 };
 
 }  // namespace comfreyfold
--- a/source/storage/disk_copier.cc
+++ b/source/storage/disk_copier.cc
@@ -94,6 +94,22 @@
   return reply.status == StorageStatus::kDone;
 }
 
+// Waiting for a disk that was replaced would be in vain. Unless all others have
+// answered, one of them may have the last copy of a record.
+bool DiskCopier::IsEnough(const StorageList& list,
+                          const std::set<std::string>& answered,
+                          const std::set<std::string>& replaced) const {
+  std::size_t told = 0;
+  std::size_t gone = 0;
+  for (const auto& it : list.members) {
+    const bool has_told = answered.count(it.disk) > 0;
+    told += has_told ? 1 : 0;
+    gone += !has_told && replaced.count(it.disk) > 0 ? 1 : 0;
+  }
+  return told >= list.AnswersToProveAbsence(tolerated_losses_) ||
+         told + gone == list.members.size();
+}
+
 // Copies from all members in parallel, so that a dead or slow member does not
 // delay the others. A member whose uses have been copied completely is not
 // asked again in the same epoch.
@@ -102,6 +118,7 @@
   if (uses_copied_epoch_ != list.epoch) {
     uses_copied_epoch_ = list.epoch;
     uses_copied_from_ = {disk_};
+    replaced_disks_.clear();
     uses_copied_up_to_.clear();
     copy_started_at_ = std::chrono::steady_clock::now();
   }
@@ -126,13 +143,7 @@
     });
   }
   const auto enough = [this, &list] {
-    const auto answered =
-        std::count_if(list.members.begin(), list.members.end(),
-                      [this](const StorageMember& it) {
-                        return uses_copied_from_.count(it.disk) > 0;
-                      });
-    return static_cast<std::size_t>(answered) >=
-           list.AnswersToProveAbsence(tolerated_losses_);
+    return IsEnough(list, uses_copied_from_, replaced_disks_);
   };
   copies->changed.WaitUntil(fiber, kMaxCopyTime,
                             [this, &list, &copies, &enough] {
@@ -154,6 +165,10 @@
   for (;;) {
     StorageReply reply;
     if (!CallWithList(fiber, list, member, request, reply)) {
+      if (reply.status == StorageStatus::kOtherDisk &&
+          uses_copied_epoch_ == list.epoch) {
+        replaced_disks_.insert(member.disk);
+      }
       return false;
     }
     StorageRequest store_request;
@@ -214,16 +229,16 @@
   plan.initial_targets = plan.targets.size();
   plan.timeout = kRequestTimeout;
   const auto enough = [this, &list](const StorageReplies& replies) {
-    const auto count =
-        std::count_if(list.members.begin(), list.members.end(),
-                      [this, &replies](const StorageMember& it) {
-                        const auto reply = replies.find(it.disk);
-                        return it.disk == disk_ ||
-                               (reply != replies.end() &&
-                                reply->second.status == StorageStatus::kDone);
-                      });
-    return static_cast<std::size_t>(count) >=
-           list.AnswersToProveAbsence(tolerated_losses_);
+    std::set<std::string> answered{disk_};
+    std::set<std::string> replaced;
+    for (const auto& [disk, reply] : replies) {
+      if (reply.status == StorageStatus::kDone) {
+        answered.insert(disk);
+      } else if (reply.status == StorageStatus::kOtherDisk) {
+        replaced.insert(disk);
+      }
+    }
+    return IsEnough(list, answered, replaced);
   };
   // The disk that was dropped may have had one of the copies, and any other
   // disk the last one.
--- a/source/storage/disk_copier.h
+++ b/source/storage/disk_copier.h
@@ -99,8 +99,16 @@
   ReplicaClient& replicas_;
   std::string disk_;
   int tolerated_losses_;
+  // Whether the disks `answered` of the members, with those that were
+  // `replaced` meanwhile, have told all that is to be had from the members.
+  bool IsEnough(const StorageList& list,
+                const std::set<std::string>& answered,
+                const std::set<std::string>& replaced) const;
+
   // Disks from which all uses have been copied in epoch `uses_copied_epoch_`.
   std::set<std::string> uses_copied_from_;
+  // Disks whose VMs had another disk when they were asked in that epoch.
+  std::set<std::string> replaced_disks_;
   // The last program whose uses have been copied in this epoch, by disk.
   std::map<std::string, std::string> uses_copied_up_to_;
   std::int64_t uses_copied_epoch_ = 0;
--- a/source/storage/request_counts.cc
+++ b/source/storage/request_counts.cc
@@ -22,6 +22,8 @@
     case StorageOperation::kAdopt:
       ++(request.members ? copies : probes);
       break;
+    case StorageOperation::kStopping:
+      break;
     case StorageOperation::kDigest:
     case StorageOperation::kFetch:
     case StorageOperation::kSomeUses:
--- a/source/storage/storage_membership_manager.cc
+++ b/source/storage/storage_membership_manager.cc
@@ -41,6 +41,24 @@
                   kStepInterval * (1 << std::min(failures, 3)) / 2);
 }
 
+// Names the VMs of `members`.
+std::string VmsOf(const std::vector<StorageMember>& members) {
+  std::string out;
+  for (const auto& it : members) {
+    out += (out.empty() ? "" : ",") + it.vm;
+  }
+  return out;
+}
+
+// Names the VMs of those of `members` that are not in `others`.
+std::string VmsWithout(std::vector<StorageMember> members,
+                       const std::vector<StorageMember>& others) {
+  std::erase_if(members, [&others](const auto& it) {
+    return std::find(others.begin(), others.end(), it) != others.end();
+  });
+  return VmsOf(members);
+}
+
 // Whether the disk's VM has another disk now.
 bool WasReplaced(const StorageReplies& replies, const StorageMember& member) {
   const auto it = replies.find(member.disk);
@@ -49,15 +67,17 @@
 
 }  // namespace
 
-StorageMembershipManager::StorageMembershipManager(Loop& loop,
-                                                   HttpClient& http,
-                                                   KvStore& store,
-                                                   FleetView& view,
-                                                   StorageNode& node,
-                                                   DecisionLog& log,
-                                                   StorageMember self,
-                                                   int tolerated_losses,
-                                                   bool may_create_list)
+StorageMembershipManager::StorageMembershipManager(
+    Loop& loop,
+    HttpClient& http,
+    KvStore& store,
+    FleetView& view,
+    StorageNode& node,
+    DecisionLog& log,
+    StorageMember self,
+    int tolerated_losses,
+    std::chrono::milliseconds catch_up_time,
+    bool may_create_list)
     : loop_(loop),
       http_(http),
       store_(store),
@@ -69,18 +89,40 @@
       may_create_list_(may_create_list),
       replicas_(loop, http, self_.data_centre),
       copier_(loop, view, node, replicas_, self_.disk, tolerated_losses),
+      watch_(loop,
+             view,
+             log,
+             replicas_,
+             self_.disk,
+             tolerated_losses,
+             catch_up_time),
+      planner_(tolerated_losses),
       wake_(loop),
       random_(std::random_device{}()) {
   view_.OnChange([this] { wake_.NotifyAll(); });
+  node_.OnPeerStop(
+      [this](const std::string& disk) { watch_.ObserveStop(disk); });
+}
+
+void StorageMembershipManager::Stop() {
+  stopped_ = true;
+  watch_.Stop();
 }
 
 void StorageMembershipManager::Leave(std::function<void(Fiber&)> on_empty) {
   leaving_ = true;
+  watch_.SetPaused(true);
   on_empty_ = std::move(on_empty);
   wake_.NotifyAll();
 }
 
 void StorageMembershipManager::Run(Fiber& fiber) {
+  watching_ = true;
+  loop_.Spawn([this](Fiber& watch_fiber) {
+    watch_.Run(watch_fiber);
+    watching_ = false;
+    wake_.NotifyAll();
+  });
   Repeat(fiber, "the change of storage members", [this, &fiber] {
     if (stopped_) {
       return false;
@@ -95,6 +137,9 @@
     wake_.Wait(fiber, kStepInterval);
     return true;
   });
+  while (watching_) {
+    wake_.Wait(fiber, kStepInterval);
+  }
 }
 
 void StorageMembershipManager::Step(Fiber& fiber) {
@@ -104,22 +149,10 @@
     return;
   }
   if (list.changing()) {
-    // Each version is a disk more that has copied.
-    if (list.version != change_version_) {
-      change_version_ = list.version;
-      change_waits_since_ = std::chrono::steady_clock::now();
-      unanswered_probes_.clear();
-    }
-    const bool copied = std::find(list.synced.begin(), list.synced.end(),
-                                  self_.disk) != list.synced.end();
-    if (list.IsNextMember(self_.disk) && !copied) {
-      Synchronize(fiber);
-    } else if (std::chrono::steady_clock::now() - change_waits_since_ >
-               kChangeStallTime) {
-      RestartChangeWithoutDead(fiber);
-    }
+    StepInChange(fiber);
     return;
   }
+  change_epoch_ = 0;
   if (announced_ && list.IsMember(self_.disk)) {
     WithdrawAnnouncement(fiber);
     announced_ = false;
@@ -128,9 +161,52 @@
     LeaveList(fiber);
   } else if (!list.IsMember(self_.disk)) {
     Join(fiber);
+  } else if (watch_.absence().HasGone()) {
+    RemoveAbsent(fiber);
+  } else {
+    delayed_since_ = {};
   }
 }
 
+void StorageMembershipManager::StepInChange(Fiber& fiber) {
+  const auto& list = view_.storage_list();
+  const auto now = std::chrono::steady_clock::now();
+  delayed_since_ = {};
+  if (list.epoch != change_epoch_) {
+    change_epoch_ = list.epoch;
+    change_began_at_ = now;
+  }
+  // Each version is a disk more that has copied.
+  if (list.version != change_version_) {
+    change_version_ = list.version;
+    change_waits_since_ = now;
+    unanswered_probes_.clear();
+  }
+  if (list.Find(self_.disk) == nullptr) {
+    return;
+  }
+  const auto copied = [this] {
+    const auto& synced = view_.storage_list().synced;
+    return std::find(synced.begin(), synced.end(), self_.disk) != synced.end();
+  };
+  if (list.IsNextMember(self_.disk) && !copied()) {
+    Synchronize(fiber);
+    return;
+  }
+  if (view_.storage_list().version == change_version_ &&
+      std::chrono::steady_clock::now() - change_waits_since_ >
+          kChangeStallTime) {
+    RestartChange(fiber);
+  }
+}
+
+std::chrono::milliseconds StorageMembershipManager::ChangeTime() const {
+  return change_epoch_ == 0
+             ? std::chrono::milliseconds(0)
+             : std::chrono::duration_cast<std::chrono::milliseconds>(
+                   std::chrono::steady_clock::now() - change_began_at_);
+}
+
 bool StorageMembershipManager::Propose(Fiber& fiber,
                                        const StorageList& list,
                                        const char* reason) {
@@ -153,6 +229,9 @@
               {"epoch", list.epoch},
               {"members", static_cast<int>(list.members.size())},
               {"next", static_cast<int>(list.next.size())},
+              {"joins", VmsWithout(list.next, list.members)},
+              {"leaves", list.changing() ? VmsWithout(list.members, list.next)
+                                         : std::string()},
               {"outcome", done ? "in force" : "superseded by another change"}});
   if (done) {
     node_.Adopt(fiber, list);
@@ -215,52 +294,115 @@
 }
 
 // A disk that is only slow must not lose its place for one probe.
-std::optional<std::vector<std::string>> StorageMembershipManager::DeadMembers(
+DiskHealths StorageMembershipManager::HealthOf(
     Fiber& fiber,
     const std::vector<StorageMember>& members,
-    const StorageReplies& replies) {
-  std::vector<std::string> out;
-  bool certain = true;
+    const StorageReplies& replies,
+    bool has_list) {
+  DiskHealths out;
   for (const auto& it : members) {
-    const bool replaced = WasReplaced(replies, it);
-    if (it.disk == self_.disk || (!replaced && replies.count(it.disk) > 0)) {
+    const auto reply = replies.find(it.disk);
+    const bool answers =
+        it.disk == self_.disk ||
+        (reply != replies.end() &&
+         (!has_list || reply->second.status == StorageStatus::kDone));
+    if (WasReplaced(replies, it)) {
+      out[it.disk] = DiskHealth::kLost;
+    } else if (answers) {
       unanswered_probes_.erase(it.disk);
-    } else if (replaced || IsDead(fiber, it)) {
-      out.push_back(it.disk);
+      out[it.disk] = DiskHealth::kAnswers;
+    } else if (!IsDead(fiber, it)) {
+      out[it.disk] = DiskHealth::kSilent;
     } else {
-      certain = false;
+      out[it.disk] = watch_.absence().IsLost(it.disk) ? DiskHealth::kLost
+                                                      : DiskHealth::kDead;
     }
   }
-  if (!certain || out.size() > static_cast<std::size_t>(tolerated_losses_)) {
-    return std::nullopt;
+  return out;
+}
+
+DiskHealths StorageMembershipManager::HealthForRemoval(
+    const std::vector<StorageMember>& members,
+    const StorageReplies& replies) const {
+  const auto& absence = watch_.absence();
+  DiskHealths out;
+  for (const auto& it : members) {
+    const bool answers =
+        replies.count(it.disk) > 0 && !WasReplaced(replies, it);
+    if (it.disk == self_.disk || answers) {
+      out[it.disk] = DiskHealth::kAnswers;
+    } else if (!absence.IsGone(it.disk)) {
+      out[it.disk] = DiskHealth::kSilent;
+    } else {
+      out[it.disk] =
+          absence.IsLost(it.disk) ? DiskHealth::kLost : DiskHealth::kGone;
+    }
   }
   return out;
 }
 
+void StorageMembershipManager::LogDelay(
+    const char* event,
+    const std::vector<StorageMember>& awaited,
+    bool has_room) {
+  const auto now = std::chrono::steady_clock::now();
+  if (delayed_since_ == TimePoint{}) {
+    delayed_since_ = now;
+  }
+  log_.Write(
+      event, "",
+      {{"members", static_cast<int>(view_.storage_list().members.size())},
+       {"silent", static_cast<int>(unanswered_probes_.size())},
+       {"room", has_room},
+       {"awaited", VmsOf(awaited)},
+       {"delayed_ms", std::chrono::duration_cast<std::chrono::milliseconds>(
+                          now - delayed_since_)}});
+}
+
 // Disks that start at the same time join in one change: each announces itself
 // first, and the disk that proposes the change includes all announced disks.
 void StorageMembershipManager::Join(Fiber& fiber) {
   if (!announced_) {
-    Announce(fiber);
-    announced_ = true;
+    AnnounceOnce(fiber);
     fiber.Sleep(kJoinGatherTime);
     return;
   }
   const auto list = view_.storage_list();
-  const auto dead = DeadMembers(fiber, list.members,
-                                Probe(fiber, list.members, kProbeTimeout));
-  if (!dead) {
-    log_.Write("join_delayed", "",
-               {{"members", static_cast<int>(list.members.size())},
-                {"silent", static_cast<int>(unanswered_probes_.size())}});
+  const auto health =
+      HealthOf(fiber, list.members, Probe(fiber, list.members, kProbeTimeout),
+               /*has_list=*/false);
+  const auto awaited = StorageChangePlanner::Awaited(list.members, health);
+  if (!planner_.Join(list, health, {self_})) {
+    LogDelay("join_delayed", awaited);
     fiber.Sleep(kStepInterval);
     return;
   }
-  Propose(
-      fiber,
-      list.WithChange(
-          ReachableMembers(fiber, AnnouncedDisks(fiber), kProbeTimeout), *dead),
-      "join");
+  auto joining = JoiningDisks(fiber);
+  joining.insert(joining.begin(), self_);
+  Propose(fiber, *planner_.Join(list, health, joining), "join");
+}
+
+// The number of copies is short until the gone members are removed, so the room
+// on the other disks is not asked for.
+void StorageMembershipManager::RemoveAbsent(Fiber& fiber) {
+  const auto list = view_.storage_list();
+  const auto health =
+      HealthForRemoval(list.members, Probe(fiber, list.members, kDeadTimeout));
+  if (!planner_.Remove(list, health, {})) {
+    LogDelay("removal_delayed",
+             StorageChangePlanner::Awaited(list.members, health));
+    fiber.Sleep(kDeadProbePause);
+    return;
+  }
+  const auto change = planner_.Remove(list, health, JoiningDisks(fiber));
+  Propose(fiber, *change, "removal of absent disks");
+}
+
+void StorageMembershipManager::AnnounceOnce(Fiber& fiber) {
+  if (!announced_) {
+    Announce(fiber);
+    announced_ = true;
+  }
 }
 
 void StorageMembershipManager::Announce(Fiber& fiber) {
@@ -271,14 +413,16 @@
   store_.Commit(fiber, txn);
 }
 
-std::vector<StorageMember> StorageMembershipManager::AnnouncedDisks(
+// A disk whose VM is to be emptied joins by its own proposal only.
+std::vector<StorageMember> StorageMembershipManager::JoiningDisks(
     Fiber& fiber) {
-  std::vector<StorageMember> out{self_};
+  std::vector<StorageMember> out;
   for (const auto& it : store_.Prefix(fiber, kJoiningPrefix).items) {
     try {
       const auto announcement = DecodeStorageList(it.value);
       if (!announcement.members.empty() &&
-          announcement.members.front().disk != self_.disk) {
+          announcement.members.front().disk != self_.disk &&
+          view_.retiring().count(announcement.members.front().vm) == 0) {
         out.push_back(announcement.members.front());
       }
     } catch (const std::runtime_error& e) {
@@ -287,7 +431,7 @@
                  {{"key", it.key}, {"reason", e.what()}});
     }
   }
-  return out;
+  return ReachableMembers(fiber, out, kProbeTimeout);
 }
 
 // An announcement that remained would let another disk's proposal add this disk
@@ -319,21 +463,17 @@
     return;
   }
   const auto replies = Probe(fiber, list.members, kProbeTimeout);
-  auto removed = DeadMembers(fiber, list.members, replies);
-  const auto others = list.members.size() - 1;
+  const auto health = HealthOf(fiber, list.members, replies,
+                               /*has_list=*/false);
+  const auto change = planner_.Leave(list, health, self_.disk);
   const bool has_room = HaveRoomForCopies(replies);
-  if (!removed || !has_room ||
-      others <
-          static_cast<std::size_t>(tolerated_losses_) + 1 + removed->size()) {
-    log_.Write("leave_delayed", "",
-               {{"members", static_cast<int>(list.members.size())},
-                {"silent", static_cast<int>(unanswered_probes_.size())},
-                {"room", has_room}});
+  if (!change || !has_room) {
+    LogDelay("leave_delayed",
+             StorageChangePlanner::Awaited(list.members, health), has_room);
     fiber.Sleep(kStepInterval);
     return;
   }
-  removed->push_back(self_.disk);
-  Propose(fiber, list.WithChange({}, *removed), "leave");
+  Propose(fiber, *change, "leave");
 }
 
 bool StorageMembershipManager::IsDead(Fiber& fiber, const StorageMember& disk) {
@@ -345,40 +485,30 @@
   return unreachable >= kProbesUnreachable || silent >= kProbesSilent;
 }
 
-// Replaces the current change by one without the disks that are dead. All disks
-// copy again then, so a disk that is only slow must not count as dead. One that
-// was replaced does not come back.
-void StorageMembershipManager::RestartChangeWithoutDead(Fiber& fiber) {
+// All disks copy again then, so a disk that is only slow must not count as
+// dead. One that was replaced does not come back.
+void StorageMembershipManager::RestartChange(Fiber& fiber) {
   const auto list = view_.storage_list();
-  if (!list.IsMember(self_.disk) && !list.IsNextMember(self_.disk)) {
-    return;
-  }
-  const auto replies = Probe(fiber, list.next, kDeadTimeout);
-  std::vector<StorageMember> alive;
-  bool all_answered = true;
-  for (const auto& it : list.next) {
-    const auto reply = replies.find(it.disk);
-    const bool has_list =
-        it.disk == self_.disk || (reply != replies.end() &&
-                                  reply->second.status == StorageStatus::kDone);
-    all_answered = all_answered && has_list;
-    if (has_list) {
-      unanswered_probes_.erase(it.disk);
-    }
-    if (has_list || (!WasReplaced(replies, it) && !IsDead(fiber, it))) {
-      alive.push_back(it);
-    }
-  }
-  if (all_answered) {
+  const auto health =
+      HealthOf(fiber, list.next, Probe(fiber, list.next, kDeadTimeout),
+               /*has_list=*/true);
+  const auto awaited = StorageChangePlanner::Awaited(list.next, health);
+  if (awaited.empty()) {
     change_waits_since_ = std::chrono::steady_clock::now();
     return;
   }
-  if (alive.size() == list.next.size() ||
-      alive.size() < static_cast<std::size_t>(tolerated_losses_) + 1) {
+  log_.Write("change_delayed", "",
+             {{"epoch", list.epoch},
+              {"awaited", VmsOf(awaited)},
+              {"copied", static_cast<int>(list.synced.size())},
+              {"next", static_cast<int>(list.next.size())},
+              {"delayed_ms", ChangeTime()}});
+  const auto change = planner_.Restart(list, health);
+  if (change) {
+    Propose(fiber, *change, "change without unreachable disks");
+  } else {
     fiber.Sleep(kDeadProbePause);
-    return;
   }
-  Propose(fiber, list.RestartedWith(alive), "change without unreachable disks");
 }
 
 void StorageMembershipManager::Synchronize(Fiber& fiber) {
--- a/source/storage/storage_node.cc
+++ b/source/storage/storage_node.cc
@@ -253,6 +253,11 @@
       break;
     case StorageOperation::kAdopt:
       break;
+    case StorageOperation::kStopping:
+      if (on_peer_stop_ && !request.ids.empty()) {
+        on_peer_stop_(request.ids.front());
+      }
+      break;
   }
   // During a change of the list, a disk that joins has the records written
   // since the change began, and the disks of the old set have the earlier ones.
--- a/source/storage/storage_node.h
+++ b/source/storage/storage_node.h
@@ -3,6 +3,7 @@
 
 #include <chrono>
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <memory>
 #include <optional>
@@ -55,6 +56,11 @@
   bool Adopt(Fiber& fiber, const StorageList& list);
   // The same without waiting.
   void BeginAdopt(const StorageList& list);
+  // Sets a function that is called with the disk of a daemon that announces its
+  // stop.
+  void OnPeerStop(std::function<void(const std::string& disk)> hook) {
+    on_peer_stop_ = std::move(hook);
+  }
 
   // The log, which also replaces further files of the folder.
   DiskLog& disk_log() { return disk_log_; }
@@ -196,6 +202,7 @@
   };
   std::map<DiskRoom, RoomEstimate> room_estimates_;
   std::string disk_;
+  std::function<void(const std::string&)> on_peer_stop_;
   RequestCounts counts_;
   DiskLog disk_log_;
   TurnIndex turns_;
--- a/source/vm/vm_daemon.cc
+++ b/source/vm/vm_daemon.cc
@@ -155,12 +155,13 @@
   fleet_sync_.OfferKept(storage_node_->disk(),
                         [this] { return fleet_state_file_->kept(); });
   permit_service_ = std::make_unique<PermitService>(view_, PeerAddress());
-  AddStorageGauges(metrics_, *storage_node_);
   membership_manager_ = std::make_unique<StorageMembershipManager>(
       loop_, http_, platform_.store, view_, *storage_node_, log_,
       StorageMember{storage_node_->disk(), settings_.vm, PeerAddress(),
                     settings_.data_centre},
-      settings_.tolerated_losses, settings_.first_start);
+      settings_.tolerated_losses, settings_.catch_up_time,
+      settings_.first_start);
+  AddStorageGauges(metrics_, *storage_node_, view_, *membership_manager_);
   loop_.Spawn([this](Fiber& fiber) { membership_manager_->Run(fiber); });
   loop_.Spawn([this](Fiber& fiber) {
     RepeatForever(fiber, "the removal of expired records", [this, &fiber] {
@@ -478,6 +479,14 @@
       return client_server_->connections() > 0 || storage_client_->sending();
     });
   }
+  const auto announcing =
+      std::make_shared<bool>(membership_manager_ != nullptr);
+  if (*announcing) {
+    loop_.Spawn([this, announcing](Fiber& announce_fiber) {
+      membership_manager_->AnnounceStop(announce_fiber);
+      *announcing = false;
+    });
+  }
   // Other daemons ask all the time, so that a moment without a request may
   // never come. They find no connection from here on, and turn to others.
   for (auto* it : {internal_server_.get(), control_server_.get(),
@@ -488,6 +497,7 @@
   }
   idle = wait_while([this] { return internal_server_->connections() > 0; }) &&
          idle;
+  wait_while([&announcing] { return *announcing; });
   log_.Write("stopped", "", {{"idle", idle ? 1 : 0}});
   done();
 }
--- a/source/wire/storage_messages.h
+++ b/source/wire/storage_messages.h
@@ -28,9 +28,12 @@
   // ids[0] of the reply is the last program of the page.
   kSomeUses = 5,
   kAdopt = 6,  // Adopt the storage list `members` if it is newer.
+  // The daemon of disk ids[0] is being stopped. Daemons of an older build
+  // refuse the request.
+  kStopping = 7,
 };
 inline constexpr StorageOperation kLastStorageOperation =
-    StorageOperation::kAdopt;
+    StorageOperation::kStopping;
 
 enum class StorageStatus {
   kDone = 0,
--- a/tests/vm/failing_steps_test.cc
+++ b/tests/vm/failing_steps_test.cc
@@ -136,7 +136,8 @@
     StorageNode node(loop, view, log, folder, 1, 0, 0);
     StorageMembershipManager manager(
         loop, http, store, view, node, log,
-        {node.disk(), "vm-1", "127.0.0.1:1", "north"}, 1, true);
+        {node.disk(), "vm-1", "127.0.0.1:1", "north"}, 1, milliseconds(5000),
+        true);
     bool ended = false;
     loop.Spawn([&](Fiber& fiber) {
       manager.Run(fiber);
--- a/tests/vm/storage_change_test.cc
+++ b/tests/vm/storage_change_test.cc
@@ -21,6 +21,7 @@
 
 constexpr milliseconds kPollInterval{10};
 constexpr milliseconds kWaitTimeout{40000};
+constexpr milliseconds kCatchUpTime{5000};
 // More than the time for one probe.
 constexpr milliseconds kSlowAnswer{3000};
 
@@ -143,7 +144,8 @@
     store_.Put(kStorageListKey, Encode(list));
     BOOST_REQUIRE(node_->Adopt(fiber, list));
     manager_ = std::make_unique<StorageMembershipManager>(
-        loop_, http_, client_, view_, *node_, log_, Self(), 1, false);
+        loop_, http_, client_, view_, *node_, log_, Self(), 1, kCatchUpTime,
+        false);
     loop_.Spawn([this](Fiber& run_fiber) {
       manager_->Run(run_fiber);
       ended_ = true;
--- a/tests/vm/vm_deployment.cc
+++ b/tests/vm/vm_deployment.cc
@@ -187,12 +187,13 @@
   }
 }
 
-std::size_t VmDeployment::StorageMemberCount() const {
+StorageList VmDeployment::List() const {
   const auto text = store_.Value(kStorageListKey);
-  if (text.empty()) {
-    return 0;
-  }
-  const auto list = DecodeStorageList(text);
+  return text.empty() ? StorageList{} : DecodeStorageList(text);
+}
+
+std::size_t VmDeployment::StorageMemberCount() const {
+  const auto list = List();
   return list.changing() ? 0 : list.members.size();
 }
 
--- a/tests/vm/vm_deployment.h
+++ b/tests/vm/vm_deployment.h
@@ -10,6 +10,7 @@
 #include <string>
 #include <vector>
 
+#include "core/storage_list.h"
 #include "net/http_client.h"
 #include "net/http_server.h"
 #include "platform/store_client.h"
@@ -70,6 +71,8 @@
   // Number of members in the storage list of the store; 0 while the list is
   // changing.
   std::size_t StorageMemberCount() const;
+  bool IsListChanging() const { return List().changing(); }
+  std::int64_t StorageListVersion() const { return List().version; }
 
   struct ClientRequest {
     std::string path = "/plain/x";
@@ -91,6 +94,8 @@
 
  private:
   void StartDaemon(Vm& vm);
+  // The storage list of the store; of version 0 while there is none.
+  StorageList List() const;
 
   Loop& loop_;
   HttpClient http_;
