Begin a change of the storage list anew after it has lost a disk

What callers saw: one storage VM is emptied and another loses its disk a moment later; from then on nothing that reserves tokens or stores a turn is served.

Cause: the change can only go on with the disks of its next set, of which one is left. The VM to be emptied works but does not count, and the disk that replaces the lost one announces itself only after the change.

Change: disks announce themselves during a change and are taken in when it begins anew; if too few are left, disks that were to leave stay. Disks that have not copied begin it anew if none that has copied answers.

--- a/source/core/storage_change_planner.cc
+++ b/source/core/storage_change_planner.cc
@@ -11,6 +11,19 @@
   return health == DiskHealth::kAnswers || health == DiskHealth::kSilent;
 }
 
+bool Contains(const std::vector<StorageMember>& members,
+              const std::string& disk) {
+  return std::any_of(members.begin(), members.end(),
+                     [&disk](const auto& it) { return it.disk == disk; });
+}
+
+void AddMissing(const std::vector<StorageMember>& added,
+                std::vector<StorageMember>& members) {
+  std::copy_if(
+      added.begin(), added.end(), std::back_inserter(members),
+      [&members](const auto& it) { return !Contains(members, it.disk); });
+}
+
 }  // namespace
 
 DiskHealth StorageChangePlanner::HealthOf(const DiskHealths& health,
@@ -105,9 +118,12 @@
                      });
 }
 
+// A disk that joins in place of a lost one is preferred to one that was to
+// leave: the change in which that one leaves need not be repeated then.
 std::optional<StorageList> StorageChangePlanner::Restart(
     const StorageList& list,
-    const DiskHealths& health) const {
+    const DiskHealths& health,
+    const std::vector<StorageMember>& joining) const {
   if (!NeedsRestart(list, health)) {
     return std::nullopt;
   }
@@ -116,6 +132,15 @@
                [&health](const auto& it) {
                  return MayGetDone(HealthOf(health, it.disk));
                });
+  AddMissing(joining, next);
+  if (!IsEnough(next)) {
+    std::vector<StorageMember> staying;
+    std::copy_if(list.members.begin(), list.members.end(),
+                 std::back_inserter(staying), [&health](const auto& it) {
+                   return HealthOf(health, it.disk) == DiskHealth::kAnswers;
+                 });
+    AddMissing(staying, next);
+  }
   if (!IsEnough(next)) {
     return std::nullopt;
   }
--- a/source/core/storage_change_planner.h
+++ b/source/core/storage_change_planner.h
@@ -56,9 +56,12 @@
   static bool NeedsRestart(const StorageList& list, const DiskHealths& health);
 
   // Returns the present change begun anew without the disks that cannot get
-  // done. Returns null unless NeedsRestart(), or if too few are left.
-  std::optional<StorageList> Restart(const StorageList& list,
-                                     const DiskHealths& health) const;
+  // done. `joining` join, and if too few disks are left, those that were to
+  // leave stay. Returns null unless NeedsRestart(), or if too few are left.
+  std::optional<StorageList> Restart(
+      const StorageList& list,
+      const DiskHealths& health,
+      const std::vector<StorageMember>& joining) const;
 
   // Returns the members of `members` that are not known to answer.
   static std::vector<StorageMember> Awaited(
--- a/source/storage/storage_membership_manager.cc
+++ b/source/storage/storage_membership_manager.cc
@@ -168,6 +168,8 @@
   }
 }
 
+// A disk that waits for the end of the change announces itself already: the
+// change may need it in place of one that was lost.
 void StorageMembershipManager::StepInChange(Fiber& fiber) {
   const auto& list = view_.storage_list();
   const auto now = std::chrono::steady_clock::now();
@@ -183,6 +185,9 @@
     unanswered_probes_.clear();
   }
   if (list.Find(self_.disk) == nullptr) {
+    if (!leaving_) {
+      AnnounceOnce(fiber);
+    }
     return;
   }
   const auto copied = [this] {
@@ -191,7 +196,6 @@
   };
   if (list.IsNextMember(self_.disk) && !copied()) {
     Synchronize(fiber);
-    return;
   }
   if (view_.storage_list().version == change_version_ &&
       std::chrono::steady_clock::now() - change_waits_since_ >
@@ -486,13 +490,19 @@
 }
 
 // All disks copy again then, so a disk that is only slow must not count as
-// dead. One that was replaced does not come back.
+// dead. One that was replaced does not come back. A disk that has not copied
+// may be slow itself, and leaves this to those that have unless they are all
+// dead.
 void StorageMembershipManager::RestartChange(Fiber& fiber) {
   const auto list = view_.storage_list();
-  const auto health =
-      HealthOf(fiber, list.next, Probe(fiber, list.next, kDeadTimeout),
-               /*has_list=*/true);
+  const auto all = list.AllMembers();
+  auto health = HealthOf(fiber, all, Probe(fiber, all, kDeadTimeout),
+                         /*has_list=*/true);
   const auto awaited = StorageChangePlanner::Awaited(list.next, health);
+  const auto is_synced = [&list](const std::string& disk) {
+    return std::find(list.synced.begin(), list.synced.end(), disk) !=
+           list.synced.end();
+  };
   if (awaited.empty()) {
     change_waits_since_ = std::chrono::steady_clock::now();
     return;
@@ -503,7 +513,17 @@
               {"copied", static_cast<int>(list.synced.size())},
               {"next", static_cast<int>(list.next.size())},
               {"delayed_ms", ChangeTime()}});
-  const auto change = planner_.Restart(list, health);
+  const bool has_done_disk =
+      std::any_of(list.next.begin(), list.next.end(), [&](const auto& it) {
+        return is_synced(it.disk) && health[it.disk] == DiskHealth::kAnswers;
+      });
+  const bool waits_to_copy =
+      list.IsNextMember(self_.disk) && !is_synced(self_.disk);
+  std::optional<StorageList> change;
+  if (StorageChangePlanner::NeedsRestart(list, health) &&
+      !(waits_to_copy && has_done_disk)) {
+    change = planner_.Restart(list, health, JoiningDisks(fiber));
+  }
   if (change) {
     Propose(fiber, *change, "change without unreachable disks");
   } else {
--- a/source/storage/storage_membership_manager.h
+++ b/source/storage/storage_membership_manager.h
@@ -83,7 +83,8 @@
   bool IsDead(Fiber& fiber, const StorageMember& disk);
   // Takes the next action in the change of the list that is under way.
   void StepInChange(Fiber& fiber);
-  // Replaces the current change by one without the disks that cannot get done.
+  // Replaces the current change by one without the disks that cannot get done,
+  // unless a disk that is done can do so.
   void RestartChange(Fiber& fiber);
   // Writes `list` if it is newer than the one in the key-value service and that
   // one has not changed since it was read. Returns whether it was written.
--- a/tests/vm/storage_members_test.cc
+++ b/tests/vm/storage_members_test.cc
@@ -1,12 +1,14 @@
 // Members of the storage list that are gone for good, beside others that join,
 // leave or lose their disk.
 
+#include <chrono>
 #include <filesystem>
 #include <string>
 #include <vector>
 
 #include <boost/test/unit_test.hpp>
 
+#include "vm/disk_gate.h"
 #include "vm/turn_requests.h"
 #include "vm/vm_deployment.h"
 
@@ -14,6 +16,7 @@
 namespace {
 
 constexpr int kTurns = 12;
+constexpr std::chrono::milliseconds kShortGrace{1000};
 
 std::string TurnId(int n) {
   return "turn-" + std::to_string(n);
@@ -111,6 +114,29 @@
   });
 }
 
+// The change waited for the lost disk, whose VM waited for the change.
+BOOST_AUTO_TEST_CASE(disk_lost_while_another_leaves_joins_again) {
+  // The daemons of a deployment are never destroyed.
+  auto& gate = *new DiskGate;
+  WithTwoFrontDaemons([&gate](Fiber& fiber, VmDeployment& deployment) {
+    BeginChains(fiber, deployment);
+    auto& disk = deployment.vm("disk-2");
+    auto settings = disk.settings;
+    settings.stop_grace = kShortGrace;
+    disk.daemon->Reload(settings);
+    gate.Guard(disk);
+    gate.Close();
+    deployment.store().Put("op/retire/disk-1", R"({"duration_s": 8})");
+    BOOST_REQUIRE(
+        deployment.WaitFor(fiber, [&] { return deployment.IsListChanging(); }));
+    WipeVm(fiber, deployment, "disk-2");
+    BOOST_TEST(HasMembers(fiber, deployment, 2));
+    BOOST_TEST(deployment.WaitFor(fiber, [&] {
+      return ContinuedChains(fiber, deployment, "on-") == kTurns;
+    }));
+  });
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace
