Let the lost disk of a VM that is to be emptied be replaced first

What callers saw: a VM whose retirement had to wait lost its disk and reported to be empty at once. Nothing was served any more.

Cause: the VM's new disk is not in the list and so counted as one that has left, while the list still named the lost one.

Change: while the list names another disk at the VM's address, the new one joins before it leaves. A pending announcement is withdrawn before the report.

--- a/source/storage/storage_membership_manager.cc
+++ b/source/storage/storage_membership_manager.cc
@@ -460,10 +460,7 @@
 void StorageMembershipManager::LeaveList(Fiber& fiber) {
   const auto list = view_.storage_list();
   if (!list.IsMember(self_.disk)) {
-    if (on_empty_) {
-      on_empty_(fiber);
-      on_empty_ = nullptr;
-    }
+    LeaveAsNonMember(fiber);
     return;
   }
   const auto replies = Probe(fiber, list.members, kProbeTimeout);
@@ -480,6 +477,24 @@
   Propose(fiber, *change, "leave");
 }
 
+// A disk that the VM had before may still be in the list, where it counts as
+// lost. The others need a disk in its place before the VM may go.
+void StorageMembershipManager::LeaveAsNonMember(Fiber& fiber) {
+  const auto& members = view_.storage_list().members;
+  const bool lost_disk = std::any_of(
+      members.begin(), members.end(),
+      [this](const auto& it) { return it.address == self_.address; });
+  if (lost_disk) {
+    Join(fiber);
+  } else if (announced_) {
+    WithdrawAnnouncement(fiber);
+    announced_ = false;
+  } else if (on_empty_) {
+    on_empty_(fiber);
+    on_empty_ = nullptr;
+  }
+}
+
 bool StorageMembershipManager::IsDead(Fiber& fiber, const StorageMember& disk) {
   auto& [unreachable, silent] = unanswered_probes_[disk.disk];
   const bool accepts = http_.TryConnect(fiber, disk.address, kProbeTimeout) ==
--- a/source/storage/storage_membership_manager.h
+++ b/source/storage/storage_membership_manager.h
@@ -74,6 +74,7 @@
   void WithdrawAnnouncement(Fiber& fiber);
   // Proposes a list without this VM's disk, or reports that it is no member.
   void LeaveList(Fiber& fiber);
+  void LeaveAsNonMember(Fiber& fiber);
   // Proposes a list without the members that are gone, if there are any.
   void RemoveAbsent(Fiber& fiber);
   // Copies what the disk lacks in the current change, then adds the disk to the
--- a/tests/vm/storage_members_test.cc
+++ b/tests/vm/storage_members_test.cc
@@ -137,6 +137,21 @@
   });
 }
 
+// It reported to be empty, while the list still named the disk that it lost.
+BOOST_AUTO_TEST_CASE(disk_lost_by_a_vm_that_is_to_be_emptied_joins_again) {
+  WithTwoFrontDaemons([](Fiber& fiber, VmDeployment& deployment) {
+    BeginChains(fiber, deployment);
+    deployment.store().Put("op/retire/disk-1", R"({"duration_s": 8})");
+    BOOST_REQUIRE(HasMembers(fiber, deployment, 2));
+    deployment.store().Put("op/retire/disk-2", R"({"duration_s": 8})");
+    WipeVm(fiber, deployment, "disk-2");
+    BOOST_TEST(deployment.WaitFor(fiber, [&] {
+      return ContinuedChains(fiber, deployment, "on-") == kTurns;
+    }));
+    BOOST_TEST(HasMembers(fiber, deployment, 2));
+  });
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace
