--- a/source/core/storage_change_planner.h
+++ b/source/core/storage_change_planner.h
@@ -31,6 +31,11 @@
   explicit StorageChangePlanner(int tolerated_losses)
       : losses_(static_cast<std::size_t>(tolerated_losses)) {}
 
+  // Whether `members` can hold enough copies of each record.
+  bool IsEnough(const std::vector<StorageMember>& members) const {
+    return members.size() >= losses_ + 1;
+  }
+
   // Returns the change in which `joining` join. Members that are dead leave.
   // Returns null while one is silent, or too many are dead.
   std::optional<StorageList> Join(
@@ -77,9 +82,6 @@
       const std::vector<StorageMember>& members,
       const DiskHealths& health,
       const std::function<bool(DiskHealth)>& leaves) const;
-  bool IsEnough(const std::vector<StorageMember>& members) const {
-    return members.size() >= losses_ + 1;
-  }
 
   std::size_t losses_;
 };
--- a/source/core/storage_list.cc
+++ b/source/core/storage_list.cc
@@ -104,16 +104,23 @@
                      [this](const auto& it) { return IsNextMember(it.disk); });
 }
 
+// Members that are no more than the tolerated losses cannot hold enough copies.
+bool StorageList::MayLackCopies(int tolerated_losses) const {
+  return !OnlyAddsMembers() || recopies ||
+         members.size() <= static_cast<std::size_t>(tolerated_losses);
+}
+
 std::size_t StorageList::AnswersToProveAbsence(int tolerated_losses) const {
   return AnswersToProveAbsence(members, tolerated_losses);
 }
 
+// Of members that are no more than the tolerated losses, each has all records.
 std::size_t StorageList::AnswersToProveAbsence(
     const std::vector<StorageMember>& members,
     int tolerated_losses) {
   const auto n = members.size();
   const auto lost = static_cast<std::size_t>(tolerated_losses);
-  return n > lost ? n - lost : n;
+  return n > lost ? n - lost : std::min<std::size_t>(n, 1);
 }
 
 StorageList StorageList::WithChange(
--- a/source/core/storage_list.h
+++ b/source/core/storage_list.h
@@ -63,6 +63,10 @@
   // True if the change removes no disk, so that only the added disks copy.
   bool OnlyAddsMembers() const;
 
+  // Whether turns may have too few copies in `next` before its disks have
+  // copied some.
+  bool MayLackCopies(int tolerated_losses) const;
+
   // Returns the set that new records are written to.
   const std::vector<StorageMember>& Writable() const {
     return changing() ? next : members;
--- a/source/storage/disk_copier.cc
+++ b/source/storage/disk_copier.cc
@@ -56,9 +56,8 @@
       disk_(std::move(disk)),
       tolerated_losses_(tolerated_losses) {}
 
-// If no member leaves, nor a disk that was joining, each turn stays on enough
-// disks. Only token uses have to
-// be copied then, because the replica sets of programs change.
+// If turns cannot lack copies, only token uses have to be copied, because the
+// replica sets of programs change.
 //
 // A disk that was dropped while it did not answer may return with turns that
 // no other disk has copied.
@@ -67,7 +66,7 @@
 // make the copy start over. All of them are on the disk before this ends.
 bool DiskCopier::Copy(Fiber& fiber, const StorageList& list) {
   const bool returns = !list.IsMember(disk_) && node_.turns().size() > 0;
-  const bool copies_turns = !list.OnlyAddsMembers() || list.recopies || returns;
+  const bool copies_turns = list.MayLackCopies(tolerated_losses_) || returns;
   progress_ = {};
   if (!CopyUses(fiber, list) || (copies_turns && !CopyTurns(fiber, list))) {
     return false;
@@ -247,7 +246,7 @@
         return enough(it) &&
                (!list.recopies || it.size() == plan.targets.size());
       });
-  if (list.recopies && AwaitsDigests(replies)) {
+  if (list.recopies && AwaitsDigests(list, replies)) {
     return false;
   }
   for (std::size_t n = 0; n < all.size(); ++n) {
@@ -266,15 +265,23 @@
 }
 
 // A disk that is slow to store the list refuses to list its turns until then,
-// and may have the last copy of some. One that still refuses after
-// kMaxCopyTime counts as lost.
-bool DiskCopier::AwaitsDigests(const StorageReplies& replies) const {
-  return std::chrono::steady_clock::now() - copy_started_at_ < kMaxCopyTime &&
-         std::any_of(replies.begin(), replies.end(), [](const auto& it) {
-           // An emptied disk answers as another one, now and later.
-           return it.second.status != StorageStatus::kDone &&
-                  it.second.status != StorageStatus::kOtherDisk;
-         });
+// and may have the last copy of some. So may one of the next set that does not
+// answer, without which the change cannot end anyway. One that has not told
+// after kMaxCopyTime counts as lost.
+bool DiskCopier::AwaitsDigests(const StorageList& list,
+                               const StorageReplies& replies) const {
+  const bool refused =
+      std::any_of(replies.begin(), replies.end(), [](const auto& it) {
+        // An emptied disk answers as another one, now and later.
+        return it.second.status != StorageStatus::kDone &&
+               it.second.status != StorageStatus::kOtherDisk;
+      });
+  const bool silent = std::any_of(
+      list.next.begin(), list.next.end(), [this, &replies](const auto& it) {
+        return it.disk != disk_ && replies.count(it.disk) == 0;
+      });
+  return (refused || silent) &&
+         std::chrono::steady_clock::now() - copy_started_at_ < kMaxCopyTime;
 }
 
 bool DiskCopier::CopyTurns(Fiber& fiber, const StorageList& list) {
--- a/source/storage/disk_copier.h
+++ b/source/storage/disk_copier.h
@@ -66,7 +66,8 @@
                          const StorageReply& reply,
                          Digests& digests);
   // Whether the turns of a disk that has answered are still to be learned.
-  bool AwaitsDigests(const StorageReplies& replies) const;
+  bool AwaitsDigests(const StorageList& list,
+                     const StorageReplies& replies) const;
   // Sends `request` to `member`. A member that reports an older epoch is sent
   // `list` first.
   bool CallWithList(Fiber& fiber,
--- a/source/storage/storage_membership_manager.cc
+++ b/source/storage/storage_membership_manager.cc
@@ -463,6 +463,7 @@
     LeaveAsNonMember(fiber);
     return;
   }
+  leave_proposed_ = false;
   const auto replies = Probe(fiber, list.members, kProbeTimeout);
   const auto health = HealthOf(fiber, list.members, replies,
                                /*has_list=*/false);
@@ -474,17 +475,20 @@
     fiber.Sleep(kStepInterval);
     return;
   }
-  Propose(fiber, *change, "leave");
+  leave_proposed_ = Propose(fiber, *change, "leave");
 }
 
 // A disk that the VM had before may still be in the list, where it counts as
-// lost. The others need a disk in its place before the VM may go.
+// lost, or too few others may be left. The others need this disk first then. If
+// they have dropped it because it did not answer, it may have the last copy of
+// a turn.
 void StorageMembershipManager::LeaveAsNonMember(Fiber& fiber) {
   const auto& members = view_.storage_list().members;
   const bool lost_disk = std::any_of(
       members.begin(), members.end(),
       [this](const auto& it) { return it.address == self_.address; });
-  if (lost_disk) {
+  const bool was_dropped = !leave_proposed_ && node_.turns().size() > 0;
+  if (lost_disk || was_dropped || !planner_.IsEnough(members)) {
     Join(fiber);
   } else if (announced_) {
     WithdrawAnnouncement(fiber);
--- a/source/storage/storage_membership_manager.h
+++ b/source/storage/storage_membership_manager.h
@@ -147,6 +147,8 @@
   bool announced_ = false;
   bool stopped_ = false;
   bool leaving_ = false;
+  // This daemon has proposed the last change in which its disk left.
+  bool leave_proposed_ = false;
   bool watching_ = false;
   std::function<void(Fiber&)> on_empty_;
   std::mt19937 random_;
