Begin streams that may be resumed at the registered process only

What callers saw: a server is back under its id with another software version; streams that began there were taken up at a server of the old version (ORDER).

Cause: the version of a stream is that of a registration that may be old, above all on a daemon that was cut off or stood still. The process at the other end was asked for its start only where a stream goes on, not where it begins.

Change: the start is compared before the request is sent, once for each connection. A daemon with old registrations no longer says that a version is gone.

--- a/source/front/call_dispatcher.cc
+++ b/source/front/call_dispatcher.cc
@@ -118,7 +118,7 @@
                        kNoServerRetryAfter);
   }
   if (slot_result.reason == SlotFailure::kNoVersion) {
-    return VersionGoneError();
+    return version_guard_.NoServerError();
   }
   return NotRunError(kUnavailable, "no_place",
                      "no server will have a free place in time; retry later",
@@ -179,7 +179,8 @@
        call.body ? *call.body : call.request.body, slot, call.arrived,
        call.deadline, stop_at_, call.max_events,
        !call.tried_addresses.insert(slot.address).second, await_record,
-       call.version.has_value() && IsEngineCall(call), call.answer_memory});
+       (call.version || VersionGuard::BeginsStream(call)) && IsEngineCall(call),
+       call.answer_memory});
   if (call.progress.events > events_before) {
     call.version = slot.server_version;
   }
--- a/source/front/server_call.cc
+++ b/source/front/server_call.cc
@@ -112,12 +112,18 @@
 }
 
 // The registration may be old: a server can start anew under its id, with
-// another version of its software.
-bool ServerCall::IsRegisteredProcess(const HttpReply& state,
-                                     const Input& input) const {
+// another version of its software. `process` is what IdentifyProcess()
+// returned.
+bool ServerCall::IsRegisteredProcess(const std::string& process,
+                                     const Input& input) {
   const auto registered = input.slot.server_started;
+  return process.empty() || registered.count() == 0 ||
+         process == std::to_string(registered.count());
+}
+
+std::string ServerCall::IdentifyProcess(const HttpReply& state) const {
   const auto started = codec_.decode_process_start(state);
-  return !started || registered.count() == 0 || *started == registered;
+  return started ? std::to_string(started->count()) : std::string();
 }
 
 void ServerCall::AwaitRecord(Fiber& fiber, const Input& input) {
@@ -198,10 +204,7 @@
       std::min(kConnectTimeout, TimeoutUntil(input.deadline));
   options.idle_timeout = TimeoutUntil(input.deadline);
   // Without an id, nothing tells the reply to this request from an earlier one.
-  // Nor can anything tell a late reply from the one to the check of the
-  // process.
-  options.fresh_connection =
-      input.repeated || input.request_id.empty() || input.checks_process;
+  options.fresh_connection = input.repeated || input.request_id.empty();
   options.body = &input.body;
   options.max_body_bytes = input.route.kind == RequestKind::kStream
                                ? kMaxStreamBytes
@@ -237,8 +240,11 @@
   }
   if (input.checks_process) {
     options.peer_check = &codec_.state_request;
-    options.accept_peer = [this, &input](const HttpReply& state) {
-      return IsRegisteredProcess(state, input);
+    options.identify_peer = [this](const HttpReply& state) {
+      return IdentifyProcess(state);
+    };
+    options.accept_peer = [&input](const std::string& process) {
+      return IsRegisteredProcess(process, input);
     };
   }
   options.cancelled = [this, &input] {
--- a/source/front/server_call.h
+++ b/source/front/server_call.h
@@ -91,7 +91,10 @@
  private:
   void CheckLeaving(const ServerAnswer& metadata) const;
   ReplyAction HandleHead(const HttpReply& reply, const Input& input);
-  bool IsRegisteredProcess(const HttpReply& state, const Input& input) const;
+  static bool IsRegisteredProcess(const std::string& process,
+                                  const Input& input);
+  // Names the process that replied with its state; empty: it does not tell.
+  std::string IdentifyProcess(const HttpReply& state) const;
   void AwaitRecord(Fiber& fiber, const Input& input);
   void HandleData(Fiber& fiber, std::string_view data, const Input& input);
   // Keeps the data of an event, as a part of the turn's output.
--- a/source/front/version_guard.cc
+++ b/source/front/version_guard.cc
@@ -14,6 +14,9 @@
 constexpr std::chrono::milliseconds kStorageRetryAfter{150};
 // Clients resume a stream within the time limit of its request.
 constexpr std::chrono::milliseconds kMinRecordTime{60000};
+// Registrations that are older may lack a server. They are read about once a
+// second.
+constexpr std::chrono::milliseconds kMaxRegistryAge{3000};
 // From the reservation to the server's start to run it, with clock skew.
 constexpr std::chrono::milliseconds kMaxBeginDelay{2000};
 // How long a healthy stream may wait for a record without which it cannot be
@@ -36,12 +39,6 @@
          !call.params.resumed_request.empty();
 }
 
-CallError VersionGoneError() {
-  return NotRunError(kUnavailable, "version_gone",
-                     "no server has the software version that began this "
-                     "stream; begin it anew");
-}
-
 VersionGuard::VersionGuard(const FleetView& view,
                            StorageClient& storage,
                            ServerAdmission& admission,
@@ -89,14 +86,32 @@
   return Resume(call, *use);
 }
 
+bool VersionGuard::BeginsStream(const Call& call) {
+  return MayBeResumed(call) && !call.version &&
+         call.params.last_event_id.empty();
+}
+
+// A daemon that stood still or was cut off does not know the servers that have
+// registered since.
+CallError VersionGuard::NoServerError() const {
+  if (std::chrono::steady_clock::now() - view_.servers_read_at() >
+      kMaxRegistryAge) {
+    return NotRunError(kUnavailable, "version_unread",
+                       "this daemon's list of servers is old and has none of "
+                       "the version that began this stream; retry",
+                       kStorageRetryAfter);
+  }
+  return NotRunError(kUnavailable, "version_gone",
+                     "no server has the software version that began this "
+                     "stream; begin it anew");
+}
+
 std::function<bool(Fiber&)> VersionGuard::BeginAt(Call& call,
                                                   const AcquiredSlot& slot) {
-  const bool begins =
-      MayBeResumed(call) && !call.version && call.params.last_event_id.empty();
   auto& record = call.version_record;
   const bool is_recorded = record.version == slot.server_version &&
                            (!call.version_store || call.version_store->stored);
-  if (!begins || is_recorded) {
+  if (!BeginsStream(call) || is_recorded) {
     return nullptr;
   }
   if (record.request.empty()) {
--- a/source/front/version_guard.h
+++ b/source/front/version_guard.h
@@ -45,6 +45,11 @@
   // The same for a request that reserves no tokens: reads the record.
   std::optional<CallError> FindAndResume(Fiber& fiber, Call& call);
 
+  // Whether `call` begins a stream whose version has to be recorded.
+  static bool BeginsStream(const Call& call);
+  // Returns the error for a stream whose version no known server has.
+  CallError NoServerError() const;
+
   // Makes sure that the version of the server at `slot`, at which the stream of
   // `call` begins, is recorded. Returns a function that waits for this and
   // returns whether it is; null if nothing has to be waited for.
@@ -60,9 +65,6 @@
 // Whether the client resumes a stream and names the attempt that began it.
 bool ContinuesKnownAttempt(const Call& call);
 
-// Error for a stream whose version no server in service has.
-CallError VersionGoneError();
-
 }  // namespace comfreyfold
 
 #endif  // FRONT_VERSION_GUARD_H_
--- a/source/net/http_client.cc
+++ b/source/net/http_client.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <array>
 #include <map>
+#include <optional>
 
 #include <boost/asio/connect.hpp>
 #include <boost/asio/ip/tcp.hpp>
@@ -48,6 +49,8 @@
   // When it was last used, and until when the server keeps it open if idle.
   std::chrono::steady_clock::time_point idle_since;
   std::chrono::steady_clock::time_point usable_until;
+  // The process at the other end, if it was checked.
+  std::optional<std::string> peer;
 };
 
 // Returns the time until which an idle connection may be used, according to the
@@ -150,16 +153,26 @@
   std::map<std::string, Pool> idle;
   std::chrono::steady_clock::time_point all_evicted_at;
 
-  std::unique_ptr<Connection> TakeIdle(
-      const std::string& address,
-      std::chrono::milliseconds max_idle_time) {
+  // Whether the process at the other end may get a request with `options`.
+  static bool IsAccepted(const Connection& connection,
+                         const HttpOptions& options) {
+    return options.peer_check == nullptr ||
+           (connection.peer && options.accept_peer(*connection.peer));
+  }
+
+  std::unique_ptr<Connection> TakeIdle(const std::string& address,
+                                       const HttpOptions& options) {
     auto& pool = idle[address];
     const auto now = std::chrono::steady_clock::now();
-    while (!pool.empty()) {
-      auto connection = std::move(pool.back());
-      pool.pop_back();
+    for (auto n = pool.size(); n > 0; --n) {
+      const auto it = pool.begin() + static_cast<std::ptrdiff_t>(n - 1);
+      if (!IsAccepted(**it, options)) {
+        continue;
+      }
+      auto connection = std::move(*it);
+      pool.erase(it);
       if (now < connection->usable_until &&
-          now - connection->idle_since <= max_idle_time &&
+          now - connection->idle_since <= options.max_idle_time &&
           IsOpen(*connection)) {
         return connection;
       }
@@ -482,7 +495,8 @@
     HttpReply reply;
     ReplyReader reader(fiber, address, connection, watchdog, check_options);
     reader.Read(reply);
-    accepted = options.accept_peer(reply) && reader.keep_alive();
+    connection.peer = options.identify_peer(reply);
+    accepted = options.accept_peer(*connection.peer) && reader.keep_alive();
   } catch (const HttpFailure& e) {
     throw PeerNotAccepted(e.what());
   }
@@ -499,9 +513,8 @@
                            const std::string& address,
                            const HttpRequest& request,
                            const HttpOptions& options) {
-  auto connection = options.fresh_connection
-                        ? nullptr
-                        : impl_->TakeIdle(address, options.max_idle_time);
+  auto connection =
+      options.fresh_connection ? nullptr : impl_->TakeIdle(address, options);
   boost::system::error_code ec;
   if (!connection) {
     connection = impl_->Connect(fiber, address, options.connect_timeout, ec);
@@ -514,7 +527,7 @@
   }
   auto& stream = connection->stream;
 
-  if (options.peer_check != nullptr) {
+  if (options.peer_check != nullptr && !connection->peer) {
     CheckPeer(fiber, address, *connection, impl_->loop.impl().io,
               impl_->BuildMessage(address, *options.peer_check, ""), options);
   }
--- a/source/net/http_client.h
+++ b/source/net/http_client.h
@@ -73,12 +73,15 @@
   // Called after a small piece has been passed to `on_data`. Returns how long
   // to pause reading: data that arrives meanwhile is delivered as one piece.
   std::function<std::chrono::milliseconds()> read_pause;
-  // Sent before the request on the same connection, unless null, to learn which
-  // process answers there. The exchange ends with PeerNotAccepted before the
-  // request is sent if `accept_peer` returns false for the reply, or there is
-  // none.
+  // Sent before the request on the same new connection, unless null, to learn
+  // which process answers there; `identify_peer` takes that from the reply. The
+  // exchange ends with PeerNotAccepted before the request is sent if
+  // `accept_peer` returns false for it, or there is no reply. A connection
+  // keeps its process, so one that was checked is not checked again, and of the
+  // pooled ones no others are used.
   const HttpRequest* peer_check = nullptr;
-  std::function<bool(const HttpReply&)> accept_peer;
+  std::function<std::string(const HttpReply&)> identify_peer;
+  std::function<bool(const std::string& peer)> accept_peer;
   // Polled during the exchange; returning true abandons it with HttpFailure.
   std::function<bool()> cancelled;
 };
--- a/tests/standins/platform_server.cc
+++ b/tests/standins/platform_server.cc
@@ -120,6 +120,7 @@
     return;
   }
   if (request.Path() == "/api/report") {
+    ++state_requests_;
     ReplyState(fiber, exchange);
     return;
   }
--- a/tests/standins/platform_server.h
+++ b/tests/standins/platform_server.h
@@ -54,6 +54,8 @@
   void SetLeaving(bool leaving) { leaving_ = leaving; }
   // Makes the server report this start of its process; 0: none.
   void SetStarted(std::chrono::milliseconds started) { started_ = started; }
+  // Number of requests for its state.
+  int state_requests() const { return state_requests_; }
   // Makes the server take this time within its report of its state.
   void SetStateTime(std::chrono::milliseconds time) { state_time_ = time; }
   // Makes the server name this limit in its answers; empty: none.
@@ -97,6 +99,7 @@
   bool leaving_ = false;
   std::string limit_;
   std::chrono::milliseconds started_{0};
+  int state_requests_ = 0;
   std::chrono::milliseconds state_time_{0};
 };
 
--- a/tests/standins/raw_server.cc
+++ b/tests/standins/raw_server.cc
@@ -29,17 +29,29 @@
 
 namespace {
 
+constexpr const char* kState =
+    "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n"
+    "Content-Length: 2\r\n\r\n{}";
+
 class SocketPeer : public RawServer::Peer {
  public:
   SocketPeer(Fiber& fiber, tcp::socket& socket, std::uint64_t& written)
       : fiber_(fiber), socket_(socket), written_(written) {}
 
   std::string ReadHead() override {
-    std::string out;
-    boost::system::error_code ec;
-    boost::asio::async_read_until(socket_, boost::asio::dynamic_buffer(out),
-                                  "\r\n\r\n", YieldToken(fiber_)[ec]);
-    return ec ? std::string() : out;
+    for (;;) {
+      std::string out;
+      boost::system::error_code ec;
+      boost::asio::async_read_until(socket_, boost::asio::dynamic_buffer(out),
+                                    "\r\n\r\n", YieldToken(fiber_)[ec]);
+      if (ec) {
+        return {};
+      }
+      if (out.rfind("GET /api/report ", 0) != 0) {
+        return out;
+      }
+      Write(kState);
+    }
   }
 
   bool Write(const std::string& bytes) override {
--- a/tests/standins/raw_server.h
+++ b/tests/standins/raw_server.h
@@ -19,7 +19,8 @@
    public:
     virtual ~Peer() = default;
     // Reads up to the end of a request's headers. Returns the bytes read; empty
-    // once the client has closed the connection.
+    // once the client has closed the connection. Requests for the server's
+    // state are answered, and not returned.
     virtual std::string ReadHead() = 0;
     // Returns false once the client has closed the connection.
     virtual bool Write(const std::string& bytes) = 0;
--- a/tests/vm/stream_versions_test.cc
+++ b/tests/vm/stream_versions_test.cc
@@ -14,6 +14,7 @@
 
 constexpr int kOk = 200;
 constexpr int kUnavailable = 503;
+constexpr int kStreams = 6;
 
 const std::vector<std::string> kServers = {"old-1", "old-2", "new-1", "new-2",
                                            "new-3"};
@@ -222,6 +223,49 @@
   });
 }
 
+// A daemon whose registrations were old recorded the version that the server
+// had before its restart.
+BOOST_AUTO_TEST_CASE(stream_does_not_begin_at_an_unregistered_process) {
+  for (const bool has_program : {true, false}) {
+    WithTwoVersions([has_program](Fiber& fiber, VmDeployment& deployment) {
+      for (const auto& id : kServers) {
+        deployment.server(id).service->SetStarted(
+            std::chrono::milliseconds(IsOld(id) ? 1 : 2));
+      }
+      for (int n = 0; n < kStreams; ++n) {
+        const auto id = "r" + std::to_string(n);
+        BOOST_TEST(deployment.WaitFor(fiber, [&] {
+          return deployment
+                     .Send(fiber, deployment.vm("front-1"),
+                           Stream(id, has_program))
+                     .status == kOk;
+        }));
+        BOOST_TEST((VersionsOf(deployment, id) == std::set<std::string>{"v1"}));
+      }
+    });
+  }
+}
+
+BOOST_AUTO_TEST_CASE(process_is_checked_once_for_a_kept_connection) {
+  WithTwoVersions([](Fiber& fiber, VmDeployment& deployment) {
+    for (const auto& id : kServers) {
+      deployment.server(id).service->SetStarted(std::chrono::milliseconds(1));
+    }
+    for (int n = 0; n < 2 * kStreams; ++n) {
+      const auto id = "r" + std::to_string(n);
+      BOOST_TEST(
+          deployment.Send(fiber, deployment.vm("front-1"), Stream(id, true))
+              .status == kOk);
+    }
+    int checks = 0;
+    for (const auto& id : kServers) {
+      checks += deployment.server(id).service->state_requests();
+    }
+    BOOST_TEST(checks > 0);
+    BOOST_TEST(checks <= static_cast<int>(kServers.size()));
+  });
+}
+
 // The time limit of the check ended the exchange that followed it.
 BOOST_AUTO_TEST_CASE(slow_event_after_the_check_of_the_process_is_waited_for) {
   WithTwoVersions([](Fiber& fiber, VmDeployment& deployment) {
