--- a/source/storage/storage_membership_manager.cc
+++ b/source/storage/storage_membership_manager.cc
@@ -19,11 +19,6 @@
 // Time that a disk which a stalled change waits for has to answer one probe.
 constexpr std::chrono::milliseconds kDeadTimeout{2000};
 constexpr std::chrono::milliseconds kDeadProbePause{500};
-// Probes in a row without an answer after which such a disk counts as dead. A
-// daemon that is short of processor time leaves some unanswered but accepts
-// connections.
-constexpr int kProbesUnreachable = 2;
-constexpr int kProbesSilent = 4;
 // A change of which no disk gets done for longer may be waiting for a dead
 // disk, so its disks are probed then.
 constexpr std::chrono::milliseconds kChangeStallTime{2500};
@@ -59,12 +54,6 @@
   return VmsOf(members);
 }
 
-// Whether the disk's VM has another disk now.
-bool WasReplaced(const StorageReplies& replies, const StorageMember& member) {
-  const auto it = replies.find(member.disk);
-  return it != replies.end() && it->second.status == StorageStatus::kOtherDisk;
-}
-
 }  // namespace
 
 StorageMembershipManager::StorageMembershipManager(
@@ -79,7 +68,6 @@
     std::chrono::milliseconds catch_up_time,
     bool may_create_list)
     : loop_(loop),
-      http_(http),
       store_(store),
       view_(view),
       node_(node),
@@ -96,6 +84,7 @@
              self_.disk,
              tolerated_losses,
              catch_up_time),
+      prober_(http, view, replicas_, watch_.absence(), self_.disk),
       planner_(tolerated_losses),
       wake_(loop),
       random_(std::random_device{}()) {
@@ -182,7 +171,7 @@
   if (list.version != change_version_) {
     change_version_ = list.version;
     change_waits_since_ = now;
-    unanswered_probes_.clear();
+    prober_.Forget();
   }
   if (list.Find(self_.disk) == nullptr) {
     if (!leaving_) {
@@ -259,92 +248,6 @@
   Propose(fiber, list, "first start");
 }
 
-StorageReplies StorageMembershipManager::Probe(
-    Fiber& fiber,
-    const std::vector<StorageMember>& members,
-    std::chrono::milliseconds timeout) {
-  StorageRequest request;
-  request.operation = StorageOperation::kAdopt;
-  request.members = view_.storage_list();
-  ReplicaClient::Plan plan;
-  for (const auto& it : members) {
-    if (it.disk != self_.disk) {
-      plan.targets.push_back(it);
-    }
-  }
-  plan.initial_targets = plan.targets.size();
-  plan.timeout = timeout;
-  return replicas_.Call(fiber, plan, request,
-                        [&plan](const StorageReplies& it) {
-                          return it.size() == plan.targets.size();
-                        });
-}
-
-std::vector<StorageMember> StorageMembershipManager::ReachableMembers(
-    Fiber& fiber,
-    const std::vector<StorageMember>& members,
-    std::chrono::milliseconds timeout) {
-  const auto replies = Probe(fiber, members, timeout);
-  std::vector<StorageMember> out;
-  for (const auto& it : members) {
-    const auto reply = replies.find(it.disk);
-    const bool has_answered =
-        reply != replies.end() && reply->second.status == StorageStatus::kDone;
-    if (it.disk == self_.disk || has_answered) {
-      out.push_back(it);
-    }
-  }
-  return out;
-}
-
-// A disk that is only slow must not lose its place for one probe.
-DiskHealths StorageMembershipManager::HealthOf(
-    Fiber& fiber,
-    const std::vector<StorageMember>& members,
-    const StorageReplies& replies,
-    bool has_list) {
-  DiskHealths out;
-  for (const auto& it : members) {
-    const auto reply = replies.find(it.disk);
-    const bool answers =
-        it.disk == self_.disk ||
-        (reply != replies.end() &&
-         (!has_list || reply->second.status == StorageStatus::kDone));
-    if (WasReplaced(replies, it)) {
-      out[it.disk] = DiskHealth::kLost;
-    } else if (answers) {
-      unanswered_probes_.erase(it.disk);
-      out[it.disk] = DiskHealth::kAnswers;
-    } else if (!IsDead(fiber, it)) {
-      out[it.disk] = DiskHealth::kSilent;
-    } else {
-      out[it.disk] = watch_.absence().IsLost(it.disk) ? DiskHealth::kLost
-                                                      : DiskHealth::kDead;
-    }
-  }
-  return out;
-}
-
-DiskHealths StorageMembershipManager::HealthForRemoval(
-    const std::vector<StorageMember>& members,
-    const StorageReplies& replies) const {
-  const auto& absence = watch_.absence();
-  DiskHealths out;
-  for (const auto& it : members) {
-    const bool answers =
-        replies.count(it.disk) > 0 && !WasReplaced(replies, it);
-    if (it.disk == self_.disk || answers) {
-      out[it.disk] = DiskHealth::kAnswers;
-    } else if (!absence.IsGone(it.disk)) {
-      out[it.disk] = DiskHealth::kSilent;
-    } else {
-      out[it.disk] =
-          absence.IsLost(it.disk) ? DiskHealth::kLost : DiskHealth::kGone;
-    }
-  }
-  return out;
-}
-
 void StorageMembershipManager::LogDelay(
     const char* event,
     const std::vector<StorageMember>& awaited,
@@ -356,7 +259,7 @@
   log_.Write(
       event, "",
       {{"members", static_cast<int>(view_.storage_list().members.size())},
-       {"silent", static_cast<int>(unanswered_probes_.size())},
+       {"silent", static_cast<int>(prober_.silent())},
        {"room", has_room},
        {"awaited", VmsOf(awaited)},
        {"delayed_ms", std::chrono::duration_cast<std::chrono::milliseconds>(
@@ -372,9 +275,9 @@
     return;
   }
   const auto list = view_.storage_list();
-  const auto health =
-      HealthOf(fiber, list.members, Probe(fiber, list.members, kProbeTimeout),
-               /*has_list=*/false);
+  const auto health = prober_.HealthOf(
+      fiber, list.members, prober_.Probe(fiber, list.members, kProbeTimeout),
+      /*has_list=*/false);
   const auto awaited = StorageChangePlanner::Awaited(list.members, health);
   if (!planner_.Join(list, health, {self_})) {
     LogDelay("join_delayed", awaited);
@@ -390,8 +293,8 @@
 // on the other disks is not asked for.
 void StorageMembershipManager::RemoveAbsent(Fiber& fiber) {
   const auto list = view_.storage_list();
-  const auto health =
-      HealthForRemoval(list.members, Probe(fiber, list.members, kDeadTimeout));
+  const auto health = prober_.HealthForRemoval(
+      list.members, prober_.Probe(fiber, list.members, kDeadTimeout));
   if (!planner_.Remove(list, health, {})) {
     LogDelay("removal_delayed",
              StorageChangePlanner::Awaited(list.members, health));
@@ -435,7 +338,7 @@
                  {{"key", it.key}, {"reason", e.what()}});
     }
   }
-  return ReachableMembers(fiber, out, kProbeTimeout);
+  return prober_.ReachableMembers(fiber, out, kProbeTimeout);
 }
 
 // An announcement that remained would let another disk's proposal add this disk
@@ -464,9 +367,9 @@
     return;
   }
   leave_proposed_ = false;
-  const auto replies = Probe(fiber, list.members, kProbeTimeout);
-  const auto health = HealthOf(fiber, list.members, replies,
-                               /*has_list=*/false);
+  const auto replies = prober_.Probe(fiber, list.members, kProbeTimeout);
+  const auto health = prober_.HealthOf(fiber, list.members, replies,
+                                       /*has_list=*/false);
   const auto change = planner_.Leave(list, health, self_.disk);
   const bool has_room = HaveRoomForCopies(replies);
   if (!change || !has_room) {
@@ -499,15 +402,6 @@
   }
 }
 
-bool StorageMembershipManager::IsDead(Fiber& fiber, const StorageMember& disk) {
-  auto& [unreachable, silent] = unanswered_probes_[disk.disk];
-  const bool accepts = http_.TryConnect(fiber, disk.address, kProbeTimeout) ==
-                       ConnectResult::kAccepted;
-  unreachable = accepts ? 0 : unreachable + 1;
-  ++silent;
-  return unreachable >= kProbesUnreachable || silent >= kProbesSilent;
-}
-
 // All disks copy again then, so a disk that is only slow must not count as
 // dead. One that was replaced does not come back. A disk that has not copied
 // may be slow itself, and leaves this to those that have unless they are all
@@ -515,8 +409,9 @@
 void StorageMembershipManager::RestartChange(Fiber& fiber) {
   const auto list = view_.storage_list();
   const auto all = list.AllMembers();
-  auto health = HealthOf(fiber, all, Probe(fiber, all, kDeadTimeout),
-                         /*has_list=*/true);
+  auto health =
+      prober_.HealthOf(fiber, all, prober_.Probe(fiber, all, kDeadTimeout),
+                       /*has_list=*/true);
   const auto awaited = StorageChangePlanner::Awaited(list.next, health);
   const auto is_synced = [&list](const std::string& disk) {
     return std::find(list.synced.begin(), list.synced.end(), disk) !=
--- a/source/storage/storage_membership_manager.h
+++ b/source/storage/storage_membership_manager.h
@@ -14,6 +14,7 @@
 #include "fleet/decision_log.h"
 #include "fleet/fleet_view.h"
 #include "storage/disk_copier.h"
+#include "storage/member_prober.h"
 #include "storage/member_watch.h"
 #include "storage/replica_client.h"
 #include "storage/storage_node.h"
@@ -80,8 +81,6 @@
   // Copies what the disk lacks in the current change, then adds the disk to the
   // synced ones.
   void Synchronize(Fiber& fiber);
-  // Notes that `disk` left a probe unanswered. Returns whether it is dead.
-  bool IsDead(Fiber& fiber, const StorageMember& disk);
   // Takes the next action in the change of the list that is under way.
   void StepInChange(Fiber& fiber);
   // Replaces the current change by one without the disks that cannot get done,
@@ -90,24 +89,6 @@
   // Writes `list` if it is newer than the one in the key-value service and that
   // one has not changed since it was read. Returns whether it was written.
   bool Propose(Fiber& fiber, const StorageList& list, const char* reason);
-  // Sends the current list to `members`, but not to this VM's disk.
-  StorageReplies Probe(Fiber& fiber,
-                       const std::vector<StorageMember>& members,
-                       std::chrono::milliseconds timeout);
-  // Does the same and returns those that have the list now.
-  std::vector<StorageMember> ReachableMembers(
-      Fiber& fiber,
-      const std::vector<StorageMember>& members,
-      std::chrono::milliseconds timeout);
-  // Returns the health of `members` after a probe with `replies`. If `has_list`
-  // is set, only disks that have stored the list count as answering.
-  DiskHealths HealthOf(Fiber& fiber,
-                       const std::vector<StorageMember>& members,
-                       const StorageReplies& replies,
-                       bool has_list);
-  // The same for a removal, which waits for each disk that may come back.
-  DiskHealths HealthForRemoval(const std::vector<StorageMember>& members,
-                               const StorageReplies& replies) const;
   // Names the VMs of the members that a change waits for, and how long.
   void LogDelay(const char* event,
                 const std::vector<StorageMember>& awaited,
@@ -117,7 +98,6 @@
   bool HaveRoomForCopies(const StorageReplies& replies) const;
 
   Loop& loop_;
-  HttpClient& http_;
   KvStore& store_;
   FleetView& view_;
   StorageNode& node_;
@@ -128,6 +108,7 @@
   ReplicaClient replicas_;
   DiskCopier copier_;
   MemberWatch watch_;
+  MemberProber prober_;
   StorageChangePlanner planner_;
   Condition wake_;
   std::int64_t change_version_ = 0;
@@ -138,11 +119,6 @@
   TimePoint delayed_since_{};
   // When the current change made progress, or all its disks answered, last.
   std::chrono::steady_clock::time_point change_waits_since_{};
-  struct UnansweredProbes {
-    int unreachable = 0;  // Those in a row without a connection.
-    int silent = 0;       // All in a row.
-  };
-  std::map<std::string, UnansweredProbes> unanswered_probes_;  // By disk.
   int failed_copies_ = 0;  // Consecutive ones.
   bool announced_ = false;
   bool stopped_ = false;
