--- a/source/front/call_dispatcher.cc
+++ b/source/front/call_dispatcher.cc
@@ -174,13 +174,12 @@
   });
   server_call.OnLeaving([this, &slot] { admission_.ObserveLeaving(slot); });
   auto result = server_call.Run(
-      fiber,
-      {*call.route, call.params.request_id, request,
-       call.body ? *call.body : call.request.body, slot, call.arrived,
-       call.deadline, stop_at_, call.max_events,
-       !call.tried_addresses.insert(slot.address).second, await_record,
-       (call.version || VersionGuard::BeginsStream(call)) && IsEngineCall(call),
-       call.answer_memory});
+      fiber, {*call.route, call.params.request_id, request,
+              call.body ? *call.body : call.request.body, slot, call.arrived,
+              call.deadline, stop_at_, call.max_events,
+              !call.tried_addresses.insert(slot.address).second, await_record,
+              IsEngineCall(call) && version_guard_.MustCheckProcess(call),
+              call.answer_memory});
   if (call.progress.events > events_before) {
     call.version = slot.server_version;
   }
--- a/source/front/version_guard.cc
+++ b/source/front/version_guard.cc
@@ -1,6 +1,7 @@
 #include "front/version_guard.h"
 
 #include <algorithm>
+#include <set>
 
 #include "core/wall_clock.h"
 
@@ -93,9 +94,29 @@
 
 // A daemon that stood still or was cut off does not know the servers that have
 // registered since.
+bool VersionGuard::HasOldRegistry() const {
+  return std::chrono::steady_clock::now() - view_.servers_read_at() >
+         kMaxRegistryAge;
+}
+
+// The check costs a request for each connection. While all servers of the
+// service have one version and the registry is new, only one that has just
+// started with another could be mistaken.
+bool VersionGuard::MustCheckProcess(const Call& call) const {
+  if (!BeginsStream(call)) {
+    return call.version.has_value();
+  }
+  std::set<std::string> versions;
+  for (const auto& [id, it] : view_.servers().servers()) {
+    if (it.service == call.service) {
+      versions.insert(it.version);
+    }
+  }
+  return versions.size() > 1 || HasOldRegistry();
+}
+
 CallError VersionGuard::NoServerError() const {
-  if (std::chrono::steady_clock::now() - view_.servers_read_at() >
-      kMaxRegistryAge) {
+  if (HasOldRegistry()) {
     return NotRunError(kUnavailable, "version_unread",
                        "this daemon's list of servers is old and has none of "
                        "the version that began this stream; retry",
--- a/source/front/version_guard.h
+++ b/source/front/version_guard.h
@@ -47,6 +47,9 @@
 
   // Whether `call` begins a stream whose version has to be recorded.
   static bool BeginsStream(const Call& call);
+  // Whether the server at which `call` runs must be asked which process it is:
+  // its registered version may not be the one that it has.
+  bool MustCheckProcess(const Call& call) const;
   // Returns the error for a stream whose version no known server has.
   CallError NoServerError() const;
 
@@ -56,6 +59,8 @@
   std::function<bool(Fiber&)> BeginAt(Call& call, const AcquiredSlot& slot);
 
  private:
+  bool HasOldRegistry() const;
+
   const FleetView& view_;
   StorageClient& storage_;
   ServerAdmission& admission_;
