Copy token uses to replicas that would lose them

Cause: uses are stored on a quorum, and a replica removes a program's uses once all that it knows have expired. Later uses keep the earlier ones only on replicas that know both. A program that moves to another quorum leaves its earlier uses on one replica.

A reservation that finds such a difference has to read a quorum once more anyway. This round now stores the uses that some answer lacks, with the reservation, if they began 10 s or more before it.

--- a/source/core/token_quorum.cc
+++ b/source/core/token_quorum.cc
@@ -7,6 +7,7 @@
 void TokenQuorum::AddAnswer(const std::vector<TokenUse>& uses) {
   ++answers_;
   for (const auto& it : uses) {
+    ++known_answers_[it.request];
     settled_answers_[it.request] += it.settled ? 1 : 0;
     ledger_.Merge(it);
   }
@@ -29,4 +30,20 @@
                      });
 }
 
+// A use without tokens doesn't matter. All uses have the same lifetime, so
+// differences between expiry times equal those between start times.
+std::vector<TokenUse> TokenQuorum::UsesToCopy(
+    const TokenUse& use,
+    std::chrono::milliseconds min_age) const {
+  std::vector<TokenUse> out;
+  for (const auto& [request, it] : ledger_.uses()) {
+    if (request != use.request && it.tokens > 0 &&
+        it.expires_at + min_age <= use.expires_at &&
+        known_answers_.at(request) < answers_) {
+      out.push_back(it);
+    }
+  }
+  return out;
+}
+
 }  // namespace comfreyfold
--- a/source/core/token_quorum.h
+++ b/source/core/token_quorum.h
@@ -1,6 +1,7 @@
 #ifndef CORE_TOKEN_QUORUM_H_
 #define CORE_TOKEN_QUORUM_H_
 
+#include <chrono>
 #include <cstddef>
 #include <map>
 #include <string>
@@ -22,10 +23,19 @@
   // Otherwise a quorum has to be read once more.
   bool IsDecided(const std::string& request) const;
 
+  // Returns the uses that began `min_age` before `use` or earlier and that some
+  // answer lacks. A replica keeps uses as long as a later one of the program
+  // only if it knows that one too, so these may be lost unless they are stored
+  // with `use`.
+  std::vector<TokenUse> UsesToCopy(const TokenUse& use,
+                                   std::chrono::milliseconds min_age) const;
+
   const TokenLedger& ledger() const { return ledger_; }
 
  private:
   TokenLedger ledger_;
+  // Number of answers that contained a use, by request.
+  std::map<std::string, std::size_t> known_answers_;
   // Number of answers in which a use was settled, by request.
   std::map<std::string, std::size_t> settled_answers_;
   std::size_t answers_ = 0;
--- a/source/storage/storage_client.cc
+++ b/source/storage/storage_client.cc
@@ -23,6 +23,9 @@
 // Retries of a request because the list of storage members changed meanwhile.
 // More than one is rarely needed.
 constexpr int kMaxListChanges = 4;
+// Younger uses are kept until the program can no longer return in any case, and
+// some of them are on their way to further replicas.
+constexpr std::chrono::milliseconds kMinCopyAge{10000};
 // A disk that stores the list within this time is asked again with the others.
 constexpr std::chrono::milliseconds kPromptListTime{50};
 
@@ -188,8 +191,12 @@
 // on a quorum, the second reads a quorum, and the reservation is granted only
 // by what the quorum reports then. Of all granted reservations, the one stored
 // last therefore sees every other. One round is enough if
-// TokenQuorum::Decides() returns true, as it does for a program whose turns do
-// not overlap.
+// TokenQuorum::IsDecided() returns true, as it does for a program whose turns
+// do not overlap.
+//
+// Uses that a replica of the first quorum lacks are stored with the second
+// round. Each use is then known to a quorum that also knows this reservation,
+// and so is kept as long as it.
 StorageClient::Reservation StorageClient::Reserve(
     Fiber& fiber,
     const TokenUse& use,
@@ -214,6 +221,11 @@
     StorageRequest read;
     read.operation = StorageOperation::kUses;
     read.program = use.program;
+    read.uses = quorum.UsesToCopy(use, kMinCopyAge);
+    if (!read.uses.empty()) {
+      read.operation = StorageOperation::kStore;
+      read.uses.push_back(use);
+    }
     certain = CallQuorum(fiber, use.program, read, TimeLeft(deadline), quorum);
   }
   const auto& ledger = quorum.ledger();
--- a/tests/storage_property/reservations_test.cc
+++ b/tests/storage_property/reservations_test.cc
@@ -3,6 +3,7 @@
 // answer in any order, and the tokens granted are compared with the budget.
 
 #include <algorithm>
+#include <chrono>
 #include <map>
 #include <string>
 #include <vector>
@@ -17,6 +18,8 @@
 namespace comfreyfold {
 namespace {
 
+using std::chrono::milliseconds;
+
 constexpr int kToleratedLosses = 1;
 constexpr int kReplicas = 2 * kToleratedLosses + 1;
 constexpr std::int64_t kBudget = 100;
@@ -225,6 +228,88 @@
   BOOST_TEST(RunRing(OneRoundRule::kNever) <= kBudget);
 }
 
+// A program that spends its budget in turns and then returns again and again
+// before its uses expire, each time through replicas of its own.
+class ReturningProgram {
+ public:
+  static constexpr milliseconds kLifetime{90000};
+  static constexpr milliseconds kMinCopyAge{10000};
+  static constexpr std::int64_t kTurnTokens = 40;
+
+  explicit ReturningProgram(bool copies_uses) : copies_uses_(copies_uses) {}
+
+  // Takes a turn `pause` after the one before.
+  void TakeTurn(milliseconds pause,
+                const std::vector<int>& store_order,
+                const std::vector<int>& read_order) {
+    now_ += pause;
+    for (int n = 0; n < kReplicas; ++n) {
+      replicas_[n].Expire(now_);
+    }
+    TokenUse use{"program", std::to_string(turns_++), kTurnTokens, false, {}};
+    use.expires_at = now_ + kLifetime;
+    TokenQuorum quorum;
+    Ask(store_order, {use}, quorum);
+    if (!quorum.IsDecided(use.request)) {
+      auto uses = quorum.UsesToCopy(use, kMinCopyAge);
+      if (!uses.empty()) {
+        uses.push_back(use);
+      }
+      Ask(read_order, copies_uses_ ? uses : std::vector<TokenUse>(), quorum);
+    }
+    const bool granted = quorum.ledger().total() <= kBudget;
+    used_ += granted ? kTurnTokens : 0;
+    use.tokens = granted ? kTurnTokens : 0;
+    use.settled = true;
+    TokenQuorum ignored;
+    Ask(store_order, {use}, ignored);
+  }
+
+  std::int64_t used() const { return used_; }
+
+ private:
+  void Ask(const std::vector<int>& order,
+           const std::vector<TokenUse>& uses,
+           TokenQuorum& quorum) {
+    for (int n = 0; n < kReplicas / 2 + 1; ++n) {
+      auto& replica = replicas_[order[static_cast<std::size_t>(n)]];
+      replica.Merge(uses);
+      quorum.AddAnswer(replica.ForProgram("program"));
+    }
+  }
+
+  bool copies_uses_;
+  milliseconds now_{1};
+  int turns_ = 0;
+  std::int64_t used_ = 0;
+  std::map<int, TokenLedgers> replicas_;
+};
+
+// Only replica 1 knows all turns; it is not asked the last time.
+std::int64_t UsedByReturningProgram(bool copies_uses) {
+  ReturningProgram program(copies_uses);
+  program.TakeTurn(milliseconds(0), {0, 1, 2}, {0, 1, 2});
+  program.TakeTurn(milliseconds(1000), {0, 1, 2}, {0, 1, 2});
+  program.TakeTurn(milliseconds(50000), {1, 2, 0}, {1, 2, 0});
+  program.TakeTurn(milliseconds(50000), {0, 2, 1}, {0, 2, 1});
+  return program.used();
+}
+
+BOOST_AUTO_TEST_CASE(uses_are_not_forgotten_while_a_program_returns) {
+  BOOST_TEST(UsedByReturningProgram(false) > kBudget);
+  BOOST_TEST(UsedByReturningProgram(true) <= kBudget);
+}
+
+RC_BOOST_PROP(programs_that_return_stay_within_their_budget, ()) {
+  ReturningProgram program(true);
+  const int turns = *rc::gen::inRange(3, 20);
+  for (int n = 0; n < turns; ++n) {
+    program.TakeTurn(milliseconds(*rc::gen::inRange(0, 80000)), RandomOrder(),
+                     RandomOrder());
+  }
+  RC_ASSERT(program.used() <= kBudget);
+}
+
 TokenUse MakeUse(const char* request, std::int64_t tokens, bool settled) {
   return {"program", request, tokens, settled, {}, ""};
 }
--- a/tests/vm/settlement_test.cc
+++ b/tests/vm/settlement_test.cc
@@ -1,5 +1,6 @@
 // Settlements that a disk does not take.
 
+#include <algorithm>
 #include <chrono>
 #include <map>
 #include <string>
@@ -65,6 +66,56 @@
   BOOST_TEST(asked["d3"] > 0);
 }
 
+// A disk forgot what the program had used while the program went on elsewhere.
+BOOST_AUTO_TEST_CASE(reservation_copies_old_uses_to_disks_that_lack_them) {
+  constexpr std::size_t kCacheBytes = 1024;
+  // Coroutines that have not ended refer to these objects, which are never
+  // destroyed.
+  auto& loop = *new Loop;
+  auto& http = *new HttpClient(loop);
+  auto& view = *new FleetView;
+  auto& log = *new DecisionLog("front");
+  const auto now = WallNow();
+  auto& disks = *new std::map<std::string, TokenLedgers>;
+  disks["d1"].Merge({{"p", "old", 60, true, now + milliseconds(40000)},
+                     {"p", "new", 10, true, now + milliseconds(89000)}});
+  auto& server = *new HttpServer(loop, [&disks](Fiber&,
+                                                const HttpRequest& request,
+                                                HttpExchange& exchange) {
+    auto& disk = disks[request.Path().substr(std::string(kStoragePath).size())];
+    const auto asked = DecodeStorageRequest(request.body);
+    disk.Merge(asked.uses);
+    StorageReply reply;
+    reply.uses = disk.ForProgram(asked.program);
+    exchange.Reply(200, "", Encode(reply));
+  });
+  const auto address = server.Listen("127.0.0.1:0");
+  StorageList list;
+  list.version = 1;
+  list.epoch = 1;
+  for (const auto* disk : {"d1", "d2"}) {
+    list.members.push_back({disk, disk, address, "north"});
+  }
+  view.ApplyStorageList(list);
+  auto& client = *new StorageClient(loop, http, view, log, "north", 1,
+                                    kCacheBytes, milliseconds(1000));
+  StorageClient::Reservation reservation;
+  loop.Spawn([&](Fiber& fiber) {
+    const TokenUse use{"p", "r1", 64, false, now + milliseconds(90000)};
+    reservation = client.Reserve(fiber, use, 100, milliseconds(5000), "");
+    loop.Stop();
+  });
+  loop.Run();
+  BOOST_CHECK(reservation.outcome == StorageClient::ReserveOutcome::kSpent);
+  const auto uses = disks["d2"].ForProgram("p");
+  BOOST_TEST(std::count_if(uses.begin(), uses.end(), [](const auto& it) {
+               return it.request == "old" && it.settled && it.tokens == 60;
+             }) == 1);
+  BOOST_TEST(std::count_if(uses.begin(), uses.end(), [](const auto& it) {
+               return it.request == "new";
+             }) == 0);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace
