Log the announcement of a planned stop; drop unused members

An announcement that no other member answered left no trace. The line stop_announced tells how many were asked and answered.

storage_members, storage_stop, storage_change and leaving pass.

--- a/source/storage/member_watch.cc
+++ b/source/storage/member_watch.cc
@@ -139,20 +139,28 @@
   wake_.NotifyAll();
 }
 
-void MemberWatch::AnnounceStop(Fiber& fiber) {
-  StorageRequest request;
-  request.operation = StorageOperation::kStopping;
-  request.ids = {disk_};
-  ReplicaClient::Plan plan;
-  for (const auto& it : view_.storage_list().AllMembers()) {
-    if (it.disk != disk_) {
-      plan.targets.push_back(it);
+void MemberWatch::AnnounceStop() {
+  announcing_ = true;
+  loop_.Spawn([this](Fiber& fiber) {
+    StorageRequest request;
+    request.operation = StorageOperation::kStopping;
+    request.ids = {disk_};
+    ReplicaClient::Plan plan;
+    for (const auto& it : view_.storage_list().AllMembers()) {
+      if (it.disk != disk_) {
+        plan.targets.push_back(it);
+      }
     }
-  }
-  plan.initial_targets = plan.targets.size();
-  plan.timeout = kAnnounceTimeout;
-  replicas_.Call(fiber, plan, request, [&plan](const auto& it) {
-    return it.size() == plan.targets.size();
+    const auto count = plan.targets.size();
+    plan.initial_targets = count;
+    plan.timeout = kAnnounceTimeout;
+    const auto replies =
+        replicas_.Call(fiber, plan, request,
+                       [count](const auto& it) { return it.size() == count; });
+    log_.Write("stop_announced", "",
+               {{"members", static_cast<int>(count)},
+                {"answers", static_cast<int>(replies.size())}});
+    announcing_ = false;
   });
 }
 
--- a/source/storage/member_watch.h
+++ b/source/storage/member_watch.h
@@ -39,7 +39,9 @@
   // Records that the daemon of `disk` announced its stop.
   void ObserveStop(const std::string& disk);
   // Announces the stop of this VM's daemon to the other members.
-  void AnnounceStop(Fiber& fiber);
+  void AnnounceStop();
+  // True until the other members have answered the announcement, or too late.
+  bool announcing() const { return announcing_; }
 
   const AbsenceWatch& absence() const { return absence_; }
 
@@ -61,6 +63,7 @@
   Condition wake_;
   bool paused_ = false;
   bool stopped_ = false;
+  bool announcing_ = false;
 };
 
 }  // namespace comfreyfold
--- a/source/storage/storage_membership_manager.cc
+++ b/source/storage/storage_membership_manager.cc
@@ -73,7 +73,6 @@
       node_(node),
       log_(log),
       self_(std::move(self)),
-      tolerated_losses_(tolerated_losses),
       may_create_list_(may_create_list),
       replicas_(loop, http, self_.data_centre),
       copier_(loop, view, node, replicas_, self_.disk, tolerated_losses),
--- a/source/storage/storage_membership_manager.h
+++ b/source/storage/storage_membership_manager.h
@@ -48,7 +48,8 @@
   // Ends Run() after its current step.
   void Stop();
   // Announces the stop of this daemon to the other members.
-  void AnnounceStop(Fiber& fiber) { watch_.AnnounceStop(fiber); }
+  void AnnounceStop() { watch_.AnnounceStop(); }
+  bool announcing() const { return watch_.announcing(); }
 
   // Removes this VM's disk from the list, because operators want the VM
   // emptied. Calls `on_empty` once the disk is no member any more; the other
@@ -103,7 +104,6 @@
   StorageNode& node_;
   DecisionLog& log_;
   StorageMember self_;
-  int tolerated_losses_;
   bool may_create_list_;
   ReplicaClient replicas_;
   DiskCopier copier_;
--- a/source/vm/vm_daemon.cc
+++ b/source/vm/vm_daemon.cc
@@ -437,10 +437,6 @@
   settings_ = settings;
 }
 
-void VmDaemon::BeforeDiskWrite(std::function<void(WriteKind)> hook) {
-  storage_node_->disk_log().BeforeWrite(std::move(hook));
-}
-
 void VmDaemon::Stop(std::function<void()> done) {
   if (stopping_) {
     return;
@@ -479,13 +475,8 @@
       return client_server_->connections() > 0 || storage_client_->sending();
     });
   }
-  const auto announcing =
-      std::make_shared<bool>(membership_manager_ != nullptr);
-  if (*announcing) {
-    loop_.Spawn([this, announcing](Fiber& announce_fiber) {
-      membership_manager_->AnnounceStop(announce_fiber);
-      *announcing = false;
-    });
+  if (membership_manager_) {
+    membership_manager_->AnnounceStop();
   }
   // Other daemons ask all the time, so that a moment without a request may
   // never come. They find no connection from here on, and turn to others.
@@ -495,9 +486,11 @@
       it->Drain();
     }
   }
-  idle = wait_while([this] { return internal_server_->connections() > 0; }) &&
+  idle = wait_while([this] {
+           return internal_server_->connections() > 0 ||
+                  (membership_manager_ && membership_manager_->announcing());
+         }) &&
          idle;
-  wait_while([&announcing] { return *announcing; });
   log_.Write("stopped", "", {{"idle", idle ? 1 : 0}});
   done();
 }
--- a/source/vm/vm_daemon.h
+++ b/source/vm/vm_daemon.h
@@ -5,6 +5,7 @@
 #include <functional>
 #include <memory>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "clients/kv_store.h"
@@ -59,7 +60,9 @@
 
   // Sets the hook that is called before each write to the disk, on the thread
   // that writes. The daemon must have a disk.
-  void BeforeDiskWrite(std::function<void(WriteKind)> hook);
+  void BeforeDiskWrite(std::function<void(WriteKind)> hook) {
+    storage_node_->disk_log().BeforeWrite(std::move(hook));
+  }
 
   // Planned stop: reports "not ready" to the load balancer, finishes requests
   // in flight, and calls `done`.
