Test the refusal of streams by a daemon whose server list is old

A daemon that cannot read the registrations must answer version_unread with Retry-After, not version_gone. The behaviour landed without a test.

--- a/tests/vm/stream_versions_test.cc
+++ b/tests/vm/stream_versions_test.cc
@@ -205,6 +205,33 @@
   });
 }
 
+// The daemon called streams gone whose servers it could not know.
+BOOST_AUTO_TEST_CASE(old_list_of_servers_does_not_prove_a_version_gone) {
+  WithTwoVersions([](Fiber& fiber, VmDeployment& deployment) {
+    BeginStreams(fiber, deployment, true);
+    const std::vector<std::string> leaving = {"new-1", "new-2", "new-3"};
+    SetFaults(deployment, leaving, "refuse", true);
+    for (const auto& id : leaving) {
+      deployment.store().Delete("servers/" + id);
+    }
+    HttpReply reply;
+    const auto is_refused_as = [&](const char* reason) {
+      reply = deployment.Send(fiber, deployment.vm("front-2"),
+                              Resumed("r2+2", "r2", true));
+      return ReasonOf(reply) == reason;
+    };
+    BOOST_TEST(deployment.WaitFor(
+        fiber, [&] { return is_refused_as("version_gone"); }));
+    deployment.store().faults().Set("out", -1);
+    BOOST_TEST(deployment.WaitFor(
+        fiber, [&] { return is_refused_as("version_unread"); }));
+    BOOST_TEST(reply.status == kUnavailable);
+    BOOST_TEST(!reply.Header("Retry-After").empty());
+    BOOST_TEST(VersionsOf(deployment, "r2+2").empty());
+    deployment.store().faults().Set("out", 0);
+  });
+}
+
 BOOST_AUTO_TEST_CASE(stream_does_not_go_on_at_an_unregistered_process) {
   WithTwoVersions([](Fiber& fiber, VmDeployment& deployment) {
     BeginStreams(fiber, deployment, true);
