Name the limit of an absence once, and keep members of DiskCopier together

No change of behaviour: the limit was written twice in AbsenceWatch, and a function of DiskCopier was declared among its data. absence_watch passes.

--- a/source/core/absence_watch.cc
+++ b/source/core/absence_watch.cc
@@ -70,18 +70,18 @@
   return it == absences_.end() ? std::chrono::milliseconds(0) : it->second.time;
 }
 
+std::chrono::milliseconds AbsenceWatch::LimitOf(const Absence& absence) const {
+  return absence.announced || absence.replaced ? limits_.announced
+                                               : limits_.unannounced;
+}
+
 std::chrono::milliseconds AbsenceWatch::LimitOf(const std::string& disk) const {
   const auto it = absences_.find(disk);
-  const bool announced =
-      it != absences_.end() && (it->second.announced || it->second.replaced);
-  return announced ? limits_.announced : limits_.unannounced;
+  return it == absences_.end() ? limits_.unannounced : LimitOf(it->second);
 }
 
 bool AbsenceWatch::IsGone(const Absence& absence) const {
-  return absence.probes >= kMinProbes &&
-         absence.time >= (absence.announced || absence.replaced
-                              ? limits_.announced
-                              : limits_.unannounced);
+  return absence.probes >= kMinProbes && absence.time >= LimitOf(absence);
 }
 
 bool AbsenceWatch::IsGone(const std::string& disk) const {
--- a/source/core/absence_watch.h
+++ b/source/core/absence_watch.h
@@ -62,6 +62,7 @@
 
   // Adds the time since the last probe. Returns whether this is the first one.
   bool Prolong(Absence& absence, TimePoint now) const;
+  std::chrono::milliseconds LimitOf(const Absence& absence) const;
   bool IsGone(const Absence& absence) const;
 
   Limits limits_;
--- a/source/storage/disk_copier.h
+++ b/source/storage/disk_copier.h
@@ -60,6 +60,11 @@
     // Ids of the turns of disks that do not return turns by their keys.
     std::map<std::size_t, std::map<TurnKey, std::string>> ids;
   };
+  // Whether the disks `answered` of the members, with those that were
+  // `replaced` meanwhile, have told all that is to be had from the members.
+  bool IsEnough(const StorageList& list,
+                const std::set<std::string>& answered,
+                const std::set<std::string>& replaced) const;
   // Returns false when too few disks have told what they hold.
   bool FindHolders(Fiber& fiber, const StorageList& list, Digests& digests);
   static void TakeDigest(std::size_t member,
@@ -100,12 +105,6 @@
   ReplicaClient& replicas_;
   std::string disk_;
   int tolerated_losses_;
-  // Whether the disks `answered` of the members, with those that were
-  // `replaced` meanwhile, have told all that is to be had from the members.
-  bool IsEnough(const StorageList& list,
-                const std::set<std::string>& answered,
-                const std::set<std::string>& replaced) const;
-
   // Disks from which all uses have been copied in epoch `uses_copied_epoch_`.
   std::set<std::string> uses_copied_from_;
   // Disks whose VMs had another disk when they were asked in that epoch.
